--- /dev/null
+++ b/crates/ctl/src/outcome.rs
@@ -0,0 +1,118 @@
+//! Errors of commands and their exit codes.
+
+use crate::apply::ApplyError;
+use crate::arguments::OutputForm;
+use derive_more::{Display, Error};
+use mastbay_configuration::DirectoryError;
+use mastbay_web::CallError;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+/// Why a command failed.
+#[derive(Debug, Display, Error)]
+pub enum CommandError {
+    /// The directory is no configuration.
+    #[display("{_0}")]
+    Directory(DirectoryError),
+    /// Reading or applying failed.
+    #[display("{_0}")]
+    Apply(ApplyError),
+    /// A process could not be asked.
+    #[display("{address} cannot be asked: {source}")]
+    Ask {
+        /// Its admin address.
+        address: SocketAddr,
+        /// The cause.
+        source: CallError,
+    },
+    /// A process's answer is not understood.
+    #[display("the answer of {address} is not understood")]
+    Answer {
+        /// Its admin address.
+        address: SocketAddr,
+    },
+    /// No admin address was given.
+    #[display("give the admin address of at least one process with --admin")]
+    NoAdmin,
+    /// Nobody knows the subject.
+    #[display("no process asked knows '{subject}'")]
+    NotKnown {
+        /// What was asked about.
+        subject: String,
+    },
+    /// The change is accepted but not yet in force everywhere.
+    #[display("accepted, but not in force in time at: {waiting}")]
+    NotInForce {
+        /// Admin addresses of the processes without it.
+        waiting: String,
+    },
+}
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_FAULTY: u8 = 2;
+const EXIT_CONFLICT: u8 = 3;
+const EXIT_UNKNOWN: u8 = 4;
+
+impl CommandError {
+    fn exit_code(&self) -> u8 {
+        match self {
+            CommandError::Directory(_) | CommandError::NoAdmin => EXIT_FAULTY,
+            CommandError::Apply(ApplyError::Conflict { .. }) => EXIT_CONFLICT,
+            CommandError::Apply(ApplyError::Unknown { .. }) => EXIT_UNKNOWN,
+            _ => EXIT_FAILED,
+        }
+    }
+
+    fn code(&self) -> &'static str {
+        match self {
+            CommandError::Directory(_) => "faulty_configuration",
+            CommandError::NoAdmin => "no_admin_address",
+            CommandError::Apply(ApplyError::Conflict { .. }) => "conflict",
+            CommandError::Apply(ApplyError::Unknown { .. }) => "unknown",
+            CommandError::Apply(ApplyError::Stored { .. }) => "stored_configuration",
+            CommandError::Apply(_) => "not_accepted",
+            CommandError::Ask { .. } | CommandError::Answer { .. } => "process_not_asked",
+            CommandError::NotKnown { .. } => "not_known",
+            CommandError::NotInForce { .. } => "not_in_force",
+        }
+    }
+}
+
+/// Prints a result and gives the exit code.
+pub fn report(form: OutputForm, result: Result<(Value, String), CommandError>) -> ExitCode {
+    match (result, form) {
+        (Ok((_, text)), OutputForm::Text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        (Ok((value, _)), OutputForm::Json) => {
+            println!("{value}");
+            ExitCode::SUCCESS
+        }
+        (Err(error), form) => {
+            tell_error(form, &error);
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn tell_error(form: OutputForm, error: &CommandError) {
+    let change = match error {
+        CommandError::Apply(ApplyError::Conflict { change, .. }) => change.as_slice(),
+        _ => &[],
+    };
+    match form {
+        OutputForm::Json => {
+            let message = error.to_string();
+            let detail = json!({ "code": error.code(), "message": message, "change": change });
+            println!("{}", json!({ "error": detail }));
+        }
+        OutputForm::Text => {
+            eprintln!("{}", error.to_string().trim_end());
+            for difference in change {
+                eprintln!("  {difference}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,157 @@
+//! One try: a connection, the request's bytes, the head of the answer and, unless it is a stream, the
+//! whole answer.
+
+use crate::duty::GatewayDuty;
+use crate::request::{AcceptedRequest, REQUEST_ID, TRACEPARENT};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode, Uri};
+use mastbay_attempts::{Exchange, Failure};
+use mastbay_telemetry::TraceContext;
+use mastbay_types::Timestamp;
+use mastbay_web::{Connection, read_limited, within};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Media type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// What a try that did not fail brought.
+pub enum Brought {
+    /// The whole answer.
+    Whole(WholeAnswer),
+    /// The head of a stream.
+    Stream(OpenStream),
+}
+
+/// A whole answer.
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A stream that has begun.
+pub struct OpenStream {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Incoming,
+    /// Where it comes from.
+    pub source: SocketAddr,
+    /// The connection that carries it.
+    pub connection: Connection,
+}
+
+/// Time from `now` to `deadline`.
+pub fn time_left(duty: &GatewayDuty, deadline: Timestamp) -> Duration {
+    deadline.since(duty.node().now())
+}
+
+/// Tries to run the request at `address`.
+pub async fn attempt(
+    duty: &GatewayDuty,
+    request: &AcceptedRequest,
+    exchange: &mut Exchange,
+    address: SocketAddr,
+    trace: TraceContext,
+) -> Result<Brought, Failure> {
+    let limit = duty
+        .settings()
+        .connect_limit
+        .min(time_left(duty, request.deadline));
+    let connected = duty.connections().get(address, limit).await;
+    let mut connection = connected.map_err(|error| {
+        tracing::warn!(event = "backend_unreachable", %address, %error);
+        Failure::Connect
+    })?;
+    let outgoing = outgoing(request, address, trace).ok_or(Failure::Connect)?;
+    if !exchange.may_send(duty.node().now()) {
+        return Err(Failure::Deadline);
+    }
+    let response = send(duty, request, exchange, &mut connection, outgoing).await?;
+    check_identity(request, response.headers())?;
+    let (head, body) = response.into_parts();
+    if is_stream(&head.headers) {
+        let headers = head.headers;
+        return Ok(Brought::Stream(OpenStream {
+            headers,
+            body,
+            source: address,
+            connection,
+        }));
+    }
+    let limit = duty.settings().answer_limit;
+    let body = within(time_left(duty, request.deadline), read_limited(body, limit))
+        .await
+        .map_err(|_| Failure::Deadline)?
+        .map_err(|error| {
+            tracing::warn!(event = "answer_broken", request = %request.name.id, %error);
+            Failure::Broken
+        })?;
+    duty.connections().keep(address, connection);
+    Ok(Brought::Whole(WholeAnswer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    }))
+}
+
+async fn send(
+    duty: &GatewayDuty,
+    request: &AcceptedRequest,
+    exchange: &mut Exchange,
+    connection: &mut Connection,
+    outgoing: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, Failure> {
+    let answered = connection.exchange(outgoing);
+    match within(time_left(duty, request.deadline), answered).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) => {
+            if !error.written {
+                exchange.nothing_written();
+            }
+            tracing::warn!(event = "exchange_failed", request = %request.name.id, %error);
+            Err(Failure::Broken)
+        }
+        Err(_) => Err(Failure::Deadline),
+    }
+}
+
+fn outgoing(
+    request: &AcceptedRequest,
+    address: SocketAddr,
+    trace: TraceContext,
+) -> Option<Request<Full<Bytes>>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.target.parse::<Uri>().ok()?;
+    *outgoing.headers_mut() = request.headers.clone();
+    let headers = outgoing.headers_mut();
+    headers.insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
+    headers.insert(TRACEPARENT, HeaderValue::from_str(&trace.to_string()).ok()?);
+    Some(outgoing)
+}
+
+/// A back end that tells which request it answers must tell ours.
+fn check_identity(request: &AcceptedRequest, headers: &HeaderMap) -> Result<(), Failure> {
+    match headers.get(REQUEST_ID) {
+        Some(told) if told.as_bytes() != request.name.id.to_string().as_bytes() => {
+            tracing::error!(event = "answer_mismatch", request = %request.name.id);
+            Err(Failure::Mismatch)
+        }
+        _ => Ok(()),
+    }
+}
+
+fn is_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM))
+}
--- /dev/null
+++ b/crates/gateway/src/start.rs
@@ -0,0 +1,108 @@
+//! Starting and stopping the gateway.
+
+use crate::duty::GatewayDuty;
+use crate::metrics::GatewayMetrics;
+use crate::run::serve;
+use crate::settings::{self, GatewaySettings};
+use mastbay_membership::Role;
+use mastbay_node::{Duty, ExitReason, Node, NodeMetrics, StartError, load_settings, wait_for_stop};
+use mastbay_telemetry::{Registry, serve_admin, start_logging};
+use mastbay_web::{Server, ServerConfig, Stopper, within};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time at the end of a stop for claims to be settled.
+const CLAIMS_LIMIT: Duration = Duration::from_secs(3);
+/// Time between two looks at the claims under way.
+const CLAIMS_CHECK: Duration = Duration::from_millis(50);
+
+/// Runs the gateway until it is asked to stop; with `check`, only checks its settings.
+pub async fn run(path: &Path, check: bool) -> Result<ExitReason, StartError> {
+    let (node_settings, own) = load_settings(path, &[settings::SECTION], settings::read)?;
+    if check {
+        return Ok(ExitReason::Stopped);
+    }
+    start_logging(&node_settings.log).map_err(StartError::Logging)?;
+    let peers = bind(node_settings.peer_address, ServerConfig::default()).await?;
+    let admin = bind(node_settings.admin_address, ServerConfig::default()).await?;
+    let callers = bind(own.address, caller_config(&own)).await?;
+    let mut registry = Registry::default();
+    let node_metrics = NodeMetrics::register(&mut registry);
+    let metrics = GatewayMetrics::register(&mut registry);
+    let node = Node::new(&node_settings, Role::Gateway, node_metrics);
+    let duty = GatewayDuty::new(node.clone(), own, metrics);
+    let stopper = callers.stopper();
+    duty.set_callers(stopper.clone());
+    tracing::info!(event = "started", process = %node.me(), role = "gateway", callers = %callers.address());
+
+    let as_duty: Arc<dyn Duty> = duty.clone();
+    smol::spawn(node.clone().run(as_duty.clone())).detach();
+    smol::spawn(node.clone().read_root_at_start(as_duty.clone())).detach();
+    smol::spawn(node.clone().serve_peers(peers, as_duty)).detach();
+    smol::spawn(duty.clone().run()).detach();
+    smol::spawn(serve_admin(admin, Arc::new(registry), duty.clone())).detach();
+    let serving = serve_callers(callers, duty.clone());
+
+    wait_for_stop().await.map_err(StartError::Signals)?;
+    Ok(stop(&duty, &stopper, serving, node_settings.stop_limit).await)
+}
+
+async fn bind(address: SocketAddr, config: ServerConfig) -> Result<Server, StartError> {
+    Server::bind(address, config)
+        .await
+        .map_err(StartError::Bind)
+}
+
+fn caller_config(settings: &GatewaySettings) -> ServerConfig {
+    ServerConfig {
+        most_connections: settings.most_connections,
+        head_limit: settings.head_limit,
+        ..ServerConfig::default()
+    }
+}
+
+fn serve_callers(server: Server, duty: Arc<GatewayDuty>) -> smol::Task<()> {
+    smol::spawn(async move {
+        server
+            .run(move |request, _| serve(duty.clone(), request))
+            .await;
+    })
+}
+
+/// Not ready first, so that the balancer sends callers elsewhere; then no new connections; then all
+/// that runs and waits is served to its end, up to `limit`.
+async fn stop(
+    duty: &Arc<GatewayDuty>,
+    stopper: &Stopper,
+    serving: smol::Task<()>,
+    limit: Duration,
+) -> ExitReason {
+    duty.node().leave();
+    smol::Timer::after(duty.settings().stop_grace).await;
+    stopper.stop();
+    let ended = within(limit, serving).await;
+    if ended.is_err() {
+        // What still waits is told so; what runs is cut, and its callers see it.
+        duty.drop_waiters();
+        smol::Timer::after(CLAIMS_CHECK).await;
+    }
+    settle_claims(duty).await;
+    tracing::info!(event = "stopped", process = %duty.node().me(), whole = ended.is_ok());
+    if ended.is_ok() {
+        ExitReason::Stopped
+    } else {
+        ExitReason::StopLimit
+    }
+}
+
+async fn settle_claims(duty: &Arc<GatewayDuty>) {
+    let settled = async {
+        while duty.has_claims_under_way() {
+            smol::Timer::after(CLAIMS_CHECK).await;
+        }
+    };
+    // Claims left unsettled stay held, which is safe.
+    let _ = within(CLAIMS_LIMIT, settled).await;
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,22 @@
+//! What every process of the fleet does: it is a member, holds the configuration in force, talks to
+//! its peers and serves its admin address. The duty of the process (gateway or scheduler) plugs in
+//! through [`Duty`].
+
+mod clock;
+mod metrics;
+mod node;
+mod settings;
+mod signals;
+mod startup;
+mod watch;
+
+pub use clock::Clock;
+pub use metrics::{NodeMetrics, PeerRefusal};
+pub use node::{Duty, Node};
+pub use settings::{NodeSettings, read_node_settings};
+pub use signals::wait_for_stop;
+pub use startup::{ExitReason, StartError, load_settings, report_and_exit_code};
+pub use watch::{ROOT_KEY, part_key};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/spread/src/tests.rs
@@ -0,0 +1,226 @@
+use crate::{Action, Readiness, Spread, SpreadConfig, SpreadMessage};
+use mastbay_configuration::{FleetConfiguration, Generation, KeyDigest, Part, Root, Tenant};
+use mastbay_types::{ProcessId, TenantName, Timestamp, Weight};
+use quickcheck::quickcheck;
+use std::collections::BTreeMap;
+
+fn configuration(tenants: usize) -> FleetConfiguration {
+    let mut whole = FleetConfiguration::default();
+    for index in 0..tenants {
+        let keys = vec![KeyDigest::of(&format!("key-{index}"))];
+        let tenant = Tenant {
+            weight: Weight::ONE,
+            keys,
+            most_waiting: 5,
+        };
+        whole
+            .tenants
+            .insert(TenantName::from(&*format!("t{index}")), tenant);
+    }
+    whole
+}
+
+fn root(generation: u64, parts: &[Part]) -> Root {
+    Root {
+        generation: Generation(generation),
+        apply_id: generation.to_string(),
+        previous: Vec::new(),
+        parts: parts.iter().map(Part::hash).collect(),
+    }
+}
+
+fn first(_: usize) -> usize {
+    0
+}
+
+fn peer(index: usize) -> ProcessId {
+    ProcessId::from(&*format!("peer-{index}"))
+}
+
+fn spread(peers: usize) -> Spread {
+    let mut spread = Spread::new(SpreadConfig::default(), Timestamp::ZERO);
+    spread.set_peers((0..peers).map(peer).collect());
+    spread
+}
+
+/// Gives `spread` a configuration of its own generation, as from the platform.
+fn install(spread: &mut Spread, generation: u64) {
+    let parts = configuration(generation as usize).to_parts();
+    spread.handle_platform_root(Timestamp::ZERO, Some(root(generation, &parts)), &mut first);
+    spread.handle_parts(Timestamp::ZERO, parts, &mut first);
+    assert_eq!(spread.generation(), Generation(generation));
+}
+
+/// Carries messages between processes until none is left; `lost` drops some.
+fn settle(
+    processes: &mut BTreeMap<ProcessId, Spread>,
+    mut queue: Vec<(ProcessId, Action)>,
+    lost: impl Fn(&ProcessId, &ProcessId) -> bool,
+) {
+    let mut state = 1_usize;
+    let mut varied = move |choices: usize| {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963);
+        (state >> 33) % choices
+    };
+    while let Some((from, action)) = queue.pop() {
+        let Action::Send { to, message } = action else {
+            continue;
+        };
+        if lost(&from, &to) {
+            continue;
+        }
+        let Some(receiver) = processes.get_mut(&to) else {
+            continue;
+        };
+        let actions = receiver.handle(Timestamp::ZERO, &from, message, &mut varied);
+        queue.extend(actions.into_iter().map(|action| (to.clone(), action)));
+    }
+}
+
+#[test]
+fn a_new_generation_reaches_all_by_its_announcement() {
+    let mut processes: BTreeMap<ProcessId, Spread> =
+        (0..9).map(|index| (peer(index), spread(9))).collect();
+    let parts = configuration(3).to_parts();
+    let watcher = processes.get_mut(&peer(8)).expect("there");
+    watcher.handle_platform_root(Timestamp::ZERO, Some(root(3, &parts)), &mut first);
+    let actions = watcher.handle_parts(Timestamp::ZERO, parts, &mut first);
+    let queue = actions
+        .into_iter()
+        .map(|action| (peer(8), action))
+        .collect();
+    settle(&mut processes, queue, |_, _| false);
+    let reached = processes
+        .values()
+        .filter(|spread| spread.generation() == Generation(3))
+        .count();
+    assert!(reached >= 5, "the fanout alone reaches {reached}");
+    // Whoever was missed hears of it with the next message of any kind.
+    let last = processes.get_mut(&peer(7)).expect("there");
+    let actions = last.hear(Timestamp::ZERO, &peer(8), Generation(3));
+    let queue = actions
+        .into_iter()
+        .map(|action| (peer(7), action))
+        .collect();
+    settle(&mut processes, queue, |_, _| false);
+    assert_eq!(processes[&peer(7)].generation(), Generation(3));
+}
+
+#[test]
+fn a_stale_read_and_a_late_message_change_nothing() {
+    let mut process = spread(2);
+    install(&mut process, 5);
+    let old = configuration(2).to_parts();
+    let actions = process.handle_platform_root(Timestamp::ZERO, Some(root(2, &old)), &mut first);
+    assert!(actions.is_empty());
+    let late = SpreadMessage::Root {
+        root: Some(root(4, &old)),
+    };
+    assert!(
+        process
+            .handle(Timestamp::ZERO, &peer(0), late, &mut first)
+            .is_empty()
+    );
+    process.handle_parts(Timestamp::ZERO, old, &mut first);
+    assert_eq!(process.generation(), Generation(5));
+}
+
+#[test]
+fn a_restarted_process_is_not_ready_with_a_stale_read_while_peers_know_better() {
+    let mut process = spread(3);
+    let old = configuration(2).to_parts();
+    process.handle_platform_root(Timestamp::ZERO, Some(root(2, &old)), &mut first);
+    process.handle_parts(Timestamp::ZERO, old, &mut first);
+    assert_eq!(process.readiness(Timestamp::ZERO), Readiness::Asking);
+    process.hear(Timestamp::ZERO, &peer(0), Generation(3));
+    process.hear(Timestamp::ZERO, &peer(1), Generation(3));
+    assert_eq!(
+        process.readiness(Timestamp::from_millis(5_000)),
+        Readiness::Asking
+    );
+    let new = configuration(3).to_parts();
+    let answer = SpreadMessage::Root {
+        root: Some(root(3, &new)),
+    };
+    process.handle(Timestamp::ZERO, &peer(0), answer, &mut first);
+    process.handle(
+        Timestamp::ZERO,
+        &peer(0),
+        SpreadMessage::Parts { parts: new },
+        &mut first,
+    );
+    assert_eq!(process.readiness(Timestamp::ZERO), Readiness::Ready);
+}
+
+#[test]
+fn with_the_platform_down_a_majority_of_peers_makes_a_process_ready() {
+    let mut process = spread(4);
+    let parts = configuration(3).to_parts();
+    process.hear(Timestamp::ZERO, &peer(0), Generation(3));
+    let answer = SpreadMessage::Root {
+        root: Some(root(3, &parts)),
+    };
+    process.handle(Timestamp::ZERO, &peer(0), answer, &mut first);
+    process.handle(
+        Timestamp::ZERO,
+        &peer(0),
+        SpreadMessage::Parts { parts },
+        &mut first,
+    );
+    assert_eq!(
+        process.readiness(Timestamp::from_millis(9_000)),
+        Readiness::Asking
+    );
+    process.hear(Timestamp::ZERO, &peer(1), Generation(3));
+    process.hear(Timestamp::ZERO, &peer(2), Generation(2));
+    assert_eq!(
+        process.readiness(Timestamp::from_millis(9_000)),
+        Readiness::Ready
+    );
+}
+
+#[test]
+fn a_holder_that_does_not_answer_is_replaced() {
+    let mut process = spread(2);
+    let asked = process.hear(Timestamp::ZERO, &peer(0), Generation(2));
+    assert_eq!(asked.len(), 1);
+    process.hear(Timestamp::ZERO, &peer(1), Generation(2));
+    let later = process.next_timeout();
+    let again = process.handle_timeout(later, &mut first);
+    let expected = Action::Send {
+        to: peer(1),
+        message: SpreadMessage::RootRequest,
+    };
+    assert_eq!(again, [expected]);
+}
+
+#[test]
+fn a_part_with_other_bytes_is_not_taken() {
+    let mut process = spread(2);
+    let parts = configuration(3).to_parts();
+    process.handle_platform_root(Timestamp::ZERO, Some(root(3, &parts)), &mut first);
+    let forged = vec![Part {
+        bytes: b"{}".to_vec(),
+    }];
+    process.handle_parts(Timestamp::ZERO, forged, &mut first);
+    assert_eq!(process.generation(), Generation(0));
+}
+
+quickcheck! {
+    /// Whatever roots arrive in whatever order, the generation in force never falls.
+    fn generation_never_falls(order: Vec<u8>) -> bool {
+        let mut process = spread(3);
+        let mut highest = Generation(0);
+        order.iter().all(|generation| {
+            let parts = configuration(1 + usize::from(*generation % 5)).to_parts();
+            let offered = root(u64::from(*generation), &parts);
+            process.handle_platform_root(Timestamp::ZERO, Some(offered), &mut first);
+            process.handle_parts(Timestamp::ZERO, parts, &mut first);
+            let before = highest;
+            highest = process.generation();
+            highest >= before
+        })
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/application.rs
@@ -0,0 +1,113 @@
+//! A plain service that records each run of each request, so that doubled and lost ones show.
+
+use crate::reply::{status, value};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use mastbay_web::{Body, BodyError, Server, read_limited, streamed};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Largest request body.
+const BODY_LIMIT: usize = 16 << 20;
+/// Header of the request's identifier, returned with the answer.
+const REQUEST_ID: HeaderName = HeaderName::from_static("mastbay-request-id");
+/// Header with the caller's own identifier of an operation.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header by which a test sets the time that this request takes, in milliseconds.
+const WORK: HeaderName = HeaderName::from_static("stand-in-work-ms");
+/// Header by which a test asks for a fault: `break-answer`, `hang` or `crossed`.
+const FAULT: HeaderName = HeaderName::from_static("stand-in-fault");
+
+#[derive(Default)]
+struct Record {
+    /// Runs by request identifier.
+    requests: BTreeMap<String, u32>,
+    /// Runs by idempotency key.
+    keys: BTreeMap<String, u32>,
+}
+
+/// Serves for ever.
+pub async fn serve(server: Server, work: Duration) {
+    let record: Arc<Mutex<Record>> = Arc::default();
+    server
+        .run(move |request, _| {
+            let record = record.clone();
+            async move { answer(&record, work, request).await }
+        })
+        .await;
+}
+
+async fn answer(
+    record: &Mutex<Record>,
+    work: Duration,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    if head.uri.path() == "/record" {
+        let record = record.lock().unwrap_or_else(PoisonError::into_inner);
+        return value(&json!({ "requests": record.requests, "keys": record.keys }));
+    }
+    let Ok(body) = read_limited(body, BODY_LIMIT).await else {
+        return status(StatusCode::PAYLOAD_TOO_LARGE);
+    };
+    let id = text(&head.headers, &REQUEST_ID)
+        .unwrap_or_default()
+        .to_owned();
+    note_run(record, &id, text(&head.headers, &IDEMPOTENCY_KEY));
+    let own_work = text(&head.headers, &WORK).and_then(|text| text.parse().ok());
+    smol::Timer::after(own_work.map_or(work, Duration::from_millis)).await;
+    let digest = hex::encode(Sha256::digest(&body));
+    let answer = json!({
+        "request": id,
+        "path": head.uri.path(),
+        "tenant": text(&head.headers, &HeaderName::from_static("mastbay-tenant")),
+        "body_sha256": digest,
+    });
+    finish(&id, &answer.to_string(), text(&head.headers, &FAULT)).await
+}
+
+fn note_run(record: &Mutex<Record>, id: &str, key: Option<&str>) {
+    let mut record = record.lock().unwrap_or_else(PoisonError::into_inner);
+    *record.requests.entry(id.to_owned()).or_default() += 1;
+    if let Some(key) = key {
+        *record.keys.entry(key.to_owned()).or_default() += 1;
+    }
+}
+
+async fn finish(id: &str, answer: &str, fault: Option<&str>) -> Response<Body> {
+    let (sender, chunks) = smol::channel::bounded(2);
+    let half = answer.len() / 2;
+    let mut told = id.to_owned();
+    match fault {
+        Some("hang") => std::future::pending().await,
+        Some("break-answer") => {
+            let _ = sender
+                .send(Ok(answer.as_bytes()[..half].to_vec().into()))
+                .await;
+            let _ = sender.send(Err(BodyError)).await;
+        }
+        Some("crossed") => {
+            told = "0".repeat(32);
+            let _ = sender.send(Ok(answer.to_owned().into())).await;
+        }
+        _ => {
+            let _ = sender.send(Ok(answer.to_owned().into())).await;
+        }
+    }
+    let mut response = Response::new(streamed(chunks));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(told) = HeaderValue::from_str(&told) {
+        response.headers_mut().insert(REQUEST_ID, told);
+    }
+    response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/telemetry/src/trace_context.rs
@@ -0,0 +1,86 @@
+//! W3C trace context: the `traceparent` header, version 00.
+
+use derive_more::{Display, Error};
+use rand::Rng;
+use std::fmt;
+use std::str::FromStr;
+
+/// Position in a trace: which trace, and which span within it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct TraceContext {
+    /// The trace, never zero.
+    pub trace: u128,
+    /// The span, never zero.
+    pub span: u64,
+    /// Whether the caller records the trace.
+    pub sampled: bool,
+}
+
+impl TraceContext {
+    /// The root of a new trace.
+    pub fn new_root(random: &mut impl Rng) -> Self {
+        let trace = (u128::from(random.next_u64()) << 64) | u128::from(random.next_u64() | 1);
+        Self {
+            trace,
+            span: random.next_u64() | 1,
+            sampled: true,
+        }
+    }
+
+    /// A new span within the same trace.
+    pub fn child(self, random: &mut impl Rng) -> Self {
+        Self {
+            span: random.next_u64() | 1,
+            ..self
+        }
+    }
+}
+
+impl fmt::Display for TraceContext {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let flags = u8::from(self.sampled);
+        write!(
+            formatter,
+            "00-{:032x}-{:016x}-{flags:02x}",
+            self.trace, self.span
+        )
+    }
+}
+
+/// Text that is no trace context.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("not a traceparent of version 00")]
+pub struct ParseTraceContextError;
+
+impl FromStr for TraceContext {
+    type Err = ParseTraceContextError;
+
+    fn from_str(text: &str) -> Result<Self, ParseTraceContextError> {
+        let mut fields = text.split('-');
+        let version = fields.next().ok_or(ParseTraceContextError)?;
+        let trace = hexadecimal(fields.next(), 32)?;
+        let span = hexadecimal(fields.next(), 16)?;
+        let flags = hexadecimal(fields.next(), 2)?;
+        let known = version == "00" && fields.next().is_none();
+        let span = u64::try_from(span).map_err(|_| ParseTraceContextError)?;
+        if !known || trace == 0 || span == 0 {
+            return Err(ParseTraceContextError);
+        }
+        Ok(Self {
+            trace,
+            span,
+            sampled: flags & 1 == 1,
+        })
+    }
+}
+
+fn hexadecimal(field: Option<&str>, digits: usize) -> Result<u128, ParseTraceContextError> {
+    let field = field
+        .filter(|field| field.len() == digits)
+        .ok_or(ParseTraceContextError)?;
+    let lower = |symbol: char| symbol.is_ascii_digit() || ('a'..='f').contains(&symbol);
+    if !field.chars().all(lower) {
+        return Err(ParseTraceContextError);
+    }
+    u128::from_str_radix(field, 16).map_err(|_| ParseTraceContextError)
+}
--- /dev/null
+++ b/crates/testbed/src/bed.rs
@@ -0,0 +1,425 @@
+//! A whole fleet with its stand-ins.
+
+use crate::call::{Answer, CallFailed, Caller};
+use crate::check::wait_until;
+use crate::configuration::{self, TenantDeclaration};
+use crate::ports::PortBlock;
+use crate::process::{Process, StartFailed, binary};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Time for a fleet to come up.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// What a bed is made of.
+#[derive(Debug, Clone)]
+pub struct BedOptions {
+    /// Machines, each with a gateway and a scheduler.
+    pub machines: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Sequences that each engine runs at a time.
+    pub engine_slots: usize,
+    /// Milliseconds for each step of an engine.
+    pub engine_step_ms: u64,
+    /// Plain services: the first serves `/permits`, the others `/checks`.
+    pub applications: usize,
+    /// Requests that each application runs at a time.
+    pub application_slots: usize,
+    /// Tenants.
+    pub tenants: Vec<TenantDeclaration>,
+    /// Log filter of gateways and schedulers.
+    pub log: String,
+}
+
+impl Default for BedOptions {
+    fn default() -> Self {
+        Self {
+            machines: 3,
+            engines: 2,
+            engine_slots: 4,
+            engine_step_ms: 2,
+            applications: 2,
+            application_slots: 8,
+            tenants: vec![
+                TenantDeclaration::new("office"),
+                TenantDeclaration::new("summaries"),
+            ],
+            log: "info".to_owned(),
+        }
+    }
+}
+
+/// The addresses of one machine's processes.
+#[derive(Debug, Clone)]
+pub struct Machine {
+    /// Its zone.
+    pub zone: &'static str,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// The gateway's peer address.
+    pub gateway_peer: SocketAddr,
+    /// The gateway's admin address.
+    pub gateway_admin: SocketAddr,
+    /// The scheduler's peer address.
+    pub scheduler_peer: SocketAddr,
+    /// The scheduler's admin address.
+    pub scheduler_admin: SocketAddr,
+}
+
+/// A fleet of real processes on loopback, all ended when this value is dropped.
+#[derive(Debug)]
+pub struct Bed {
+    options: BedOptions,
+    _ports: PortBlock,
+    folder: PathBuf,
+    /// The platform's address.
+    pub platform_address: SocketAddr,
+    /// The machines' addresses.
+    pub machines: Vec<Machine>,
+    /// The engines' addresses.
+    pub engine_addresses: Vec<SocketAddr>,
+    /// The applications' addresses.
+    pub application_addresses: Vec<SocketAddr>,
+    /// The platform.
+    pub platform: Process,
+    /// Gateways, by machine.
+    pub gateways: Vec<Process>,
+    /// Schedulers, by machine.
+    pub schedulers: Vec<Process>,
+    /// Engines.
+    pub engines: Vec<Process>,
+    /// Applications.
+    pub applications: Vec<Process>,
+}
+
+/// Beds made by this process, for the names of their folders.
+static BEDS: AtomicU32 = AtomicU32::new(0);
+
+impl Bed {
+    /// Starts the stand-ins and the fleet, applies the configuration and waits until every gateway
+    /// is ready.
+    ///
+    /// # Panics
+    /// When the fleet does not come up.
+    pub async fn start(options: BedOptions) -> Self {
+        let bed = Self::launch(options).expect("the programs can be started");
+        bed.wait_listening().await;
+        let output = bed.apply();
+        assert!(
+            output.status.success(),
+            "{}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+        bed.wait_ready().await;
+        bed
+    }
+
+    /// Starts all processes and returns at once; no configuration is applied.
+    pub fn launch(options: BedOptions) -> Result<Self, StartFailed> {
+        let mut ports = PortBlock::take();
+        let folder = new_folder();
+        let platform_address = ports.next_address();
+        let machines: Vec<Machine> = (0..options.machines)
+            .map(|index| machine(&mut ports, index))
+            .collect();
+        let engine_addresses: Vec<_> = (0..options.engines).map(|_| ports.next_address()).collect();
+        let application_addresses: Vec<_> = (0..options.applications)
+            .map(|_| ports.next_address())
+            .collect();
+        let platform = start_platform(platform_address, &folder)?;
+        let mut bed = Self {
+            options,
+            _ports: ports,
+            folder,
+            platform_address,
+            machines,
+            engine_addresses,
+            application_addresses,
+            platform,
+            gateways: Vec::new(),
+            schedulers: Vec::new(),
+            engines: Vec::new(),
+            applications: Vec::new(),
+        };
+        bed.write_files();
+        for index in 0..bed.options.engines {
+            bed.engines.push(bed.start_engine(index)?);
+        }
+        for index in 0..bed.options.applications {
+            bed.applications.push(bed.start_application(index)?);
+        }
+        for index in 0..bed.options.machines {
+            bed.schedulers.push(bed.start_scheduler(index)?);
+            bed.gateways.push(bed.start_gateway(index)?);
+        }
+        Ok(bed)
+    }
+
+    /// The folder of the bed's files.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// The configuration directory.
+    pub fn configuration(&self) -> PathBuf {
+        self.folder.join("configuration")
+    }
+
+    /// Starts the gateway of a machine, for the first time or anew.
+    pub fn start_gateway(&self, index: usize) -> Result<Process, StartFailed> {
+        self.start_member("mastbay-gateway", &format!("gateway-{index}"))
+    }
+
+    /// Starts the scheduler of a machine, for the first time or anew.
+    pub fn start_scheduler(&self, index: usize) -> Result<Process, StartFailed> {
+        self.start_member("mastbay-scheduler", &format!("scheduler-{index}"))
+    }
+
+    /// Starts an engine, for the first time or anew.
+    pub fn start_engine(&self, index: usize) -> Result<Process, StartFailed> {
+        let arguments = [
+            "engine".to_owned(),
+            "--address".to_owned(),
+            self.engine_addresses[index].to_string(),
+            "--slots".to_owned(),
+            self.options.engine_slots.to_string(),
+            "--step-ms".to_owned(),
+            self.options.engine_step_ms.to_string(),
+        ];
+        let log = self.folder.join(format!("engine-{index}.log"));
+        Process::start("mastbay-stand-in", &arguments, &log)
+    }
+
+    /// Starts an application, for the first time or anew.
+    pub fn start_application(&self, index: usize) -> Result<Process, StartFailed> {
+        let address = self.application_addresses[index];
+        let arguments = [
+            "application".to_owned(),
+            "--address".to_owned(),
+            address.to_string(),
+        ];
+        let log = self.folder.join(format!("application-{index}.log"));
+        Process::start("mastbay-stand-in", &arguments, &log)
+    }
+
+    fn start_member(&self, program: &str, name: &str) -> Result<Process, StartFailed> {
+        let settings = self.folder.join(format!("{name}.ini"));
+        let log = self.folder.join(format!("{name}.log"));
+        Process::start(program, &[settings.display().to_string()], &log)
+    }
+
+    fn write_files(&self) {
+        let write = |name: &str, text: String| {
+            std::fs::write(self.folder.join(name), text).expect("files can be written");
+        };
+        std::fs::create_dir_all(self.configuration()).expect("folders can be made");
+        write(
+            "configuration/tenants.ini",
+            configuration::tenants(&self.options),
+        );
+        write("configuration/services.ini", configuration::services());
+        let backends = configuration::backends(
+            &self.options,
+            &self.engine_addresses,
+            &self.application_addresses,
+        );
+        write("configuration/backends.ini", backends);
+        let seeds: Vec<String> = self
+            .machines
+            .iter()
+            .flat_map(|machine| [machine.scheduler_peer, machine.gateway_peer])
+            .map(|seed| seed.to_string())
+            .collect();
+        let seeds = seeds.join(", ");
+        let (platform, log) = (self.platform_address, &self.options.log);
+        for (index, machine) in self.machines.iter().enumerate() {
+            let gateway = configuration::gateway(machine, &seeds, platform, log);
+            write(&format!("gateway-{index}.ini"), gateway);
+            let scheduler = configuration::scheduler(machine, &seeds, platform, log);
+            write(&format!("scheduler-{index}.ini"), scheduler);
+        }
+    }
+
+    /// A caller of a machine's gateway.
+    pub fn caller(&self, machine: usize, tenant: &str) -> Caller {
+        Caller::new(self.machines[machine].callers, tenant)
+    }
+
+    /// Gets a path of any process, as JSON; null if it does not answer.
+    pub async fn get(&self, address: SocketAddr, path: &str) -> Value {
+        let answer = Caller::new(address, "").get(path).await;
+        answer.map_or(Value::Null, |answer| answer.json())
+    }
+
+    /// Puts JSON to the platform's switches.
+    ///
+    /// # Panics
+    /// When the platform does not take it.
+    pub async fn tell_platform(&self, path: &str, value: &Value) {
+        let caller = Caller::new(self.platform_address, "");
+        let answer = caller
+            .send(Method::PUT, path, value.to_string().into_bytes())
+            .await;
+        let status = answer.expect("the platform stand-in runs").status;
+        assert!(status.is_success(), "{path}: {status}");
+    }
+
+    /// Sets the platform's faults; what is not named is switched off.
+    pub async fn set_faults(&self, faults: Value) {
+        self.tell_platform("/faults", &faults).await;
+    }
+
+    /// Marks back ends as leaving in the platform's machine list; all others are live.
+    pub async fn set_leaving(&self, leaving: &[SocketAddr]) {
+        let all = self
+            .engine_addresses
+            .iter()
+            .chain(&self.application_addresses);
+        let machines: Vec<Value> = all
+            .map(|address| {
+                let state = if leaving.contains(address) {
+                    "leaving"
+                } else {
+                    "live"
+                };
+                json!({ "address": address, "zone": "bariloche", "state": state })
+            })
+            .collect();
+        self.tell_platform("/machines", &Value::from(machines))
+            .await;
+    }
+
+    /// Runs `mastbayctl`.
+    ///
+    /// # Panics
+    /// When it cannot be started.
+    pub fn ctl(&self, arguments: &[&str]) -> Output {
+        Command::new(binary("mastbayctl"))
+            .args(arguments)
+            .output()
+            .expect("mastbayctl can be started")
+    }
+
+    /// Applies the bed's configuration directory.
+    pub fn apply(&self) -> Output {
+        let (directory, platform) = (self.configuration(), self.platform_address.to_string());
+        self.ctl(&[
+            "apply",
+            &directory.display().to_string(),
+            "--platform",
+            &platform,
+        ])
+    }
+
+    /// The admin addresses of all gateways and schedulers.
+    pub fn admin_addresses(&self) -> Vec<SocketAddr> {
+        let of_machine = |machine: &Machine| [machine.gateway_admin, machine.scheduler_admin];
+        self.machines.iter().flat_map(of_machine).collect()
+    }
+
+    /// Waits until every process answers.
+    pub async fn wait_listening(&self) {
+        let mut addresses = self.admin_addresses();
+        addresses.push(self.platform_address);
+        addresses.extend(&self.engine_addresses);
+        addresses.extend(&self.application_addresses);
+        for address in addresses {
+            wait_until(START_LIMIT, &format!("{address} listens"), || async move {
+                Caller::new(address, "").get("/healthz").await.is_ok()
+            })
+            .await;
+        }
+    }
+
+    /// Waits until every process is ready and sees all others.
+    pub async fn wait_ready(&self) {
+        let expected = 2 * self.machines.len();
+        for address in self.admin_addresses() {
+            wait_until(START_LIMIT, &format!("{address} is ready"), || async move {
+                is_ready(address).await && alive_members(self, address).await == expected
+            })
+            .await;
+        }
+    }
+
+    /// Whether the process at an admin address is ready.
+    pub async fn is_ready(&self, address: SocketAddr) -> bool {
+        is_ready(address).await
+    }
+
+    /// Sums the runs of requests that an application recorded, by request id and by idempotency
+    /// key.
+    pub async fn application_record(&self, index: usize) -> Value {
+        self.get(self.application_addresses[index], "/record").await
+    }
+
+    /// One answer, checked to be there.
+    ///
+    /// # Panics
+    /// When there is none.
+    pub fn answered(&self, result: Result<Answer, CallFailed>) -> Answer {
+        match result {
+            Ok(answer) => answer,
+            Err(error) => panic!("no answer: {error}"),
+        }
+    }
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.folder.display());
+        } else {
+            // A folder that cannot be removed is only litter.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let answer = Caller::new(address, "").get("/readyz").await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
+
+async fn alive_members(bed: &Bed, address: SocketAddr) -> usize {
+    let status = bed.get(address, "/status").await;
+    let members = status["members"].as_array().cloned().unwrap_or_default();
+    members
+        .iter()
+        .filter(|member| member["state"] == "alive")
+        .count()
+}
+
+fn machine(ports: &mut PortBlock, index: usize) -> Machine {
+    Machine {
+        zone: configuration::zone(index),
+        callers: ports.next_address(),
+        gateway_peer: ports.next_address(),
+        gateway_admin: ports.next_address(),
+        scheduler_peer: ports.next_address(),
+        scheduler_admin: ports.next_address(),
+    }
+}
+
+fn new_folder() -> PathBuf {
+    let number = BEDS.fetch_add(1, Ordering::SeqCst);
+    let name = format!("mastbay-bed-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("folders can be made");
+    folder
+}
+
+fn start_platform(address: SocketAddr, folder: &Path) -> Result<Process, StartFailed> {
+    let arguments = [
+        "platform".to_owned(),
+        "--address".to_owned(),
+        address.to_string(),
+    ];
+    Process::start("mastbay-stand-in", &arguments, &folder.join("platform.log"))
+}
--- /dev/null
+++ b/crates/testbed/src/configuration.rs
@@ -0,0 +1,155 @@
+//! Configuration and settings files for a bed.
+
+use crate::bed::{BedOptions, Machine};
+use mastbay_configuration::KeyDigest;
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+/// A tenant of a bed.
+#[derive(Debug, Clone)]
+pub struct TenantDeclaration {
+    /// Its name.
+    pub name: String,
+    /// Its weight.
+    pub weight: u32,
+}
+
+impl TenantDeclaration {
+    /// A tenant of weight one.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            weight: 1,
+        }
+    }
+}
+
+/// The key that a tenant's callers show.
+pub fn key_of(tenant: &str) -> String {
+    format!("key-of-{tenant}")
+}
+
+/// Tenants in INI form.
+pub(crate) fn tenants(options: &BedOptions) -> String {
+    let mut text = String::new();
+    for tenant in &options.tenants {
+        let digest = KeyDigest::of(&key_of(&tenant.name));
+        push(&mut text, &format!("[tenant {}]", tenant.name));
+        push(&mut text, &format!("weight = {}", tenant.weight));
+        push(&mut text, &format!("key-sha256 = {digest}\n"));
+    }
+    text
+}
+
+/// Services in INI form: a model service and two plain ones.
+pub(crate) fn services() -> String {
+    "[service answers]\nkind = model\nmodel = anglers-8b\nrepeatable = yes\ndeadline = 60s\n\n\
+     [service permits]\nkind = plain\npath-prefix = /permits\nclaims = required\n\
+     deadline = 20s\ngrants-ahead = 1\n\n\
+     [service checks]\nkind = plain\npath-prefix = /checks\nclaims = when-available\n\
+     repeatable = yes\ndeadline = 20s\ngrants-ahead = 1\n"
+        .to_owned()
+}
+
+/// Back ends in INI form.
+pub(crate) fn backends(
+    options: &BedOptions,
+    engines: &[SocketAddr],
+    applications: &[SocketAddr],
+) -> String {
+    let mut text = String::new();
+    for (index, address) in engines.iter().enumerate() {
+        let zone = zone(index);
+        backend(
+            &mut text,
+            &format!("engine-{index}"),
+            "answers",
+            *address,
+            zone,
+            options.engine_slots,
+        );
+    }
+    for (index, address) in applications.iter().enumerate() {
+        // The first application serves checks if there are two or more.
+        let service = if index > 0 { "checks" } else { "permits" };
+        let name = format!("application-{index}");
+        backend(
+            &mut text,
+            &name,
+            service,
+            *address,
+            zone(index),
+            options.application_slots,
+        );
+    }
+    text
+}
+
+fn backend(
+    text: &mut String,
+    name: &str,
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: usize,
+) {
+    push(text, &format!("[backend {name}]"));
+    push(text, &format!("service = {service}"));
+    push(text, &format!("address = {address}"));
+    push(text, &format!("zone = {zone}"));
+    push(text, &format!("slots = {slots}\n"));
+}
+
+/// The zone of the machine or back end at `index`.
+pub(crate) fn zone(index: usize) -> &'static str {
+    ["bariloche", "esquel", "neuquen"][index % 3]
+}
+
+/// Settings of a gateway.
+pub(crate) fn gateway(machine: &Machine, seeds: &str, platform: SocketAddr, log: &str) -> String {
+    let shared = shared(
+        machine,
+        seeds,
+        platform,
+        log,
+        machine.gateway_peer,
+        machine.gateway_admin,
+    );
+    format!(
+        "{shared}\n[gateway]\naddress = {}\nstop-grace = 100ms\n",
+        machine.callers
+    )
+}
+
+/// Settings of a scheduler.
+pub(crate) fn scheduler(machine: &Machine, seeds: &str, platform: SocketAddr, log: &str) -> String {
+    shared(
+        machine,
+        seeds,
+        platform,
+        log,
+        machine.scheduler_peer,
+        machine.scheduler_admin,
+    )
+}
+
+fn shared(
+    machine: &Machine,
+    seeds: &str,
+    platform: SocketAddr,
+    log: &str,
+    peer: SocketAddr,
+    admin: SocketAddr,
+) -> String {
+    format!(
+        "[process]\nzone = {}\nlog = {log}\nstop-limit = 30s\n\n\
+         [peer]\naddress = {peer}\nsecret = loopback only\nseeds = {seeds}\n\n\
+         [platform]\naddress = {platform}\n\n[admin]\naddress = {admin}\n",
+        machine.zone,
+    )
+}
+
+fn push(text: &mut String, line: &str) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "{line}");
+}
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,16 @@
+//! A fleet of real processes on loopback, for tests, the demo and measurements: stand-ins, gateways
+//! and schedulers are started, watched, hurt and stopped here, each by its own process id.
+
+mod bed;
+mod call;
+mod check;
+mod configuration;
+mod ports;
+mod process;
+
+pub use bed::{Bed, BedOptions, Machine};
+pub use call::{Answer, CallFailed, Caller, chat_body, event_data};
+pub use check::{expected_words, wait_until};
+pub use configuration::{TenantDeclaration, key_of};
+pub use ports::PortBlock;
+pub use process::{Process, StartFailed, binary};
--- /dev/null
+++ b/crates/web/src/server.rs
@@ -0,0 +1,238 @@
+//! A server whose stop is a phase of its own: it accepts nothing new, lets what runs end, and says
+//! when all has ended.
+
+use crate::body::Body;
+use derive_more::{Display, Error};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use smol::channel::{Receiver, Sender};
+use smol::future::{Future, FutureExt};
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Settings of a [`Server`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerConfig {
+    /// Most connections open at a time; more are closed at once.
+    pub most_connections: usize,
+    /// Largest head of a request, in bytes.
+    pub head_limit: usize,
+    /// Time that the head of a request may take to arrive.
+    pub head_time: Duration,
+}
+
+impl Default for ServerConfig {
+    fn default() -> Self {
+        Self {
+            most_connections: 4_096,
+            head_limit: 32 << 10,
+            head_time: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A listening address could not be opened.
+#[derive(Debug, Display, Error)]
+#[display("cannot listen on {address}: {source}")]
+pub struct BindError {
+    /// The address.
+    pub address: SocketAddr,
+    /// The cause.
+    pub source: std::io::Error,
+}
+
+/// Counts of a server since its start.
+#[derive(Debug, Default)]
+struct Counts {
+    open: AtomicUsize,
+    refused: AtomicU64,
+    malformed: AtomicU64,
+}
+
+/// A server that listens but does not accept yet.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    address: SocketAddr,
+    config: ServerConfig,
+    stop_sender: Sender<Infallible>,
+    stop: Receiver<Infallible>,
+    counts: Arc<Counts>,
+}
+
+/// Stops a server and tells its counts.
+#[derive(Debug, Clone)]
+pub struct Stopper {
+    stop: Sender<Infallible>,
+    counts: Arc<Counts>,
+}
+
+impl Stopper {
+    /// Accepts no new connection and closes each open one when its exchange has ended.
+    pub fn stop(&self) {
+        self.stop.close();
+    }
+
+    /// Connections open now.
+    pub fn open_connections(&self) -> usize {
+        self.counts.open.load(Ordering::SeqCst)
+    }
+
+    /// Connections refused because too many were open.
+    pub fn refused_connections(&self) -> u64 {
+        self.counts.refused.load(Ordering::Relaxed)
+    }
+
+    /// Connections ended for malformed or oversized heads.
+    pub fn malformed_requests(&self) -> u64 {
+        self.counts.malformed.load(Ordering::Relaxed)
+    }
+}
+
+impl Server {
+    /// Opens the listening address. Port 0 picks a free one.
+    pub async fn bind(address: SocketAddr, config: ServerConfig) -> Result<Self, BindError> {
+        let failed = |source| BindError { address, source };
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let (stop_sender, stop) = smol::channel::bounded(1);
+        let counts = Arc::default();
+        Ok(Self {
+            listener,
+            address,
+            config,
+            stop_sender,
+            stop,
+            counts,
+        })
+    }
+
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// A handle to stop it.
+    pub fn stopper(&self) -> Stopper {
+        Stopper {
+            stop: self.stop_sender.clone(),
+            counts: self.counts.clone(),
+        }
+    }
+
+    /// Serves until stopped, then until the last connection has ended.
+    pub async fn run<H, F>(self, handler: H)
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let (open, all_ended) = smol::channel::bounded::<Infallible>(1);
+        let stopped = async {
+            let _ = self.stop.recv().await;
+            None
+        };
+        let mut stopped = pin!(stopped);
+        loop {
+            let accepted = async { Some(self.listener.accept().await) };
+            match accepted.or(&mut stopped).await {
+                None => break,
+                Some(Ok((stream, peer))) => self.admit(stream, peer, &handler, &open),
+                // Out of descriptors or an aborted connection: wait a little, go on.
+                Some(Err(_)) => drop(smol::Timer::after(ACCEPT_PAUSE).await),
+            }
+        }
+        drop(open);
+        drop(self.listener);
+        let _ = all_ended.recv().await;
+    }
+
+    fn admit<H, F>(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        handler: &H,
+        open: &Sender<Infallible>,
+    ) where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        if self.counts.open.load(Ordering::SeqCst) >= self.config.most_connections {
+            self.counts.refused.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        self.counts.open.fetch_add(1, Ordering::SeqCst);
+        let guard = OpenConnection {
+            counts: self.counts.clone(),
+            _open: open.clone(),
+        };
+        let (handler, stop, config) = (handler.clone(), self.stop.clone(), self.config.clone());
+        smol::spawn(async move {
+            serve_connection(stream, peer, handler, stop, config, &guard.counts).await;
+            drop(guard);
+        })
+        .detach();
+    }
+}
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+struct OpenConnection {
+    counts: Arc<Counts>,
+    _open: Sender<Infallible>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.counts.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: H,
+    stop: Receiver<Infallible>,
+    config: ServerConfig,
+    counts: &Counts,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    // See `Connection::open`.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(config.head_time)
+            .max_buf_size(config.head_limit)
+            .serve_connection(FuturesIo::new(stream), service)
+    );
+    let ended = async { Some(connection.as_mut().await) };
+    let stopped = async {
+        let _ = stop.recv().await;
+        None
+    };
+    let result = match ended.or(stopped).await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if result.is_err_and(|error| error.is_parse()) {
+        counts.malformed.fetch_add(1, Ordering::Relaxed);
+    }
+}
