Prove the promises on real processes, and mend what the proofs found

Cause: the promises were only unit-tested. Process tests now kill, freeze, restart and stop each kind of process, switch the platform's faults, cross and break answers, race operators and send bad input. They found three faults of ours: 1. A gateway that woke after its deadline reported `no_backend` and paused a healthy back end for all: a connection that had no time left counted as unreachable. It now counts as a passed deadline. Ruled out: a late send (the record showed no run). 2. A planned stop broke connections that the kernel had accepted and ones whose first request was just arriving: 2 of 3,255 calls. The server now takes what waits in the accept queue and gives a connection without a request half a second for it. 3. The testbed tried ports by binding them, which a child being forked by another thread could hold open; one start in about 100 failed. Blocks of ports are now kept by a guard alone.

One run of a_caller_that_goes_away_frees_its_slot failed once in about 20 before these changes; its cause is not found yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -61,15 +61,7 @@
     address: SocketAddr,
     trace: TraceContext,
 ) -> Result<Brought, Failure> {
-    let limit = duty
-        .settings()
-        .connect_limit
-        .min(time_left(duty, request.deadline));
-    let connected = duty.connections().get(address, limit).await;
-    let mut connection = connected.map_err(|error| {
-        tracing::warn!(event = "backend_unreachable", %address, %error);
-        Failure::Connect
-    })?;
+    let mut connection = connect(duty, request, address).await?;
     let outgoing = outgoing(request, address, trace).ok_or(Failure::Connect)?;
     if !exchange.may_send(duty.node().now()) {
         return Err(Failure::Deadline);
@@ -102,6 +94,27 @@
     }))
 }
 
+/// A connection that did not come up in the time that the request had left says nothing about the
+/// back end.
+async fn connect(
+    duty: &GatewayDuty,
+    request: &AcceptedRequest,
+    address: SocketAddr,
+) -> Result<Connection, Failure> {
+    let limit = duty
+        .settings()
+        .connect_limit
+        .min(time_left(duty, request.deadline));
+    let connected = duty.connections().get(address, limit).await;
+    connected.map_err(|error| {
+        if time_left(duty, request.deadline).is_zero() {
+            return Failure::Deadline;
+        }
+        tracing::warn!(event = "backend_unreachable", %address, %error);
+        Failure::Connect
+    })
+}
+
 async fn send(
     duty: &GatewayDuty,
     request: &AcceptedRequest,
--- a/crates/stand-in/src/application.rs
+++ b/crates/stand-in/src/application.rs
@@ -8,6 +8,8 @@
 use serde_json::json;
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -22,17 +24,23 @@
 /// Header by which a test asks for a fault: `break-answer`, `hang` or `crossed`.
 const FAULT: HeaderName = HeaderName::from_static("stand-in-fault");
 
+/// Runs so far.
 #[derive(Default)]
 struct Record {
     /// Runs by request identifier.
     requests: BTreeMap<String, u32>,
     /// Runs by idempotency key.
     keys: BTreeMap<String, u32>,
+    /// Keeps each run beyond the life of this process: a line with identifier and key.
+    file: Option<File>,
 }
 
 /// Serves for ever.
-pub async fn serve(server: Server, work: Duration) {
-    let record: Arc<Mutex<Record>> = Arc::default();
+pub async fn serve(server: Server, work: Duration, file: Option<File>) {
+    let record = Arc::new(Mutex::new(Record {
+        file,
+        ..Record::default()
+    }));
     server
         .run(move |request, _| {
             let record = record.clone();
@@ -47,6 +55,9 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
+    if head.uri.path() == "/healthz" {
+        return status(StatusCode::OK);
+    }
     if head.uri.path() == "/record" {
         let record = record.lock().unwrap_or_else(PoisonError::into_inner);
         return value(&json!({ "requests": record.requests, "keys": record.keys }));
@@ -76,6 +87,9 @@
     if let Some(key) = key {
         *record.keys.entry(key.to_owned()).or_default() += 1;
     }
+    if let Some(file) = &mut record.file {
+        writeln!(file, "{id} {}", key.unwrap_or("-")).expect("the record can be written");
+    }
 }
 
 async fn finish(id: &str, answer: &str, fault: Option<&str>) -> Response<Body> {
--- a/crates/stand-in/src/main.rs
+++ b/crates/stand-in/src/main.rs
@@ -2,8 +2,11 @@
 //! platform, a model engine and a plain service. Faults are switched on from outside.
 
 use argh::FromArgs;
+use derive_more::{Display, Error};
 use mastbay_web::{BindError, Server, ServerConfig};
+use std::fs::File;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -72,6 +75,20 @@
     /// milliseconds that a request takes
     #[argh(option, default = "5")]
     work_ms: u64,
+    /// file to which each run is added
+    #[argh(option)]
+    record: Option<PathBuf>,
+}
+
+/// Why a stand-in did not start.
+#[derive(Debug, Display, Error)]
+enum StartError {
+    /// Its address could not be opened.
+    #[display("{_0}")]
+    Bind(BindError),
+    /// The record could not be opened.
+    #[display("the record cannot be opened: {_0}")]
+    Record(std::io::Error),
 }
 
 fn main() -> ExitCode {
@@ -85,7 +102,7 @@
     }
 }
 
-async fn run(role: Role) -> Result<(), BindError> {
+async fn run(role: Role) -> Result<(), StartError> {
     match role {
         Role::Platform(arguments) => {
             let server = bind(arguments.address).await?;
@@ -103,12 +120,20 @@
         }
         Role::Application(arguments) => {
             let server = bind(arguments.address).await?;
-            application::serve(server, Duration::from_millis(arguments.work_ms)).await;
+            let record = arguments.record.map(open_record).transpose();
+            let record = record.map_err(StartError::Record)?;
+            application::serve(server, Duration::from_millis(arguments.work_ms), record).await;
         }
     }
     Ok(())
 }
 
-async fn bind(address: SocketAddr) -> Result<Server, BindError> {
-    Server::bind(address, ServerConfig::default()).await
+async fn bind(address: SocketAddr) -> Result<Server, StartError> {
+    Server::bind(address, ServerConfig::default())
+        .await
+        .map_err(StartError::Bind)
+}
+
+fn open_record(path: PathBuf) -> std::io::Result<File> {
+    File::options().create(true).append(true).open(path)
 }
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -1,10 +1,11 @@
 //! A whole fleet with its stand-ins.
 
-use crate::call::{Answer, CallFailed, Caller};
+use crate::call::Caller;
 use crate::check::wait_until;
 use crate::configuration::{self, TenantDeclaration};
 use crate::ports::PortBlock;
 use crate::process::{Process, StartFailed, binary};
+use crate::runs::Runs;
 use hyper::Method;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
     pub engine_slots: usize,
     /// Milliseconds for each step of an engine.
     pub engine_step_ms: u64,
-    /// Plain services: the first serves `/permits`, the others `/checks`.
+    /// Plain services: in turn they serve `/permits`, `/checks` and `/confirmations`.
     pub applications: usize,
     /// Requests that each application runs at a time.
     pub application_slots: usize,
@@ -44,7 +45,7 @@
             engines: 2,
             engine_slots: 4,
             engine_step_ms: 2,
-            applications: 2,
+            applications: 3,
             application_slots: 8,
             tenants: vec![
                 TenantDeclaration::new("office"),
@@ -203,6 +204,8 @@
             "application".to_owned(),
             "--address".to_owned(),
             address.to_string(),
+            "--record".to_owned(),
+            self.record_file(index).display().to_string(),
         ];
         let log = self.folder.join(format!("application-{index}.log"));
         Process::start("mastbay-stand-in", &arguments, &log)
@@ -353,21 +356,13 @@
         is_ready(address).await
     }
 
-    /// Sums the runs of requests that an application recorded, by request id and by idempotency
-    /// key.
-    pub async fn application_record(&self, index: usize) -> Value {
-        self.get(self.application_addresses[index], "/record").await
+    fn record_file(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("application-{index}.record"))
     }
 
-    /// One answer, checked to be there.
-    ///
-    /// # Panics
-    /// When there is none.
-    pub fn answered(&self, result: Result<Answer, CallFailed>) -> Answer {
-        match result {
-            Ok(answer) => answer,
-            Err(error) => panic!("no answer: {error}"),
-        }
+    /// Every run of a request that an application began, over all its lives.
+    pub fn runs(&self, application: usize) -> Runs {
+        Runs::read(&std::fs::read_to_string(self.record_file(application)).unwrap_or_default())
     }
 }
 
--- a/crates/testbed/src/configuration.rs
+++ b/crates/testbed/src/configuration.rs
@@ -41,13 +41,15 @@
     text
 }
 
-/// Services in INI form: a model service and two plain ones.
+/// Services in INI form: a model service and three plain ones, one for each application.
 pub(crate) fn services() -> String {
     "[service answers]\nkind = model\nmodel = anglers-8b\nrepeatable = yes\ndeadline = 60s\n\n\
      [service permits]\nkind = plain\npath-prefix = /permits\nclaims = required\n\
      deadline = 20s\ngrants-ahead = 1\n\n\
-     [service checks]\nkind = plain\npath-prefix = /checks\nclaims = when-available\n\
-     repeatable = yes\ndeadline = 20s\ngrants-ahead = 1\n"
+     [service checks]\nkind = plain\npath-prefix = /checks\nclaims = required\n\
+     repeatable = yes\ndeadline = 20s\ngrants-ahead = 1\n\n\
+     [service confirmations]\nkind = plain\npath-prefix = /confirmations\n\
+     claims = when-available\ndeadline = 20s\ngrants-ahead = 1\n"
         .to_owned()
 }
 
@@ -70,8 +72,7 @@
         );
     }
     for (index, address) in applications.iter().enumerate() {
-        // The first application serves checks if there are two or more.
-        let service = if index > 0 { "checks" } else { "permits" };
+        let service = ["permits", "checks", "confirmations"][index % 3];
         let name = format!("application-{index}");
         backend(
             &mut text,
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,12 +5,16 @@
 mod call;
 mod check;
 mod configuration;
+mod load;
 mod ports;
 mod process;
+mod runs;
 
 pub use bed::{Bed, BedOptions, Machine};
 pub use call::{Answer, CallFailed, Caller, chat_body, event_data};
 pub use check::{expected_words, wait_until};
 pub use configuration::{TenantDeclaration, key_of};
+pub use load::{Load, LoadOptions, Observed, Told};
 pub use ports::PortBlock;
 pub use process::{Process, StartFailed, binary};
+pub use runs::Runs;
--- a/crates/testbed/src/ports.rs
+++ b/crates/testbed/src/ports.rs
@@ -38,18 +38,15 @@
         panic!("every block of ports is taken");
     }
 
-    /// The next free address of the block.
+    /// The next address of the block. It is not tried out: a listener opened for that would, for a
+    /// moment, be held open by any child that another thread is just starting.
     ///
     /// # Panics
     /// When the block is used up.
     pub fn next_address(&mut self) -> SocketAddr {
-        while self.next < self.end {
-            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.next));
-            self.next += 1;
-            if TcpListener::bind(address).is_ok() {
-                return address;
-            }
-        }
-        panic!("the block of ports is used up");
+        assert!(self.next < self.end, "the block of ports is used up");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.next));
+        self.next += 1;
+        address
     }
 }
--- a/crates/testbed/tests/path.rs
+++ b/crates/testbed/tests/path.rs
@@ -11,7 +11,7 @@
             "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
         );
         let prompt = "¿Necesito permiso para pescar con mosca?";
-        let streamed = bed.answered(caller.chat(prompt, 20, true).await);
+        let streamed = caller.chat(prompt, 20, true).await.expect("an answer");
         assert_eq!(
             (streamed.status.as_u16(), streamed.outcome()),
             (200, "answered")
@@ -26,11 +26,11 @@
                 .contains("0af7651916cd43dd8448eb211c80319c")
         );
 
-        let plain = bed.answered(
-            bed.caller(1, "summaries")
-                .post("/permits/new", "trout")
-                .await,
-        );
+        let plain = bed
+            .caller(1, "summaries")
+            .post("/permits/new", "trout")
+            .await
+            .expect("an answer");
         assert_eq!((plain.status.as_u16(), plain.outcome()), (200, "answered"));
         assert_eq!(plain.json()["request"], plain.header("mastbay-request-id"));
         assert_eq!(plain.json()["tenant"], "summaries");
--- /dev/null
+++ b/crates/testbed/tests/settings.rs
@@ -0,0 +1,40 @@
+//! Settings are checked whole before anything starts.
+
+use mastbay_testbed::binary;
+use std::process::Command;
+
+#[test]
+fn faulty_settings_end_a_process_with_code_two_before_it_opens_anything() {
+    let folder = std::env::temp_dir();
+    for program in ["mastbay-gateway", "mastbay-scheduler"] {
+        let path = folder.join(format!("mastbay-bad-{program}-{}.ini", std::process::id()));
+        std::fs::write(&path, "[process]\nzone = a\n[peer]\naddress = x\n[extra]\n").expect("ok");
+        let output = Command::new(binary(program))
+            .arg(&path)
+            .output()
+            .expect("started");
+        assert_eq!(output.status.code(), Some(2));
+        let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+        for expected in [
+            "[extra] unknown section",
+            "[peer] address: expected an address",
+        ] {
+            assert!(errors.contains(expected), "{errors}");
+        }
+        std::fs::remove_file(path).expect("removed");
+    }
+}
+
+#[test]
+fn a_missing_settings_file_is_named() {
+    let output = Command::new(binary("mastbay-gateway"))
+        .arg("/nonexistent.ini")
+        .output()
+        .expect("started");
+    assert_eq!(output.status.code(), Some(2));
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        errors.contains("/nonexistent.ini: cannot be read"),
+        "{errors}"
+    );
+}
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -2,13 +2,14 @@
 //! when all has ended.
 
 use crate::body::Body;
+use crate::wait::within;
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol::channel::{Receiver, Sender};
-use smol::future::{Future, FutureExt};
+use smol::future::{Future, FutureExt, poll_once};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::convert::Infallible;
@@ -149,11 +150,24 @@
                 Some(Err(_)) => drop(smol::Timer::after(ACCEPT_PAUSE).await),
             }
         }
+        self.admit_waiting(&handler, &open).await;
         drop(open);
         drop(self.listener);
         let _ = all_ended.recv().await;
     }
 
+    /// Takes the connections that the operating system has already accepted for us: closing the
+    /// listener would break them.
+    async fn admit_waiting<H, F>(&self, handler: &H, open: &Sender<Infallible>)
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        while let Some(Ok((stream, peer))) = poll_once(self.listener.accept()).await {
+            self.admit(stream, peer, handler, open);
+        }
+    }
+
     fn admit<H, F>(
         &self,
         stream: TcpStream,
@@ -182,6 +196,9 @@
     }
 }
 
+/// Time that a connection without any request yet has for its first one when the server stops: its
+/// caller may be sending it just now.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -196,6 +213,32 @@
     }
 }
 
+/// Whether a connection has brought a request.
+#[derive(Debug, Clone)]
+struct FirstRequest {
+    noted: Sender<Infallible>,
+    note: Receiver<Infallible>,
+}
+
+impl Default for FirstRequest {
+    fn default() -> Self {
+        let (noted, note) = smol::channel::bounded(1);
+        Self { noted, note }
+    }
+}
+
+impl FirstRequest {
+    fn note(&self) {
+        self.noted.close();
+    }
+
+    /// Waits until a request was brought, `limit` at most.
+    async fn wait(&self, limit: Duration) {
+        // The channel carries nothing; it only closes. Time running out is the other way to go on.
+        let _ = within(limit, self.note.recv()).await;
+    }
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     peer: SocketAddr,
@@ -209,9 +252,14 @@
 {
     // See `Connection::open`.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let answer = handler(request, peer);
-        async move { Ok::<_, Infallible>(answer.await) }
+    let first_request = FirstRequest::default();
+    let service = service_fn({
+        let first_request = first_request.clone();
+        move |request| {
+            first_request.note();
+            let answer = handler(request, peer);
+            async move { Ok::<_, Infallible>(answer.await) }
+        }
     });
     let mut connection = pin!(
         http1::Builder::new()
@@ -223,6 +271,7 @@
     let ended = async { Some(connection.as_mut().await) };
     let stopped = async {
         let _ = stop.recv().await;
+        first_request.wait(FIRST_REQUEST_GRACE).await;
         None
     };
     let result = match ended.or(stopped).await {
