Simulate the fleet in seeded virtual time beside its baselines

Cause: fairness, utilisation and control traffic had no measure.

Change: a simulation crate that drives the production state machines of gateways, schedulers and membership by an event queue, with delay, loss, cuts, freezes and restarts; scenario files for both deployments of today; mastbay-experiment, which prints the fleet beside an ideal queue, first come first served, gateways alone and early binding.

--- /dev/null
+++ b/crates/simulation/src/bin/mastbay-experiment.rs
@@ -0,0 +1,91 @@
+//! `mastbay-experiment`: runs a scenario in seeded virtual time under the fleet and under the ways it
+//! is compared with, and prints their figures.
+
+use argh::FromArgs;
+use mastbay_simulation::baselines::{EarlyBinding, GatewaysAlone, SingleQueue};
+use mastbay_simulation::faults::{Fault, in_turn};
+use mastbay_simulation::fleet::{Fleet, FleetOptions};
+use mastbay_simulation::report::{Figures, table};
+use mastbay_simulation::scenario::Scenario;
+use mastbay_simulation::world::{Dispatcher, run};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Runs a scenario in seeded virtual time and prints the figures of the fleet beside those of an ideal
+/// queue, first come first served, gateways alone and early binding.
+#[derive(FromArgs)]
+struct Arguments {
+    /// scenario file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// seed of all random numbers (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// print JSON instead of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let scenario = match Scenario::load(&arguments.scenario) {
+        Ok(scenario) => scenario,
+        Err(error) => {
+            eprintln!("{}", error.to_string().trim_end());
+            return ExitCode::from(2);
+        }
+    };
+    let figures = compare(&scenario, arguments.seed);
+    if arguments.json {
+        println!("{}", serde_json::to_string(&figures).unwrap_or_default());
+    } else {
+        print!("{}", table(&figures));
+    }
+    ExitCode::SUCCESS
+}
+
+fn compare(scenario: &Scenario, seed: u64) -> Vec<Figures> {
+    let one =
+        |name: &str, dispatcher: &mut dyn DynDispatcher| dispatcher.figures(name, scenario, seed);
+    let fleet = |faults| {
+        Fleet::new(
+            scenario,
+            FleetOptions {
+                membership: true,
+                faults,
+                ..Default::default()
+            },
+            seed,
+        )
+    };
+    let lost = in_turn(
+        scenario.machines,
+        Duration::from_secs(20),
+        Duration::from_secs(8),
+        scenario.duration,
+        |machine| Fault::KillScheduler {
+            machine,
+            down: Duration::from_secs(3),
+        },
+    );
+    vec![
+        one("ideal queue", &mut SingleQueue::fair(scenario)),
+        one("fleet", &mut fleet(Vec::new())),
+        one("fleet, schedulers lost", &mut fleet(lost)),
+        one("first come", &mut SingleQueue::first_come(scenario)),
+        one("gateways alone", &mut GatewaysAlone::new(scenario)),
+        one("early binding", &mut EarlyBinding::new(scenario)),
+    ]
+}
+
+/// A dispatcher of any type.
+trait DynDispatcher {
+    fn figures(&mut self, name: &str, scenario: &Scenario, seed: u64) -> Figures;
+}
+
+impl<D: Dispatcher> DynDispatcher for D {
+    fn figures(&mut self, name: &str, scenario: &Scenario, seed: u64) -> Figures {
+        Figures::new(name, scenario, &run(scenario, seed, self))
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/engines.rs
@@ -0,0 +1,129 @@
+//! Back ends: slots, a queue for what exceeds them, and service in proportion to time.
+
+use crate::scenario::Scenario;
+use mastbay_types::Timestamp;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Number of a request within a run.
+pub type RequestNumber = usize;
+
+/// One back end.
+#[derive(Debug)]
+struct Engine {
+    slots: u32,
+    running: BTreeMap<RequestNumber, Timestamp>,
+    queue: VecDeque<RequestNumber>,
+}
+
+/// All back ends, numbered through all services.
+#[derive(Debug)]
+pub struct Engines {
+    engines: Vec<Engine>,
+    /// First engine of each service.
+    first: Vec<usize>,
+    steps: Vec<Duration>,
+}
+
+impl Engines {
+    /// Idle back ends.
+    pub fn new(scenario: &Scenario) -> Self {
+        let mut engines = Vec::new();
+        let mut first = Vec::new();
+        for service in &scenario.services {
+            first.push(engines.len());
+            for _ in 0..service.engines {
+                let (running, queue) = (BTreeMap::new(), VecDeque::new());
+                engines.push(Engine {
+                    slots: service.slots,
+                    running,
+                    queue,
+                });
+            }
+        }
+        let steps = scenario
+            .services
+            .iter()
+            .map(|service| service.step)
+            .collect();
+        Self {
+            engines,
+            first,
+            steps,
+        }
+    }
+
+    /// Engines of a service.
+    pub fn of_service(&self, service: usize) -> std::ops::Range<usize> {
+        let end = self
+            .first
+            .get(service + 1)
+            .copied()
+            .unwrap_or(self.engines.len());
+        self.first[service]..end
+    }
+
+    /// Requests that run or wait at an engine.
+    pub fn load(&self, engine: usize) -> usize {
+        self.engines[engine].running.len() + self.engines[engine].queue.len()
+    }
+
+    /// Slots of an engine.
+    pub fn slots(&self, engine: usize) -> usize {
+        self.engines[engine].slots as usize
+    }
+
+    /// Free slots of a service.
+    pub fn free_slots(&self, service: usize) -> u32 {
+        self.of_service(service)
+            .map(|engine| {
+                let engine = &self.engines[engine];
+                engine.slots - engine.running.len() as u32
+            })
+            .sum()
+    }
+
+    /// Brings a request. Returns whether it runs at once.
+    pub fn offer(&mut self, now: Timestamp, engine: usize, request: RequestNumber) -> bool {
+        let engine = &mut self.engines[engine];
+        if engine.running.len() < engine.slots as usize {
+            engine.running.insert(request, now);
+            return true;
+        }
+        engine.queue.push_back(request);
+        false
+    }
+
+    /// Ends a request. Returns the one that takes its slot.
+    pub fn end(
+        &mut self,
+        now: Timestamp,
+        engine: usize,
+        request: RequestNumber,
+    ) -> Option<RequestNumber> {
+        let engine = &mut self.engines[engine];
+        engine.running.remove(&request);
+        let next = engine.queue.pop_front()?;
+        engine.running.insert(next, now);
+        Some(next)
+    }
+
+    /// Requests that run at an engine, with the time at which each began.
+    pub fn running(&self, engine: usize) -> impl Iterator<Item = (RequestNumber, Timestamp)> + '_ {
+        self.engines[engine]
+            .running
+            .iter()
+            .map(|(request, since)| (*request, *since))
+    }
+
+    /// When a request that begins at `now` ends.
+    pub fn end_of(&self, now: Timestamp, service: usize, cost: u64) -> Timestamp {
+        now + self.steps[service] * u32::try_from(cost).unwrap_or(u32::MAX)
+    }
+
+    /// Service that a request begun at `since` has received.
+    pub fn delivered(&self, now: Timestamp, service: usize, since: Timestamp, cost: u64) -> u64 {
+        let steps = now.since(since).as_micros() / self.steps[service].as_micros().max(1);
+        u64::try_from(steps).unwrap_or(u64::MAX).min(cost)
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/safety.rs
@@ -0,0 +1,1 @@
+//! Single requests through every fault at every step.
--- /dev/null
+++ b/crates/simulation/src/workload.rs
@@ -0,0 +1,133 @@
+//! Arrivals of requests, the same for every dispatcher of one scenario and seed.
+
+use crate::scenario::{Arrivals, Scenario, TenantLoad};
+use mastbay_types::Timestamp;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_distr::{Distribution, Exp, LogNormal};
+use std::time::Duration;
+
+/// A request as it arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Index of the tenant.
+    pub tenant: usize,
+    /// Machine whose gateway it arrives at.
+    pub gateway: usize,
+    /// What it will turn out to cost.
+    pub cost: u64,
+}
+
+/// One tenant's source of requests. Each has a generator of its own, so that what a dispatcher does
+/// to one tenant does not change what another one asks for.
+#[derive(Debug)]
+struct Source {
+    random: ChaCha8Rng,
+    turn: usize,
+}
+
+/// The sources of all tenants.
+#[derive(Debug)]
+pub struct Workload {
+    tenants: Vec<TenantLoad>,
+    sources: Vec<Source>,
+}
+
+impl Workload {
+    /// The load of a scenario under a seed.
+    pub fn new(scenario: &Scenario, seed: u64) -> Self {
+        let sources = (0..scenario.tenants.len())
+            .map(|index| {
+                let random = ChaCha8Rng::seed_from_u64(seed ^ (index as u64 + 1) << 32);
+                Source { random, turn: 0 }
+            })
+            .collect();
+        Self {
+            tenants: scenario.tenants.clone(),
+            sources,
+        }
+    }
+
+    /// The first arrivals of every tenant, with their times.
+    pub fn first(&mut self) -> Vec<(Timestamp, Arrival)> {
+        let mut arrivals = Vec::new();
+        for tenant in 0..self.tenants.len() {
+            match self.tenants[tenant].arrivals {
+                Arrivals::Closed { callers } => {
+                    for _ in 0..callers {
+                        // Spread over the first tenth of a second, so that not all start as one.
+                        let micros = self.sources[tenant].random.random_range(0..100_000);
+                        arrivals.push((Timestamp::from_micros(micros), self.draw(tenant)));
+                    }
+                }
+                Arrivals::Open { .. } | Arrivals::Crowds { .. } => {
+                    arrivals.push(self.next_open(Timestamp::ZERO, tenant));
+                }
+            }
+        }
+        arrivals
+    }
+
+    /// The arrival that follows one of the same tenant at `now`, for open arrivals.
+    pub fn after_arrival(&mut self, now: Timestamp, tenant: usize) -> Option<(Timestamp, Arrival)> {
+        match self.tenants[tenant].arrivals {
+            Arrivals::Closed { .. } => None,
+            _ => Some(self.next_open(now, tenant)),
+        }
+    }
+
+    /// The request that a caller sends once its last one has ended, for closed arrivals.
+    pub fn after_end(&mut self, tenant: usize) -> Option<Arrival> {
+        match self.tenants[tenant].arrivals {
+            Arrivals::Closed { .. } => Some(self.draw(tenant)),
+            _ => None,
+        }
+    }
+
+    fn next_open(&mut self, now: Timestamp, tenant: usize) -> (Timestamp, Arrival) {
+        let (rate, crowd) = match self.tenants[tenant].arrivals {
+            Arrivals::Open { rate } => (rate, None),
+            Arrivals::Crowds { rate, on, off } => (rate, Some((on, off))),
+            Arrivals::Closed { .. } => (1.0, None),
+        };
+        let random = &mut self.sources[tenant].random;
+        let gap = Exp::new(rate).map_or(1.0, |gap| gap.sample(random));
+        let mut at = now + Duration::from_secs_f64(gap);
+        if let Some((on, off)) = crowd {
+            at = within_crowd(at, on, off);
+        }
+        (at, self.draw(tenant))
+    }
+
+    fn draw(&mut self, tenant: usize) -> Arrival {
+        let load = &self.tenants[tenant];
+        let source = &mut self.sources[tenant];
+        let cost = if load.cost_spread == 0.0 {
+            load.median_cost as f64
+        } else {
+            let logarithm = (load.median_cost as f64).ln();
+            LogNormal::new(logarithm, load.cost_spread).map_or(load.median_cost as f64, |cost| {
+                cost.sample(&mut source.random)
+            })
+        };
+        let cost = (cost.round() as u64).clamp(1, load.largest_cost);
+        let gateway = load.gateways[source.turn % load.gateways.len()];
+        source.turn += 1;
+        Arrival {
+            tenant,
+            gateway,
+            cost,
+        }
+    }
+}
+
+/// `at`, or the beginning of the next crowd if `at` falls between two.
+fn within_crowd(at: Timestamp, on: Duration, off: Duration) -> Timestamp {
+    let period = (on + off).as_micros() as u64;
+    let into = at.as_micros() % period;
+    if into < on.as_micros() as u64 {
+        return at;
+    }
+    Timestamp::from_micros(at.as_micros() - into + period)
+}
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -86,6 +86,16 @@
         let low = u128::from(random.next_u64());
         Self((high << 64) | low)
     }
+
+    /// The identifier with this number. For simulations and tests only: it is guessable.
+    pub const fn from_number(number: u128) -> Self {
+        Self(number)
+    }
+
+    /// The identifier as a number.
+    pub const fn as_number(self) -> u128 {
+        self.0
+    }
 }
 
 impl fmt::Display for RequestId {
