--- a/crates/attempts/src/exchange.rs
+++ b/crates/attempts/src/exchange.rs
@@ -67,13 +67,7 @@
 impl Exchange {
     /// A request just accepted.
     pub fn new(terms: Terms) -> Self {
-        Self {
-            terms,
-            stage: Stage::Accepted,
-            tries: 0,
-            ever_sent: false,
-            claimed: false,
-        }
+        Self { terms, stage: Stage::Accepted, tries: 0, ever_sent: false, claimed: false }
     }
 
     /// How far the request has come.
@@ -118,11 +112,8 @@
     /// Another request holds the claim; `answered` says whether it is known to have run.
     pub fn claim_taken(&mut self, answered: bool) -> Step {
         self.claimed = false;
-        let reason = if answered {
-            UnknownReason::AlreadyAnswered
-        } else {
-            UnknownReason::Duplicate
-        };
+        let reason =
+            if answered { UnknownReason::AlreadyAnswered } else { UnknownReason::Duplicate };
         self.finish(Outcome::Unknown(reason))
     }
 
@@ -185,10 +176,7 @@
         failure: Failure,
         budget: &mut RetryBudget,
     ) -> bool {
-        let transient = matches!(
-            failure,
-            Failure::Connect | Failure::Broken | Failure::Mismatch
-        );
+        let transient = matches!(failure, Failure::Connect | Failure::Broken | Failure::Mismatch);
         let time_left = now < self.terms.deadline && self.tries < self.terms.most_tries;
         if !transient || !time_left {
             return false;
--- a/crates/attempts/src/tests.rs
+++ b/crates/attempts/src/tests.rs
@@ -27,15 +27,8 @@
 #[test]
 fn a_request_that_may_not_be_repeated_is_not_sent_twice() {
     let mut exchange = sent(false);
-    let step = exchange.failed(
-        Timestamp::ZERO,
-        Failure::Broken,
-        &mut RetryBudget::default(),
-    );
-    assert_eq!(
-        step,
-        Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed))
-    );
+    let step = exchange.failed(Timestamp::ZERO, Failure::Broken, &mut RetryBudget::default());
+    assert_eq!(step, Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed)));
     assert!(!exchange.may_send(Timestamp::ZERO));
 }
 
@@ -44,18 +37,12 @@
     let mut exchange = sent(true);
     let budget = &mut RetryBudget::default();
     for _ in 0..2 {
-        assert_eq!(
-            exchange.failed(Timestamp::ZERO, Failure::Broken, budget),
-            Step::Queue
-        );
+        assert_eq!(exchange.failed(Timestamp::ZERO, Failure::Broken, budget), Step::Queue);
         exchange.granted();
         assert!(exchange.may_send(Timestamp::ZERO));
     }
     let step = exchange.failed(Timestamp::ZERO, Failure::Broken, budget);
-    assert_eq!(
-        step,
-        Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed))
-    );
+    assert_eq!(step, Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed)));
 }
 
 #[test]
@@ -65,10 +52,7 @@
     exchange.failed(Timestamp::ZERO, Failure::Broken, budget);
     exchange.granted();
     let step = exchange.failed(DEADLINE, Failure::Connect, budget);
-    assert_eq!(
-        step,
-        Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed))
-    );
+    assert_eq!(step, Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed)));
 }
 
 #[test]
@@ -76,10 +60,7 @@
     let mut exchange = sent(false);
     exchange.nothing_written();
     let budget = &mut RetryBudget::default();
-    assert_eq!(
-        exchange.failed(Timestamp::ZERO, Failure::Broken, budget),
-        Step::Queue
-    );
+    assert_eq!(exchange.failed(Timestamp::ZERO, Failure::Broken, budget), Step::Queue);
 }
 
 #[test]
@@ -89,10 +70,7 @@
     exchange.granted();
     assert!(!exchange.may_send(DEADLINE));
     let step = exchange.failed(DEADLINE, Failure::Deadline, &mut RetryBudget::default());
-    assert_eq!(
-        step,
-        Step::Finish(Outcome::NotRun(NotRunReason::DeadlinePassed))
-    );
+    assert_eq!(step, Step::Finish(Outcome::NotRun(NotRunReason::DeadlinePassed)));
 }
 
 #[test]
@@ -100,29 +78,16 @@
     let mut exchange = exchange(false, true);
     assert_eq!(exchange.start(), Step::TakeClaim);
     let step = exchange.claim_unavailable();
-    assert_eq!(
-        step,
-        Step::Finish(Outcome::NotRun(NotRunReason::ClaimsUnavailable))
-    );
-    assert!(
-        exchange.claimed(),
-        "the write may yet take effect and must be given back"
-    );
+    assert_eq!(step, Step::Finish(Outcome::NotRun(NotRunReason::ClaimsUnavailable)));
+    assert!(exchange.claimed(), "the write may yet take effect and must be given back");
 }
 
 #[test]
 fn an_answer_that_broke_off_is_not_begun_again() {
     let mut exchange = sent(true);
     exchange.answer_begun();
-    let step = exchange.failed(
-        Timestamp::ZERO,
-        Failure::Broken,
-        &mut RetryBudget::default(),
-    );
-    assert_eq!(
-        step,
-        Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed))
-    );
+    let step = exchange.failed(Timestamp::ZERO, Failure::Broken, &mut RetryBudget::default());
+    assert_eq!(step, Step::Finish(Outcome::Unknown(UnknownReason::BackendFailed)));
 }
 
 #[test]
--- a/crates/claims/src/client.rs
+++ b/crates/claims/src/client.rs
@@ -53,11 +53,7 @@
 impl ClaimClient {
     /// A client with no wishes.
     pub fn new(config: ClaimClientConfig) -> Self {
-        Self {
-            config,
-            keepers: Vec::new(),
-            under_way: Vec::new(),
-        }
+        Self { config, keepers: Vec::new(), under_way: Vec::new() }
     }
 
     /// Sets the live schedulers.
@@ -67,12 +63,7 @@
 
     /// Adds a wish. Call [`ClaimClient::poll`] after it.
     pub fn wish(&mut self, now: Timestamp, wish: ClaimRequest) {
-        self.under_way.push(UnderWay {
-            wish,
-            since: now,
-            asked: None,
-            tries: 0,
-        });
+        self.under_way.push(UnderWay { wish, since: now, asked: None, tries: 0 });
     }
 
     /// Drops the wish to take a claim whose request is over.
@@ -86,16 +77,11 @@
         let given_up = self
             .under_way
             .extract_if(.., |entry| now.since(entry.since) >= entry.patience(config))
-            .map(|entry| ClaimAnswer {
-                wish: entry.wish,
-                verdict: Verdict::Unavailable,
-            })
+            .map(|entry| ClaimAnswer { wish: entry.wish, verdict: Verdict::Unavailable })
             .collect();
         let mut sent = Vec::new();
         for entry in &mut self.under_way {
-            let due = entry
-                .asked
-                .is_none_or(|asked| now.since(asked) >= config.answer_timeout);
+            let due = entry.asked.is_none_or(|asked| now.since(asked) >= config.answer_timeout);
             if !due {
                 continue;
             }
@@ -112,10 +98,7 @@
 
     /// Takes a keeper's answer. Returns it if it is the first and final one for its wish.
     pub fn handle_answer(&mut self, answer: ClaimAnswer) -> Option<ClaimAnswer> {
-        let position = self
-            .under_way
-            .iter()
-            .position(|entry| entry.wish == answer.wish)?;
+        let position = self.under_way.iter().position(|entry| entry.wish == answer.wish)?;
         let is_note = answer.wish.intent != Intent::Take;
         if answer.verdict == Verdict::Unavailable && is_note {
             return None;
@@ -130,11 +113,7 @@
             Some(asked) => asked + self.config.answer_timeout,
             None => entry.since,
         };
-        self.under_way
-            .iter()
-            .map(next)
-            .min()
-            .unwrap_or(Timestamp::NEVER)
+        self.under_way.iter().map(next).min().unwrap_or(Timestamp::NEVER)
     }
 }
 
--- a/crates/claims/src/keeper.rs
+++ b/crates/claims/src/keeper.rs
@@ -131,11 +131,7 @@
         if shard.pending.iter().any(same) {
             return;
         }
-        shard.pending.push(Pending {
-            from: from.clone(),
-            wish,
-            since: now,
-        });
+        shard.pending.push(Pending { from: from.clone(), wish, since: now });
     }
 
     /// The next call to make, if one is due. `unix_time` is in seconds.
@@ -145,9 +141,7 @@
             return None;
         }
         let due: Vec<ShardIndex> = self.shards.keys().copied().collect();
-        let operation = due
-            .into_iter()
-            .find_map(|shard| self.poll_shard(now, unix_time, shard))?;
+        let operation = due.into_iter().find_map(|shard| self.poll_shard(now, unix_time, shard))?;
         self.next_operation = now + self.config.spacing;
         Some(operation)
     }
@@ -194,11 +188,7 @@
                     Some((version, contents)) => (Some(version), contents),
                     None => (None, ClaimShard::default()),
                 };
-                shard.confirmed = Some(Confirmed {
-                    version,
-                    contents,
-                    at: now,
-                });
+                shard.confirmed = Some(Confirmed { version, contents, at: now });
                 shard.answer_settled(now, memory, &mut self.answers);
             }
             Err(_) => shard.back_off(now, pause),
@@ -222,11 +212,7 @@
         match (outcome, draft) {
             (Ok(version), Some(contents)) => {
                 shard.failures = 0;
-                shard.confirmed = Some(Confirmed {
-                    version: Some(version),
-                    contents,
-                    at: now,
-                });
+                shard.confirmed = Some(Confirmed { version: Some(version), contents, at: now });
                 shard.answer_settled(now, memory, &mut self.answers);
             }
             // Read back: another wrote in between, or our own write may have taken effect.
@@ -253,10 +239,7 @@
     fn pause(&self, index: ShardIndex) -> Duration {
         let failures = self.shards.get(&index).map_or(0, |shard| shard.failures);
         let factor = 1_u32.checked_shl(failures.min(16)).unwrap_or(u32::MAX);
-        self.config
-            .first_pause
-            .saturating_mul(factor)
-            .min(self.config.longest_pause)
+        self.config.first_pause.saturating_mul(factor).min(self.config.longest_pause)
     }
 
     fn give_up(&mut self, now: Timestamp) {
@@ -264,10 +247,7 @@
         for shard in self.shards.values_mut() {
             let late = |pending: &mut Pending| now.since(pending.since) >= patience;
             for pending in shard.pending.extract_if(.., late) {
-                let answer = ClaimAnswer {
-                    wish: pending.wish,
-                    verdict: Verdict::Unavailable,
-                };
+                let answer = ClaimAnswer { wish: pending.wish, verdict: Verdict::Unavailable };
                 self.answers.push((pending.from, answer));
             }
         }
@@ -311,13 +291,8 @@
                 }
                 Settled::As(verdict) => verdict,
             };
-            answers.push((
-                pending.from.clone(),
-                ClaimAnswer {
-                    wish: pending.wish.clone(),
-                    verdict,
-                },
-            ));
+            answers
+                .push((pending.from.clone(), ClaimAnswer { wish: pending.wish.clone(), verdict }));
             false
         });
         if stale {
@@ -356,15 +331,11 @@
             Settled::As(Verdict::Kept)
         }
         // A request that was released is over: its late wish must not take the claim again.
-        (Intent::Take, Some(own), _) => Settled::As(Verdict::Taken {
-            by: own.request,
-            state: own.state,
-        }),
+        (Intent::Take, Some(own), _) => {
+            Settled::As(Verdict::Taken { by: own.request, state: own.state })
+        }
         (Intent::Take, None, Some(other)) if other.state != ClaimState::Released => {
-            Settled::As(Verdict::Taken {
-                by: other.request,
-                state: other.state,
-            })
+            Settled::As(Verdict::Taken { by: other.request, state: other.state })
         }
         (Intent::Take, None, _) => Settled::Open,
         // Notes about a claim that the request does not hold have nothing to change.
@@ -388,10 +359,6 @@
         Intent::Release => ClaimState::Released,
         Intent::Complete { status } => ClaimState::Completed { status },
     };
-    let record = ClaimRecord {
-        request: wish.request,
-        state,
-        expires,
-    };
+    let record = ClaimRecord { request: wish.request, state, expires };
     draft.records.insert(wish.key.clone(), record);
 }
--- a/crates/claims/src/tests.rs
+++ b/crates/claims/src/tests.rs
@@ -38,11 +38,8 @@
                 let found = self.objects.get(&call.shard).map(|(version, bytes)| {
                     (*version, ClaimShard::decode(bytes).expect("a shard"))
                 });
-                let outcome = if fault == Fault::Down {
-                    Err(CallFailure::NoAnswer)
-                } else {
-                    Ok(found)
-                };
+                let outcome =
+                    if fault == Fault::Down { Err(CallFailure::NoAnswer) } else { Ok(found) };
                 keeper.handle_read(now, call.shard, outcome);
             }
             OperationKind::Write { expected, value } => {
@@ -69,11 +66,7 @@
         }
         let version = current.unwrap_or(0) + 1;
         self.objects.insert(shard, (version, value));
-        if fault == Fault::AnswerLost {
-            Err(CallFailure::NoAnswer)
-        } else {
-            Ok(version)
-        }
+        if fault == Fault::AnswerLost { Err(CallFailure::NoAnswer) } else { Ok(version) }
     }
 }
 
@@ -82,19 +75,11 @@
 }
 
 fn key(text: &str) -> ClaimKey {
-    ClaimKey::new(
-        &TenantName::from("desk"),
-        &ServiceName::from("bookings"),
-        text,
-    )
+    ClaimKey::new(&TenantName::from("desk"), &ServiceName::from("bookings"), text)
 }
 
 fn wish(text: &str, number: u32, intent: Intent) -> ClaimRequest {
-    ClaimRequest {
-        key: key(text),
-        request: request(number),
-        intent,
-    }
+    ClaimRequest { key: key(text), request: request(number), intent }
 }
 
 fn gateway() -> ProcessId {
@@ -128,69 +113,48 @@
 
 #[test]
 fn one_of_two_requests_with_the_same_key_gets_the_claim() {
-    let (mut keeper, mut platform) = (
-        ClaimKeeper::new(KeeperConfig::default()),
-        Platform::default(),
-    );
+    let (mut keeper, mut platform) =
+        (ClaimKeeper::new(KeeperConfig::default()), Platform::default());
     keeper.handle_wish(Timestamp::ZERO, &gateway(), wish("boat", 1, Intent::Take));
     keeper.handle_wish(Timestamp::ZERO, &gateway(), wish("boat", 2, Intent::Take));
     let answers = run(&mut keeper, &mut platform, Timestamp::ZERO, &mut Vec::new());
-    let taken = Verdict::Taken {
-        by: request(1),
-        state: ClaimState::Held,
-    };
+    let taken = Verdict::Taken { by: request(1), state: ClaimState::Held };
     assert_eq!(
         answers,
-        [
-            (request(1), Intent::Take, Verdict::Kept),
-            (request(2), Intent::Take, taken)
-        ]
+        [(request(1), Intent::Take, Verdict::Kept), (request(2), Intent::Take, taken)]
     );
 }
 
 #[test]
 fn many_claims_share_a_write() {
-    let (mut keeper, mut platform) = (
-        ClaimKeeper::new(KeeperConfig::default()),
-        Platform::default(),
-    );
+    let (mut keeper, mut platform) =
+        (ClaimKeeper::new(KeeperConfig::default()), Platform::default());
     for number in 0..500 {
         let wish = wish(&format!("boat-{number}"), number, Intent::Take);
         keeper.handle_wish(Timestamp::ZERO, &gateway(), wish);
     }
     let answers = run(&mut keeper, &mut platform, Timestamp::ZERO, &mut Vec::new());
     assert_eq!(answers.len(), 500);
-    assert!(
-        answers
-            .iter()
-            .all(|(_, _, verdict)| *verdict == Verdict::Kept)
-    );
+    assert!(answers.iter().all(|(_, _, verdict)| *verdict == Verdict::Kept));
     assert!(platform.writes <= 16, "{} writes", platform.writes);
 }
 
 #[test]
 fn a_lost_answer_is_settled_by_reading_back() {
-    let (mut keeper, mut platform) = (
-        ClaimKeeper::new(KeeperConfig::default()),
-        Platform::default(),
-    );
+    let (mut keeper, mut platform) =
+        (ClaimKeeper::new(KeeperConfig::default()), Platform::default());
     keeper.handle_wish(Timestamp::ZERO, &gateway(), wish("boat", 1, Intent::Take));
     // The read succeeds, then the write takes effect without an answer.
     let mut faults = vec![Fault::AnswerLost, Fault::None];
     let answers = run(&mut keeper, &mut platform, Timestamp::ZERO, &mut faults);
     assert_eq!(answers, [(request(1), Intent::Take, Verdict::Kept)]);
-    assert_eq!(
-        platform.writes, 1,
-        "the read-back shows the claim; nothing is written again"
-    );
+    assert_eq!(platform.writes, 1, "the read-back shows the claim; nothing is written again");
 }
 
 #[test]
 fn a_platform_that_is_down_makes_claims_unavailable_in_time() {
-    let (mut keeper, mut platform) = (
-        ClaimKeeper::new(KeeperConfig::default()),
-        Platform::default(),
-    );
+    let (mut keeper, mut platform) =
+        (ClaimKeeper::new(KeeperConfig::default()), Platform::default());
     keeper.handle_wish(Timestamp::ZERO, &gateway(), wish("boat", 1, Intent::Take));
     let mut faults = vec![Fault::Down; 1_000];
     let answers = run(&mut keeper, &mut platform, Timestamp::ZERO, &mut faults);
@@ -199,25 +163,17 @@
 
 #[test]
 fn a_released_claim_may_be_taken_again_but_not_by_the_request_that_gave_it_up() {
-    let (mut keeper, mut platform) = (
-        ClaimKeeper::new(KeeperConfig::default()),
-        Platform::default(),
-    );
+    let (mut keeper, mut platform) =
+        (ClaimKeeper::new(KeeperConfig::default()), Platform::default());
     let mut now = Timestamp::ZERO;
     let mut last = Vec::new();
-    for (number, intent) in [
-        (1, Intent::Take),
-        (1, Intent::Release),
-        (1, Intent::Take),
-        (2, Intent::Take),
-    ] {
+    for (number, intent) in
+        [(1, Intent::Take), (1, Intent::Release), (1, Intent::Take), (2, Intent::Take)]
+    {
         keeper.handle_wish(now, &gateway(), wish("boat", number, intent));
         last = run(&mut keeper, &mut platform, now, &mut Vec::new());
         if (number, intent) == (1, Intent::Take) && now > Timestamp::ZERO {
-            let over = Verdict::Taken {
-                by: request(1),
-                state: ClaimState::Released,
-            };
+            let over = Verdict::Taken { by: request(1), state: ClaimState::Released };
             assert_eq!(last, [(request(1), Intent::Take, over)]);
         }
         now = now + Duration::from_secs(10);
@@ -228,10 +184,8 @@
 #[test]
 fn two_keepers_that_both_believe_they_own_a_shard_give_a_claim_once() {
     let mut platform = Platform::default();
-    let mut keepers = [
-        ClaimKeeper::new(KeeperConfig::default()),
-        ClaimKeeper::new(KeeperConfig::default()),
-    ];
+    let mut keepers =
+        [ClaimKeeper::new(KeeperConfig::default()), ClaimKeeper::new(KeeperConfig::default())];
     for (index, keeper) in keepers.iter_mut().enumerate() {
         let wish = wish("boat", index as u32, Intent::Take);
         keeper.handle_wish(Timestamp::ZERO, &gateway(), wish);
@@ -241,16 +195,8 @@
     }
     let mut kept = 0;
     for keeper in &mut keepers {
-        let answers = run(
-            keeper,
-            &mut platform,
-            Timestamp::from_millis(50),
-            &mut Vec::new(),
-        );
-        kept += answers
-            .iter()
-            .filter(|(_, _, verdict)| *verdict == Verdict::Kept)
-            .count();
+        let answers = run(keeper, &mut platform, Timestamp::from_millis(50), &mut Vec::new());
+        kept += answers.iter().filter(|(_, _, verdict)| *verdict == Verdict::Kept).count();
     }
     assert_eq!(kept, 1);
 }
--- a/crates/configuration/src/difference.rs
+++ b/crates/configuration/src/difference.rs
@@ -54,18 +54,8 @@
 pub fn differences(before: &FleetConfiguration, after: &FleetConfiguration) -> Vec<Difference> {
     let mut found = Vec::new();
     compare(Subject::Tenant, &before.tenants, &after.tenants, &mut found);
-    compare(
-        Subject::Service,
-        &before.services,
-        &after.services,
-        &mut found,
-    );
-    compare(
-        Subject::Backend,
-        &before.backends,
-        &after.backends,
-        &mut found,
-    );
+    compare(Subject::Service, &before.services, &after.services, &mut found);
+    compare(Subject::Backend, &before.backends, &after.backends, &mut found);
     found
 }
 
@@ -81,21 +71,11 @@
             Some(previous) if previous == entry => continue,
             Some(previous) => (ChangeKind::Changed, Some(changed_values(previous, entry))),
         };
-        found.push(Difference {
-            subject,
-            name: name.to_string(),
-            kind,
-            detail,
-        });
+        found.push(Difference { subject, name: name.to_string(), kind, detail });
     }
     for name in before.keys().filter(|name| !after.contains_key(name)) {
         let (name, kind) = (name.to_string(), ChangeKind::Removed);
-        found.push(Difference {
-            subject,
-            name,
-            kind,
-            detail: None,
-        });
+        found.push(Difference { subject, name, kind, detail: None });
     }
 }
 
--- a/crates/configuration/src/fleet.rs
+++ b/crates/configuration/src/fleet.rs
@@ -155,16 +155,11 @@
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = (&'a BackendName, &'a Backend)> {
-        self.backends
-            .iter()
-            .filter(move |(_, backend)| backend.service == *service)
+        self.backends.iter().filter(move |(_, backend)| backend.service == *service)
     }
 
     /// The cells of all services. Each service has one cell today.
     pub fn cells(&self) -> impl Iterator<Item = CellId> + '_ {
-        self.services.keys().map(|service| CellId {
-            service: service.clone(),
-            index: 0,
-        })
+        self.services.keys().map(|service| CellId { service: service.clone(), index: 0 })
     }
 }
--- a/crates/configuration/src/load.rs
+++ b/crates/configuration/src/load.rs
@@ -43,10 +43,7 @@
 
 /// Reads all `.ini` files of a directory, in order of their names, as one configuration.
 pub fn load_directory(path: &Path) -> Result<FleetConfiguration, DirectoryError> {
-    let unlistable = |source| DirectoryError::Unlistable {
-        path: path.to_path_buf(),
-        source,
-    };
+    let unlistable = |source| DirectoryError::Unlistable { path: path.to_path_buf(), source };
     let mut files = Vec::new();
     for entry in std::fs::read_dir(path).map_err(unlistable)? {
         let file = entry.map_err(unlistable)?.path();
@@ -55,9 +52,7 @@
         }
     }
     if files.is_empty() {
-        return Err(DirectoryError::Empty {
-            path: path.to_path_buf(),
-        });
+        return Err(DirectoryError::Empty { path: path.to_path_buf() });
     }
     files.sort();
     let documents = files
@@ -101,10 +96,7 @@
                 document.note(&mut self.faults, section, Problem::Duplicate);
                 continue;
             }
-            let place = Place {
-                document,
-                section: section.to_owned(),
-            };
+            let place = Place { document, section: section.to_owned() };
             self.sections.insert(section.to_owned(), place);
             self.read_section(document, section);
         }
@@ -121,11 +113,7 @@
             Ok(Name(name)) => name,
             Err(Expected(expected)) => {
                 let found = name.trim().to_owned();
-                document.note(
-                    &mut self.faults,
-                    section,
-                    Problem::Invalid { expected, found },
-                );
+                document.note(&mut self.faults, section, Problem::Invalid { expected, found });
                 return;
             }
         };
@@ -140,26 +128,12 @@
         let mut reader = document.section(section, &mut self.faults);
         let weight = reader.or("weight", Bounded::<1, 10_000>(1));
         let keys: Vec<DigestValue> = reader.list("key-sha256");
-        let most_waiting = reader.or(
-            "most-waiting",
-            Bounded::<1, 1_000_000>(DEFAULT_MOST_WAITING),
-        );
+        let most_waiting = reader.or("most-waiting", Bounded::<1, 1_000_000>(DEFAULT_MOST_WAITING));
         for key in &keys {
-            claim_value(
-                &mut self.taken,
-                &mut reader,
-                section,
-                "key-sha256",
-                key.0.to_string(),
-            );
+            claim_value(&mut self.taken, &mut reader, section, "key-sha256", key.0.to_string());
         }
         if keys.is_empty() {
-            reader.fault(
-                "key-sha256",
-                Problem::Missing {
-                    expected: DigestValue::EXPECTED,
-                },
-            );
+            reader.fault("key-sha256", Problem::Missing { expected: DigestValue::EXPECTED });
         }
         reader.finish();
         let tenant = Tenant {
@@ -167,9 +141,7 @@
             keys: keys.into_iter().map(|key| key.0).collect(),
             most_waiting: most_waiting.0 as u32,
         };
-        self.configuration
-            .tenants
-            .insert(TenantName::from(name), tenant);
+        self.configuration.tenants.insert(TenantName::from(name), tenant);
     }
 
     fn read_service(&mut self, document: &Document, section: &str, name: &str) {
@@ -195,9 +167,7 @@
             deadline: deadline.0,
             ahead: ahead.0 as u32,
         };
-        self.configuration
-            .services
-            .insert(ServiceName::from(name), service);
+        self.configuration.services.insert(ServiceName::from(name), service);
     }
 
     fn read_backend(&mut self, document: &Document, section: &str, name: &str) {
@@ -209,13 +179,7 @@
         let checks_fences = reader.or("checks-fences", false);
         let leaving = reader.or("leaving", false);
         if let Some(address) = address {
-            claim_value(
-                &mut self.taken,
-                &mut reader,
-                section,
-                "address",
-                address.to_string(),
-            );
+            claim_value(&mut self.taken, &mut reader, section, "address", address.to_string());
         }
         reader.finish();
         let (Some(service), Some(address), Some(zone), Some(slots)) =
@@ -231,9 +195,7 @@
             checks_fences,
             leaving,
         };
-        self.configuration
-            .backends
-            .insert(BackendName::from(name), backend);
+        self.configuration.backends.insert(BackendName::from(name), backend);
     }
 
     fn check_references(&mut self) {
@@ -245,14 +207,8 @@
             let Some(place) = self.sections.get(&format!("backend {name}")) else {
                 continue;
             };
-            let problem = Problem::Dangling {
-                kind: "service",
-                name: backend.service.to_string(),
-            };
-            place
-                .document
-                .section(&place.section, &mut self.faults)
-                .fault("service", problem);
+            let problem = Problem::Dangling { kind: "service", name: backend.service.to_string() };
+            place.document.section(&place.section, &mut self.faults).fault("service", problem);
         }
     }
 }
@@ -266,13 +222,7 @@
     value: String,
 ) {
     if let Some(other) = taken.get(&(key, value.clone())) {
-        reader.fault(
-            key,
-            Problem::Taken {
-                value,
-                other: other.clone(),
-            },
-        );
+        reader.fault(key, Problem::Taken { value, other: other.clone() });
         return;
     }
     taken.insert((key, value), section.to_owned());
@@ -280,12 +230,12 @@
 
 fn read_kind(reader: &mut SectionReader<'_>) -> Option<ServiceKind> {
     match reader.required::<KindValue>("kind")? {
-        KindValue::Model => reader
-            .required("model")
-            .map(|Name(model)| ServiceKind::Model { model }),
-        KindValue::Plain => reader
-            .required("path-prefix")
-            .map(|PrefixValue(prefix)| ServiceKind::Plain { prefix }),
+        KindValue::Model => {
+            reader.required("model").map(|Name(model)| ServiceKind::Model { model })
+        }
+        KindValue::Plain => {
+            reader.required("path-prefix").map(|PrefixValue(prefix)| ServiceKind::Plain { prefix })
+        }
     }
 }
 
@@ -295,9 +245,7 @@
     const EXPECTED: &'static str = "the SHA-256 of a key in 64 hexadecimal digits";
 
     fn read(text: &str) -> Result<Self, Expected> {
-        text.parse()
-            .map(DigestValue)
-            .map_err(|_| Self::EXPECTED.into())
+        text.parse().map(DigestValue).map_err(|_| Self::EXPECTED.into())
     }
 }
 
--- a/crates/configuration/src/parts.rs
+++ b/crates/configuration/src/parts.rs
@@ -77,21 +77,14 @@
 
     /// The root that follows `current`.
     pub fn following(current: Option<&Root>, apply_id: String, parts: Vec<PartHash>) -> Root {
-        let generation = current
-            .map_or(Generation::default(), |root| root.generation)
-            .next();
+        let generation = current.map_or(Generation::default(), |root| root.generation).next();
         let mut previous = Vec::new();
         if let Some(root) = current {
             previous.push(root.apply_id.clone());
             previous.extend(root.previous.iter().cloned());
             previous.truncate(Self::REMEMBERED);
         }
-        Root {
-            generation,
-            apply_id,
-            previous,
-            parts,
-        }
+        Root { generation, apply_id, previous, parts }
     }
 
     /// Whether the try `apply_id` was accepted, now or among those remembered.
@@ -152,16 +145,10 @@
     ) -> Result<FleetConfiguration, AssembleError> {
         let mut whole = FleetConfiguration::default();
         for hash in &root.parts {
-            let part = parts
-                .get(hash)
-                .ok_or_else(|| AssembleError::Missing { hash: hash.clone() })?;
-            let piece: FleetConfiguration =
-                serde_json::from_slice(&part.bytes).map_err(|source| {
-                    AssembleError::Unreadable {
-                        hash: hash.clone(),
-                        source,
-                    }
-                })?;
+            let part =
+                parts.get(hash).ok_or_else(|| AssembleError::Missing { hash: hash.clone() })?;
+            let piece: FleetConfiguration = serde_json::from_slice(&part.bytes)
+                .map_err(|source| AssembleError::Unreadable { hash: hash.clone(), source })?;
             whole.tenants.extend(piece.tenants);
             whole.services.extend(piece.services);
             whole.backends.extend(piece.backends);
@@ -172,7 +159,5 @@
 
 fn encode(piece: &FleetConfiguration) -> Part {
     // These types hold nothing that JSON cannot: string keys and plain values only.
-    Part {
-        bytes: serde_json::to_vec(piece).unwrap_or_default(),
-    }
+    Part { bytes: serde_json::to_vec(piece).unwrap_or_default() }
 }
--- a/crates/configuration/src/tests.rs
+++ b/crates/configuration/src/tests.rs
@@ -10,9 +10,7 @@
     );
     for index in 0..tenants {
         let key = KeyDigest::of(&format!("key-{index}"));
-        text.push_str(&format!(
-            "[tenant t{index}]\nweight = 2\nkey-sha256 = {key}\n"
-        ));
+        text.push_str(&format!("[tenant t{index}]\nweight = 2\nkey-sha256 = {key}\n"));
     }
     text
 }
@@ -33,25 +31,13 @@
         previous: Vec::new(),
         parts: before.iter().map(|part| part.hash()).collect(),
     };
-    let by_hash: BTreeMap<_, _> = before
-        .iter()
-        .map(|part| (part.hash(), part.clone()))
-        .collect();
+    let by_hash: BTreeMap<_, _> = before.iter().map(|part| (part.hash(), part.clone())).collect();
     let again = FleetConfiguration::assemble(&root, &by_hash).expect("all parts");
     assert_eq!(again, configuration);
 
-    configuration
-        .tenants
-        .values_mut()
-        .next()
-        .expect("a tenant")
-        .most_waiting = 3;
+    configuration.tenants.values_mut().next().expect("a tenant").most_waiting = 3;
     let known: BTreeSet<_> = by_hash.keys().cloned().collect();
-    let new = configuration
-        .to_parts()
-        .iter()
-        .filter(|part| !known.contains(&part.hash()))
-        .count();
+    let new = configuration.to_parts().iter().filter(|part| !known.contains(&part.hash())).count();
     assert_eq!(new, 1, "one changed entry makes one new part");
 }
 
@@ -77,10 +63,7 @@
         "[backend x] service: no service 'nowhere' is declared",
     ];
     for text in expect {
-        assert!(
-            found.iter().any(|fault| fault.contains(text)),
-            "{text} not in {found:#?}"
-        );
+        assert!(found.iter().any(|fault| fault.contains(text)), "{text} not in {found:#?}");
     }
     assert_eq!(found.len(), expect.len(), "{found:#?}");
 }
@@ -89,22 +72,8 @@
 fn differences_name_what_changes() {
     let before = load(&fleet(2)).expect("valid");
     let mut after = before.clone();
-    after
-        .tenants
-        .values_mut()
-        .next()
-        .expect("a tenant")
-        .most_waiting = 3;
+    after.tenants.values_mut().next().expect("a tenant").most_waiting = 3;
     after.backends.clear();
-    let shown: Vec<String> = differences(&before, &after)
-        .iter()
-        .map(ToString::to_string)
-        .collect();
-    assert_eq!(
-        shown,
-        [
-            "changed tenant t0: most_waiting 10000 -> 3",
-            "removed backend engine-1"
-        ]
-    );
+    let shown: Vec<String> = differences(&before, &after).iter().map(ToString::to_string).collect();
+    assert_eq!(shown, ["changed tenant t0: most_waiting 10000 -> 3", "removed backend engine-1"]);
 }
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -85,42 +85,25 @@
 impl Current {
     /// Its generation.
     pub fn generation(&self) -> Generation {
-        self.root
-            .as_ref()
-            .map_or(Generation::default(), |root| root.generation)
+        self.root.as_ref().map_or(Generation::default(), |root| root.generation)
     }
 }
 
 /// Reads the configuration accepted now.
 pub async fn read_current(store: &impl ObjectStore) -> Result<Current, ApplyError> {
     let Some(object) = read(store, ROOT_KEY).await? else {
-        return Ok(Current {
-            version: None,
-            root: None,
-            configuration: Default::default(),
-        });
+        return Ok(Current { version: None, root: None, configuration: Default::default() });
     };
     let root = decode_root(&object)?;
     let mut parts = BTreeMap::new();
     for hash in &root.parts {
         if let Some(part) = read(store, &part_key(hash)).await? {
-            parts.insert(
-                hash.clone(),
-                Part {
-                    bytes: part.value.to_vec(),
-                },
-            );
+            parts.insert(hash.clone(), Part { bytes: part.value.to_vec() });
         }
     }
-    let configuration =
-        FleetConfiguration::assemble(&root, &parts).map_err(|source| ApplyError::Stored {
-            source: StoredError::Parts(source),
-        })?;
-    Ok(Current {
-        version: Some(object.version),
-        root: Some(root),
-        configuration,
-    })
+    let configuration = FleetConfiguration::assemble(&root, &parts)
+        .map_err(|source| ApplyError::Stored { source: StoredError::Parts(source) })?;
+    Ok(Current { version: Some(object.version), root: Some(root), configuration })
 }
 
 /// Applies `configuration` on top of `current`. `apply_id` must never have been used before.
@@ -153,10 +136,7 @@
 ) -> Result<(), ApplyError> {
     loop {
         let value = Bytes::from(part.bytes.clone());
-        match store
-            .write(&part_key(hash), value, Precondition::Absent)
-            .await
-        {
+        match store.write(&part_key(hash), value, Precondition::Absent).await {
             Ok(_) | Err(WriteError::Conflict) => return Ok(()),
             Err(source) => {
                 if !store.pause().await {
@@ -172,9 +152,7 @@
     current: &Current,
     root: Root,
 ) -> Result<Applied, ApplyError> {
-    let precondition = current
-        .version
-        .map_or(Precondition::Absent, Precondition::Version);
+    let precondition = current.version.map_or(Precondition::Absent, Precondition::Version);
     // The type holds nothing that JSON cannot.
     let value = Bytes::from(serde_json::to_vec(&root).unwrap_or_default());
     // Whether any write so far may have taken effect, or may yet.
@@ -236,7 +214,6 @@
 }
 
 fn decode_root(object: &Object) -> Result<Root, ApplyError> {
-    serde_json::from_slice(&object.value).map_err(|source| ApplyError::Stored {
-        source: StoredError::Root(source),
-    })
+    serde_json::from_slice(&object.value)
+        .map_err(|source| ApplyError::Stored { source: StoredError::Root(source) })
 }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -38,11 +38,8 @@
 
 fn validate(arguments: &Validate) -> Result<Shown, CommandError> {
     let configuration = load_directory(&arguments.directory).map_err(CommandError::Directory)?;
-    let (tenants, services, backends) = (
-        configuration.tenants.len(),
-        configuration.services.len(),
-        configuration.backends.len(),
-    );
+    let (tenants, services, backends) =
+        (configuration.tenants.len(), configuration.services.len(), configuration.backends.len());
     let value = json!({ "tenants": tenants, "services": services, "backends": backends });
     let text = format!("valid: {tenants} tenants, {services} services, {backends} back ends\n");
     Ok((value, text))
@@ -69,27 +66,17 @@
     }
     let changes = differences(&current.configuration, &wanted);
     let apply_id = RequestId::generate(&mut UnwrapErr(SysRng)).to_string();
-    let applied = apply(&store, &current, &wanted, apply_id)
-        .await
-        .map_err(CommandError::Apply)?;
+    let applied = apply(&store, &current, &wanted, apply_id).await.map_err(CommandError::Apply)?;
     let (generation, result) = match applied {
         Applied::Accepted(generation) => (generation, "accepted"),
         Applied::Unchanged(generation) => (generation, "unchanged"),
     };
     let mut value = json!({ "generation": generation, "result": result, "changes": changes });
-    let mut text = format!(
-        "{}{result}: generation {generation}\n",
-        show::changes(&changes)
-    );
+    let mut text = format!("{}{result}: generation {generation}\n", show::changes(&changes));
     if !arguments.admin.is_empty() {
-        let took = Fleet::new(arguments.admin)?
-            .wait_in_force(generation)
-            .await?;
+        let took = Fleet::new(arguments.admin)?.wait_in_force(generation).await?;
         value["in_force_after_ms"] = json!(took.as_millis() as u64);
-        text.push_str(&format!(
-            "in force everywhere asked after {} ms\n",
-            took.as_millis()
-        ));
+        text.push_str(&format!("in force everywhere asked after {} ms\n", took.as_millis()));
     }
     Ok((value, text))
 }
@@ -98,11 +85,7 @@
     let mut statuses = Fleet::new(arguments.admin)?.statuses().await;
     let text = show::statuses(&statuses);
     if statuses.iter().all(|(_, status)| status.is_err()) {
-        return Err(statuses
-            .swap_remove(0)
-            .1
-            .err()
-            .unwrap_or(CommandError::NoAdmin));
+        return Err(statuses.swap_remove(0).1.err().unwrap_or(CommandError::NoAdmin));
     }
     let processes: Vec<Value> = statuses
         .into_iter()
@@ -115,9 +98,7 @@
 }
 
 async fn explain(arguments: Explain) -> Result<Shown, CommandError> {
-    let accounts = Fleet::new(arguments.admin)?
-        .explain(&arguments.subject)
-        .await?;
+    let accounts = Fleet::new(arguments.admin)?.explain(&arguments.subject).await?;
     let text = show::accounts(&accounts);
     Ok((Value::from(accounts), text))
 }
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -29,10 +29,7 @@
         if addresses.is_empty() {
             return Err(CommandError::NoAdmin);
         }
-        Ok(Self {
-            client: Client::new(ClientConfig::default()),
-            addresses,
-        })
+        Ok(Self { client: Client::new(ClientConfig::default()), addresses })
     }
 
     /// The status of every process, or why it could not be had.
@@ -60,9 +57,7 @@
         }
         match (accounts.is_empty(), failure) {
             (true, Some(error)) => Err(error),
-            (true, None) => Err(CommandError::NotKnown {
-                subject: subject.to_owned(),
-            }),
+            (true, None) => Err(CommandError::NotKnown { subject: subject.to_owned() }),
             (false, _) => Ok(accounts),
         }
     }
@@ -82,19 +77,14 @@
                 return Ok(began.elapsed());
             }
             if began.elapsed() >= IN_FORCE_LIMIT {
-                return Err(CommandError::NotInForce {
-                    waiting: waiting.join(", "),
-                });
+                return Err(CommandError::NotInForce { waiting: waiting.join(", ") });
             }
             smol::Timer::after(CHECK).await;
         }
     }
 
     async fn ask(&self, address: SocketAddr, path: &str) -> Result<Option<Value>, CommandError> {
-        let request = Request::builder()
-            .uri(path)
-            .body(Full::default())
-            .unwrap_or_default();
+        let request = Request::builder().uri(path).body(Full::default()).unwrap_or_default();
         let reply = self
             .client
             .call(address, request, ANSWER_LIMIT)
@@ -104,8 +94,6 @@
             return Ok(None);
         }
         let value = serde_json::from_slice(&reply.body);
-        value
-            .map(Some)
-            .map_err(|_| CommandError::Answer { address })
+        value.map(Some).map_err(|_| CommandError::Answer { address })
     }
 }
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -11,9 +11,7 @@
     if list.is_empty() {
         return "no change\n".to_owned();
     }
-    list.iter()
-        .map(|difference| format!("{difference}\n"))
-        .collect()
+    list.iter().map(|difference| format!("{difference}\n")).collect()
 }
 
 /// The fleet's state: a line for each process asked, then its members, cells and backlog.
@@ -122,10 +120,7 @@
 }
 
 fn tenant(text: &mut String, account: &Value) {
-    line(
-        text,
-        format_args!("tenant {}", account["tenant"].as_str().unwrap_or("?")),
-    );
+    line(text, format_args!("tenant {}", account["tenant"].as_str().unwrap_or("?")));
     for cell in account["cells"].as_array().into_iter().flatten() {
         line(
             text,
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -34,10 +34,7 @@
 impl PlatformStore {
     /// The platform, tried for `patience`.
     pub fn new(platform: Platform, patience: std::time::Duration) -> Self {
-        Self {
-            platform,
-            give_up: std::time::Instant::now() + patience,
-        }
+        Self { platform, give_up: std::time::Instant::now() + patience }
     }
 }
 
--- a/crates/ctl/src/tests.rs
+++ b/crates/ctl/src/tests.rs
@@ -63,11 +63,7 @@
 
 impl<'a> FaultyStore<'a> {
     fn new(contents: &'a RefCell<Contents>, faults: Vec<Fault>) -> Self {
-        Self {
-            contents,
-            faults: RefCell::new(faults),
-            pauses: RefCell::new(0),
-        }
+        Self { contents, faults: RefCell::new(faults), pauses: RefCell::new(0) }
     }
 
     fn next_fault(&self) -> Fault {
@@ -86,10 +82,7 @@
             Fault::Half if versions.len() > 1 => versions.get(versions.len() - 2),
             _ => versions.last(),
         };
-        Ok(latest.map(|(version, value)| Object {
-            version: *version,
-            value: value.clone(),
-        }))
+        Ok(latest.map(|(version, value)| Object { version: *version, value: value.clone() }))
     }
 
     async fn write(
@@ -102,9 +95,7 @@
         let mut contents = self.contents.borrow_mut();
         contents.late_write_arrives();
         match fault {
-            Fault::None => contents
-                .write(key, value, required)
-                .ok_or(WriteError::Conflict),
+            Fault::None => contents.write(key, value, required).ok_or(WriteError::Conflict),
             Fault::Refused => Err(WriteError::NotWritten(NotWritten::Refused(
                 hyper::StatusCode::TOO_MANY_REQUESTS,
             ))),
@@ -129,11 +120,7 @@
 fn configuration(tenant: &str) -> FleetConfiguration {
     let mut whole = FleetConfiguration::default();
     let keys = vec![KeyDigest::of(tenant)];
-    let declared = Tenant {
-        weight: Weight::ONE,
-        keys,
-        most_waiting: 1,
-    };
+    let declared = Tenant { weight: Weight::ONE, keys, most_waiting: 1 };
     whole.tenants.insert(TenantName::from(tenant), declared);
     whole
 }
@@ -154,9 +141,7 @@
         let won = apply(&store, &first, &configuration("ghats"), "one".to_owned()).await;
         assert_eq!(won.expect("accepted"), Applied::Accepted(Generation(1)));
         let lost = apply(&store, &second, &configuration("rangers"), "two".to_owned()).await;
-        let Err(ApplyError::Conflict { found, change }) = lost else {
-            panic!("{lost:?}")
-        };
+        let Err(ApplyError::Conflict { found, change }) = lost else { panic!("{lost:?}") };
         assert_eq!(found, Generation(1));
         assert_eq!(change[0].to_string(), "added tenant ghats");
     });
@@ -167,10 +152,7 @@
     smol::block_on(async {
         let contents = RefCell::default();
         let store = FaultyStore::new(&contents, Vec::new());
-        for expected in [
-            Applied::Accepted(Generation(1)),
-            Applied::Unchanged(Generation(1)),
-        ] {
+        for expected in [Applied::Accepted(Generation(1)), Applied::Unchanged(Generation(1))] {
             let current = read_current(&store).await.expect("read");
             let applied = apply(&store, &current, &configuration("ghats"), "id".to_owned()).await;
             assert_eq!(applied.expect("applied"), expected);
@@ -179,17 +161,8 @@
 }
 
 fn faults(numbers: &[u8]) -> Vec<Fault> {
-    let kinds = [
-        Fault::None,
-        Fault::Refused,
-        Fault::Lost,
-        Fault::Half,
-        Fault::Late,
-    ];
-    numbers
-        .iter()
-        .map(|number| kinds[usize::from(*number) % kinds.len()])
-        .collect()
+    let kinds = [Fault::None, Fault::Refused, Fault::Lost, Fault::Half, Fault::Late];
+    numbers.iter().map(|number| kinds[usize::from(*number) % kinds.len()]).collect()
 }
 
 quickcheck! {
--- a/crates/fairness/src/lib.rs
+++ b/crates/fairness/src/lib.rs
@@ -38,7 +38,8 @@
         Level(cost.0.saturating_mul(SCALE) / i64::from(weight.get()))
     }
 
-    fn plus(self, other: Level) -> Level {
+    /// The sum of two levels.
+    pub fn plus(self, other: Level) -> Level {
         Level(self.0.saturating_add(other.0))
     }
 }
@@ -67,9 +68,7 @@
 
     /// The tenant's declared weight, one if none was declared.
     pub fn weight(&self, tenant: &TenantName) -> Weight {
-        self.accounts
-            .get(tenant)
-            .map_or(Weight::ONE, |account| account.weight)
+        self.accounts.get(tenant).map_or(Weight::ONE, |account| account.weight)
     }
 
     /// Says whether `tenant` has work that waits. A tenant that becomes backlogged is raised to
@@ -98,19 +97,27 @@
         self.set_level(tenant, level);
     }
 
-    /// Raises a tenant to `level` if it is below: used when a successor rebuilds its state from
-    /// what others remember.
+    /// Raises a tenant to `level` if it is below: used when others remember more than this order
+    /// knows.
     pub fn raise_to(&mut self, tenant: &TenantName, level: Level) {
         if self.level(tenant) < level {
             self.set_level(tenant, level);
         }
     }
 
+    /// Gives a tenant the level that it had in a predecessor's order, and marks it as backlogged
+    /// without raising it: it was backlogged there all along.
+    pub fn restore_backlogged(&mut self, tenant: &TenantName, level: Level) {
+        self.set_backlogged(tenant, false);
+        let account = self.account(tenant);
+        account.level = level;
+        account.backlogged = true;
+        self.backlogged.insert((level, tenant.clone()));
+    }
+
     /// The tenant's level; zero for one never seen.
     pub fn level(&self, tenant: &TenantName) -> Level {
-        self.accounts
-            .get(tenant)
-            .map_or(Level::default(), |account| account.level)
+        self.accounts.get(tenant).map_or(Level::default(), |account| account.level)
     }
 
     /// The backlogged tenant that is due next.
@@ -129,9 +136,7 @@
     }
 
     fn starting_level(&self) -> Level {
-        self.backlogged
-            .first()
-            .map_or(self.floor, |(level, _)| *level)
+        self.backlogged.first().map_or(self.floor, |(level, _)| *level)
     }
 
     fn account(&mut self, tenant: &TenantName) -> &mut Account {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -68,10 +68,7 @@
 impl Admission {
     /// Checks the key, before any of the body is read.
     pub fn recognise(&self, head: Parts) -> Result<RecognisedCaller, NotRunReason> {
-        let tenant = self
-            .access
-            .tenant(&head.headers)
-            .ok_or(NotRunReason::Unauthorized)?;
+        let tenant = self.access.tenant(&head.headers).ok_or(NotRunReason::Unauthorized)?;
         Ok(RecognisedCaller { tenant, head })
     }
 
@@ -90,17 +87,10 @@
             Some(key) if !service.repeatable => Some(ClaimKey::new(&tenant, service_name, &key)),
             _ => None,
         };
-        let target = head
-            .uri
-            .path_and_query()
-            .map_or("/", |target| target.as_str())
-            .to_owned();
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         Ok(AcceptedRequest {
             name,
-            cell: CellId {
-                service: service_name.clone(),
-                index: 0,
-            },
+            cell: CellId { service: service_name.clone(), index: 0 },
             service: service.clone(),
             deadline: now + span,
             claim,
@@ -127,15 +117,12 @@
         wanted: impl Fn(&ServiceKind) -> bool,
     ) -> Result<(&ServiceName, &Service), NotRunReason> {
         let mut services = self.configuration.services.iter();
-        services
-            .find(|(_, service)| wanted(&service.kind))
-            .ok_or(NotRunReason::UnknownService)
+        services.find(|(_, service)| wanted(&service.kind)).ok_or(NotRunReason::UnknownService)
     }
 }
 
 fn is_below(path: &str, prefix: &str) -> bool {
-    path.strip_prefix(prefix)
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
 fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, NotRunReason> {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -51,10 +51,7 @@
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Outcome::NotRun(reason) = outcome {
-        headers.insert(
-            RETRY_AFTER,
-            HeaderValue::from(reason.retry_after().as_secs()),
-        );
+        headers.insert(RETRY_AFTER, HeaderValue::from(reason.retry_after().as_secs()));
     }
     mark(headers, name, outcome);
     response
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -71,12 +71,7 @@
     let (head, body) = response.into_parts();
     if is_stream(&head.headers) {
         let headers = head.headers;
-        return Ok(Brought::Stream(OpenStream {
-            headers,
-            body,
-            source: address,
-            connection,
-        }));
+        return Ok(Brought::Stream(OpenStream { headers, body, source: address, connection }));
     }
     let limit = duty.settings().answer_limit;
     let body = within(time_left(duty, request.deadline), read_limited(body, limit))
@@ -87,11 +82,7 @@
             Failure::Broken
         })?;
     duty.connections().keep(address, connection);
-    Ok(Brought::Whole(WholeAnswer {
-        status: head.status,
-        headers: head.headers,
-        body,
-    }))
+    Ok(Brought::Whole(WholeAnswer { status: head.status, headers: head.headers, body }))
 }
 
 /// A connection that did not come up in the time that the request had left says nothing about the
@@ -101,10 +92,7 @@
     request: &AcceptedRequest,
     address: SocketAddr,
 ) -> Result<Connection, Failure> {
-    let limit = duty
-        .settings()
-        .connect_limit
-        .min(time_left(duty, request.deadline));
+    let limit = duty.settings().connect_limit.min(time_left(duty, request.deadline));
     let connected = duty.connections().get(address, limit).await;
     connected.map_err(|error| {
         if time_left(duty, request.deadline).is_zero() {
@@ -163,8 +151,6 @@
 }
 
 fn is_stream(headers: &HeaderMap) -> bool {
-    let media_type = headers
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok());
+    let media_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM))
 }
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -8,11 +8,7 @@
 
 fn wish(request: &AcceptedRequest, intent: Intent) -> Option<ClaimRequest> {
     let key = request.claim.clone()?;
-    Some(ClaimRequest {
-        key,
-        request: request.name.id,
-        intent,
-    })
+    Some(ClaimRequest { key, request: request.name.id, intent })
 }
 
 /// Takes the claim and gives the next step.
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -123,13 +123,7 @@
 
     /// A back end's declaration in force.
     pub fn backend(&self, name: &BackendName) -> Option<Backend> {
-        self.lock()
-            .admission
-            .as_ref()?
-            .configuration
-            .backends
-            .get(name)
-            .cloned()
+        self.lock().admission.as_ref()?.configuration.backends.get(name).cloned()
     }
 
     /// Puts a request in its tenant's queue. The receiver gets its grant; it closes if the service
@@ -146,10 +140,7 @@
             return Err(NotRunReason::QueueFull);
         }
         demand.enqueue(&request.tenant, request.name.id);
-        let budget = state
-            .budgets
-            .entry(request.cell.service.clone())
-            .or_default();
+        let budget = state.budgets.entry(request.cell.service.clone()).or_default();
         budget.note_request();
         let receiver = add_waiter(&mut state, &request.cell, request.name.id);
         drop(state);
@@ -202,10 +193,7 @@
 
     fn count_service(&self, cell: &CellId, tenant: &TenantName, more: Cost) {
         let (service, tenant) = (cell.service.to_string(), tenant.to_string());
-        let counter = self
-            .metrics
-            .service
-            .get_or_create_owned(&ServiceLabels { service, tenant });
+        let counter = self.metrics.service.get_or_create_owned(&ServiceLabels { service, tenant });
         counter.inc_by(u64::try_from(more.0).unwrap_or(0));
     }
 
@@ -259,9 +247,7 @@
     pub fn begin_account(&self, request: &AcceptedRequest) {
         let now = self.node.now();
         let mut state = self.lock();
-        state
-            .journal
-            .begin(request.name.id, &request.tenant, &request.cell, now);
+        state.journal.begin(request.name.id, &request.tenant, &request.cell, now);
     }
 
     /// Adds to the account of a request.
@@ -318,10 +304,7 @@
             // `flush` wakes the loop for its callers' sake; that wake-up is used up here.
             let _ = self.woken.try_recv();
             self.publish();
-            let sleep = self
-                .next_timeout()
-                .since(self.node.now())
-                .min(LONGEST_SLEEP);
+            let sleep = self.next_timeout().since(self.node.now()).min(LONGEST_SLEEP);
             // Woken early or not: either way there is something to look at.
             let _ = mastbay_web::within(sleep, self.woken.recv()).await;
         }
@@ -330,10 +313,7 @@
     fn next_timeout(&self) -> Timestamp {
         let state = self.lock();
         let demands = state.demands.values().map(Demand::next_timeout);
-        demands
-            .chain([state.claims.next_timeout()])
-            .min()
-            .unwrap_or(Timestamp::NEVER)
+        demands.chain([state.claims.next_timeout()]).min().unwrap_or(Timestamp::NEVER)
     }
 
     fn publish(&self) {
@@ -346,27 +326,15 @@
         self.metrics.running.set(total(Demand::running_in_total));
         if let Some(callers) = self.callers.get() {
             let store = |counter: &prometheus_client::metrics::counter::Counter, value| {
-                counter
-                    .inner()
-                    .store(value, std::sync::atomic::Ordering::Relaxed);
+                counter.inner().store(value, std::sync::atomic::Ordering::Relaxed);
             };
-            store(
-                &self.metrics.refused_connections,
-                callers.refused_connections(),
-            );
-            store(
-                &self.metrics.malformed_requests,
-                callers.malformed_requests(),
-            );
+            store(&self.metrics.refused_connections, callers.refused_connections());
+            store(&self.metrics.malformed_requests, callers.malformed_requests());
         }
     }
 
     fn demand<'a>(&self, state: &'a mut State, cell: &CellId) -> &'a mut Demand {
-        let State {
-            demands,
-            schedulers,
-            ..
-        } = state;
+        let State { demands, schedulers, .. } = state;
         demands.entry(cell.clone()).or_insert_with(|| {
             let incarnation = self.node.incarnation();
             let mut demand = Demand::new(cell.clone(), DemandConfig::default(), incarnation);
@@ -413,13 +381,7 @@
 
 fn add_waiter(state: &mut State, cell: &CellId, id: RequestId) -> Receiver<Assignment> {
     let (sender, receiver) = smol::channel::bounded(1);
-    state.waiters.insert(
-        id,
-        Waiter {
-            cell: cell.clone(),
-            sender,
-        },
-    );
+    state.waiters.insert(id, Waiter { cell: cell.clone(), sender });
     receiver
 }
 
@@ -435,10 +397,7 @@
 
 /// Schedulers in a cell's own order.
 fn in_order(cell: &CellId, schedulers: &[ProcessId]) -> Vec<ProcessId> {
-    by_rendezvous(&format!("cell/{cell}"), schedulers)
-        .into_iter()
-        .cloned()
-        .collect()
+    by_rendezvous(&format!("cell/{cell}"), schedulers).into_iter().cloned().collect()
 }
 
 impl Duty for GatewayDuty {
@@ -474,23 +433,14 @@
 
     fn configuration_changed(&self, configuration: &Arc<FleetConfiguration>) {
         let access = Arc::new(AccessTable::new(configuration));
-        let admission = Admission {
-            configuration: configuration.clone(),
-            access,
-        };
+        let admission = Admission { configuration: configuration.clone(), access };
         let mut state = self.lock();
         state.admission = Some(admission);
-        state
-            .waiters
-            .retain(|_, waiter| configuration.services.contains_key(&waiter.cell.service));
+        state.waiters.retain(|_, waiter| configuration.services.contains_key(&waiter.cell.service));
         drop(state);
-        let addresses: Vec<_> = configuration
-            .backends
-            .values()
-            .map(|backend| backend.address)
-            .collect();
-        self.connections
-            .retain(|address| addresses.contains(address));
+        let addresses: Vec<_> =
+            configuration.backends.values().map(|backend| backend.address).collect();
+        self.connections.retain(|address| addresses.contains(address));
     }
 }
 
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -90,10 +90,7 @@
         let before = &text[..end];
         before.ends_with(b"\n\n") || before.ends_with(b"\r\n\r\n")
     };
-    (1..=text.len())
-        .rev()
-        .find(|end| ends_at(*end))
-        .unwrap_or(0)
+    (1..=text.len()).rev().find(|end| ends_at(*end)).unwrap_or(0)
 }
 
 fn contains(text: &[u8], pattern: &[u8]) -> bool {
@@ -103,7 +100,5 @@
 /// The service of an answer that is not a stream, if it tells its usage.
 pub fn usage_of(body: &[u8]) -> Option<Cost> {
     let event: UsageEvent = serde_json::from_slice(body).ok()?;
-    event
-        .usage
-        .map(|usage| Cost(i64::try_from(usage.total_tokens).unwrap_or(i64::MAX)))
+    event.usage.map(|usage| Cost(i64::try_from(usage.total_tokens).unwrap_or(i64::MAX)))
 }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -54,11 +54,7 @@
 impl Journal {
     /// A journal of the last `capacity` requests.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            order: VecDeque::new(),
-            entries: HashMap::new(),
-        }
+        Self { capacity, order: VecDeque::new(), entries: HashMap::new() }
     }
 
     /// Begins the account of a request.
@@ -72,12 +68,7 @@
         }
         self.order.push_back(id);
         let (tenant, cell) = (tenant.clone(), cell.clone());
-        let entry = Entry {
-            tenant,
-            cell,
-            accepted: now,
-            happenings: Vec::new(),
-        };
+        let entry = Entry { tenant, cell, accepted: now, happenings: Vec::new() };
         self.entries.insert(id, entry);
     }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -42,8 +42,5 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    report_and_exit_code(smol::block_on(start::run(
-        &arguments.settings,
-        arguments.check,
-    )))
+    report_and_exit_code(smol::block_on(start::run(&arguments.settings, arguments.check)))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,11 +68,7 @@
         };
         let registry = registry.sub_registry_with_prefix("mastbay_gateway");
         registry.register("requests", "Requests that ended", metrics.requests.clone());
-        registry.register(
-            "service",
-            "Service received, in cost units",
-            metrics.service.clone(),
-        );
+        registry.register("service", "Service received, in cost units", metrics.service.clone());
         registry.register(
             "wait_seconds",
             "Seconds that requests waited for a grant",
@@ -80,11 +76,7 @@
         );
         registry.register("waiting", "Requests that wait", metrics.waiting.clone());
         registry.register("running", "Requests that run", metrics.running.clone());
-        registry.register(
-            "retries",
-            "Requests given to a back end again",
-            metrics.retries.clone(),
-        );
+        registry.register("retries", "Requests given to a back end again", metrics.retries.clone());
         registry.register(
             "resumed_streams",
             "Streams gone on with after a break",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -65,11 +65,7 @@
 
     /// Carries the stream to its end. Returns the service that it carried.
     pub async fn carry(mut self, stream: OpenStream) -> (Cost, Result<(), Failure>) {
-        let OpenStream {
-            mut body,
-            mut connection,
-            ..
-        } = stream;
+        let OpenStream { mut body, mut connection, .. } = stream;
         let result = loop {
             match self.pump(&mut body).await {
                 Ok(()) => {
@@ -105,9 +101,7 @@
     async fn pump(&mut self, body: &mut Incoming) -> Result<(), Failure> {
         loop {
             let limit = time_left(self.duty, self.request.deadline);
-            let frame = within(limit, body.frame())
-                .await
-                .map_err(|_| Failure::Deadline)?;
+            let frame = within(limit, body.frame()).await.map_err(|_| Failure::Deadline)?;
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(chunk) = frame.into_data() {
@@ -130,12 +124,8 @@
             return Ok(());
         }
         let tokens = self.meter.events() - before;
-        self.ticket
-            .progress(Cost(i64::try_from(tokens).unwrap_or(i64::MAX)));
-        self.caller
-            .send(Ok(Bytes::from(complete)))
-            .await
-            .map_err(|_| Failure::CallerGone)
+        self.ticket.progress(Cost(i64::try_from(tokens).unwrap_or(i64::MAX)));
+        self.caller.send(Ok(Bytes::from(complete))).await.map_err(|_| Failure::CallerGone)
     }
 
     async fn resume(&mut self) -> Option<(Incoming, Connection)> {
@@ -150,8 +140,7 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        self.duty
-            .note(self.request.name.id, Happening::Resumed(events));
+        self.duty.note(self.request.name.id, Happening::Resumed(events));
         self.duty.metrics().resumed_streams.inc();
         tracing::info!(event = "stream_resumed", request = %self.request.name.id, events);
         Some((response.into_body(), connection))
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -53,14 +53,9 @@
 
 fn name_request(duty: &GatewayDuty, headers: &HeaderMap) -> RequestName {
     let mut random = duty.node().random();
-    let given = headers
-        .get(TRACEPARENT)
-        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let given = headers.get(TRACEPARENT).and_then(|value| value.to_str().ok()?.parse().ok());
     let trace = given.unwrap_or_else(|| TraceContext::new_root(&mut random));
-    RequestName {
-        id: RequestId::generate(&mut random),
-        trace,
-    }
+    RequestName { id: RequestId::generate(&mut random), trace }
 }
 
 fn refuse(duty: &GatewayDuty, name: &RequestName, reason: NotRunReason) -> Response<Body> {
@@ -78,9 +73,8 @@
 ) -> Result<AcceptedRequest, NotRunReason> {
     let (head, body) = request.into_parts();
     let caller = admission.recognise(head)?;
-    let body = read_limited(body, duty.settings().body_limit)
-        .await
-        .map_err(|error| match error {
+    let body =
+        read_limited(body, duty.settings().body_limit).await.map_err(|error| match error {
             ReadBodyError::TooLarge { .. } => NotRunReason::BodyTooLarge,
             ReadBodyError::Broken => NotRunReason::BadRequest,
         })?;
@@ -157,9 +151,8 @@
         self.note(Happening::Failed(failure));
         let now = self.duty.node().now();
         let exchange = &mut self.exchange;
-        self.duty.with_budget(&self.request.cell.service, |budget| {
-            exchange.failed(now, failure, budget)
-        })
+        self.duty
+            .with_budget(&self.request.cell.service, |budget| exchange.failed(now, failure, budget))
     }
 
     async fn wait_for_grant(&mut self) -> Step {
@@ -169,10 +162,7 @@
             Ok(()) => self.granted().await,
             Err(reason) => return Step::Finish(Outcome::NotRun(reason)),
         };
-        self.duty
-            .metrics()
-            .waits
-            .observe(began.elapsed().as_secs_f64());
+        self.duty.metrics().waits.observe(began.elapsed().as_secs_f64());
         match granted {
             Ok(assignment) => {
                 self.note(Happening::Granted(assignment.backend.clone()));
@@ -202,9 +192,7 @@
             Err(Failure::CallerGone)
         };
         let limit = time_left(&self.duty, self.request.deadline);
-        within(limit, granted.or(gone))
-            .await
-            .unwrap_or(Err(Failure::Deadline))
+        within(limit, granted.or(gone)).await.unwrap_or(Err(Failure::Deadline))
     }
 
     async fn caller_gone(&self) {
@@ -222,15 +210,9 @@
         };
         self.note(Happening::Sending);
         let began = Instant::now();
-        let span = HopSpan::start(
-            "backend",
-            self.span.context(),
-            &mut self.duty.node().random(),
-        );
+        let span = HopSpan::start("backend", self.span.context(), &mut self.duty.node().random());
         let trace = span.context();
-        let brought = self
-            .attempt_unless_caller_gone(backend.address, trace)
-            .await;
+        let brought = self.attempt_unless_caller_gone(backend.address, trace).await;
         let result = match brought {
             Ok(Brought::Whole(answer)) => {
                 self.take_whole(answer, began);
@@ -240,10 +222,7 @@
             Err(failure) => Err(failure),
         };
         let id = self.request.name.id.to_string();
-        span.finish(
-            &id,
-            &result.map_or_else(|failure| failure.to_string(), |()| "ok".to_owned()),
-        );
+        span.finish(&id, &result.map_or_else(|failure| failure.to_string(), |()| "ok".to_owned()));
         match result {
             Ok(()) => self.exchange.answered(),
             Err(failure) => self.after_failed_try(failure, &assignment, began),
@@ -258,13 +237,7 @@
         address: std::net::SocketAddr,
         trace: TraceContext,
     ) -> Result<Brought, Failure> {
-        let Self {
-            duty,
-            request,
-            exchange,
-            caller,
-            ..
-        } = self;
+        let Self { duty, request, exchange, caller, .. } = self;
         let trying = attempt(duty, request, exchange, address, trace);
         if !request.service.repeatable {
             return trying.await;
@@ -284,8 +257,7 @@
         began: Instant,
     ) -> Step {
         if failure == Failure::Connect {
-            self.duty
-                .note_unreachable(&self.request.cell, &assignment.backend);
+            self.duty.note_unreachable(&self.request.cell, &assignment.backend);
         }
         let sent = self.exchange.stage() >= Stage::Sent;
         let step = self.failed(failure);
@@ -301,11 +273,9 @@
     /// Cost of a plain service: the time that it took, in milliseconds. A model tells its own.
     fn time_cost(&self, began: Instant) -> Cost {
         match self.request.service.kind {
-            ServiceKind::Plain { .. } => Cost(
-                i64::try_from(began.elapsed().as_millis())
-                    .unwrap_or(i64::MAX)
-                    .max(1),
-            ),
+            ServiceKind::Plain { .. } => {
+                Cost(i64::try_from(began.elapsed().as_millis()).unwrap_or(i64::MAX).max(1))
+            }
             ServiceKind::Model { .. } => Cost::ZERO,
         }
     }
@@ -325,12 +295,8 @@
         self.exchange.answer_begun();
         let (sender, chunks) = smol::channel::bounded(CHUNKS_BUFFERED);
         let headers = stream.headers.clone();
-        let response = head_of_answer(
-            &self.request.name,
-            StatusCode::OK,
-            headers,
-            streamed(chunks),
-        );
+        let response =
+            head_of_answer(&self.request.name, StatusCode::OK, headers, streamed(chunks));
         // A caller that is gone shows when its first chunk cannot be sent.
         let _ = self.reply.send(response).await;
         self.stream = Some(sender.clone());
@@ -348,8 +314,7 @@
         drop(self.ticket.take());
         self.note(Happening::Over(outcome));
         let (service, tenant) = (&self.request.cell.service, &self.request.tenant);
-        self.duty
-            .count_outcome(service.as_str(), tenant.as_str(), outcome);
+        self.duty.count_outcome(service.as_str(), tenant.as_str(), outcome);
         if self.exchange.claimed() {
             claims::settle(&self.duty, &self.request, outcome, self.status.as_u16());
         }
@@ -364,15 +329,8 @@
         );
         match (self.answer.take(), &self.stream) {
             (Some(answer), _) => {
-                let WholeAnswer {
-                    status,
-                    headers,
-                    body,
-                } = answer;
-                let _ = self
-                    .reply
-                    .send(whole_answer(&name, status, headers, body))
-                    .await;
+                let WholeAnswer { status, headers, body } = answer;
+                let _ = self.reply.send(whole_answer(&name, status, headers, body)).await;
             }
             (None, Some(_)) if outcome == Outcome::Answered => {}
             (None, Some(caller)) => Relay::break_off(caller, &self.request, outcome).await,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -50,9 +50,7 @@
 }
 
 async fn bind(address: SocketAddr, config: ServerConfig) -> Result<Server, StartError> {
-    Server::bind(address, config)
-        .await
-        .map_err(StartError::Bind)
+    Server::bind(address, config).await.map_err(StartError::Bind)
 }
 
 fn caller_config(settings: &GatewaySettings) -> ServerConfig {
@@ -65,9 +63,7 @@
 
 fn serve_callers(server: Server, duty: Arc<GatewayDuty>) -> smol::Task<()> {
     smol::spawn(async move {
-        server
-            .run(move |request, _| serve(duty.clone(), request))
-            .await;
+        server.run(move |request, _| serve(duty.clone(), request)).await;
     })
 }
 
@@ -90,11 +86,7 @@
     }
     settle_claims(duty).await;
     tracing::info!(event = "stopped", process = %duty.node().me(), whole = ended.is_ok());
-    if ended.is_ok() {
-        ExitReason::Stopped
-    } else {
-        ExitReason::StopLimit
-    }
+    if ended.is_ok() { ExitReason::Stopped } else { ExitReason::StopLimit }
 }
 
 async fn settle_claims(duty: &Arc<GatewayDuty>) {
--- a/crates/gateway/src/ticket.rs
+++ b/crates/gateway/src/ticket.rs
@@ -55,11 +55,7 @@
 
     /// Ends the request's time at the back end.
     pub fn finish(&mut self, total: Cost, typical: bool) {
-        let cost = FinalCost {
-            total,
-            counted: self.counted,
-            typical,
-        };
+        let cost = FinalCost { total, counted: self.counted, typical };
         self.duty.finish(&self.cell, &self.tenant, self.id, cost);
         self.over = true;
     }
--- a/crates/grants/src/cell.rs
+++ b/crates/grants/src/cell.rs
@@ -1,15 +1,19 @@
 //! The scheduler's side: slots, demand and the grants that match them.
 
+use crate::gateway_view::{GatewayView, UnseenGrant};
 use crate::messages::{BackendReport, Grant, Grants, Report, TenantReport};
-use mastbay_fairness::FairOrder;
+use crate::slots::Slots;
+use crate::status::{CellStatus, TenantStatus};
+use mastbay_fairness::{FairOrder, Level};
 use mastbay_types::{
     BackendName, CellId, Cost, Incarnation, ProcessId, TenantName, Timestamp, Weight,
 };
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
+use std::ops::Bound::{Excluded, Unbounded};
 use std::time::Duration;
 
 /// Settings of a [`Cell`].
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct CellConfig {
     /// How long a grant may stay unseen by its gateway before its slot is taken back.
     pub grant_timeout: Duration,
@@ -23,6 +27,9 @@
     pub ahead: u32,
     /// What is charged for a tenant whose requests never ended yet.
     pub first_estimate: Cost,
+    /// Slots that a tenant may hold while others wait, as a multiple of its fair share of them.
+    /// Bounds the service that a tenant can take before its true cost shows.
+    pub share_limit: f64,
 }
 
 impl Default for CellConfig {
@@ -34,6 +41,7 @@
             unreachable_pause: Duration::from_secs(1),
             ahead: 0,
             first_estimate: Cost(100),
+            share_limit: 1.5,
         }
     }
 }
@@ -41,105 +49,40 @@
 /// Share of a new observation in a tenant's learned cost.
 const ESTIMATE_GAIN: f64 = 0.1;
 
-#[derive(Debug)]
-struct Backend {
-    slots: u32,
-    /// Requests that gateways report as running.
-    running: u32,
-    /// Grants that their gateway can't have seen yet.
-    unseen: u32,
-    leaving: bool,
-    paused_until: Timestamp,
-}
-
-impl Backend {
-    fn new(slots: u32) -> Self {
-        Self {
-            slots,
-            running: 0,
-            unseen: 0,
-            leaving: false,
-            paused_until: Timestamp::ZERO,
-        }
-    }
-
-    fn free(&self, ahead: u32, now: Timestamp) -> u32 {
-        if self.leaving || now < self.paused_until {
-            return 0;
-        }
-        (self.slots + ahead).saturating_sub(self.running + self.unseen)
-    }
-}
-
-#[derive(Debug)]
-struct UnseenGrant {
-    sequence: u64,
-    tenant: TenantName,
-    backend: BackendName,
-    estimate: Cost,
-    sent: Timestamp,
-}
-
-/// What one gateway reported, and what was granted to it since.
-#[derive(Debug)]
-struct GatewayView {
-    incarnation: Incarnation,
-    last_heard: Timestamp,
-    next_sequence: u64,
-    unseen: VecDeque<UnseenGrant>,
-    /// Whether a grant timed out since the gateway was last heard: it gets none till it speaks.
-    silent: bool,
-    tenants: BTreeMap<TenantName, TenantReport>,
-    running: BTreeMap<BackendName, u32>,
-}
-
-impl GatewayView {
-    fn new(incarnation: Incarnation, now: Timestamp) -> Self {
-        Self {
-            incarnation,
-            last_heard: now,
-            next_sequence: 1,
-            unseen: VecDeque::new(),
-            silent: false,
-            tenants: BTreeMap::new(),
-            running: BTreeMap::new(),
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct Tenant {
     /// Gateways at which work of the tenant waits that no grant covers yet, with its amount.
     waiting: BTreeMap<ProcessId, u32>,
     /// The gateway last granted to; the next one in order comes next.
     last_gateway: Option<ProcessId>,
+    /// Requests that run, as reported, and grants that no gateway can have seen yet.
+    in_flight: u32,
+    /// The highest level that gateways remember of a predecessor's grants.
+    remembered_level: Option<Level>,
+    /// What gateways have charged since those grants.
+    remembered_charges: Cost,
     estimate: Option<f64>,
 }
 
-/// One tenant's standing in a cell, for operators.
-#[derive(Debug, Clone, PartialEq)]
-pub struct TenantStatus {
-    /// The tenant.
-    pub tenant: TenantName,
-    /// Requests that wait over all gateways.
-    pub waiting: u32,
-    /// Service over weight, in cost units.
-    pub level: f64,
-    /// Learned cost of a request.
-    pub estimate: Cost,
+impl Tenant {
+    fn is_active(&self) -> bool {
+        self.in_flight > 0 || !self.waiting.is_empty()
+    }
+
+    /// The gateway after the one last granted to, among those where the tenant's work waits.
+    fn next_gateway(&self) -> Option<&ProcessId> {
+        let after = self.last_gateway.as_ref().and_then(|last| {
+            self.waiting.range::<ProcessId, _>((Excluded(last), Unbounded)).next()
+        });
+        after.or_else(|| self.waiting.first_key_value()).map(|(gateway, _)| gateway)
+    }
 }
 
-/// A cell's standing, for operators.
-#[derive(Debug, Clone, PartialEq)]
-pub struct CellStatus {
-    /// Slots of back ends that take work.
-    pub slots: u32,
-    /// Slots in use.
-    pub in_use: u32,
-    /// Gateways heard.
-    pub gateways: usize,
-    /// Tenants with work that waits, the one due next first.
-    pub backlogged: Vec<TenantStatus>,
+/// A gateway that is gone.
+#[derive(Debug)]
+struct Departed {
+    incarnation: Incarnation,
+    charged: BTreeMap<TenantName, Cost>,
 }
 
 /// The scheduler's state of one cell. Soft: rebuilt from gateways' full reports.
@@ -151,8 +94,14 @@
     opens_at: Timestamp,
     order: FairOrder,
     tenants: BTreeMap<TenantName, Tenant>,
-    backends: BTreeMap<BackendName, Backend>,
+    /// Sum of the weights of tenants that wait or run.
+    active_weight: u64,
+    slots: Slots,
     gateways: BTreeMap<ProcessId, GatewayView>,
+    /// What gateways that are gone had charged, should they come back in the same life.
+    departed: BTreeMap<ProcessId, Departed>,
+    open: bool,
+    /// Gateways to answer, and whether each has to send a full report.
     answers_due: BTreeMap<ProcessId, bool>,
 }
 
@@ -167,8 +116,11 @@
             opens_at,
             order: FairOrder::default(),
             tenants: BTreeMap::new(),
-            backends: BTreeMap::new(),
+            active_weight: 0,
+            slots: Slots::default(),
             gateways: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            open: false,
             answers_due: BTreeMap::new(),
         }
     }
@@ -180,29 +132,17 @@
 
     /// Declares the back ends in force and their slots; others are forgotten.
     pub fn set_backends(&mut self, declared: &[(BackendName, u32)]) {
-        let names: BTreeSet<&BackendName> = declared.iter().map(|(name, _)| name).collect();
-        self.backends.retain(|name, _| names.contains(name));
-        for (name, slots) in declared {
-            match self.backends.get_mut(name) {
-                Some(backend) => backend.slots = *slots,
-                None => self.add_backend(name, *slots),
+        for name in self.slots.declare(declared) {
+            for gateway in self.gateways.values() {
+                let running = gateway.running.get(&name).copied().unwrap_or(0);
+                self.slots.change_running(&name, 0, running);
             }
         }
     }
 
-    fn add_backend(&mut self, name: &BackendName, slots: u32) {
-        let mut backend = Backend::new(slots);
-        for gateway in self.gateways.values() {
-            backend.running += gateway.running.get(name).copied().unwrap_or(0);
-        }
-        self.backends.insert(name.clone(), backend);
-    }
-
     /// Marks a back end as leaving (or no longer so): a leaving one gets no grant.
     pub fn set_leaving(&mut self, name: &BackendName, leaving: bool) {
-        if let Some(backend) = self.backends.get_mut(name) {
-            backend.leaving = leaving;
-        }
+        self.slots.set_leaving(name, leaving);
     }
 
     /// Changes how many grants beyond its slots a back end gets.
@@ -212,25 +152,55 @@
 
     /// Declares a tenant's weight.
     pub fn set_weight(&mut self, tenant: &TenantName, weight: Weight) {
+        self.change_tenant(tenant, |_| ());
+        let active = self.tenants.get(tenant).is_some_and(Tenant::is_active);
+        if active {
+            let before = u64::from(self.order.weight(tenant).get());
+            self.active_weight = self.active_weight + u64::from(weight.get()) - before;
+        }
         self.order.set_weight(tenant, weight);
     }
 
+    /// Changes a tenant and keeps what is derived from it: whether it is backlogged, and the sum
+    /// of active weights.
+    fn change_tenant(&mut self, name: &TenantName, change: impl FnOnce(&mut Tenant)) {
+        let tenant = self.tenants.entry(name.clone()).or_default();
+        let was_active = tenant.is_active();
+        change(tenant);
+        let (is_active, backlogged) = (tenant.is_active(), !tenant.waiting.is_empty());
+        let weight = u64::from(self.order.weight(name).get());
+        match (was_active, is_active) {
+            (false, true) => self.active_weight += weight,
+            (true, false) => self.active_weight -= weight,
+            _ => {}
+        }
+        // Before the cell opens, levels are not known in full, and none may be raised to another's.
+        if self.open {
+            self.order.set_backlogged(name, backlogged);
+        }
+    }
+
     /// Takes a gateway's report.
     pub fn handle_report(&mut self, now: Timestamp, from: &ProcessId, report: Report) {
         if !self.accept_gateway(now, from, &report) {
             return;
         }
-        self.forget_seen(from, &report);
+        let mut changed = self.forget_seen(from, &report);
         if report.full {
-            self.clear_missing(from, &report);
+            changed.extend(self.clear_missing(from, &report));
         }
         for tenant in report.tenants {
+            changed.push(tenant.tenant.clone());
             self.take_tenant(from, tenant);
         }
         for backend in report.backends {
             self.take_backend(now, from, backend);
         }
-        self.refresh_waiting(from);
+        changed.sort();
+        changed.dedup();
+        for tenant in changed {
+            self.refresh_waiting(from, &tenant);
+        }
         if report.wants_answer {
             self.answers_due.entry(from.clone()).or_insert(false);
         }
@@ -248,79 +218,135 @@
                 self.answers_due.insert(from.clone(), true);
                 return false;
             }
-            self.gateways
-                .insert(from.clone(), GatewayView::new(report.gateway, now));
-        }
-        if let Some(view) = self.gateways.get_mut(from) {
-            view.last_heard = now;
-            view.silent = false;
+            self.gateways.insert(from.clone(), GatewayView::new(report.gateway, now));
         }
+        self.hear_from(now, from);
         true
     }
 
-    /// Grants that the gateway has seen are part of its own counts from here on.
-    fn forget_seen(&mut self, from: &ProcessId, report: &Report) {
-        if report.scheduler != self.incarnation {
+    fn hear_from(&mut self, now: Timestamp, from: &ProcessId) {
+        let Some(view) = self.gateways.get_mut(from) else { return };
+        view.last_heard = now;
+        if !std::mem::take(&mut view.silent) {
             return;
         }
-        let Some(view) = self.gateways.get_mut(from) else {
-            return;
-        };
-        while view
-            .unseen
-            .front()
-            .is_some_and(|grant| grant.sequence <= report.seen)
-        {
-            let Some(grant) = view.unseen.pop_front() else {
-                break;
-            };
-            if let Some(backend) = self.backends.get_mut(&grant.backend) {
-                backend.unseen = backend.unseen.saturating_sub(1);
-            }
-            let refund = Cost::ZERO.minus(grant.estimate);
-            self.order.charge(&grant.tenant, refund);
+        for tenant in view.tenant_names() {
+            self.refresh_waiting(from, &tenant);
         }
     }
 
-    /// A full report speaks for what it leaves out: nothing waits and nothing runs there.
-    fn clear_missing(&mut self, from: &ProcessId, report: &Report) {
-        let Some(view) = self.gateways.get_mut(from) else {
-            return;
-        };
-        for (tenant, known) in &mut view.tenants {
-            if !report.tenants.iter().any(|listed| listed.tenant == *tenant) {
-                known.waiting = 0;
-            }
+    /// Grants that the gateway has seen are part of its own counts from here on. Gives their
+    /// tenants.
+    fn forget_seen(&mut self, from: &ProcessId, report: &Report) -> Vec<TenantName> {
+        if report.scheduler != self.incarnation {
+            return Vec::new();
+        }
+        let Some(view) = self.gateways.get_mut(from) else { return Vec::new() };
+        let seen = view.take_seen(report.seen);
+        seen.into_iter().map(|grant| self.take_back(grant)).collect()
+    }
+
+    /// Undoes what a grant counted for until its gateway had seen it. Gives its tenant.
+    fn take_back(&mut self, grant: UnseenGrant) -> TenantName {
+        self.slots.remove_unseen(&grant.backend);
+        self.change_tenant(&grant.tenant, |tenant| {
+            tenant.in_flight = tenant.in_flight.saturating_sub(1);
+        });
+        self.order.charge(&grant.tenant, Cost::ZERO.minus(grant.estimate));
+        grant.tenant
+    }
+
+    /// A full report speaks for what it leaves out: nothing waits and nothing runs there. Gives
+    /// the tenants left out.
+    fn clear_missing(&mut self, from: &ProcessId, report: &Report) -> Vec<TenantName> {
+        let Some(view) = self.gateways.get_mut(from) else { return Vec::new() };
+        let listed = |name: &TenantName| report.tenants.iter().any(|tenant| tenant.tenant == *name);
+        let missing: Vec<TenantName> =
+            view.tenants.keys().filter(|name| !listed(name)).cloned().collect();
+        let listed = |name: &BackendName| report.backends.iter().any(|one| one.backend == *name);
+        let gone: Vec<BackendName> =
+            view.running.keys().filter(|name| !listed(name)).cloned().collect();
+        for name in &missing {
+            self.clear_tenant(from, name);
         }
-        let gone: Vec<BackendName> = view
-            .running
-            .keys()
-            .filter(|name| {
-                !report
-                    .backends
-                    .iter()
-                    .any(|listed| listed.backend == **name)
-            })
-            .cloned()
-            .collect();
         for name in gone {
             self.set_running(from, &name, 0);
         }
+        missing
+    }
+
+    fn clear_tenant(&mut self, from: &ProcessId, name: &TenantName) {
+        let Some(view) = self.gateways.get_mut(from) else { return };
+        let Some(report) = view.tenants.get_mut(name) else { return };
+        report.waiting = 0;
+        let running = std::mem::take(&mut report.running);
+        self.change_tenant(name, |tenant| {
+            tenant.in_flight = tenant.in_flight.saturating_sub(running);
+        });
     }
 
     fn take_tenant(&mut self, from: &ProcessId, report: TenantReport) {
-        let Some(view) = self.gateways.get_mut(from) else {
-            return;
-        };
+        let Some(view) = self.gateways.get_mut(from) else { return };
         let previous = view.tenants.insert(report.tenant.clone(), report.clone());
+        let known_charge = match &previous {
+            Some(previous) => Some(previous.charged),
+            None => self.departed_charge(from, &report),
+        };
+        // Charges from before this scheduler's time are within the level that gateways remember.
+        let new_charge = known_charge.map_or(Cost::ZERO, |known| report.charged.minus(known));
+        self.order.charge(&report.tenant, new_charge);
+        let was_running = previous.as_ref().map_or(0, |known| known.running);
+        self.change_tenant(&report.tenant, |tenant| {
+            tenant.in_flight = (tenant.in_flight + report.running).saturating_sub(was_running);
+        });
         match previous {
-            Some(previous) => {
-                self.order
-                    .charge(&report.tenant, report.charged.minus(previous.charged));
-                self.learn(&report, &previous);
+            Some(previous) => self.learn(&report, &previous),
+            None if known_charge.is_none() => self.take_standing(&report),
+            None => {}
+        }
+    }
+
+    /// What the gateway had charged when it was last here in this life of its.
+    fn departed_charge(&self, from: &ProcessId, report: &TenantReport) -> Option<Cost> {
+        let incarnation = self.gateways.get(from)?.incarnation;
+        let departed = self.departed.get(from).filter(|gone| gone.incarnation == incarnation)?;
+        departed.charged.get(&report.tenant).copied()
+    }
+
+    /// Starts from what a gateway remembers of a predecessor.
+    fn take_standing(&mut self, report: &TenantReport) {
+        let Some(standing) = report.standing else { return };
+        let tenant = self.tenants.entry(report.tenant.clone()).or_default();
+        tenant.estimate.get_or_insert(standing.estimate.0 as f64);
+        let Some(level) = standing.level else { return };
+        if !self.open {
+            tenant.remembered_level = tenant.remembered_level.max(Some(level));
+            tenant.remembered_charges += standing.charged_since;
+            return;
+        }
+        self.order.raise_to(&report.tenant, level);
+        self.order.charge(&report.tenant, standing.charged_since);
+    }
+
+    /// Begins to grant: tenants that a predecessor knew go on from their levels, others start as
+    /// any tenant that becomes backlogged.
+    fn open(&mut self) {
+        self.open = true;
+        let mut others = Vec::new();
+        for (name, tenant) in &self.tenants {
+            if tenant.waiting.is_empty() {
+                continue;
+            }
+            match tenant.remembered_level {
+                Some(level) => {
+                    let since = Level::of(tenant.remembered_charges, self.order.weight(name));
+                    self.order.restore_backlogged(name, level.plus(since));
+                }
+                None => others.push(name.clone()),
             }
-            // Charges from before this scheduler's time are within the level it is told.
-            None => self.order.raise_to(&report.tenant, report.level),
+        }
+        for name in others {
+            self.order.set_backlogged(&name, true);
         }
     }
 
@@ -339,92 +365,65 @@
 
     fn take_backend(&mut self, now: Timestamp, from: &ProcessId, report: BackendReport) {
         self.set_running(from, &report.backend, report.running);
-        if !report.unreachable {
-            return;
-        }
-        if let Some(backend) = self.backends.get_mut(&report.backend) {
-            backend.paused_until = now + self.config.unreachable_pause;
+        if report.unreachable {
+            self.slots.pause(&report.backend, now + self.config.unreachable_pause);
         }
     }
 
     fn set_running(&mut self, from: &ProcessId, name: &BackendName, running: u32) {
-        let Some(view) = self.gateways.get_mut(from) else {
-            return;
-        };
+        let Some(view) = self.gateways.get_mut(from) else { return };
         let previous = match running {
             0 => view.running.remove(name),
             running => view.running.insert(name.clone(), running),
         };
-        if let Some(backend) = self.backends.get_mut(name) {
-            backend.running = (backend.running + running).saturating_sub(previous.unwrap_or(0));
-        }
+        self.slots.change_running(name, previous.unwrap_or(0), running);
     }
 
-    /// Recomputes what waits at one gateway and is not covered by a grant under way.
-    fn refresh_waiting(&mut self, from: &ProcessId) {
-        let Some(view) = self.gateways.get(from) else {
-            return;
-        };
-        let mut uncovered: BTreeMap<TenantName, u32> = view
-            .tenants
-            .iter()
-            .map(|(name, report)| (name.clone(), report.waiting))
-            .collect();
-        for grant in &view.unseen {
-            if let Some(waiting) = uncovered.get_mut(&grant.tenant) {
-                *waiting = waiting.saturating_sub(1);
-            }
-        }
-        for (tenant, waiting) in uncovered {
-            self.set_waiting(from, &tenant, waiting);
-        }
+    /// Recomputes what of a tenant waits at one gateway and is not covered by a grant under way.
+    fn refresh_waiting(&mut self, from: &ProcessId, name: &TenantName) {
+        let uncovered = self.gateways.get(from).map_or(0, |view| view.uncovered(name));
+        self.set_waiting(from, name, uncovered);
     }
 
     fn set_waiting(&mut self, gateway: &ProcessId, name: &TenantName, waiting: u32) {
-        let tenant = self.tenants.entry(name.clone()).or_default();
-        match waiting {
-            0 => tenant.waiting.remove(gateway),
-            waiting => tenant.waiting.insert(gateway.clone(), waiting),
-        };
-        let backlogged = !tenant.waiting.is_empty();
-        self.order.set_backlogged(name, backlogged);
+        self.change_tenant(name, |tenant| {
+            match waiting {
+                0 => tenant.waiting.remove(gateway),
+                waiting => tenant.waiting.insert(gateway.clone(), waiting),
+            };
+        });
     }
 
     fn drop_gateway(&mut self, from: &ProcessId) {
-        let Some(view) = self.gateways.get(from) else {
-            return;
+        self.expire_unseen(from, Timestamp::NEVER);
+        let Some(view) = self.gateways.get(from) else { return };
+        let charged = |(name, report): (&TenantName, &TenantReport)| (name.clone(), report.charged);
+        let departed = Departed {
+            incarnation: view.incarnation,
+            charged: view.tenants.iter().map(charged).collect(),
         };
         let running: Vec<BackendName> = view.running.keys().cloned().collect();
-        let tenants: Vec<TenantName> = view.tenants.keys().cloned().collect();
+        for name in view.tenant_names() {
+            self.clear_tenant(from, &name);
+            self.set_waiting(from, &name, 0);
+        }
         for name in running {
             self.set_running(from, &name, 0);
         }
-        for name in tenants {
-            self.set_waiting(from, &name, 0);
-        }
-        self.expire_unseen(from, Timestamp::NEVER);
         self.gateways.remove(from);
+        self.departed.insert(from.clone(), departed);
     }
 
     /// Takes back slots of grants sent before `limit` that the gateway never confirmed.
     /// Returns whether there were any.
     fn expire_unseen(&mut self, from: &ProcessId, limit: Timestamp) -> bool {
-        let Some(view) = self.gateways.get_mut(from) else {
-            return false;
-        };
-        let mut expired = false;
-        while view.unseen.front().is_some_and(|grant| grant.sent < limit) {
-            let Some(grant) = view.unseen.pop_front() else {
-                break;
-            };
-            if let Some(backend) = self.backends.get_mut(&grant.backend) {
-                backend.unseen = backend.unseen.saturating_sub(1);
-            }
-            self.order
-                .charge(&grant.tenant, Cost::ZERO.minus(grant.estimate));
-            expired = true;
+        let Some(view) = self.gateways.get_mut(from) else { return false };
+        let late = view.take_sent_before(limit);
+        let any = !late.is_empty();
+        for grant in late {
+            self.take_back(grant);
         }
-        expired
+        any
     }
 
     /// Lets time pass: unconfirmed grants and silent gateways lapse.
@@ -436,28 +435,21 @@
     }
 
     fn lapse(&mut self, now: Timestamp, name: &ProcessId) {
-        let Some(view) = self.gateways.get(name) else {
-            return;
-        };
+        let Some(view) = self.gateways.get(name) else { return };
         if now.since(view.last_heard) >= self.config.gateway_timeout {
             self.drop_gateway(name);
             return;
         }
-        let micros = now
-            .as_micros()
-            .saturating_sub(self.config.grant_timeout.as_micros() as u64);
+        let micros = now.as_micros().saturating_sub(self.config.grant_timeout.as_micros() as u64);
         if self.expire_unseen(name, Timestamp::from_micros(micros)) {
             self.silence(name);
         }
     }
 
     fn silence(&mut self, name: &ProcessId) {
-        let Some(view) = self.gateways.get_mut(name) else {
-            return;
-        };
+        let Some(view) = self.gateways.get_mut(name) else { return };
         view.silent = true;
-        let tenants: Vec<TenantName> = view.tenants.keys().cloned().collect();
-        for tenant in tenants {
+        for tenant in view.tenant_names() {
             self.set_waiting(name, &tenant, 0);
         }
     }
@@ -478,13 +470,12 @@
             outgoing.insert(gateway, self.message(needs_full));
         }
         if now >= self.opens_at {
+            if !self.open {
+                self.open();
+            }
             while let Some((gateway, grant)) = self.grant_one(now) {
                 let message = self.message(false);
-                outgoing
-                    .entry(gateway)
-                    .or_insert(message)
-                    .grants
-                    .push(grant);
+                outgoing.entry(gateway).or_insert(message).grants.push(grant);
             }
         }
         outgoing.into_iter().collect()
@@ -500,108 +491,60 @@
     }
 
     fn grant_one(&mut self, now: Timestamp) -> Option<(ProcessId, Grant)> {
-        let tenant = self.order.next()?.clone();
-        let backend = self.freest_backend(now)?;
-        let gateway = self.next_gateway(&tenant)?;
+        let tenant = self.next_tenant()?.clone();
+        let backend = self.slots.freest(self.config.ahead, now)?.clone();
+        let gateway = self.tenants.get(&tenant)?.next_gateway()?.clone();
         let estimate = self.estimate(&tenant);
         self.order.note_served(&tenant);
         self.order.charge(&tenant, estimate);
         let level = self.order.level(&tenant);
         let view = self.gateways.get_mut(&gateway)?;
-        let sequence = view.next_sequence;
-        view.next_sequence += 1;
-        view.unseen.push_back(UnseenGrant {
-            sequence,
-            tenant: tenant.clone(),
-            backend: backend.clone(),
-            estimate,
-            sent: now,
+        let sequence = view.note_grant(now, &tenant, &backend, estimate);
+        self.slots.add_unseen(&backend);
+        self.change_tenant(&tenant, |tenant| {
+            tenant.last_gateway = Some(gateway.clone());
+            tenant.in_flight += 1;
         });
-        if let Some(state) = self.backends.get_mut(&backend) {
-            state.unseen += 1;
-        }
-        self.cover_one(&gateway, &tenant);
-        Some((
-            gateway,
-            Grant {
-                sequence,
-                tenant,
-                backend,
-                estimate,
-                level,
-            },
-        ))
-    }
-
-    fn cover_one(&mut self, gateway: &ProcessId, name: &TenantName) {
-        let Some(tenant) = self.tenants.get_mut(name) else {
-            return;
-        };
-        tenant.last_gateway = Some(gateway.clone());
-        let waiting = tenant.waiting.get(gateway).copied().unwrap_or(0);
-        self.set_waiting(gateway, name, waiting.saturating_sub(1));
+        self.refresh_waiting(&gateway, &tenant);
+        Some((gateway, Grant { sequence, tenant, backend, estimate, level }))
     }
 
-    /// The back end with the largest free share of its slots.
-    fn freest_backend(&self, now: Timestamp) -> Option<BackendName> {
-        let ahead = self.config.ahead;
-        self.backends
-            .iter()
-            .map(|(name, backend)| (backend.free(ahead, now), name))
-            .filter(|(free, _)| *free > 0)
-            .max_by(|(left, left_name), (right, right_name)| {
-                left.cmp(right).then_with(|| right_name.cmp(left_name))
-            })
-            .map(|(_, name)| name.clone())
+    /// The backlogged tenant due next, those passed over that already hold their limit of slots.
+    /// If all do, the limit keeps no slot idle.
+    fn next_tenant(&self) -> Option<&TenantName> {
+        let below = self.order.backlogged().find(|name| !self.holds_its_limit(name));
+        below.or_else(|| self.order.next())
     }
 
-    /// The gateway after the one last granted to, among those where the tenant's work waits.
-    fn next_gateway(&self, name: &TenantName) -> Option<ProcessId> {
-        let tenant = self.tenants.get(name)?;
-        let after = tenant.last_gateway.as_ref().and_then(|last| {
-            use std::ops::Bound::{Excluded, Unbounded};
-            tenant
-                .waiting
-                .range::<ProcessId, _>((Excluded(last), Unbounded))
-                .next()
-        });
-        after
-            .or_else(|| tenant.waiting.first_key_value())
-            .map(|(gateway, _)| gateway.clone())
+    fn holds_its_limit(&self, name: &TenantName) -> bool {
+        let Some(tenant) = self.tenants.get(name) else { return false };
+        let weight = f64::from(self.order.weight(name).get());
+        let share = weight / self.active_weight.max(1) as f64;
+        let limit = self.config.share_limit * share * f64::from(self.slots.total());
+        f64::from(tenant.in_flight) >= limit.max(1.0)
     }
 
     fn estimate(&self, name: &TenantName) -> Cost {
         let learned = self.tenants.get(name).and_then(|tenant| tenant.estimate);
-        learned.map_or(self.config.first_estimate, |mean| {
-            Cost(mean.round().max(1.0) as i64)
-        })
+        learned.map_or(self.config.first_estimate, |mean| Cost(mean.round().max(1.0) as i64))
     }
 
     /// The cell's standing, for operators.
     pub fn status(&self) -> CellStatus {
-        let serving = || self.backends.values().filter(|backend| !backend.leaving);
         CellStatus {
-            slots: serving().map(|backend| backend.slots).sum(),
-            in_use: serving()
-                .map(|backend| backend.running + backend.unseen)
-                .sum(),
+            slots: self.slots.total(),
+            in_use: self.slots.in_use(),
             gateways: self.gateways.len(),
-            backlogged: self
-                .order
-                .backlogged()
-                .map(|name| self.tenant_status(name))
-                .collect(),
+            backlogged: self.order.backlogged().map(|name| self.tenant_status(name)).collect(),
         }
     }
 
     fn tenant_status(&self, name: &TenantName) -> TenantStatus {
-        let waiting = self
-            .tenants
-            .get(name)
-            .map_or(0, |tenant| tenant.waiting.values().sum());
+        let tenant = self.tenants.get(name);
         TenantStatus {
             tenant: name.clone(),
-            waiting,
+            waiting: tenant.map_or(0, |tenant| tenant.waiting.values().sum()),
+            in_flight: tenant.map_or(0, |tenant| tenant.in_flight),
             level: self.order.level(name).0 as f64 / 1_000.0,
             estimate: self.estimate(name),
         }
--- a/crates/grants/src/demand.rs
+++ b/crates/grants/src/demand.rs
@@ -1,6 +1,6 @@
 //! The gateway's side: requests that wait, requests that run, and the reports about them.
 
-use crate::messages::{BackendReport, Grants, Report, TenantReport};
+use crate::messages::{BackendReport, Grants, Report, Standing, TenantReport};
 use mastbay_fairness::Level;
 use mastbay_types::{
     BackendName, CellId, Cost, Incarnation, ProcessId, RequestId, TenantName, Timestamp,
@@ -52,10 +52,41 @@
 #[derive(Debug, Default)]
 struct Ledger {
     waiting: VecDeque<RequestId>,
+    running: u32,
     charged: Cost,
     finished: u64,
     finished_cost: Cost,
-    level: Level,
+    last_grant: Option<LastGrant>,
+}
+
+/// What the last grant told of a tenant.
+#[derive(Debug)]
+struct LastGrant {
+    level: Option<Level>,
+    estimate: Cost,
+    /// The ledger's charge right after it.
+    charged: Cost,
+}
+
+impl Ledger {
+    /// A tenant with nothing to do keeps no level that could become credit.
+    fn note_idleness(&mut self) {
+        if !self.waiting.is_empty() || self.running > 0 {
+            return;
+        }
+        if let Some(grant) = &mut self.last_grant {
+            grant.level = None;
+        }
+    }
+
+    /// What a scheduler that does not know the tenant is told.
+    fn standing(&self) -> Option<Standing> {
+        self.last_grant.as_ref().map(|grant| Standing {
+            level: grant.level,
+            charged_since: self.charged.minus(grant.charged),
+            estimate: grant.estimate,
+        })
+    }
 }
 
 #[derive(Debug)]
@@ -139,19 +170,11 @@
 
     /// Puts a request that was granted but certainly not sent back at the head of its queue.
     pub fn requeue(&mut self, request: RequestId) {
-        let Some(tenant) = self
-            .running
-            .get(&request)
-            .map(|running| running.tenant.clone())
-        else {
+        let Some(tenant) = self.running.get(&request).map(|running| running.tenant.clone()) else {
             return;
         };
         self.finish(request, Cost::ZERO, false);
-        self.tenants
-            .entry(tenant.clone())
-            .or_default()
-            .waiting
-            .push_front(request);
+        self.tenants.entry(tenant.clone()).or_default().waiting.push_front(request);
         self.note_tenant(&tenant);
     }
 
@@ -165,23 +188,19 @@
         if ledger.waiting.len() == before {
             return false;
         }
+        ledger.note_idleness();
         self.note_tenant(tenant);
         true
     }
 
     /// Requests of `tenant` that wait here.
     pub fn waiting(&self, tenant: &TenantName) -> usize {
-        self.tenants
-            .get(tenant)
-            .map_or(0, |ledger| ledger.waiting.len())
+        self.tenants.get(tenant).map_or(0, |ledger| ledger.waiting.len())
     }
 
     /// All requests that wait here.
     pub fn waiting_in_total(&self) -> usize {
-        self.tenants
-            .values()
-            .map(|ledger| ledger.waiting.len())
-            .sum()
+        self.tenants.values().map(|ledger| ledger.waiting.len()).sum()
     }
 
     /// All requests that run for this gateway.
@@ -218,18 +237,17 @@
             self.urgent = true;
             self.changed_tenants.insert(grant.tenant.clone());
             let ledger = self.tenants.entry(grant.tenant.clone()).or_default();
-            ledger.level = ledger.level.max(grant.level);
-            let Some(request) = ledger.waiting.pop_front() else {
-                continue;
-            };
+            let Some(request) = ledger.waiting.pop_front() else { continue };
             ledger.charged += grant.estimate;
+            ledger.last_grant = Some(LastGrant {
+                level: Some(grant.level),
+                estimate: grant.estimate,
+                charged: ledger.charged,
+            });
+            ledger.running += 1;
             self.start(request, &grant.tenant, &grant.backend, grant.estimate);
             let (tenant, backend) = (grant.tenant, grant.backend);
-            assignments.push(Assignment {
-                request,
-                tenant,
-                backend,
-            });
+            assignments.push(Assignment { request, tenant, backend });
         }
         assignments
     }
@@ -296,6 +314,8 @@
         };
         let ledger = self.tenants.entry(running.tenant.clone()).or_default();
         ledger.charged += total.minus(running.charged);
+        ledger.running -= 1;
+        ledger.note_idleness();
         if learn {
             ledger.finished += 1;
             ledger.finished_cost += total;
@@ -331,11 +351,7 @@
             return None;
         }
         let full = self.full_is_due(now);
-        let (tenants, backends) = if full {
-            self.everything()
-        } else {
-            self.changes()
-        };
+        let (tenants, backends) = if full { self.everything() } else { self.changes() };
         let contact = self.contact.as_mut()?;
         let wants_answer = now.since(contact.last_heard) >= self.config.progress_interval;
         if wants_answer && contact.asked_since.is_none() {
@@ -370,11 +386,7 @@
     /// When [`Demand::poll_report`] should be called next, at the latest.
     pub fn next_timeout(&self) -> Timestamp {
         if self.contact.is_none() {
-            return if self.schedulers.is_empty() {
-                Timestamp::NEVER
-            } else {
-                self.last_report
-            };
+            return if self.schedulers.is_empty() { Timestamp::NEVER } else { self.last_report };
         }
         let wait = if self.last_full.is_none() || self.urgent {
             self.config.report_spacing
@@ -387,8 +399,7 @@
     }
 
     fn full_is_due(&self, now: Timestamp) -> bool {
-        self.last_full
-            .is_none_or(|last| now.since(last) >= self.config.full_interval)
+        self.last_full.is_none_or(|last| now.since(last) >= self.config.full_interval)
     }
 
     /// Keeps to the first scheduler in order that is not known to be unreachable.
@@ -396,10 +407,7 @@
         self.give_up_silent_scheduler(now);
         self.avoided_until.retain(|_, until| now < *until);
         let avoided = &self.avoided_until;
-        let best = self
-            .schedulers
-            .iter()
-            .find(|name| !avoided.contains_key(*name));
+        let best = self.schedulers.iter().find(|name| !avoided.contains_key(*name));
         // With every scheduler avoided, the first is as good as any.
         let best = best.or(self.schedulers.first()).cloned();
         if best.as_ref() == self.scheduler() {
@@ -448,8 +456,11 @@
     fn everything(&self) -> (Vec<TenantReport>, Vec<BackendReport>) {
         let tenants = self
             .tenants
-            .keys()
-            .map(|name| self.tenant_report(name))
+            .iter()
+            .map(|(name, ledger)| TenantReport {
+                standing: ledger.standing(),
+                ..tenant_report(name, ledger)
+            })
             .collect();
         let backends = self
             .running_at
@@ -464,28 +475,12 @@
         let tenants = self
             .changed_tenants
             .iter()
-            .map(|name| self.tenant_report(name))
-            .collect();
-        let backends = self
-            .changed_backends
-            .iter()
-            .map(|name| self.backend_report(name))
+            .filter_map(|name| Some(tenant_report(name, self.tenants.get(name)?)))
             .collect();
+        let backends = self.changed_backends.iter().map(|name| self.backend_report(name)).collect();
         (tenants, backends)
     }
 
-    fn tenant_report(&self, name: &TenantName) -> TenantReport {
-        let ledger = self.tenants.get(name);
-        TenantReport {
-            tenant: name.clone(),
-            waiting: ledger.map_or(0, |ledger| ledger.waiting.len() as u32),
-            charged: ledger.map_or(Cost::ZERO, |ledger| ledger.charged),
-            finished: ledger.map_or(0, |ledger| ledger.finished),
-            finished_cost: ledger.map_or(Cost::ZERO, |ledger| ledger.finished_cost),
-            level: ledger.map_or(Level::default(), |ledger| ledger.level),
-        }
-    }
-
     fn backend_report(&self, name: &BackendName) -> BackendReport {
         BackendReport {
             backend: name.clone(),
@@ -494,3 +489,15 @@
         }
     }
 }
+
+fn tenant_report(name: &TenantName, ledger: &Ledger) -> TenantReport {
+    TenantReport {
+        tenant: name.clone(),
+        waiting: ledger.waiting.len() as u32,
+        running: ledger.running,
+        charged: ledger.charged,
+        finished: ledger.finished,
+        finished_cost: ledger.finished_cost,
+        standing: None,
+    }
+}
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -7,11 +7,15 @@
 
 mod cell;
 mod demand;
+mod gateway_view;
 mod messages;
+mod slots;
+mod status;
 
-pub use cell::{Cell, CellConfig, CellStatus, TenantStatus};
+pub use cell::{Cell, CellConfig};
 pub use demand::{Assignment, Demand, DemandConfig};
-pub use messages::{BackendReport, Grant, Grants, Report, TenantReport};
+pub use messages::{BackendReport, Grant, Grants, Report, Standing, TenantReport};
+pub use status::{CellStatus, TenantStatus};
 
 #[cfg(test)]
 mod tests;
--- a/crates/grants/src/messages.rs
+++ b/crates/grants/src/messages.rs
@@ -11,14 +11,28 @@
     pub tenant: TenantName,
     /// Requests that wait for a grant.
     pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
     /// Everything charged to the tenant here since the gateway started.
     pub charged: Cost,
     /// Requests that ended here since the gateway started.
     pub finished: u64,
     /// What those cost together.
     pub finished_cost: Cost,
-    /// The tenant's level when it last got a grant here: what a successor starts from.
-    pub level: Level,
+    /// What a scheduler that does not know the tenant starts from; in full reports only.
+    pub standing: Option<Standing>,
+}
+
+/// A tenant's standing as a gateway remembers it from its last grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Standing {
+    /// The level after that grant. `None` if the tenant had nothing to do here since: its old level
+    /// would be credit for idle time.
+    pub level: Option<Level>,
+    /// What was charged here since that grant.
+    pub charged_since: Cost,
+    /// The estimate of that grant.
+    pub estimate: Cost,
 }
 
 /// One back end's state as one gateway sees it.
--- a/crates/grants/src/tests.rs
+++ b/crates/grants/src/tests.rs
@@ -6,10 +6,7 @@
 use std::time::Duration;
 
 fn cell_id() -> CellId {
-    CellId {
-        service: ServiceName::from("answers"),
-        index: 0,
-    }
+    CellId { service: ServiceName::from("answers"), index: 0 }
 }
 
 fn request(number: u32) -> RequestId {
@@ -34,12 +31,7 @@
                 (ProcessId::from(&*format!("gateway-{index}")), demand)
             })
             .collect();
-        let mut pair = Self {
-            now: Timestamp::ZERO,
-            cell: new_cell(1, slots),
-            gateways,
-            scheduler,
-        };
+        let mut pair = Self { now: Timestamp::ZERO, cell: new_cell(1, slots), gateways, scheduler };
         pair.cell.handle_timeout(pair.now);
         pair
     }
@@ -54,9 +46,7 @@
         self.gateways
             .iter_mut()
             .filter_map(|(name, demand)| {
-                demand
-                    .poll_report(now)
-                    .map(|(_, report)| (name.clone(), report))
+                demand.poll_report(now).map(|(_, report)| (name.clone(), report))
             })
             .collect()
     }
@@ -72,11 +62,8 @@
         let (now, scheduler) = (self.now, self.scheduler.clone());
         let mut bound = 0;
         for (to, message) in grants {
-            let (_, demand) = self
-                .gateways
-                .iter_mut()
-                .find(|(name, _)| *name == to)
-                .expect("known");
+            let (_, demand) =
+                self.gateways.iter_mut().find(|(name, _)| *name == to).expect("known");
             bound += demand.handle_grants(now, &scheduler, message).len();
         }
         bound
@@ -107,9 +94,7 @@
     let mut pair = Pair::new(2, 3);
     let tenant = TenantName::from("office");
     for number in 0..4 {
-        pair.gateways[(number % 2) as usize]
-            .1
-            .enqueue(&tenant, request(number));
+        pair.gateways[(number % 2) as usize].1.enqueue(&tenant, request(number));
     }
     assert_eq!(pair.exchange(5), 3);
     pair.gateways[0].1.finish(request(0), Cost(5), true);
@@ -149,9 +134,7 @@
     let mut pair = Pair::new(2, 2);
     let tenant = TenantName::from("office");
     for number in 0..6 {
-        pair.gateways[(number % 2) as usize]
-            .1
-            .enqueue(&tenant, request(number));
+        pair.gateways[(number % 2) as usize].1.enqueue(&tenant, request(number));
     }
     assert_eq!(pair.exchange(5), 2);
     let now = pair.now;
@@ -177,10 +160,7 @@
         now = now + Duration::from_millis(50);
     }
     assert_eq!(asked.first(), Some(&(first, true)));
-    let change = asked
-        .iter()
-        .find(|(to, _)| *to == second)
-        .expect("the second is asked");
+    let change = asked.iter().find(|(to, _)| *to == second).expect("the second is asked");
     assert!(change.1, "a new scheduler begins with a full report");
 }
 
@@ -217,14 +197,9 @@
     demand.poll_report(now).expect("a first report");
     demand.set_schedulers(vec![second.clone(), first.clone()]);
     let (to, farewell) = demand.poll_report(now).expect("a farewell");
-    assert_eq!(
-        (to, farewell.full, farewell.tenants.len()),
-        (first.clone(), true, 0)
-    );
+    assert_eq!((to, farewell.full, farewell.tenants.len()), (first.clone(), true, 0));
     let later = now + Duration::from_millis(5);
-    let (to, report) = demand
-        .poll_report(later)
-        .expect("a first report to the other");
+    let (to, report) = demand.poll_report(later).expect("a first report to the other");
     assert_eq!((to, report.full, report.tenants.len()), (second, true, 1));
 
     // A grant of the scheduler left comes too late and binds nothing.
--- a/crates/machines/src/tests.rs
+++ b/crates/machines/src/tests.rs
@@ -3,14 +3,7 @@
 
 fn list(revision: u64, address: &str, state: MachineState) -> MachineList {
     let address = address.parse().expect("an address");
-    MachineList {
-        revision,
-        machines: vec![Machine {
-            address,
-            zone: "a".to_owned(),
-            state,
-        }],
-    }
+    MachineList { revision, machines: vec![Machine { address, zone: "a".to_owned(), state }] }
 }
 
 fn address(text: &str) -> SocketAddr {
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -17,11 +17,8 @@
 
     /// Up to `most` members to mention now; each is dropped after `times` mentions.
     pub fn take(&mut self, most: usize, times: u32) -> Vec<ProcessId> {
-        let mut by_use: Vec<(u32, ProcessId)> = self
-            .passed_on
-            .iter()
-            .map(|(process, count)| (*count, process.clone()))
-            .collect();
+        let mut by_use: Vec<(u32, ProcessId)> =
+            self.passed_on.iter().map(|(process, count)| (*count, process.clone())).collect();
         by_use.sort();
         by_use.truncate(most);
         for (count, process) in &by_use {
--- a/crates/membership/src/tests.rs
+++ b/crates/membership/src/tests.rs
@@ -40,9 +40,7 @@
         Self {
             now: Timestamp::ZERO,
             random: ChaCha8Rng::seed_from_u64(7),
-            members: (0..size)
-                .map(|index| (name(index), member(index, 1)))
-                .collect(),
+            members: (0..size).map(|index| (name(index), member(index, 1))).collect(),
             flying: Vec::new(),
             frozen: BTreeSet::new(),
             cut: BTreeSet::new(),
@@ -67,17 +65,12 @@
                 continue;
             };
             let answers = receiver.handle(self.now, &from, transmit.packet);
-            self.flying.extend(
-                answers
-                    .into_iter()
-                    .map(|answer| (transmit.to.clone(), answer)),
-            );
+            self.flying.extend(answers.into_iter().map(|answer| (transmit.to.clone(), answer)));
         }
         for (from, member) in &mut self.members {
             if !self.frozen.contains(from) && self.now >= member.next_timeout() {
                 let sent = member.handle_timeout(self.now, &mut self.random);
-                self.flying
-                    .extend(sent.into_iter().map(|transmit| (from.clone(), transmit)));
+                self.flying.extend(sent.into_iter().map(|transmit| (from.clone(), transmit)));
             }
         }
     }
@@ -87,13 +80,8 @@
     }
 
     fn everyone_sees(&self, count: usize) -> bool {
-        let awake = self
-            .members
-            .iter()
-            .filter(|(process, _)| !self.frozen.contains(process));
-        awake
-            .into_iter()
-            .all(|(_, member)| member.live(Role::Scheduler).len() == count)
+        let awake = self.members.iter().filter(|(process, _)| !self.frozen.contains(process));
+        awake.into_iter().all(|(_, member)| member.live(Role::Scheduler).len() == count)
     }
 }
 
@@ -125,10 +113,7 @@
     assert!(fleet.everyone_sees(8));
     fleet.frozen.clear();
     fleet.run(Duration::from_secs(4));
-    assert!(
-        fleet.everyone_sees(9),
-        "the sleeper refutes, and suspects nobody for its own pause"
-    );
+    assert!(fleet.everyone_sees(9), "the sleeper refutes, and suspects nobody for its own pause");
 }
 
 #[test]
@@ -162,18 +147,10 @@
     let mut fleet = Fleet::new(5);
     fleet.run(Duration::from_secs(4));
     let mut random = ChaCha8Rng::seed_from_u64(1);
-    let news = fleet
-        .members
-        .get_mut(&name(2))
-        .expect("there")
-        .leave(&mut random);
-    fleet
-        .flying
-        .extend(news.into_iter().map(|transmit| (name(2), transmit)));
+    let news = fleet.members.get_mut(&name(2)).expect("there").leave(&mut random);
+    fleet.flying.extend(news.into_iter().map(|transmit| (name(2), transmit)));
     fleet.run(STEP * 2);
     assert_eq!(fleet.seen_by(0), 4);
-    let left = fleet.members[&name(0)]
-        .others()
-        .find(|other| other.process == name(2));
+    let left = fleet.members[&name(0)].others().find(|other| other.process == name(2));
     assert_eq!(left.map(|member| member.state), Some(MemberState::Leaving));
 }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -156,18 +156,9 @@
         incarnation: Incarnation,
         config: MembershipConfig,
     ) -> Self {
-        let epoch = Epoch {
-            incarnation,
-            refutation: 0,
-        };
+        let epoch = Epoch { incarnation, refutation: 0 };
         Self {
-            me: Member {
-                process,
-                role,
-                zone,
-                epoch,
-                state: MemberState::Alive,
-            },
+            me: Member { process, role, zone, epoch, state: MemberState::Alive },
             config,
             seeds: Vec::new(),
             members: BTreeMap::new(),
@@ -229,10 +220,7 @@
         for to in receivers.into_iter().take(count) {
             let nonce = random.next_u64();
             let news = self.compose();
-            transmits.push(Transmit {
-                to,
-                packet: Packet::Ping { nonce, news },
-            });
+            transmits.push(Transmit { to, packet: Packet::Ping { nonce, news } });
         }
         transmits
     }
@@ -245,60 +233,35 @@
         match packet {
             Packet::Ping { nonce, .. } => {
                 let news = self.compose_for(from);
-                vec![Transmit {
-                    to: from.clone(),
-                    packet: Packet::Ack { nonce, news },
-                }]
+                vec![Transmit { to: from.clone(), packet: Packet::Ack { nonce, news } }]
             }
             Packet::Ack { nonce, .. } => self.handle_ack(nonce),
             Packet::PingRequest { nonce, target, .. } => self.relay(from, nonce, target),
             Packet::Join { .. } => {
                 let news = self.everyone();
-                vec![Transmit {
-                    to: from.clone(),
-                    packet: Packet::Everyone { news },
-                }]
+                vec![Transmit { to: from.clone(), packet: Packet::Everyone { news } }]
             }
             Packet::Everyone { .. } => Vec::new(),
         }
     }
 
     fn handle_ack(&mut self, nonce: u64) -> Vec<Transmit> {
-        if self
-            .probe
-            .as_ref()
-            .is_some_and(|probe| probe.nonce == nonce)
-        {
+        if self.probe.as_ref().is_some_and(|probe| probe.nonce == nonce) {
             self.probe = None;
         }
         let Some(relayed) = self.relayed.remove(&nonce) else {
             return Vec::new();
         };
         let news = self.compose();
-        let packet = Packet::Ack {
-            nonce: relayed.nonce,
-            news,
-        };
-        vec![Transmit {
-            to: relayed.requester,
-            packet,
-        }]
+        let packet = Packet::Ack { nonce: relayed.nonce, news };
+        vec![Transmit { to: relayed.requester, packet }]
     }
 
     fn relay(&mut self, from: &ProcessId, nonce: u64, target: ProcessId) -> Vec<Transmit> {
         let own = self.nonce();
-        self.relayed.insert(
-            own,
-            Relayed {
-                requester: from.clone(),
-                nonce,
-            },
-        );
+        self.relayed.insert(own, Relayed { requester: from.clone(), nonce });
         let news = self.compose_for(&target);
-        vec![Transmit {
-            to: target,
-            packet: Packet::Ping { nonce: own, news },
-        }]
+        vec![Transmit { to: target, packet: Packet::Ping { nonce: own, news } }]
     }
 
     /// Lets time pass: probes, suspicions, rejoining.
@@ -359,11 +322,7 @@
         for _ in 0..self.config.indirect_probes.min(helpers.len()) {
             let helper = helpers.swap_remove(random.random_range(0..helpers.len()));
             let news = self.compose();
-            let packet = Packet::PingRequest {
-                nonce,
-                target: target.clone(),
-                news,
-            };
+            let packet = Packet::PingRequest { nonce, target: target.clone(), news };
             transmits.push(Transmit { to: helper, packet });
         }
     }
@@ -383,16 +342,8 @@
         };
         let nonce = self.nonce();
         let news = self.compose_for(&target);
-        transmits.push(Transmit {
-            to: target.clone(),
-            packet: Packet::Ping { nonce, news },
-        });
-        self.probe = Some(Probe {
-            target,
-            nonce,
-            sent: now,
-            asked_others: false,
-        });
+        transmits.push(Transmit { to: target.clone(), packet: Packet::Ping { nonce, news } });
+        self.probe = Some(Probe { target, nonce, sent: now, asked_others: false });
     }
 
     /// Probes everyone once, in a random order, before anyone twice: this bounds detection time.
@@ -401,9 +352,7 @@
             self.round = self.reachable();
         }
         while !self.round.is_empty() {
-            let target = self
-                .round
-                .swap_remove(random.random_range(0..self.round.len()));
+            let target = self.round.swap_remove(random.random_range(0..self.round.len()));
             let there = self.members.get(&target);
             if there.is_some_and(|known| known.member.state != MemberState::Dead) {
                 return Some(target);
@@ -414,9 +363,7 @@
 
     fn rejoin(&mut self, random: &mut impl Rng, transmits: &mut Vec<Transmit>) {
         let dead = |process: &&ProcessId| {
-            self.members
-                .get(*process)
-                .is_none_or(|known| known.member.state == MemberState::Dead)
+            self.members.get(*process).is_none_or(|known| known.member.state == MemberState::Dead)
         };
         let mut missing: Vec<ProcessId> = self.seeds.iter().filter(dead).cloned().collect();
         missing.extend(self.members.keys().filter(dead).cloned());
@@ -428,10 +375,7 @@
         let to = missing.swap_remove(random.random_range(0..missing.len()));
         // A member held dead must hear so, or it would not refute.
         let news = self.compose_for(&to);
-        transmits.push(Transmit {
-            to,
-            packet: Packet::Join { news },
-        });
+        transmits.push(Transmit { to, packet: Packet::Join { news } });
     }
 
     fn suspect(&mut self, now: Timestamp, target: &ProcessId) {
@@ -441,10 +385,7 @@
         if known.member.state != MemberState::Alive {
             return;
         }
-        let statement = Member {
-            state: MemberState::Suspect,
-            ..known.member.clone()
-        };
+        let statement = Member { state: MemberState::Suspect, ..known.member.clone() };
         self.learn(now, &statement);
     }
 
@@ -456,10 +397,7 @@
                 _ => Duration::MAX,
             };
             if now.since(known.since) >= limit {
-                dead.push(Member {
-                    state: MemberState::Dead,
-                    ..known.member.clone()
-                });
+                dead.push(Member { state: MemberState::Dead, ..known.member.clone() });
             }
         }
         for statement in dead {
@@ -484,10 +422,7 @@
         if known.is_none() && statement.state == MemberState::Dead {
             return;
         }
-        let entry = Known {
-            member: statement.clone(),
-            since: now,
-        };
+        let entry = Known { member: statement.clone(), since: now };
         self.members.insert(statement.process.clone(), entry);
         self.news.add(&statement.process);
         self.revision += 1;
@@ -527,10 +462,7 @@
     }
 
     fn everyone(&self) -> Vec<Member> {
-        std::iter::once(&self.me)
-            .chain(self.others())
-            .cloned()
-            .collect()
+        std::iter::once(&self.me).chain(self.others()).cloned().collect()
     }
 
     fn reachable(&self) -> Vec<ProcessId> {
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -11,9 +11,7 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 }
 
@@ -26,17 +24,13 @@
 
     /// Seconds since 1970, for what others read.
     pub fn unix_seconds() -> u64 {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |since| since.as_secs())
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
     }
 
     /// A number for this life of the process: higher than that of any earlier life, unless the wall
     /// clock was set back across a restart.
     pub fn incarnation() -> Incarnation {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -47,11 +47,7 @@
             "Configuration generation in force",
             metrics.generation.clone(),
         );
-        registry.register(
-            "members_alive",
-            "Members alive",
-            metrics.members_alive.clone(),
-        );
+        registry.register("members_alive", "Members alive", metrics.members_alive.clone());
         registry.register(
             "peer_posts_received",
             "Peer posts received",
@@ -62,11 +58,7 @@
             "Bytes of peer posts received",
             metrics.bytes_received.clone(),
         );
-        registry.register(
-            "peer_posts_sent",
-            "Peer posts sent",
-            metrics.posts_sent.clone(),
-        );
+        registry.register("peer_posts_sent", "Peer posts sent", metrics.posts_sent.clone());
         registry.register(
             "peer_bytes_sent",
             "Bytes of peer posts sent",
@@ -92,10 +84,6 @@
 
     /// Counts a refused post.
     pub fn count_refusal(&self, error: ReceiveError) {
-        self.posts_refused
-            .get_or_create(&PeerRefusal {
-                reason: error.code(),
-            })
-            .inc();
+        self.posts_refused.get_or_create(&PeerRefusal { reason: error.code() }).inc();
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -67,9 +67,7 @@
 fn seeded_generator() -> ChaCha12Rng {
     let mut seed = [0_u8; 32];
     // Without a source of randomness nothing here would be safe to do.
-    SysRng
-        .try_fill_bytes(&mut seed)
-        .expect("the operating system gives randomness");
+    SysRng.try_fill_bytes(&mut seed).expect("the operating system gives randomness");
     ChaCha12Rng::from_seed(seed)
 }
 
@@ -89,22 +87,13 @@
         );
         membership.set_seeds(settings.seeds.clone());
         let spread = Spread::new(SpreadConfig::default(), clock.now());
-        let state = State {
-            membership,
-            spread,
-            random: seeded_generator(),
-            seen_revision: u64::MAX,
-        };
+        let state =
+            State { membership, spread, random: seeded_generator(), seen_revision: u64::MAX };
         let (wake, woken) = smol::channel::bounded(1);
         Arc::new(Self {
             outbox: Outbox::new(me.clone(), secret.clone(), OutboxConfig::default()),
             platform: Platform::new(settings.platform_address, settings.platform_limit),
-            seeds: settings
-                .seeds
-                .iter()
-                .filter(|seed| **seed != me)
-                .cloned()
-                .collect(),
+            seeds: settings.seeds.iter().filter(|seed| **seed != me).cloned().collect(),
             zone: settings.zone.clone(),
             me,
             role,
@@ -207,9 +196,7 @@
     pub fn leave(&self) {
         self.stopping.store(true, Ordering::SeqCst);
         let mut state = self.lock();
-        let State {
-            membership, random, ..
-        } = &mut *state;
+        let State { membership, random, .. } = &mut *state;
         let transmits = membership.leave(random);
         drop(state);
         self.transmit(transmits);
@@ -261,12 +248,7 @@
 
     fn pass_time(&self, now: Timestamp) -> (Vec<Transmit>, Vec<Action>, Timestamp) {
         let mut state = self.lock();
-        let State {
-            membership,
-            spread,
-            random,
-            ..
-        } = &mut *state;
+        let State { membership, spread, random, .. } = &mut *state;
         let mut transmits = Vec::new();
         if now >= membership.next_timeout() {
             transmits = membership.handle_timeout(now, random);
@@ -292,9 +274,7 @@
             .collect();
         peers.sort();
         peers.dedup();
-        self.metrics
-            .members_alive
-            .set(alive_count(&state.membership));
+        self.metrics.members_alive.set(alive_count(&state.membership));
         state.spread.set_peers(peers);
         drop(state);
         duty.members_changed();
@@ -305,18 +285,9 @@
         let set = |counter: &prometheus_client::metrics::counter::Counter, value: u64| {
             counter.inner().store(value, Ordering::Relaxed);
         };
-        set(
-            &self.metrics.posts_sent,
-            counts.posts.load(Ordering::Relaxed),
-        );
-        set(
-            &self.metrics.bytes_sent,
-            counts.bytes.load(Ordering::Relaxed),
-        );
-        set(
-            &self.metrics.messages_dropped,
-            counts.dropped.load(Ordering::Relaxed),
-        );
+        set(&self.metrics.posts_sent, counts.posts.load(Ordering::Relaxed));
+        set(&self.metrics.bytes_sent, counts.bytes.load(Ordering::Relaxed));
+        set(&self.metrics.messages_dropped, counts.dropped.load(Ordering::Relaxed));
     }
 
     /// Serves the peer address until the server is stopped.
@@ -358,12 +329,7 @@
     }
 
     fn take(self: &Arc<Self>, envelope: Envelope, duty: &Arc<dyn Duty>) {
-        let Envelope {
-            from,
-            generation,
-            messages,
-            ..
-        } = envelope;
+        let Envelope { from, generation, messages, .. } = envelope;
         let now = self.now();
         let heard = self.lock().spread.hear(now, &from, generation);
         self.act(duty, heard);
@@ -421,9 +387,7 @@
 
     fn install(&self, duty: &Arc<dyn Duty>, generation: Generation) {
         self.outbox.set_generation(generation);
-        self.metrics
-            .generation
-            .set(i64::try_from(generation.0).unwrap_or(i64::MAX));
+        self.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
         tracing::info!(event = "configuration_in_force", generation = generation.0);
         if let Some(configuration) = self.configuration() {
             duty.configuration_changed(&configuration);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -65,10 +65,7 @@
         stop_limit: stop_limit.0,
         peer_address: peer_address?,
         peer_secret: peer_secret?,
-        seeds: seeds
-            .iter()
-            .map(|seed| ProcessId::from(&*seed.to_string()))
-            .collect(),
+        seeds: seeds.iter().map(|seed| ProcessId::from(&*seed.to_string())).collect(),
         platform_address: platform_address?,
         platform_limit: platform_limit.0,
         admin_address: admin_address?,
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -56,9 +56,7 @@
     document.check_sections(&known, &mut faults);
     let node = read_node_settings(&document, &mut faults);
     let own = read_own(&document, &mut faults);
-    faults
-        .into_result(node.zip(own))
-        .map_err(StartError::Faults)
+    faults.into_result(node.zip(own)).map_err(StartError::Faults)
 }
 
 /// Tells the user what kept a process from starting and gives its exit code.
--- a/crates/node/src/tests.rs
+++ b/crates/node/src/tests.rs
@@ -16,9 +16,7 @@
         "[process]\nzone = bad zone\ncolour = blue\n[peer]\naddress = here\n[colours]\n",
     );
     let error = load_settings(&path, &[], |_, _| Some(())).expect_err("faults");
-    let StartError::Faults(faults) = error else {
-        panic!("{error}")
-    };
+    let StartError::Faults(faults) = error else { panic!("{error}") };
     let text = faults.to_string();
     for expected in [
         "[process] zone: expected a name",
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -67,10 +67,7 @@
     fn is_watcher(&self) -> bool {
         let live = self.live_in_zone();
         let key = format!("watch/{}", self.zone());
-        by_rendezvous(&key, &live)
-            .into_iter()
-            .take(WATCHERS_PER_ZONE)
-            .any(|one| one == self.me())
+        by_rendezvous(&key, &live).into_iter().take(WATCHERS_PER_ZONE).any(|one| one == self.me())
     }
 
     fn take_root(self: &Arc<Self>, duty: &Arc<dyn Duty>, object: Option<Object>) {
@@ -107,9 +104,7 @@
     let mut found = Vec::new();
     for hash in parts {
         match node.platform().read(&part_key(&hash)).await {
-            Ok(Some(object)) => found.push(Part {
-                bytes: object.value.to_vec(),
-            }),
+            Ok(Some(object)) => found.push(Part { bytes: object.value.to_vec() }),
             Ok(None) => tracing::warn!(event = "configuration_part_missing", part = %hash),
             Err(error) => node.note_failure(&error),
         }
--- a/crates/peer/src/outbox.rs
+++ b/crates/peer/src/outbox.rs
@@ -67,10 +67,8 @@
 impl Outbox {
     /// An outbox of the process `me`.
     pub fn new(me: ProcessId, secret: PeerSecret, config: OutboxConfig) -> Self {
-        let client = Client::new(ClientConfig {
-            connect_limit: config.post_limit,
-            ..Default::default()
-        });
+        let client =
+            Client::new(ClientConfig { connect_limit: config.post_limit, ..Default::default() });
         let shared = Shared {
             me,
             secret,
@@ -79,17 +77,12 @@
             generation: AtomicU64::new(0),
             counts: OutboxCounts::default(),
         };
-        Self {
-            shared: Arc::new(shared),
-            receivers: Mutex::default(),
-        }
+        Self { shared: Arc::new(shared), receivers: Mutex::default() }
     }
 
     /// Sets the generation that every envelope tells.
     pub fn set_generation(&self, generation: Generation) {
-        self.shared
-            .generation
-            .fetch_max(generation.0, Ordering::SeqCst);
+        self.shared.generation.fetch_max(generation.0, Ordering::SeqCst);
     }
 
     /// Counts since the start.
@@ -99,10 +92,7 @@
 
     /// Queues a message; it may be lost.
     pub fn send(&self, to: &ProcessId, message: Message) {
-        let mut receivers = self
-            .receivers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut receivers = self.receivers.lock().unwrap_or_else(PoisonError::into_inner);
         let message = match receivers.get(to) {
             None => message,
             Some(queue) => match queue.try_send(message) {
@@ -152,12 +142,7 @@
         let count = messages.len() as u64;
         let generation = Generation(self.generation.load(Ordering::SeqCst));
         let (from, to) = (self.me.clone(), to.clone());
-        let envelope = Envelope {
-            from,
-            to,
-            generation,
-            messages,
-        };
+        let envelope = Envelope { from, to, generation, messages };
         let delivered = match rmp_serde::to_vec(&envelope) {
             Ok(body) => self.deliver(address, Bytes::from(body)).await,
             Err(_) => false,
@@ -177,10 +162,7 @@
             .header(SIGNATURE_HEADER, self.secret.sign(&body))
             .body(Full::new(body));
         let Ok(request) = request else { return false };
-        let reply = self
-            .client
-            .call(address, request, self.config.post_limit)
-            .await;
+        let reply = self.client.call(address, request, self.config.post_limit).await;
         let delivered = reply.is_ok_and(|reply| reply.status.is_success());
         if delivered {
             self.counts.posts.fetch_add(1, Ordering::Relaxed);
--- a/crates/peer/src/secret.rs
+++ b/crates/peer/src/secret.rs
@@ -83,15 +83,11 @@
     headers: &HeaderMap,
     body: &[u8],
 ) -> Result<Envelope, ReceiveError> {
-    let protocol = headers
-        .get(&PROTOCOL_HEADER)
-        .and_then(|value| value.to_str().ok());
+    let protocol = headers.get(&PROTOCOL_HEADER).and_then(|value| value.to_str().ok());
     if protocol != Some(&*PROTOCOL_VERSION.to_string()) {
         return Err(ReceiveError::WrongProtocol);
     }
-    let signature = headers
-        .get(&SIGNATURE_HEADER)
-        .ok_or(ReceiveError::BadSignature)?;
+    let signature = headers.get(&SIGNATURE_HEADER).ok_or(ReceiveError::BadSignature)?;
     if !secret.verify(body, signature) {
         return Err(ReceiveError::BadSignature);
     }
--- a/crates/peer/src/tests.rs
+++ b/crates/peer/src/tests.rs
@@ -32,34 +32,19 @@
     assert_eq!(receive(&secret, &me, &good, &body), Ok(sent));
 
     let other_version = headers("2", &secret, &body);
-    assert_eq!(
-        receive(&secret, &me, &other_version, &body),
-        Err(ReceiveError::WrongProtocol)
-    );
+    assert_eq!(receive(&secret, &me, &other_version, &body), Err(ReceiveError::WrongProtocol));
 
     let other_secret = headers("1", &PeerSecret::new("river"), &body);
-    assert_eq!(
-        receive(&secret, &me, &other_secret, &body),
-        Err(ReceiveError::BadSignature)
-    );
+    assert_eq!(receive(&secret, &me, &other_secret, &body), Err(ReceiveError::BadSignature));
 
     let mut unsigned = good.clone();
     unsigned.remove(SIGNATURE_HEADER);
-    assert_eq!(
-        receive(&secret, &me, &unsigned, &body),
-        Err(ReceiveError::BadSignature)
-    );
+    assert_eq!(receive(&secret, &me, &unsigned, &body), Err(ReceiveError::BadSignature));
 
     let noise = b"noise";
     let signed_noise = headers("1", &secret, noise);
-    assert_eq!(
-        receive(&secret, &me, &signed_noise, noise),
-        Err(ReceiveError::Malformed)
-    );
+    assert_eq!(receive(&secret, &me, &signed_noise, noise), Err(ReceiveError::Malformed));
 
     let another = ProcessId::from("127.0.0.1:9");
-    assert_eq!(
-        receive(&secret, &another, &good, &body),
-        Err(ReceiveError::WrongReceiver)
-    );
+    assert_eq!(receive(&secret, &another, &good, &body), Err(ReceiveError::WrongReceiver));
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -94,15 +94,8 @@
 impl Platform {
     /// A client of the platform at `address` that waits `limit` for each answer.
     pub fn new(address: SocketAddr, limit: Duration) -> Self {
-        let config = ClientConfig {
-            connect_limit: limit,
-            ..ClientConfig::default()
-        };
-        Self {
-            address,
-            limit,
-            client: Client::new(config),
-        }
+        let config = ClientConfig { connect_limit: limit, ..ClientConfig::default() };
+        Self { address, limit, client: Client::new(config) }
     }
 
     /// Reads an object.
@@ -130,18 +123,12 @@
         value: Bytes,
         precondition: Precondition,
     ) -> Result<u64, WriteError> {
-        let builder = Request::builder()
-            .method(Method::PUT)
-            .uri(format!("/objects/{key}"));
+        let builder = Request::builder().method(Method::PUT).uri(format!("/objects/{key}"));
         let builder = match precondition {
             Precondition::Version(version) => builder.header(IF_MATCH, format!("\"{version}\"")),
             Precondition::Absent => builder.header(IF_NONE_MATCH, "*"),
         };
-        match self
-            .client
-            .call(self.address, request(builder, value), self.limit)
-            .await
-        {
+        match self.client.call(self.address, request(builder, value), self.limit).await {
             Ok(reply) => written_version(&reply),
             Err(error @ CallError::Connect(_)) => {
                 Err(WriteError::NotWritten(NotWritten::Unreachable(error)))
@@ -178,10 +165,7 @@
         match reply.status {
             StatusCode::OK => {
                 let version = version_of(&reply).ok_or(ReadError::Malformed)?;
-                Ok(Some(Object {
-                    version,
-                    value: reply.body,
-                }))
+                Ok(Some(Object { version, value: reply.body }))
             }
             StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
             status => Err(ReadError::Refused { status }),
@@ -195,14 +179,7 @@
 }
 
 fn version_of(reply: &Reply) -> Option<u64> {
-    reply
-        .headers
-        .get(ETAG)?
-        .to_str()
-        .ok()?
-        .trim_matches('"')
-        .parse()
-        .ok()
+    reply.headers.get(ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
 }
 
 fn written_version(reply: &Reply) -> Result<u64, WriteError> {
--- a/crates/scheduler/src/cells.rs
+++ b/crates/scheduler/src/cells.rs
@@ -28,18 +28,13 @@
 impl Cells {
     /// No cells.
     pub fn new(incarnation: Incarnation) -> Self {
-        Self {
-            incarnation,
-            configuration: Arc::default(),
-            held: BTreeMap::new(),
-        }
+        Self { incarnation, configuration: Arc::default(), held: BTreeMap::new() }
     }
 
     /// Puts a configuration in force in every cell.
     pub fn configure(&mut self, configuration: &Arc<FleetConfiguration>, board: &MachineBoard) {
         self.configuration = configuration.clone();
-        self.held
-            .retain(|id, _| configuration.services.contains_key(&id.service));
+        self.held.retain(|id, _| configuration.services.contains_key(&id.service));
         for held in self.held.values_mut() {
             declare(&mut held.cell, configuration, board);
         }
@@ -68,10 +63,7 @@
             tracing::info!(event = "cell_taken_up", cell = %id);
             let mut cell = Cell::new(id, CellConfig::default(), self.incarnation, now);
             declare(&mut cell, &self.configuration, board);
-            Held {
-                cell,
-                last_report: now,
-            }
+            Held { cell, last_report: now }
         });
         held.last_report = now;
         held.cell.handle_report(now, from, report);
@@ -80,8 +72,7 @@
 
     /// Lets time pass in every cell and returns what to send.
     pub fn handle_timeout(&mut self, now: Timestamp) -> Vec<(ProcessId, Grants)> {
-        self.held
-            .retain(|_, held| now.since(held.last_report) < IDLE_LIMIT);
+        self.held.retain(|_, held| now.since(held.last_report) < IDLE_LIMIT);
         let mut outgoing = Vec::new();
         for held in self.held.values_mut() {
             held.cell.handle_timeout(now);
@@ -99,34 +90,17 @@
     /// Sets the gauges.
     pub fn publish(&self, metrics: &SchedulerMetrics) {
         for (id, held) in &self.held {
-            let (label, status) = (
-                CellLabel {
-                    cell: id.to_string(),
-                },
-                held.cell.status(),
-            );
-            metrics
-                .slots
-                .get_or_create(&label)
-                .set(i64::from(status.slots));
-            metrics
-                .slots_in_use
-                .get_or_create(&label)
-                .set(i64::from(status.in_use));
+            let (label, status) = (CellLabel { cell: id.to_string() }, held.cell.status());
+            metrics.slots.get_or_create(&label).set(i64::from(status.slots));
+            metrics.slots_in_use.get_or_create(&label).set(i64::from(status.in_use));
             let backlogged = i64::try_from(status.backlogged.len()).unwrap_or(i64::MAX);
-            metrics
-                .backlogged_tenants
-                .get_or_create(&label)
-                .set(backlogged);
+            metrics.backlogged_tenants.get_or_create(&label).set(backlogged);
         }
     }
 
     /// All cells, for operators.
     pub fn status(&self) -> Value {
-        self.held
-            .iter()
-            .map(|(id, held)| cell_status(id, &held.cell))
-            .collect()
+        self.held.iter().map(|(id, held)| cell_status(id, &held.cell)).collect()
     }
 
     /// Why a tenant waits: its place in each cell.
@@ -192,10 +166,7 @@
 
 fn explain_in_cell(id: &CellId, cell: &Cell, tenant: &TenantName) -> Option<Value> {
     let status = cell.status();
-    let place = status
-        .backlogged
-        .iter()
-        .position(|entry| entry.tenant == *tenant)?;
+    let place = status.backlogged.iter().position(|entry| entry.tenant == *tenant)?;
     let entry = &status.backlogged[place];
     let reason = match (status.in_use >= status.slots, place) {
         (true, 0) => "next in order; every slot is in use",
--- a/crates/scheduler/src/claims.rs
+++ b/crates/scheduler/src/claims.rs
@@ -60,10 +60,7 @@
     value: Vec<u8>,
 ) -> Result<u64, CallFailure> {
     let precondition = expected.map_or(Precondition::Absent, Precondition::Version);
-    match platform
-        .write(&shard_key(shard), Bytes::from(value), precondition)
-        .await
-    {
+    match platform.write(&shard_key(shard), Bytes::from(value), precondition).await {
         Ok(version) => Ok(version),
         Err(WriteError::Conflict) => Err(CallFailure::Conflict),
         Err(error) => {
--- a/crates/scheduler/src/duty.rs
+++ b/crates/scheduler/src/duty.rs
@@ -51,14 +51,7 @@
             board: MachineBoard::default(),
         };
         let (wake, woken) = smol::channel::bounded(1);
-        Arc::new(Self {
-            node,
-            settings,
-            metrics,
-            state: Mutex::new(state),
-            wake,
-            woken,
-        })
+        Arc::new(Self { node, settings, metrics, state: Mutex::new(state), wake, woken })
     }
 
     /// The process as a member.
@@ -90,8 +83,7 @@
         let answers = state.keeper.take_answers();
         drop(state);
         for (to, answer) in answers {
-            self.node
-                .send(&to, Message::Claim(ClaimMessage::Answer(answer)));
+            self.node.send(&to, Message::Claim(ClaimMessage::Answer(answer)));
         }
     }
 
@@ -128,10 +120,7 @@
         let outgoing = state.cells.handle_timeout(now);
         state.cells.publish(&self.metrics);
         let operation = state.keeper.poll(now, Clock::unix_seconds());
-        let next = state
-            .cells
-            .next_timeout(now)
-            .min(state.keeper.next_timeout(now));
+        let next = state.cells.next_timeout(now).min(state.keeper.next_timeout(now));
         drop(state);
         self.send_grants(outgoing);
         self.with_keeper(|_| ());
@@ -153,8 +142,7 @@
             MachineMessage::List(list) => machines::take_list(self, list),
             MachineMessage::ListRequest => {
                 let list = self.lock().board.newest().clone();
-                self.node
-                    .send(from, Message::Machines(MachineMessage::List(list)));
+                self.node.send(from, Message::Machines(MachineMessage::List(list)));
             }
         }
     }
@@ -193,12 +181,9 @@
     fn members_changed(&self) {
         let schedulers = self.node.live(Role::Scheduler);
         let share = self.settings.claim_writes_per_second as f64 / schedulers.len().max(1) as f64;
-        self.lock()
-            .keeper
-            .set_spacing(Duration::from_secs_f64(1.0 / share));
+        self.lock().keeper.set_spacing(Duration::from_secs_f64(1.0 / share));
         for peer in schedulers.iter().filter(|peer| *peer != self.node.me()) {
-            self.node
-                .send(peer, Message::Machines(MachineMessage::ListRequest));
+            self.node.send(peer, Message::Machines(MachineMessage::ListRequest));
         }
     }
 
--- a/crates/scheduler/src/machines.rs
+++ b/crates/scheduler/src/machines.rs
@@ -25,8 +25,7 @@
     tracing::info!(event = "machine_list", revision = list.revision);
     for peer in duty.node().live(Role::Scheduler) {
         if peer != *duty.node().me() {
-            duty.node()
-                .send(&peer, Message::Machines(MachineMessage::List(list.clone())));
+            duty.node().send(&peer, Message::Machines(MachineMessage::List(list.clone())));
         }
     }
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -39,11 +39,7 @@
         let registry = registry.sub_registry_with_prefix("mastbay_scheduler");
         registry.register("grants", "Grants sent", metrics.grants.clone());
         registry.register("reports", "Reports received", metrics.reports.clone());
-        registry.register(
-            "slots",
-            "Slots of back ends that take work",
-            metrics.slots.clone(),
-        );
+        registry.register("slots", "Slots of back ends that take work", metrics.slots.clone());
         registry.register("slots_in_use", "Slots in use", metrics.slots_in_use.clone());
         registry.register(
             "backlogged_tenants",
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -43,9 +43,7 @@
 }
 
 async fn bind(address: std::net::SocketAddr) -> Result<Server, StartError> {
-    Server::bind(address, ServerConfig::default())
-        .await
-        .map_err(StartError::Bind)
+    Server::bind(address, ServerConfig::default()).await.map_err(StartError::Bind)
 }
 
 fn start(settings: &NodeSettings, node: &Arc<Node>, duty: &Arc<SchedulerDuty>) {
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -53,36 +53,22 @@
 
     /// Reads INI text; `file` is used in errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, LoadError> {
-        let option = ParseOption {
-            enabled_quote: false,
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
-        let ini = Ini::load_from_str_opt(text, option).map_err(|source| LoadError::Syntax {
-            file: file.to_owned(),
-            source,
-        })?;
+        let option =
+            ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+        let ini = Ini::load_from_str_opt(text, option)
+            .map_err(|source| LoadError::Syntax { file: file.to_owned(), source })?;
         let mut sections: Vec<Section> = Vec::new();
         for (name, properties) in &ini {
             let mut entries: BTreeMap<String, Vec<String>> = BTreeMap::new();
             for (key, value) in properties.iter() {
-                entries
-                    .entry(key.to_owned())
-                    .or_default()
-                    .push(value.trim().to_owned());
+                entries.entry(key.to_owned()).or_default().push(value.trim().to_owned());
             }
             let general_and_empty = name.is_none() && entries.is_empty();
             if !general_and_empty {
-                sections.push(Section {
-                    name: name.unwrap_or_default().to_owned(),
-                    entries,
-                });
+                sections.push(Section { name: name.unwrap_or_default().to_owned(), entries });
             }
         }
-        Ok(Self {
-            file: file.to_owned(),
-            sections,
-        })
+        Ok(Self { file: file.to_owned(), sections })
     }
 
     /// The file's name as used in errors.
@@ -111,29 +97,16 @@
 
     /// Notes a fault with a whole section.
     pub fn note(&self, faults: &mut Faults, section: &str, problem: Problem) {
-        let fault = Fault {
-            file: self.file.clone(),
-            section: section.to_owned(),
-            key: None,
-            problem,
-        };
+        let fault =
+            Fault { file: self.file.clone(), section: section.to_owned(), key: None, problem };
         faults.list.push(fault);
     }
 
     /// A reader of the section `name`, which is empty if it does not stand in the file.
     pub fn section<'a>(&'a self, name: &'a str, faults: &'a mut Faults) -> SectionReader<'a> {
-        let entries = self
-            .sections
-            .iter()
-            .find(|section| section.name == name)
-            .map(|found| &found.entries);
-        SectionReader {
-            file: &self.file,
-            name,
-            entries,
-            known: Vec::new(),
-            faults,
-        }
+        let entries =
+            self.sections.iter().find(|section| section.name == name).map(|found| &found.entries);
+        SectionReader { file: &self.file, name, entries, known: Vec::new(), faults }
     }
 }
 
@@ -153,12 +126,7 @@
         let before = self.faults.list.len();
         let value = self.optional(key);
         if value.is_none() && self.faults.list.len() == before {
-            self.fault(
-                key,
-                Problem::Missing {
-                    expected: T::EXPECTED,
-                },
-            );
+            self.fault(key, Problem::Missing { expected: T::EXPECTED });
         }
         value
     }
@@ -169,13 +137,7 @@
         match T::read(&text) {
             Ok(value) => Some(value),
             Err(expected) => {
-                self.fault(
-                    key,
-                    Problem::Invalid {
-                        expected: expected.0,
-                        found: text,
-                    },
-                );
+                self.fault(key, Problem::Invalid { expected: expected.0, found: text });
                 None
             }
         }
@@ -197,13 +159,7 @@
                 Ok(value) => values.push(value),
                 Err(expected) => {
                     let found = item.to_owned();
-                    self.fault(
-                        key,
-                        Problem::Invalid {
-                            expected: expected.0,
-                            found,
-                        },
-                    );
+                    self.fault(key, Problem::Invalid { expected: expected.0, found });
                 }
             }
         }
@@ -224,20 +180,10 @@
     pub fn finish(mut self) {
         let Some(entries) = self.entries else { return };
         let known = self.known.join(", ");
-        for key in entries
-            .keys()
-            .filter(|key| !self.known.contains(&key.as_str()))
-        {
-            let problem = Problem::UnknownKey {
-                known: known.clone(),
-            };
+        for key in entries.keys().filter(|key| !self.known.contains(&key.as_str())) {
+            let problem = Problem::UnknownKey { known: known.clone() };
             let (file, section) = (self.file.to_owned(), self.name.to_owned());
-            self.faults.list.push(Fault {
-                file,
-                section,
-                key: Some(key.clone()),
-                problem,
-            });
+            self.faults.list.push(Fault { file, section, key: Some(key.clone()), problem });
         }
         self.known.clear();
     }
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -40,22 +40,14 @@
 
 #[test]
 fn good_values_are_read_with_their_defaults() {
-    let found = faults_of(
-        "[a]\nn = 3\nspan = 2s\nlist = x, y\n",
-        |document, faults| {
-            let mut section = document.section("a", faults);
-            assert_eq!(section.required("n"), Some(Bounded::<1, 5>(3)));
-            assert_eq!(section.or("m", Bounded::<1, 5>(4)), Bounded(4));
-            assert_eq!(
-                section
-                    .optional::<Span<1, 5000>>("span")
-                    .map(|span| span.0.as_secs()),
-                Some(2)
-            );
-            assert_eq!(section.list::<String>("list"), ["x", "y"]);
-            section.finish();
-        },
-    );
+    let found = faults_of("[a]\nn = 3\nspan = 2s\nlist = x, y\n", |document, faults| {
+        let mut section = document.section("a", faults);
+        assert_eq!(section.required("n"), Some(Bounded::<1, 5>(3)));
+        assert_eq!(section.or("m", Bounded::<1, 5>(4)), Bounded(4));
+        assert_eq!(section.optional::<Span<1, 5000>>("span").map(|span| span.0.as_secs()), Some(2));
+        assert_eq!(section.list::<String>("list"), ["x", "y"]);
+        section.finish();
+    });
     assert!(found.is_empty(), "{found:?}");
 }
 
@@ -63,10 +55,7 @@
 fn text_that_is_no_ini_and_a_missing_file_name_the_file() {
     let error = Document::parse("bad.ini", "[peer\naddress").expect_err("not INI");
     assert!(matches!(error, LoadError::Syntax { .. }));
-    assert!(
-        error.to_string().starts_with("bad.ini: not in INI form:"),
-        "{error}"
-    );
+    assert!(error.to_string().starts_with("bad.ini: not in INI form:"), "{error}");
     let error = Document::load(Path::new("/nonexistent/x.ini")).expect_err("no file");
     assert!(error.to_string().contains("/nonexistent/x.ini"), "{error}");
 }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -29,11 +29,7 @@
     const EXPECTED: &'static str = "a text that is not empty";
 
     fn read(text: &str) -> Result<Self, Expected> {
-        if text.is_empty() {
-            Err(Self::EXPECTED.into())
-        } else {
-            Ok(text.to_owned())
-        }
+        if text.is_empty() { Err(Self::EXPECTED.into()) } else { Ok(text.to_owned()) }
     }
 }
 
@@ -41,11 +37,7 @@
     const EXPECTED: &'static str = "a path";
 
     fn read(text: &str) -> Result<Self, Expected> {
-        if text.is_empty() {
-            Err(Self::EXPECTED.into())
-        } else {
-            Ok(PathBuf::from(text))
-        }
+        if text.is_empty() { Err(Self::EXPECTED.into()) } else { Ok(PathBuf::from(text)) }
     }
 }
 
@@ -92,11 +84,8 @@
     const EXPECTED: &'static str = "a time such as 250ms, 3s or 2m";
 
     fn read(text: &str) -> Result<Self, Expected> {
-        let expected = || {
-            Expected(format!(
-                "a time from {LEAST}ms to {MOST}ms, such as 250ms or 3s"
-            ))
-        };
+        let expected =
+            || Expected(format!("a time from {LEAST}ms to {MOST}ms, such as 250ms or 3s"));
         let millis = milliseconds(text).ok_or_else(expected)?;
         if !(LEAST..=MOST).contains(&millis) {
             return Err(expected());
--- a/crates/simulation/src/baselines.rs
+++ b/crates/simulation/src/baselines.rs
@@ -26,11 +26,8 @@
 
 impl Queues {
     fn new(scenario: &Scenario, fair: bool) -> Self {
-        let names: Vec<TenantName> = scenario
-            .tenants
-            .iter()
-            .map(|tenant| TenantName::from(&*tenant.name))
-            .collect();
+        let names: Vec<TenantName> =
+            scenario.tenants.iter().map(|tenant| TenantName::from(&*tenant.name)).collect();
         let mut order = FairOrder::default();
         for (name, tenant) in names.iter().zip(&scenario.tenants) {
             order.set_weight(name, Weight::new(tenant.weight).unwrap_or(Weight::ONE));
@@ -74,18 +71,13 @@
         if self.charged.len() <= request {
             self.charged.resize(request + 1, 0);
         }
-        self.order
-            .charge(&self.names[tenant], Cost(to - self.charged[request]));
+        self.order.charge(&self.names[tenant], Cost(to - self.charged[request]));
         self.charged[request] = to;
     }
 
     fn progressed(&mut self, tenant: usize, request: RequestNumber, delivered: u64) {
         let delivered = delivered as i64;
-        if self
-            .charged
-            .get(request)
-            .is_some_and(|charged| delivered > *charged)
-        {
+        if self.charged.get(request).is_some_and(|charged| delivered > *charged) {
             self.charge(tenant, request, delivered);
         }
     }
@@ -117,20 +109,9 @@
     }
 
     fn new(scenario: &Scenario, fair: bool) -> Self {
-        let queues = scenario
-            .services
-            .iter()
-            .map(|_| Queues::new(scenario, fair))
-            .collect();
-        let engines = scenario
-            .services
-            .iter()
-            .map(|service| service.engines)
-            .sum();
-        Self {
-            queues,
-            busy: vec![0; engines],
-        }
+        let queues = scenario.services.iter().map(|_| Queues::new(scenario, fair)).collect();
+        let engines = scenario.services.iter().map(|service| service.engines).sum();
+        Self { queues, busy: vec![0; engines] }
     }
 
     fn fill(&mut self, view: &View<'_>, service: usize) -> Vec<Decision> {
@@ -147,11 +128,7 @@
                 break;
             };
             self.busy[engine] += 1;
-            decisions.push(Decision::Send {
-                request,
-                engine,
-                at: view.now,
-            });
+            decisions.push(Decision::Send { request, engine, at: view.now });
         }
         decisions
     }
@@ -228,11 +205,7 @@
             let engines = view.engines.of_service(service);
             let engine = engines.start + self.next_engine % engines.len();
             self.next_engine += 1;
-            decisions.push(Decision::Send {
-                request,
-                engine,
-                at: view.now + self.delay,
-            });
+            decisions.push(Decision::Send { request, engine, at: view.now + self.delay });
         }
         decisions
     }
@@ -278,28 +251,17 @@
 impl EarlyBinding {
     /// Binding at arrival.
     pub fn new(scenario: &Scenario) -> Self {
-        Self {
-            delay: scenario.delay,
-        }
+        Self { delay: scenario.delay }
     }
 }
 
 impl Dispatcher for EarlyBinding {
     fn arrived(&mut self, view: &View<'_>, request: RequestNumber) -> Vec<Decision> {
         let service = view.requests[request].service;
-        let engine = view
-            .engines
-            .of_service(service)
-            .min_by_key(|engine| view.engines.load(*engine));
+        let engine =
+            view.engines.of_service(service).min_by_key(|engine| view.engines.load(*engine));
         let at = view.now + self.delay;
-        engine
-            .map(|engine| Decision::Send {
-                request,
-                engine,
-                at,
-            })
-            .into_iter()
-            .collect()
+        engine.map(|engine| Decision::Send { request, engine, at }).into_iter().collect()
     }
 
     fn ended(&mut self, _view: &View<'_>, _request: RequestNumber) -> Vec<Decision> {
--- a/crates/simulation/src/bin/mastbay-experiment.rs
+++ b/crates/simulation/src/bin/mastbay-experiment.rs
@@ -49,25 +49,14 @@
     let one =
         |name: &str, dispatcher: &mut dyn DynDispatcher| dispatcher.figures(name, scenario, seed);
     let fleet = |faults| {
-        Fleet::new(
-            scenario,
-            FleetOptions {
-                membership: true,
-                faults,
-                ..Default::default()
-            },
-            seed,
-        )
+        Fleet::new(scenario, FleetOptions { membership: true, faults, ..Default::default() }, seed)
     };
     let lost = in_turn(
         scenario.machines,
         Duration::from_secs(20),
         Duration::from_secs(8),
         scenario.duration,
-        |machine| Fault::KillScheduler {
-            machine,
-            down: Duration::from_secs(3),
-        },
+        |machine| Fault::KillScheduler { machine, down: Duration::from_secs(3) },
     );
     vec![
         one("ideal queue", &mut SingleQueue::fair(scenario)),
--- a/crates/simulation/src/engines.rs
+++ b/crates/simulation/src/engines.rs
@@ -34,32 +34,16 @@
             first.push(engines.len());
             for _ in 0..service.engines {
                 let (running, queue) = (BTreeMap::new(), VecDeque::new());
-                engines.push(Engine {
-                    slots: service.slots,
-                    running,
-                    queue,
-                });
+                engines.push(Engine { slots: service.slots, running, queue });
             }
         }
-        let steps = scenario
-            .services
-            .iter()
-            .map(|service| service.step)
-            .collect();
-        Self {
-            engines,
-            first,
-            steps,
-        }
+        let steps = scenario.services.iter().map(|service| service.step).collect();
+        Self { engines, first, steps }
     }
 
     /// Engines of a service.
     pub fn of_service(&self, service: usize) -> std::ops::Range<usize> {
-        let end = self
-            .first
-            .get(service + 1)
-            .copied()
-            .unwrap_or(self.engines.len());
+        let end = self.first.get(service + 1).copied().unwrap_or(self.engines.len());
         self.first[service]..end
     }
 
@@ -110,10 +94,7 @@
 
     /// Requests that run at an engine, with the time at which each began.
     pub fn running(&self, engine: usize) -> impl Iterator<Item = (RequestNumber, Timestamp)> + '_ {
-        self.engines[engine]
-            .running
-            .iter()
-            .map(|(request, since)| (*request, *since))
+        self.engines[engine].running.iter().map(|(request, since)| (*request, *since))
     }
 
     /// When a request that begins at `now` ends.
--- a/crates/simulation/src/event_queue.rs
+++ b/crates/simulation/src/event_queue.rs
@@ -44,10 +44,7 @@
 
 impl<E> Default for EventQueue<E> {
     fn default() -> Self {
-        Self {
-            entries: BinaryHeap::new(),
-            made: 0,
-        }
+        Self { entries: BinaryHeap::new(), made: 0 }
     }
 }
 
@@ -55,11 +52,7 @@
     /// Adds an event.
     pub fn push(&mut self, at: Timestamp, event: E) {
         self.made += 1;
-        self.entries.push(Entry {
-            at,
-            number: self.made,
-            event,
-        });
+        self.entries.push(Entry { at, number: self.made, event });
     }
 
     /// When the next event comes.
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -66,10 +66,7 @@
     let mut at = first;
     while at < end {
         let machine = faults.len() % machines;
-        faults.push(TimedFault {
-            at: Timestamp::ZERO + at,
-            fault: fault(machine),
-        });
+        faults.push(TimedFault { at: Timestamp::ZERO + at, fault: fault(machine) });
         at += period;
     }
     faults
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -34,22 +34,11 @@
 }
 
 enum Event {
-    Deliver {
-        from: usize,
-        to: usize,
-        message: Message,
-    },
-    Timer {
-        process: usize,
-    },
-    Heard {
-        request: RequestNumber,
-        cost: u64,
-    },
+    Deliver { from: usize, to: usize, message: Message },
+    Timer { process: usize },
+    Heard { request: RequestNumber, cost: u64 },
     Fault(usize),
-    Restart {
-        process: usize,
-    },
+    Restart { process: usize },
 }
 
 enum Duty {
@@ -140,18 +129,10 @@
 
     fn fresh_process(&self, process: usize, incarnation: Incarnation) -> Process {
         let is_gateway = process < self.machines;
-        let role = if is_gateway {
-            Role::Gateway
-        } else {
-            Role::Scheduler
-        };
+        let role = if is_gateway { Role::Gateway } else { Role::Scheduler };
         let duty = if is_gateway {
             let demand = |service: &ServiceCell| {
-                Demand::new(
-                    service.cell.clone(),
-                    self.options.demand.clone(),
-                    incarnation,
-                )
+                Demand::new(service.cell.clone(), self.options.demand.clone(), incarnation)
             };
             Duty::Gateway(self.services.iter().map(demand).collect())
         } else {
@@ -177,10 +158,7 @@
     }
 
     fn place(&self, process: usize) -> Place {
-        Place {
-            process,
-            machine: process % self.machines,
-        }
+        Place { process, machine: process % self.machines }
     }
 
     /// Handles all events until now.
@@ -264,10 +242,7 @@
         from: &ProcessId,
         grants: mastbay_grants::Grants,
     ) {
-        let Some(index) = self
-            .services
-            .iter()
-            .position(|service| service.cell == grants.cell)
+        let Some(index) = self.services.iter().position(|service| service.cell == grants.cell)
         else {
             return;
         };
@@ -280,11 +255,7 @@
             };
             let request = assignment.request.as_number() as usize;
             let at = now + self.network.delay_between(to, *engine);
-            self.decisions.push(Decision::Send {
-                request,
-                engine: *engine,
-                at,
-            });
+            self.decisions.push(Decision::Send { request, engine: *engine, at });
         }
     }
 
@@ -394,11 +365,7 @@
         };
         let next = duty.unwrap_or(Timestamp::NEVER).min(membership).max(now);
         // A timer of the past would never let time go on.
-        let next = if next == now {
-            now + Duration::from_micros(100)
-        } else {
-            next
-        };
+        let next = if next == now { now + Duration::from_micros(100) } else { next };
         if next < state.next_timer {
             state.next_timer = next;
             self.events.push(next, Event::Timer { process });
@@ -428,14 +395,9 @@
             }
             Fault::FreezeGateway { machine, span } => {
                 self.processes[machine].frozen_until = now + span;
-                self.events
-                    .push(now + span, Event::Timer { process: machine });
+                self.events.push(now + span, Event::Timer { process: machine });
             }
-            Fault::Cut {
-                machines,
-                both_ways,
-                span,
-            } => {
+            Fault::Cut { machines, both_ways, span } => {
                 self.network.cut(machines, both_ways, now + span);
             }
             Fault::Loss { share, span } => self.network.lose(share, now + span),
@@ -473,14 +435,8 @@
             .map(|engine| BackendName::from(&*format!("{}-{engine}", service.name)))
             .collect();
         cells.push(ServiceCell {
-            cell: CellId {
-                service: ServiceName::from(&*service.name),
-                index: 0,
-            },
-            backends: names
-                .iter()
-                .map(|name| (name.clone(), service.slots))
-                .collect(),
+            cell: CellId { service: ServiceName::from(&*service.name), index: 0 },
+            backends: names.iter().map(|name| (name.clone(), service.slots)).collect(),
             numbers: names.into_iter().zip(first..).collect(),
             ahead: service.ahead,
         });
@@ -510,13 +466,7 @@
         let ended = &view.requests[request];
         let engine = ended.engine.unwrap_or(0);
         let at = view.now + self.network.delay_between(ended.arrival.gateway, engine);
-        self.events.push(
-            at,
-            Event::Heard {
-                request,
-                cost: ended.arrival.cost,
-            },
-        );
+        self.events.push(at, Event::Heard { request, cost: ended.arrival.cost });
         self.take_decisions()
     }
 
--- a/crates/simulation/src/measure.rs
+++ b/crates/simulation/src/measure.rs
@@ -18,6 +18,8 @@
 pub struct GapMeter {
     pairs: Vec<Pair>,
     largest: f64,
+    /// Tenants between which the largest gap was.
+    worst: Option<(usize, usize)>,
     /// Every sample's gap, in thousandths.
     samples: Histogram<u64>,
 }
@@ -36,18 +38,10 @@
         let mut pairs = Vec::new();
         for (position, left) in tenants.iter().enumerate() {
             for right in &tenants[position + 1..] {
-                pairs.push(Pair {
-                    left: *left,
-                    right: *right,
-                    range: None,
-                });
+                pairs.push(Pair { left: *left, right: *right, range: None });
             }
         }
-        Self {
-            pairs,
-            largest: 0.0,
-            samples: histogram(),
-        }
+        Self { pairs, largest: 0.0, worst: None, samples: histogram() }
     }
 
     /// Takes a sample: service over weight of each tenant, and whether each was backlogged all the
@@ -63,7 +57,10 @@
             let range = (least.min(difference), most.max(difference));
             pair.range = Some(range);
             let gap = range.1 - range.0;
-            self.largest = self.largest.max(gap);
+            if gap > self.largest {
+                self.largest = gap;
+                self.worst = Some((pair.left, pair.right));
+            }
             // The histogram resizes itself.
             let _ = self.samples.record((gap * 1e3) as u64);
         }
@@ -74,6 +71,11 @@
         self.largest
     }
 
+    /// The tenants between which the largest gap was.
+    pub fn worst(&self) -> Option<(usize, usize)> {
+        self.worst
+    }
+
     /// The gap that 99 in 100 samples do not exceed.
     pub fn at_99(&self) -> f64 {
         self.samples.value_at_quantile(0.99) as f64 / 1e3
@@ -106,11 +108,7 @@
     /// Share of slot time used, of that which waiting work could have used.
     pub fn utilisation(&self) -> f64 {
         let usable = self.used + self.stranded;
-        if usable == 0.0 {
-            1.0
-        } else {
-            self.used / usable
-        }
+        if usable == 0.0 { 1.0 } else { self.used / usable }
     }
 }
 
@@ -140,11 +138,7 @@
 
     /// The longest wait, in seconds.
     pub fn longest(&self) -> f64 {
-        if self.waits.is_empty() {
-            0.0
-        } else {
-            self.waits.max() as f64 / 1e6
-        }
+        if self.waits.is_empty() { 0.0 } else { self.waits.max() as f64 / 1e6 }
     }
 
     /// Number of waits.
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -63,11 +63,7 @@
 
     /// Begins a cut.
     pub fn cut(&mut self, machines: Vec<usize>, both_ways: bool, until: Timestamp) {
-        self.cuts.push(ActiveCut {
-            machines,
-            both_ways,
-            until,
-        });
+        self.cuts.push(ActiveCut { machines, both_ways, until });
     }
 
     /// Begins to lose a share of all messages.
@@ -78,11 +74,7 @@
 
     /// Delay between two machines, without jitter.
     pub fn delay_between(&self, from: usize, to: usize) -> Duration {
-        if from % self.zones == to % self.zones {
-            self.near_delay
-        } else {
-            self.delay
-        }
+        if from % self.zones == to % self.zones { self.near_delay } else { self.delay }
     }
 
     /// Sends a message of `bytes` between processes that stand on machines. Gives its arrival, or
@@ -126,10 +118,7 @@
     /// Messages and bytes so far. Those between processes of one machine do not count.
     pub fn traffic(&self) -> Traffic {
         let busiest_bytes = self.by_process.iter().copied().max().unwrap_or(0);
-        Traffic {
-            busiest_bytes,
-            ..self.traffic
-        }
+        Traffic { busiest_bytes, ..self.traffic }
     }
 }
 
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -35,6 +35,8 @@
     pub service: String,
     /// Largest service gap of two tenants backlogged together, in cost units over weight.
     pub gap: f64,
+    /// The two tenants between which it was.
+    pub worst_pair: String,
     /// The gap that 99 in 100 samples do not exceed.
     pub gap_99: f64,
     /// The largest gap as a share of the bound.
@@ -78,6 +80,7 @@
         Self {
             service: scenario.services[service].name.clone(),
             gap: gap.largest(),
+            worst_pair: gap.worst().map(|pair| pair_name(scenario, pair)).unwrap_or_default(),
             gap_99: gap.at_99(),
             gap_of_bound: gap.largest() / bound,
             utilisation: slots.utilisation(),
@@ -86,6 +89,10 @@
     }
 }
 
+fn pair_name(scenario: &Scenario, (left, right): (usize, usize)) -> String {
+    format!("{} / {}", scenario.tenants[left].name, scenario.tenants[right].name)
+}
+
 /// Time in which what a scheduler knows may be out of date: the interval of reports on cost, a
 /// message each way, and the time in which a lost scheduler is replaced.
 const STALENESS_SECONDS: f64 = 0.1 + 0.004 + 0.6;
@@ -94,10 +101,7 @@
 /// of the cell, `L` the largest cost of a request, `w` the least weight, `R` the time in which
 /// knowledge may be out of date and `C` the service that all slots give in a second.
 pub fn gap_bound(scenario: &Scenario, service: usize, largest_cost: u64) -> f64 {
-    let of_service = scenario
-        .tenants
-        .iter()
-        .filter(|tenant| tenant.service == service);
+    let of_service = scenario.tenants.iter().filter(|tenant| tenant.service == service);
     let weight = of_service.map(|tenant| tenant.weight).min().unwrap_or(1);
     let slots = f64::from(scenario.slots(service));
     let rate = slots / scenario.services[service].step.as_secs_f64();
@@ -114,7 +118,7 @@
     let ideal = &figures[0];
     for (index, of_ideal) in ideal.services.iter().enumerate() {
         line(format_args!(
-            "{:<26} {:>9} {:>6} {:>9} {:>8} {:>7} {:>6} {:>9}",
+            "{:<26} {:>9} {:>6} {:>9} {:>8} {:>7} {:>6} {:>9}  {}",
             format!("service {}", of_ideal.service),
             "gap",
             "ratio",
@@ -123,11 +127,12 @@
             "util",
             "ratio",
             "stranded",
+            "worst pair",
         ));
         for one in figures {
             let service = &one.services[index];
             line(format_args!(
-                "{:<26} {:>9.0} {:>6.2} {:>9.0} {:>8.4} {:>7.4} {:>6.3} {:>9.2}",
+                "{:<26} {:>9.0} {:>6.2} {:>9.0} {:>8.4} {:>7.4} {:>6.3} {:>9.2}  {}",
                 one.dispatcher,
                 service.gap,
                 service.gap / of_ideal.gap,
@@ -136,6 +141,7 @@
                 service.utilisation,
                 service.utilisation / of_ideal.utilisation,
                 service.stranded_seconds,
+                service.worst_pair,
             ));
         }
     }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -20,6 +20,8 @@
     pub near_delay: Duration,
     /// Time simulated.
     pub duration: Duration,
+    /// Time before the first arrivals, in which the fleet finds itself.
+    pub load_start: Duration,
     /// Time at the beginning that is not measured.
     pub warm_up: Duration,
     /// The services.
@@ -148,11 +150,7 @@
                 }
             }
         }
-        let scenario = fleet.map(|fleet| Scenario {
-            services,
-            tenants,
-            ..fleet
-        });
+        let scenario = fleet.map(|fleet| Scenario { services, tenants, ..fleet });
         faults.into_result(scenario).map_err(ScenarioError::Faults)
     }
 
@@ -169,6 +167,7 @@
     let delay: Option<Micros> = section.required("delay-micros");
     let near_delay: Micros = section.or("near-delay-micros", Bounded(100));
     let duration: Option<Span<1_000, 3_600_000>> = section.required("duration");
+    let load_start: Span<0, 600_000> = section.or("load-start", Span(Duration::from_secs(5)));
     let warm_up: Span<0, 600_000> = section.or("warm-up", Span(Duration::from_secs(5)));
     section.finish();
     Some(Scenario {
@@ -177,6 +176,7 @@
         delay: Duration::from_micros(delay?.0),
         near_delay: Duration::from_micros(near_delay.0),
         duration: duration?.0,
+        load_start: load_start.0,
         warm_up: warm_up.0,
         services: Vec::new(),
         tenants: Vec::new(),
@@ -215,11 +215,8 @@
     let mut reader = document.section(section, faults);
     let weight: Bounded<1, 10_000> = reader.or("weight", Bounded(1));
     let service: Option<Name> = reader.required("service");
-    let mut gateways: Vec<usize> = reader
-        .list::<Bounded<0, 999>>("gateways")
-        .iter()
-        .map(|number| number.0 as usize)
-        .collect();
+    let mut gateways: Vec<usize> =
+        reader.list::<Bounded<0, 999>>("gateways").iter().map(|number| number.0 as usize).collect();
     let callers: Option<Bounded<1, 100_000>> = reader.optional("callers");
     let rate: Option<Decimal> = reader.optional("rate");
     let on: Option<Span<1, 3_600_000>> = reader.optional("crowd");
@@ -228,47 +225,26 @@
     let spread: Decimal = reader.or("cost-spread", Decimal(0.0));
     let largest: Option<Bounded<1, 10_000_000>> = reader.optional("largest-cost");
     let arrivals = match (callers, rate, on) {
-        (Some(callers), None, None) => Some(Arrivals::Closed {
-            callers: callers.0 as u32,
-        }),
+        (Some(callers), None, None) => Some(Arrivals::Closed { callers: callers.0 as u32 }),
         (None, Some(rate), None) => Some(Arrivals::Open { rate: rate.0 }),
-        (None, Some(rate), Some(on)) => Some(Arrivals::Crowds {
-            rate: rate.0,
-            on: on.0,
-            off: off.0,
-        }),
+        (None, Some(rate), Some(on)) => {
+            Some(Arrivals::Crowds { rate: rate.0, on: on.0, off: off.0 })
+        }
         _ => {
-            reader.fault(
-                "callers",
-                Problem::Missing {
-                    expected: "either callers or rate",
-                },
-            );
+            reader.fault("callers", Problem::Missing { expected: "either callers or rate" });
             None
         }
     };
     let service = service.and_then(|Name(name)| {
         let found = services.iter().position(|service| service.name == name);
         if found.is_none() {
-            reader.fault(
-                "service",
-                Problem::Dangling {
-                    kind: "service",
-                    name,
-                },
-            );
+            reader.fault("service", Problem::Dangling { kind: "service", name });
         }
         found
     });
     if let Some(wrong) = gateways.iter().find(|gateway| **gateway >= machines) {
         let name = wrong.to_string();
-        reader.fault(
-            "gateways",
-            Problem::Dangling {
-                kind: "machine",
-                name,
-            },
-        );
+        reader.fault("gateways", Problem::Dangling { kind: "machine", name });
     }
     if gateways.is_empty() {
         gateways = (0..machines).collect();
--- a/crates/simulation/src/workload.rs
+++ b/crates/simulation/src/workload.rs
@@ -30,6 +30,7 @@
 /// The sources of all tenants.
 #[derive(Debug)]
 pub struct Workload {
+    start: Timestamp,
     tenants: Vec<TenantLoad>,
     sources: Vec<Source>,
 }
@@ -43,10 +44,8 @@
                 Source { random, turn: 0 }
             })
             .collect();
-        Self {
-            tenants: scenario.tenants.clone(),
-            sources,
-        }
+        let start = Timestamp::ZERO + scenario.load_start;
+        Self { start, tenants: scenario.tenants.clone(), sources }
     }
 
     /// The first arrivals of every tenant, with their times.
@@ -58,11 +57,12 @@
                     for _ in 0..callers {
                         // Spread over the first tenth of a second, so that not all start as one.
                         let micros = self.sources[tenant].random.random_range(0..100_000);
-                        arrivals.push((Timestamp::from_micros(micros), self.draw(tenant)));
+                        let at = self.start + Duration::from_micros(micros);
+                        arrivals.push((at, self.draw(tenant)));
                     }
                 }
                 Arrivals::Open { .. } | Arrivals::Crowds { .. } => {
-                    arrivals.push(self.next_open(Timestamp::ZERO, tenant));
+                    arrivals.push(self.next_open(self.start, tenant));
                 }
             }
         }
@@ -107,18 +107,13 @@
             load.median_cost as f64
         } else {
             let logarithm = (load.median_cost as f64).ln();
-            LogNormal::new(logarithm, load.cost_spread).map_or(load.median_cost as f64, |cost| {
-                cost.sample(&mut source.random)
-            })
+            LogNormal::new(logarithm, load.cost_spread)
+                .map_or(load.median_cost as f64, |cost| cost.sample(&mut source.random))
         };
         let cost = (cost.round() as u64).clamp(1, load.largest_cost);
         let gateway = load.gateways[source.turn % load.gateways.len()];
         source.turn += 1;
-        Arrival {
-            tenant,
-            gateway,
-            cost,
-        }
+        Arrival { tenant, gateway, cost }
     }
 }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -87,10 +87,7 @@
 
 enum Event {
     Arrival(Arrival),
-    Reach {
-        request: RequestNumber,
-        engine: usize,
-    },
+    Reach { request: RequestNumber, engine: usize },
     End(RequestNumber),
     Wake,
     Progress,
@@ -176,10 +173,8 @@
             self.events.push(at, Event::Arrival(arrival));
         }
         self.events.push(Timestamp::ZERO, Event::Wake);
-        self.events
-            .push(Timestamp::ZERO + PROGRESS, Event::Progress);
-        self.events
-            .push(Timestamp::ZERO + self.scenario.warm_up, Event::Sample);
+        self.events.push(Timestamp::ZERO + PROGRESS, Event::Progress);
+        self.events.push(Timestamp::ZERO + self.scenario.warm_up, Event::Sample);
         let end = Timestamp::ZERO + self.scenario.duration;
         while let Some((now, event)) = self.events.pop() {
             if now > end {
@@ -204,10 +199,7 @@
             return;
         }
         for service in 0..self.scenario.services.len() {
-            let (slots, free) = (
-                self.scenario.slots(service),
-                self.engines.free_slots(service),
-            );
+            let (slots, free) = (self.scenario.slots(service), self.engines.free_slots(service));
             let waiting = self.waiting_at[service];
             self.measured.slots[service].advance(now, slots, free, waiting);
         }
@@ -228,22 +220,14 @@
     }
 
     fn ask<T>(&mut self, now: Timestamp, question: impl FnOnce(&mut D, &View<'_>) -> T) -> T {
-        let view = View {
-            now,
-            requests: &self.requests,
-            engines: &self.engines,
-        };
+        let view = View { now, requests: &self.requests, engines: &self.engines };
         question(self.dispatcher, &view)
     }
 
     fn carry_out(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
             match decision {
-                Decision::Send {
-                    request,
-                    engine,
-                    at,
-                } => {
+                Decision::Send { request, engine, at } => {
                     self.events.push(at, Event::Reach { request, engine });
                 }
                 Decision::Wake(at) => self.events.push(at, Event::Wake),
@@ -258,14 +242,8 @@
         let service = self.scenario.tenants[arrival.tenant].service;
         let largest = &mut self.measured.largest_costs[service];
         *largest = arrival.cost.max(*largest);
-        let request = Request {
-            arrival,
-            arrived: now,
-            service,
-            engine: None,
-            began: None,
-            told: 0,
-        };
+        let request =
+            Request { arrival, arrived: now, service, engine: None, began: None, told: 0 };
         self.requests.push(request);
         self.waiting[arrival.tenant] += 1;
         self.waiting_at[service] += 1;
@@ -286,11 +264,8 @@
     fn begin(&mut self, now: Timestamp, number: RequestNumber) {
         let request = &mut self.requests[number];
         request.began = Some(now);
-        let (tenant, service, cost) = (
-            request.arrival.tenant,
-            request.service,
-            request.arrival.cost,
-        );
+        let (tenant, service, cost) =
+            (request.arrival.tenant, request.service, request.arrival.cost);
         let wait = now.since(request.arrived).as_micros() as u64;
         self.waiting[tenant] -= 1;
         self.waiting_at[service] -= 1;
@@ -299,8 +274,7 @@
             self.measured.waits[tenant].record(wait);
             self.measured.all_waits.record(wait);
         }
-        self.events
-            .push(self.engines.end_of(now, service, cost), Event::End(number));
+        self.events.push(self.engines.end_of(now, service, cost), Event::End(number));
     }
 
     fn end(&mut self, now: Timestamp, number: RequestNumber) {
@@ -321,11 +295,7 @@
 
     fn progress(&mut self, now: Timestamp) {
         let mut received = Vec::new();
-        for engine in 0..self
-            .engines
-            .of_service(self.scenario.services.len() - 1)
-            .end
-        {
+        for engine in 0..self.engines.of_service(self.scenario.services.len() - 1).end {
             for (number, since) in self.engines.running(engine) {
                 let request = &self.requests[number];
                 let cost = request.arrival.cost;
@@ -338,9 +308,7 @@
         for (number, delivered) in received {
             let more = delivered - self.requests[number].told;
             self.requests[number].told = delivered;
-            self.ask(now, |dispatcher, view| {
-                dispatcher.progressed(view, number, more)
-            });
+            self.ask(now, |dispatcher, view| dispatcher.progressed(view, number, more));
         }
         let decisions = self.ask(now, |dispatcher, view| dispatcher.after_progress(view));
         self.carry_out(decisions);
@@ -350,11 +318,7 @@
     /// Service delivered to each tenant until now.
     fn service(&self, now: Timestamp) -> Vec<u64> {
         let mut service = self.finished.clone();
-        for engine in 0..self
-            .engines
-            .of_service(self.scenario.services.len() - 1)
-            .end
-        {
+        for engine in 0..self.engines.of_service(self.scenario.services.len() - 1).end {
             for (number, since) in self.engines.running(engine) {
                 let request = &self.requests[number];
                 let cost = request.arrival.cost;
