--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -116,9 +116,7 @@
 
     /// The generation in force, zero for none. Never falls.
     pub fn generation(&self) -> Generation {
-        self.in_force
-            .as_ref()
-            .map_or(Generation::default(), |known| known.root.generation)
+        self.in_force.as_ref().map_or(Generation::default(), |known| known.root.generation)
     }
 
     /// The highest generation heard of.
@@ -128,9 +126,7 @@
 
     /// The configuration in force.
     pub fn configuration(&self) -> Option<Arc<FleetConfiguration>> {
-        self.in_force
-            .as_ref()
-            .map(|known| known.configuration.clone())
+        self.in_force.as_ref().map(|known| known.configuration.clone())
     }
 
     /// Sets the peers: seeds and members alive, without this process.
@@ -167,10 +163,7 @@
             self.holders.clear();
         }
         self.holders.insert(from.clone());
-        let fetching = self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| fetch.root.generation >= generation);
+        let fetching = self.fetch.as_ref().is_some_and(|fetch| fetch.root.generation >= generation);
         if fetching || self.root_asked.is_some() {
             return Vec::new();
         }
@@ -189,10 +182,7 @@
             SpreadMessage::Announce { generation } => self.hear(now, from, generation),
             SpreadMessage::RootRequest => {
                 let root = self.in_force.as_ref().map(|known| known.root.clone());
-                vec![Action::Send {
-                    to: from.clone(),
-                    message: SpreadMessage::Root { root },
-                }]
+                vec![Action::Send { to: from.clone(), message: SpreadMessage::Root { root } }]
             }
             SpreadMessage::Root { root } => {
                 self.root_asked = None;
@@ -203,10 +193,7 @@
             }
             SpreadMessage::PartsRequest { parts } => {
                 let parts = self.parts_held(&parts);
-                vec![Action::Send {
-                    to: from.clone(),
-                    message: SpreadMessage::Parts { parts },
-                }]
+                vec![Action::Send { to: from.clone(), message: SpreadMessage::Parts { parts } }]
             }
             SpreadMessage::Parts { parts } => self.handle_parts(now, parts, random),
         }
@@ -246,12 +233,7 @@
                 }
             }
         }
-        self.fetch = Some(Fetch {
-            root,
-            parts,
-            source,
-            asked: now,
-        });
+        self.fetch = Some(Fetch { root, parts, source, asked: now });
         self.install_or_fetch(now, random)
     }
 
@@ -273,11 +255,7 @@
                 progress |= fetch.parts.insert(hash, part).is_none();
             }
         }
-        if progress {
-            self.install_or_fetch(now, random)
-        } else {
-            Vec::new()
-        }
+        if progress { self.install_or_fetch(now, random) } else { Vec::new() }
     }
 
     fn install_or_fetch(
@@ -297,10 +275,7 @@
             Source::Platform => vec![Action::ReadParts(missing)],
             Source::Peer(peer) => {
                 let message = SpreadMessage::PartsRequest { parts: missing };
-                vec![Action::Send {
-                    to: peer.clone(),
-                    message,
-                }]
+                vec![Action::Send { to: peer.clone(), message }]
             }
         }
     }
@@ -324,11 +299,7 @@
         };
         let generation = fetch.root.generation;
         let configuration = Arc::new(configuration);
-        self.in_force = Some(InForce {
-            root: fetch.root,
-            parts: fetch.parts,
-            configuration,
-        });
+        self.in_force = Some(InForce { root: fetch.root, parts: fetch.parts, configuration });
         let mut actions = vec![Action::Installed(generation)];
         actions.extend(self.announce(generation, random));
         actions
@@ -353,18 +324,12 @@
         let Some(known) = &self.in_force else {
             return Vec::new();
         };
-        asked
-            .iter()
-            .filter_map(|hash| known.parts.get(hash).cloned())
-            .collect()
+        asked.iter().filter_map(|hash| known.parts.get(hash).cloned()).collect()
     }
 
     fn ask_root(&mut self, now: Timestamp, to: ProcessId) -> Vec<Action> {
         self.root_asked = Some((to.clone(), now));
-        vec![Action::Send {
-            to,
-            message: SpreadMessage::RootRequest,
-        }]
+        vec![Action::Send { to, message: SpreadMessage::RootRequest }]
     }
 
     /// Asks another source where one did not answer.
--- a/crates/spread/src/tests.rs
+++ b/crates/spread/src/tests.rs
@@ -8,14 +8,8 @@
     let mut whole = FleetConfiguration::default();
     for index in 0..tenants {
         let keys = vec![KeyDigest::of(&format!("key-{index}"))];
-        let tenant = Tenant {
-            weight: Weight::ONE,
-            keys,
-            most_waiting: 5,
-        };
-        whole
-            .tenants
-            .insert(TenantName::from(&*format!("t{index}")), tenant);
+        let tenant = Tenant { weight: Weight::ONE, keys, most_waiting: 5 };
+        whole.tenants.insert(TenantName::from(&*format!("t{index}")), tenant);
     }
     whole
 }
@@ -59,9 +53,7 @@
 ) {
     let mut state = 1_usize;
     let mut varied = move |choices: usize| {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963);
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
         (state >> 33) % choices
     };
     while let Some((from, action)) = queue.pop() {
@@ -87,23 +79,14 @@
     let watcher = processes.get_mut(&peer(8)).expect("there");
     watcher.handle_platform_root(Timestamp::ZERO, Some(root(3, &parts)), &mut first);
     let actions = watcher.handle_parts(Timestamp::ZERO, parts, &mut first);
-    let queue = actions
-        .into_iter()
-        .map(|action| (peer(8), action))
-        .collect();
+    let queue = actions.into_iter().map(|action| (peer(8), action)).collect();
     settle(&mut processes, queue, |_, _| false);
-    let reached = processes
-        .values()
-        .filter(|spread| spread.generation() == Generation(3))
-        .count();
+    let reached = processes.values().filter(|spread| spread.generation() == Generation(3)).count();
     assert!(reached >= 5, "the fanout alone reaches {reached}");
     // Whoever was missed hears of it with the next message of any kind.
     let last = processes.get_mut(&peer(7)).expect("there");
     let actions = last.hear(Timestamp::ZERO, &peer(8), Generation(3));
-    let queue = actions
-        .into_iter()
-        .map(|action| (peer(7), action))
-        .collect();
+    let queue = actions.into_iter().map(|action| (peer(7), action)).collect();
     settle(&mut processes, queue, |_, _| false);
     assert_eq!(processes[&peer(7)].generation(), Generation(3));
 }
@@ -115,14 +98,8 @@
     let old = configuration(2).to_parts();
     let actions = process.handle_platform_root(Timestamp::ZERO, Some(root(2, &old)), &mut first);
     assert!(actions.is_empty());
-    let late = SpreadMessage::Root {
-        root: Some(root(4, &old)),
-    };
-    assert!(
-        process
-            .handle(Timestamp::ZERO, &peer(0), late, &mut first)
-            .is_empty()
-    );
+    let late = SpreadMessage::Root { root: Some(root(4, &old)) };
+    assert!(process.handle(Timestamp::ZERO, &peer(0), late, &mut first).is_empty());
     process.handle_parts(Timestamp::ZERO, old, &mut first);
     assert_eq!(process.generation(), Generation(5));
 }
@@ -136,21 +113,11 @@
     assert_eq!(process.readiness(Timestamp::ZERO), Readiness::Asking);
     process.hear(Timestamp::ZERO, &peer(0), Generation(3));
     process.hear(Timestamp::ZERO, &peer(1), Generation(3));
-    assert_eq!(
-        process.readiness(Timestamp::from_millis(5_000)),
-        Readiness::Asking
-    );
+    assert_eq!(process.readiness(Timestamp::from_millis(5_000)), Readiness::Asking);
     let new = configuration(3).to_parts();
-    let answer = SpreadMessage::Root {
-        root: Some(root(3, &new)),
-    };
+    let answer = SpreadMessage::Root { root: Some(root(3, &new)) };
     process.handle(Timestamp::ZERO, &peer(0), answer, &mut first);
-    process.handle(
-        Timestamp::ZERO,
-        &peer(0),
-        SpreadMessage::Parts { parts: new },
-        &mut first,
-    );
+    process.handle(Timestamp::ZERO, &peer(0), SpreadMessage::Parts { parts: new }, &mut first);
     assert_eq!(process.readiness(Timestamp::ZERO), Readiness::Ready);
 }
 
@@ -159,26 +126,13 @@
     let mut process = spread(4);
     let parts = configuration(3).to_parts();
     process.hear(Timestamp::ZERO, &peer(0), Generation(3));
-    let answer = SpreadMessage::Root {
-        root: Some(root(3, &parts)),
-    };
+    let answer = SpreadMessage::Root { root: Some(root(3, &parts)) };
     process.handle(Timestamp::ZERO, &peer(0), answer, &mut first);
-    process.handle(
-        Timestamp::ZERO,
-        &peer(0),
-        SpreadMessage::Parts { parts },
-        &mut first,
-    );
-    assert_eq!(
-        process.readiness(Timestamp::from_millis(9_000)),
-        Readiness::Asking
-    );
+    process.handle(Timestamp::ZERO, &peer(0), SpreadMessage::Parts { parts }, &mut first);
+    assert_eq!(process.readiness(Timestamp::from_millis(9_000)), Readiness::Asking);
     process.hear(Timestamp::ZERO, &peer(1), Generation(3));
     process.hear(Timestamp::ZERO, &peer(2), Generation(2));
-    assert_eq!(
-        process.readiness(Timestamp::from_millis(9_000)),
-        Readiness::Ready
-    );
+    assert_eq!(process.readiness(Timestamp::from_millis(9_000)), Readiness::Ready);
 }
 
 #[test]
@@ -189,10 +143,7 @@
     process.hear(Timestamp::ZERO, &peer(1), Generation(2));
     let later = process.next_timeout();
     let again = process.handle_timeout(later, &mut first);
-    let expected = Action::Send {
-        to: peer(1),
-        message: SpreadMessage::RootRequest,
-    };
+    let expected = Action::Send { to: peer(1), message: SpreadMessage::RootRequest };
     assert_eq!(again, [expected]);
 }
 
@@ -201,9 +152,7 @@
     let mut process = spread(2);
     let parts = configuration(3).to_parts();
     process.handle_platform_root(Timestamp::ZERO, Some(root(3, &parts)), &mut first);
-    let forged = vec![Part {
-        bytes: b"{}".to_vec(),
-    }];
+    let forged = vec![Part { bytes: b"{}".to_vec() }];
     process.handle_parts(Timestamp::ZERO, forged, &mut first);
     assert_eq!(process.generation(), Generation(0));
 }
--- a/crates/stand-in/src/application.rs
+++ b/crates/stand-in/src/application.rs
@@ -37,10 +37,7 @@
 
 /// Serves for ever.
 pub async fn serve(server: Server, work: Duration, file: Option<File>) {
-    let record = Arc::new(Mutex::new(Record {
-        file,
-        ..Record::default()
-    }));
+    let record = Arc::new(Mutex::new(Record { file, ..Record::default() }));
     server
         .run(move |request, _| {
             let record = record.clone();
@@ -65,9 +62,7 @@
     let Ok(body) = read_limited(body, BODY_LIMIT).await else {
         return status(StatusCode::PAYLOAD_TOO_LARGE);
     };
-    let id = text(&head.headers, &REQUEST_ID)
-        .unwrap_or_default()
-        .to_owned();
+    let id = text(&head.headers, &REQUEST_ID).unwrap_or_default().to_owned();
     note_run(record, &id, text(&head.headers, &IDEMPOTENCY_KEY));
     let own_work = text(&head.headers, &WORK).and_then(|text| text.parse().ok());
     smol::Timer::after(own_work.map_or(work, Duration::from_millis)).await;
@@ -99,9 +94,7 @@
     match fault {
         Some("hang") => std::future::pending().await,
         Some("break-answer") => {
-            let _ = sender
-                .send(Ok(answer.as_bytes()[..half].to_vec().into()))
-                .await;
+            let _ = sender.send(Ok(answer.as_bytes()[..half].to_vec().into())).await;
             let _ = sender.send(Err(BodyError)).await;
         }
         Some("crossed") => {
@@ -113,9 +106,7 @@
         }
     }
     let mut response = Response::new(streamed(chunks));
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Ok(told) = HeaderValue::from_str(&told) {
         response.headers_mut().insert(REQUEST_ID, told);
     }
--- a/crates/stand-in/src/engine.rs
+++ b/crates/stand-in/src/engine.rs
@@ -85,9 +85,7 @@
         sequence.cancel();
         return status(StatusCode::NO_CONTENT);
     }
-    let after = query
-        .and_then(|query| query.strip_prefix("after=")?.parse().ok())
-        .unwrap_or(0);
+    let after = query.and_then(|query| query.strip_prefix("after=")?.parse().ok()).unwrap_or(0);
     event_stream(id, sequence, after, None)
 }
 
@@ -104,9 +102,7 @@
     if prompt.is_empty() {
         return status(StatusCode::BAD_REQUEST);
     }
-    let id = header_text(headers, &REQUEST_ID)
-        .unwrap_or_default()
-        .to_owned();
+    let id = header_text(headers, &REQUEST_ID).unwrap_or_default().to_owned();
     let wanted = chat.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
     let prompt_tokens = prompt.len();
     let sequence = engine.start(&id, prompt, wanted);
@@ -194,11 +190,7 @@
             return;
         }
     }
-    let end = if reader.0.is_whole() {
-        Ok(event("[DONE]"))
-    } else {
-        Err(BodyError)
-    };
+    let end = if reader.0.is_whole() { Ok(event("[DONE]")) } else { Err(BodyError) };
     // A reader that is gone needs no end.
     let _ = sender.send(end).await;
 }
@@ -210,10 +202,7 @@
 fn fault(headers: &HeaderMap) -> Option<BreakAfter> {
     let (kind, tokens) = header_text(headers, &FAULT)?.split_once('=')?;
     let for_good = kind == "break-for-good";
-    Some(BreakAfter {
-        tokens: tokens.parse().ok()?,
-        for_good,
-    })
+    Some(BreakAfter { tokens: tokens.parse().ok()?, for_good })
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
--- a/crates/stand-in/src/generation.rs
+++ b/crates/stand-in/src/generation.rs
@@ -114,12 +114,7 @@
     /// An idle engine.
     pub fn new(slots: usize, step: Duration) -> Arc<Self> {
         let (sequences, runs) = (Mutex::default(), Mutex::default());
-        Arc::new(Self {
-            slots: Semaphore::new(slots),
-            step,
-            sequences,
-            runs,
-        })
+        Arc::new(Self { slots: Semaphore::new(slots), step, sequences, runs })
     }
 
     /// Starts a sequence whose tokens repeat `words`.
--- a/crates/stand-in/src/main.rs
+++ b/crates/stand-in/src/main.rs
@@ -129,9 +129,7 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<Server, StartError> {
-    Server::bind(address, ServerConfig::default())
-        .await
-        .map_err(StartError::Bind)
+    Server::bind(address, ServerConfig::default()).await.map_err(StartError::Bind)
 }
 
 fn open_record(path: PathBuf) -> std::io::Result<File> {
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -38,8 +38,7 @@
 
     fn set(&mut self, machines: Vec<Machine>) {
         let revision = self.changes.len() as u64 + 1;
-        self.changes
-            .push((Instant::now(), MachineList { revision, machines }));
+        self.changes.push((Instant::now(), MachineList { revision, machines }));
     }
 }
 
@@ -51,10 +50,7 @@
 pub async fn serve(server: Server, limits: Limits, lag: Duration) {
     let platform = Arc::new(Platform {
         store: Mutex::new(Store::new(limits)),
-        machines: Mutex::new(Machines {
-            lag,
-            changes: Vec::new(),
-        }),
+        machines: Mutex::new(Machines { lag, changes: Vec::new() }),
     });
     server
         .run(move |request, _| {
@@ -106,11 +102,7 @@
     async fn admit(&self, read: bool) -> Result<(), Response<Body>> {
         let (admitted, faults) = {
             let mut store = lock(&self.store);
-            let admitted = if read {
-                store.admit_read()
-            } else {
-                store.admit_write()
-            };
+            let admitted = if read { store.admit_read() } else { store.admit_write() };
             (admitted, store.faults)
         };
         if faults.delay_ms > 0 {
@@ -179,13 +171,9 @@
     }
     match headers.get(IF_MATCH) {
         None => Some(Required::Nothing),
-        Some(version) => version
-            .to_str()
-            .ok()?
-            .trim_matches('"')
-            .parse()
-            .ok()
-            .map(Required::Version),
+        Some(version) => {
+            version.to_str().ok()?.trim_matches('"').parse().ok().map(Required::Version)
+        }
     }
 }
 
@@ -197,14 +185,6 @@
 }
 
 fn query_number(uri: &Uri, name: &str) -> Option<u64> {
-    let pairs = uri
-        .query()?
-        .split('&')
-        .filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == name)?
-        .1
-        .parse()
-        .ok()
+    let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name)?.1.parse().ok()
 }
--- a/crates/stand-in/src/store.rs
+++ b/crates/stand-in/src/store.rs
@@ -71,10 +71,7 @@
 impl Window {
     fn admit(&mut self, limit: u32) -> bool {
         if self.began.elapsed() >= Duration::from_secs(1) {
-            *self = Window {
-                began: Instant::now(),
-                calls: 0,
-            };
+            *self = Window { began: Instant::now(), calls: 0 };
         }
         self.calls += 1;
         self.calls <= limit
@@ -97,10 +94,7 @@
 impl Store {
     /// An empty store.
     pub fn new(limits: Limits) -> Self {
-        let window = || Window {
-            began: Instant::now(),
-            calls: 0,
-        };
+        let window = || Window { began: Instant::now(), calls: 0 };
         Self {
             limits,
             faults: Faults::default(),
@@ -151,14 +145,7 @@
         }
         let before = current.map(|stored| (stored.version, stored.value.clone()));
         let version = before.as_ref().map_or(1, |(version, _)| version + 1);
-        self.objects.insert(
-            key.to_owned(),
-            Stored {
-                version,
-                value,
-                before,
-            },
-        );
+        self.objects.insert(key.to_owned(), Stored { version, value, before });
         Some(version)
     }
 
--- a/crates/telemetry/src/admin.rs
+++ b/crates/telemetry/src/admin.rs
@@ -51,15 +51,9 @@
         },
         "/metrics" => metrics(registry),
         "/status" => value(StatusCode::OK, &process.status()),
-        _ => match path
-            .strip_prefix("/explain/")
-            .and_then(|subject| process.explain(subject))
-        {
+        _ => match path.strip_prefix("/explain/").and_then(|subject| process.explain(subject)) {
             Some(account) => value(StatusCode::OK, &account),
-            None => value(
-                StatusCode::NOT_FOUND,
-                &json!({ "error": { "code": "not_found" } }),
-            ),
+            None => value(StatusCode::NOT_FOUND, &json!({ "error": { "code": "not_found" } })),
         },
     }
 }
@@ -68,10 +62,7 @@
     let mut buffer = String::new();
     match encode(&mut buffer, registry) {
         Ok(()) => text(StatusCode::OK, buffer),
-        Err(_) => text(
-            StatusCode::INTERNAL_SERVER_ERROR,
-            "metrics cannot be written\n".to_owned(),
-        ),
+        Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "metrics cannot be written\n".to_owned()),
     }
 }
 
--- a/crates/telemetry/src/span.rs
+++ b/crates/telemetry/src/span.rs
@@ -17,12 +17,7 @@
     /// A hop below `parent`.
     pub fn start(name: &'static str, parent: TraceContext, random: &mut impl Rng) -> Self {
         let context = parent.child(random);
-        Self {
-            name,
-            context,
-            parent: parent.span,
-            started: Instant::now(),
-        }
+        Self { name, context, parent: parent.span, started: Instant::now() }
     }
 
     /// What the next hop gets as its `traceparent`.
--- a/crates/telemetry/src/trace_context.rs
+++ b/crates/telemetry/src/trace_context.rs
@@ -20,30 +20,19 @@
     /// The root of a new trace.
     pub fn new_root(random: &mut impl Rng) -> Self {
         let trace = (u128::from(random.next_u64()) << 64) | u128::from(random.next_u64() | 1);
-        Self {
-            trace,
-            span: random.next_u64() | 1,
-            sampled: true,
-        }
+        Self { trace, span: random.next_u64() | 1, sampled: true }
     }
 
     /// A new span within the same trace.
     pub fn child(self, random: &mut impl Rng) -> Self {
-        Self {
-            span: random.next_u64() | 1,
-            ..self
-        }
+        Self { span: random.next_u64() | 1, ..self }
     }
 }
 
 impl fmt::Display for TraceContext {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let flags = u8::from(self.sampled);
-        write!(
-            formatter,
-            "00-{:032x}-{:016x}-{flags:02x}",
-            self.trace, self.span
-        )
+        write!(formatter, "00-{:032x}-{:016x}-{flags:02x}", self.trace, self.span)
     }
 }
 
@@ -66,18 +55,12 @@
         if !known || trace == 0 || span == 0 {
             return Err(ParseTraceContextError);
         }
-        Ok(Self {
-            trace,
-            span,
-            sampled: flags & 1 == 1,
-        })
+        Ok(Self { trace, span, sampled: flags & 1 == 1 })
     }
 }
 
 fn hexadecimal(field: Option<&str>, digits: usize) -> Result<u128, ParseTraceContextError> {
-    let field = field
-        .filter(|field| field.len() == digits)
-        .ok_or(ParseTraceContextError)?;
+    let field = field.filter(|field| field.len() == digits).ok_or(ParseTraceContextError)?;
     let lower = |symbol: char| symbol.is_ascii_digit() || ('a'..='f').contains(&symbol);
     if !field.chars().all(lower) {
         return Err(ParseTraceContextError);
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -47,10 +47,7 @@
             engine_step_ms: 2,
             applications: 3,
             application_slots: 8,
-            tenants: vec![
-                TenantDeclaration::new("office"),
-                TenantDeclaration::new("summaries"),
-            ],
+            tenants: vec![TenantDeclaration::new("office"), TenantDeclaration::new("summaries")],
             log: "info".to_owned(),
         }
     }
@@ -112,11 +109,7 @@
         let bed = Self::launch(options).expect("the programs can be started");
         bed.wait_listening().await;
         let output = bed.apply();
-        assert!(
-            output.status.success(),
-            "{}",
-            String::from_utf8_lossy(&output.stderr)
-        );
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
         bed.wait_ready().await;
         bed
     }
@@ -126,13 +119,11 @@
         let mut ports = PortBlock::take();
         let folder = new_folder();
         let platform_address = ports.next_address();
-        let machines: Vec<Machine> = (0..options.machines)
-            .map(|index| machine(&mut ports, index))
-            .collect();
+        let machines: Vec<Machine> =
+            (0..options.machines).map(|index| machine(&mut ports, index)).collect();
         let engine_addresses: Vec<_> = (0..options.engines).map(|_| ports.next_address()).collect();
-        let application_addresses: Vec<_> = (0..options.applications)
-            .map(|_| ports.next_address())
-            .collect();
+        let application_addresses: Vec<_> =
+            (0..options.applications).map(|_| ports.next_address()).collect();
         let platform = start_platform(platform_address, &folder)?;
         let mut bed = Self {
             options,
@@ -222,10 +213,7 @@
             std::fs::write(self.folder.join(name), text).expect("files can be written");
         };
         std::fs::create_dir_all(self.configuration()).expect("folders can be made");
-        write(
-            "configuration/tenants.ini",
-            configuration::tenants(&self.options),
-        );
+        write("configuration/tenants.ini", configuration::tenants(&self.options));
         write("configuration/services.ini", configuration::services());
         let backends = configuration::backends(
             &self.options,
@@ -266,9 +254,7 @@
     /// When the platform does not take it.
     pub async fn tell_platform(&self, path: &str, value: &Value) {
         let caller = Caller::new(self.platform_address, "");
-        let answer = caller
-            .send(Method::PUT, path, value.to_string().into_bytes())
-            .await;
+        let answer = caller.send(Method::PUT, path, value.to_string().into_bytes()).await;
         let status = answer.expect("the platform stand-in runs").status;
         assert!(status.is_success(), "{path}: {status}");
     }
@@ -280,22 +266,14 @@
 
     /// Marks back ends as leaving in the platform's machine list; all others are live.
     pub async fn set_leaving(&self, leaving: &[SocketAddr]) {
-        let all = self
-            .engine_addresses
-            .iter()
-            .chain(&self.application_addresses);
+        let all = self.engine_addresses.iter().chain(&self.application_addresses);
         let machines: Vec<Value> = all
             .map(|address| {
-                let state = if leaving.contains(address) {
-                    "leaving"
-                } else {
-                    "live"
-                };
+                let state = if leaving.contains(address) { "leaving" } else { "live" };
                 json!({ "address": address, "zone": "bariloche", "state": state })
             })
             .collect();
-        self.tell_platform("/machines", &Value::from(machines))
-            .await;
+        self.tell_platform("/machines", &Value::from(machines)).await;
     }
 
     /// Runs `mastbayctl`.
@@ -312,12 +290,7 @@
     /// Applies the bed's configuration directory.
     pub fn apply(&self) -> Output {
         let (directory, platform) = (self.configuration(), self.platform_address.to_string());
-        self.ctl(&[
-            "apply",
-            &directory.display().to_string(),
-            "--platform",
-            &platform,
-        ])
+        self.ctl(&["apply", &directory.display().to_string(), "--platform", &platform])
     }
 
     /// The admin addresses of all gateways and schedulers.
@@ -385,10 +358,7 @@
 async fn alive_members(bed: &Bed, address: SocketAddr) -> usize {
     let status = bed.get(address, "/status").await;
     let members = status["members"].as_array().cloned().unwrap_or_default();
-    members
-        .iter()
-        .filter(|member| member["state"] == "alive")
-        .count()
+    members.iter().filter(|member| member["state"] == "alive").count()
 }
 
 fn machine(ports: &mut PortBlock, index: usize) -> Machine {
@@ -411,10 +381,6 @@
 }
 
 fn start_platform(address: SocketAddr, folder: &Path) -> Result<Process, StartFailed> {
-    let arguments = [
-        "platform".to_owned(),
-        "--address".to_owned(),
-        address.to_string(),
-    ];
+    let arguments = ["platform".to_owned(), "--address".to_owned(), address.to_string()];
     Process::start("mastbay-stand-in", &arguments, &folder.join("platform.log"))
 }
--- a/crates/testbed/src/call.rs
+++ b/crates/testbed/src/call.rs
@@ -47,10 +47,7 @@
 impl Answer {
     /// A header's text, empty if it is not there.
     pub fn header(&self, name: &str) -> &str {
-        self.headers
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
     /// What the caller is told of its request.
@@ -65,10 +62,7 @@
 
     /// The code of an error answer.
     pub fn code(&self) -> String {
-        self.json()["error"]["code"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned()
+        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
     }
 }
 
@@ -83,11 +77,7 @@
 impl Caller {
     /// A caller of the gateway at `address`.
     pub fn new(address: SocketAddr, tenant: &str) -> Self {
-        Self {
-            address,
-            key: key_of(tenant),
-            headers: Vec::new(),
-        }
+        Self { address, key: key_of(tenant), headers: Vec::new() }
     }
 
     /// The same caller with one more header on each request.
@@ -109,12 +99,9 @@
         path: &str,
         body: impl Into<Bytes>,
     ) -> Result<Answer, CallFailed> {
-        let connection = Connection::open(self.address, LIMIT)
-            .await
-            .map_err(CallFailed::Connect)?;
-        self.send_over(connection, method, path, body.into())
-            .await
-            .map(|(answer, _)| answer)
+        let connection =
+            Connection::open(self.address, LIMIT).await.map_err(CallFailed::Connect)?;
+        self.send_over(connection, method, path, body.into()).await.map(|(answer, _)| answer)
     }
 
     /// Sends a request over a connection and gives it back with the whole answer.
@@ -135,23 +122,12 @@
         }
         let request = request.body(Full::new(body)).unwrap_or_default();
         let exchange = async {
-            let response = connection
-                .exchange(request)
-                .await
-                .map_err(CallFailed::Exchange)?;
+            let response = connection.exchange(request).await.map_err(CallFailed::Exchange)?;
             let (head, body) = response.into_parts();
-            let body = read_limited(body, ANSWER_LIMIT)
-                .await
-                .map_err(|_| CallFailed::Broken)?;
-            Ok(Answer {
-                status: head.status,
-                headers: head.headers,
-                body,
-            })
+            let body = read_limited(body, ANSWER_LIMIT).await.map_err(|_| CallFailed::Broken)?;
+            Ok(Answer { status: head.status, headers: head.headers, body })
         };
-        let answer = within(LIMIT, exchange)
-            .await
-            .map_err(|_| CallFailed::TimedOut)??;
+        let answer = within(LIMIT, exchange).await.map_err(|_| CallFailed::TimedOut)??;
         Ok((answer, connection))
     }
 
@@ -167,12 +143,7 @@
         tokens: usize,
         stream: bool,
     ) -> Result<Answer, CallFailed> {
-        self.send(
-            Method::POST,
-            "/v1/chat/completions",
-            chat_body(prompt, tokens, stream),
-        )
-        .await
+        self.send(Method::POST, "/v1/chat/completions", chat_body(prompt, tokens, stream)).await
     }
 
     /// Gets a path, as for admin addresses and stand-ins.
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -17,10 +17,7 @@
 ) {
     let began = Instant::now();
     while !condition().await {
-        assert!(
-            began.elapsed() < limit,
-            "waited {limit:?} in vain for: {what}"
-        );
+        assert!(began.elapsed() < limit, "waited {limit:?} in vain for: {what}");
         smol::Timer::after(LOOK).await;
     }
 }
--- a/crates/testbed/src/configuration.rs
+++ b/crates/testbed/src/configuration.rs
@@ -17,10 +17,7 @@
 impl TenantDeclaration {
     /// A tenant of weight one.
     pub fn new(name: &str) -> Self {
-        Self {
-            name: name.to_owned(),
-            weight: 1,
-        }
+        Self { name: name.to_owned(), weight: 1 }
     }
 }
 
@@ -74,14 +71,7 @@
     for (index, address) in applications.iter().enumerate() {
         let service = ["permits", "checks", "confirmations"][index % 3];
         let name = format!("application-{index}");
-        backend(
-            &mut text,
-            &name,
-            service,
-            *address,
-            zone(index),
-            options.application_slots,
-        );
+        backend(&mut text, &name, service, *address, zone(index), options.application_slots);
     }
     text
 }
@@ -108,30 +98,13 @@
 
 /// Settings of a gateway.
 pub(crate) fn gateway(machine: &Machine, seeds: &str, platform: SocketAddr, log: &str) -> String {
-    let shared = shared(
-        machine,
-        seeds,
-        platform,
-        log,
-        machine.gateway_peer,
-        machine.gateway_admin,
-    );
-    format!(
-        "{shared}\n[gateway]\naddress = {}\nstop-grace = 100ms\n",
-        machine.callers
-    )
+    let shared = shared(machine, seeds, platform, log, machine.gateway_peer, machine.gateway_admin);
+    format!("{shared}\n[gateway]\naddress = {}\nstop-grace = 100ms\n", machine.callers)
 }
 
 /// Settings of a scheduler.
 pub(crate) fn scheduler(machine: &Machine, seeds: &str, platform: SocketAddr, log: &str) -> String {
-    shared(
-        machine,
-        seeds,
-        platform,
-        log,
-        machine.scheduler_peer,
-        machine.scheduler_admin,
-    )
+    shared(machine, seeds, platform, log, machine.scheduler_peer, machine.scheduler_admin)
 }
 
 fn shared(
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -145,14 +145,7 @@
             None => (Told::NotRun, String::new(), "no gateway".to_owned()),
         };
         let (tenant, took) = (self.tenant.clone(), began.elapsed());
-        Observed {
-            told,
-            request,
-            code,
-            tenant,
-            took,
-            began,
-        }
+        Observed { told, request, code, tenant, took, began }
     }
 
     async fn chat(
@@ -174,10 +167,7 @@
     ) -> Result<(Told, String, String), CallFailed> {
         let body = format!("caller {} call {call}", self.number);
         let answer = caller.post(&self.options.path, body).await?;
-        let told_id = answer.json()["request"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned();
+        let told_id = answer.json()["request"].as_str().unwrap_or_default().to_owned();
         let right = told_id == answer.header("mastbay-request-id")
             && answer.json()["tenant"] == *self.tenant;
         Ok(told(&answer, right))
@@ -192,9 +182,5 @@
         ("unknown", _) => Told::Unknown,
         _ => Told::Broken,
     };
-    (
-        told,
-        answer.header("mastbay-request-id").to_owned(),
-        answer.code(),
-    )
+    (told, answer.header("mastbay-request-id").to_owned(), answer.code())
 }
--- a/crates/testbed/src/ports.rs
+++ b/crates/testbed/src/ports.rs
@@ -28,11 +28,7 @@
             let block = ((start + offset) % blocks) as u16;
             let first = FIRST_BLOCK + block * BLOCK_SIZE;
             if let Ok(guard) = TcpListener::bind((Ipv4Addr::LOCALHOST, first)) {
-                return Self {
-                    _guard: guard,
-                    next: first + 1,
-                    end: first + BLOCK_SIZE,
-                };
+                return Self { _guard: guard, next: first + 1, end: first + BLOCK_SIZE };
             }
         }
         panic!("every block of ports is taken");
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -36,15 +36,8 @@
 impl Process {
     /// Starts a program of this workspace; what it prints goes to `log`.
     pub fn start(program: &str, arguments: &[String], log: &Path) -> Result<Self, StartFailed> {
-        let failed = |source| StartFailed {
-            program: program.to_owned(),
-            source,
-        };
-        let output = File::options()
-            .create(true)
-            .append(true)
-            .open(log)
-            .map_err(failed)?;
+        let failed = |source| StartFailed { program: program.to_owned(), source };
+        let output = File::options().create(true).append(true).open(log).map_err(failed)?;
         let errors = output.try_clone().map_err(failed)?;
         let child = Command::new(binary(program))
             .args(arguments)
@@ -53,10 +46,7 @@
             .stderr(errors)
             .spawn()
             .map_err(failed)?;
-        Ok(Self {
-            child,
-            log: log.to_path_buf(),
-        })
+        Ok(Self { child, log: log.to_path_buf() })
     }
 
     /// The process id.
--- a/crates/testbed/tests/access.rs
+++ b/crates/testbed/tests/access.rs
@@ -8,21 +8,13 @@
 
 fn run(test: impl AsyncFnOnce(Bed)) {
     smol::block_on(async {
-        let bed = Bed::start(BedOptions {
-            machines: 1,
-            ..BedOptions::default()
-        })
-        .await;
+        let bed = Bed::start(BedOptions { machines: 1, ..BedOptions::default() }).await;
         test(bed).await;
     });
 }
 
 async fn still_serves(bed: &Bed) {
-    let answer = bed
-        .caller(0, "office")
-        .post("/permits/new", "x")
-        .await
-        .expect("an answer");
+    let answer = bed.caller(0, "office").post("/permits/new", "x").await.expect("an answer");
     assert_eq!(answer.outcome(), "answered");
 }
 
@@ -33,23 +25,14 @@
     let _ = stream.write_all(bytes).await;
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer).await;
-    String::from_utf8_lossy(&answer)
-        .lines()
-        .next()
-        .unwrap_or_default()
-        .to_owned()
+    String::from_utf8_lossy(&answer).lines().next().unwrap_or_default().to_owned()
 }
 
 async fn metric(bed: &Bed, admin: SocketAddr, line: &str) -> u64 {
     let _ = bed;
-    let answer = Caller::new(admin, "")
-        .get("/metrics")
-        .await
-        .expect("metrics");
+    let answer = Caller::new(admin, "").get("/metrics").await.expect("metrics");
     let text = String::from_utf8_lossy(&answer.body).into_owned();
-    let found = text
-        .lines()
-        .find_map(|metric| metric.strip_prefix(line)?.trim().parse().ok());
+    let found = text.lines().find_map(|metric| metric.strip_prefix(line)?.trim().parse().ok());
     found.unwrap_or(0)
 }
 
@@ -60,57 +43,27 @@
         let chat = "/v1/chat/completions";
         let unknown_model = br#"{"model":"nothing","messages":[]}"#;
         let cases = [
-            (
-                office().with_key("wrong").post("/permits/new", "x").await,
-                401,
-                "unauthorized",
-            ),
-            (
-                office().with_key("").post("/permits/new", "x").await,
-                401,
-                "unauthorized",
-            ),
+            (office().with_key("wrong").post("/permits/new", "x").await, 401, "unauthorized"),
+            (office().with_key("").post("/permits/new", "x").await, 401, "unauthorized"),
             (office().post("/nowhere", "x").await, 404, "unknown_service"),
-            (
-                office().post("/permitsome", "x").await,
-                404,
-                "unknown_service",
-            ),
+            (office().post("/permitsome", "x").await, 404, "unknown_service"),
             (office().post(chat, "{ not json").await, 400, "bad_request"),
+            (office().post(chat, &unknown_model[..]).await, 404, "unknown_service"),
+            (office().post("/permits/new", vec![b'x'; 2 << 20]).await, 413, "body_too_large"),
             (
-                office().post(chat, &unknown_model[..]).await,
-                404,
-                "unknown_service",
-            ),
-            (
-                office().post("/permits/new", vec![b'x'; 2 << 20]).await,
-                413,
-                "body_too_large",
-            ),
-            (
-                office()
-                    .with("mastbay-deadline-ms", "soon")
-                    .post("/permits/new", "x")
-                    .await,
+                office().with("mastbay-deadline-ms", "soon").post("/permits/new", "x").await,
                 400,
                 "bad_request",
             ),
             (
-                office()
-                    .with("idempotency-key", &"k".repeat(300))
-                    .post("/permits/new", "x")
-                    .await,
+                office().with("idempotency-key", &"k".repeat(300)).post("/permits/new", "x").await,
                 400,
                 "bad_request",
             ),
         ];
         for (answer, status, code) in cases {
             let answer = answer.expect("an answer");
-            let told = (
-                answer.status.as_u16(),
-                answer.outcome().to_owned(),
-                answer.code(),
-            );
+            let told = (answer.status.as_u16(), answer.outcome().to_owned(), answer.code());
             assert_eq!(told, (status, "not-run".to_owned(), code.to_owned()));
             assert!(!answer.header("retry-after").is_empty());
             assert_eq!(answer.header("mastbay-request-id").len(), 32);
@@ -130,19 +83,14 @@
         let callers = bed.machines[0].callers;
         let line = raw(callers, b"this is not http\r\n\r\n").await;
         assert!(line.is_empty() || line.contains("400"), "{line}");
-        let huge = format!(
-            "GET /permits HTTP/1.1\r\nx: {}\r\n\r\n",
-            "y".repeat(1 << 20)
-        );
+        let huge = format!("GET /permits HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(1 << 20));
         let line = raw(callers, huge.as_bytes()).await;
         assert!(line.is_empty() || line.contains("431"), "{line}");
         still_serves(&bed).await;
         let admin = bed.machines[0].gateway_admin;
-        mastbay_testbed::wait_until(
-            std::time::Duration::from_secs(5),
-            "both counted",
-            || async { metric(&bed, admin, "mastbay_gateway_malformed_requests_total").await == 2 },
-        )
+        mastbay_testbed::wait_until(std::time::Duration::from_secs(5), "both counted", || async {
+            metric(&bed, admin, "mastbay_gateway_malformed_requests_total").await == 2
+        })
         .await;
     });
 }
@@ -158,16 +106,10 @@
             let stranger = Caller::new(peer, "").with("mastbay-protocol", "1");
             let forged = stranger.with("mastbay-signature", &"00".repeat(32));
             let answer = forged.post("/messages", "x").await.expect("an answer");
-            assert_eq!(
-                (answer.status.as_u16(), answer.code().as_str()),
-                (403, "bad_signature")
-            );
+            assert_eq!((answer.status.as_u16(), answer.code().as_str()), (403, "bad_signature"));
             let old = Caller::new(peer, "").with("mastbay-protocol", "0");
             let answer = old.post("/messages", "x").await.expect("an answer");
-            assert_eq!(
-                (answer.status.as_u16(), answer.code().as_str()),
-                (403, "wrong_protocol")
-            );
+            assert_eq!((answer.status.as_u16(), answer.code().as_str()), (403, "wrong_protocol"));
             let line = "mastbay_peer_posts_refused_total{reason=\"bad_signature\"}";
             assert_eq!(metric(&bed, admin, line).await, 1);
         }
@@ -200,18 +142,11 @@
     run(async |bed| {
         let mut idle = Vec::new();
         for _ in 0..300 {
-            idle.push(
-                TcpStream::connect(bed.machines[0].callers)
-                    .await
-                    .expect("connected"),
-            );
+            idle.push(TcpStream::connect(bed.machines[0].callers).await.expect("connected"));
         }
         still_serves(&bed).await;
         let body = chat_body("a b c", 3, true);
-        let answer = bed
-            .caller(0, "office")
-            .send(Method::POST, "/v1/chat/completions", body)
-            .await;
+        let answer = bed.caller(0, "office").send(Method::POST, "/v1/chat/completions", body).await;
         assert_eq!(answer.expect("an answer").outcome(), "answered");
     });
 }
--- a/crates/testbed/tests/at_most_once.rs
+++ b/crates/testbed/tests/at_most_once.rs
@@ -9,10 +9,7 @@
 const CONFIRMATIONS: usize = 2;
 
 fn options() -> BedOptions {
-    BedOptions {
-        engines: 0,
-        ..BedOptions::default()
-    }
+    BedOptions { engines: 0, ..BedOptions::default() }
 }
 
 fn run(test: impl AsyncFnOnce(Bed)) {
@@ -34,19 +31,14 @@
             outcome => assert_eq!(outcome, "unknown", "{:?}", answer.headers),
         }
     }
-    assert!(
-        runs.by_request.values().all(|count| *count == 1),
-        "{runs:?}"
-    );
+    assert!(runs.by_request.values().all(|count| *count == 1), "{runs:?}");
     assert!(runs.by_key.values().all(|count| *count == 1), "{runs:?}");
 }
 
 async fn wait_for_runs(bed: &Bed, application: usize, count: u32) {
-    wait_until(
-        Duration::from_secs(10),
-        &format!("{count} runs"),
-        || async { bed.runs(application).total() >= count },
-    )
+    wait_until(Duration::from_secs(10), &format!("{count} runs"), || async {
+        bed.runs(application).total() >= count
+    })
     .await;
 }
 
@@ -59,10 +51,7 @@
         bed.applications[PERMITS].kill();
         let answer = call.await;
         let told = answer.as_ref().expect("an answer");
-        assert_eq!(
-            (told.outcome(), told.code().as_str()),
-            ("unknown", "backend_failed")
-        );
+        assert_eq!((told.outcome(), told.code().as_str()), ("unknown", "backend_failed"));
         // The same service is up again: nothing may send the request once more.
         bed.applications[PERMITS] = bed.start_application(PERMITS).expect("started");
         let next = bed.caller(1, "office").post("/permits/new", "salmon").await;
@@ -79,9 +68,7 @@
                 .caller(0, "office")
                 .with("stand-in-work-ms", "400")
                 .with("idempotency-key", &format!("permit-{number}"));
-            calls.push(smol::spawn(async move {
-                caller.post("/permits/new", "trout").await
-            }));
+            calls.push(smol::spawn(async move { caller.post("/permits/new", "trout").await }));
         }
         wait_for_runs(&bed, PERMITS, 4).await;
         bed.gateways[0].kill();
@@ -91,9 +78,8 @@
         }
         // Every caller repeats its request, with the same key, at another gateway.
         for number in 0..12 {
-            let caller = bed
-                .caller(1, "office")
-                .with("idempotency-key", &format!("permit-{number}"));
+            let caller =
+                bed.caller(1, "office").with("idempotency-key", &format!("permit-{number}"));
             answers.push(caller.post("/permits/new", "trout").await);
         }
         check_against_record(&bed, PERMITS, &answers);
@@ -117,21 +103,11 @@
             }
         }
         check_against_record(&bed, PERMITS, &answers);
-        let answered = answers
-            .iter()
-            .flatten()
-            .filter(|answer| answer.outcome() == "answered")
-            .count();
+        let answered =
+            answers.iter().flatten().filter(|answer| answer.outcome() == "answered").count();
         assert_eq!(answered, 8, "one of three callers gets the answer");
-        let refused = answers
-            .iter()
-            .flatten()
-            .filter(|answer| answer.status.as_u16() == 409);
-        assert_eq!(
-            refused.count(),
-            16,
-            "the others are told of the earlier request"
-        );
+        let refused = answers.iter().flatten().filter(|answer| answer.status.as_u16() == 409);
+        assert_eq!(refused.count(), 16, "the others are told of the earlier request");
     });
 }
 
@@ -143,16 +119,9 @@
         let caller = bed.caller(0, "office").with("idempotency-key", "outage");
         let refused = caller.post("/permits/new", "trout").await;
         let told = refused.as_ref().expect("an answer");
-        assert_eq!(
-            (told.outcome(), told.code().as_str()),
-            ("not-run", "claims_unavailable")
-        );
+        assert_eq!((told.outcome(), told.code().as_str()), ("not-run", "claims_unavailable"));
         assert!(!told.header("retry-after").is_empty());
-        assert!(
-            began.elapsed() < Duration::from_secs(5),
-            "{:?}",
-            began.elapsed()
-        );
+        assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
         let served = caller.post("/confirmations/new", "boat").await;
         assert_eq!(served.as_ref().expect("an answer").outcome(), "answered");
         check_against_record(&bed, PERMITS, &[refused]);
@@ -171,9 +140,8 @@
 #[test]
 fn lost_answers_and_a_slow_platform_neither_double_nor_refuse_a_permit() {
     run(async |bed| {
-        for (number, faults) in [json!({ "lose_answers": 1 }), json!({ "delay_ms": 200 })]
-            .into_iter()
-            .enumerate()
+        for (number, faults) in
+            [json!({ "lose_answers": 1 }), json!({ "delay_ms": 200 })].into_iter().enumerate()
         {
             bed.set_faults(faults).await;
             let key = format!("permit-{number}");
@@ -229,10 +197,7 @@
         bed.gateways[0].wake();
         let answer = waiting.await;
         let told = answer.as_ref().expect("an answer");
-        assert_eq!(
-            (told.outcome(), told.code().as_str()),
-            ("not-run", "deadline_passed")
-        );
+        assert_eq!((told.outcome(), told.code().as_str()), ("not-run", "deadline_passed"));
         check_against_record(&bed, PERMITS, &[answer]);
     });
 }
--- a/crates/testbed/tests/configuration.rs
+++ b/crates/testbed/tests/configuration.rs
@@ -11,11 +11,7 @@
 
 fn run(test: impl AsyncFnOnce(Bed)) {
     smol::block_on(async {
-        let bed = Bed::start(BedOptions {
-            engines: 0,
-            ..BedOptions::default()
-        })
-        .await;
+        let bed = Bed::start(BedOptions { engines: 0, ..BedOptions::default() }).await;
         test(bed).await;
     });
 }
@@ -38,16 +34,7 @@
 fn arguments(bed: &Bed, directory: &std::path::Path) -> Vec<String> {
     let directory = directory.display().to_string();
     let platform = bed.platform_address.to_string();
-    [
-        "--output",
-        "json",
-        "apply",
-        &directory,
-        "--platform",
-        &platform,
-    ]
-    .map(str::to_owned)
-    .to_vec()
+    ["--output", "json", "apply", &directory, "--platform", &platform].map(str::to_owned).to_vec()
 }
 
 /// Applies without blocking the test's own tasks.
@@ -78,14 +65,10 @@
 
 async fn wait_for_generation(bed: &Bed, generation: u64) {
     let processes = bed.admin_addresses().len();
-    wait_until(
-        LIMIT,
-        &format!("generation {generation} everywhere"),
-        || async {
-            let found = generations(bed).await;
-            found.len() == processes && found.iter().all(|in_force| *in_force >= generation)
-        },
-    )
+    wait_until(LIMIT, &format!("generation {generation} everywhere"), || async {
+        let found = generations(bed).await;
+        found.len() == processes && found.iter().all(|in_force| *in_force >= generation)
+    })
     .await;
 }
 
@@ -96,11 +79,7 @@
         let output = apply(&bed, &with_tenant(&bed, "ghats"), &[]).await;
         assert_eq!(result(&output)["generation"], 2, "{output:?}");
         wait_for_generation(&bed, 2).await;
-        assert!(
-            began.elapsed() < Duration::from_secs(2),
-            "{:?}",
-            began.elapsed()
-        );
+        assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
         for machine in 0..3 {
             let answer = bed.caller(machine, "ghats").post("/permits/new", "x").await;
             assert_eq!(answer.expect("an answer").outcome(), "answered");
@@ -111,10 +90,8 @@
 #[test]
 fn of_racing_operators_one_wins_and_the_others_are_shown_why() {
     run(async |bed| {
-        let directories: Vec<PathBuf> = ["ghats", "rangers", "ferries"]
-            .iter()
-            .map(|name| with_tenant(&bed, name))
-            .collect();
+        let directories: Vec<PathBuf> =
+            ["ghats", "rangers", "ferries"].iter().map(|name| with_tenant(&bed, name)).collect();
         // All start from the same generation, so that one at most may follow it.
         let (first, second, third) = (
             apply(&bed, &directories[0], &["--expect", "1"]),
@@ -124,14 +101,8 @@
         let ((first, second), third) =
             smol::future::zip(smol::future::zip(first, second), third).await;
         let outputs = [first, second, third];
-        let accepted = outputs
-            .iter()
-            .filter(|output| output.status.success())
-            .count();
-        let conflicts = outputs
-            .iter()
-            .filter(|output| output.status.code() == Some(3))
-            .count();
+        let accepted = outputs.iter().filter(|output| output.status.success()).count();
+        let conflicts = outputs.iter().filter(|output| output.status.code() == Some(3)).count();
         assert_eq!((accepted, conflicts), (1, 2), "{outputs:?}");
         wait_for_generation(&bed, 2).await;
     });
@@ -151,12 +122,7 @@
         assert_eq!(output.status.code(), Some(1), "{output:?}");
         assert_eq!(result(&output)["error"]["code"], "not_accepted");
         bed.set_faults(json!({})).await;
-        assert!(
-            generations(&bed)
-                .await
-                .iter()
-                .all(|generation| *generation == 2)
-        );
+        assert!(generations(&bed).await.iter().all(|generation| *generation == 2));
     });
 }
 
@@ -170,12 +136,7 @@
         bed.gateways[0].kill();
         bed.gateways[0] = bed.start_gateway(0).expect("started");
         bed.wait_ready().await;
-        assert!(
-            generations(&bed)
-                .await
-                .iter()
-                .all(|generation| *generation == 2)
-        );
+        assert!(generations(&bed).await.iter().all(|generation| *generation == 2));
         // Then it is down: peers alone give the configuration.
         bed.set_faults(json!({ "down": true })).await;
         bed.gateways[1].kill();
@@ -184,11 +145,7 @@
         bed.schedulers[1] = bed.start_scheduler(1).expect("started");
         bed.wait_ready().await;
         assert_eq!(generations(&bed).await, [2; 6]);
-        let answer = bed
-            .caller(1, "ghats")
-            .post("/checks/1", "x")
-            .await
-            .expect("an answer");
+        let answer = bed.caller(1, "ghats").post("/checks/1", "x").await.expect("an answer");
         assert_eq!(answer.outcome(), "answered");
     });
 }
@@ -208,10 +165,7 @@
         })
         .await;
         let answer = caller.post("/permits/new", "x").await.expect("an answer");
-        assert_eq!(
-            (answer.outcome(), answer.code().as_str()),
-            ("not-run", "not_configured")
-        );
+        assert_eq!((answer.outcome(), answer.code().as_str()), ("not-run", "not_configured"));
         assert!(!bed.is_ready(bed.machines[0].gateway_admin).await);
     });
 }
@@ -227,11 +181,7 @@
         let valid = text(bed.ctl(&["validate", &directory]));
         assert_eq!(valid, "valid: 3 tenants, 4 services, 3 back ends\n");
 
-        let answer = bed
-            .caller(0, "office")
-            .post("/permits/new", "x")
-            .await
-            .expect("an answer");
+        let answer = bed.caller(0, "office").post("/permits/new", "x").await.expect("an answer");
         let request = answer.header("mastbay-request-id");
         let admin = bed.machines[0].gateway_admin.to_string();
         let account = text(bed.ctl(&["explain", request, "--admin", &admin]));
@@ -239,24 +189,14 @@
             assert!(account.contains(step), "{step} not in:\n{account}");
         }
         let status = text(bed.ctl(&["status", "--admin", &admin]));
-        assert!(
-            status.contains("generation=1") && status.contains("demand permits/0"),
-            "{status}"
-        );
+        assert!(status.contains("generation=1") && status.contains("demand permits/0"), "{status}");
         let unknown = bed.ctl(&["explain", "nobody", "--admin", &admin]);
         assert_eq!(unknown.status.code(), Some(1));
 
-        std::fs::write(
-            bed.configuration().join("bad.ini"),
-            "[tenant x]\nwait = 1\n",
-        )
-        .expect("ok");
+        std::fs::write(bed.configuration().join("bad.ini"), "[tenant x]\nwait = 1\n").expect("ok");
         let faulty = bed.ctl(&["validate", &bed.configuration().display().to_string()]);
         assert_eq!(faulty.status.code(), Some(2));
         let errors = String::from_utf8_lossy(&faulty.stderr).into_owned();
-        assert!(
-            errors.contains("bad.ini: [tenant x] wait: unknown key"),
-            "{errors}"
-        );
+        assert!(errors.contains("bad.ini: [tenant x] wait: unknown key"), "{errors}");
     });
 }
--- a/crates/testbed/tests/scheduling.rs
+++ b/crates/testbed/tests/scheduling.rs
@@ -50,25 +50,18 @@
 
 fn assert_all_answered(observed: &[Observed]) {
     let tally = tally(observed);
-    assert!(
-        tally.keys().all(|(told, _)| *told == Told::Answered),
-        "{tally:?}"
-    );
+    assert!(tally.keys().all(|(told, _)| *told == Told::Answered), "{tally:?}");
 }
 
 /// The scheduler that the gateway of a machine reports a service's cell to.
 async fn scheduler_in_use(bed: &Bed, service: &str) -> usize {
     let status = bed.get(bed.machines[0].gateway_admin, "/status").await;
     let demand = status["demand"].as_array().cloned().unwrap_or_default();
-    let cell = demand
-        .iter()
-        .find(|cell| cell["cell"] == format!("{service}/0"));
+    let cell = demand.iter().find(|cell| cell["cell"] == format!("{service}/0"));
     let name = cell.and_then(|cell| cell["scheduler"].as_str().map(str::to_owned));
     let name = name.expect("the cell is in use");
-    let position = bed
-        .machines
-        .iter()
-        .position(|machine| machine.scheduler_peer.to_string() == name);
+    let position =
+        bed.machines.iter().position(|machine| machine.scheduler_peer.to_string() == name);
     position.expect("a scheduler of the bed")
 }
 
@@ -85,10 +78,7 @@
         let observed = load.stop().await;
         assert_all_answered(&observed);
         let longest = observed.iter().map(|call| call.took).max().expect("calls");
-        assert!(
-            longest < Duration::from_secs(3),
-            "taken over late: {longest:?}"
-        );
+        assert!(longest < Duration::from_secs(3), "taken over late: {longest:?}");
     });
 }
 
@@ -122,13 +112,9 @@
         let observed = load.stop().await;
         let tally = tally(&observed);
         // A stream in mid-flight at the kill breaks visibly; every other call is answered.
-        let broken = observed
-            .iter()
-            .filter(|call| call.told == Told::Broken)
-            .count();
-        let others = observed
-            .iter()
-            .filter(|call| !matches!(call.told, Told::Answered | Told::Broken));
+        let broken = observed.iter().filter(|call| call.told == Told::Broken).count();
+        let others =
+            observed.iter().filter(|call| !matches!(call.told, Told::Answered | Told::Broken));
         assert_eq!(others.count(), 0, "{tally:?}");
         assert!(broken <= 6, "{tally:?}");
     });
@@ -144,18 +130,12 @@
         let noticed = Instant::now();
         // The platform goes down right after some scheduler has read the notice.
         wait_until(LIMIT, "the notice is read", || async {
-            bed.schedulers
-                .iter()
-                .any(|scheduler| scheduler.log().contains("event=machine_list"))
+            bed.schedulers.iter().any(|scheduler| scheduler.log().contains("event=machine_list"))
         })
         .await;
         bed.set_faults(json!({ "down": true })).await;
-        let runs = async || {
-            bed.get(leaving, "/record")
-                .await
-                .as_object()
-                .map_or(0, |runs| runs.len())
-        };
+        let runs =
+            async || bed.get(leaving, "/record").await.as_object().map_or(0, |runs| runs.len());
         let mut last_new = Instant::now();
         let mut count = runs().await;
         while noticed.elapsed() < Duration::from_secs(4) {
@@ -168,10 +148,7 @@
         let observed = load.stop().await;
         assert_all_answered(&observed);
         let until_last = last_new.duration_since(noticed);
-        assert!(
-            until_last < Duration::from_secs(3),
-            "last new request after {until_last:?}"
-        );
+        assert!(until_last < Duration::from_secs(3), "last new request after {until_last:?}");
     });
 }
 
@@ -202,9 +179,8 @@
         let mut observed = chats.stop().await;
         observed.extend(posts.stop().await);
         let tally = tally(&observed);
-        let failed = observed
-            .iter()
-            .filter(|call| !matches!(call.told, Told::Answered | Told::NotRun));
+        let failed =
+            observed.iter().filter(|call| !matches!(call.told, Told::Answered | Told::NotRun));
         assert_eq!(failed.count(), 0, "{tally:?}");
         let runs = bed.runs(0);
         assert!(runs.by_request.values().all(|count| *count == 1));
--- a/crates/testbed/tests/settings.rs
+++ b/crates/testbed/tests/settings.rs
@@ -9,16 +9,10 @@
     for program in ["mastbay-gateway", "mastbay-scheduler"] {
         let path = folder.join(format!("mastbay-bad-{program}-{}.ini", std::process::id()));
         std::fs::write(&path, "[process]\nzone = a\n[peer]\naddress = x\n[extra]\n").expect("ok");
-        let output = Command::new(binary(program))
-            .arg(&path)
-            .output()
-            .expect("started");
+        let output = Command::new(binary(program)).arg(&path).output().expect("started");
         assert_eq!(output.status.code(), Some(2));
         let errors = String::from_utf8_lossy(&output.stderr).into_owned();
-        for expected in [
-            "[extra] unknown section",
-            "[peer] address: expected an address",
-        ] {
+        for expected in ["[extra] unknown section", "[peer] address: expected an address"] {
             assert!(errors.contains(expected), "{errors}");
         }
         std::fs::remove_file(path).expect("removed");
@@ -27,14 +21,9 @@
 
 #[test]
 fn a_missing_settings_file_is_named() {
-    let output = Command::new(binary("mastbay-gateway"))
-        .arg("/nonexistent.ini")
-        .output()
-        .expect("started");
+    let output =
+        Command::new(binary("mastbay-gateway")).arg("/nonexistent.ini").output().expect("started");
     assert_eq!(output.status.code(), Some(2));
     let errors = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(
-        errors.contains("/nonexistent.ini: cannot be read"),
-        "{errors}"
-    );
+    assert!(errors.contains("/nonexistent.ini: cannot be read"), "{errors}");
 }
--- a/crates/testbed/tests/whole_answers.rs
+++ b/crates/testbed/tests/whole_answers.rs
@@ -17,9 +17,7 @@
 #[test]
 fn a_stream_that_breaks_is_gone_on_with_where_it_broke() {
     run(async |bed| {
-        let caller = bed
-            .caller(0, "office")
-            .with("stand-in-fault", "break-after=7");
+        let caller = bed.caller(0, "office").with("stand-in-fault", "break-after=7");
         let answer = caller.chat(PROMPT, 30, true).await.expect("a whole stream");
         assert_eq!(event_data(&answer.body), (expected_words(PROMPT, 30), true));
     });
@@ -28,9 +26,7 @@
 #[test]
 fn a_stream_that_cannot_be_gone_on_with_ends_visibly_broken() {
     run(async |bed| {
-        let caller = bed
-            .caller(0, "office")
-            .with("stand-in-fault", "break-for-good=7");
+        let caller = bed.caller(0, "office").with("stand-in-fault", "break-for-good=7");
         let result = caller.chat(PROMPT, 30, true).await;
         assert!(matches!(result, Err(CallFailed::Broken)), "{result:?}");
     });
@@ -55,10 +51,7 @@
         for call in calls {
             match call.await {
                 Ok(answer) if answer.outcome() == "answered" => {
-                    assert_eq!(
-                        event_data(&answer.body),
-                        (expected_words(PROMPT, 400), true)
-                    );
+                    assert_eq!(event_data(&answer.body), (expected_words(PROMPT, 400), true));
                     whole += 1;
                 }
                 Ok(answer) => assert_eq!(answer.outcome(), "unknown"),
@@ -74,35 +67,18 @@
 fn an_answer_for_another_request_is_not_passed_on() {
     run(async |bed| {
         let caller = bed.caller(0, "office").with("stand-in-fault", "crossed");
-        let answer = caller
-            .post("/permits/new", "trout")
-            .await
-            .expect("an answer");
-        assert_eq!(
-            (answer.outcome(), answer.code().as_str()),
-            ("unknown", "answer_mismatch")
-        );
+        let answer = caller.post("/permits/new", "trout").await.expect("an answer");
+        assert_eq!((answer.outcome(), answer.code().as_str()), ("unknown", "answer_mismatch"));
     });
 }
 
 #[test]
 fn an_answer_that_breaks_off_is_not_passed_on() {
     run(async |bed| {
-        let caller = bed
-            .caller(0, "office")
-            .with("stand-in-fault", "break-answer");
-        let answer = caller
-            .post("/permits/new", "trout")
-            .await
-            .expect("an answer");
-        assert_eq!(
-            (answer.outcome(), answer.code().as_str()),
-            ("unknown", "backend_failed")
-        );
-        assert_eq!(
-            bed.runs(0).of_request(answer.header("mastbay-request-id")),
-            1
-        );
+        let caller = bed.caller(0, "office").with("stand-in-fault", "break-answer");
+        let answer = caller.post("/permits/new", "trout").await.expect("an answer");
+        assert_eq!((answer.outcome(), answer.code().as_str()), ("unknown", "backend_failed"));
+        assert_eq!(bed.runs(0).of_request(answer.header("mastbay-request-id")), 1);
         // Connections that ended so are not used again.
         for _ in 0..5 {
             let next = bed.caller(0, "office").post("/permits/new", "salmon").await;
@@ -127,11 +103,7 @@
         .await;
         // Dropping the tasks closes their connections.
         drop(callers);
-        let answer = bed
-            .caller(1, "office")
-            .chat(PROMPT, 5, true)
-            .await
-            .expect("an answer");
+        let answer = bed.caller(1, "office").chat(PROMPT, 5, true).await.expect("an answer");
         assert_eq!(event_data(&answer.body), (expected_words(PROMPT, 5), true));
         wait_until(Duration::from_secs(5), "all slots are free", || async {
             bed.get(admin, "/status").await["demand"][0]["running"] == 0
@@ -150,10 +122,7 @@
             path: String::new(),
             pause: Duration::ZERO,
         });
-        wait_until(Duration::from_secs(30), "300 calls", || async {
-            load.done() >= 300
-        })
-        .await;
+        wait_until(Duration::from_secs(30), "300 calls", || async { load.done() >= 300 }).await;
         let observed = load.stop().await;
         let other = observed.iter().find(|call| call.told != Told::Answered);
         assert!(other.is_none(), "{other:?}");
--- a/crates/types/src/identifier.rs
+++ b/crates/types/src/identifier.rs
@@ -122,8 +122,6 @@
         if text.len() != 32 {
             return Err(ParseRequestIdError);
         }
-        u128::from_str_radix(text, 16)
-            .map(RequestId)
-            .map_err(|_| ParseRequestIdError)
+        u128::from_str_radix(text, 16).map(RequestId).map_err(|_| ParseRequestIdError)
     }
 }
--- a/crates/types/src/rendezvous.rs
+++ b/crates/types/src/rendezvous.rs
@@ -45,17 +45,10 @@
 ) -> Vec<&'a C> {
     let mut scored: Vec<(u64, &C)> = candidates
         .into_iter()
-        .map(|candidate| {
-            (
-                stable_hash(&[key.as_bytes(), candidate.as_ref().as_bytes()]),
-                candidate,
-            )
-        })
+        .map(|candidate| (stable_hash(&[key.as_bytes(), candidate.as_ref().as_bytes()]), candidate))
         .collect();
     scored.sort_by(|(left, left_name), (right, right_name)| {
-        right
-            .cmp(left)
-            .then_with(|| left_name.as_ref().cmp(right_name.as_ref()))
+        right.cmp(left).then_with(|| left_name.as_ref().cmp(right_name.as_ref()))
     });
     scored.into_iter().map(|(_, candidate)| candidate).collect()
 }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -24,9 +24,7 @@
 
 /// A body known in full.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A JSON body; a value that JSON cannot hold becomes `null`.
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -26,11 +26,7 @@
 
 impl Default for ClientConfig {
     fn default() -> Self {
-        Self {
-            connect_limit: Duration::from_millis(500),
-            body_limit: 8 << 20,
-            idle_per_address: 2,
-        }
+        Self { connect_limit: Duration::from_millis(500), body_limit: 8 << 20, idle_per_address: 2 }
     }
 }
 
@@ -72,10 +68,7 @@
 impl Client {
     /// A client without connections.
     pub fn new(config: ClientConfig) -> Self {
-        Self {
-            config,
-            idle: Mutex::default(),
-        }
+        Self { config, idle: Mutex::default() }
     }
 
     /// Makes a call. It is sent a second time only if the first certainly sent nothing.
@@ -103,8 +96,7 @@
             }
         }
         let opened = Connection::open(address, self.config.connect_limit).await;
-        self.exchange(address, opened.map_err(CallError::Connect)?, request)
-            .await
+        self.exchange(address, opened.map_err(CallError::Connect)?, request).await
     }
 
     async fn exchange(
@@ -113,20 +105,11 @@
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Reply, CallError> {
-        let response = connection
-            .exchange(request)
-            .await
-            .map_err(CallError::Exchange)?;
+        let response = connection.exchange(request).await.map_err(CallError::Exchange)?;
         let (head, body) = response.into_parts();
-        let body = read_limited(body, self.config.body_limit)
-            .await
-            .map_err(CallError::Body)?;
+        let body = read_limited(body, self.config.body_limit).await.map_err(CallError::Body)?;
         self.keep(address, connection);
-        Ok(Reply {
-            status: head.status,
-            headers: head.headers,
-            body,
-        })
+        Ok(Reply { status: head.status, headers: head.headers, body })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -97,10 +97,7 @@
         self.sender
             .send_request(request)
             .await
-            .map_err(|source| ExchangeError {
-                written: self.written.get() > before,
-                source,
-            })
+            .map_err(|source| ExchangeError { written: self.written.get() > before, source })
     }
 
     /// Bytes written over the connection's life.
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -32,11 +32,7 @@
 
 impl Default for ServerConfig {
     fn default() -> Self {
-        Self {
-            most_connections: 4_096,
-            head_limit: 32 << 10,
-            head_time: Duration::from_secs(10),
-        }
+        Self { most_connections: 4_096, head_limit: 32 << 10, head_time: Duration::from_secs(10) }
     }
 }
 
@@ -106,14 +102,7 @@
         let address = listener.local_addr().map_err(failed)?;
         let (stop_sender, stop) = smol::channel::bounded(1);
         let counts = Arc::default();
-        Ok(Self {
-            listener,
-            address,
-            config,
-            stop_sender,
-            stop,
-            counts,
-        })
+        Ok(Self { listener, address, config, stop_sender, stop, counts })
     }
 
     /// The address that it listens on.
@@ -123,10 +112,7 @@
 
     /// A handle to stop it.
     pub fn stopper(&self) -> Stopper {
-        Stopper {
-            stop: self.stop_sender.clone(),
-            counts: self.counts.clone(),
-        }
+        Stopper { stop: self.stop_sender.clone(), counts: self.counts.clone() }
     }
 
     /// Serves until stopped, then until the last connection has ended.
@@ -183,10 +169,7 @@
             return;
         }
         self.counts.open.fetch_add(1, Ordering::SeqCst);
-        let guard = OpenConnection {
-            counts: self.counts.clone(),
-            _open: open.clone(),
-        };
+        let guard = OpenConnection { counts: self.counts.clone(), _open: open.clone() };
         let (handler, stop, config) = (handler.clone(), self.stop.clone(), self.config.clone());
         smol::spawn(async move {
             serve_connection(stream, peer, handler, stop, config, &guard.counts).await;
