Hand cells over whole, and learn how many grants to give ahead

(2) Between two requests of a slot lie four messages; with calls of 20 ms that idles 6 to 8 % of slot time.

Change: a gateway's last report names its next scheduler; if that one comes first in the cell's order, the scheduler left stops granting and sends all its gateways there. Schedulers that do not answer are passed over for doubling times. A successor lets 0.1 s pass for reports, a silent one is left after 0.25 s. Grants ahead follow from the measured delay of grants and rate of ends, one standard deviation above the mean; grants-ahead takes auto or a number.

--- a/crates/configuration/src/fleet.rs
+++ b/crates/configuration/src/fleet.rs
@@ -117,8 +117,8 @@
     pub claims: ClaimPolicy,
     /// Time a request has if its caller names none.
     pub deadline: Duration,
-    /// Grants beyond the slots of each back end.
-    pub ahead: u32,
+    /// Grants beyond the slots of each back end; `None` lets the scheduler learn how many.
+    pub ahead: Option<u32>,
 }
 
 /// A process that runs requests.
--- a/crates/configuration/src/load.rs
+++ b/crates/configuration/src/load.rs
@@ -157,16 +157,11 @@
         let repeatable = reader.or("repeatable", false);
         let claims: ClaimPolicyValue = reader.or("claims", ClaimPolicyValue(ClaimPolicy::Required));
         let deadline = reader.or("deadline", Span::<1, 3_600_000>(DEFAULT_DEADLINE));
-        let ahead = reader.or("grants-ahead", Bounded::<0, 64>(0));
+        let ahead = reader.or("grants-ahead", AheadValue(None));
         reader.finish();
         let Some(kind) = kind else { return };
-        let service = Service {
-            kind,
-            repeatable,
-            claims: claims.0,
-            deadline: deadline.0,
-            ahead: ahead.0 as u32,
-        };
+        let service =
+            Service { kind, repeatable, claims: claims.0, deadline: deadline.0, ahead: ahead.0 };
         self.configuration.services.insert(ServiceName::from(name), service);
     }
 
@@ -280,6 +275,24 @@
     }
 }
 
+/// A number of grants ahead, or `auto`.
+struct AheadValue(Option<u32>);
+
+/// Most grants ahead that may be declared.
+const MOST_AHEAD: u32 = 64;
+
+impl Value for AheadValue {
+    const EXPECTED: &'static str = "auto or a whole number from 0 to 64";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text.parse() {
+            Ok(number) if number <= MOST_AHEAD => Ok(AheadValue(Some(number))),
+            _ if text == "auto" => Ok(AheadValue(None)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
 struct PrefixValue(String);
 
 /// Paths below this one are the fleet's own interface to model services.
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -397,7 +397,7 @@
 
 /// Schedulers in a cell's own order.
 fn in_order(cell: &CellId, schedulers: &[ProcessId]) -> Vec<ProcessId> {
-    by_rendezvous(&format!("cell/{cell}"), schedulers).into_iter().cloned().collect()
+    by_rendezvous(&cell.rendezvous_key(), schedulers).into_iter().cloned().collect()
 }
 
 impl Duty for GatewayDuty {
--- a/crates/grants/src/cell.rs
+++ b/crates/grants/src/cell.rs
@@ -1,12 +1,13 @@
 //! The scheduler's side: slots, demand and the grants that match them.
 
+use crate::ahead::AheadEstimate;
 use crate::gateway_view::{GatewayView, UnseenGrant};
 use crate::messages::{BackendReport, Grant, Grants, Report, TenantReport};
 use crate::slots::Slots;
 use crate::status::{CellStatus, TenantStatus};
 use mastbay_fairness::{FairOrder, Level};
 use mastbay_types::{
-    BackendName, CellId, Cost, Incarnation, ProcessId, TenantName, Timestamp, Weight,
+    BackendName, CellId, Cost, Incarnation, ProcessId, TenantName, Timestamp, Weight, ranks_before,
 };
 use std::collections::BTreeMap;
 use std::ops::Bound::{Excluded, Unbounded};
@@ -24,7 +25,8 @@
     /// How long a back end that a gateway could not reach gets no grant.
     pub unreachable_pause: Duration,
     /// Grants beyond the slots of a back end, which hide the round trip between two requests.
-    pub ahead: u32,
+    /// `None` learns how many are needed, at most as many as it has slots.
+    pub ahead: Option<u32>,
     /// What is charged for a tenant whose requests never ended yet.
     pub first_estimate: Cost,
     /// Slots that a tenant may hold while others wait, as a multiple of its fair share of them.
@@ -37,9 +39,9 @@
         Self {
             grant_timeout: Duration::from_millis(500),
             gateway_timeout: Duration::from_secs(3),
-            settle_time: Duration::from_millis(60),
+            settle_time: Duration::from_millis(100),
             unreachable_pause: Duration::from_secs(1),
-            ahead: 0,
+            ahead: None,
             first_estimate: Cost(100),
             share_limit: 1.5,
         }
@@ -90,13 +92,17 @@
 pub struct Cell {
     id: CellId,
     config: CellConfig,
+    me: ProcessId,
     incarnation: Incarnation,
+    /// The scheduler that the cell was handed to.
+    moved_to: Option<ProcessId>,
     opens_at: Timestamp,
     order: FairOrder,
     tenants: BTreeMap<TenantName, Tenant>,
     /// Sum of the weights of tenants that wait or run.
     active_weight: u64,
     slots: Slots,
+    ahead: AheadEstimate,
     gateways: BTreeMap<ProcessId, GatewayView>,
     /// What gateways that are gone had charged, should they come back in the same life.
     departed: BTreeMap<ProcessId, Departed>,
@@ -106,18 +112,27 @@
 }
 
 impl Cell {
-    /// A cell that this process starts to schedule at `now`.
-    pub fn new(id: CellId, config: CellConfig, incarnation: Incarnation, now: Timestamp) -> Self {
+    /// A cell that the scheduler `me` starts to hold at `now`.
+    pub fn new(
+        id: CellId,
+        config: CellConfig,
+        me: ProcessId,
+        incarnation: Incarnation,
+        now: Timestamp,
+    ) -> Self {
         let opens_at = now + config.settle_time;
         Self {
             id,
             config,
+            me,
             incarnation,
+            moved_to: None,
             opens_at,
             order: FairOrder::default(),
             tenants: BTreeMap::new(),
             active_weight: 0,
             slots: Slots::default(),
+            ahead: AheadEstimate::default(),
             gateways: BTreeMap::new(),
             departed: BTreeMap::new(),
             open: false,
@@ -145,8 +160,8 @@
         self.slots.set_leaving(name, leaving);
     }
 
-    /// Changes how many grants beyond its slots a back end gets.
-    pub fn set_ahead(&mut self, ahead: u32) {
+    /// Changes how many grants beyond its slots a back end gets; `None` learns it.
+    pub fn set_ahead(&mut self, ahead: Option<u32>) {
         self.config.ahead = ahead;
     }
 
@@ -182,16 +197,21 @@
 
     /// Takes a gateway's report.
     pub fn handle_report(&mut self, now: Timestamp, from: &ProcessId, report: Report) {
+        if let Some(successor) = &report.moved_to {
+            self.let_go(from, successor.clone());
+            return;
+        }
         if !self.accept_gateway(now, from, &report) {
             return;
         }
-        let mut changed = self.forget_seen(from, &report);
+        self.reopen_for_newcomer(now, &report);
+        let mut changed = self.forget_seen(now, from, &report);
         if report.full {
             changed.extend(self.clear_missing(from, &report));
         }
         for tenant in report.tenants {
             changed.push(tenant.tenant.clone());
-            self.take_tenant(from, tenant);
+            self.take_tenant(now, from, tenant);
         }
         for backend in report.backends {
             self.take_backend(now, from, backend);
@@ -201,11 +221,34 @@
         for tenant in changed {
             self.refresh_waiting(from, &tenant);
         }
-        if report.wants_answer {
+        if report.wants_answer || self.moved_to.is_some() {
             self.answers_due.entry(from.clone()).or_insert(false);
         }
     }
 
+    /// A gateway has turned to another scheduler. If that one comes before this one in the cell's
+    /// order, the whole cell is handed over: two schedulers that both grant would fill the slots
+    /// twice. A gateway that only lost its own way here moves nobody else.
+    fn let_go(&mut self, from: &ProcessId, successor: ProcessId) {
+        self.drop_gateway(from);
+        if !ranks_before(&self.id.rendezvous_key(), &successor, &self.me) {
+            return;
+        }
+        self.moved_to = Some(successor);
+        for gateway in self.gateways.keys() {
+            self.answers_due.entry(gateway.clone()).or_insert(false);
+        }
+    }
+
+    /// A gateway that begins to report here could not reach the scheduler that the cell was handed
+    /// to, or that one is gone: the cell is held here again.
+    fn reopen_for_newcomer(&mut self, now: Timestamp, report: &Report) {
+        let newcomer = report.full && report.scheduler == Incarnation::default();
+        if newcomer && self.moved_to.take().is_some() {
+            self.opens_at = now + self.config.settle_time;
+        }
+    }
+
     /// Whether the report may be applied. An unknown gateway must begin with a full report.
     fn accept_gateway(&mut self, now: Timestamp, from: &ProcessId, report: &Report) -> bool {
         let known = self.gateways.get(from).map(|view| view.incarnation);
@@ -237,12 +280,20 @@
 
     /// Grants that the gateway has seen are part of its own counts from here on. Gives their
     /// tenants.
-    fn forget_seen(&mut self, from: &ProcessId, report: &Report) -> Vec<TenantName> {
+    fn forget_seen(
+        &mut self,
+        now: Timestamp,
+        from: &ProcessId,
+        report: &Report,
+    ) -> Vec<TenantName> {
         if report.scheduler != self.incarnation {
             return Vec::new();
         }
         let Some(view) = self.gateways.get_mut(from) else { return Vec::new() };
         let seen = view.take_seen(report.seen);
+        for grant in &seen {
+            self.ahead.note_delay(now.since(grant.sent));
+        }
         seen.into_iter().map(|grant| self.take_back(grant)).collect()
     }
 
@@ -285,7 +336,7 @@
         });
     }
 
-    fn take_tenant(&mut self, from: &ProcessId, report: TenantReport) {
+    fn take_tenant(&mut self, now: Timestamp, from: &ProcessId, report: TenantReport) {
         let Some(view) = self.gateways.get_mut(from) else { return };
         let previous = view.tenants.insert(report.tenant.clone(), report.clone());
         let known_charge = match &previous {
@@ -300,7 +351,7 @@
             tenant.in_flight = (tenant.in_flight + report.running).saturating_sub(was_running);
         });
         match previous {
-            Some(previous) => self.learn(&report, &previous),
+            Some(previous) => self.learn(now, &report, &previous),
             None if known_charge.is_none() => self.take_standing(&report),
             None => {}
         }
@@ -350,8 +401,9 @@
         }
     }
 
-    fn learn(&mut self, report: &TenantReport, previous: &TenantReport) {
+    fn learn(&mut self, now: Timestamp, report: &TenantReport, previous: &TenantReport) {
         let finished = report.finished.saturating_sub(previous.finished);
+        self.ahead.note_ended(now, finished);
         if finished == 0 {
             return;
         }
@@ -469,7 +521,7 @@
         for (gateway, needs_full) in std::mem::take(&mut self.answers_due) {
             outgoing.insert(gateway, self.message(needs_full));
         }
-        if now >= self.opens_at {
+        if now >= self.opens_at && self.moved_to.is_none() {
             if !self.open {
                 self.open();
             }
@@ -486,13 +538,14 @@
             cell: self.id.clone(),
             scheduler: self.incarnation,
             needs_full,
+            moved_to: self.moved_to.clone(),
             grants: Vec::new(),
         }
     }
 
     fn grant_one(&mut self, now: Timestamp) -> Option<(ProcessId, Grant)> {
         let tenant = self.next_tenant()?.clone();
-        let backend = self.slots.freest(self.config.ahead, now)?.clone();
+        let backend = self.slots.freest(self.grants_ahead(), now)?.clone();
         let gateway = self.tenants.get(&tenant)?.next_gateway()?.clone();
         let estimate = self.estimate(&tenant);
         self.order.note_served(&tenant);
@@ -509,6 +562,11 @@
         Some((gateway, Grant { sequence, tenant, backend, estimate, level }))
     }
 
+    fn grants_ahead(&self) -> u32 {
+        let learned = || self.ahead.per_backend(self.slots.serving_count());
+        self.config.ahead.unwrap_or_else(learned).min(self.slots.largest())
+    }
+
     /// The backlogged tenant due next, those passed over that already hold their limit of slots.
     /// If all do, the limit keeps no slot idle.
     fn next_tenant(&self) -> Option<&TenantName> {
--- a/crates/grants/src/demand.rs
+++ b/crates/grants/src/demand.rs
@@ -19,8 +19,11 @@
     pub idle_interval: Duration,
     /// Silence after which a scheduler counts as unreachable.
     pub answer_timeout: Duration,
-    /// How long an unreachable scheduler is passed over.
+    /// How long an unreachable scheduler is passed over at first; doubled each time, up to
+    /// `longest_pause`.
     pub unreachable_pause: Duration,
+    /// Longest time that a scheduler is passed over.
+    pub longest_pause: Duration,
     /// Time between full reports, which repair what lost messages left.
     pub full_interval: Duration,
 }
@@ -31,8 +34,9 @@
             report_spacing: Duration::from_millis(1),
             progress_interval: Duration::from_millis(100),
             idle_interval: Duration::from_millis(1_000),
-            answer_timeout: Duration::from_millis(400),
+            answer_timeout: Duration::from_millis(250),
             unreachable_pause: Duration::from_secs(2),
+            longest_pause: Duration::from_secs(30),
             full_interval: Duration::from_secs(5),
         }
     }
@@ -106,6 +110,13 @@
     asked_since: Option<Timestamp>,
 }
 
+/// A scheduler that did not answer.
+#[derive(Debug)]
+struct Avoided {
+    until: Timestamp,
+    pause: Duration,
+}
+
 /// One gateway's demand for one cell.
 #[derive(Debug)]
 pub struct Demand {
@@ -113,7 +124,10 @@
     config: DemandConfig,
     incarnation: Incarnation,
     schedulers: Vec<ProcessId>,
-    avoided_until: BTreeMap<ProcessId, Timestamp>,
+    avoided: BTreeMap<ProcessId, Avoided>,
+    /// The scheduler that the last one handed the cell to, and until when its word counts more than
+    /// the list.
+    handed_to: Option<(ProcessId, Timestamp)>,
     contact: Option<Contact>,
     /// The scheduler left for another, which is to be told so.
     left: Option<Contact>,
@@ -136,7 +150,8 @@
             config,
             incarnation,
             schedulers: Vec::new(),
-            avoided_until: BTreeMap::new(),
+            avoided: BTreeMap::new(),
+            handed_to: None,
             contact: None,
             left: None,
             tenants: BTreeMap::new(),
@@ -232,6 +247,9 @@
             self.last_full = None;
             self.urgent = true;
         }
+        if let Some(successor) = message.moved_to {
+            self.handed_to = Some((successor, now + self.config.unreachable_pause));
+        }
         let mut assignments = Vec::new();
         for grant in message.grants {
             self.urgent = true;
@@ -266,6 +284,7 @@
         }
         contact.last_heard = now;
         contact.asked_since = None;
+        self.avoided.remove(from);
         if let Some(last) = message.grants.last() {
             contact.seen = contact.seen.max(last.sequence);
         }
@@ -364,6 +383,7 @@
             seen: contact.seen,
             full,
             wants_answer,
+            moved_to: None,
             tenants,
             backends,
         };
@@ -405,11 +425,7 @@
     /// Keeps to the first scheduler in order that is not known to be unreachable.
     fn choose_scheduler(&mut self, now: Timestamp) {
         self.give_up_silent_scheduler(now);
-        self.avoided_until.retain(|_, until| now < *until);
-        let avoided = &self.avoided_until;
-        let best = self.schedulers.iter().find(|name| !avoided.contains_key(*name));
-        // With every scheduler avoided, the first is as good as any.
-        let best = best.or(self.schedulers.first()).cloned();
+        let best = self.best_scheduler(now).cloned();
         if best.as_ref() == self.scheduler() {
             return;
         }
@@ -425,6 +441,19 @@
         self.urgent = true;
     }
 
+    fn best_scheduler(&self, now: Timestamp) -> Option<&ProcessId> {
+        let usable =
+            |name: &ProcessId| self.avoided.get(name).is_none_or(|avoided| now >= avoided.until);
+        if let Some((successor, until)) = &self.handed_to
+            && now < *until
+            && usable(successor)
+        {
+            return Some(successor);
+        }
+        // With every scheduler avoided, the first is as good as any.
+        self.schedulers.iter().find(|name| usable(name)).or(self.schedulers.first())
+    }
+
     /// Tells the scheduler left that nothing waits or runs here for it any more.
     fn farewell(&self, left: Contact) -> (ProcessId, Report) {
         let report = Report {
@@ -434,6 +463,7 @@
             seen: left.seen,
             full: true,
             wants_answer: false,
+            moved_to: self.scheduler().cloned(),
             tenants: Vec::new(),
             backends: Vec::new(),
         };
@@ -448,8 +478,11 @@
         if now.since(asked) < self.config.answer_timeout {
             return;
         }
-        let until = now + self.config.unreachable_pause;
-        self.avoided_until.insert(contact.scheduler.clone(), until);
+        let scheduler = contact.scheduler.clone();
+        let known = self.avoided.get(&scheduler);
+        let pause = known.map_or(self.config.unreachable_pause, |avoided| avoided.pause * 2);
+        let pause = pause.min(self.config.longest_pause);
+        self.avoided.insert(scheduler, Avoided { until: now + pause, pause });
         self.contact = None;
     }
 
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -5,6 +5,7 @@
 //! that starts with empty state is whole again after one full report from each gateway. Between
 //! reports a scheduler counts the grants that a gateway can't yet have seen, by sequence number.
 
+mod ahead;
 mod cell;
 mod demand;
 mod gateway_view;
--- a/crates/grants/src/messages.rs
+++ b/crates/grants/src/messages.rs
@@ -1,7 +1,7 @@
 //! What gateways and schedulers tell each other about one cell.
 
 use mastbay_fairness::Level;
-use mastbay_types::{BackendName, CellId, Cost, Incarnation, TenantName};
+use mastbay_types::{BackendName, CellId, Cost, Incarnation, ProcessId, TenantName};
 use serde::{Deserialize, Serialize};
 
 /// One tenant's state at one gateway. All counts are absolute.
@@ -61,6 +61,8 @@
     pub full: bool,
     /// Whether the gateway asks for an answer even if there is nothing to grant.
     pub wants_answer: bool,
+    /// Set in the last report to a scheduler: whom the gateway reports to from now on.
+    pub moved_to: Option<ProcessId>,
     /// Tenants, all or those that changed.
     pub tenants: Vec<TenantReport>,
     /// Back ends, all or those that changed.
@@ -91,6 +93,8 @@
     pub scheduler: Incarnation,
     /// Whether the scheduler does not know this gateway and needs a full report.
     pub needs_full: bool,
+    /// Set when the cell was handed over: the scheduler to report to.
+    pub moved_to: Option<ProcessId>,
     /// The grants.
     pub grants: Vec<Grant>,
 }
--- a/crates/grants/src/slots.rs
+++ b/crates/grants/src/slots.rs
@@ -94,6 +94,16 @@
         self.serving().map(|backend| backend.slots).sum()
     }
 
+    /// Number of back ends that take work.
+    pub(crate) fn serving_count(&self) -> usize {
+        self.serving().count()
+    }
+
+    /// Most slots of one back end.
+    pub(crate) fn largest(&self) -> u32 {
+        self.serving().map(|backend| backend.slots).max().unwrap_or(0)
+    }
+
     /// Of those, the ones in use.
     pub(crate) fn in_use(&self) -> u32 {
         self.serving().map(|backend| backend.running + backend.unseen).sum()
--- a/crates/grants/src/tests.rs
+++ b/crates/grants/src/tests.rs
@@ -84,7 +84,13 @@
 
 fn new_cell(incarnation: u64, slots: u32) -> Cell {
     let config = CellConfig::default();
-    let mut cell = Cell::new(cell_id(), config, Incarnation(incarnation), Timestamp::ZERO);
+    let mut cell = Cell::new(
+        cell_id(),
+        config,
+        ProcessId::from("scheduler"),
+        Incarnation(incarnation),
+        Timestamp::ZERO,
+    );
     cell.set_backends(&[(BackendName::from("engine"), slots)]);
     cell
 }
@@ -106,7 +112,7 @@
     let mut pair = Pair::new(1, 1);
     let tenant = TenantName::from("office");
     pair.gateways[0].1.enqueue(&tenant, request(0));
-    pair.advance(Duration::from_millis(100));
+    pair.advance(Duration::from_millis(200));
     let reports = pair.reports();
     let lost = pair.deliver(reports);
     assert_eq!(lost[0].1.grants.len(), 1);
@@ -138,7 +144,13 @@
     }
     assert_eq!(pair.exchange(5), 2);
     let now = pair.now;
-    pair.cell = Cell::new(cell_id(), CellConfig::default(), Incarnation(2), now);
+    pair.cell = Cell::new(
+        cell_id(),
+        CellConfig::default(),
+        ProcessId::from("scheduler"),
+        Incarnation(2),
+        now,
+    );
     pair.cell.set_backends(&[(BackendName::from("engine"), 2)]);
     assert_eq!(pair.exchange(10), 0);
     assert_eq!(pair.cell.status().in_use, 2);
--- a/crates/scheduler/src/cells.rs
+++ b/crates/scheduler/src/cells.rs
@@ -20,15 +20,16 @@
 
 /// All cells held here. Any cell that a gateway reports on is taken up.
 pub struct Cells {
+    me: ProcessId,
     incarnation: Incarnation,
     configuration: Arc<FleetConfiguration>,
     held: BTreeMap<CellId, Held>,
 }
 
 impl Cells {
-    /// No cells.
-    pub fn new(incarnation: Incarnation) -> Self {
-        Self { incarnation, configuration: Arc::default(), held: BTreeMap::new() }
+    /// No cells of the scheduler `me`.
+    pub fn new(me: ProcessId, incarnation: Incarnation) -> Self {
+        Self { me, incarnation, configuration: Arc::default(), held: BTreeMap::new() }
     }
 
     /// Puts a configuration in force in every cell.
@@ -61,7 +62,8 @@
         }
         let held = self.held.entry(id.clone()).or_insert_with(|| {
             tracing::info!(event = "cell_taken_up", cell = %id);
-            let mut cell = Cell::new(id, CellConfig::default(), self.incarnation, now);
+            let mut cell =
+                Cell::new(id, CellConfig::default(), self.me.clone(), self.incarnation, now);
             declare(&mut cell, &self.configuration, board);
             Held { cell, last_report: now }
         });
--- a/crates/scheduler/src/duty.rs
+++ b/crates/scheduler/src/duty.rs
@@ -46,7 +46,7 @@
         metrics: SchedulerMetrics,
     ) -> Arc<Self> {
         let state = State {
-            cells: Cells::new(node.incarnation()),
+            cells: Cells::new(node.me().clone(), node.incarnation()),
             keeper: ClaimKeeper::new(KeeperConfig::default()),
             board: MachineBoard::default(),
         };
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -79,7 +79,7 @@
     cell: CellId,
     backends: Vec<(BackendName, u32)>,
     numbers: BTreeMap<BackendName, usize>,
-    ahead: u32,
+    ahead: Option<u32>,
 }
 
 impl Fleet {
@@ -213,7 +213,7 @@
         from: &ProcessId,
         report: mastbay_grants::Report,
     ) {
-        let incarnation = self.processes[to].incarnation;
+        let (me, incarnation) = (self.names[to].clone(), self.processes[to].incarnation);
         let Duty::Scheduler(cells) = &mut self.processes[to].duty else {
             return;
         };
@@ -222,7 +222,7 @@
             return;
         };
         let cell = cells.entry(id.clone()).or_insert_with(|| {
-            let mut cell = Cell::new(id, self.options.cell.clone(), incarnation, now);
+            let mut cell = Cell::new(id, self.options.cell.clone(), me, incarnation, now);
             cell.set_backends(&service.backends);
             cell.set_ahead(service.ahead);
             for (tenant, weight) in &self.tenants {
@@ -348,7 +348,7 @@
             self.names[self.machines..].to_vec()
         };
         for (demand, service) in demands.iter_mut().zip(&self.services) {
-            let order = by_rendezvous(&format!("cell/{}", service.cell), &live);
+            let order = by_rendezvous(&service.cell.rendezvous_key(), &live);
             demand.set_schedulers(order.into_iter().cloned().collect());
         }
     }
--- a/crates/testbed/src/configuration.rs
+++ b/crates/testbed/src/configuration.rs
@@ -42,11 +42,11 @@
 pub(crate) fn services() -> String {
     "[service answers]\nkind = model\nmodel = anglers-8b\nrepeatable = yes\ndeadline = 60s\n\n\
      [service permits]\nkind = plain\npath-prefix = /permits\nclaims = required\n\
-     deadline = 20s\ngrants-ahead = 1\n\n\
+     deadline = 20s\n\n\
      [service checks]\nkind = plain\npath-prefix = /checks\nclaims = required\n\
-     repeatable = yes\ndeadline = 20s\ngrants-ahead = 1\n\n\
+     repeatable = yes\ndeadline = 20s\n\n\
      [service confirmations]\nkind = plain\npath-prefix = /confirmations\n\
-     claims = when-available\ndeadline = 20s\ngrants-ahead = 1\n"
+     claims = when-available\ndeadline = 20s\n"
         .to_owned()
 }
 
--- a/crates/types/src/rendezvous.rs
+++ b/crates/types/src/rendezvous.rs
@@ -53,6 +53,18 @@
     scored.into_iter().map(|(_, candidate)| candidate).collect()
 }
 
+/// Whether `left` comes before `right` in rendezvous order for `key`.
+pub fn ranks_before(key: &str, left: &crate::ProcessId, right: &crate::ProcessId) -> bool {
+    left != right && by_rendezvous(key, [left, right])[0] == left
+}
+
+impl crate::CellId {
+    /// The key for the rendezvous order of the cell's schedulers.
+    pub fn rendezvous_key(&self) -> String {
+        format!("cell/{self}")
+    }
+}
+
 impl AsRef<str> for crate::ProcessId {
     fn as_ref(&self) -> &str {
         self.as_str()
