--- a/crates/grants/src/ahead.rs
+++ b/crates/grants/src/ahead.rs
@@ -4,7 +4,8 @@
 //! report, grant, gateway to back end. In that time a slot would idle. With `r` requests ended a
 //! second at each back end and `d` seconds for a report and its grant, about `2 d r` requests end
 //! meanwhile on average, and seldom more than one standard deviation above it; that many are granted
-//! ahead. For long requests it rounds to none.
+//! ahead. Where less than half a request ends meanwhile, none is: a request bound so early would wait
+//! at one back end far longer than the round trip that it saves, and its tenant would fall behind.
 
 use mastbay_types::Timestamp;
 use std::time::Duration;
@@ -16,6 +17,9 @@
 /// Round trips of report and grant that lie between two requests of a slot.
 const ROUND_TRIPS: f64 = 2.0;
 
+/// Requests that must end during a round trip for any to be granted ahead.
+const LEAST_ENDED: f64 = 0.5;
+
 /// Learns how many grants to give ahead.
 #[derive(Debug, Default)]
 pub(crate) struct AheadEstimate {
@@ -52,6 +56,9 @@
     /// Grants to give ahead at each of `backends` back ends.
     pub(crate) fn per_backend(&self, backends: usize) -> u32 {
         let ended_meanwhile = ROUND_TRIPS * self.delay * self.rate / backends.max(1) as f64;
+        if ended_meanwhile < LEAST_ENDED {
+            return 0;
+        }
         // Ends are independent of each other, so their number varies by about its root.
         (ended_meanwhile + ended_meanwhile.sqrt()).round() as u32
     }
--- a/crates/grants/src/demand.rs
+++ b/crates/grants/src/demand.rs
@@ -11,8 +11,11 @@
 /// Settings of a [`Demand`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DemandConfig {
-    /// Least time between two reports about requests that came, started or ended.
+    /// Least time between two reports about requests that came, started or ended while others wait:
+    /// whatever waits gains little from haste, and a report for many costs little more than for one.
     pub report_spacing: Duration,
+    /// Least time between two reports when a request comes and none waits before it.
+    pub eager_spacing: Duration,
     /// Time between reports about cost alone, and between heartbeats while anything is at stake.
     pub progress_interval: Duration,
     /// Time between heartbeats while nothing waits or runs.
@@ -31,7 +34,8 @@
 impl Default for DemandConfig {
     fn default() -> Self {
         Self {
-            report_spacing: Duration::from_millis(1),
+            report_spacing: Duration::from_millis(5),
+            eager_spacing: Duration::from_micros(500),
             progress_interval: Duration::from_millis(100),
             idle_interval: Duration::from_millis(1_000),
             answer_timeout: Duration::from_millis(250),
@@ -110,6 +114,17 @@
     asked_since: Option<Timestamp>,
 }
 
+/// How soon a report is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// With the next account of costs.
+    Calm,
+    /// After `report_spacing`.
+    Soon,
+    /// After `eager_spacing`.
+    Now,
+}
+
 /// A scheduler that did not answer.
 #[derive(Debug)]
 struct Avoided {
@@ -137,7 +152,7 @@
     unreachable: BTreeSet<BackendName>,
     changed_tenants: BTreeSet<TenantName>,
     changed_backends: BTreeSet<BackendName>,
-    urgent: bool,
+    urgency: Urgency,
     last_report: Timestamp,
     last_full: Option<Timestamp>,
 }
@@ -160,7 +175,7 @@
             unreachable: BTreeSet::new(),
             changed_tenants: BTreeSet::new(),
             changed_backends: BTreeSet::new(),
-            urgent: false,
+            urgency: Urgency::Calm,
             last_report: Timestamp::ZERO,
             last_full: None,
         }
@@ -180,7 +195,8 @@
     pub fn enqueue(&mut self, tenant: &TenantName, request: RequestId) {
         let ledger = self.tenants.entry(tenant.clone()).or_default();
         ledger.waiting.push_back(request);
-        self.note_tenant(tenant);
+        let alone = self.waiting_in_total() == 1;
+        self.note_tenant(tenant, if alone { Urgency::Now } else { Urgency::Soon });
     }
 
     /// Puts a request that was granted but certainly not sent back at the head of its queue.
@@ -190,7 +206,7 @@
         };
         self.finish(request, Cost::ZERO, false);
         self.tenants.entry(tenant.clone()).or_default().waiting.push_front(request);
-        self.note_tenant(&tenant);
+        self.note_tenant(&tenant, Urgency::Now);
     }
 
     /// Takes a waiting request out. Returns whether it was waiting.
@@ -204,7 +220,7 @@
             return false;
         }
         ledger.note_idleness();
-        self.note_tenant(tenant);
+        self.note_tenant(tenant, Urgency::Soon);
         true
     }
 
@@ -245,14 +261,14 @@
         }
         if message.needs_full {
             self.last_full = None;
-            self.urgent = true;
+            self.hurry(Urgency::Now);
         }
         if let Some(successor) = message.moved_to {
             self.handed_to = Some((successor, now + self.config.unreachable_pause));
         }
         let mut assignments = Vec::new();
         for grant in message.grants {
-            self.urgent = true;
+            self.hurry(Urgency::Soon);
             self.changed_tenants.insert(grant.tenant.clone());
             let ledger = self.tenants.entry(grant.tenant.clone()).or_default();
             let Some(request) = ledger.waiting.pop_front() else { continue };
@@ -344,19 +360,23 @@
             *count = count.saturating_sub(1);
         }
         self.changed_backends.insert(running.backend);
-        self.urgent = true;
+        self.hurry(Urgency::Soon);
     }
 
     /// Remembers that a connection to `backend` failed, for the next report.
     pub fn note_unreachable(&mut self, backend: &BackendName) {
         self.unreachable.insert(backend.clone());
         self.changed_backends.insert(backend.clone());
-        self.urgent = true;
+        self.hurry(Urgency::Now);
     }
 
-    fn note_tenant(&mut self, tenant: &TenantName) {
+    fn note_tenant(&mut self, tenant: &TenantName, urgency: Urgency) {
         self.changed_tenants.insert(tenant.clone());
-        self.urgent = true;
+        self.hurry(urgency);
+    }
+
+    fn hurry(&mut self, urgency: Urgency) {
+        self.urgency = self.urgency.max(urgency);
     }
 
     /// A report to send now, if one is due, and the scheduler it goes to. To be called until it
@@ -396,7 +416,7 @@
         self.changed_tenants.clear();
         self.changed_backends.clear();
         self.unreachable.clear();
-        self.urgent = false;
+        self.urgency = Urgency::Calm;
         self.last_report = now;
         if full {
             self.last_full = Some(now);
@@ -408,12 +428,13 @@
         if self.contact.is_none() {
             return if self.schedulers.is_empty() { Timestamp::NEVER } else { self.last_report };
         }
-        let wait = if self.last_full.is_none() || self.urgent {
-            self.config.report_spacing
-        } else if self.running.is_empty() && self.waiting_in_total() == 0 {
-            self.config.idle_interval
-        } else {
-            self.config.progress_interval
+        let idle = self.running.is_empty() && self.waiting_in_total() == 0;
+        let wait = match self.urgency {
+            _ if self.last_full.is_none() => self.config.eager_spacing,
+            Urgency::Now => self.config.eager_spacing,
+            Urgency::Soon => self.config.report_spacing,
+            Urgency::Calm if idle => self.config.idle_interval,
+            Urgency::Calm => self.config.progress_interval,
         };
         self.last_report + wait
     }
@@ -438,7 +459,7 @@
             asked_since: None,
         });
         self.last_full = None;
-        self.urgent = true;
+        self.hurry(Urgency::Now);
     }
 
     fn best_scheduler(&self, now: Timestamp) -> Option<&ProcessId> {
--- a/crates/simulation/src/bin/mastbay-experiment.rs
+++ b/crates/simulation/src/bin/mastbay-experiment.rs
@@ -2,6 +2,7 @@
 //! is compared with, and prints their figures.
 
 use argh::FromArgs;
+use mastbay_grants::DemandConfig;
 use mastbay_simulation::baselines::{EarlyBinding, GatewaysAlone, SingleQueue};
 use mastbay_simulation::faults::{Fault, in_turn};
 use mastbay_simulation::fleet::{Fleet, FleetOptions};
@@ -22,6 +23,9 @@
     /// seed of all random numbers (default 1)
     #[argh(option, default = "1")]
     seed: u64,
+    /// microseconds between a gateway's reports on requests that came, started or ended
+    #[argh(option)]
+    report_spacing_micros: Option<u64>,
     /// print JSON instead of a table
     #[argh(switch)]
     json: bool,
@@ -36,7 +40,11 @@
             return ExitCode::from(2);
         }
     };
-    let figures = compare(&scenario, arguments.seed);
+    let mut demand = DemandConfig::default();
+    if let Some(micros) = arguments.report_spacing_micros {
+        demand.report_spacing = Duration::from_micros(micros);
+    }
+    let figures = compare(&scenario, arguments.seed, &demand);
     if arguments.json {
         println!("{}", serde_json::to_string(&figures).unwrap_or_default());
     } else {
@@ -45,11 +53,13 @@
     ExitCode::SUCCESS
 }
 
-fn compare(scenario: &Scenario, seed: u64) -> Vec<Figures> {
+fn compare(scenario: &Scenario, seed: u64, demand: &DemandConfig) -> Vec<Figures> {
     let one =
         |name: &str, dispatcher: &mut dyn DynDispatcher| dispatcher.figures(name, scenario, seed);
     let fleet = |faults| {
-        Fleet::new(scenario, FleetOptions { membership: true, faults, ..Default::default() }, seed)
+        let demand = demand.clone();
+        let options = FleetOptions { demand, membership: true, faults, ..Default::default() };
+        Fleet::new(scenario, options, seed)
     };
     let lost = in_turn(
         scenario.machines,
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -12,6 +12,8 @@
     pub dispatcher: String,
     /// Figures of each service.
     pub services: Vec<ServiceFigures>,
+    /// Figures of each tenant.
+    pub tenants: Vec<TenantFigures>,
     /// Longest wait of the tenant with the fewest requests, in seconds.
     pub longest_small_wait: f64,
     /// Wait that 95 in 100 requests do not exceed, in seconds.
@@ -28,6 +30,21 @@
     pub busiest_bytes_per_second: f64,
 }
 
+/// Figures of one tenant.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct TenantFigures {
+    /// The tenant.
+    pub tenant: String,
+    /// Service delivered over weight, in cost units.
+    pub delivered: f64,
+    /// Requests that began to run.
+    pub requests: u64,
+    /// Wait that half of them did not exceed, in seconds.
+    pub wait_50: f64,
+    /// Longest wait, in seconds.
+    pub longest_wait: f64,
+}
+
 /// Figures of one service.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ServiceFigures {
@@ -61,6 +78,9 @@
             services: (0..scenario.services.len())
                 .map(|service| ServiceFigures::new(scenario, measured, service))
                 .collect(),
+            tenants: (0..scenario.tenants.len())
+                .map(|tenant| TenantFigures::new(scenario, measured, tenant))
+                .collect(),
             longest_small_wait: smallest.map_or(0.0, |waits| waits.longest()),
             wait_95: measured.all_waits.quantile(0.95),
             ended: measured.ended,
@@ -73,6 +93,20 @@
     }
 }
 
+impl TenantFigures {
+    fn new(scenario: &Scenario, measured: &Measured, tenant: usize) -> Self {
+        let load = &scenario.tenants[tenant];
+        let waits = &measured.waits[tenant];
+        Self {
+            tenant: load.name.clone(),
+            delivered: measured.delivered[tenant] as f64 / f64::from(load.weight),
+            requests: waits.count(),
+            wait_50: waits.quantile(0.5),
+            longest_wait: waits.longest(),
+        }
+    }
+}
+
 impl ServiceFigures {
     fn new(scenario: &Scenario, measured: &Measured, service: usize) -> Self {
         let (gap, slots) = (&measured.gaps[service], &measured.slots[service]);
@@ -162,5 +196,22 @@
             one.busiest_bytes_per_second,
         ));
     }
+    line(format_args!(
+        "{:<26} {:>24} {:>24}",
+        "tenants: service, longest wait",
+        ideal.dispatcher,
+        figures.get(1).map_or("", |one| &one.dispatcher),
+    ));
+    for (index, tenant) in ideal.tenants.iter().enumerate() {
+        let other = figures.get(1).map_or(tenant, |one| &one.tenants[index]);
+        line(format_args!(
+            "{:<30} {:>11.0} {:>8.3} {:>15.0} {:>8.3}",
+            tenant.tenant,
+            tenant.delivered,
+            tenant.longest_wait,
+            other.delivered,
+            other.longest_wait,
+        ));
+    }
     text
 }
