--- a/crates/fairness/src/lib.rs
+++ b/crates/fairness/src/lib.rs
@@ -97,6 +97,16 @@
         self.set_level(tenant, level);
     }
 
+    /// Forgets all levels and backlogs; weights are kept.
+    pub fn forget_levels(&mut self) {
+        self.backlogged.clear();
+        self.floor = Level::default();
+        for account in self.accounts.values_mut() {
+            account.level = Level::default();
+            account.backlogged = false;
+        }
+    }
+
     /// Raises a tenant to `level` if it is below: used when others remember more than this order
     /// knows.
     pub fn raise_to(&mut self, tenant: &TenantName, level: Level) {
--- a/crates/grants/src/cell.rs
+++ b/crates/grants/src/cell.rs
@@ -107,27 +107,21 @@
     /// What gateways that are gone had charged, should they come back in the same life.
     departed: BTreeMap<ProcessId, Departed>,
     open: bool,
+    just_taken_over: bool,
     /// Gateways to answer, and whether each has to send a full report.
     answers_due: BTreeMap<ProcessId, bool>,
 }
 
 impl Cell {
-    /// A cell that the scheduler `me` starts to hold at `now`.
-    pub fn new(
-        id: CellId,
-        config: CellConfig,
-        me: ProcessId,
-        incarnation: Incarnation,
-        now: Timestamp,
-    ) -> Self {
-        let opens_at = now + config.settle_time;
+    /// A cell that the scheduler `me` may come to hold.
+    pub fn new(id: CellId, config: CellConfig, me: ProcessId, incarnation: Incarnation) -> Self {
         Self {
             id,
             config,
             me,
             incarnation,
             moved_to: None,
-            opens_at,
+            opens_at: Timestamp::NEVER,
             order: FairOrder::default(),
             tenants: BTreeMap::new(),
             active_weight: 0,
@@ -136,6 +130,7 @@
             gateways: BTreeMap::new(),
             departed: BTreeMap::new(),
             open: false,
+            just_taken_over: false,
             answers_due: BTreeMap::new(),
         }
     }
@@ -261,6 +256,10 @@
                 self.answers_due.insert(from.clone(), true);
                 return false;
             }
+            if self.gateways.is_empty() {
+                self.opens_at = now + self.config.settle_time;
+                self.just_taken_over = true;
+            }
             self.gateways.insert(from.clone(), GatewayView::new(report.gateway, now));
         }
         self.hear_from(now, from);
@@ -464,6 +463,20 @@
         }
         self.gateways.remove(from);
         self.departed.insert(from.clone(), departed);
+        if self.gateways.is_empty() {
+            self.forget();
+        }
+    }
+
+    /// A cell that nobody reports to any more knows nothing of what goes on. Should it be held here
+    /// again, what gateways remember by then is better than what was known here.
+    fn forget(&mut self) {
+        self.open = false;
+        self.order.forget_levels();
+        self.tenants.clear();
+        self.active_weight = 0;
+        self.departed.clear();
+        self.ahead = AheadEstimate::default();
     }
 
     /// Takes back slots of grants sent before `limit` that the gateway never confirmed.
@@ -533,6 +546,13 @@
         outgoing.into_iter().collect()
     }
 
+    /// Once after the cell was taken over: the message that asks every live gateway to report here
+    /// if its own scheduler does not answer. It gathers them all before the cell opens, so that no
+    /// slot is taken for free whose user has not reported yet.
+    pub fn take_solicitation(&mut self) -> Option<Grants> {
+        std::mem::take(&mut self.just_taken_over).then(|| self.message(true))
+    }
+
     fn message(&self, needs_full: bool) -> Grants {
         Grants {
             cell: self.id.clone(),
--- a/crates/grants/src/demand.rs
+++ b/crates/grants/src/demand.rs
@@ -257,6 +257,7 @@
         message: Grants,
     ) -> Vec<Assignment> {
         if !self.note_contact(now, from, &message) {
+            self.consider_solicitation(now, from, &message);
             return Vec::new();
         }
         if message.needs_full {
@@ -286,6 +287,17 @@
         assignments
     }
 
+    /// Another scheduler has taken the cell over. If the one reported to owes an answer, it is not
+    /// waited for any longer.
+    fn consider_solicitation(&mut self, now: Timestamp, from: &ProcessId, message: &Grants) {
+        let Some(contact) = &self.contact else { return };
+        let owes_answer = contact.asked_since.is_some() && contact.scheduler != *from;
+        if message.needs_full && owes_answer {
+            self.avoid_contact(now);
+            self.hurry(Urgency::Now);
+        }
+    }
+
     /// Whether the message comes from the scheduler reported to, in its latest life.
     fn note_contact(&mut self, now: Timestamp, from: &ProcessId, message: &Grants) -> bool {
         let Some(contact) = &mut self.contact else {
@@ -496,15 +508,18 @@
         let Some(asked) = contact.asked_since else {
             return;
         };
-        if now.since(asked) < self.config.answer_timeout {
-            return;
+        if now.since(asked) >= self.config.answer_timeout {
+            self.avoid_contact(now);
         }
-        let scheduler = contact.scheduler.clone();
+    }
+
+    fn avoid_contact(&mut self, now: Timestamp) {
+        let Some(contact) = self.contact.take() else { return };
+        let scheduler = contact.scheduler;
         let known = self.avoided.get(&scheduler);
         let pause = known.map_or(self.config.unreachable_pause, |avoided| avoided.pause * 2);
         let pause = pause.min(self.config.longest_pause);
         self.avoided.insert(scheduler, Avoided { until: now + pause, pause });
-        self.contact = None;
     }
 
     fn everything(&self) -> (Vec<TenantReport>, Vec<BackendReport>) {
--- a/crates/grants/src/tests.rs
+++ b/crates/grants/src/tests.rs
@@ -84,13 +84,8 @@
 
 fn new_cell(incarnation: u64, slots: u32) -> Cell {
     let config = CellConfig::default();
-    let mut cell = Cell::new(
-        cell_id(),
-        config,
-        ProcessId::from("scheduler"),
-        Incarnation(incarnation),
-        Timestamp::ZERO,
-    );
+    let mut cell =
+        Cell::new(cell_id(), config, ProcessId::from("scheduler"), Incarnation(incarnation));
     cell.set_backends(&[(BackendName::from("engine"), slots)]);
     cell
 }
@@ -112,9 +107,12 @@
     let mut pair = Pair::new(1, 1);
     let tenant = TenantName::from("office");
     pair.gateways[0].1.enqueue(&tenant, request(0));
-    pair.advance(Duration::from_millis(200));
+    pair.advance(Duration::from_millis(100));
     let reports = pair.reports();
-    let lost = pair.deliver(reports);
+    pair.deliver(reports);
+    // The cell opens once gateways have had time to report.
+    pair.advance(Duration::from_millis(100));
+    let lost = pair.deliver(Vec::new());
     assert_eq!(lost[0].1.grants.len(), 1);
     assert_eq!(pair.exchange(10), 1);
     assert_eq!(pair.cell.status().in_use, 1);
@@ -144,13 +142,8 @@
     }
     assert_eq!(pair.exchange(5), 2);
     let now = pair.now;
-    pair.cell = Cell::new(
-        cell_id(),
-        CellConfig::default(),
-        ProcessId::from("scheduler"),
-        Incarnation(2),
-        now,
-    );
+    pair.cell =
+        Cell::new(cell_id(), CellConfig::default(), ProcessId::from("scheduler"), Incarnation(2));
     pair.cell.set_backends(&[(BackendName::from("engine"), 2)]);
     assert_eq!(pair.exchange(10), 0);
     assert_eq!(pair.cell.status().in_use, 2);
@@ -222,3 +215,64 @@
     assert_eq!(late.grants.len(), 1);
     assert!(demand.handle_grants(later, &first, late).is_empty());
 }
+
+#[test]
+fn a_new_holder_asks_for_reports_and_gathers_gateways_whose_scheduler_owes_an_answer() {
+    let (first, second) = (ProcessId::from("first"), ProcessId::from("second"));
+    let mut demands: Vec<Demand> = (0..2)
+        .map(|number| {
+            let mut demand = Demand::new(cell_id(), DemandConfig::default(), Incarnation(1));
+            demand.set_schedulers(vec![first.clone(), second.clone()]);
+            demand.enqueue(&TenantName::from("office"), request(number));
+            demand
+        })
+        .collect();
+    let asked = Timestamp::from_millis(1_000);
+    for demand in &mut demands {
+        assert_eq!(demand.poll_report(asked).expect("a report").0, first);
+    }
+    // The first gateway gives up on the scheduler that is gone, and turns to the next.
+    let later = asked + DemandConfig::default().answer_timeout;
+    let (to, report) = demands[0].poll_report(later).expect("a report");
+    assert_eq!(to, second);
+    let mut cell = new_cell(7, 2);
+    cell.handle_report(later, &ProcessId::from("gateway-0"), report);
+    let solicitation = cell.take_solicitation().expect("the cell was just taken over");
+    assert!(cell.take_solicitation().is_none());
+    // The other one, asked only a moment ago, follows at once.
+    let mut late = Demand::new(cell_id(), DemandConfig::default(), Incarnation(1));
+    late.set_schedulers(vec![first.clone(), second.clone()]);
+    late.enqueue(&TenantName::from("office"), request(9));
+    assert_eq!(late.poll_report(later).expect("a report").0, first);
+    late.handle_grants(later, &second, solicitation);
+    let soon = later + Duration::from_millis(1);
+    assert_eq!(late.poll_report(soon).expect("a report").0, second);
+}
+
+#[test]
+fn a_gateway_that_turns_to_a_higher_scheduler_takes_the_cell_with_it() {
+    let key = cell_id().rendezvous_key();
+    let names = [ProcessId::from("a"), ProcessId::from("b")];
+    let order = mastbay_types::by_rendezvous(&key, &names);
+    let (higher, lower) = (order[0].clone(), order[1].clone());
+    let gateways = [ProcessId::from("gateway-0"), ProcessId::from("gateway-1")];
+    for (holder, successor, moves) in [(&lower, &higher, true), (&higher, &lower, false)] {
+        let mut cell = Cell::new(cell_id(), CellConfig::default(), holder.clone(), Incarnation(1));
+        let mut demand = Demand::new(cell_id(), DemandConfig::default(), Incarnation(1));
+        demand.set_schedulers(vec![holder.clone()]);
+        let now = Timestamp::from_millis(1_000);
+        let (_, report) = demand.poll_report(now).expect("a report");
+        for gateway in &gateways {
+            cell.handle_report(now, gateway, report.clone());
+        }
+        cell.poll_grants(now);
+        demand.set_schedulers(vec![successor.clone()]);
+        let (_, farewell) = demand.poll_report(now).expect("a farewell");
+        cell.handle_report(now, &gateways[0], farewell);
+        let told = cell.poll_grants(now);
+        let moved = told.iter().any(|(to, message)| {
+            *to == gateways[1] && message.moved_to.as_ref() == Some(successor)
+        });
+        assert_eq!(moved, moves, "from {holder} to {successor}");
+    }
+}
--- a/crates/scheduler/src/cells.rs
+++ b/crates/scheduler/src/cells.rs
@@ -48,13 +48,15 @@
         }
     }
 
-    /// Takes a report and returns what to send.
+    /// Takes a report and returns what to send. `gateways` gives all live ones, for a cell that is
+    /// taken over.
     pub fn handle_report(
         &mut self,
         now: Timestamp,
         from: &ProcessId,
         report: Report,
         board: &MachineBoard,
+        gateways: impl FnOnce() -> Vec<ProcessId>,
     ) -> Vec<(ProcessId, Grants)> {
         let id = report.cell.clone();
         if !self.configuration.services.contains_key(&id.service) {
@@ -62,14 +64,18 @@
         }
         let held = self.held.entry(id.clone()).or_insert_with(|| {
             tracing::info!(event = "cell_taken_up", cell = %id);
-            let mut cell =
-                Cell::new(id, CellConfig::default(), self.me.clone(), self.incarnation, now);
+            let mut cell = Cell::new(id, CellConfig::default(), self.me.clone(), self.incarnation);
             declare(&mut cell, &self.configuration, board);
             Held { cell, last_report: now }
         });
         held.last_report = now;
         held.cell.handle_report(now, from, report);
-        held.cell.poll_grants(now)
+        let solicitation = held.cell.take_solicitation();
+        let mut outgoing = held.cell.poll_grants(now);
+        if let Some(message) = solicitation {
+            outgoing.extend(gateways().into_iter().map(|gateway| (gateway, message.clone())));
+        }
+        outgoing
     }
 
     /// Lets time pass in every cell and returns what to send.
--- a/crates/scheduler/src/duty.rs
+++ b/crates/scheduler/src/duty.rs
@@ -160,7 +160,8 @@
                 let now = self.node.now();
                 let mut state = self.lock();
                 let State { cells, board, .. } = &mut *state;
-                let outgoing = cells.handle_report(now, from, report, board);
+                let outgoing =
+                    cells.handle_report(now, from, report, board, || self.node.live(Role::Gateway));
                 drop(state);
                 self.send_grants(outgoing);
             }
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -222,7 +222,7 @@
             return;
         };
         let cell = cells.entry(id.clone()).or_insert_with(|| {
-            let mut cell = Cell::new(id, self.options.cell.clone(), me, incarnation, now);
+            let mut cell = Cell::new(id, self.options.cell.clone(), me, incarnation);
             cell.set_backends(&service.backends);
             cell.set_ahead(service.ahead);
             for (tenant, weight) in &self.tenants {
@@ -231,7 +231,12 @@
             cell
         });
         cell.handle_report(now, from, report);
-        let outgoing = cell.poll_grants(now);
+        let solicitation = cell.take_solicitation();
+        let mut outgoing = cell.poll_grants(now);
+        if let Some(message) = solicitation {
+            let gateways = self.names[..self.machines].iter();
+            outgoing.extend(gateways.map(|gateway| (gateway.clone(), message.clone())));
+        }
         self.send_grants(now, to, outgoing);
     }
 
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -142,6 +142,13 @@
     (2.0 * slots * largest_cost as f64 + 2.0 * STALENESS_SECONDS * rate) / f64::from(weight)
 }
 
+/// What a split of the fleet adds to the bound: while it lasts, and until schedulers have found it and
+/// its end, each side schedules for itself, so `2 T C / w` for `T` seconds.
+pub fn split_allowance(scenario: &Scenario, service: usize, seconds: f64) -> f64 {
+    let slots = f64::from(scenario.slots(service));
+    2.0 * seconds * slots / scenario.services[service].step.as_secs_f64()
+}
+
 /// Figures side by side, with ratios to the first dispatcher's, which is the ideal one.
 pub fn table(figures: &[Figures]) -> String {
     let mut text = String::new();
