--- a/crates/grants/src/tests.rs
+++ b/crates/grants/src/tests.rs
@@ -141,7 +141,6 @@
         pair.gateways[(number % 2) as usize].1.enqueue(&tenant, request(number));
     }
     assert_eq!(pair.exchange(5), 2);
-    let now = pair.now;
     pair.cell =
         Cell::new(cell_id(), CellConfig::default(), ProcessId::from("scheduler"), Incarnation(2));
     pair.cell.set_backends(&[(BackendName::from("engine"), 2)]);
