Run single requests through every fault at every step, alone and in pairs

Cause: at most once and 'not run is true' were proved on real processes for nine faults; the steps between could not be hit there.

--- /dev/null
+++ b/crates/simulation/src/bin/mastbay-fault-matrix.rs
@@ -0,0 +1,34 @@
+//! `mastbay-fault-matrix`: prints the matrix of troubles and steps for docs/FAULTS.md.
+
+use argh::FromArgs;
+use mastbay_simulation::safety::{Mutation, Promise, markdown, run_matrix};
+
+/// Tries every trouble at every step of a request in seeded virtual time and prints the matrix, and
+/// in how many cells each deliberate mutation of the code is found.
+#[derive(FromArgs)]
+struct Arguments {
+    /// tries of each cell (default 20)
+    #[argh(option, default = "20")]
+    seeds: u64,
+}
+
+const PROMISES: [Promise; 4] =
+    [Promise::ClaimRequired, Promise::ClaimWhenAvailable, Promise::NoKey, Promise::Repeatable];
+
+fn main() {
+    let arguments: Arguments = argh::from_env();
+    for promise in PROMISES {
+        let rows = run_matrix(promise, None, None, arguments.seeds);
+        println!("### {promise}\n\n{}", markdown(&rows));
+    }
+    println!("### Mutations\n\n| mutation | cells that find it |\n|---|---|");
+    for mutation in Mutation::ALL {
+        let found: usize = PROMISES
+            .into_iter()
+            .flat_map(|promise| run_matrix(promise, None, Some(mutation), arguments.seeds))
+            .flat_map(|row| row.cells)
+            .filter(|cell| cell.violation.is_some())
+            .count();
+        println!("| {mutation} | {found} |");
+    }
+}
--- a/crates/simulation/src/safety.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Single requests through every fault at every step.
--- /dev/null
+++ b/crates/simulation/src/safety/matrix.rs
@@ -0,0 +1,90 @@
+//! The matrix of troubles and steps.
+
+use super::model::run_once;
+use super::plan::{Mutation, Plan, PlannedFault, Promise, Step, Trouble};
+use std::fmt::Write;
+
+/// One cell of the matrix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cell {
+    /// The step at which the trouble begins.
+    pub step: Step,
+    /// Tries in which the step was reached.
+    pub reached: u32,
+    /// What was violated, with the seed, if anything.
+    pub violation: Option<String>,
+}
+
+/// One row of the matrix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// What was declared for the request.
+    pub promise: Promise,
+    /// The trouble.
+    pub trouble: Trouble,
+    /// Its steps.
+    pub cells: Vec<Cell>,
+}
+
+/// Tries every trouble at every step for a promise, alone (`second` is `None`) or together with a
+/// second trouble.
+pub fn run_matrix(
+    promise: Promise,
+    second: Option<PlannedFault>,
+    mutation: Option<Mutation>,
+    seeds: u64,
+) -> Vec<Row> {
+    let row = |trouble: Trouble| {
+        let cell = |step: Step| {
+            let first = PlannedFault { step, trouble };
+            let faults: Vec<PlannedFault> = std::iter::once(first).chain(second).collect();
+            try_cell(promise, step, &faults, mutation, seeds)
+        };
+        Row { promise, trouble, cells: Step::ALL.into_iter().map(cell).collect() }
+    };
+    Trouble::ALL.into_iter().map(row).collect()
+}
+
+fn try_cell(
+    promise: Promise,
+    step: Step,
+    faults: &[PlannedFault],
+    mutation: Option<Mutation>,
+    seeds: u64,
+) -> Cell {
+    let mut cell = Cell { step, reached: 0, violation: None };
+    for seed in 0..seeds {
+        let plan = Plan { promise, faults: faults.to_vec(), mutation, seed };
+        let verdict = run_once(&plan);
+        cell.reached += u32::from(verdict.reached);
+        if let Some(violation) = verdict.violations.first() {
+            cell.violation.get_or_insert(format!("seed {seed}: {violation}"));
+        }
+    }
+    cell
+}
+
+/// The matrix as a table in Markdown: the number of tries in which the step was reached, `-` where it
+/// never was, and **X** where a promise was broken.
+pub fn markdown(rows: &[Row]) -> String {
+    let mut text = String::from("| trouble |");
+    for step in Step::ALL {
+        // Writing to a string cannot fail.
+        let _ = write!(text, " {step} |");
+    }
+    text.push_str("\n|---|");
+    text.push_str(&"---|".repeat(Step::ALL.len()));
+    for row in rows {
+        let _ = write!(text, "\n| {} |", row.trouble);
+        for cell in &row.cells {
+            let shown = match (&cell.violation, cell.reached) {
+                (Some(_), _) => "**X**".to_owned(),
+                (None, 0) => "-".to_owned(),
+                (None, reached) => reached.to_string(),
+            };
+            let _ = write!(text, " {shown} |");
+        }
+    }
+    text.push('\n');
+    text
+}
