--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -93,8 +93,10 @@
     address: SocketAddr,
 ) -> Result<Connection, Failure> {
     let limit = duty.settings().connect_limit.min(time_left(duty, request.deadline));
-    let connected = duty.connections().get(address, limit).await;
-    connected.map_err(|error| {
+    if let Some(connection) = duty.connections().take(address) {
+        return Ok(connection);
+    }
+    Connection::open(address, limit).await.map_err(|error| {
         if time_left(duty, request.deadline).is_zero() {
             return Failure::Deadline;
         }
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -2,7 +2,6 @@
 
 use crate::access::AccessTable;
 use crate::admission::Admission;
-use crate::backends::BackendConnections;
 use crate::journal::{Happening, Journal};
 use crate::metrics::{GatewayMetrics, RequestLabels, ServiceLabels};
 use crate::request::AcceptedRequest;
@@ -21,13 +20,15 @@
     BackendName, CellId, Cost, ProcessId, RequestId, ServiceName, TenantName, Timestamp,
     by_rendezvous,
 };
-use mastbay_web::Stopper;
+use mastbay_web::{IdleConnections, Stopper};
 use serde_json::{Value, json};
 use smol::channel::{Receiver, Sender};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
+/// Idle connections kept for each back end.
+const MOST_IDLE: usize = 64;
 /// Longest sleep between two looks at the timers.
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
 
@@ -54,7 +55,7 @@
     node: Arc<Node>,
     settings: GatewaySettings,
     metrics: GatewayMetrics,
-    connections: BackendConnections,
+    connections: IdleConnections,
     callers: OnceLock<Stopper>,
     state: Mutex<State>,
     wake: Sender<()>,
@@ -79,7 +80,7 @@
             node,
             settings,
             metrics,
-            connections: BackendConnections::default(),
+            connections: IdleConnections::new(MOST_IDLE),
             callers: OnceLock::new(),
             state: Mutex::new(state),
             wake,
@@ -103,7 +104,7 @@
     }
 
     /// Connections to back ends.
-    pub fn connections(&self) -> &BackendConnections {
+    pub fn connections(&self) -> &IdleConnections {
         &self.connections
     }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,7 +10,6 @@
 mod admission;
 mod answer;
 mod attempt;
-mod backends;
 mod claims;
 mod duty;
 mod event_stream;
--- a/crates/simulation/src/engines.rs
+++ b/crates/simulation/src/engines.rs
@@ -11,6 +11,7 @@
 /// One back end.
 #[derive(Debug)]
 struct Engine {
+    service: usize,
     slots: u32,
     running: BTreeMap<RequestNumber, Timestamp>,
     queue: VecDeque<RequestNumber>,
@@ -23,6 +24,8 @@
     /// First engine of each service.
     first: Vec<usize>,
     steps: Vec<Duration>,
+    /// Free slots of each service.
+    free: Vec<u32>,
 }
 
 impl Engines {
@@ -30,15 +33,16 @@
     pub fn new(scenario: &Scenario) -> Self {
         let mut engines = Vec::new();
         let mut first = Vec::new();
-        for service in &scenario.services {
+        for (index, service) in scenario.services.iter().enumerate() {
             first.push(engines.len());
             for _ in 0..service.engines {
                 let (running, queue) = (BTreeMap::new(), VecDeque::new());
-                engines.push(Engine { slots: service.slots, running, queue });
+                engines.push(Engine { service: index, slots: service.slots, running, queue });
             }
         }
         let steps = scenario.services.iter().map(|service| service.step).collect();
-        Self { engines, first, steps }
+        let free = (0..scenario.services.len()).map(|service| scenario.slots(service)).collect();
+        Self { engines, first, steps, free }
     }
 
     /// Engines of a service.
@@ -59,12 +63,7 @@
 
     /// Free slots of a service.
     pub fn free_slots(&self, service: usize) -> u32 {
-        self.of_service(service)
-            .map(|engine| {
-                let engine = &self.engines[engine];
-                engine.slots - engine.running.len() as u32
-            })
-            .sum()
+        self.free[service]
     }
 
     /// Brings a request. Returns whether it runs at once.
@@ -72,6 +71,7 @@
         let engine = &mut self.engines[engine];
         if engine.running.len() < engine.slots as usize {
             engine.running.insert(request, now);
+            self.free[engine.service] -= 1;
             return true;
         }
         engine.queue.push_back(request);
@@ -87,7 +87,10 @@
     ) -> Option<RequestNumber> {
         let engine = &mut self.engines[engine];
         engine.running.remove(&request);
-        let next = engine.queue.pop_front()?;
+        let Some(next) = engine.queue.pop_front() else {
+            self.free[engine.service] += 1;
+            return None;
+        };
         engine.running.insert(next, now);
         Some(next)
     }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -2,15 +2,14 @@
 
 use crate::body::{ReadBodyError, read_limited};
 use crate::connection::{ConnectError, Connection, ExchangeError};
+use crate::idle::IdleConnections;
 use crate::wait::within;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// Settings of a [`Client`].
@@ -59,16 +58,17 @@
 }
 
 /// A client that keeps connections open.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Client {
     config: ClientConfig,
-    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    idle: IdleConnections,
 }
 
 impl Client {
     /// A client without connections.
     pub fn new(config: ClientConfig) -> Self {
-        Self { config, idle: Mutex::default() }
+        let idle = IdleConnections::new(config.idle_per_address);
+        Self { config, idle }
     }
 
     /// Makes a call. It is sent a second time only if the first certainly sent nothing.
@@ -89,7 +89,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Reply, CallError> {
-        if let Some(connection) = self.take_idle(address) {
+        if let Some(connection) = self.idle.take(address) {
             match self.exchange(address, connection, request.clone()).await {
                 Err(CallError::Exchange(error)) if !error.written => {}
                 result => return result,
@@ -108,26 +108,7 @@
         let response = connection.exchange(request).await.map_err(CallError::Exchange)?;
         let (head, body) = response.into_parts();
         let body = read_limited(body, self.config.body_limit).await.map_err(CallError::Body)?;
-        self.keep(address, connection);
+        self.idle.keep(address, connection);
         Ok(Reply { status: head.status, headers: head.headers, body })
     }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn keep(&self, address: SocketAddr, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(address).or_default();
-        if connections.len() < self.config.idle_per_address {
-            connections.push(connection);
-        }
-    }
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,11 +5,16 @@
 mod client;
 mod connection;
 mod counted;
+mod idle;
 mod server;
 mod wait;
 
 pub use body::{Body, BodyError, ReadBodyError, empty, full, json, read_limited, streamed};
 pub use client::{CallError, Client, ClientConfig, Reply};
 pub use connection::{ConnectError, Connection, ExchangeError};
+pub use idle::IdleConnections;
 pub use server::{BindError, Server, ServerConfig, Stopper};
 pub use wait::{TimedOut, within};
+
+#[cfg(test)]
+mod tests;
