--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -16,6 +16,8 @@
     pub stop_limit: Duration,
     /// `[peer] address`: where peers reach the process; also its name.
     pub peer_address: SocketAddr,
+    /// `[peer] listen`: where the process listens for peers, if that is another address.
+    pub peer_listen: SocketAddr,
     /// `[peer] secret`: shared by all processes of the fleet.
     pub peer_secret: String,
     /// `[peer] seeds`: peers asked for members at the start.
@@ -45,6 +47,7 @@
 
     let mut peer = document.section("peer", faults);
     let peer_address: Option<SocketAddr> = peer.required("address");
+    let peer_listen: Option<SocketAddr> = peer.optional("listen");
     let peer_secret: Option<String> = peer.required("secret");
     let seeds: Vec<SocketAddr> = peer.list("seeds");
     peer.finish();
@@ -64,6 +67,7 @@
         log,
         stop_limit: stop_limit.0,
         peer_address: peer_address?,
+        peer_listen: peer_listen.or(peer_address)?,
         peer_secret: peer_secret?,
         seeds: seeds.iter().map(|seed| ProcessId::from(&*seed.to_string())).collect(),
         platform_address: platform_address?,
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -25,7 +25,7 @@
         return Ok(ExitReason::Stopped);
     }
     start_logging(&node_settings.log).map_err(StartError::Logging)?;
-    let peers = bind(node_settings.peer_address).await?;
+    let peers = bind(node_settings.peer_listen).await?;
     let admin = bind(node_settings.admin_address).await?;
     let mut registry = Registry::default();
     let node_metrics = NodeMetrics::register(&mut registry);
--- a/crates/testbed/src/bed.rs
+++ b/crates/testbed/src/bed.rs
@@ -5,6 +5,7 @@
 use crate::configuration::{self, TenantDeclaration};
 use crate::ports::PortBlock;
 use crate::process::{Process, StartFailed, binary};
+use crate::relay::Relay;
 use crate::runs::Runs;
 use hyper::Method;
 use serde_json::{Value, json};
@@ -36,6 +37,8 @@
     pub tenants: Vec<TenantDeclaration>,
     /// Log filter of gateways and schedulers.
     pub log: String,
+    /// Whether a relay stands before each peer address, so that it can be cut off.
+    pub relays: bool,
 }
 
 impl Default for BedOptions {
@@ -49,6 +52,7 @@
             application_slots: 8,
             tenants: vec![TenantDeclaration::new("office"), TenantDeclaration::new("summaries")],
             log: "info".to_owned(),
+            relays: false,
         }
     }
 }
@@ -62,10 +66,14 @@
     pub callers: SocketAddr,
     /// The gateway's peer address.
     pub gateway_peer: SocketAddr,
+    /// Where the gateway listens for peers: behind a relay if the bed has relays.
+    pub gateway_listen: SocketAddr,
     /// The gateway's admin address.
     pub gateway_admin: SocketAddr,
     /// The scheduler's peer address.
     pub scheduler_peer: SocketAddr,
+    /// Where the scheduler listens for peers: behind a relay if the bed has relays.
+    pub scheduler_listen: SocketAddr,
     /// The scheduler's admin address.
     pub scheduler_admin: SocketAddr,
 }
@@ -94,6 +102,10 @@
     pub engines: Vec<Process>,
     /// Applications.
     pub applications: Vec<Process>,
+    /// Relays before the gateways' peer addresses, by machine.
+    pub gateway_relays: Vec<Relay>,
+    /// Relays before the schedulers' peer addresses, by machine.
+    pub scheduler_relays: Vec<Relay>,
 }
 
 /// Beds made by this process, for the names of their folders.
@@ -106,7 +118,8 @@
     /// # Panics
     /// When the fleet does not come up.
     pub async fn start(options: BedOptions) -> Self {
-        let bed = Self::launch(options).expect("the programs can be started");
+        let mut bed = Self::launch(options).expect("the programs can be started");
+        bed.start_relays().await;
         bed.wait_listening().await;
         let output = bed.apply();
         assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
@@ -120,7 +133,7 @@
         let folder = new_folder();
         let platform_address = ports.next_address();
         let machines: Vec<Machine> =
-            (0..options.machines).map(|index| machine(&mut ports, index)).collect();
+            (0..options.machines).map(|index| machine(&mut ports, index, options.relays)).collect();
         let engine_addresses: Vec<_> = (0..options.engines).map(|_| ports.next_address()).collect();
         let application_addresses: Vec<_> =
             (0..options.applications).map(|_| ports.next_address()).collect();
@@ -138,6 +151,8 @@
             schedulers: Vec::new(),
             engines: Vec::new(),
             applications: Vec::new(),
+            gateway_relays: Vec::new(),
+            scheduler_relays: Vec::new(),
         };
         bed.write_files();
         for index in 0..bed.options.engines {
@@ -153,6 +168,18 @@
         Ok(bed)
     }
 
+    async fn start_relays(&mut self) {
+        if !self.options.relays {
+            return;
+        }
+        for machine in &self.machines {
+            let gateway = Relay::start(machine.gateway_peer, machine.gateway_listen).await;
+            let scheduler = Relay::start(machine.scheduler_peer, machine.scheduler_listen).await;
+            self.gateway_relays.push(gateway);
+            self.scheduler_relays.push(scheduler);
+        }
+    }
+
     /// The folder of the bed's files.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -361,13 +388,18 @@
     members.iter().filter(|member| member["state"] == "alive").count()
 }
 
-fn machine(ports: &mut PortBlock, index: usize) -> Machine {
+fn machine(ports: &mut PortBlock, index: usize, relays: bool) -> Machine {
+    let (gateway_peer, scheduler_peer) = (ports.next_address(), ports.next_address());
+    let mut listen = |peer| if relays { ports.next_address() } else { peer };
+    let (gateway_listen, scheduler_listen) = (listen(gateway_peer), listen(scheduler_peer));
     Machine {
         zone: configuration::zone(index),
         callers: ports.next_address(),
-        gateway_peer: ports.next_address(),
+        gateway_peer,
+        gateway_listen,
         gateway_admin: ports.next_address(),
-        scheduler_peer: ports.next_address(),
+        scheduler_peer,
+        scheduler_listen,
         scheduler_admin: ports.next_address(),
     }
 }
--- a/crates/testbed/src/configuration.rs
+++ b/crates/testbed/src/configuration.rs
@@ -98,13 +98,15 @@
 
 /// Settings of a gateway.
 pub(crate) fn gateway(machine: &Machine, seeds: &str, platform: SocketAddr, log: &str) -> String {
-    let shared = shared(machine, seeds, platform, log, machine.gateway_peer, machine.gateway_admin);
+    let addresses = [machine.gateway_peer, machine.gateway_listen, machine.gateway_admin];
+    let shared = shared(machine, seeds, platform, log, addresses);
     format!("{shared}\n[gateway]\naddress = {}\nstop-grace = 100ms\n", machine.callers)
 }
 
 /// Settings of a scheduler.
 pub(crate) fn scheduler(machine: &Machine, seeds: &str, platform: SocketAddr, log: &str) -> String {
-    shared(machine, seeds, platform, log, machine.scheduler_peer, machine.scheduler_admin)
+    let addresses = [machine.scheduler_peer, machine.scheduler_listen, machine.scheduler_admin];
+    shared(machine, seeds, platform, log, addresses)
 }
 
 fn shared(
@@ -112,12 +114,11 @@
     seeds: &str,
     platform: SocketAddr,
     log: &str,
-    peer: SocketAddr,
-    admin: SocketAddr,
+    [peer, listen, admin]: [SocketAddr; 3],
 ) -> String {
     format!(
         "[process]\nzone = {}\nlog = {log}\nstop-limit = 30s\n\n\
-         [peer]\naddress = {peer}\nsecret = loopback only\nseeds = {seeds}\n\n\
+         [peer]\naddress = {peer}\nlisten = {listen}\nsecret = loopback only\nseeds = {seeds}\n\n\
          [platform]\naddress = {platform}\n\n[admin]\naddress = {admin}\n",
         machine.zone,
     )
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 mod load;
 mod ports;
 mod process;
+mod relay;
 mod runs;
 
 pub use bed::{Bed, BedOptions, Machine};
@@ -17,4 +18,5 @@
 pub use load::{Load, LoadOptions, Observed, Told};
 pub use ports::PortBlock;
 pub use process::{Process, StartFailed, binary};
+pub use relay::Relay;
 pub use runs::Runs;
--- a/crates/testbed/tests/scheduling.rs
+++ b/crates/testbed/tests/scheduling.rs
@@ -96,6 +96,33 @@
     });
 }
 
+#[test]
+fn cuts_of_scheduler_and_gateway_heal_and_cost_no_request_its_answer() {
+    smol::block_on(async {
+        let bed = Bed::start(BedOptions { relays: true, ..BedOptions::default() }).await;
+        let load = chat_load(&bed);
+        more_calls(&load, 50).await;
+        let index = scheduler_in_use(&bed, "answers").await;
+        bed.scheduler_relays[index].cut();
+        more_calls(&load, 150).await;
+        bed.scheduler_relays[index].heal();
+        bed.wait_ready().await;
+        // A gateway that hears nobody serves no new request; its callers wait until it hears again.
+        bed.gateway_relays[0].cut();
+        more_calls(&load, 20).await;
+        wait_until(LIMIT, "the others hold it for dead", || async {
+            let status = bed.get(bed.machines[1].scheduler_admin, "/status").await;
+            let members = status["members"].as_array().cloned().unwrap_or_default();
+            members.iter().filter(|member| member["state"] == "alive").count() < 6
+        })
+        .await;
+        bed.gateway_relays[0].heal();
+        bed.wait_ready().await;
+        more_calls(&load, 50).await;
+        assert_all_answered(&load.stop().await);
+    });
+}
+
 #[test]
 fn a_killed_engine_costs_no_repeatable_request_its_answer() {
     run(async |mut bed| {
--- a/crates/testbed/tests/settings.rs
+++ b/crates/testbed/tests/settings.rs
@@ -27,3 +27,19 @@
     let errors = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(errors.contains("/nonexistent.ini: cannot be read"), "{errors}");
 }
+
+#[test]
+fn the_examples_are_valid() {
+    let examples = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for (program, file) in
+        [("mastbay-gateway", "gateway.ini"), ("mastbay-scheduler", "scheduler.ini")]
+    {
+        let mut command = Command::new(binary(program));
+        let output = command.arg(examples.join(file)).arg("--check").output().expect("started");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    }
+    let mut command = Command::new(binary("mastbayctl"));
+    let output = command.arg("validate").arg(examples.join("configuration")).output();
+    let output = output.expect("started");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+}
