Export spans by OTLP over HTTP

Cause: spans were written to the log only.

Change: [process] otlp names a collector; spans go there in batches through the OpenTelemetry protobuf types and our own client. A collector that does not answer costs spans, which are counted, and no request.

Figures: none taken; a test decodes what reaches a collector.

Conclusion: spans of all hops can be joined by a collector.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,7 +6,7 @@
 use crate::settings::{self, GatewaySettings};
 use mastbay_membership::Role;
 use mastbay_node::{Duty, ExitReason, Node, NodeMetrics, StartError, load_settings, wait_for_stop};
-use mastbay_telemetry::{Registry, serve_admin, start_logging};
+use mastbay_telemetry::{Registry, serve_admin, start_export, start_logging};
 use mastbay_web::{Server, ServerConfig, Stopper, within};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -25,6 +25,9 @@
         return Ok(ExitReason::Stopped);
     }
     start_logging(&node_settings.log).map_err(StartError::Logging)?;
+    if let Some(collector) = node_settings.otlp {
+        start_export(collector, "mastbay-gateway");
+    }
     let peers = bind(node_settings.peer_listen, ServerConfig::default()).await?;
     let admin = bind(node_settings.admin_address, ServerConfig::default()).await?;
     let callers = bind(own.address, caller_config(&own)).await?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -12,6 +12,8 @@
     pub zone: String,
     /// `[process] log`: log filter, such as `info`.
     pub log: String,
+    /// `[process] otlp`: collector that spans are sent to by OTLP over HTTP, if any.
+    pub otlp: Option<SocketAddr>,
     /// `[process] stop-limit`: time that a planned stop may take.
     pub stop_limit: Duration,
     /// `[peer] address`: where peers reach the process; also its name.
@@ -42,6 +44,7 @@
     let mut process = document.section("process", faults);
     let zone: Option<Name> = process.required("zone");
     let log: String = process.or("log", "info".to_owned());
+    let otlp: Option<SocketAddr> = process.optional("otlp");
     let stop_limit: Span<100, 86_400_000> = process.or("stop-limit", Span(DEFAULT_STOP_LIMIT));
     process.finish();
 
@@ -65,6 +68,7 @@
     Some(NodeSettings {
         zone: zone?.0,
         log,
+        otlp,
         stop_limit: stop_limit.0,
         peer_address: peer_address?,
         peer_listen: peer_listen.or(peer_address)?,
--- a/crates/node/src/tests.rs
+++ b/crates/node/src/tests.rs
@@ -20,7 +20,7 @@
     let text = faults.to_string();
     for expected in [
         "[process] zone: expected a name",
-        "[process] colour: unknown key; known here: zone, log, stop-limit",
+        "[process] colour: unknown key; known here: zone, log, otlp, stop-limit",
         "[peer] address: expected an address such as 127.0.0.1:8080, found 'here'",
         "[peer] secret: missing",
         "[platform] address: missing",
--- a/crates/scheduler/src/start.rs
+++ b/crates/scheduler/src/start.rs
@@ -8,7 +8,7 @@
 use mastbay_node::{
     Duty, ExitReason, Node, NodeMetrics, NodeSettings, StartError, load_settings, wait_for_stop,
 };
-use mastbay_telemetry::{Registry, serve_admin, start_logging};
+use mastbay_telemetry::{Registry, serve_admin, start_export, start_logging};
 use mastbay_web::{Server, ServerConfig};
 use std::path::Path;
 use std::sync::Arc;
@@ -25,6 +25,9 @@
         return Ok(ExitReason::Stopped);
     }
     start_logging(&node_settings.log).map_err(StartError::Logging)?;
+    if let Some(collector) = node_settings.otlp {
+        start_export(collector, "mastbay-scheduler");
+    }
     let peers = bind(node_settings.peer_listen).await?;
     let admin = bind(node_settings.admin_address).await?;
     let mut registry = Registry::default();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,11 +2,13 @@
 //! context, and an admin address with health, readiness, metrics and its own account of things.
 
 mod admin;
+mod export;
 mod logging;
 mod span;
 mod trace_context;
 
 pub use admin::{Inspect, NotReady, serve_admin};
+pub use export::{ExportCounts, start_export};
 pub use logging::{LoggingError, start_logging};
 pub use span::HopSpan;
 pub use trace_context::{ParseTraceContextError, TraceContext};
--- a/crates/telemetry/src/span.rs
+++ b/crates/telemetry/src/span.rs
@@ -1,8 +1,9 @@
-//! Spans: one for each hop of a request, written to the log when the hop ends.
+//! Spans: one for each hop of a request, written to the log when the hop ends and, if set, exported.
 
+use crate::export::{SpanRecord, offer};
 use crate::trace_context::TraceContext;
 use rand::Rng;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 /// A hop under way.
 #[derive(Debug, Clone)]
@@ -11,13 +12,15 @@
     context: TraceContext,
     parent: u64,
     started: Instant,
+    began: SystemTime,
 }
 
 impl HopSpan {
     /// A hop below `parent`.
     pub fn start(name: &'static str, parent: TraceContext, random: &mut impl Rng) -> Self {
         let context = parent.child(random);
-        Self { name, context, parent: parent.span, started: Instant::now() }
+        let (started, began) = (Instant::now(), SystemTime::now());
+        Self { name, context, parent: parent.span, started, began }
     }
 
     /// What the next hop gets as its `traceparent`.
@@ -37,5 +40,14 @@
             request,
             result,
         );
+        offer(|| SpanRecord {
+            name: self.name,
+            context: self.context,
+            parent: self.parent,
+            began: self.began,
+            took: self.started.elapsed(),
+            request: request.to_owned(),
+            result: result.to_owned(),
+        });
     }
 }
--- a/crates/telemetry/src/tests.rs
+++ b/crates/telemetry/src/tests.rs
@@ -17,3 +17,65 @@
         assert!(bad.parse::<TraceContext>().is_err(), "{bad}");
     }
 }
+
+#[test]
+fn spans_reach_the_collector_with_their_parents() {
+    use crate::{HopSpan, start_export};
+    use hyper::Response;
+    use mastbay_web::{Server, ServerConfig, empty, read_limited, within};
+    use opentelemetry_proto::tonic::collector::trace::v1::ExportTraceServiceRequest;
+    use prost::Message;
+    use std::time::Duration;
+
+    /// Numbers that are not random; spans only need some.
+    struct Counting(u64);
+
+    impl rand::rand_core::TryRng for Counting {
+        type Error = std::convert::Infallible;
+
+        fn try_next_u32(&mut self) -> Result<u32, Self::Error> {
+            self.try_next_u64().map(|number| number as u32)
+        }
+
+        fn try_next_u64(&mut self) -> Result<u64, Self::Error> {
+            self.0 += 2;
+            Ok(self.0)
+        }
+
+        fn try_fill_bytes(&mut self, bytes: &mut [u8]) -> Result<(), Self::Error> {
+            bytes.fill(1);
+            Ok(())
+        }
+    }
+
+    smol::block_on(async {
+        let loopback = ([127, 0, 0, 1], 0).into();
+        let server = Server::bind(loopback, ServerConfig::default()).await.expect("bound");
+        let address = server.address();
+        let (sender, bodies) = smol::channel::unbounded();
+        smol::spawn(server.run(move |request, _| {
+            let sender = sender.clone();
+            async move {
+                let body = read_limited(request.into_body(), 1 << 20).await.expect("a body");
+                sender.send(body).await.expect("room");
+                Response::new(empty())
+            }
+        }))
+        .detach();
+        start_export(address, "mastbay-test");
+        let mut random = Counting(1);
+        let root = TraceContext::new_root(&mut random);
+        let outer = HopSpan::start("gateway", root, &mut random);
+        let inner = HopSpan::start("backend", outer.context(), &mut random);
+        inner.finish("request", "ok");
+        let outer_span = outer.context().span;
+        outer.finish("request", "answered");
+        let body = within(Duration::from_secs(10), bodies.recv()).await.expect("in time");
+        let decoded = ExportTraceServiceRequest::decode(body.expect("a batch")).expect("OTLP");
+        let spans = &decoded.resource_spans[0].scope_spans[0].spans;
+        let names: Vec<&str> = spans.iter().map(|span| span.name.as_str()).collect();
+        assert_eq!(names, ["backend", "gateway"]);
+        assert_eq!(spans[0].parent_span_id, outer_span.to_be_bytes());
+        assert_eq!(spans[0].trace_id, root.trace.to_be_bytes());
+    });
+}
