Split the grants crate by duty; full reports leave out idle tenants

Change: tenants, ledger and choice of scheduler stand in modules of their own; the number of waiting requests is kept instead of summed; a full report names tenants that are active or changed since the last.

--- a/crates/fairness/src/lib.rs
+++ b/crates/fairness/src/lib.rs
@@ -38,6 +38,11 @@
         Level(cost.0.saturating_mul(SCALE) / i64::from(weight.get()))
     }
 
+    /// The level in cost units over weight.
+    pub fn in_cost_units(self) -> f64 {
+        self.0 as f64 / SCALE as f64
+    }
+
     /// The sum of two levels.
     pub fn plus(self, other: Level) -> Level {
         Level(self.0.saturating_add(other.0))
--- a/crates/grants/src/cell.rs
+++ b/crates/grants/src/cell.rs
@@ -4,13 +4,12 @@
 use crate::gateway_view::{GatewayView, UnseenGrant};
 use crate::messages::{BackendReport, Grant, Grants, Report, TenantReport};
 use crate::slots::Slots;
-use crate::status::{CellStatus, TenantStatus};
-use mastbay_fairness::{FairOrder, Level};
+use crate::status::CellStatus;
+use crate::tenants::Tenants;
 use mastbay_types::{
     BackendName, CellId, Cost, Incarnation, ProcessId, TenantName, Timestamp, Weight, ranks_before,
 };
 use std::collections::BTreeMap;
-use std::ops::Bound::{Excluded, Unbounded};
 use std::time::Duration;
 
 /// Settings of a [`Cell`].
@@ -48,38 +47,6 @@
     }
 }
 
-/// Share of a new observation in a tenant's learned cost.
-const ESTIMATE_GAIN: f64 = 0.1;
-
-#[derive(Debug, Default)]
-struct Tenant {
-    /// Gateways at which work of the tenant waits that no grant covers yet, with its amount.
-    waiting: BTreeMap<ProcessId, u32>,
-    /// The gateway last granted to; the next one in order comes next.
-    last_gateway: Option<ProcessId>,
-    /// Requests that run, as reported, and grants that no gateway can have seen yet.
-    in_flight: u32,
-    /// The highest level that gateways remember of a predecessor's grants.
-    remembered_level: Option<Level>,
-    /// What gateways have charged since those grants.
-    remembered_charges: Cost,
-    estimate: Option<f64>,
-}
-
-impl Tenant {
-    fn is_active(&self) -> bool {
-        self.in_flight > 0 || !self.waiting.is_empty()
-    }
-
-    /// The gateway after the one last granted to, among those where the tenant's work waits.
-    fn next_gateway(&self) -> Option<&ProcessId> {
-        let after = self.last_gateway.as_ref().and_then(|last| {
-            self.waiting.range::<ProcessId, _>((Excluded(last), Unbounded)).next()
-        });
-        after.or_else(|| self.waiting.first_key_value()).map(|(gateway, _)| gateway)
-    }
-}
-
 /// A gateway that is gone.
 #[derive(Debug)]
 struct Departed {
@@ -97,16 +64,12 @@
     /// The scheduler that the cell was handed to.
     moved_to: Option<ProcessId>,
     opens_at: Timestamp,
-    order: FairOrder,
-    tenants: BTreeMap<TenantName, Tenant>,
-    /// Sum of the weights of tenants that wait or run.
-    active_weight: u64,
+    tenants: Tenants,
     slots: Slots,
     ahead: AheadEstimate,
     gateways: BTreeMap<ProcessId, GatewayView>,
     /// What gateways that are gone had charged, should they come back in the same life.
     departed: BTreeMap<ProcessId, Departed>,
-    open: bool,
     just_taken_over: bool,
     /// Gateways to answer, and whether each has to send a full report.
     answers_due: BTreeMap<ProcessId, bool>,
@@ -122,14 +85,11 @@
             incarnation,
             moved_to: None,
             opens_at: Timestamp::NEVER,
-            order: FairOrder::default(),
-            tenants: BTreeMap::new(),
-            active_weight: 0,
+            tenants: Tenants::default(),
             slots: Slots::default(),
             ahead: AheadEstimate::default(),
             gateways: BTreeMap::new(),
             departed: BTreeMap::new(),
-            open: false,
             just_taken_over: false,
             answers_due: BTreeMap::new(),
         }
@@ -162,32 +122,7 @@
 
     /// Declares a tenant's weight.
     pub fn set_weight(&mut self, tenant: &TenantName, weight: Weight) {
-        self.change_tenant(tenant, |_| ());
-        let active = self.tenants.get(tenant).is_some_and(Tenant::is_active);
-        if active {
-            let before = u64::from(self.order.weight(tenant).get());
-            self.active_weight = self.active_weight + u64::from(weight.get()) - before;
-        }
-        self.order.set_weight(tenant, weight);
-    }
-
-    /// Changes a tenant and keeps what is derived from it: whether it is backlogged, and the sum
-    /// of active weights.
-    fn change_tenant(&mut self, name: &TenantName, change: impl FnOnce(&mut Tenant)) {
-        let tenant = self.tenants.entry(name.clone()).or_default();
-        let was_active = tenant.is_active();
-        change(tenant);
-        let (is_active, backlogged) = (tenant.is_active(), !tenant.waiting.is_empty());
-        let weight = u64::from(self.order.weight(name).get());
-        match (was_active, is_active) {
-            (false, true) => self.active_weight += weight,
-            (true, false) => self.active_weight -= weight,
-            _ => {}
-        }
-        // Before the cell opens, levels are not known in full, and none may be raised to another's.
-        if self.open {
-            self.order.set_backlogged(name, backlogged);
-        }
+        self.tenants.set_weight(tenant, weight);
     }
 
     /// Takes a gateway's report.
@@ -299,10 +234,7 @@
     /// Undoes what a grant counted for until its gateway had seen it. Gives its tenant.
     fn take_back(&mut self, grant: UnseenGrant) -> TenantName {
         self.slots.remove_unseen(&grant.backend);
-        self.change_tenant(&grant.tenant, |tenant| {
-            tenant.in_flight = tenant.in_flight.saturating_sub(1);
-        });
-        self.order.charge(&grant.tenant, Cost::ZERO.minus(grant.estimate));
+        self.tenants.take_back_grant(&grant.tenant, grant.estimate);
         grant.tenant
     }
 
@@ -330,9 +262,7 @@
         let Some(report) = view.tenants.get_mut(name) else { return };
         report.waiting = 0;
         let running = std::mem::take(&mut report.running);
-        self.change_tenant(name, |tenant| {
-            tenant.in_flight = tenant.in_flight.saturating_sub(running);
-        });
+        self.tenants.change_in_flight(name, running, 0);
     }
 
     fn take_tenant(&mut self, now: Timestamp, from: &ProcessId, report: TenantReport) {
@@ -344,14 +274,15 @@
         };
         // Charges from before this scheduler's time are within the level that gateways remember.
         let new_charge = known_charge.map_or(Cost::ZERO, |known| report.charged.minus(known));
-        self.order.charge(&report.tenant, new_charge);
+        self.tenants.charge(&report.tenant, new_charge);
         let was_running = previous.as_ref().map_or(0, |known| known.running);
-        self.change_tenant(&report.tenant, |tenant| {
-            tenant.in_flight = (tenant.in_flight + report.running).saturating_sub(was_running);
-        });
+        self.tenants.change_in_flight(&report.tenant, was_running, report.running);
         match previous {
-            Some(previous) => self.learn(now, &report, &previous),
-            None if known_charge.is_none() => self.take_standing(&report),
+            Some(previous) => {
+                let ended = self.tenants.learn(&report, &previous);
+                self.ahead.note_ended(now, ended);
+            }
+            None if known_charge.is_none() => self.tenants.take_standing(&report),
             None => {}
         }
     }
@@ -363,57 +294,6 @@
         departed.charged.get(&report.tenant).copied()
     }
 
-    /// Starts from what a gateway remembers of a predecessor.
-    fn take_standing(&mut self, report: &TenantReport) {
-        let Some(standing) = report.standing else { return };
-        let tenant = self.tenants.entry(report.tenant.clone()).or_default();
-        tenant.estimate.get_or_insert(standing.estimate.0 as f64);
-        let Some(level) = standing.level else { return };
-        if !self.open {
-            tenant.remembered_level = tenant.remembered_level.max(Some(level));
-            tenant.remembered_charges += standing.charged_since;
-            return;
-        }
-        self.order.raise_to(&report.tenant, level);
-        self.order.charge(&report.tenant, standing.charged_since);
-    }
-
-    /// Begins to grant: tenants that a predecessor knew go on from their levels, others start as
-    /// any tenant that becomes backlogged.
-    fn open(&mut self) {
-        self.open = true;
-        let mut others = Vec::new();
-        for (name, tenant) in &self.tenants {
-            if tenant.waiting.is_empty() {
-                continue;
-            }
-            match tenant.remembered_level {
-                Some(level) => {
-                    let since = Level::of(tenant.remembered_charges, self.order.weight(name));
-                    self.order.restore_backlogged(name, level.plus(since));
-                }
-                None => others.push(name.clone()),
-            }
-        }
-        for name in others {
-            self.order.set_backlogged(&name, true);
-        }
-    }
-
-    fn learn(&mut self, now: Timestamp, report: &TenantReport, previous: &TenantReport) {
-        let finished = report.finished.saturating_sub(previous.finished);
-        self.ahead.note_ended(now, finished);
-        if finished == 0 {
-            return;
-        }
-        let total = report.finished_cost.minus(previous.finished_cost).0 as f64;
-        let mean = total / finished as f64;
-        let tenant = self.tenants.entry(report.tenant.clone()).or_default();
-        let gain = 1.0 - (1.0 - ESTIMATE_GAIN).powf(finished as f64);
-        let known = tenant.estimate.unwrap_or(mean);
-        tenant.estimate = Some(known + gain * (mean - known));
-    }
-
     fn take_backend(&mut self, now: Timestamp, from: &ProcessId, report: BackendReport) {
         self.set_running(from, &report.backend, report.running);
         if report.unreachable {
@@ -433,16 +313,7 @@
     /// Recomputes what of a tenant waits at one gateway and is not covered by a grant under way.
     fn refresh_waiting(&mut self, from: &ProcessId, name: &TenantName) {
         let uncovered = self.gateways.get(from).map_or(0, |view| view.uncovered(name));
-        self.set_waiting(from, name, uncovered);
-    }
-
-    fn set_waiting(&mut self, gateway: &ProcessId, name: &TenantName, waiting: u32) {
-        self.change_tenant(name, |tenant| {
-            match waiting {
-                0 => tenant.waiting.remove(gateway),
-                waiting => tenant.waiting.insert(gateway.clone(), waiting),
-            };
-        });
+        self.tenants.set_waiting(from, name, uncovered);
     }
 
     fn drop_gateway(&mut self, from: &ProcessId) {
@@ -456,7 +327,7 @@
         let running: Vec<BackendName> = view.running.keys().cloned().collect();
         for name in view.tenant_names() {
             self.clear_tenant(from, &name);
-            self.set_waiting(from, &name, 0);
+            self.tenants.set_waiting(from, &name, 0);
         }
         for name in running {
             self.set_running(from, &name, 0);
@@ -471,10 +342,7 @@
     /// A cell that nobody reports to any more knows nothing of what goes on. Should it be held here
     /// again, what gateways remember by then is better than what was known here.
     fn forget(&mut self) {
-        self.open = false;
-        self.order.forget_levels();
-        self.tenants.clear();
-        self.active_weight = 0;
+        self.tenants.forget();
         self.departed.clear();
         self.ahead = AheadEstimate::default();
     }
@@ -515,7 +383,7 @@
         let Some(view) = self.gateways.get_mut(name) else { return };
         view.silent = true;
         for tenant in view.tenant_names() {
-            self.set_waiting(name, &tenant, 0);
+            self.tenants.set_waiting(name, &tenant, 0);
         }
     }
 
@@ -535,8 +403,8 @@
             outgoing.insert(gateway, self.message(needs_full));
         }
         if now >= self.opens_at && self.moved_to.is_none() {
-            if !self.open {
-                self.open();
+            if !self.tenants.is_open() {
+                self.tenants.open();
             }
             while let Some((gateway, grant)) = self.grant_one(now) {
                 let message = self.message(false);
@@ -564,20 +432,13 @@
     }
 
     fn grant_one(&mut self, now: Timestamp) -> Option<(ProcessId, Grant)> {
-        let tenant = self.next_tenant()?.clone();
+        let (tenant, gateway) = self.tenants.next(self.config.share_limit, self.slots.total())?;
         let backend = self.slots.freest(self.grants_ahead(), now)?.clone();
-        let gateway = self.tenants.get(&tenant)?.next_gateway()?.clone();
-        let estimate = self.estimate(&tenant);
-        self.order.note_served(&tenant);
-        self.order.charge(&tenant, estimate);
-        let level = self.order.level(&tenant);
+        let estimate = self.tenants.estimate(&tenant, self.config.first_estimate);
         let view = self.gateways.get_mut(&gateway)?;
         let sequence = view.note_grant(now, &tenant, &backend, estimate);
         self.slots.add_unseen(&backend);
-        self.change_tenant(&tenant, |tenant| {
-            tenant.last_gateway = Some(gateway.clone());
-            tenant.in_flight += 1;
-        });
+        let level = self.tenants.note_grant(&gateway, &tenant, estimate);
         self.refresh_waiting(&gateway, &tenant);
         Some((gateway, Grant { sequence, tenant, backend, estimate, level }))
     }
@@ -587,44 +448,13 @@
         self.config.ahead.unwrap_or_else(learned).min(self.slots.largest())
     }
 
-    /// The backlogged tenant due next, those passed over that already hold their limit of slots.
-    /// If all do, the limit keeps no slot idle.
-    fn next_tenant(&self) -> Option<&TenantName> {
-        let below = self.order.backlogged().find(|name| !self.holds_its_limit(name));
-        below.or_else(|| self.order.next())
-    }
-
-    fn holds_its_limit(&self, name: &TenantName) -> bool {
-        let Some(tenant) = self.tenants.get(name) else { return false };
-        let weight = f64::from(self.order.weight(name).get());
-        let share = weight / self.active_weight.max(1) as f64;
-        let limit = self.config.share_limit * share * f64::from(self.slots.total());
-        f64::from(tenant.in_flight) >= limit.max(1.0)
-    }
-
-    fn estimate(&self, name: &TenantName) -> Cost {
-        let learned = self.tenants.get(name).and_then(|tenant| tenant.estimate);
-        learned.map_or(self.config.first_estimate, |mean| Cost(mean.round().max(1.0) as i64))
-    }
-
     /// The cell's standing, for operators.
     pub fn status(&self) -> CellStatus {
         CellStatus {
             slots: self.slots.total(),
             in_use: self.slots.in_use(),
             gateways: self.gateways.len(),
-            backlogged: self.order.backlogged().map(|name| self.tenant_status(name)).collect(),
-        }
-    }
-
-    fn tenant_status(&self, name: &TenantName) -> TenantStatus {
-        let tenant = self.tenants.get(name);
-        TenantStatus {
-            tenant: name.clone(),
-            waiting: tenant.map_or(0, |tenant| tenant.waiting.values().sum()),
-            in_flight: tenant.map_or(0, |tenant| tenant.in_flight),
-            level: self.order.level(name).0 as f64 / 1_000.0,
-            estimate: self.estimate(name),
+            backlogged: self.tenants.status(self.config.first_estimate),
         }
     }
 }
--- a/crates/grants/src/demand.rs
+++ b/crates/grants/src/demand.rs
@@ -1,11 +1,12 @@
 //! The gateway's side: requests that wait, requests that run, and the reports about them.
 
-use crate::messages::{BackendReport, Grants, Report, Standing, TenantReport};
-use mastbay_fairness::Level;
+use crate::contact::{Contact, ContactConfig, SchedulerChoice};
+use crate::ledger::Ledger;
+use crate::messages::{BackendReport, Grants, Report, TenantReport};
 use mastbay_types::{
     BackendName, CellId, Cost, Incarnation, ProcessId, RequestId, TenantName, Timestamp,
 };
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Settings of a [`Demand`].
@@ -20,15 +21,10 @@
     pub progress_interval: Duration,
     /// Time between heartbeats while nothing waits or runs.
     pub idle_interval: Duration,
-    /// Silence after which a scheduler counts as unreachable.
-    pub answer_timeout: Duration,
-    /// How long an unreachable scheduler is passed over at first; doubled each time, up to
-    /// `longest_pause`.
-    pub unreachable_pause: Duration,
-    /// Longest time that a scheduler is passed over.
-    pub longest_pause: Duration,
     /// Time between full reports, which repair what lost messages left.
     pub full_interval: Duration,
+    /// Which scheduler is reported to.
+    pub contact: ContactConfig,
 }
 
 impl Default for DemandConfig {
@@ -38,10 +34,8 @@
             eager_spacing: Duration::from_micros(500),
             progress_interval: Duration::from_millis(100),
             idle_interval: Duration::from_millis(1_000),
-            answer_timeout: Duration::from_millis(250),
-            unreachable_pause: Duration::from_secs(2),
-            longest_pause: Duration::from_secs(30),
             full_interval: Duration::from_secs(5),
+            contact: ContactConfig::default(),
         }
     }
 }
@@ -57,46 +51,6 @@
     pub backend: BackendName,
 }
 
-#[derive(Debug, Default)]
-struct Ledger {
-    waiting: VecDeque<RequestId>,
-    running: u32,
-    charged: Cost,
-    finished: u64,
-    finished_cost: Cost,
-    last_grant: Option<LastGrant>,
-}
-
-/// What the last grant told of a tenant.
-#[derive(Debug)]
-struct LastGrant {
-    level: Option<Level>,
-    estimate: Cost,
-    /// The ledger's charge right after it.
-    charged: Cost,
-}
-
-impl Ledger {
-    /// A tenant with nothing to do keeps no level that could become credit.
-    fn note_idleness(&mut self) {
-        if !self.waiting.is_empty() || self.running > 0 {
-            return;
-        }
-        if let Some(grant) = &mut self.last_grant {
-            grant.level = None;
-        }
-    }
-
-    /// What a scheduler that does not know the tenant is told.
-    fn standing(&self) -> Option<Standing> {
-        self.last_grant.as_ref().map(|grant| Standing {
-            level: grant.level,
-            charged_since: self.charged.minus(grant.charged),
-            estimate: grant.estimate,
-        })
-    }
-}
-
 #[derive(Debug)]
 struct Running {
     tenant: TenantName,
@@ -105,15 +59,6 @@
     delivered: Cost,
 }
 
-#[derive(Debug)]
-struct Contact {
-    scheduler: ProcessId,
-    incarnation: Incarnation,
-    seen: u64,
-    last_heard: Timestamp,
-    asked_since: Option<Timestamp>,
-}
-
 /// How soon a report is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -125,33 +70,24 @@
     Now,
 }
 
-/// A scheduler that did not answer.
-#[derive(Debug)]
-struct Avoided {
-    until: Timestamp,
-    pause: Duration,
-}
-
 /// One gateway's demand for one cell.
 #[derive(Debug)]
 pub struct Demand {
     cell: CellId,
     config: DemandConfig,
     incarnation: Incarnation,
-    schedulers: Vec<ProcessId>,
-    avoided: BTreeMap<ProcessId, Avoided>,
-    /// The scheduler that the last one handed the cell to, and until when its word counts more than
-    /// the list.
-    handed_to: Option<(ProcessId, Timestamp)>,
-    contact: Option<Contact>,
-    /// The scheduler left for another, which is to be told so.
-    left: Option<Contact>,
+    choice: SchedulerChoice,
     tenants: BTreeMap<TenantName, Ledger>,
+    /// Requests that wait, over all tenants.
+    waiting: usize,
     running: BTreeMap<RequestId, Running>,
     running_at: BTreeMap<BackendName, u32>,
     unreachable: BTreeSet<BackendName>,
+    /// Changed since the last report.
     changed_tenants: BTreeSet<TenantName>,
     changed_backends: BTreeSet<BackendName>,
+    /// Changed since the last full report.
+    touched_tenants: BTreeSet<TenantName>,
     urgency: Urgency,
     last_report: Timestamp,
     last_full: Option<Timestamp>,
@@ -161,20 +97,18 @@
     /// No demand yet.
     pub fn new(cell: CellId, config: DemandConfig, incarnation: Incarnation) -> Self {
         Self {
+            choice: SchedulerChoice::new(config.contact.clone()),
             cell,
             config,
             incarnation,
-            schedulers: Vec::new(),
-            avoided: BTreeMap::new(),
-            handed_to: None,
-            contact: None,
-            left: None,
             tenants: BTreeMap::new(),
+            waiting: 0,
             running: BTreeMap::new(),
             running_at: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             changed_tenants: BTreeSet::new(),
             changed_backends: BTreeSet::new(),
+            touched_tenants: BTreeSet::new(),
             urgency: Urgency::Calm,
             last_report: Timestamp::ZERO,
             last_full: None,
@@ -183,45 +117,40 @@
 
     /// Live schedulers in this cell's rendezvous order.
     pub fn set_schedulers(&mut self, schedulers: Vec<ProcessId>) {
-        self.schedulers = schedulers;
+        self.choice.set_schedulers(schedulers);
     }
 
     /// The scheduler that reports go to.
     pub fn scheduler(&self) -> Option<&ProcessId> {
-        self.contact.as_ref().map(|contact| &contact.scheduler)
+        self.choice.contact().map(|contact| &contact.scheduler)
     }
 
     /// Adds a request to its tenant's queue.
     pub fn enqueue(&mut self, tenant: &TenantName, request: RequestId) {
-        let ledger = self.tenants.entry(tenant.clone()).or_default();
-        ledger.waiting.push_back(request);
-        let alone = self.waiting_in_total() == 1;
-        self.note_tenant(tenant, if alone { Urgency::Now } else { Urgency::Soon });
+        let alone = self.waiting == 0;
+        self.ledger(tenant).waiting.push_back(request);
+        self.waiting += 1;
+        self.hurry(if alone { Urgency::Now } else { Urgency::Soon });
     }
 
-    /// Puts a request that was granted but certainly not sent back at the head of its queue.
+    /// Puts a request that was granted, and is to be tried again, back at the head of its queue.
     pub fn requeue(&mut self, request: RequestId) {
-        let Some(tenant) = self.running.get(&request).map(|running| running.tenant.clone()) else {
-            return;
-        };
+        let Some(running) = self.running.get(&request) else { return };
+        let tenant = running.tenant.clone();
         self.finish(request, Cost::ZERO, false);
-        self.tenants.entry(tenant.clone()).or_default().waiting.push_front(request);
-        self.note_tenant(&tenant, Urgency::Now);
+        self.ledger(&tenant).waiting.push_front(request);
+        self.waiting += 1;
+        self.hurry(Urgency::Now);
     }
 
     /// Takes a waiting request out. Returns whether it was waiting.
     pub fn cancel(&mut self, tenant: &TenantName, request: RequestId) -> bool {
-        let Some(ledger) = self.tenants.get_mut(tenant) else {
-            return false;
-        };
-        let before = ledger.waiting.len();
-        ledger.waiting.retain(|waiting| *waiting != request);
-        if ledger.waiting.len() == before {
-            return false;
+        let cancelled = self.ledger(tenant).cancel(request);
+        if cancelled {
+            self.waiting -= 1;
+            self.hurry(Urgency::Soon);
         }
-        ledger.note_idleness();
-        self.note_tenant(tenant, Urgency::Soon);
-        true
+        cancelled
     }
 
     /// Requests of `tenant` that wait here.
@@ -231,7 +160,7 @@
 
     /// All requests that wait here.
     pub fn waiting_in_total(&self) -> usize {
-        self.tenants.values().map(|ledger| ledger.waiting.len()).sum()
+        self.waiting
     }
 
     /// All requests that run for this gateway.
@@ -256,92 +185,36 @@
         from: &ProcessId,
         message: Grants,
     ) -> Vec<Assignment> {
-        if !self.note_contact(now, from, &message) {
-            self.consider_solicitation(now, from, &message);
+        if !self.choice.note_message(now, from, &message) {
             return Vec::new();
         }
         if message.needs_full {
             self.last_full = None;
             self.hurry(Urgency::Now);
         }
-        if let Some(successor) = message.moved_to {
-            self.handed_to = Some((successor, now + self.config.unreachable_pause));
-        }
         let mut assignments = Vec::new();
         for grant in message.grants {
             self.hurry(Urgency::Soon);
-            self.changed_tenants.insert(grant.tenant.clone());
-            let ledger = self.tenants.entry(grant.tenant.clone()).or_default();
-            let Some(request) = ledger.waiting.pop_front() else { continue };
-            ledger.charged += grant.estimate;
-            ledger.last_grant = Some(LastGrant {
-                level: Some(grant.level),
-                estimate: grant.estimate,
-                charged: ledger.charged,
-            });
-            ledger.running += 1;
-            self.start(request, &grant.tenant, &grant.backend, grant.estimate);
+            let Some(request) = self.ledger(&grant.tenant).start(&grant) else { continue };
+            self.waiting -= 1;
+            let running = Running {
+                tenant: grant.tenant.clone(),
+                backend: grant.backend.clone(),
+                charged: grant.estimate,
+                delivered: Cost::ZERO,
+            };
+            self.running.insert(request, running);
+            *self.running_at.entry(grant.backend.clone()).or_default() += 1;
+            self.changed_backends.insert(grant.backend.clone());
             let (tenant, backend) = (grant.tenant, grant.backend);
             assignments.push(Assignment { request, tenant, backend });
         }
         assignments
     }
 
-    /// Another scheduler has taken the cell over. If the one reported to owes an answer, it is not
-    /// waited for any longer.
-    fn consider_solicitation(&mut self, now: Timestamp, from: &ProcessId, message: &Grants) {
-        let Some(contact) = &self.contact else { return };
-        let owes_answer = contact.asked_since.is_some() && contact.scheduler != *from;
-        if message.needs_full && owes_answer {
-            self.avoid_contact(now);
-            self.hurry(Urgency::Now);
-        }
-    }
-
-    /// Whether the message comes from the scheduler reported to, in its latest life.
-    fn note_contact(&mut self, now: Timestamp, from: &ProcessId, message: &Grants) -> bool {
-        let Some(contact) = &mut self.contact else {
-            return false;
-        };
-        if contact.scheduler != *from || message.scheduler < contact.incarnation {
-            return false;
-        }
-        if message.scheduler > contact.incarnation {
-            contact.incarnation = message.scheduler;
-            contact.seen = 0;
-        }
-        contact.last_heard = now;
-        contact.asked_since = None;
-        self.avoided.remove(from);
-        if let Some(last) = message.grants.last() {
-            contact.seen = contact.seen.max(last.sequence);
-        }
-        true
-    }
-
-    fn start(
-        &mut self,
-        request: RequestId,
-        tenant: &TenantName,
-        backend: &BackendName,
-        charged: Cost,
-    ) {
-        let running = Running {
-            tenant: tenant.clone(),
-            backend: backend.clone(),
-            charged,
-            delivered: Cost::ZERO,
-        };
-        self.running.insert(request, running);
-        *self.running_at.entry(backend.clone()).or_default() += 1;
-        self.changed_backends.insert(backend.clone());
-    }
-
     /// Adds service that a running request has just received.
     pub fn progress(&mut self, request: RequestId, more: Cost) {
-        let Some(running) = self.running.get_mut(&request) else {
-            return;
-        };
+        let Some(running) = self.running.get_mut(&request) else { return };
         running.delivered += more;
         let excess = running.delivered.minus(running.charged);
         if excess <= Cost::ZERO {
@@ -349,25 +222,16 @@
         }
         running.charged = running.delivered;
         let tenant = running.tenant.clone();
-        self.tenants.entry(tenant.clone()).or_default().charged += excess;
-        self.changed_tenants.insert(tenant);
+        self.ledger(&tenant).charge(excess);
     }
 
     /// Ends a running request, which cost `total` in all. `learn` says whether the cost is
     /// typical; a broken attempt's is not.
     pub fn finish(&mut self, request: RequestId, total: Cost, learn: bool) {
-        let Some(running) = self.running.remove(&request) else {
-            return;
-        };
-        let ledger = self.tenants.entry(running.tenant.clone()).or_default();
-        ledger.charged += total.minus(running.charged);
-        ledger.running -= 1;
-        ledger.note_idleness();
-        if learn {
-            ledger.finished += 1;
-            ledger.finished_cost += total;
-        }
-        self.changed_tenants.insert(running.tenant);
+        let Some(running) = self.running.remove(&request) else { return };
+        let ledger = self.ledger(&running.tenant);
+        ledger.charge(total.minus(running.charged));
+        ledger.finish(learn.then_some(total));
         if let Some(count) = self.running_at.get_mut(&running.backend) {
             *count = count.saturating_sub(1);
         }
@@ -382,9 +246,11 @@
         self.hurry(Urgency::Now);
     }
 
-    fn note_tenant(&mut self, tenant: &TenantName, urgency: Urgency) {
+    /// A tenant's ledger, which is about to change.
+    fn ledger(&mut self, tenant: &TenantName) -> &mut Ledger {
         self.changed_tenants.insert(tenant.clone());
-        self.hurry(urgency);
+        self.touched_tenants.insert(tenant.clone());
+        self.tenants.entry(tenant.clone()).or_default()
     }
 
     fn hurry(&mut self, urgency: Urgency) {
@@ -394,8 +260,11 @@
     /// A report to send now, if one is due, and the scheduler it goes to. To be called until it
     /// gives none.
     pub fn poll_report(&mut self, now: Timestamp) -> Option<(ProcessId, Report)> {
-        self.choose_scheduler(now);
-        if let Some(left) = self.left.take() {
+        if self.choice.choose(now) {
+            self.last_full = None;
+            self.hurry(Urgency::Now);
+        }
+        if let Some(left) = self.choice.take_left() {
             return Some(self.farewell(left));
         }
         if now < self.next_timeout() {
@@ -403,10 +272,10 @@
         }
         let full = self.full_is_due(now);
         let (tenants, backends) = if full { self.everything() } else { self.changes() };
-        let contact = self.contact.as_mut()?;
+        let contact = self.choice.contact_mut()?;
         let wants_answer = now.since(contact.last_heard) >= self.config.progress_interval;
-        if wants_answer && contact.asked_since.is_none() {
-            contact.asked_since = Some(now);
+        if wants_answer {
+            contact.note_asked(now);
         }
         let report = Report {
             cell: self.cell.clone(),
@@ -432,15 +301,16 @@
         self.last_report = now;
         if full {
             self.last_full = Some(now);
+            self.touched_tenants.clear();
         }
     }
 
     /// When [`Demand::poll_report`] should be called next, at the latest.
     pub fn next_timeout(&self) -> Timestamp {
-        if self.contact.is_none() {
-            return if self.schedulers.is_empty() { Timestamp::NEVER } else { self.last_report };
+        if self.choice.contact().is_none() {
+            return if self.choice.has_any() { self.last_report } else { Timestamp::NEVER };
         }
-        let idle = self.running.is_empty() && self.waiting_in_total() == 0;
+        let idle = self.running.is_empty() && self.waiting == 0;
         let wait = match self.urgency {
             _ if self.last_full.is_none() => self.config.eager_spacing,
             Urgency::Now => self.config.eager_spacing,
@@ -455,38 +325,6 @@
         self.last_full.is_none_or(|last| now.since(last) >= self.config.full_interval)
     }
 
-    /// Keeps to the first scheduler in order that is not known to be unreachable.
-    fn choose_scheduler(&mut self, now: Timestamp) {
-        self.give_up_silent_scheduler(now);
-        let best = self.best_scheduler(now).cloned();
-        if best.as_ref() == self.scheduler() {
-            return;
-        }
-        self.left = self.contact.take();
-        self.contact = best.map(|scheduler| Contact {
-            scheduler,
-            incarnation: Incarnation::default(),
-            seen: 0,
-            last_heard: Timestamp::ZERO,
-            asked_since: None,
-        });
-        self.last_full = None;
-        self.hurry(Urgency::Now);
-    }
-
-    fn best_scheduler(&self, now: Timestamp) -> Option<&ProcessId> {
-        let usable =
-            |name: &ProcessId| self.avoided.get(name).is_none_or(|avoided| now >= avoided.until);
-        if let Some((successor, until)) = &self.handed_to
-            && now < *until
-            && usable(successor)
-        {
-            return Some(successor);
-        }
-        // With every scheduler avoided, the first is as good as any.
-        self.schedulers.iter().find(|name| usable(name)).or(self.schedulers.first())
-    }
-
     /// Tells the scheduler left that nothing waits or runs here for it any more.
     fn farewell(&self, left: Contact) -> (ProcessId, Report) {
         let report = Report {
@@ -503,33 +341,13 @@
         (left.scheduler, report)
     }
 
-    fn give_up_silent_scheduler(&mut self, now: Timestamp) {
-        let Some(contact) = &self.contact else { return };
-        let Some(asked) = contact.asked_since else {
-            return;
-        };
-        if now.since(asked) >= self.config.answer_timeout {
-            self.avoid_contact(now);
-        }
-    }
-
-    fn avoid_contact(&mut self, now: Timestamp) {
-        let Some(contact) = self.contact.take() else { return };
-        let scheduler = contact.scheduler;
-        let known = self.avoided.get(&scheduler);
-        let pause = known.map_or(self.config.unreachable_pause, |avoided| avoided.pause * 2);
-        let pause = pause.min(self.config.longest_pause);
-        self.avoided.insert(scheduler, Avoided { until: now + pause, pause });
-    }
-
+    /// All tenants with anything to do, and those that had since the last full report.
     fn everything(&self) -> (Vec<TenantReport>, Vec<BackendReport>) {
         let tenants = self
             .tenants
             .iter()
-            .map(|(name, ledger)| TenantReport {
-                standing: ledger.standing(),
-                ..tenant_report(name, ledger)
-            })
+            .filter(|(name, ledger)| ledger.is_active() || self.touched_tenants.contains(*name))
+            .map(|(name, ledger)| ledger.report(name, true))
             .collect();
         let backends = self
             .running_at
@@ -544,7 +362,7 @@
         let tenants = self
             .changed_tenants
             .iter()
-            .filter_map(|name| Some(tenant_report(name, self.tenants.get(name)?)))
+            .filter_map(|name| Some(self.tenants.get(name)?.report(name, false)))
             .collect();
         let backends = self.changed_backends.iter().map(|name| self.backend_report(name)).collect();
         (tenants, backends)
@@ -558,15 +376,3 @@
         }
     }
 }
-
-fn tenant_report(name: &TenantName, ledger: &Ledger) -> TenantReport {
-    TenantReport {
-        tenant: name.clone(),
-        waiting: ledger.waiting.len() as u32,
-        running: ledger.running,
-        charged: ledger.charged,
-        finished: ledger.finished,
-        finished_cost: ledger.finished_cost,
-        standing: None,
-    }
-}
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -7,13 +7,17 @@
 
 mod ahead;
 mod cell;
+mod contact;
 mod demand;
 mod gateway_view;
+mod ledger;
 mod messages;
 mod slots;
 mod status;
+mod tenants;
 
 pub use cell::{Cell, CellConfig};
+pub use contact::ContactConfig;
 pub use demand::{Assignment, Demand, DemandConfig};
 pub use messages::{BackendReport, Grant, Grants, Report, Standing, TenantReport};
 pub use status::{CellStatus, TenantStatus};
--- a/crates/grants/src/tests.rs
+++ b/crates/grants/src/tests.rs
@@ -231,7 +231,7 @@
         assert_eq!(demand.poll_report(asked).expect("a report").0, first);
     }
     // The first gateway gives up on the scheduler that is gone, and turns to the next.
-    let later = asked + DemandConfig::default().answer_timeout;
+    let later = asked + DemandConfig::default().contact.answer_timeout;
     let (to, report) = demands[0].poll_report(later).expect("a report");
     assert_eq!(to, second);
     let mut cell = new_cell(7, 2);
