--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -64,7 +64,8 @@
         }
     }
 
-    fn is_watcher(&self) -> bool {
+    /// Whether this process is among the few of its zone that watch the platform for the others.
+    pub fn is_watcher(&self) -> bool {
         let live = self.live_in_zone();
         let key = format!("watch/{}", self.zone());
         by_rendezvous(&key, &live).into_iter().take(WATCHERS_PER_ZONE).any(|one| one == self.me())
--- a/crates/peer/src/tests.rs
+++ b/crates/peer/src/tests.rs
@@ -11,7 +11,7 @@
         from: ProcessId::from("127.0.0.1:2"),
         to: me.clone(),
         generation: Generation(3),
-        messages: vec![Message::Spread(SpreadMessage::RootRequest)],
+        messages: vec![Message::Spread(SpreadMessage::RootRequest { have: Generation(2) })],
     };
     let body = rmp_serde::to_vec(&envelope).expect("an envelope can be written");
     (me, body, envelope)
--- a/crates/scheduler/src/machines.rs
+++ b/crates/scheduler/src/machines.rs
@@ -1,4 +1,4 @@
-//! Reads the platform's machine list and shares it with the other schedulers.
+//! A few schedulers of each zone read the platform's machine list and share it with the others.
 
 use crate::duty::SchedulerDuty;
 use mastbay_machines::{MachineList, MachineMessage};
@@ -6,12 +6,14 @@
 use mastbay_peer::Message;
 use std::sync::Arc;
 
-/// Reads the list for ever.
+/// Reads the list for ever, while this process is among its zone's watchers; others hear of it.
 pub async fn follow_machine_list(duty: Arc<SchedulerDuty>) {
     loop {
-        match duty.node().platform().machines().await {
-            Ok(list) => take_list(&duty, list),
-            Err(error) => duty.node().note_failure(&error),
+        if duty.node().is_watcher() {
+            match duty.node().platform().machines().await {
+                Ok(list) => take_list(&duty, list),
+                Err(error) => duty.node().note_failure(&error),
+            }
         }
         smol::Timer::after(duty.settings().machine_list_interval).await;
     }
--- a/crates/simulation/src/bin/mastbay-slopes.rs
+++ b/crates/simulation/src/bin/mastbay-slopes.rs
@@ -3,7 +3,7 @@
 
 use argh::FromArgs;
 use mastbay_configuration::{
-    Backend, ClaimPolicy, FleetConfiguration, KeyDigest, Root, Service, ServiceKind, Tenant,
+    Backend, ClaimPolicy, FleetConfiguration, KeyDigest, Part, Root, Service, ServiceKind, Tenant,
 };
 use mastbay_grants::{Cell, CellConfig, Demand, DemandConfig};
 use mastbay_membership::{Membership, MembershipConfig, Role, Transmit};
@@ -13,6 +13,7 @@
 use mastbay_simulation::network::CARRIER_BYTES;
 use mastbay_simulation::scenario::{Arrivals, Scenario, ServiceLoad, TenantLoad};
 use mastbay_simulation::world::run;
+use mastbay_spread::SpreadMessage;
 use mastbay_types::{
     BackendName, CellId, Cost, Incarnation, ProcessId, RequestId, ServiceName, TenantName,
     Timestamp, Weight,
@@ -143,28 +144,56 @@
 }
 
 fn configuration_slope() {
-    println!("configuration: entries, parts, root bytes, bytes of a change, assemble ms, memory");
+    println!(
+        "configuration: entries, parts, bytes of the root, of the change of one entry and of its part, \
+         assemble ms, memory"
+    );
     for entries in [45, 500, 2_500, 10_000] {
         let configuration = configuration(entries);
         let parts = configuration.to_parts();
-        let root = Root::following(None, "a".repeat(32), parts.iter().map(|p| p.hash()).collect());
-        let root_bytes = rmp_serde::to_vec(&root).map_or(0, |encoded| encoded.len());
-        let part_bytes: usize = parts.iter().map(|part| part.bytes.len()).sum();
+        let root = Root::following(None, "a".repeat(32), parts.iter().map(Part::hash).collect());
+        let root_bytes = encoded_size(&SpreadMessage::Root { root: Some(root.clone()) });
+        let (change_bytes, part_bytes) = change_of_one_tenant(&configuration, &root);
         let by_hash = parts.iter().map(|part| (part.hash(), part.clone())).collect();
         let began = Instant::now();
         let whole = FleetConfiguration::assemble(&root, &by_hash);
         let took = began.elapsed();
         assert!(whole.is_ok_and(|whole| whole == configuration));
+        let memory: usize = parts.iter().map(|part| part.bytes.len()).sum();
         println!(
-            "{entries:>6} {:>5} {root_bytes:>8} {:>8} {:>8.2} {:>9}",
+            "{entries:>6} {:>5} {root_bytes:>8} {change_bytes:>8} {part_bytes:>8} {:>8.2} {:>9}",
             parts.len(),
-            root_bytes + part_bytes / parts.len(),
             took.as_secs_f64() * 1e3,
-            2 * part_bytes,
+            2 * memory,
         );
     }
 }
 
+fn encoded_size(message: &SpreadMessage) -> usize {
+    rmp_serde::to_vec(message).map_or(0, |encoded| encoded.len())
+}
+
+/// Bytes of the messages that carry the change of one tenant: the root's change, and the part.
+fn change_of_one_tenant(configuration: &FleetConfiguration, root: &Root) -> (usize, usize) {
+    let mut changed = configuration.clone();
+    if let Some(tenant) = changed.tenants.values_mut().next() {
+        tenant.most_waiting += 1;
+    }
+    let parts = changed.to_parts();
+    let new: Vec<Part> =
+        parts.iter().filter(|part| !root.parts.contains(&part.hash())).cloned().collect();
+    let hashes: Vec<_> = parts.iter().map(Part::hash).collect();
+    let removed = root.parts.iter().filter(|hash| !hashes.contains(hash)).cloned().collect();
+    let change = SpreadMessage::RootChange {
+        base: root.generation,
+        generation: root.generation.next(),
+        apply_id: "a".repeat(32),
+        added: new.iter().map(Part::hash).collect(),
+        removed,
+    };
+    (encoded_size(&change), encoded_size(&SpreadMessage::Parts { parts: new }))
+}
+
 /// A configuration with a quarter tenants and the rest back ends.
 fn configuration(entries: usize) -> FleetConfiguration {
     let mut whole = FleetConfiguration::default();
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -13,12 +13,29 @@
         generation: Generation,
     },
     /// Asks for the root in force.
-    RootRequest,
+    RootRequest {
+        /// The generation in force at the one who asks.
+        have: Generation,
+    },
     /// The root in force, if any.
     Root {
         /// The root.
         root: Option<Root>,
     },
+    /// The root in force, for one who has another that the sender remembers: of a list that grows
+    /// with the fleet only what changed.
+    RootChange {
+        /// The generation that the change starts from.
+        base: Generation,
+        /// The generation in force.
+        generation: Generation,
+        /// Of the root in force.
+        apply_id: String,
+        /// Parts that it has and the base has not.
+        added: Vec<PartHash>,
+        /// Parts that the base has and it has not.
+        removed: Vec<PartHash>,
+    },
     /// Asks for parts.
     PartsRequest {
         /// The parts asked for.
--- a/crates/spread/src/spread.rs
+++ b/crates/spread/src/spread.rs
@@ -3,7 +3,7 @@
 use crate::message::SpreadMessage;
 use mastbay_configuration::{FleetConfiguration, Generation, Part, PartHash, Root};
 use mastbay_types::{ProcessId, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +28,9 @@
     }
 }
 
+/// Part lists remembered, for those who are a few changes behind.
+const EARLIER_REMEMBERED: usize = 16;
+
 /// Where a root came from, and so where its parts are fetched.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -85,6 +88,8 @@
     config: SpreadConfig,
     started: Timestamp,
     in_force: Option<InForce>,
+    /// Part lists in force before, the latest last.
+    earlier: VecDeque<(Generation, BTreeSet<PartHash>)>,
     fetch: Option<Fetch>,
     root_asked: Option<(ProcessId, Timestamp)>,
     /// The highest generation heard of, and from whom.
@@ -103,6 +108,7 @@
             config,
             started: now,
             in_force: None,
+            earlier: VecDeque::new(),
             fetch: None,
             root_asked: None,
             highest: Generation::default(),
@@ -180,9 +186,19 @@
     ) -> Vec<Action> {
         match message {
             SpreadMessage::Announce { generation } => self.hear(now, from, generation),
-            SpreadMessage::RootRequest => {
-                let root = self.in_force.as_ref().map(|known| known.root.clone());
-                vec![Action::Send { to: from.clone(), message: SpreadMessage::Root { root } }]
+            SpreadMessage::RootRequest { have } => {
+                let message = self.root_for(have);
+                vec![Action::Send { to: from.clone(), message }]
+            }
+            SpreadMessage::RootChange { base, generation, apply_id, added, removed } => {
+                self.root_asked = None;
+                match self.apply_change(base, added, &removed) {
+                    Some(parts) => {
+                        let root = Root { generation, apply_id, previous: Vec::new(), parts };
+                        self.take_root(now, Source::Peer(from.clone()), root, random)
+                    }
+                    None => Vec::new(),
+                }
             }
             SpreadMessage::Root { root } => {
                 self.root_asked = None;
@@ -199,6 +215,35 @@
         }
     }
 
+    /// The root in force for one who has another: what changed if that one is remembered, else all.
+    fn root_for(&self, have: Generation) -> SpreadMessage {
+        let Some(known) = &self.in_force else { return SpreadMessage::Root { root: None } };
+        let base = self.earlier.iter().find(|(generation, _)| *generation == have);
+        let Some((base, before)) = base else {
+            return SpreadMessage::Root { root: Some(known.root.clone()) };
+        };
+        let now: BTreeSet<PartHash> = known.root.parts.iter().cloned().collect();
+        SpreadMessage::RootChange {
+            base: *base,
+            generation: known.root.generation,
+            apply_id: known.root.apply_id.clone(),
+            added: now.difference(before).cloned().collect(),
+            removed: before.difference(&now).cloned().collect(),
+        }
+    }
+
+    /// The parts after a change, `None` if its base is not in force here.
+    fn apply_change(
+        &self,
+        base: Generation,
+        added: Vec<PartHash>,
+        removed: &[PartHash],
+    ) -> Option<Vec<PartHash>> {
+        let known = self.in_force.as_ref().filter(|known| known.root.generation == base)?;
+        let kept = known.root.parts.iter().filter(|hash| !removed.contains(hash)).cloned();
+        Some(kept.chain(added).collect())
+    }
+
     /// Takes the platform's root: `None` if there is none yet.
     pub fn handle_platform_root(
         &mut self,
@@ -299,6 +344,13 @@
         };
         let generation = fetch.root.generation;
         let configuration = Arc::new(configuration);
+        if let Some(before) = self.in_force.take() {
+            let parts = before.root.parts.into_iter().collect();
+            self.earlier.push_back((before.root.generation, parts));
+            if self.earlier.len() > EARLIER_REMEMBERED {
+                self.earlier.pop_front();
+            }
+        }
         self.in_force = Some(InForce { root: fetch.root, parts: fetch.parts, configuration });
         let mut actions = vec![Action::Installed(generation)];
         actions.extend(self.announce(generation, random));
@@ -329,7 +381,8 @@
 
     fn ask_root(&mut self, now: Timestamp, to: ProcessId) -> Vec<Action> {
         self.root_asked = Some((to.clone(), now));
-        vec![Action::Send { to, message: SpreadMessage::RootRequest }]
+        let message = SpreadMessage::RootRequest { have: self.generation() };
+        vec![Action::Send { to, message }]
     }
 
     /// Asks another source where one did not answer.
--- a/crates/spread/src/tests.rs
+++ b/crates/spread/src/tests.rs
@@ -143,10 +143,56 @@
     process.hear(Timestamp::ZERO, &peer(1), Generation(2));
     let later = process.next_timeout();
     let again = process.handle_timeout(later, &mut first);
-    let expected = Action::Send { to: peer(1), message: SpreadMessage::RootRequest };
+    let expected =
+        Action::Send { to: peer(1), message: SpreadMessage::RootRequest { have: Generation(0) } };
     assert_eq!(again, [expected]);
 }
 
+#[test]
+fn of_a_root_only_the_change_is_sent_to_one_who_has_an_earlier_one() {
+    let (mut holder, mut behind, mut empty) = (spread(2), spread(2), spread(2));
+    for generation in [300, 301] {
+        install(&mut holder, generation);
+    }
+    install(&mut behind, 300);
+    let ask = |process: &Spread| SpreadMessage::RootRequest { have: process.generation() };
+    let mut answers = Vec::new();
+    for process in [&behind, &empty] {
+        let actions = holder.handle(Timestamp::ZERO, &peer(0), ask(process), &mut first);
+        let [Action::Send { message, .. }] = &actions[..] else { panic!("{actions:?}") };
+        answers.push(message.clone());
+    }
+    let SpreadMessage::RootChange { added, removed, .. } = &answers[0] else {
+        panic!("{:?}", answers[0])
+    };
+    assert_eq!((added.len(), removed.len()), (1, 1), "one new tenant changes one part");
+    assert!(matches!(answers[1], SpreadMessage::Root { root: Some(_) }));
+    for (process, answer) in [&mut behind, &mut empty].into_iter().zip(answers) {
+        let mut queue = process.handle(Timestamp::ZERO, &peer(1), answer, &mut first);
+        while let Some(action) = queue.pop() {
+            let Action::Send { message: asked @ SpreadMessage::PartsRequest { .. }, .. } = action
+            else {
+                continue;
+            };
+            for action in holder.handle(Timestamp::ZERO, &peer(0), asked, &mut first) {
+                let Action::Send { message, .. } = action else { continue };
+                queue.extend(process.handle(Timestamp::ZERO, &peer(1), message, &mut first));
+            }
+        }
+        assert_eq!(process.generation(), Generation(301));
+        assert_eq!(process.configuration(), holder.configuration());
+    }
+    // A change to a base that is not in force here changes nothing.
+    let stray = SpreadMessage::RootChange {
+        base: Generation(7),
+        generation: Generation(999),
+        apply_id: String::new(),
+        added: Vec::new(),
+        removed: Vec::new(),
+    };
+    assert!(empty.handle(Timestamp::ZERO, &peer(1), stray, &mut first).is_empty());
+}
+
 #[test]
 fn a_part_with_other_bytes_is_not_taken() {
     let mut process = spread(2);
