Give 'accepted, but not in force in time' an exit code of its own

Change: exit code 5, documented; a test with a frozen gateway; two doc comments that said what is not so.

Conclusion: a script can tell the two apart.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -11,7 +11,8 @@
 /// [backend NAME]. It is applied as a whole.
 ///
 /// Exit codes: 0 done, 1 failed and nothing was changed, 2 wrong usage or a faulty configuration,
-/// 3 another operator applied first, 4 it could not be found out whether the change was accepted.
+/// 3 another operator applied first, 4 it could not be found out whether the change was accepted, 5 it
+/// was accepted but is not in force in time everywhere asked.
 #[derive(FromArgs, Debug)]
 pub struct Arguments {
     /// form of the output: text (default) or json
--- a/crates/ctl/src/outcome.rs
+++ b/crates/ctl/src/outcome.rs
@@ -53,6 +53,7 @@
 const EXIT_FAULTY: u8 = 2;
 const EXIT_CONFLICT: u8 = 3;
 const EXIT_UNKNOWN: u8 = 4;
+const EXIT_NOT_IN_FORCE: u8 = 5;
 
 impl CommandError {
     fn exit_code(&self) -> u8 {
@@ -60,6 +61,7 @@
             CommandError::Directory(_) | CommandError::NoAdmin => EXIT_FAULTY,
             CommandError::Apply(ApplyError::Conflict { .. }) => EXIT_CONFLICT,
             CommandError::Apply(ApplyError::Unknown { .. }) => EXIT_UNKNOWN,
+            CommandError::NotInForce { .. } => EXIT_NOT_IN_FORCE,
             _ => EXIT_FAILED,
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -138,7 +138,7 @@
         &self.metrics
     }
 
-    /// Sends a message to a peer; to itself it is not sent at all.
+    /// Sends a message to a peer; it may be lost.
     pub fn send(&self, to: &ProcessId, message: Message) {
         self.outbox.send(to, message);
     }
@@ -154,7 +154,7 @@
         self.lock().membership.live(role)
     }
 
-    /// Live schedulers of this process's zone.
+    /// Live processes of this one's zone and role, itself included.
     pub(crate) fn live_in_zone(&self) -> Vec<ProcessId> {
         let state = self.lock();
         let membership = &state.membership;
--- a/crates/testbed/tests/configuration.rs
+++ b/crates/testbed/tests/configuration.rs
@@ -126,6 +126,19 @@
     });
 }
 
+#[test]
+fn a_change_that_one_process_does_not_have_is_reported_as_accepted_but_not_in_force() {
+    run(async |bed| {
+        bed.gateways[2].freeze();
+        let admin = bed.machines[2].gateway_admin.to_string();
+        let output = apply(&bed, &with_tenant(&bed, "ghats"), &["--admin", &admin]).await;
+        assert_eq!(output.status.code(), Some(5), "{output:?}");
+        assert_eq!(result(&output)["error"]["code"], "not_in_force");
+        bed.gateways[2].wake();
+        wait_for_generation(&bed, 2).await;
+    });
+}
+
 #[test]
 fn no_process_goes_back_through_restarts_an_outage_and_stale_reads() {
     run(async |mut bed| {
