Rename the object API's client crate to object-store

Cause: the users' adapter folder is to be platform/, and a crate of that name stood in the way. Change: crates/platform is crates/object-store; no behaviour changes. Ruled out: keeping the name for both, since readers could not tell the client of our own stand-in from the adapter.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -11,7 +11,7 @@
     AssembleError, Difference, FleetConfiguration, Generation, Part, PartHash, Root, differences,
 };
 use mastbay_node::{ROOT_KEY, part_key};
-use mastbay_platform::{Object, Precondition, ReadError, WriteError};
+use mastbay_object_store::{Object, Precondition, ReadError, WriteError};
 use std::collections::BTreeMap;
 
 /// How applying ended well.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -7,7 +7,7 @@
 use crate::show;
 use crate::store::PlatformStore;
 use mastbay_configuration::{Generation, differences, load_directory};
-use mastbay_platform::Platform;
+use mastbay_object_store::Platform;
 use mastbay_types::RequestId;
 use rand::rand_core::UnwrapErr;
 use rand::rngs::SysRng;
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -1,7 +1,7 @@
 //! What applying needs of the object API, so that it can be tested against every fault.
 
 use bytes::Bytes;
-use mastbay_platform::{Object, Platform, Precondition, ReadError, WriteError};
+use mastbay_object_store::{Object, Platform, Precondition, ReadError, WriteError};
 use std::future::Future;
 
 /// An object API.
--- a/crates/ctl/src/tests.rs
+++ b/crates/ctl/src/tests.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use mastbay_configuration::{FleetConfiguration, Generation, KeyDigest, Root, Tenant};
 use mastbay_node::ROOT_KEY;
-use mastbay_platform::{NotWritten, Object, Precondition, ReadError, WriteError};
+use mastbay_object_store::{NotWritten, Object, Precondition, ReadError, WriteError};
 use mastbay_types::{TenantName, Weight};
 use mastbay_web::CallError;
 use quickcheck::{TestResult, quickcheck};
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::node::{Duty, Node};
 use mastbay_configuration::{Part, PartHash, Root};
-use mastbay_platform::{Object, ReadError};
+use mastbay_object_store::{Object, ReadError};
 use mastbay_types::by_rendezvous;
 use rand::RngExt;
 use std::sync::Arc;
--- a/crates/scheduler/src/claims.rs
+++ b/crates/scheduler/src/claims.rs
@@ -3,7 +3,7 @@
 use crate::duty::SchedulerDuty;
 use bytes::Bytes;
 use mastbay_claims::{CallFailure, ClaimShard, Operation, OperationKind, ShardIndex};
-use mastbay_platform::{Platform, Precondition, WriteError};
+use mastbay_object_store::{Platform, Precondition, WriteError};
 use std::sync::Arc;
 
 fn shard_key(shard: ShardIndex) -> String {
