--- /dev/null
+++ b/crates/router/src/catalogue.rs
@@ -0,0 +1,67 @@
+//! The seam toward the sources of configuration and back ends: what a router has in force, which only
+//! ever goes forward within its life.
+
+use mastbay_routing::{BackEndList, RouteTable, RoutingConfiguration};
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// Configuration and back ends as one router passes them on to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The configuration, if one is known.
+    pub configuration: Option<RoutingConfiguration>,
+    /// The back ends, if they are known.
+    pub back_ends: Option<BackEndList>,
+}
+
+/// What is in force.
+#[derive(Debug, Default)]
+pub struct Catalogue {
+    table: Option<Rc<RouteTable>>,
+    back_ends: Option<Rc<BackEndList>>,
+}
+
+impl Catalogue {
+    /// Takes a configuration if it is newer than the one in force.
+    pub fn offer_configuration(&mut self, offered: RoutingConfiguration) -> Option<Rc<RouteTable>> {
+        if self.table.as_ref().is_some_and(|table| table.version() >= offered.version) {
+            return None;
+        }
+        let table = Rc::new(RouteTable::new(offered));
+        self.table = Some(table.clone());
+        Some(table)
+    }
+
+    /// Takes a list of back ends if it is newer than the one known.
+    pub fn offer_back_ends(&mut self, offered: BackEndList) -> Option<Rc<BackEndList>> {
+        if self.back_ends.as_ref().is_some_and(|list| list.revision >= offered.revision) {
+            return None;
+        }
+        let list = Rc::new(offered);
+        self.back_ends = Some(list.clone());
+        Some(list)
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.clone()
+    }
+
+    /// The back ends known.
+    pub fn back_ends(&self) -> Option<Rc<BackEndList>> {
+        self.back_ends.clone()
+    }
+
+    /// Whether requests can be served.
+    pub fn is_complete(&self) -> bool {
+        self.table.is_some() && self.back_ends.is_some()
+    }
+
+    /// What is passed on to another router.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            configuration: self.table.as_ref().map(|table| table.configuration().clone()),
+            back_ends: self.back_ends.as_ref().map(|list| BackEndList::clone(list)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/events.rs
@@ -0,0 +1,180 @@
+//! The events that a router logs, one key=value line each; docs/OPERATIONS.md lists them.
+
+use crate::dialect::OwnAnswer;
+use crate::serve::Call;
+use derive_more::Display;
+use mastbay_routing::{BackEndId, BackEndList, BackEndState, Fault, Placement, RouteTable};
+use mastbay_types::Timestamp;
+use std::net::SocketAddr;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum OutcomeKind {
+    /// With a whole answer of a back end.
+    #[display("answered")]
+    Answered,
+    /// With a whole stream.
+    #[display("streamed")]
+    Streamed,
+    /// With a stream that broke off.
+    #[display("broken_off")]
+    BrokenOff,
+    /// With an answer of the router's own.
+    #[display("given_up")]
+    GivenUp,
+    /// Its caller went away.
+    #[display("caller_gone")]
+    CallerGone,
+}
+
+/// How a request ended, with what is known of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// The kind.
+    pub kind: OutcomeKind,
+    /// The status that the caller was told, 0 if none.
+    pub status: u16,
+    /// Why, if it did not end well.
+    pub reason: &'static str,
+    /// The back end that it ended at.
+    pub back_end: Option<BackEndId>,
+    /// Events passed on.
+    pub events: u64,
+}
+
+impl Outcome {
+    /// An outcome of which only the kind is known.
+    pub fn new(kind: OutcomeKind) -> Self {
+        Self { kind, status: 0, reason: "", back_end: None, events: 0 }
+    }
+
+    /// With the status told to the caller.
+    pub fn status(self, status: u16) -> Self {
+        Self { status, ..self }
+    }
+
+    /// With the reason.
+    pub fn because(self, reason: &'static str) -> Self {
+        Self { reason, ..self }
+    }
+
+    /// With the back end.
+    pub fn at(self, back_end: &BackEndId) -> Self {
+        Self { back_end: Some(back_end.clone()), ..self }
+    }
+
+    /// With the number of events.
+    pub fn events(self, events: u64) -> Self {
+        Self { events, ..self }
+    }
+}
+
+/// A request ended.
+pub fn ended(call: &Call, outcome: &Outcome, now: Timestamp) {
+    let back_end = outcome.back_end.as_ref().map_or("", |id| &id.0);
+    tracing::info!(
+        event = "request_ended",
+        request = %call.head.request_id,
+        outcome = %outcome.kind,
+        status = outcome.status,
+        reason = outcome.reason,
+        route = %call.entry.route.name,
+        configuration = call.entry.version,
+        tenant = call.tenant.as_deref().unwrap_or(""),
+        service = %call.service,
+        back_end,
+        events = outcome.events,
+        took_ms = now.since(call.arrived).as_millis() as u64,
+    );
+}
+
+/// A request was answered before it was routed.
+pub fn turned_away(request_id: Option<&str>, answer: OwnAnswer, versions: (u64, u64)) {
+    tracing::info!(
+        event = "request_turned_away",
+        request = request_id.unwrap_or(""),
+        answer = %answer,
+        status = answer.status().as_u16(),
+        configuration = versions.0,
+        back_ends = versions.1,
+    );
+}
+
+/// A back end was chosen for a request.
+pub fn placed(call: &Call, placement: &Placement, arrivals: u32) {
+    tracing::debug!(
+        event = "request_placed",
+        request = %call.head.request_id,
+        back_end = %placement.back_end.id,
+        predicted_ms = placement.predicted.as_millis() as u64,
+        running = placement.running,
+        uncached = placement.uncached,
+        age_ms = placement.age.as_millis() as u64,
+        earlier_sends = arrivals,
+    );
+}
+
+/// A try at a back end failed.
+pub fn try_failed(call: &Call, placement: &Placement, fault: Fault, reason: &'static str) {
+    tracing::info!(
+        event = "try_failed",
+        request = %call.head.request_id,
+        back_end = %placement.back_end.id,
+        fault = ?fault,
+        reason,
+        predicted_ms = placement.predicted.as_millis() as u64,
+        running = placement.running,
+        age_ms = placement.age.as_millis() as u64,
+    );
+}
+
+/// A stream was taken up at another back end, or could not be.
+pub fn resumed(call: &Call, reason: &'static str, last_event: Option<u64>, found: bool) {
+    tracing::info!(
+        event = "stream_resumed",
+        request = %call.head.request_id,
+        reason,
+        last_event = last_event.unwrap_or(0),
+        found,
+    );
+}
+
+/// A configuration is in force.
+pub fn configuration_in_force(table: &RouteTable, source: &str) {
+    let configuration = table.configuration();
+    tracing::info!(
+        event = "configuration_in_force",
+        version = table.version(),
+        routes = configuration.routes.len(),
+        services = configuration.services.len(),
+        tenants = configuration.tenants.len(),
+        source,
+    );
+}
+
+/// A list of back ends is known.
+pub fn back_ends_known(list: &BackEndList, source: &str) {
+    let ready = list.back_ends.iter().filter(|one| one.state == BackEndState::Ready).count();
+    tracing::info!(
+        event = "back_ends_known",
+        revision = list.revision,
+        back_ends = list.back_ends.len(),
+        ready,
+        source,
+    );
+}
+
+/// A peer was heard for the first time.
+pub fn peer_heard(peer: SocketAddr, routers: usize) {
+    tracing::info!(event = "peer_heard", peer = %peer, routers);
+}
+
+/// A dependency was lost or regained.
+pub fn dependency(name: &str, available: bool, detail: &str) {
+    tracing::info!(event = "dependency", name, available, detail);
+}
+
+/// A phase of the process's life began.
+pub fn life(phase: &str, name: &str) {
+    tracing::info!(event = "process", phase, name);
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,28 @@
+//! A router that decides alone: it serves callers, keeps connections to back ends, tells its peers what
+//! it has under way, and passes configuration on to those that miss it.
+//!
+//! What callers and back ends speak, and where configuration and back ends come from, plugs in at the
+//! seams in [`dialect`] and [`catalogue`]. Everything runs on one thread.
+
+pub mod catalogue;
+pub mod client;
+pub mod dialect;
+pub mod events;
+mod exchange;
+mod listener;
+mod metrics;
+mod operations;
+mod peers;
+mod pool;
+mod relay;
+mod router;
+mod serve;
+mod settings;
+mod stop;
+mod ticket;
+
+pub use listener::{ListenerLimits, StopSignal};
+pub use metrics::RouterMetrics;
+pub use router::{Router, Seams, Spawner};
+pub use settings::{RouterSettings, SECTIONS, read_router_settings};
+pub use stop::{RunError, run};
--- /dev/null
+++ b/crates/router/src/listener.rs
@@ -0,0 +1,164 @@
+//! Accepting connections, and ending them when the router stops.
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use mastbay_web::BodyError;
+use smol::channel::{Receiver, Sender};
+use smol::future::FutureExt;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::router::Spawner;
+
+/// The body of an answer; it need not leave the router's thread.
+pub type LocalBody = Pin<Box<dyn Body<Data = Bytes, Error = BodyError>>>;
+
+/// A body known in full.
+pub fn full(bytes: impl Into<Bytes>) -> LocalBody {
+    Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
+}
+
+/// Bounds on connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenerLimits {
+    /// Most connections open at a time.
+    pub most_connections: usize,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Longest time that a connection rests, or that a head takes.
+    pub idle_time: Duration,
+}
+
+/// Closed once: wakes all that wait for it.
+#[derive(Debug, Clone)]
+pub struct StopSignal {
+    sender: Sender<Infallible>,
+    receiver: Receiver<Infallible>,
+}
+
+impl Default for StopSignal {
+    fn default() -> Self {
+        let (sender, receiver) = smol::channel::bounded(1);
+        Self { sender, receiver }
+    }
+}
+
+impl StopSignal {
+    /// Gives the signal.
+    pub fn give(&self) {
+        self.sender.close();
+    }
+
+    /// Waits for the signal.
+    pub async fn wait(&self) {
+        // The channel carries nothing; it only closes.
+        let _ = self.receiver.recv().await;
+    }
+}
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Smallest buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+/// What a head may take beyond its limit before the connection is ended, in bytes.
+const HEAD_SLACK: usize = 2 << 10;
+
+/// Serves connections until the stop is signalled, then until the last has ended.
+pub async fn serve<H, F>(
+    spawner: Spawner,
+    listener: TcpListener,
+    limits: ListenerLimits,
+    stop: StopSignal,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<LocalBody>> + 'static,
+{
+    let open = Rc::new(Cell::new(0_usize));
+    let (alive, all_ended) = smol::channel::bounded::<Infallible>(1);
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let stopped = async {
+            stop.wait().await;
+            None
+        };
+        match accepted.or(stopped).await {
+            None => break,
+            Some(Ok((stream, _))) if open.get() < limits.most_connections => {
+                let (handler, stop, alive) = (handler.clone(), stop.clone(), alive.clone());
+                let counted = Counted::new(&open);
+                let task = spawner.spawn(async move {
+                    serve_connection(stream, limits, stop, handler).await;
+                    drop(counted);
+                    drop(alive);
+                });
+                task.detach();
+            }
+            Some(Ok(_)) => {}
+            Some(Err(_)) => drop(smol::Timer::after(ACCEPT_PAUSE).await),
+        }
+    }
+    drop(listener);
+    drop(alive);
+    let _ = all_ended.recv().await;
+}
+
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: ListenerLimits,
+    stop: StopSignal,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<LocalBody>> + 'static,
+{
+    // A stream that refuses the option still works.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size((limits.head_bytes + HEAD_SLACK).max(LEAST_BUFFER))
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = async {
+        // A connection that its caller broke needs no answer.
+        let _ = connection.as_mut().await;
+        true
+    };
+    let stopped = async {
+        stop.wait().await;
+        false
+    };
+    if !ended.or(stopped).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Counters and histograms of a router.
+
+use crate::dialect::OwnAnswer;
+use crate::events::Outcome;
+use crate::serve::Call;
+use mastbay_types::Timestamp;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of ended requests; bounded by the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    route: String,
+    outcome: String,
+}
+
+/// Labels of the router's own answers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    status: u16,
+}
+
+/// Figures of a router.
+#[derive(Debug, Clone)]
+pub struct RouterMetrics {
+    ended: Family<EndLabels, Counter>,
+    own_answers: Family<AnswerLabels, Counter>,
+    first_event: Histogram,
+    duration: Histogram,
+}
+
+impl RouterMetrics {
+    /// Registers the figures.
+    pub fn register(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            ended: Family::default(),
+            own_answers: Family::default(),
+            first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
+            duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
+        };
+        let name = "mastbay_router_requests";
+        registry.register(name, "requests ended, by route and outcome", metrics.ended.clone());
+        let name = "mastbay_router_own_answers";
+        registry.register(name, "answers of the router's own", metrics.own_answers.clone());
+        let name = "mastbay_router_first_event_seconds";
+        registry.register(name, "time to a stream's first event", metrics.first_event.clone());
+        let name = "mastbay_router_request_seconds";
+        registry.register(name, "time from head to end", metrics.duration.clone());
+        metrics
+    }
+
+    /// A request ended.
+    pub fn on_end(&self, call: &Call, outcome: &Outcome, now: Timestamp) {
+        let route = call.entry.route.name.clone();
+        let labels = EndLabels { route, outcome: outcome.kind.to_string() };
+        self.ended.get_or_create(&labels).inc();
+        self.duration.observe(now.since(call.arrived).as_secs_f64());
+    }
+
+    /// A stream's first event came.
+    pub fn on_first_event(&self, call: &Call, now: Timestamp) {
+        self.first_event.observe(now.since(call.arrived).as_secs_f64());
+    }
+
+    /// The router answered by itself.
+    pub fn on_own_answer(&self, answer: OwnAnswer) {
+        let labels = AnswerLabels { status: answer.status().as_u16() };
+        self.own_answers.get_or_create(&labels).inc();
+    }
+}
--- /dev/null
+++ b/crates/router/src/peers.rs
@@ -0,0 +1,149 @@
+//! Digests to and from peers, by datagrams, and snapshots fetched from a peer that knows more.
+
+use crate::catalogue::Snapshot;
+use crate::client::LocalClient;
+use crate::events;
+use crate::operations::SNAPSHOT_PATH;
+use crate::router::Router;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use mastbay_routing::Digest;
+use smol::net::UdpSocket;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time between two digests while there are few peers.
+const DIGEST_PERIOD: Duration = Duration::from_millis(80);
+/// Peers up to which that period holds; with more it grows in proportion.
+const PEERS_AT_FULL_RATE: usize = 10;
+/// Digests between two calls to seeds.
+const DIGESTS_PER_SEED_CALL: u64 = 12;
+/// Largest datagram, in bytes.
+const LARGEST_DATAGRAM: usize = 60 << 10;
+/// Time between two looks for newer versions at peers.
+const NEWER_PERIOD: Duration = Duration::from_millis(120);
+/// Time for a snapshot.
+const SNAPSHOT_LIMIT: Duration = Duration::from_millis(900);
+
+/// Sends digests for as long as the router runs.
+pub async fn send_digests(router: Rc<Router>, socket: Rc<UdpSocket>) {
+    for round in 0_u64.. {
+        let peers = send_round(&router, &socket, round).await;
+        let factor = (peers as f64 / PEERS_AT_FULL_RATE as f64).max(1.0);
+        smol::Timer::after(DIGEST_PERIOD.mul_f64(factor)).await;
+    }
+}
+
+async fn send_round(router: &Rc<Router>, socket: &UdpSocket, round: u64) -> usize {
+    let now = router.now();
+    let (digest, mut targets) = {
+        let mut dispatcher = router.dispatcher.borrow_mut();
+        dispatcher.expire_peers(now);
+        let digest = dispatcher.digest(now, router.stopping.get());
+        let targets: BTreeSet<SocketAddr> = dispatcher.peers().into_iter().collect();
+        (digest, targets)
+    };
+    if round % DIGESTS_PER_SEED_CALL == 0 || targets.is_empty() {
+        targets.extend(seeds(router));
+    }
+    targets.remove(&router.settings.digests);
+    let Ok(datagram) = rmp_serde::to_vec(&digest) else { return targets.len() };
+    for target in &targets {
+        // A datagram may be lost at any time; the next one says all again.
+        let _ = socket.send_to(&datagram, target).await;
+    }
+    targets.len()
+}
+
+/// Digest addresses of the seeds: all routers listen for digests on the same port.
+fn seeds(router: &Router) -> impl Iterator<Item = SocketAddr> {
+    let port = router.settings.digests.port();
+    router.settings.seeds.iter().map(move |seed| SocketAddr::new(seed.ip(), port))
+}
+
+/// Takes digests for as long as the router runs.
+pub async fn receive_digests(router: Rc<Router>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0_u8; LARGEST_DATAGRAM];
+    let mut called = BTreeSet::new();
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            smol::Timer::after(DIGEST_PERIOD).await;
+            continue;
+        };
+        // A datagram that is no digest is not from a peer of ours.
+        if let Ok(digest) = rmp_serde::from_slice::<Digest>(&buffer[..length]) {
+            take_digest(&router, &socket, digest, &mut called).await;
+        }
+    }
+}
+
+async fn take_digest(
+    router: &Rc<Router>,
+    socket: &UdpSocket,
+    digest: Digest,
+    called: &mut BTreeSet<SocketAddr>,
+) {
+    let now = router.now();
+    let sender = digest.sender.address;
+    let mentioned = digest.peers.clone();
+    let (is_new, mine, known) = {
+        let mut dispatcher = router.dispatcher.borrow_mut();
+        let is_new = dispatcher.on_digest(now, digest);
+        let mine = is_new.then(|| dispatcher.digest(now, router.stopping.get()));
+        (is_new, mine, dispatcher.peers())
+    };
+    if is_new {
+        events::peer_heard(sender, known.len() + 1);
+    }
+    if let Some(Ok(datagram)) = mine.as_ref().map(rmp_serde::to_vec) {
+        let strangers = mentioned.into_iter().filter(|address| {
+            *address != router.settings.digests
+                && !known.contains(address)
+                && called.insert(*address)
+        });
+        for address in std::iter::once(sender).chain(strangers) {
+            let _ = socket.send_to(&datagram, address).await;
+        }
+    }
+    router.poll_waiting();
+}
+
+/// Fetches what peers know and this router misses, for as long as it runs.
+pub async fn fetch_newer(router: Rc<Router>) {
+    loop {
+        smol::Timer::after(NEWER_PERIOD).await;
+        let newer = router.dispatcher.borrow().newer_elsewhere(router.now());
+        let Some(address) = newer else { continue };
+        // The own source is usually about to tell the same.
+        smol::Timer::after(NEWER_PERIOD).await;
+        let still = router.dispatcher.borrow().newer_elsewhere(router.now());
+        if still.is_some() {
+            fetch_snapshot(&router, address).await;
+        }
+    }
+}
+
+/// Fetches a snapshot from one peer.
+pub async fn fetch_snapshot(router: &Rc<Router>, address: SocketAddr) {
+    let request = Request::builder()
+        .uri(SNAPSHOT_PATH)
+        .header(HOST, address.to_string())
+        .body(Full::<Bytes>::default());
+    let Ok(request) = request else { return };
+    let client = LocalClient::new(router.spawner, address);
+    let Ok(reply) = client.call(request, SNAPSHOT_LIMIT).await else { return };
+    if reply.status != StatusCode::OK {
+        return;
+    }
+    let Ok(snapshot) = rmp_serde::from_slice::<Snapshot>(&reply.body) else { return };
+    if let Some(configuration) = snapshot.configuration {
+        router.offer_configuration(configuration, "peer");
+    }
+    if let Some(back_ends) = snapshot.back_ends {
+        router.offer_back_ends(back_ends, "peer");
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,333 @@
+//! A stream on its way to its caller: whole events only, taken up at another back end if that is allowed.
+
+use crate::events::{Outcome, OutcomeKind};
+use crate::exchange::{Sender, Try};
+use crate::pool::BackEndConnection;
+use crate::router::Router;
+use crate::serve::{Call, note_end};
+use crate::ticket::Ticket;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use mastbay_routing::{Attempt, BackEndId, Fault};
+use mastbay_web::{BodyError, within};
+use smol::stream::{Stream, StreamExt};
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// Largest event, in bytes.
+const LARGEST_EVENT: usize = 1 << 20;
+/// Silence after which a stream that may be resumed is taken up elsewhere.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// Times that one stream is taken up elsewhere.
+const MOST_RESUMES: u32 = 2;
+
+/// Cuts a stream at the ends of its events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    partial: BytesMut,
+}
+
+impl EventSplitter {
+    /// Takes bytes and gives the events that they complete.
+    pub fn take(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.partial.extend_from_slice(bytes);
+        let end = end_of_last_event(&self.partial)?;
+        Some(self.partial.split_to(end).freeze())
+    }
+
+    /// Whether the beginning of an event is held whose end has not come.
+    pub fn is_inside_event(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    fn is_overfull(&self) -> bool {
+        self.partial.len() > LARGEST_EVENT
+    }
+
+    fn reset(&mut self) {
+        self.partial.clear();
+    }
+}
+
+/// One event after the other of a run of whole events.
+pub fn events_of(bytes: &Bytes) -> impl Iterator<Item = Bytes> {
+    let mut rest = bytes.clone();
+    std::iter::from_fn(move || {
+        let end = end_of_first_event(&rest)?;
+        Some(rest.split_to(end))
+    })
+}
+
+fn end_of_first_event(bytes: &[u8]) -> Option<usize> {
+    let feeds = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+    let returns = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    feeds.into_iter().chain(returns).min()
+}
+
+fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
+    let feeds = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+    let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    feeds.into_iter().chain(returns).max()
+}
+
+/// A stream under way.
+pub struct Relay {
+    router: Rc<Router>,
+    call: Rc<Call>,
+    attempt: Rc<RefCell<Attempt>>,
+    source: Option<Source>,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    events: u64,
+    resumes: u32,
+    tried: Vec<BackEndId>,
+    noted: bool,
+}
+
+/// The back end that a stream comes from.
+struct Source {
+    ticket: Ticket,
+    back_end: BackEndId,
+    connection: BackEndConnection,
+    body: Incoming,
+}
+
+/// What came next from the back end.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broken(&'static str),
+    Silent,
+    OutOfTime,
+}
+
+impl Relay {
+    /// A stream whose head has come.
+    #[expect(clippy::too_many_arguments, reason = "the parts of an exchange that become a stream")]
+    pub fn new(
+        router: &Rc<Router>,
+        call: &Rc<Call>,
+        attempt: &Rc<RefCell<Attempt>>,
+        ticket: Ticket,
+        back_end: BackEndId,
+        connection: BackEndConnection,
+        body: Incoming,
+        tried: Vec<BackEndId>,
+    ) -> Self {
+        Self {
+            router: router.clone(),
+            call: call.clone(),
+            attempt: attempt.clone(),
+            source: Some(Source { ticket, back_end, connection, body }),
+            splitter: EventSplitter::default(),
+            last_event: call.head.last_event,
+            events: 0,
+            resumes: 0,
+            tried,
+            noted: false,
+        }
+    }
+
+    /// The next events for the caller; nothing after the stream's proper end.
+    async fn next(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        loop {
+            let broken = match self.read().await {
+                Next::Bytes(bytes) => match self.take(&bytes) {
+                    Ok(Some(events)) => return Some(Ok(Frame::data(events))),
+                    Ok(None) => continue,
+                    Err(reason) => reason,
+                },
+                Next::End if !self.splitter.is_inside_event() => {
+                    self.finish();
+                    return None;
+                }
+                Next::End => "ended_inside_event",
+                Next::Silent if !self.may_resume() => continue,
+                Next::Silent => "silent",
+                Next::Broken(reason) => reason,
+                Next::OutOfTime => return self.break_off("out_of_time"),
+            };
+            if !self.resume(broken).await {
+                return self.break_off(broken);
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Next {
+        let left = self.call.time_left(self.router.now());
+        if left.is_zero() {
+            return Next::OutOfTime;
+        }
+        let Some(source) = &mut self.source else { return Next::Broken("no_source") };
+        match within(left.min(SILENCE), source.body.frame()).await {
+            Ok(Some(Ok(frame))) => Next::Bytes(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) => Next::Broken("broke_off"),
+            Ok(None) => Next::End,
+            Err(_) if left <= SILENCE => Next::OutOfTime,
+            Err(_) => Next::Silent,
+        }
+    }
+
+    /// The whole events that bytes complete, without those that the caller already has.
+    fn take(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, &'static str> {
+        let whole = self.splitter.take(bytes);
+        if self.splitter.is_overfull() {
+            return Err("event_too_large");
+        }
+        let Some(whole) = whole else { return Ok(None) };
+        if let Some(source) = &self.source {
+            source.ticket.on_first_event();
+        }
+        if self.events == 0 {
+            self.router.metrics.on_first_event(&self.call, self.router.now());
+        }
+        let mut passed_on = BytesMut::with_capacity(whole.len());
+        for event in events_of(&whole) {
+            let number = self.router.seams.back_ends.event_number(&event);
+            if number.is_some() && number <= self.last_event {
+                continue;
+            }
+            self.last_event = number.or(self.last_event);
+            self.events += 1;
+            passed_on.extend_from_slice(&event);
+        }
+        Ok((!passed_on.is_empty()).then(|| passed_on.freeze()))
+    }
+
+    fn finish(&mut self) {
+        if let Some(source) = self.source.take() {
+            source.ticket.on_first_event();
+            source.ticket.succeed();
+            self.router.pool.keep(&source.back_end, source.connection);
+            self.note(OutcomeKind::Streamed, None, Some(&source.back_end));
+        }
+    }
+
+    fn break_off(&mut self, reason: &'static str) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let source = self.source.take();
+        let back_end = source.as_ref().map(|source| source.back_end.clone());
+        if let Some(source) = source {
+            source.ticket.fail(Fault::Broken);
+        }
+        self.note(OutcomeKind::BrokenOff, Some(reason), back_end.as_ref());
+        Some(Err(BodyError))
+    }
+
+    fn may_resume(&self) -> bool {
+        let mut as_lost = self.attempt.borrow().clone();
+        as_lost.on_lost();
+        let now = self.router.now();
+        let mut dispatcher = self.router.dispatcher.borrow_mut();
+        self.call.entry.route.resumable
+            && self.resumes < MOST_RESUMES
+            && as_lost.may_send()
+            && dispatcher.retries_left(now, &self.call.service) >= 1.0
+    }
+
+    /// Takes the stream up at another back end.
+    async fn resume(&mut self, reason: &'static str) -> bool {
+        let may_resume = self.may_resume();
+        self.attempt.borrow_mut().on_lost();
+        if let Some(source) = self.source.take() {
+            source.ticket.fail(Fault::Broken);
+            self.tried.push(source.back_end);
+        }
+        self.splitter.reset();
+        if !may_resume {
+            return false;
+        }
+        self.resumes += 1;
+        let left = self.call.time_left(self.router.now());
+        let source = within(left, self.next_source()).await.unwrap_or_default();
+        crate::events::resumed(&self.call, reason, self.last_event, source.is_some());
+        self.source = source;
+        self.source.is_some()
+    }
+
+    async fn next_source(&mut self) -> Option<Source> {
+        let mut demand = self.call.demand();
+        demand.tried = self.tried.clone();
+        demand.arrived = self.router.now();
+        let (ticket, placement) = Ticket::obtain(&self.router, demand).await.ok()?;
+        let now = self.router.now();
+        if !self.router.dispatcher.borrow_mut().take_retry(now, &self.call.service) {
+            return None;
+        }
+        let sender = Sender { router: &self.router, call: &self.call, attempt: &self.attempt };
+        match sender.send(&placement, self.last_event, false).await {
+            Try::Answered(head, body, connection) if head.status == StatusCode::OK => {
+                self.attempt.borrow_mut().on_answer();
+                let back_end = placement.back_end.id;
+                Some(Source { ticket, back_end, connection, body })
+            }
+            Try::Answered(..) => {
+                ticket.fail(Fault::Failure);
+                None
+            }
+            Try::NotSent(fault) | Try::NotRun(fault) | Try::Lost(fault) => {
+                ticket.fail(fault);
+                None
+            }
+        }
+    }
+
+    fn note(&mut self, kind: OutcomeKind, reason: Option<&'static str>, at: Option<&BackEndId>) {
+        self.noted = true;
+        let mut outcome = Outcome::new(kind).status(StatusCode::OK.as_u16()).events(self.events);
+        if let Some(reason) = reason {
+            outcome = outcome.because(reason);
+        }
+        if let Some(id) = at {
+            outcome = outcome.at(id);
+        }
+        note_end(&self.router, &self.call, &outcome);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.noted {
+            let at = self.source.as_ref().map(|source| source.back_end.clone());
+            self.note(OutcomeKind::CallerGone, None, at.as_ref());
+        }
+    }
+}
+
+/// The body of a stream's answer. Dropped, it closes the connection to the back end.
+pub struct StreamBody {
+    frames: Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, BodyError>>>>,
+}
+
+impl StreamBody {
+    /// The body that a relay fills.
+    pub fn new(relay: Relay) -> Self {
+        let frames = smol::stream::unfold(Some(relay), |relay| async move {
+            let mut relay = relay?;
+            let frame = relay.next().await?;
+            let rest = frame.is_ok().then_some(relay);
+            Some((frame, rest))
+        });
+        Self { frames: Box::pin(frames) }
+    }
+}
+
+impl Body for StreamBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.frames.poll_next(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,168 @@
+//! The state that all parts of a router share, on one thread.
+
+use crate::catalogue::Catalogue;
+use crate::dialect::{BackEndDialect, CallerDialect};
+use crate::events;
+use crate::listener::StopSignal;
+use crate::metrics::RouterMetrics;
+use crate::pool::Pool;
+use crate::settings::RouterSettings;
+use mastbay_routing::{
+    BackEndList, Dispatcher, DispatcherLimits, PeerId, Placement, Refusal, RouteTable,
+    RoutingConfiguration, TicketId,
+};
+use mastbay_types::Timestamp;
+use smol::LocalExecutor;
+use smol::channel::Sender;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Starts tasks on the router's one thread.
+#[derive(Debug, Clone, Copy)]
+pub struct Spawner(&'static LocalExecutor<'static>);
+
+impl Spawner {
+    /// A spawner on `executor`, which its owner runs.
+    pub fn new(executor: &'static LocalExecutor<'static>) -> Self {
+        Self(executor)
+    }
+
+    /// Starts a task.
+    pub fn spawn<T: 'static>(self, future: impl Future<Output = T> + 'static) -> smol::Task<T> {
+        self.0.spawn(future)
+    }
+}
+
+/// What callers and back ends speak.
+pub struct Seams {
+    /// What callers speak.
+    pub callers: Box<dyn CallerDialect>,
+    /// What back ends speak.
+    pub back_ends: Box<dyn BackEndDialect>,
+}
+
+/// The verdict on a request that waits.
+pub(crate) type VerdictSender = Sender<Result<Placement, Refusal>>;
+
+/// A router.
+pub struct Router {
+    pub(crate) settings: RouterSettings,
+    pub(crate) seams: Seams,
+    pub(crate) spawner: Spawner,
+    pub(crate) catalogue: RefCell<Catalogue>,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) waiting: RefCell<HashMap<TicketId, VerdictSender>>,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: RouterMetrics,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) stop: StopSignal,
+    origin: Instant,
+}
+
+impl Router {
+    /// A router that knows neither configuration nor back ends.
+    pub fn new(
+        settings: RouterSettings,
+        seams: Seams,
+        spawner: Spawner,
+        metrics: RouterMetrics,
+    ) -> Rc<Self> {
+        let me = PeerId { address: settings.digests, life: rand::random() };
+        let burst_from = if settings.first_start {
+            Timestamp::ZERO
+        } else {
+            Timestamp::ZERO + settings.budget.window
+        };
+        let limits = DispatcherLimits {
+            zone: settings.zone.clone(),
+            share_window: settings.share_window,
+            budget: settings.budget,
+            burst_from,
+            most_waiting: settings.most_waiting,
+        };
+        let dispatcher = Dispatcher::new(limits, me, settings.operations);
+        Rc::new(Self {
+            settings,
+            seams,
+            spawner,
+            catalogue: RefCell::default(),
+            dispatcher: RefCell::new(dispatcher),
+            waiting: RefCell::default(),
+            pool: Pool::new(spawner),
+            metrics,
+            stopping: Cell::new(false),
+            stop: StopSignal::default(),
+            origin: Instant::now(),
+        })
+    }
+
+    /// Time since the router started, on a clock that never goes back.
+    pub fn now(&self) -> Timestamp {
+        let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Timestamp::from_micros(micros)
+    }
+
+    /// Takes a configuration from a source; an older one changes nothing.
+    pub fn offer_configuration(&self, offered: RoutingConfiguration, source: &str) {
+        let taken = self.catalogue.borrow_mut().offer_configuration(offered);
+        if let Some(table) = taken {
+            self.dispatcher.borrow_mut().on_configuration(table.configuration());
+            events::configuration_in_force(&table, source);
+        }
+    }
+
+    /// Takes a list of back ends from a source; an older one changes nothing.
+    pub fn offer_back_ends(&self, offered: BackEndList, source: &str) {
+        let taken = self.catalogue.borrow_mut().offer_back_ends(offered);
+        if let Some(list) = taken {
+            self.dispatcher.borrow_mut().on_back_ends(&list);
+            self.pool.retain(&list);
+            events::back_ends_known(&list, source);
+            self.poll_waiting();
+        }
+    }
+
+    /// Whether it takes work.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.catalogue.borrow().is_complete()
+    }
+
+    /// The version of the configuration in force and the revision of the back ends, 0 if unknown.
+    pub fn versions(&self) -> (u64, u64) {
+        let catalogue = self.catalogue.borrow();
+        let table = catalogue.table().map_or(0, |table| table.version());
+        (table, catalogue.back_ends().map_or(0, |list| list.revision))
+    }
+
+    pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+        self.catalogue.borrow().table()
+    }
+
+    /// Tells waiting requests what became of them.
+    pub(crate) fn poll_waiting(&self) {
+        if !self.dispatcher.borrow().has_waiting() {
+            return;
+        }
+        let verdicts = self.dispatcher.borrow_mut().poll(self.now(), rand::random());
+        for (ticket, verdict) in verdicts {
+            if let Some(sender) = self.waiting.borrow_mut().remove(&ticket) {
+                // A caller that has gone takes its ticket back itself.
+                let _ = sender.try_send(verdict);
+            }
+        }
+    }
+
+    /// Polls waiting requests for as long as the router runs.
+    pub(crate) async fn keep_polling(self: Rc<Self>) {
+        loop {
+            smol::Timer::after(POLL_PERIOD).await;
+            self.poll_waiting();
+        }
+    }
+}
+
+/// Time between two looks at waiting requests, beside those at each end of a request.
+const POLL_PERIOD: Duration = Duration::from_millis(8);
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,116 @@
+//! Settings of a router, in INI form, checked whole.
+
+use mastbay_routing::BudgetLimits;
+use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The sections that a router reads.
+pub const SECTIONS: [&str; 4] = ["router", "peers", "retries", "log"];
+
+/// Settings of a router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouterSettings {
+    /// `[router] name`: its name in logs.
+    pub name: String,
+    /// `[router] zone`: its zone.
+    pub zone: String,
+    /// `[router] callers`: where callers connect.
+    pub callers: SocketAddr,
+    /// `[router] readiness`: where the balancer asks whether it takes work.
+    pub readiness: SocketAddr,
+    /// `[router] operations`: where metrics are served and snapshots are handed to peers.
+    pub operations: SocketAddr,
+    /// `[router] most-connections`: callers' connections open at a time.
+    pub most_connections: usize,
+    /// `[router] most-waiting`: requests that wait at a time.
+    pub most_waiting: usize,
+    /// `[router] stop-limit`: time for a planned stop.
+    pub stop_limit: Duration,
+    /// `[router] share-window`: time over which tenants' shares are kept.
+    pub share_window: Duration,
+    /// `[router] first-start`: whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// `[peers] listen`: where digests of peers arrive.
+    pub digests: SocketAddr,
+    /// `[peers] seeds`: operations addresses of some other routers.
+    pub seeds: Vec<SocketAddr>,
+    /// `[retries]`: the fleet's budget for second sends.
+    pub budget: BudgetLimits,
+    /// `[log] filter`: what is logged.
+    pub log: String,
+}
+
+/// A fraction or amount that is not negative.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Amount(f64);
+
+impl Value for Amount {
+    const EXPECTED: &'static str = "a number from 0 to 1000000";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text.parse::<f64>() {
+            Ok(number) if (0.0..=1e6).contains(&number) => Ok(Amount(number)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+const DEFAULT_CONNECTIONS: u64 = 3_000;
+const DEFAULT_WAITING: u64 = 400;
+const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(8);
+const DEFAULT_SHARE_WINDOW: Duration = Duration::from_secs(4);
+
+/// Reads the sections of a router.
+pub fn read_router_settings(document: &Document, faults: &mut Faults) -> Option<RouterSettings> {
+    let mut section = document.section("router", faults);
+    let name: Option<String> = section.required("name");
+    let zone: Option<String> = section.required("zone");
+    let callers: Option<SocketAddr> = section.required("callers");
+    let readiness: Option<SocketAddr> = section.required("readiness");
+    let operations: Option<SocketAddr> = section.required("operations");
+    let connections: Bounded<1, 1_000_000> =
+        section.or("most-connections", Bounded(DEFAULT_CONNECTIONS));
+    let waiting: Bounded<1, 1_000_000> = section.or("most-waiting", Bounded(DEFAULT_WAITING));
+    let stop: Span<100, 600_000> = section.or("stop-limit", Span(DEFAULT_STOP_LIMIT));
+    let window: Span<100, 600_000> = section.or("share-window", Span(DEFAULT_SHARE_WINDOW));
+    let first_start = section.or("first-start", true);
+    section.finish();
+
+    let mut section = document.section("peers", faults);
+    let digests: Option<SocketAddr> = section.required("listen");
+    let seeds = section.list("seeds");
+    section.finish();
+
+    let budget = read_budget(document, faults);
+    let mut section = document.section("log", faults);
+    let log = section.or("filter", "info".to_owned());
+    section.finish();
+
+    Some(RouterSettings {
+        name: name?,
+        zone: zone?,
+        callers: callers?,
+        readiness: readiness?,
+        operations: operations?,
+        most_connections: connections.0 as usize,
+        most_waiting: waiting.0 as usize,
+        stop_limit: stop.0,
+        share_window: window.0,
+        first_start,
+        digests: digests?,
+        seeds,
+        budget,
+        log,
+    })
+}
+
+fn read_budget(document: &Document, faults: &mut Faults) -> BudgetLimits {
+    let default = BudgetLimits::default();
+    let mut section = document.section("retries", faults);
+    let ratio = section.or("ratio", Amount(default.ratio));
+    let window: Span<100, 600_000> = section.or("window", Span(default.window));
+    let burst = section.or("burst", Amount(default.burst));
+    section.finish();
+    BudgetLimits { ratio: ratio.0, window: window.0, burst: burst.0 }
+}
--- /dev/null
+++ b/crates/router/src/stop.rs
@@ -0,0 +1,153 @@
+//! A router's life: start, reload, planned stop.
+
+use crate::events;
+use crate::listener::{ListenerLimits, StopSignal, serve};
+use crate::operations::{operations, readiness};
+use crate::peers;
+use crate::router::Router;
+use crate::serve::serve_request;
+use async_signal::{Signal, Signals};
+use derive_more::{Display, Error};
+use prometheus_client::registry::Registry;
+use smol::net::{TcpListener, UdpSocket};
+use smol::stream::StreamExt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Why a router did not run.
+#[derive(Debug, Display, Error)]
+pub enum RunError {
+    /// An address could not be opened.
+    #[display("cannot listen on {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Signals cannot be watched.
+    #[display("signals cannot be watched: {source}")]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// Time in which balancers notice that the router is not ready any more; it still accepts.
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+/// Time before the stop limit at which what still runs is cut.
+const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// Connections to the readiness and operations addresses.
+const OPERATIONS_CONNECTIONS: usize = 64;
+/// Time between two sweeps of idle connections.
+const SWEEP_PERIOD: Duration = Duration::from_millis(500);
+
+/// Runs a router until it is asked to stop. `on_reload` is called when its settings have changed.
+///
+/// # Errors
+/// If an address cannot be opened or signals cannot be watched.
+pub async fn run(
+    router: Rc<Router>,
+    registry: Rc<Registry>,
+    on_reload: impl Fn(),
+) -> Result<(), RunError> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(|source| RunError::Signals { source })?;
+    let settings = &router.settings;
+    let callers = bind(settings.callers).await?;
+    let readiness_listener = bind(settings.readiness).await?;
+    let operations_listener = bind(settings.operations).await?;
+    let digests = UdpSocket::bind(settings.digests).await;
+    let digests = digests
+        .map_err(|source| RunError::Bind { address: settings.digests, source })
+        .map(Rc::new)?;
+    start_background(&router, &digests);
+    serve_operations(&router, registry, readiness_listener, operations_listener);
+    let serving = serve_callers(&router, callers);
+    events::life("started", &settings.name);
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => {
+                events::life("reload", &settings.name);
+                on_reload();
+            }
+            Ok(_) | Err(_) => break,
+        }
+    }
+    stop(&router, serving).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| RunError::Bind { address, source })
+}
+
+fn start_background(router: &Rc<Router>, digests: &Rc<UdpSocket>) {
+    let spawner = router.spawner;
+    spawner.spawn(router.clone().keep_polling()).detach();
+    spawner.spawn(peers::send_digests(router.clone(), digests.clone())).detach();
+    spawner.spawn(peers::receive_digests(router.clone(), digests.clone())).detach();
+    spawner.spawn(peers::fetch_newer(router.clone())).detach();
+    let sweeping = router.clone();
+    let sweep = async move {
+        loop {
+            smol::Timer::after(SWEEP_PERIOD).await;
+            sweeping.pool.sweep();
+        }
+    };
+    spawner.spawn(sweep).detach();
+}
+
+fn serve_operations(
+    router: &Rc<Router>,
+    registry: Rc<Registry>,
+    readiness_listener: TcpListener,
+    operations_listener: TcpListener,
+) {
+    let limits = ListenerLimits {
+        most_connections: OPERATIONS_CONNECTIONS,
+        head_bytes: 8 << 10,
+        idle_time: Duration::from_secs(30),
+    };
+    let never = StopSignal::default();
+    let asked = router.clone();
+    let handler = move |_| {
+        let answer = readiness(&asked);
+        async move { answer }
+    };
+    let spawner = router.spawner;
+    spawner.spawn(serve(spawner, readiness_listener, limits, never.clone(), handler)).detach();
+    let asked = router.clone();
+    let handler = move |request| {
+        let answer = operations(&asked, &registry, &request);
+        async move { answer }
+    };
+    spawner.spawn(serve(spawner, operations_listener, limits, never, handler)).detach();
+}
+
+fn serve_callers(router: &Rc<Router>, listener: TcpListener) -> smol::Task<()> {
+    let limits = ListenerLimits {
+        most_connections: router.settings.most_connections,
+        head_bytes: 16 << 10,
+        idle_time: Duration::from_secs(15),
+    };
+    let serving = router.clone();
+    let handler = move |request| serve_request(serving.clone(), request);
+    router.spawner.spawn(serve(router.spawner, listener, limits, router.stop.clone(), handler))
+}
+
+/// Not ready first, still accepting while balancers notice; then no new connections, and all that runs
+/// goes to its end.
+async fn stop(router: &Rc<Router>, serving: smol::Task<()>) {
+    let name = &router.settings.name;
+    events::life("stopping", name);
+    router.stopping.set(true);
+    let limit = router.settings.stop_limit.saturating_sub(STOP_MARGIN);
+    let notice = NOTICE_TIME.min(limit / 2);
+    smol::Timer::after(notice).await;
+    router.stop.give();
+    let ended = mastbay_web::within(limit - notice, serving).await;
+    events::life(if ended.is_ok() { "stopped" } else { "stopped_at_limit" }, name);
+}
--- /dev/null
+++ b/crates/routing/src/digest.rs
@@ -0,0 +1,58 @@
+//! What routers tell each other: absolute figures, so that a lost or repeated digest does no harm.
+
+use crate::back_end::BackEndId;
+use crate::engine::Load;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Names one life of a router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PeerId {
+    /// Where it listens for digests.
+    pub address: SocketAddr,
+    /// A random number drawn at its start.
+    pub life: u64,
+}
+
+/// What a router has at one back end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// The back end.
+    pub id: BackEndId,
+    /// What the router has there.
+    pub load: Load,
+}
+
+/// What a tenant asks of a router.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TenantReport {
+    /// The tenant's name.
+    pub name: String,
+    /// Service asked for, in tokens a second.
+    pub asked: f32,
+    /// Service given, in tokens a second.
+    pub given: f32,
+}
+
+/// One router's figures.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The sender.
+    pub sender: PeerId,
+    /// Rises with every digest of the sender.
+    pub sequence: u64,
+    /// Where the sender hands out its configuration and back ends.
+    pub snapshots: SocketAddr,
+    /// Whether the sender stops and takes no more work.
+    pub leaving: bool,
+    /// Version of the configuration that it has in force, 0 if none.
+    pub configuration: u64,
+    /// Revision of the back ends that it knows, 0 if none.
+    pub back_ends: u64,
+    /// What it has at back ends.
+    pub engines: Vec<EngineReport>,
+    /// What tenants ask of it.
+    pub tenants: Vec<TenantReport>,
+    /// Digest addresses of further routers that it hears.
+    pub peers: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/routing/src/dispatch/fleet.rs
@@ -0,0 +1,173 @@
+//! The other routers, as their digests tell of them.
+
+use crate::back_end::BackEndId;
+use crate::digest::{Digest, EngineReport, PeerId, TenantReport};
+use crate::engine::Load;
+use mastbay_types::Timestamp;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Silence after which a peer's requests no longer count.
+const LOAD_LIFE: Duration = Duration::from_millis(700);
+/// Silence after which a peer no longer counts as a router that may spend budget.
+const PEER_LIFE: Duration = Duration::from_secs(12);
+/// Addresses of peers passed on in one digest.
+const PEERS_PASSED_ON: usize = 6;
+
+#[derive(Debug)]
+struct Peer {
+    heard: Timestamp,
+    digest: Digest,
+    counted: bool,
+}
+
+/// What a digest replaces.
+#[derive(Debug)]
+pub struct Replaced {
+    /// Reports that no longer count.
+    pub reports: Vec<EngineReport>,
+    /// Whether its sender was not known.
+    pub is_new_peer: bool,
+}
+
+/// What this router knows of the others.
+#[derive(Debug)]
+pub struct Fleet {
+    me: PeerId,
+    snapshots: SocketAddr,
+    sequence: u64,
+    peers: BTreeMap<PeerId, Peer>,
+}
+
+impl Fleet {
+    /// A router that has heard nobody yet.
+    pub fn new(me: PeerId, snapshots: SocketAddr) -> Self {
+        Self { me, snapshots, sequence: 0, peers: BTreeMap::new() }
+    }
+
+    /// Takes a digest and tells what it replaces; nothing for one of this router itself or one that
+    /// is not newer than the last.
+    pub fn on_digest(&mut self, now: Timestamp, digest: &Digest) -> Option<Replaced> {
+        let known = self.peers.get(&digest.sender);
+        let is_old = known.is_some_and(|peer| peer.digest.sequence >= digest.sequence);
+        if digest.sender == self.me || is_old {
+            return None;
+        }
+        let mut reports = self.forget_earlier_lives(digest.sender);
+        let peer = Peer { heard: now, digest: digest.clone(), counted: true };
+        let replaced = self.peers.insert(digest.sender, peer);
+        let is_new_peer = replaced.is_none();
+        reports.extend(replaced.into_iter().flat_map(Peer::counted_reports));
+        Some(Replaced { reports, is_new_peer })
+    }
+
+    fn forget_earlier_lives(&mut self, sender: PeerId) -> Vec<EngineReport> {
+        let is_earlier = |peer: &&PeerId| peer.address == sender.address && **peer != sender;
+        let earlier: Vec<PeerId> = self.peers.keys().filter(is_earlier).copied().collect();
+        let forgotten = earlier.iter().filter_map(|peer| self.peers.remove(peer));
+        forgotten.collect::<Vec<_>>().into_iter().flat_map(Peer::counted_reports).collect()
+    }
+
+    /// Forgets silent peers. Gives the reports that no longer count.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<EngineReport> {
+        let mut removed = Vec::new();
+        for peer in self.peers.values_mut() {
+            if peer.counted && now.since(peer.heard) > LOAD_LIFE {
+                peer.counted = false;
+                removed.extend(peer.digest.engines.iter().cloned());
+            }
+        }
+        self.peers.retain(|_, peer| now.since(peer.heard) <= PEER_LIFE);
+        removed
+    }
+
+    /// Number of routers, this one included.
+    pub fn routers(&self, now: Timestamp) -> usize {
+        1 + self.peers.values().filter(|peer| now.since(peer.heard) <= PEER_LIFE).count()
+    }
+
+    /// Age of the oldest figures that count.
+    pub fn oldest_age(&self, now: Timestamp) -> Duration {
+        let counted = self.peers.values().filter(|peer| peer.counted);
+        counted.map(|peer| now.since(peer.heard)).max().unwrap_or_default()
+    }
+
+    /// What all peers have at one back end.
+    pub fn load_at(&self, id: &BackEndId) -> Load {
+        let mut load = Load::default();
+        for peer in self.peers.values().filter(|peer| peer.counted) {
+            for report in peer.digest.engines.iter().filter(|report| report.id == *id) {
+                load.add(report.load);
+            }
+        }
+        load
+    }
+
+    /// Rates asked and given by tenant, over this router's own and the peers'.
+    pub fn tenant_rates(
+        &self,
+        own: &[TenantReport],
+    ) -> (HashMap<String, f64>, HashMap<String, f64>) {
+        let mut asked: HashMap<String, f64> = HashMap::new();
+        let mut given: HashMap<String, f64> = HashMap::new();
+        let counted = self.peers.values().filter(|peer| peer.counted);
+        let reports = counted.flat_map(|peer| &peer.digest.tenants).chain(own);
+        for report in reports {
+            *asked.entry(report.name.clone()).or_default() += f64::from(report.asked);
+            *given.entry(report.name.clone()).or_default() += f64::from(report.given);
+        }
+        (asked, given)
+    }
+
+    /// A digest of this router.
+    pub fn digest(
+        &mut self,
+        leaving: bool,
+        configuration: u64,
+        back_ends: u64,
+        engines: Vec<EngineReport>,
+        tenants: Vec<TenantReport>,
+    ) -> Digest {
+        self.sequence += 1;
+        let peers = self.addresses();
+        let start = self.sequence as usize % peers.len().max(1);
+        let peers = peers.iter().cycle().skip(start).take(PEERS_PASSED_ON.min(peers.len()));
+        Digest {
+            sender: self.me,
+            sequence: self.sequence,
+            snapshots: self.snapshots,
+            leaving,
+            configuration,
+            back_ends,
+            engines,
+            tenants,
+            peers: peers.copied().collect(),
+        }
+    }
+
+    /// Digest addresses of the peers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.keys().map(|peer| peer.address).collect()
+    }
+
+    /// Where a peer hands out something newer than what is given.
+    pub fn newer_than(
+        &self,
+        now: Timestamp,
+        configuration: u64,
+        back_ends: u64,
+    ) -> Option<SocketAddr> {
+        let heard = self.peers.values().filter(|peer| now.since(peer.heard) <= LOAD_LIFE);
+        let mut digests = heard.map(|peer| &peer.digest);
+        let newer = digests
+            .find(|digest| digest.configuration > configuration || digest.back_ends > back_ends)?;
+        Some(newer.snapshots)
+    }
+}
+
+impl Peer {
+    fn counted_reports(self) -> Vec<EngineReport> {
+        if self.counted { self.digest.engines } else { Vec::new() }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatch/mod.rs
@@ -0,0 +1,541 @@
+//! Which back end serves a request, and when: placement, waiting and refusal.
+//!
+//! A router decides alone, on what it has itself at each back end and on what its peers last told.
+
+mod fleet;
+mod placement;
+
+use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
+use crate::budget::{BudgetLimits, RetryBudget};
+use crate::configuration::{EngineLimits, RoutingConfiguration};
+use crate::digest::{Digest, EngineReport, PeerId};
+use crate::engine::{Engine, Load};
+use crate::health::Fault;
+use crate::prompt::Prompt;
+use crate::shares::Usage;
+use crate::waiting::{Waiter, WaitingOrder, WaitingQueue};
+use fleet::Fleet;
+use mastbay_types::Timestamp;
+use placement::{Pace, Weighed};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Settings of a [`Dispatcher`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct DispatcherLimits {
+    /// The router's zone.
+    pub zone: String,
+    /// Time over which tenants' shares are kept.
+    pub share_window: Duration,
+    /// The fleet's budget of second sends for each service.
+    pub budget: BudgetLimits,
+    /// No burst of second sends before this moment.
+    pub burst_from: Timestamp,
+    /// Most requests that wait.
+    pub most_waiting: usize,
+}
+
+/// Names a request in a dispatcher, from admission to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TicketId(pub u64);
+
+/// What a request asks for.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// The service.
+    pub service: String,
+    /// Its prompt, if it is for a model.
+    pub prompt: Option<Prompt>,
+    /// When it came.
+    pub arrived: Timestamp,
+    /// When it is of no more use to its caller.
+    pub deadline: Timestamp,
+    /// Time within which it should be answered.
+    pub objective: Duration,
+    /// Rank; 0 is the highest.
+    pub priority: u32,
+    /// Its tenant.
+    pub tenant: Option<Arc<str>>,
+    /// Back ends that it is not given again.
+    pub tried: Vec<BackEndId>,
+}
+
+impl Demand {
+    fn load(&self, uncached: u64) -> Load {
+        let memory = self.prompt.as_ref().map_or(0, Prompt::memory);
+        Load { running: 1, unread: uncached, memory }
+    }
+}
+
+/// A back end chosen for a request.
+#[derive(Debug, Clone)]
+pub struct Placement {
+    /// The request's ticket.
+    pub ticket: TicketId,
+    /// The back end.
+    pub back_end: BackEnd,
+    /// Time to the first event as predicted.
+    pub predicted: Duration,
+    /// Requests known to be there from all routers.
+    pub running: u32,
+    /// Prompt tokens that it has to read for this request.
+    pub uncached: u64,
+    /// Age of the oldest figure that was used, zero if there are no peers.
+    pub age: Duration,
+}
+
+/// A request that is not served now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+impl Refusal {
+    /// The router stops before the request had its turn.
+    pub fn stopping() -> Self {
+        Self { reason: RefusalReason::Stopping, retry_after: Duration::ZERO }
+    }
+}
+
+/// Why a request is not served now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum RefusalReason {
+    /// No back end of the service is known to take work.
+    #[display("no_back_end")]
+    NoBackEnd,
+    /// No back end has room in time.
+    #[display("no_room")]
+    NoRoom,
+    /// The router stops.
+    #[display("stopping")]
+    Stopping,
+    /// Too many requests wait.
+    #[display("queue_full")]
+    QueueFull,
+}
+
+/// Decisions on requests that waited.
+pub type Verdicts = Vec<(TicketId, Result<Placement, Refusal>)>;
+
+/// The answer to a request for admission.
+#[derive(Debug)]
+pub enum Admission {
+    /// It goes to a back end now.
+    Placed(Placement),
+    /// It waits; [`Dispatcher::poll`] tells what becomes of it.
+    Waiting(TicketId),
+    /// It is not served.
+    Refused(Refusal),
+}
+
+/// A request that a back end works on.
+#[derive(Debug)]
+struct Running {
+    back_end: BackEndId,
+    load: Load,
+    sent: Timestamp,
+    predicted: Duration,
+    work_ahead: u64,
+    first_event: bool,
+}
+
+/// Part of the objective that a request may wait before it is refused.
+const HOLD_PART: f64 = 0.25;
+/// Waiters that are tried in vain before the rest of a queue is left for later.
+const TRIES_IN_VAIN: usize = 6;
+/// Time for which tenants' rates are used before they are summed again.
+const SHARES_LIFE: Duration = Duration::from_millis(50);
+/// Longest time that a refused caller is told to stay away.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(2_500);
+/// Callers follow the time to come back only up to this part of the time that they have left.
+const RETRY_AFTER_PART: f64 = 0.3;
+
+/// A router's decisions on where and when requests are served.
+#[derive(Debug)]
+pub struct Dispatcher {
+    limits: DispatcherLimits,
+    engines: BTreeMap<BackEndId, Engine>,
+    engine_limits: HashMap<String, EngineLimits>,
+    capacity: Option<u64>,
+    paces: HashMap<String, Pace>,
+    waiting: HashMap<String, WaitingQueue>,
+    running: HashMap<TicketId, Running>,
+    budgets: HashMap<String, RetryBudget>,
+    usage: Usage,
+    fleet: Fleet,
+    shares: Option<(Timestamp, Rc<Shares>)>,
+    next_ticket: u64,
+    configuration: u64,
+    back_ends: u64,
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows nothing yet.
+    pub fn new(limits: DispatcherLimits, me: PeerId, snapshots: SocketAddr) -> Self {
+        let usage = Usage::new(limits.share_window);
+        Self {
+            limits,
+            engines: BTreeMap::new(),
+            engine_limits: HashMap::new(),
+            capacity: None,
+            paces: HashMap::new(),
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            budgets: HashMap::new(),
+            usage,
+            fleet: Fleet::new(me, snapshots),
+            shares: None,
+            next_ticket: 1,
+            configuration: 0,
+            back_ends: 0,
+        }
+    }
+
+    /// Takes limits from the configuration that is in force now.
+    pub fn on_configuration(&mut self, configuration: &RoutingConfiguration) {
+        self.configuration = configuration.version;
+        self.capacity = configuration.limits.tokens_per_second;
+        let services = configuration.services.iter();
+        self.engine_limits = services
+            .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
+            .collect();
+    }
+
+    /// Takes a newer list of back ends.
+    pub fn on_back_ends(&mut self, list: &BackEndList) {
+        self.back_ends = list.revision;
+        let mut known = std::mem::take(&mut self.engines);
+        for back_end in &list.back_ends {
+            let engine = match known.remove(&back_end.id) {
+                Some(engine) => engine.with(back_end.clone()),
+                None => self.new_engine(back_end.clone()),
+            };
+            self.engines.insert(back_end.id.clone(), engine);
+        }
+    }
+
+    /// Whether a back end may be given a request now: it is listed and takes work.
+    pub fn is_usable(&self, id: &BackEndId) -> bool {
+        let engine = self.engines.get(id);
+        engine.is_some_and(|engine| engine.back_end.state == BackEndState::Ready)
+    }
+
+    /// Addresses of all listed back ends.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.engines.values().map(|engine| engine.back_end.address).collect()
+    }
+
+    /// Number of routers believed to be there, this one included.
+    pub fn routers(&self, now: Timestamp) -> usize {
+        self.fleet.routers(now)
+    }
+
+    /// A request for a service came: it earns budget and counts as asked for.
+    pub fn on_request(&mut self, now: Timestamp, demand: &Demand) {
+        self.budget(&demand.service).on_request(now);
+        if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
+            self.usage.on_asked(now, tenant, prompt.cost());
+        }
+    }
+
+    /// Takes one second send from the budget of a service, if it has one.
+    pub fn take_retry(&mut self, now: Timestamp, service: &str) -> bool {
+        let routers = self.fleet.routers(now);
+        self.budget(service).take(now, routers)
+    }
+
+    /// Second sends left for a service.
+    pub fn retries_left(&mut self, now: Timestamp, service: &str) -> f64 {
+        let routers = self.fleet.routers(now);
+        self.budget(service).left(now, routers)
+    }
+
+    /// Places a request now, lets it wait or refuses it. `draw` is uniform in 0..1.
+    pub fn admit(&mut self, now: Timestamp, demand: Demand, draw: f64) -> Admission {
+        let others_wait = self.waiting.get(&demand.service).is_some_and(|queue| queue.len() > 0);
+        let ticket = TicketId(self.next_ticket);
+        self.next_ticket += 1;
+        let privileged = !demand.tried.is_empty();
+        if !others_wait || privileged {
+            if let Some(placement) = self.try_place(now, ticket, &demand, false) {
+                return Admission::Placed(placement);
+            }
+        }
+        let queue = self.waiting.entry(demand.service.clone()).or_default();
+        if queue.len() >= self.limits.most_waiting {
+            return Admission::Refused(refusal(now, &demand, RefusalReason::QueueFull, draw));
+        }
+        let until = hold_until(&demand);
+        queue.push(Waiter { ticket, demand, until });
+        Admission::Waiting(ticket)
+    }
+
+    /// Lets waiters in where there is room and gives up those whose time is over.
+    pub fn poll(&mut self, now: Timestamp, draw: f64) -> Verdicts {
+        let mut verdicts = Vec::new();
+        let services: Vec<String> = self.waiting.keys().cloned().collect();
+        for service in services {
+            self.let_in(now, &service, &mut verdicts);
+            self.give_up(now, &service, draw, &mut verdicts);
+        }
+        self.waiting.retain(|_, queue| queue.len() > 0);
+        verdicts
+    }
+
+    /// When [`Self::poll`] has something to give up next.
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        self.waiting.values().filter_map(WaitingQueue::next_expiry).min()
+    }
+
+    /// Whether any request waits.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// A request's first event, or its whole answer, has come.
+    pub fn on_first_event(&mut self, now: Timestamp, ticket: TicketId) {
+        let Some(running) = self.running.get_mut(&ticket) else { return };
+        if std::mem::replace(&mut running.first_event, true) {
+            return;
+        }
+        let unread = std::mem::take(&mut running.load.unread);
+        let taken = now.since(running.sent);
+        let (predicted, work_ahead) = (running.predicted, running.work_ahead);
+        let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
+        engine.own.unread = engine.own.unread.saturating_sub(unread);
+        engine.slowness = placement::next_slowness(engine.slowness, predicted, taken);
+        let pace = self.paces.entry(engine.back_end.service.clone()).or_default();
+        pace.observe(work_ahead, taken);
+    }
+
+    /// A request has ended well, or its caller has gone: it takes no more room.
+    pub fn on_end(&mut self, now: Timestamp, ticket: TicketId, outcome: Result<(), Option<Fault>>) {
+        for queue in self.waiting.values_mut() {
+            if queue.remove(ticket).is_some() {
+                return;
+            }
+        }
+        let Some(running) = self.running.remove(&ticket) else { return };
+        let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
+        engine.own.remove(running.load);
+        match outcome {
+            Ok(()) => engine.health.on_success(now),
+            Err(Some(fault)) => {
+                engine.health.on_fault(now, fault);
+                if matches!(fault, Fault::Unreachable | Fault::Replaced) {
+                    engine.forget();
+                }
+            }
+            Err(None) => {}
+        }
+    }
+
+    /// A peer's figures have come. Gives true if the peer was not known before.
+    pub fn on_digest(&mut self, now: Timestamp, digest: Digest) -> bool {
+        let Some(replaced) = self.fleet.on_digest(now, &digest) else { return false };
+        self.take_from_others(&replaced.reports);
+        for report in &digest.engines {
+            if let Some(engine) = self.engines.get_mut(&report.id) {
+                engine.others.add(report.load);
+            }
+        }
+        replaced.is_new_peer
+    }
+
+    /// Forgets what peers that fell silent have at back ends.
+    pub fn expire_peers(&mut self, now: Timestamp) {
+        let removed = self.fleet.expire(now);
+        self.take_from_others(&removed);
+    }
+
+    /// This router's own figures.
+    pub fn digest(&mut self, now: Timestamp, leaving: bool) -> Digest {
+        let engines = self.engines.iter().filter(|(_, engine)| engine.own != Load::default());
+        let engines =
+            engines.map(|(id, engine)| EngineReport { id: id.clone(), load: engine.own }).collect();
+        let tenants = self.usage.reports(now);
+        self.fleet.digest(leaving, self.configuration, self.back_ends, engines, tenants)
+    }
+
+    /// Addresses that digests go to.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.fleet.addresses()
+    }
+
+    /// A peer that has told of a newer configuration or newer back ends, and where it hands them out.
+    pub fn newer_elsewhere(&self, now: Timestamp) -> Option<SocketAddr> {
+        self.fleet.newer_than(now, self.configuration, self.back_ends)
+    }
+
+    fn new_engine(&self, back_end: BackEnd) -> Engine {
+        let mut engine = Engine::new(back_end);
+        engine.others = self.fleet.load_at(&engine.back_end.id);
+        engine
+    }
+
+    fn take_from_others(&mut self, removed: &[EngineReport]) {
+        for report in removed {
+            if let Some(engine) = self.engines.get_mut(&report.id) {
+                engine.others.remove(report.load);
+            }
+        }
+    }
+
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let (limits, burst_from) = (self.limits.budget, self.limits.burst_from);
+        let budgets = &mut self.budgets;
+        budgets.entry(service.to_owned()).or_insert_with(|| RetryBudget::new(limits, burst_from))
+    }
+
+    fn let_in(&mut self, now: Timestamp, service: &str, verdicts: &mut Verdicts) {
+        let shares = self.shares(now);
+        let Some(queue) = self.waiting.get(service) else { return };
+        let tickets = queue.in_order(|waiter| shares.order(waiter));
+        let mut in_vain = 0;
+        for ticket in tickets {
+            let Some(waiter) = self.waiting.get(service).and_then(|queue| queue.get(ticket)) else {
+                continue;
+            };
+            let demand = waiter.demand.clone();
+            match self.try_place(now, ticket, &demand, false) {
+                Some(placement) => {
+                    self.remove_waiter(service, ticket);
+                    verdicts.push((ticket, Ok(placement)));
+                }
+                None => in_vain += 1,
+            }
+            if in_vain >= TRIES_IN_VAIN {
+                break;
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Timestamp, service: &str, draw: f64, verdicts: &mut Verdicts) {
+        let Some(queue) = self.waiting.get_mut(service) else { return };
+        for waiter in queue.take_expired(now) {
+            let verdict = match self.try_place(now, waiter.ticket, &waiter.demand, true) {
+                Some(placement) => Ok(placement),
+                None => {
+                    let reason = if self.has_back_end(service) {
+                        RefusalReason::NoRoom
+                    } else {
+                        RefusalReason::NoBackEnd
+                    };
+                    Err(refusal(now, &waiter.demand, reason, draw))
+                }
+            };
+            verdicts.push((waiter.ticket, verdict));
+        }
+    }
+
+    fn remove_waiter(&mut self, service: &str, ticket: TicketId) {
+        if let Some(queue) = self.waiting.get_mut(service) {
+            queue.remove(ticket);
+        }
+    }
+
+    fn has_back_end(&self, service: &str) -> bool {
+        let mut engines = self.engines.values();
+        engines.any(|engine| {
+            engine.back_end.service == service && engine.back_end.state == BackEndState::Ready
+        })
+    }
+
+    fn shares(&mut self, now: Timestamp) -> Rc<Shares> {
+        if let Some((made, shares)) = &self.shares {
+            if now.since(*made) < SHARES_LIFE {
+                return shares.clone();
+            }
+        }
+        let shares = Rc::new(self.new_shares(now));
+        self.shares = Some((now, shares.clone()));
+        shares
+    }
+
+    fn new_shares(&mut self, now: Timestamp) -> Shares {
+        let own = self.usage.reports(now);
+        let (asked, given) = self.fleet.tenant_rates(&own);
+        let mut demands: Vec<f64> = asked.values().copied().collect();
+        let level = match self.capacity {
+            Some(capacity) => crate::shares::water_level(&mut demands, capacity as f64),
+            None => f64::INFINITY,
+        };
+        Shares { given, level }
+    }
+
+    /// Reserves room for a request at the best back end, if one has it. A request whose time to wait
+    /// is over (`last_call`) is also placed where it is late.
+    fn try_place(
+        &mut self,
+        now: Timestamp,
+        ticket: TicketId,
+        demand: &Demand,
+        last_call: bool,
+    ) -> Option<Placement> {
+        let shares = self.shares(now);
+        let over_share = demand.tenant.as_ref().is_some_and(|tenant| shares.is_over(tenant));
+        let weighed = self.best(now, demand, over_share, last_call)?;
+        let age = self.fleet.oldest_age(now);
+        let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
+        let load = demand.load(uncached);
+        let engine = self.engines.get_mut(&id)?;
+        let running = engine.load().running;
+        engine.own.add(load);
+        if let Some(prompt) = &demand.prompt {
+            engine.remember(prompt, now);
+        }
+        let back_end = engine.back_end.clone();
+        if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
+            self.usage.on_given(now, tenant, prompt.cost());
+        }
+        let entry =
+            Running { back_end: id, load, sent: now, predicted, work_ahead, first_event: false };
+        self.running.insert(ticket, entry);
+        Some(Placement { ticket, back_end, predicted, running, uncached, age })
+    }
+}
+
+/// Tenants' rates over the fleet and the fair level.
+#[derive(Debug)]
+struct Shares {
+    given: HashMap<String, f64>,
+    level: f64,
+}
+
+impl Shares {
+    fn given(&self, tenant: &str) -> f64 {
+        self.given.get(tenant).copied().unwrap_or(0.0)
+    }
+
+    fn is_over(&self, tenant: &str) -> bool {
+        self.given(tenant) > self.level
+    }
+
+    fn order(&self, waiter: &Waiter) -> WaitingOrder {
+        let tenant = waiter.demand.tenant.as_deref();
+        WaitingOrder {
+            priority: waiter.demand.priority,
+            over_share: tenant.is_some_and(|tenant| self.is_over(tenant)),
+            given: tenant.map_or(0.0, |tenant| self.given(tenant)),
+            ticket: waiter.ticket.0,
+        }
+    }
+}
+
+/// Until when a request waits: a part of its objective; one that was tried before, the whole.
+fn hold_until(demand: &Demand) -> Timestamp {
+    let part = if demand.tried.is_empty() { HOLD_PART } else { 1.0 };
+    (demand.arrived + demand.objective.mul_f64(part)).min(demand.deadline)
+}
+
+fn refusal(now: Timestamp, demand: &Demand, reason: RefusalReason, draw: f64) -> Refusal {
+    let left = demand.deadline.since(now).mul_f64(RETRY_AFTER_PART);
+    let retry_after = left.min(LONGEST_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw);
+    Refusal { reason, retry_after }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,34 @@
+//! The decisions of a router: which route a request takes, which back end serves it, when it is let in,
+//! whether it may be sent again and what its caller may be told.
+//!
+//! Everything here is a pure state machine: time and random draws are arguments, nothing does I/O.
+
+mod attempt;
+mod back_end;
+mod budget;
+mod configuration;
+mod digest;
+mod dispatch;
+mod engine;
+mod health;
+mod prompt;
+mod shares;
+mod table;
+mod waiting;
+
+pub use attempt::{Attempt, AttemptState, Verdict};
+pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
+pub use budget::{BudgetLimits, RetryBudget};
+pub use configuration::{
+    EngineLimits, Limits, Route, RouteKind, RoutingConfiguration, Service, Target, Tenant,
+};
+pub use digest::{Digest, EngineReport, PeerId, TenantReport};
+pub use dispatch::{
+    Admission, Demand, Dispatcher, DispatcherLimits, Placement, Refusal, RefusalReason, TicketId,
+    Verdicts,
+};
+pub use engine::Load;
+pub use health::{Fault, Health};
+pub use prompt::{Prompt, PromptPart};
+pub use shares::{Usage, water_level};
+pub use table::{RouteTable, TableEntry};
--- /dev/null
+++ b/crates/routing/src/shares.rs
@@ -0,0 +1,94 @@
+//! What tenants ask for and are given, and the fair level that follows from it.
+
+use crate::digest::TenantReport;
+use mastbay_types::Timestamp;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Rates under this are forgotten, in tokens a second.
+const FORGOTTEN_RATE: f64 = 1.0;
+
+/// An amount a second, over a window that fades.
+#[derive(Debug, Clone, Copy, Default)]
+struct FadingRate {
+    amount: f64,
+    moved: Timestamp,
+}
+
+impl FadingRate {
+    fn fade(&mut self, now: Timestamp, window: Duration) {
+        let passed = now.since(self.moved).as_secs_f64() / window.as_secs_f64();
+        self.amount *= (-passed).exp();
+        self.moved = now;
+    }
+
+    fn add(&mut self, now: Timestamp, window: Duration, amount: f64) {
+        self.fade(now, window);
+        self.amount += amount;
+    }
+
+    fn per_second(mut self, now: Timestamp, window: Duration) -> f64 {
+        self.fade(now, window);
+        self.amount / window.as_secs_f64()
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct TenantUsage {
+    asked: FadingRate,
+    given: FadingRate,
+}
+
+/// One router's account of its tenants.
+#[derive(Debug)]
+pub struct Usage {
+    window: Duration,
+    tenants: HashMap<Arc<str>, TenantUsage>,
+}
+
+impl Usage {
+    /// An empty account over `window`.
+    pub fn new(window: Duration) -> Self {
+        Self { window, tenants: HashMap::new() }
+    }
+
+    /// A tenant asks for `cost` tokens of service.
+    pub fn on_asked(&mut self, now: Timestamp, tenant: &Arc<str>, cost: u64) {
+        let usage = self.tenants.entry(tenant.clone()).or_default();
+        usage.asked.add(now, self.window, cost as f64);
+    }
+
+    /// A tenant is given `cost` tokens of service.
+    pub fn on_given(&mut self, now: Timestamp, tenant: &Arc<str>, cost: u64) {
+        let usage = self.tenants.entry(tenant.clone()).or_default();
+        usage.given.add(now, self.window, cost as f64);
+    }
+
+    /// The rates of all tenants that ask for anything; the others are forgotten.
+    pub fn reports(&mut self, now: Timestamp) -> Vec<TenantReport> {
+        let window = self.window;
+        self.tenants.retain(|_, usage| usage.asked.per_second(now, window) >= FORGOTTEN_RATE);
+        let reports = self.tenants.iter().map(|(name, usage)| TenantReport {
+            name: name.to_string(),
+            asked: usage.asked.per_second(now, window) as f32,
+            given: usage.given.per_second(now, window) as f32,
+        });
+        reports.collect()
+    }
+}
+
+/// The most that one of several demands is given when `capacity` is shared max-min fairly; infinite
+/// when all demands can be met.
+pub fn water_level(demands: &mut [f64], capacity: f64) -> f64 {
+    demands.sort_by(f64::total_cmp);
+    let mut left = capacity;
+    for (index, demand) in demands.iter().enumerate() {
+        let even = left / (demands.len() - index) as f64;
+        if *demand > even {
+            return even;
+        }
+        left -= demand;
+    }
+    f64::INFINITY
+}
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,102 @@
+//! Looking up the route of a request and the tenant of a key.
+
+use crate::configuration::{Route, RoutingConfiguration, Service, Tenant};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A configuration with indexes for look-ups.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    configuration: RoutingConfiguration,
+    routes: Vec<Arc<Route>>,
+    by_host: HashMap<String, Vec<usize>>,
+    by_key: HashMap<String, usize>,
+    by_service: HashMap<String, usize>,
+}
+
+/// The route of a request.
+#[derive(Debug, Clone)]
+pub struct TableEntry {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The configuration's version.
+    pub version: u64,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    pub fn new(configuration: RoutingConfiguration) -> Self {
+        let routes: Vec<Arc<Route>> = configuration.routes.iter().cloned().map(Arc::new).collect();
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for indexes in by_host.values_mut() {
+            indexes.sort_by_key(|index| std::cmp::Reverse(routes[*index].path_prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        for (index, tenant) in configuration.tenants.iter().enumerate() {
+            by_key.extend(tenant.keys.iter().map(|key| (key.clone(), index)));
+        }
+        let services = configuration.services.iter().enumerate();
+        let by_service = services.map(|(index, service)| (service.name.clone(), index)).collect();
+        Self { configuration, routes, by_host, by_key, by_service }
+    }
+
+    /// The configuration's version.
+    pub fn version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// The configuration.
+    pub fn configuration(&self) -> &RoutingConfiguration {
+        &self.configuration
+    }
+
+    /// The route with the longest prefix of `path` among those of `host`.
+    pub fn route(&self, host: &str, path: &str) -> Option<TableEntry> {
+        let host = host_name(host).to_ascii_lowercase();
+        let indexes = self.by_host.get(&host)?;
+        let found =
+            indexes.iter().find(|index| path.starts_with(&self.routes[**index].path_prefix))?;
+        Some(TableEntry { route: self.routes[*found].clone(), version: self.version() })
+    }
+
+    /// The tenant that holds a key.
+    pub fn tenant(&self, key: &str) -> Option<&Tenant> {
+        self.by_key.get(key).map(|index| &self.configuration.tenants[*index])
+    }
+
+    /// Whether requests need keys at all.
+    pub fn has_tenants(&self) -> bool {
+        !self.configuration.tenants.is_empty()
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.by_service.get(name).map(|index| &self.configuration.services[*index])
+    }
+}
+
+/// A host without its port.
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+impl TableEntry {
+    /// The service that takes a request, by weight; `draw` is uniform in 0..1.
+    pub fn service(&self, draw: f64) -> Option<&str> {
+        let total: u64 = self.route.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let mut left = draw * total as f64;
+        for target in &self.route.targets {
+            left -= f64::from(target.weight);
+            if left < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        None
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use admin::{Inspect, NotReady, serve_admin};
 pub use export::{ExportCounts, start_export};
-pub use logging::{LoggingError, start_logging};
+pub use logging::{LoggingError, OutputLog, start_logging, start_output_log};
 pub use span::HopSpan;
 pub use trace_context::{ParseTraceContextError, TraceContext};
 
--- a/crates/web/src/counted.rs
+++ b/crates/web/src/counted.rs
@@ -9,10 +9,11 @@
 
 /// Bytes written so far to a connection.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct WriteCount(Arc<AtomicU64>);
+pub struct WriteCount(Arc<AtomicU64>);
 
 impl WriteCount {
-    pub(crate) fn get(&self) -> u64 {
+    /// Bytes so far.
+    pub fn get(&self) -> u64 {
         self.0.load(Ordering::SeqCst)
     }
 
@@ -23,13 +24,14 @@
 
 /// Wraps a stream and counts what is written to it.
 #[derive(Debug)]
-pub(crate) struct Counted<S> {
+pub struct Counted<S> {
     stream: S,
     written: WriteCount,
 }
 
 impl<S> Counted<S> {
-    pub(crate) fn new(stream: S, written: WriteCount) -> Self {
+    /// Counts what is written to `stream`.
+    pub fn new(stream: S, written: WriteCount) -> Self {
         Self { stream, written }
     }
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -12,6 +12,7 @@
 pub use body::{Body, BodyError, ReadBodyError, empty, full, json, read_limited, streamed};
 pub use client::{CallError, Client, ClientConfig, Reply};
 pub use connection::{ConnectError, Connection, ExchangeError};
+pub use counted::{Counted, WriteCount};
 pub use idle::IdleConnections;
 pub use server::{BindError, Server, ServerConfig, Stopper};
 pub use wait::{TimedOut, within};
