--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -6,6 +6,7 @@
 use mastbay_routing::{BackEndId, BackEndList, BackEndState, Fault, Placement, RouteTable};
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
@@ -72,6 +73,8 @@
 /// A request ended.
 pub fn ended(call: &Call, outcome: &Outcome, now: Timestamp) {
     let back_end = outcome.back_end.as_ref().map_or("", |id| &id.0);
+    let trace = call.trace.borrow();
+    let prompt = call.head.prompt.as_ref();
     tracing::info!(
         event = "request_ended",
         request = %call.head.request_id,
@@ -84,10 +87,23 @@
         service = %call.service,
         back_end,
         events = outcome.events,
-        took_ms = now.since(call.arrived).as_millis() as u64,
+        took_ms = milliseconds(now.since(call.arrived)),
+        waited_ms = milliseconds(trace.waited),
+        first_event_ms = trace.first_event.map_or(0, milliseconds),
+        longest_pause_ms = milliseconds(trace.longest_pause),
+        predicted_ms = milliseconds(trace.predicted),
+        running = trace.running,
+        prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
+        uncached = trace.uncached,
+        age_ms = milliseconds(trace.age),
+        sends = trace.sends,
     );
 }
 
+fn milliseconds(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A request was answered before it was routed.
 pub fn turned_away(request_id: Option<&str>, answer: OwnAnswer, versions: (u64, u64)) {
     tracing::info!(
@@ -100,20 +116,6 @@
     );
 }
 
-/// A back end was chosen for a request.
-pub fn placed(call: &Call, placement: &Placement, arrivals: u32) {
-    tracing::debug!(
-        event = "request_placed",
-        request = %call.head.request_id,
-        back_end = %placement.back_end.id,
-        predicted_ms = placement.predicted.as_millis() as u64,
-        running = placement.running,
-        uncached = placement.uncached,
-        age_ms = placement.age.as_millis() as u64,
-        earlier_sends = arrivals,
-    );
-}
-
 /// A try at a back end failed.
 pub fn try_failed(call: &Call, placement: &Placement, fault: Fault, reason: &'static str) {
     tracing::info!(
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -104,7 +104,7 @@
             if self.arrivals > 0 && !self.take_retry() {
                 return self.give_up("retry_budget");
             }
-            events::placed(&self.call, &placement, self.arrivals);
+            self.call.note_placement(&placement, self.router.now());
             let tried = self.try_once(&placement).await;
             if !matches!(tried, Try::NotSent(_)) {
                 self.arrivals += 1;
@@ -175,6 +175,7 @@
         };
         self.router.pool.keep(&id, connection);
         ticket.on_first_event();
+        self.call.note_first_event(self.router.now());
         if head.status.is_server_error() {
             ticket.fail(Fault::Failure);
             let left = self.router.dispatcher.borrow_mut();
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -111,13 +111,12 @@
 pub struct Pool {
     spawner: Spawner,
     back_ends: RefCell<HashMap<BackEndId, BackEndConnections>>,
-    opened: Cell<u64>,
 }
 
 impl Pool {
     /// A pool without connections.
     pub fn new(spawner: Spawner) -> Self {
-        Self { spawner, back_ends: RefCell::default(), opened: Cell::new(0) }
+        Self { spawner, back_ends: RefCell::default() }
     }
 
     /// A connection that is ready for an exchange: the one used last, or a new one.
@@ -156,11 +155,6 @@
         back_ends.retain(|id, _| list.back_ends.iter().any(|back_end| back_end.id == *id));
     }
 
-    /// Connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     fn take_idle(&self, id: &BackEndId) -> Option<BackEndConnection> {
         let now = Instant::now();
         let mut back_ends = self.back_ends.borrow_mut();
@@ -188,7 +182,6 @@
         back_end: &BackEnd,
         counted: OpenCount,
     ) -> Result<BackEndConnection, PoolError> {
-        self.opened.set(self.opened.get() + 1);
         let connected = within(CONNECT_LIMIT, TcpStream::connect(back_end.address)).await;
         let stream = connected.map_err(|_| PoolError::TimedOut)?;
         let stream = stream.map_err(|_| PoolError::Unreachable)?;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -11,6 +11,7 @@
 use hyper::StatusCode;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use mastbay_routing::{Attempt, BackEndId, Fault};
+use mastbay_types::Timestamp;
 use mastbay_web::{BodyError, within};
 use smol::stream::{Stream, StreamExt};
 use std::cell::RefCell;
@@ -84,6 +85,7 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    last_passed_on: Timestamp,
     resumes: u32,
     tried: Vec<BackEndId>,
     noted: bool,
@@ -127,6 +129,7 @@
             splitter: EventSplitter::default(),
             last_event: call.head.last_event,
             events: 0,
+            last_passed_on: router.now(),
             resumes: 0,
             tried,
             noted: false,
@@ -183,7 +186,9 @@
         if let Some(source) = &self.source {
             source.ticket.on_first_event();
         }
+        self.note_pause();
         if self.events == 0 {
+            self.call.note_first_event(self.router.now());
             self.router.metrics.on_first_event(&self.call, self.router.now());
         }
         let mut passed_on = BytesMut::with_capacity(whole.len());
@@ -199,6 +204,16 @@
         Ok((!passed_on.is_empty()).then(|| passed_on.freeze()))
     }
 
+    fn note_pause(&mut self) {
+        let now = self.router.now();
+        let pause = now.since(self.last_passed_on);
+        if self.events > 0 {
+            let mut trace = self.call.trace.borrow_mut();
+            trace.longest_pause = trace.longest_pause.max(pause);
+        }
+        self.last_passed_on = now;
+    }
+
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             source.ticket.on_first_event();
@@ -258,6 +273,7 @@
         if !self.router.dispatcher.borrow_mut().take_retry(now, &self.call.service) {
             return None;
         }
+        self.call.note_placement(&placement, now);
         let sender = Sender { router: &self.router, call: &self.call, attempt: &self.attempt };
         match sender.send(&placement, self.last_event, false).await {
             Try::Answered(head, body, connection) if head.status == StatusCode::OK => {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -9,9 +9,10 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri, http};
-use mastbay_routing::{Demand, TableEntry};
+use mastbay_routing::{Demand, Placement, TableEntry};
 use mastbay_types::Timestamp;
 use mastbay_web::{ReadBodyError, read_limited};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +41,29 @@
     pub arrived: Timestamp,
     /// When it must have its final answer.
     pub deadline: Timestamp,
+    /// What was decided on its way, for its one log line.
+    pub trace: RefCell<Trace>,
+}
+
+/// What was decided on a request's way.
+#[derive(Debug, Clone, Default)]
+pub struct Trace {
+    /// Time until it was placed last.
+    pub waited: Duration,
+    /// Time from its arrival to its first event or whole answer.
+    pub first_event: Option<Duration>,
+    /// Longest pause between two events.
+    pub longest_pause: Duration,
+    /// Time to the first event that was predicted.
+    pub predicted: Duration,
+    /// Requests that were known to be at its back end.
+    pub running: u32,
+    /// Prompt tokens that its back end was taken to read.
+    pub uncached: u64,
+    /// Age of the oldest figures that decided.
+    pub age: Duration,
+    /// Times that it was handed to a back end.
+    pub sends: u32,
 }
 
 impl Call {
@@ -57,6 +81,23 @@
         }
     }
 
+    /// It was given to a back end.
+    pub fn note_placement(&self, placement: &Placement, now: Timestamp) {
+        let mut trace = self.trace.borrow_mut();
+        trace.waited = now.since(self.arrived);
+        trace.predicted = placement.predicted;
+        trace.running = placement.running;
+        trace.uncached = placement.uncached;
+        trace.age = placement.age;
+        trace.sends += 1;
+    }
+
+    /// Its first event or whole answer has come.
+    pub fn note_first_event(&self, now: Timestamp) {
+        let mut trace = self.trace.borrow_mut();
+        trace.first_event.get_or_insert(now.since(self.arrived));
+    }
+
     /// Time left until its deadline.
     pub fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
@@ -148,6 +189,7 @@
         priority,
         arrived,
         deadline: arrived + held,
+        trace: RefCell::default(),
     })
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -16,7 +16,7 @@
 use crate::waiting::{Waiter, WaitingOrder, WaitingQueue};
 use fleet::Fleet;
 use mastbay_types::Timestamp;
-use placement::{Pace, Weighed};
+use placement::{Pace, Terms, Weighed};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -462,8 +462,12 @@
         let own = self.usage.reports(now);
         let (asked, given) = self.fleet.tenant_rates(&own);
         let mut demands: Vec<f64> = asked.values().copied().collect();
+        // What is given shows what engines really make; the figure of the configuration is a guess.
+        let total_given: f64 = given.values().sum();
         let level = match self.capacity {
-            Some(capacity) => crate::shares::water_level(&mut demands, capacity as f64),
+            Some(capacity) => {
+                crate::shares::water_level(&mut demands, total_given.max(capacity as f64))
+            }
             None => f64::INFINITY,
         };
         Shares { given, level }
@@ -480,7 +484,7 @@
     ) -> Option<Placement> {
         let shares = self.shares(now);
         let over_share = demand.tenant.as_ref().is_some_and(|tenant| shares.is_over(tenant));
-        let weighed = self.best(now, demand, over_share, last_call)?;
+        let weighed = self.best(now, demand, Terms { over_share, last_call })?;
         let age = self.fleet.oldest_age(now);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
         let load = demand.load(uncached);
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -1,4 +1,4 @@
-//! The choice of a back end: the predicted time to the first event, and what the fleet has to read.
+//! The choice of a back end: the one that holds the prompt's beginning, as long as it is in time.
 
 use super::{Demand, Dispatcher};
 use crate::back_end::{BackEndId, BackEndState};
@@ -7,69 +7,101 @@
 use mastbay_types::{Timestamp, stable_hash};
 use std::time::Duration;
 
-/// Prompt tokens read in a millisecond until the first measurement.
-const FIRST_PACE: f64 = 60.0;
-/// Slowest and fastest pace believed.
-const PACE_RANGE: (f64, f64) = (5.0, 2_000.0);
-/// Work below this tells little about the pace, in tokens.
-const LEAST_OBSERVED_WORK: u64 = 1_500;
-/// Part of the pace that one observation moves.
-const PACE_GAIN: f64 = 0.04;
-/// Time of connections, links and steps before the first event.
-const FIXED_TIME: Duration = Duration::from_millis(12);
-/// Part of a back end's slowness that one observation moves.
-const SLOWNESS_GAIN: f64 = 0.05;
-/// Least and most slowness believed.
-const SLOWNESS_RANGE: (f64, f64) = (0.7, 6.0);
 /// Part of the slots that tenants over the fair level may take.
 const OVER_SHARE_SLOTS: f64 = 0.85;
+/// Part of the objective within which a tenant over the fair level must be served.
+const OVER_SHARE_TIME: f64 = 0.6;
+/// Part of the objective within which the first event is predicted to come.
+const TIME_PART: f64 = 0.9;
 /// Part of the memory that running requests may take.
 const MEMORY_PART: f64 = 0.92;
 /// Requests that a plain back end may have beyond its slots.
 const PLAIN_QUEUE: u32 = 2;
-/// A back end that fails all requests counts as this many objectives late.
-const FAILURE_OBJECTIVES: f64 = 6.0;
-/// What another zone costs, in milliseconds.
-const OTHER_ZONE_MS: f64 = 3.0;
-/// What a full batch costs those that run in it, as part of the objective.
-const CROWDING_PART: f64 = 0.25;
-/// A request at the end of its wait is placed where it is up to this many objectives late.
-const LATE_OBJECTIVES: f64 = 1.5;
-
-/// The pace at which the engines of a service read prompts.
+/// Share of failures at which a back end counts as one rank lower, and then one more for each such share.
+const FAILURE_STEP: f64 = 0.08;
+/// Load beyond which a back end counts as one rank lower, over the mean load.
+const CROWDED: f64 = 1.5;
+/// Load up to which no back end counts as crowded, as part of its slots.
+const NEVER_CROWDED: f64 = 0.4;
+/// What another zone costs a plain request, in slots.
+const OTHER_ZONE_SLOTS: f64 = 0.08;
+
+/// Part of the weight of earlier observations that each new one leaves.
+const MEMORY_OF_PACE: f64 = 0.995;
+/// Observations that the first guess weighs as much as.
+const FIRST_WEIGHT: f64 = 12.0;
+/// First guess: time to the first event without anything to read, and with `GUESS_TOKENS` to read.
+const GUESS_MS: (f64, f64) = (40.0, 160.0);
+const GUESS_TOKENS: f64 = 10_000.0;
+/// Bounds on the fixed time, in milliseconds, and on the time for a token.
+const FIXED_MS: (f64, f64) = (2.0, 400.0);
+const TOKEN_MS: (f64, f64) = (0.000_5, 0.2);
+/// Longest time to a first event that is taken as an observation, in milliseconds.
+const LONGEST_OBSERVED_MS: f64 = 3_000.0;
+/// Part of a back end's slowness that one observation moves.
+const SLOWNESS_GAIN: f64 = 0.05;
+/// Least and most slowness believed.
+const SLOWNESS_RANGE: (f64, f64) = (0.7, 6.0);
+
+/// The time to the first event of a service's engines as a line over the tokens that they have to read
+/// before it, fitted to what was seen with weights that fade.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
-    tokens_per_ms: f64,
+    weight: f64,
+    tokens: f64,
+    time: f64,
+    tokens_tokens: f64,
+    tokens_time: f64,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Self { tokens_per_ms: FIRST_PACE }
+        let mut pace =
+            Self { weight: 0.0, tokens: 0.0, time: 0.0, tokens_tokens: 0.0, tokens_time: 0.0 };
+        pace.add(0.0, GUESS_MS.0, FIRST_WEIGHT);
+        pace.add(GUESS_TOKENS, GUESS_MS.1, FIRST_WEIGHT);
+        pace
     }
 }
 
 impl Pace {
     /// The first event came `taken` after `work` tokens were ahead.
     pub fn observe(&mut self, work: u64, taken: Duration) {
-        if work < LEAST_OBSERVED_WORK {
-            return;
+        let taken = milliseconds(taken).min(LONGEST_OBSERVED_MS);
+        for sum in [
+            &mut self.weight,
+            &mut self.tokens,
+            &mut self.time,
+            &mut self.tokens_tokens,
+            &mut self.tokens_time,
+        ] {
+            *sum *= MEMORY_OF_PACE;
         }
-        let reading = taken.saturating_sub(FIXED_TIME).max(Duration::from_millis(1));
-        let seen = work as f64 / milliseconds(reading);
-        let seen = seen.clamp(PACE_RANGE.0, PACE_RANGE.1);
-        self.tokens_per_ms *= (seen / self.tokens_per_ms).powf(PACE_GAIN);
+        self.add(work as f64, taken, 1.0);
     }
 
-    fn time_for(self, tokens: u64) -> f64 {
-        tokens as f64 / self.tokens_per_ms
+    /// The predicted time to the first event, in milliseconds.
+    pub fn predict(&self, work: u64) -> f64 {
+        let spread = self.weight * self.tokens_tokens - self.tokens * self.tokens;
+        let slope = (self.weight * self.tokens_time - self.tokens * self.time) / spread.max(1.0);
+        let slope = slope.clamp(TOKEN_MS.0, TOKEN_MS.1);
+        let fixed = (self.time - slope * self.tokens) / self.weight;
+        fixed.clamp(FIXED_MS.0, FIXED_MS.1) + slope * work as f64
+    }
+
+    fn add(&mut self, tokens: f64, time: f64, weight: f64) {
+        self.weight += weight;
+        self.tokens += weight * tokens;
+        self.time += weight * time;
+        self.tokens_tokens += weight * tokens * tokens;
+        self.tokens_time += weight * tokens * time;
     }
 }
 
 /// The slowness after one more observation.
 pub fn next_slowness(slowness: f64, predicted: Duration, taken: Duration) -> f64 {
-    let floor = milliseconds(FIXED_TIME);
-    let seen = slowness * (milliseconds(taken) + floor) / (milliseconds(predicted) + floor);
-    let seen = seen.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+    let ratio = milliseconds(taken).max(1.0) / milliseconds(predicted).max(1.0);
+    let seen = (slowness * ratio).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
     slowness + SLOWNESS_GAIN * (seen - slowness)
 }
 
@@ -84,19 +116,22 @@
     pub uncached: u64,
     /// Prompt tokens that it reads until the request's first event.
     pub work_ahead: u64,
-    /// What the choice goes by, in milliseconds.
+    /// What the choice goes by; less is better.
     cost: f64,
 }
 
+/// How a request is looked at.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    /// Its tenant has more than the fair level.
+    pub over_share: bool,
+    /// Its time to wait is over.
+    pub last_call: bool,
+}
+
 impl Dispatcher {
     /// The best back end with room for a request.
-    pub(super) fn best(
-        &self,
-        now: Timestamp,
-        demand: &Demand,
-        over_share: bool,
-        last_call: bool,
-    ) -> Option<Weighed> {
+    pub(super) fn best(&self, now: Timestamp, demand: &Demand, terms: Terms) -> Option<Weighed> {
         let candidates = self.engines.values().filter(|engine| {
             engine.back_end.service == demand.service
                 && engine.back_end.state == BackEndState::Ready
@@ -104,81 +139,118 @@
                 && !demand.tried.contains(&engine.back_end.id)
         });
         let candidates: Vec<&Engine> = candidates.collect();
-        let home = demand.prompt.as_ref().and_then(|prompt| home_of(prompt, &candidates));
-        let weighed = candidates.iter().filter(|engine| self.has_room(engine, demand, over_share));
-        let weighed = weighed.map(|engine| {
-            let is_home = home.as_ref() == Some(&engine.back_end.id);
-            self.weigh(now, engine, demand, is_home)
+        let weighed = match &demand.prompt {
+            Some(prompt) => self.weigh_engines(now, demand, prompt, &candidates, terms),
+            None => self.weigh_plain(now, &candidates),
+        };
+        weighed.into_iter().min_by(|left, right| left.cost.total_cmp(&right.cost))
+    }
+
+    /// Plain back ends by their load.
+    fn weigh_plain(&self, now: Timestamp, candidates: &[&Engine]) -> Vec<Weighed> {
+        let with_room = candidates
+            .iter()
+            .filter(|engine| engine.load().running < engine.back_end.slots.max(1) + PLAIN_QUEUE);
+        let weighed = with_room.map(|engine| {
+            let slots = f64::from(engine.back_end.slots.max(1));
+            let is_near = engine.back_end.zone == self.limits.zone;
+            let zone = if is_near { 0.0 } else { OTHER_ZONE_SLOTS };
+            let failures = engine.health.failure_share(now) / FAILURE_STEP;
+            let cost = f64::from(engine.load().running) / slots * engine.slowness + zone + failures;
+            let id = engine.back_end.id.clone();
+            Weighed { id, predicted: Duration::ZERO, uncached: 0, work_ahead: 0, cost }
         });
-        let in_time = weighed.filter(|weighed| is_in_time(now, weighed, demand, last_call));
-        in_time.min_by(|left, right| left.cost.total_cmp(&right.cost))
+        weighed.collect()
+    }
+
+    /// Engines that are in time, by their rank for the prompt's beginning.
+    fn weigh_engines(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        prompt: &Prompt,
+        candidates: &[&Engine],
+        terms: Terms,
+    ) -> Vec<Weighed> {
+        let running: u32 = candidates.iter().map(|engine| engine.load().running).sum();
+        let mean = f64::from(running) / candidates.len().max(1) as f64;
+        let mut weighed = Vec::new();
+        for (rank, engine) in ranked(prompt, candidates).into_iter().enumerate() {
+            if !self.has_room(engine, demand, prompt, terms) {
+                continue;
+            }
+            let candidate = self.weigh(now, engine, demand, prompt, rank, mean);
+            if is_in_time(now, &candidate, demand, terms) {
+                weighed.push(candidate);
+            }
+        }
+        weighed
     }
 
-    fn has_room(&self, engine: &Engine, demand: &Demand, over_share: bool) -> bool {
+    fn has_room(&self, engine: &Engine, demand: &Demand, prompt: &Prompt, terms: Terms) -> bool {
         let load = engine.load();
-        let slots = engine.back_end.slots.max(1);
-        let Some(prompt) = &demand.prompt else {
-            return load.running < slots + PLAIN_QUEUE;
-        };
-        let slots = if over_share { (f64::from(slots) * OVER_SHARE_SLOTS) as u32 } else { slots };
+        let slots = f64::from(engine.back_end.slots.max(1));
+        let slots = if terms.over_share { slots * OVER_SHARE_SLOTS } else { slots };
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
         let fits = memory.is_none_or(|memory| {
             (load.memory + prompt.memory()) as f64 <= memory as f64 * MEMORY_PART
         });
-        load.running < slots && fits
+        f64::from(load.running + 1) <= slots && fits
     }
 
-    fn weigh(&self, now: Timestamp, engine: &Engine, demand: &Demand, is_home: bool) -> Weighed {
+    fn weigh(
+        &self,
+        now: Timestamp,
+        engine: &Engine,
+        demand: &Demand,
+        prompt: &Prompt,
+        rank: usize,
+        mean_running: f64,
+    ) -> Weighed {
         let load = engine.load();
-        let slots = f64::from(engine.back_end.slots.max(1));
-        let objective = milliseconds(demand.objective);
-        let mut uncached = demand.prompt.as_ref().map_or(0, |prompt| engine.uncached(prompt));
-        if let Some(prompt) = demand.prompt.as_ref().filter(|_| is_home) {
-            uncached = uncached.min(own_part(prompt));
+        let mut uncached = engine.uncached(prompt);
+        if rank == 0 {
+            uncached = uncached.min(prompt.own_tokens());
         }
         let pace = self.paces.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.unread + uncached;
-        let queue = (f64::from(load.running + 1) - slots).max(0.0) / slots;
-        let reading = pace.time_for(work_ahead) * engine.slowness;
-        let predicted = milliseconds(FIXED_TIME) + reading + queue * objective;
-        let zone = if engine.back_end.zone == self.limits.zone { 0.0 } else { OTHER_ZONE_MS };
-        let cost = predicted
-            + pace.time_for(uncached)
-            + f64::from(load.running) / slots * objective * CROWDING_PART
-            + engine.health.failure_share(now) * objective * FAILURE_OBJECTIVES
-            + zone;
+        let predicted = pace.predict(work_ahead) * engine.slowness;
+        let slots = f64::from(engine.back_end.slots.max(1));
+        let bound = (mean_running * CROWDED).max(slots * NEVER_CROWDED);
+        let crowding = (f64::from(load.running) / bound.max(1.0) - 1.0).max(0.0) * CROWDED;
+        let failures = engine.health.failure_share(now) / FAILURE_STEP;
+        let holds = uncached <= prompt.own_tokens();
+        let rank = if holds { rank.min(1) } else { rank };
+        let late = predicted / milliseconds(demand.objective).max(1.0);
+        let cost = rank as f64 + crowding + failures + late * 0.5;
         let predicted = Duration::from_secs_f64(predicted / 1e3);
         Weighed { id: engine.back_end.id.clone(), predicted, uncached, work_ahead, cost }
     }
 }
 
 /// Whether a back end's first event would come in time; at the last call it may be late.
-fn is_in_time(now: Timestamp, weighed: &Weighed, demand: &Demand, last_call: bool) -> bool {
+fn is_in_time(now: Timestamp, weighed: &Weighed, demand: &Demand, terms: Terms) -> bool {
     let waited = now.since(demand.arrived);
-    let allowed = if last_call {
-        demand.objective.mul_f64(LATE_OBJECTIVES)
-    } else if demand.tried.is_empty() {
+    let part = if terms.over_share { OVER_SHARE_TIME } else { TIME_PART };
+    let allowed = if !demand.tried.is_empty() {
+        demand.deadline.since(demand.arrived)
+    } else if terms.last_call {
         demand.objective
     } else {
-        demand.deadline.since(demand.arrived)
+        demand.objective.mul_f64(part)
     };
     waited + weighed.predicted <= allowed
 }
 
-/// The back end to which requests with the same beginning go if it has room.
-fn home_of(prompt: &Prompt, candidates: &[&Engine]) -> Option<BackEndId> {
-    let key = prompt.affinity_key()?.to_be_bytes();
-    let ranked = candidates
+/// Back ends in the order in which all routers give them requests with the same beginning.
+fn ranked<'a>(prompt: &Prompt, candidates: &[&'a Engine]) -> Vec<&'a Engine> {
+    let key = prompt.affinity_key().unwrap_or_default().to_be_bytes();
+    let mut ranked: Vec<(u64, &Engine)> = candidates
         .iter()
-        .max_by_key(|engine| stable_hash(&[&key, engine.back_end.id.0.as_bytes()]));
-    ranked.map(|engine| engine.back_end.id.clone())
-}
-
-/// Tokens of the part that belongs to the request alone.
-fn own_part(prompt: &Prompt) -> u64 {
-    let shared = prompt.parts.len().saturating_sub(1);
-    let shared: u64 = prompt.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum();
-    u64::from(prompt.input_tokens).saturating_sub(shared)
+        .map(|engine| (stable_hash(&[&key, engine.back_end.id.0.as_bytes()]), *engine))
+        .collect();
+    ranked.sort_by_key(|(hash, _)| std::cmp::Reverse(*hash));
+    ranked.into_iter().map(|(_, engine)| engine).collect()
 }
 
 fn milliseconds(span: Duration) -> f64 {
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -38,6 +38,13 @@
         u64::from(self.input_tokens) + u64::from(self.expected_output())
     }
 
+    /// Tokens of the part that belongs to the request or its session alone.
+    pub fn own_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        let shared: u64 = self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum();
+        u64::from(self.input_tokens).saturating_sub(shared)
+    }
+
     /// The key by which requests with the same beginning are brought together: the last part that is
     /// shared with others, or the only part.
     pub fn affinity_key(&self) -> Option<u64> {
