--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -17,6 +17,8 @@
 const MEMORY_PART: f64 = 0.92;
 /// Requests that a plain back end may have beyond its slots.
 const PLAIN_QUEUE: u32 = 2;
+/// Back ends, in their order for a beginning, that may read it.
+const MOST_RANKS: usize = 2;
 /// Share of failures at which a back end counts as one rank lower, and then one more for each such share.
 const FAILURE_STEP: f64 = 0.08;
 /// Load beyond which a back end counts as one rank lower, over the mean load.
@@ -175,7 +177,7 @@
         let running: u32 = candidates.iter().map(|engine| engine.load().running).sum();
         let mean = f64::from(running) / candidates.len().max(1) as f64;
         let mut weighed = Vec::new();
-        for (rank, engine) in ranked(prompt, candidates).into_iter().enumerate() {
+        for (rank, engine) in ranked(prompt, candidates).into_iter().take(MOST_RANKS).enumerate() {
             if !self.has_room(engine, demand, prompt, terms) {
                 continue;
             }
