Count an answered run when telling whether a request may have run

Cause: a request answered by a failure and then not taken by the next back end was told as not run. Ruled out: only streams that are lost; answers count too. Change: runs are counted at answers and losses alike; a case of its own beside the quickcheck. Conclusion: mended.

--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -30,8 +30,8 @@
     idempotent: bool,
     most_sends: u32,
     sends: u32,
-    /// Sends whose outcome was lost, over the request's life.
-    lost: u32,
+    /// Sends after which it has run or may have run.
+    runs: u32,
     state: AttemptState,
 }
 
@@ -39,7 +39,7 @@
     /// A request that no byte of has left.
     pub fn new(idempotent: bool, most_sends: u32) -> Self {
         let most_sends = most_sends.max(1);
-        Self { idempotent, most_sends, sends: 0, lost: 0, state: AttemptState::Unsent }
+        Self { idempotent, most_sends, sends: 0, runs: 0, state: AttemptState::Unsent }
     }
 
     /// How far it has come.
@@ -72,19 +72,20 @@
 
     /// A head that stands for a run has come.
     pub fn on_answer(&mut self) {
+        self.runs += 1;
         self.state = AttemptState::Answered;
     }
 
     /// The connection broke, timed out or carried something else.
     pub fn on_lost(&mut self) {
-        self.lost += 1;
+        self.runs += 1;
         self.state = AttemptState::Unknown;
     }
 
     /// Whether it may be handed to a further back end, as far as its own life tells.
     pub fn may_send(&self) -> bool {
         let settled = match self.state {
-            AttemptState::Unsent => self.lost == 0 || self.idempotent,
+            AttemptState::Unsent => self.runs == 0 || self.idempotent,
             AttemptState::Sent => false,
             AttemptState::Answered | AttemptState::Unknown => self.idempotent,
         };
@@ -94,12 +95,12 @@
     /// What its caller may be told when it is given up now.
     pub fn verdict(&self) -> Verdict {
         match self.state {
-            AttemptState::Unsent if self.lost == 0 => Verdict::NotRun,
+            AttemptState::Unsent if self.runs == 0 => Verdict::NotRun,
             _ => Verdict::MayHaveRun,
         }
     }
 
     fn settle_unsent(&mut self) {
-        self.state = if self.lost == 0 { AttemptState::Unsent } else { AttemptState::Unknown };
+        self.state = if self.runs == 0 { AttemptState::Unsent } else { AttemptState::Unknown };
     }
 }
--- a/crates/routing/tests/attempt.rs
+++ b/crates/routing/tests/attempt.rs
@@ -80,3 +80,13 @@
     attempt.on_not_run();
     assert_eq!(attempt.verdict(), Verdict::MayHaveRun);
 }
+
+#[test]
+fn a_request_that_failed_at_one_back_end_has_run_whatever_the_next_says() {
+    let mut attempt = Attempt::new(true, 2);
+    attempt.on_send();
+    attempt.on_answer();
+    attempt.on_send();
+    attempt.on_not_run();
+    assert_eq!(attempt.verdict(), Verdict::MayHaveRun);
+}
