Bound callers' connections by descriptors and memory; end connections on answers when many are open

Change: [router] descriptors and memory in place of most-connections; past a third of the limit answers end their connection.

--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -78,12 +78,12 @@
     listener: TcpListener,
     limits: ListenerLimits,
     stop: StopSignal,
+    open: OpenConnections,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<LocalBody>> + 'static,
 {
-    let open = Rc::new(Cell::new(0_usize));
     let (alive, all_ended) = smol::channel::bounded::<Infallible>(1);
     loop {
         let accepted = async { Some(listener.accept().await) };
@@ -93,7 +93,7 @@
         };
         match accepted.or(stopped).await {
             None => break,
-            Some(Ok((stream, _))) if open.get() < limits.most_connections => {
+            Some(Ok((stream, _))) if open.count() < limits.most_connections => {
                 let (handler, stop, alive) = (handler.clone(), stop.clone(), alive.clone());
                 let counted = Counted::new(&open);
                 let task = spawner.spawn(async move {
@@ -112,18 +112,29 @@
     let _ = all_ended.recv().await;
 }
 
-struct Counted(Rc<Cell<usize>>);
+/// The number of connections that are open at a listener.
+#[derive(Debug, Clone, Default)]
+pub struct OpenConnections(Rc<Cell<usize>>);
+
+impl OpenConnections {
+    /// The number.
+    pub fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
+struct Counted(OpenConnections);
 
 impl Counted {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
+    fn new(open: &OpenConnections) -> Self {
+        open.0.set(open.count() + 1);
         Self(open.clone())
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        self.0.0.set(self.0.count().saturating_sub(1));
     }
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -3,7 +3,7 @@
 use crate::catalogue::Catalogue;
 use crate::dialect::{BackEndDialect, CallerDialect};
 use crate::events;
-use crate::listener::StopSignal;
+use crate::listener::{OpenConnections, StopSignal};
 use crate::metrics::RouterMetrics;
 use crate::pool::Pool;
 use crate::settings::RouterSettings;
@@ -59,6 +59,7 @@
     pub(crate) metrics: RouterMetrics,
     pub(crate) stopping: Cell<bool>,
     pub(crate) stop: StopSignal,
+    pub(crate) open: OpenConnections,
     origin: Instant,
 }
 
@@ -95,6 +96,7 @@
             metrics,
             stopping: Cell::new(false),
             stop: StopSignal::default(),
+            open: OpenConnections::default(),
             origin: Instant::now(),
         })
     }
@@ -130,6 +132,11 @@
         !self.stopping.get() && self.catalogue.borrow().is_complete()
     }
 
+    /// Whether answers end their connection: the router stops, or many connections are open.
+    pub(crate) fn ends_connections(&self) -> bool {
+        self.stopping.get() || self.open.count() > self.settings.crowded_connections()
+    }
+
     /// The version of the configuration in force and the revision of the back ends, 0 if unknown.
     pub fn versions(&self) -> (u64, u64) {
         let catalogue = self.catalogue.borrow();
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -115,7 +115,7 @@
         Ok(call) => Exchange::run(&router, Rc::new(call)).await,
         Err(refused) => own_answer(&router, refused.request_id.as_deref(), refused.answer),
     };
-    if router.stopping.get() {
+    if router.ends_connections() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -21,8 +21,10 @@
     pub readiness: SocketAddr,
     /// `[router] operations`: where metrics are served and snapshots are handed to peers.
     pub operations: SocketAddr,
-    /// `[router] most-connections`: callers' connections open at a time.
-    pub most_connections: usize,
+    /// `[router] descriptors`: sockets and files that the process may have open.
+    pub descriptors: usize,
+    /// `[router] memory`: memory that the process may take, in megabytes.
+    pub memory_megabytes: usize,
     /// `[router] most-waiting`: requests that wait at a time.
     pub most_waiting: usize,
     /// `[router] stop-limit`: time for a planned stop.
@@ -56,7 +58,34 @@
     }
 }
 
-const DEFAULT_CONNECTIONS: u64 = 3_000;
+const DEFAULT_DESCRIPTORS: u64 = 4_096;
+const DEFAULT_MEMORY: u64 = 256;
+/// Descriptors kept for files, listeners, sources and peers.
+const OTHER_DESCRIPTORS: usize = 300;
+/// Part of the other descriptors that callers' connections may take; the rest is for back ends.
+const CALLERS_PART: f64 = 0.75;
+/// Part of the memory that callers' connections may take.
+const CALLERS_MEMORY: f64 = 0.6;
+/// Memory of an open connection with its buffers, in bytes, as measured (docs/CAPACITY.md).
+const CONNECTION_MEMORY: f64 = 40e3;
+/// Part of the connections from which on answers end their connection.
+const CROWDED_PART: usize = 3;
+
+impl RouterSettings {
+    /// Callers' connections that may be open at a time.
+    pub fn most_connections(&self) -> usize {
+        let by_descriptors =
+            self.descriptors.saturating_sub(OTHER_DESCRIPTORS) as f64 * CALLERS_PART;
+        let by_memory = self.memory_megabytes as f64 * 1e6 * CALLERS_MEMORY / CONNECTION_MEMORY;
+        (by_descriptors.min(by_memory) as usize).max(1)
+    }
+
+    /// Open connections from which on answers end their connection, so that idle ones give way.
+    pub fn crowded_connections(&self) -> usize {
+        self.most_connections() / CROWDED_PART
+    }
+}
+
 const DEFAULT_WAITING: u64 = 400;
 const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(8);
 const DEFAULT_SHARE_WINDOW: Duration = Duration::from_secs(4);
@@ -69,8 +98,9 @@
     let callers: Option<SocketAddr> = section.required("callers");
     let readiness: Option<SocketAddr> = section.required("readiness");
     let operations: Option<SocketAddr> = section.required("operations");
-    let connections: Bounded<1, 1_000_000> =
-        section.or("most-connections", Bounded(DEFAULT_CONNECTIONS));
+    let descriptors: Bounded<400, 10_000_000> =
+        section.or("descriptors", Bounded(DEFAULT_DESCRIPTORS));
+    let memory: Bounded<16, 10_000_000> = section.or("memory", Bounded(DEFAULT_MEMORY));
     let waiting: Bounded<1, 1_000_000> = section.or("most-waiting", Bounded(DEFAULT_WAITING));
     let stop: Span<100, 600_000> = section.or("stop-limit", Span(DEFAULT_STOP_LIMIT));
     let window: Span<100, 600_000> = section.or("share-window", Span(DEFAULT_SHARE_WINDOW));
@@ -93,7 +123,8 @@
         callers: callers?,
         readiness: readiness?,
         operations: operations?,
-        most_connections: connections.0 as usize,
+        descriptors: descriptors.0 as usize,
+        memory_megabytes: memory.0 as usize,
         most_waiting: waiting.0 as usize,
         stop_limit: stop.0,
         share_window: window.0,
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -1,7 +1,7 @@
 //! A router's life: start, reload, planned stop.
 
 use crate::events;
-use crate::listener::{ListenerLimits, StopSignal, serve};
+use crate::listener::{ListenerLimits, OpenConnections, StopSignal, serve};
 use crate::operations::{operations, readiness};
 use crate::peers;
 use crate::router::Router;
@@ -118,24 +118,49 @@
         async move { answer }
     };
     let spawner = router.spawner;
-    spawner.spawn(serve(spawner, readiness_listener, limits, never.clone(), handler)).detach();
+    spawner
+        .spawn(serve(
+            spawner,
+            readiness_listener,
+            limits,
+            never.clone(),
+            OpenConnections::default(),
+            handler,
+        ))
+        .detach();
     let asked = router.clone();
     let handler = move |request| {
         let answer = operations(&asked, &registry, &request);
         async move { answer }
     };
-    spawner.spawn(serve(spawner, operations_listener, limits, never, handler)).detach();
+    spawner
+        .spawn(serve(
+            spawner,
+            operations_listener,
+            limits,
+            never,
+            OpenConnections::default(),
+            handler,
+        ))
+        .detach();
 }
 
 fn serve_callers(router: &Rc<Router>, listener: TcpListener) -> smol::Task<()> {
     let limits = ListenerLimits {
-        most_connections: router.settings.most_connections,
+        most_connections: router.settings.most_connections(),
         head_bytes: 16 << 10,
         idle_time: Duration::from_secs(15),
     };
     let serving = router.clone();
     let handler = move |request| serve_request(serving.clone(), request);
-    router.spawner.spawn(serve(router.spawner, listener, limits, router.stop.clone(), handler))
+    router.spawner.spawn(serve(
+        router.spawner,
+        listener,
+        limits,
+        router.stop.clone(),
+        router.open.clone(),
+        handler,
+    ))
 }
 
 /// Not ready first, still accepting while balancers notice; then no new connections, and all that runs
