--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -1,10 +1,11 @@
 //! The events that a router logs, one key=value line each; docs/OPERATIONS.md lists them.
 
 use crate::dialect::OwnAnswer;
+use crate::line_budget::LeftOut;
 use crate::serve::Call;
 use derive_more::Display;
 use mastbay_routing::{
-    BackEndId, BackEndList, BackEndState, Fault, Placement, Refusal, RouteTable,
+    BackEndId, BackEndList, BackEndState, Considered, Fault, Placement, RouteTable,
 };
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -51,6 +52,11 @@
         Self { kind, status: 0, reason: "", back_end: None, events: 0 }
     }
 
+    /// Whether its caller got what it asked for.
+    pub fn is_success(&self) -> bool {
+        matches!(self.kind, OutcomeKind::Answered | OutcomeKind::Streamed) && self.status < 500
+    }
+
     /// With the status told to the caller.
     pub fn status(self, status: u16) -> Self {
         Self { status, ..self }
@@ -72,8 +78,15 @@
     }
 }
 
-/// A request ended.
+/// A request ended. What decided against it follows if it was refused.
 pub fn ended(call: &Call, outcome: &Outcome, now: Timestamp) {
+    match call.trace.borrow().considered.as_ref() {
+        Some(considered) => refused(call, outcome, considered, now),
+        None => served_or_failed(call, outcome, now),
+    }
+}
+
+fn served_or_failed(call: &Call, outcome: &Outcome, now: Timestamp) {
     let back_end = outcome.back_end.as_ref().map_or("", |id| &id.0);
     let trace = call.trace.borrow();
     let prompt = call.head.prompt.as_ref();
@@ -102,6 +115,33 @@
     );
 }
 
+fn refused(call: &Call, outcome: &Outcome, considered: &Considered, now: Timestamp) {
+    let trace = call.trace.borrow();
+    let prompt = call.head.prompt.as_ref();
+    tracing::info!(
+        event = "request_ended",
+        request = %call.head.request_id,
+        outcome = %outcome.kind,
+        status = outcome.status,
+        reason = outcome.reason,
+        route = %call.entry.route.name,
+        configuration = call.entry.version,
+        tenant = call.tenant.as_deref().unwrap_or(""),
+        service = %call.service,
+        back_end = %considered.back_end,
+        took_ms = milliseconds(now.since(call.arrived)),
+        predicted_ms = milliseconds(considered.predicted),
+        running = considered.running,
+        slots = considered.slots,
+        unread = considered.unread,
+        tenant_given = considered.given as u64,
+        fair_level = considered.level as u64,
+        prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
+        retry_after_ms = trace.retry_after.map_or(0, milliseconds),
+        sends = trace.sends,
+    );
+}
+
 fn milliseconds(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
@@ -118,22 +158,10 @@
     );
 }
 
-/// No back end took a request in time.
-pub fn refused(call: &Call, refusal: &Refusal) {
-    let considered = refusal.considered.as_ref();
-    tracing::info!(
-        event = "request_refused",
-        request = %call.head.request_id,
-        reason = %refusal.reason,
-        retry_after_ms = milliseconds(refusal.retry_after),
-        back_end = considered.map_or("", |one| &one.back_end.0),
-        running = considered.map_or(0, |one| one.running),
-        slots = considered.map_or(0, |one| one.slots),
-        unread = considered.map_or(0, |one| one.unread),
-        predicted_ms = considered.map_or(0, |one| milliseconds(one.predicted)),
-        tenant_given = considered.map_or(0.0, |one| one.given),
-        fair_level = considered.map_or(0.0, |one| one.level),
-    );
+/// Lines about requests were left out in the last second, since there were too many.
+pub fn lines_left_out(left_out: LeftOut) {
+    let LeftOut { successes, failures } = left_out;
+    tracing::warn!(event = "lines_left_out", successes, failures);
 }
 
 /// A try at a back end failed.
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -200,10 +200,11 @@
     }
 
     fn refused(&self, refusal: Refusal) -> Ended {
-        events::refused(&self.call, &refusal);
+        self.call.note_refusal(&refusal);
         let reason = match refusal.reason {
             RefusalReason::NoBackEnd => "no_back_end",
             RefusalReason::NoRoom => "no_room",
+            RefusalReason::OverShare => "over_share",
             RefusalReason::Stopping => "stopping",
             RefusalReason::QueueFull => "queue_full",
         };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dialect;
 pub mod events;
 mod exchange;
+mod line_budget;
 mod listener;
 mod metrics;
 mod operations;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -109,7 +109,6 @@
             let _ = socket.send_to(&datagram, address).await;
         }
     }
-    router.poll_waiting();
 }
 
 /// Fetches what peers know and this router misses, for as long as it runs.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -3,6 +3,7 @@
 use crate::catalogue::Catalogue;
 use crate::dialect::{BackEndDialect, CallerDialect};
 use crate::events;
+use crate::line_budget::LineBudget;
 use crate::listener::{OpenConnections, StopSignal};
 use crate::metrics::RouterMetrics;
 use crate::pool::Pool;
@@ -57,6 +58,7 @@
     pub(crate) waiting: RefCell<HashMap<TicketId, VerdictSender>>,
     pub(crate) pool: Pool,
     pub(crate) metrics: RouterMetrics,
+    pub(crate) lines: RefCell<LineBudget>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) stop: StopSignal,
     pub(crate) open: OpenConnections,
@@ -94,6 +96,7 @@
             waiting: RefCell::default(),
             pool: Pool::new(spawner),
             metrics,
+            lines: RefCell::default(),
             stopping: Cell::new(false),
             stop: StopSignal::default(),
             open: OpenConnections::default(),
@@ -165,7 +168,10 @@
     /// Polls waiting requests for as long as the router runs.
     pub(crate) async fn keep_polling(self: Rc<Self>) {
         loop {
+            let due = self.now() + POLL_PERIOD;
             smol::Timer::after(POLL_PERIOD).await;
+            let now = self.now();
+            self.dispatcher.borrow_mut().on_lag(now, now.since(due));
             self.poll_waiting();
         }
     }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -3,13 +3,14 @@
 use crate::dialect::{CallerHead, OwnAnswer};
 use crate::events::{self, Outcome};
 use crate::exchange::Exchange;
+use crate::line_budget::LineKind;
 use crate::listener::{LocalBody, full};
 use crate::router::Router;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri, http};
-use mastbay_routing::{Demand, Placement, TableEntry};
+use mastbay_routing::{Considered, Demand, Placement, Refusal, TableEntry};
 use mastbay_types::Timestamp;
 use mastbay_web::{ReadBodyError, read_limited};
 use std::cell::RefCell;
@@ -64,6 +65,10 @@
     pub age: Duration,
     /// Times that it was handed to a back end.
     pub sends: u32,
+    /// What decided against it, if it was refused.
+    pub considered: Option<Considered>,
+    /// When its caller was told to come back.
+    pub retry_after: Option<Duration>,
 }
 
 impl Call {
@@ -92,6 +97,13 @@
         trace.sends += 1;
     }
 
+    /// It was refused.
+    pub fn note_refusal(&self, refusal: &Refusal) {
+        let mut trace = self.trace.borrow_mut();
+        trace.considered = refusal.considered.clone();
+        trace.retry_after = Some(refusal.retry_after);
+    }
+
     /// Its first event or whole answer has come.
     pub fn note_first_event(&self, now: Timestamp) {
         let mut trace = self.trace.borrow_mut();
@@ -210,6 +222,14 @@
 
 /// Tells log and metrics how a request ended.
 pub fn note_end(router: &Router, call: &Call, outcome: &Outcome) {
-    events::ended(call, outcome, router.now());
-    router.metrics.on_end(call, outcome, router.now());
+    let now = router.now();
+    router.metrics.on_end(call, outcome, now);
+    let kind = if outcome.is_success() { LineKind::Success } else { LineKind::Failure };
+    let (is_written, left_out) = router.lines.borrow_mut().take(now, kind);
+    if let Some(left_out) = left_out {
+        events::lines_left_out(left_out);
+    }
+    if is_written {
+        events::ended(call, outcome, now);
+    }
 }
--- a/crates/router/src/ticket.rs
+++ b/crates/router/src/ticket.rs
@@ -59,7 +59,9 @@
     fn drop(&mut self) {
         let now = self.router.now();
         self.router.waiting.borrow_mut().remove(&self.id);
-        self.router.dispatcher.borrow_mut().on_end(now, self.id, self.outcome.get());
-        self.router.poll_waiting();
+        let has_room = self.router.dispatcher.borrow_mut().on_end(now, self.id, self.outcome.get());
+        if has_room {
+            self.router.poll_waiting();
+        }
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -132,6 +132,9 @@
     /// No back end of the service is known to take work.
     #[display("no_back_end")]
     NoBackEnd,
+    /// No back end has room now, and the tenant has more than the fair level.
+    #[display("over_share")]
+    OverShare,
     /// No back end has room in time.
     #[display("no_room")]
     NoRoom,
@@ -174,6 +177,10 @@
 const TRIES_IN_VAIN: usize = 64;
 /// Time for which tenants' rates are used before they are summed again.
 const SHARES_LIFE: Duration = Duration::from_millis(50);
+/// Lag of the router up to which the times that it sees are taken for those of back ends.
+const TOLERATED_LAG: Duration = Duration::from_millis(15);
+/// Time for which requests under way are marked by a lag.
+const LAG_AFTERMATH: Duration = Duration::from_millis(600);
 /// Longest time that a refused caller is told to stay away.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(2_500);
 /// Callers follow the time to come back only up to this part of the time that they have left.
@@ -194,6 +201,7 @@
     usage: Usage,
     fleet: Fleet,
     shares: Option<(Timestamp, Rc<Shares>)>,
+    lagging_until: Timestamp,
     next_ticket: u64,
     configuration: u64,
     back_ends: u64,
@@ -216,6 +224,7 @@
             usage,
             fleet: Fleet::new(me, snapshots),
             shares: None,
+            lagging_until: Timestamp::ZERO,
             next_ticket: 1,
             configuration: 0,
             back_ends: 0,
@@ -293,6 +302,9 @@
                 return Admission::Placed(placement);
             }
         }
+        if !privileged && self.is_over_share(now, &demand) {
+            return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
+        }
         let queue = self.waiting.entry(demand.service.clone()).or_default();
         if queue.len() >= self.limits.most_waiting {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::QueueFull, draw));
@@ -324,6 +336,14 @@
         !self.waiting.is_empty()
     }
 
+    /// The router itself runs late by `lag`. Times seen for a while after much of it tell of the router
+    /// and not of back ends, so nothing is learned from them.
+    pub fn on_lag(&mut self, now: Timestamp, lag: Duration) {
+        if lag > TOLERATED_LAG {
+            self.lagging_until = now + LAG_AFTERMATH;
+        }
+    }
+
     /// A request's first event, or its whole answer, has come.
     pub fn on_first_event(&mut self, now: Timestamp, ticket: TicketId) {
         let Some(running) = self.running.get_mut(&ticket) else { return };
@@ -335,20 +355,27 @@
         let (predicted, work_ahead) = (running.predicted, running.work_ahead);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
         engine.own.unread = engine.own.unread.saturating_sub(unread);
+        if now < self.lagging_until {
+            return;
+        }
         engine.slowness = placement::next_slowness(engine.slowness, predicted, taken);
         let pace = self.paces.entry(engine.back_end.service.clone()).or_default();
         pace.observe(work_ahead, taken);
     }
 
-    /// A request has ended well, or its caller has gone: it takes no more room.
-    pub fn on_end(&mut self, now: Timestamp, ticket: TicketId, outcome: Result<(), Option<Fault>>) {
-        for queue in self.waiting.values_mut() {
-            if queue.remove(ticket).is_some() {
-                return;
-            }
-        }
-        let Some(running) = self.running.remove(&ticket) else { return };
-        let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
+    /// A request has ended, well or not, or its caller has gone: it takes no more room. Gives whether a
+    /// back end has more room than before.
+    pub fn on_end(
+        &mut self,
+        now: Timestamp,
+        ticket: TicketId,
+        outcome: Result<(), Option<Fault>>,
+    ) -> bool {
+        let Some(running) = self.running.remove(&ticket) else {
+            self.waiting.values_mut().any(|queue| queue.remove(ticket).is_some());
+            return false;
+        };
+        let Some(engine) = self.engines.get_mut(&running.back_end) else { return false };
         engine.own.remove(running.load);
         match outcome {
             Ok(()) => engine.health.on_success(now),
@@ -360,6 +387,7 @@
             }
             Err(None) => {}
         }
+        true
     }
 
     /// A peer's figures have come. Gives true if the peer was not known before.
@@ -421,25 +449,26 @@
 
     fn let_in(&mut self, now: Timestamp, service: &str, verdicts: &mut Verdicts) {
         let shares = self.shares(now);
-        let Some(queue) = self.waiting.get(service) else { return };
-        let tickets = queue.in_order(|waiter| shares.order(waiter));
+        let Some(queue) = self.waiting.get_mut(service) else { return };
+        let mut left = Vec::new();
         let mut in_vain = 0;
-        for ticket in tickets {
-            let Some(waiter) = self.waiting.get(service).and_then(|queue| queue.get(ticket)) else {
-                continue;
+        for waiter in queue.take_in_order(|waiter| shares.order(waiter)) {
+            let placed = if in_vain < TRIES_IN_VAIN {
+                self.try_place(now, waiter.ticket, &waiter.demand, false)
+            } else {
+                None
             };
-            let demand = waiter.demand.clone();
-            match self.try_place(now, ticket, &demand, false) {
-                Some(placement) => {
-                    self.remove_waiter(service, ticket);
-                    verdicts.push((ticket, Ok(placement)));
+            match placed {
+                Some(placement) => verdicts.push((waiter.ticket, Ok(placement))),
+                None => {
+                    in_vain += 1;
+                    left.push(waiter);
                 }
-                None => in_vain += 1,
-            }
-            if in_vain >= TRIES_IN_VAIN {
-                break;
             }
         }
+        if let Some(queue) = self.waiting.get_mut(service) {
+            left.into_iter().for_each(|waiter| queue.put_back(waiter));
+        }
     }
 
     fn give_up(&mut self, now: Timestamp, service: &str, draw: f64, verdicts: &mut Verdicts) {
@@ -490,12 +519,6 @@
         })
     }
 
-    fn remove_waiter(&mut self, service: &str, ticket: TicketId) {
-        if let Some(queue) = self.waiting.get_mut(service) {
-            queue.remove(ticket);
-        }
-    }
-
     fn has_back_end(&self, service: &str) -> bool {
         let mut engines = self.engines.values();
         engines.any(|engine| {
@@ -503,6 +526,11 @@
         })
     }
 
+    fn is_over_share(&mut self, now: Timestamp, demand: &Demand) -> bool {
+        let Some(tenant) = &demand.tenant else { return false };
+        self.shares(now).is_over(tenant)
+    }
+
     fn shares(&mut self, now: Timestamp) -> Rc<Shares> {
         if let Some((made, shares)) = &self.shares {
             if now.since(*made) < SHARES_LIFE {
@@ -538,8 +566,7 @@
         demand: &Demand,
         last_call: bool,
     ) -> Option<Placement> {
-        let shares = self.shares(now);
-        let over_share = demand.tenant.as_ref().is_some_and(|tenant| shares.is_over(tenant));
+        let over_share = self.is_over_share(now, demand);
         let weighed = self.best(now, demand, Terms { over_share, last_call })?;
         let age = self.fleet.oldest_age(now);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
--- a/crates/routing/src/waiting.rs
+++ b/crates/routing/src/waiting.rs
@@ -58,19 +58,19 @@
         expired
     }
 
-    /// The waiters' tickets in the order in which they are let in.
-    pub fn in_order(&self, order: impl Fn(&Waiter) -> WaitingOrder) -> Vec<TicketId> {
-        let mut ordered: Vec<(WaitingOrder, TicketId)> =
-            self.waiters.iter().map(|waiter| (order(waiter), waiter.ticket)).collect();
+    /// Takes out the waiters, in the order in which they are let in.
+    pub fn take_in_order(&mut self, order: impl Fn(&Waiter) -> WaitingOrder) -> Vec<Waiter> {
+        let mut ordered: Vec<(WaitingOrder, Waiter)> =
+            self.waiters.drain(..).map(|waiter| (order(&waiter), waiter)).collect();
         ordered.sort_by(|left, right| {
             left.0.partial_cmp(&right.0).unwrap_or(std::cmp::Ordering::Equal)
         });
-        ordered.into_iter().map(|(_, ticket)| ticket).collect()
+        ordered.into_iter().map(|(_, waiter)| waiter).collect()
     }
 
-    /// A waiter by its ticket.
-    pub fn get(&self, ticket: TicketId) -> Option<&Waiter> {
-        self.waiters.iter().find(|waiter| waiter.ticket == ticket)
+    /// Puts a waiter back that was taken out in vain.
+    pub fn put_back(&mut self, waiter: Waiter) {
+        self.waiters.push(waiter);
     }
 
     /// When the next waiter is given up.
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -215,6 +215,25 @@
     assert!(placement.predicted < Duration::from_millis(200), "{:?}", placement.predicted);
 }
 
+#[test]
+fn a_router_that_lags_learns_nothing_about_engines() {
+    let predicted = |lags: bool| {
+        let mut dispatcher = dispatcher(1, 1, 48);
+        for own in 0..60 {
+            let now = at(own * 400);
+            let placement = place(&mut dispatcher, now, 1, own).expect("room");
+            if lags {
+                dispatcher.on_lag(now, Duration::from_millis(200));
+            }
+            dispatcher.on_first_event(now + Duration::from_millis(300), placement.ticket);
+            dispatcher.on_end(now + Duration::from_millis(301), placement.ticket, Ok(()));
+        }
+        place(&mut dispatcher, at(60_000), 1, 999).expect("room").predicted
+    };
+    assert!(predicted(true) < Duration::from_millis(80));
+    assert!(predicted(false) > Duration::from_millis(150));
+}
+
 #[test]
 fn without_back_ends_a_refusal_says_so() {
     let mut dispatcher = dispatcher(1, 0, 1);
