The product's own dialect at the router's seams, and tests of the whole path against scripted back ends

Change: own_dialect speaks the product's headers; 21 tests drive a router on loopback with back ends that break off, answer for others, send extra bytes, say that they did not run, drain, fall silent, and with callers that go away. Ruled out: nothing; no fault was found by them.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod metrics;
 mod operations;
+pub mod own_dialect;
 mod peers;
 mod pool;
 mod relay;
--- /dev/null
+++ b/crates/router/src/own_dialect.rs
@@ -0,0 +1,136 @@
+//! The product's own dialect: what its callers and back ends speak where no platform prescribes another.
+
+use crate::dialect::{
+    AnswerKind, BackEndDialect, CallerDialect, CallerHead, MalformedRequest, OutgoingCall,
+    OwnAnswer,
+};
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http;
+use mastbay_routing::{Prompt, PromptPart};
+use std::time::Duration;
+
+/// Names a request.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("mastbay-request-id");
+/// Milliseconds that the caller waits.
+pub const DEADLINE: HeaderName = HeaderName::from_static("mastbay-deadline-ms");
+/// Parts of a prompt in order, as ID:TOKENS joined by commas; IDs are hexadecimal.
+pub const PARTS: HeaderName = HeaderName::from_static("mastbay-prompt-parts");
+/// Tokens of a prompt and the most that come out, as IN,OUT.
+pub const TOKENS: HeaderName = HeaderName::from_static("mastbay-tokens");
+/// The last event that the caller has.
+pub const LAST_EVENT: HeaderName = HeaderName::from_static("mastbay-last-event");
+/// The tenant, told to back ends.
+pub const TENANT: HeaderName = HeaderName::from_static("mastbay-tenant");
+/// The back end that a request is meant for.
+pub const BACK_END: HeaderName = HeaderName::from_static("mastbay-back-end");
+/// What became of a request.
+pub const OUTCOME: HeaderName = HeaderName::from_static("mastbay-outcome");
+
+/// The outcome of a request that did not run.
+pub const NOT_RUN: &str = "not-run";
+/// The outcome of a request that may have run.
+pub const UNKNOWN: &str = "unknown";
+/// The outcome of a request that another life of a back end was meant for.
+pub const REPLACED: &str = "not-run-replaced";
+
+const BEARER: &str = "Bearer ";
+
+/// The product's own dialect.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OwnDialect;
+
+impl CallerDialect for OwnDialect {
+    fn read(&self, head: &http::request::Parts) -> Result<CallerHead, MalformedRequest> {
+        let headers = &head.headers;
+        let request_id = text(headers, &REQUEST_ID).ok_or(MalformedRequest::NoId)?.to_owned();
+        let time_left = match text(headers, &DEADLINE) {
+            Some(left) => Some(
+                left.parse()
+                    .map(Duration::from_millis)
+                    .map_err(|_| MalformedRequest::Header { name: "mastbay-deadline-ms" })?,
+            ),
+            None => None,
+        };
+        let key = text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix(BEARER));
+        let last_event = text(headers, &LAST_EVENT).and_then(|number| number.parse().ok());
+        Ok(CallerHead {
+            request_id,
+            time_left,
+            key: key.map(str::to_owned),
+            prompt: prompt(headers),
+            last_event,
+        })
+    }
+
+    fn own_headers(&self, request_id: Option<&str>, answer: OwnAnswer) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        set(&mut headers, REQUEST_ID, request_id.unwrap_or_default());
+        let outcome = match answer {
+            OwnAnswer::UnknownOutcome | OwnAnswer::OutOfTime => UNKNOWN,
+            _ => NOT_RUN,
+        };
+        set(&mut headers, OUTCOME, outcome);
+        if let OwnAnswer::NotRun { retry_after: Some(pause) } = answer {
+            set(&mut headers, RETRY_AFTER, &pause.as_secs_f64().ceil().to_string());
+        }
+        headers
+    }
+}
+
+impl BackEndDialect for OwnDialect {
+    fn outgoing(&self, caller: &HeaderMap, call: &OutgoingCall<'_>) -> HeaderMap {
+        let mut headers = caller.clone();
+        for name in [AUTHORIZATION, TENANT, BACK_END, LAST_EVENT, OUTCOME] {
+            headers.remove(name);
+        }
+        set(&mut headers, BACK_END, call.back_end);
+        set(&mut headers, DEADLINE, &call.time_left.as_millis().to_string());
+        if let Some(tenant) = call.tenant {
+            set(&mut headers, TENANT, tenant);
+        }
+        if let Some(number) = call.last_event {
+            set(&mut headers, LAST_EVENT, &number.to_string());
+        }
+        headers
+    }
+
+    fn classify(&self, request_id: &str, head: &http::response::Parts) -> AnswerKind {
+        match (text(&head.headers, &REQUEST_ID), text(&head.headers, &OUTCOME)) {
+            (Some(named), _) if named != request_id => AnswerKind::Foreign,
+            (_, Some(NOT_RUN)) => AnswerKind::NotRunFull,
+            (_, Some(REPLACED)) => AnswerKind::NotRunReplaced,
+            (None, _) => AnswerKind::Foreign,
+            (Some(_), _) => AnswerKind::Answer,
+        }
+    }
+
+    fn event_number(&self, event: &[u8]) -> Option<u64> {
+        let mut lines = event.split(|byte| *byte == b'\n');
+        let number = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+        std::str::from_utf8(number).ok()?.trim().parse().ok()
+    }
+}
+
+fn prompt(headers: &HeaderMap) -> Option<Prompt> {
+    let (input, output) = text(headers, &TOKENS)?.split_once(',')?;
+    let parts = text(headers, &PARTS).unwrap_or_default().split(',').filter_map(|part| {
+        let (id, tokens) = part.split_once(':')?;
+        Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
+    });
+    Some(Prompt {
+        parts: parts.collect(),
+        input_tokens: input.parse().ok()?,
+        most_output_tokens: output.parse().ok()?,
+        output_hint: None,
+    })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/router/tests/support/mod.rs
@@ -0,0 +1,355 @@
+//! A router on loopback with scripted back ends and plain callers, all on the test's own thread.
+#![allow(dead_code, missing_docs)]
+
+use mastbay_router::own_dialect::OwnDialect;
+use mastbay_router::{Router, RouterMetrics, RouterSettings, Seams, Spawner};
+use mastbay_routing::{
+    BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, EngineLimits, Limits, Route,
+    RouteKind, RoutingConfiguration, Service, Target, Tenant,
+};
+use prometheus_client::registry::Registry;
+use smol::LocalExecutor;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream, UdpSocket};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time that a test waits for what must happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a back end does with a request.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// Writes bytes; `ID` in them becomes the request's id.
+    Write(String),
+    /// Closes the connection.
+    Close,
+    /// Waits until the router closes the connection.
+    UntilClosed,
+}
+
+/// A back end that reacts to the requests that reach it, in turn; the last reaction is repeated.
+#[derive(Clone)]
+pub struct ScriptedBackEnd {
+    pub name: String,
+    pub address: SocketAddr,
+    pub heads: Rc<RefCell<Vec<String>>>,
+    pub connections: Rc<Cell<u32>>,
+    pub closed_by_router: Rc<Cell<u32>>,
+}
+
+impl ScriptedBackEnd {
+    pub async fn start(spawner: Spawner, name: &str, reactions: Vec<Vec<Step>>) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        let back_end = Self {
+            name: name.to_owned(),
+            address: listener.local_addr().expect("bound"),
+            heads: Rc::default(),
+            connections: Rc::default(),
+            closed_by_router: Rc::default(),
+        };
+        let serving = back_end.clone();
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                serving.connections.set(serving.connections.get() + 1);
+                spawner.spawn(serving.clone().serve(stream, reactions.clone())).detach();
+            }
+        };
+        spawner.spawn(accept).detach();
+        back_end
+    }
+
+    async fn serve(self, mut stream: TcpStream, reactions: Vec<Vec<Step>>) {
+        while let Some(head) = read_request(&mut stream).await {
+            let nth = self.heads.borrow().len();
+            let id = header(&head, "mastbay-request-id").unwrap_or_default();
+            self.heads.borrow_mut().push(head);
+            for step in &reactions[nth.min(reactions.len() - 1)] {
+                match step {
+                    Step::Write(text) => {
+                        let bytes = text.replace("ID", &id);
+                        if stream.write_all(bytes.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                    Step::Close => return,
+                    Step::UntilClosed => {
+                        let mut byte = [0];
+                        let _ = stream.read(&mut byte).await;
+                        self.closed_by_router.set(self.closed_by_router.get() + 1);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Requests that reached it.
+    pub fn arrivals(&self) -> usize {
+        self.heads.borrow().len()
+    }
+
+    pub fn listed(&self, service: &str) -> BackEnd {
+        BackEnd {
+            id: BackEndId::from(self.name.as_str()),
+            service: service.to_owned(),
+            address: self.address,
+            zone: "a".to_owned(),
+            slots: 8,
+            state: BackEndState::Ready,
+        }
+    }
+}
+
+/// Reads a request with its body; gives its head.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text[..end], "content-length");
+            let length: usize = length.and_then(|value| value.parse().ok()).unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                return Some(text[..end].to_owned());
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(read) if read > 0 => bytes.extend_from_slice(&buffer[..read]),
+            _ => return None,
+        }
+    }
+}
+
+/// A header of a message's head.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.to_owned())
+}
+
+/// A whole answer with a body of known length.
+pub fn answer(body: &str) -> Vec<Step> {
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\nmastbay-request-id: ID\r\ncontent-length: {length}");
+    vec![Step::Write(format!("{head}\r\n\r\n{body}"))]
+}
+
+/// The back end's word that it did not run the request.
+pub fn not_run() -> Vec<Step> {
+    let head = "HTTP/1.1 503 Full\r\nmastbay-request-id: ID\r\nmastbay-outcome: not-run";
+    vec![Step::Write(format!("{head}\r\ncontent-length: 0\r\n\r\n"))]
+}
+
+pub const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nmastbay-request-id: ID\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// A chunk that holds `text`.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A stream's events from `first` to `last`.
+pub fn events(first: u64, last: u64) -> String {
+    (first..=last).map(|number| chunk(&format!("id: {number}\ndata: x\n\n"))).collect()
+}
+
+pub const STREAM_END: &str = "0\r\n\r\n";
+
+fn route(prefix: &str, kind: RouteKind, service: &str, resumable: bool, timeout: u64) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "test".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_millis(timeout),
+        objective: Duration::from_millis(400),
+        pause_objective: None,
+        priority: 1,
+        targets: vec![Target { service: service.to_owned(), weight: 1 }],
+        most_attempts: 2,
+        public: prefix != "/keyed/",
+        resumable,
+    }
+}
+
+pub fn configuration(version: u64) -> RoutingConfiguration {
+    let engine = EngineLimits { batch: 8, memory_tokens: 1_000_000, tokens_per_event: 1 };
+    let service =
+        |name: &str, engine| Service { name: name.to_owned(), most_connections: 100, engine };
+    RoutingConfiguration {
+        version,
+        routes: vec![
+            route("/safe/", RouteKind::Safe, "plain", false, 10_000),
+            route("/unsafe/", RouteKind::Unsafe, "plain", false, 10_000),
+            route("/keyed/", RouteKind::Safe, "plain", false, 10_000),
+            route("/brief/", RouteKind::Unsafe, "plain", false, 150),
+            route("/stream/", RouteKind::Streaming, "plain", false, 10_000),
+            route("/resumable/", RouteKind::Streaming, "plain", true, 10_000),
+        ],
+        services: vec![service("plain", None), service("model", Some(engine))],
+        tenants: vec![Tenant {
+            name: "tenant-a".to_owned(),
+            keys: vec!["key-a".to_owned()],
+            priority: None,
+        }],
+        limits: Limits { body_bytes: 10_000, ..Limits::default() },
+    }
+}
+
+/// A router that serves on loopback.
+pub struct Bed {
+    pub router: Rc<Router>,
+    pub spawner: Spawner,
+    pub settings: RouterSettings,
+}
+
+/// Runs a test on one thread, bounded by [`PATIENCE`].
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Spawner) -> F) {
+    let executor: &'static LocalExecutor<'static> = Box::leak(Box::default());
+    let bounded = mastbay_web::within(PATIENCE, test(Spawner::new(executor)));
+    smol::block_on(executor.run(bounded)).expect("the test ends in time");
+}
+
+/// An address that is free, found by binding it.
+pub async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+pub async fn settings() -> RouterSettings {
+    let digests = UdpSocket::bind(("127.0.0.1", 0)).await.expect("a free port");
+    RouterSettings {
+        name: "test".to_owned(),
+        zone: "a".to_owned(),
+        callers: free_address().await,
+        readiness: free_address().await,
+        operations: free_address().await,
+        descriptors: 1_000,
+        memory_megabytes: 100,
+        most_waiting: 100,
+        stop_limit: Duration::from_secs(4),
+        share_window: Duration::from_secs(4),
+        first_start: true,
+        digests: digests.local_addr().expect("bound"),
+        seeds: Vec::new(),
+        budget: BudgetLimits::default(),
+        log: "info".to_owned(),
+    }
+}
+
+impl Bed {
+    /// Starts a router that knows the configuration and `back_ends` of the service `plain`.
+    pub async fn start(spawner: Spawner, back_ends: &[&ScriptedBackEnd]) -> Self {
+        let settings = settings().await;
+        let seams = Seams { callers: Box::new(OwnDialect), back_ends: Box::new(OwnDialect) };
+        let mut registry = Registry::default();
+        let metrics = RouterMetrics::register(&mut registry);
+        let router = Router::new(settings.clone(), seams, spawner, metrics);
+        router.offer_configuration(configuration(1), "test");
+        let bed = Self { router, spawner, settings };
+        bed.list(1, back_ends);
+        let running = mastbay_router::run(bed.router.clone(), Rc::new(registry), || {});
+        spawner.spawn(async move { running.await.expect("runs") }).detach();
+        bed.until_listening().await;
+        bed
+    }
+
+    pub fn list(&self, revision: u64, back_ends: &[&ScriptedBackEnd]) {
+        let back_ends = back_ends.iter().map(|back_end| back_end.listed("plain")).collect();
+        self.router.offer_back_ends(BackEndList { revision, back_ends }, "test");
+    }
+
+    async fn until_listening(&self) {
+        until(|| async { TcpStream::connect(self.settings.callers).await.is_ok() }).await;
+    }
+
+    /// Sends a request on a connection of its own and reads until the router closes it.
+    pub async fn call(&self, request: &Request) -> Answer {
+        let mut stream = self.open(request).await;
+        let mut bytes = Vec::new();
+        let ended = stream.read_to_end(&mut bytes).await.is_ok();
+        Answer::new(bytes, ended)
+    }
+
+    /// Sends a request on a connection of its own.
+    pub async fn open(&self, request: &Request) -> TcpStream {
+        let mut stream = TcpStream::connect(self.settings.callers).await.expect("connected");
+        stream.write_all(request.text().as_bytes()).await.expect("sent");
+        stream
+    }
+}
+
+/// Polls until a condition holds.
+pub async fn until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
+    while !condition().await {
+        smol::future::yield_now().await;
+        smol::Timer::after(Duration::from_millis(2)).await;
+    }
+}
+
+/// A caller's request.
+pub struct Request {
+    pub method: &'static str,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
+}
+
+impl Request {
+    pub fn new(path: &str) -> Self {
+        let id = ("mastbay-request-id", format!("request-{}", rand::random::<u32>()));
+        Self { method: "POST", path: path.to_owned(), headers: vec![id], body: String::new() }
+    }
+
+    pub fn with(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    pub fn body(mut self, body: &str) -> Self {
+        self.body = body.to_owned();
+        self
+    }
+
+    fn text(&self) -> String {
+        let headers: String =
+            self.headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+        let (method, path, length) = (self.method, &self.path, self.body.len());
+        format!(
+            "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n{headers}\
+             content-length: {length}\r\n\r\n{}",
+            self.body
+        )
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the body ended properly.
+    pub whole: bool,
+}
+
+impl Answer {
+    fn new(bytes: Vec<u8>, ended: bool) -> Self {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+        let chunked = header(head, "transfer-encoding").is_some();
+        let length = header(head, "content-length").and_then(|value| value.parse().ok());
+        let whole =
+            ended && if chunked { body.ends_with("0\r\n\r\n") } else { length == Some(body.len()) };
+        Self { status, head: head.to_owned(), body: body.to_owned(), whole }
+    }
+
+    pub fn header(&self, name: &str) -> Option<String> {
+        header(&self.head, name)
+    }
+}
--- /dev/null
+++ b/crates/router/tests/whole_path.rs
@@ -0,0 +1,337 @@
+//! A request's way through a router, with back ends that behave and that do not.
+
+mod support;
+
+use mastbay_routing::BackEndState;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use support::{
+    Bed, Request, STREAM_END, STREAM_HEAD, ScriptedBackEnd, Step, answer, chunk, configuration,
+    events, header, not_run, run, until,
+};
+
+fn stream(parts: &[&str], then: &[Step]) -> Vec<Step> {
+    let mut steps = vec![Step::Write(STREAM_HEAD.to_owned() + &parts.concat())];
+    steps.extend_from_slice(then);
+    steps
+}
+
+#[test]
+fn an_answer_comes_back_whole() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("hello")]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        let answer = bed.call(&Request::new("/safe/x?y=1").body("question")).await;
+        assert_eq!((answer.status, answer.body.as_str(), answer.whole), (200, "hello", true));
+        let head = back_end.heads.borrow()[0].clone();
+        assert!(head.starts_with("POST /safe/x?y=1 HTTP/1.1"), "{head}");
+        assert_eq!(header(&head, "mastbay-back-end").as_deref(), Some("b1"));
+    });
+}
+
+#[test]
+fn the_key_becomes_the_tenant_and_a_forged_tenant_goes_nowhere() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        let keyed = Request::new("/keyed/x").with("authorization", "Bearer key-a");
+        bed.call(&keyed.with("mastbay-tenant", "someone-else")).await;
+        let head = back_end.heads.borrow()[0].clone();
+        assert_eq!(header(&head, "mastbay-tenant").as_deref(), Some("tenant-a"));
+        assert_eq!(header(&head, "authorization"), None);
+        let unknown = Request::new("/keyed/x").with("authorization", "Bearer key-b");
+        assert_eq!(bed.call(&unknown).await.status, 401);
+        assert_eq!(bed.call(&Request::new("/keyed/x")).await.status, 401);
+        assert_eq!(back_end.arrivals(), 1);
+    });
+}
+
+#[test]
+fn what_no_route_serves_and_what_is_too_large_is_turned_away() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        assert_eq!(bed.call(&Request::new("/nowhere/x")).await.status, 404);
+        let large = Request::new("/safe/x").body(&"x".repeat(10_001));
+        assert_eq!(bed.call(&large).await.status, 413);
+        assert_eq!(back_end.arrivals(), 0);
+    });
+}
+
+#[test]
+fn a_request_that_a_back_end_did_not_run_goes_to_another() {
+    run(async |spawner| {
+        let full = ScriptedBackEnd::start(spawner, "b1", vec![not_run()]).await;
+        let other = ScriptedBackEnd::start(spawner, "b2", vec![answer("run")]).await;
+        let bed = Bed::start(spawner, &[&full, &other]).await;
+        for _ in 0..4 {
+            let answer = bed.call(&Request::new("/unsafe/x")).await;
+            assert_eq!((answer.status, answer.body.as_str()), (200, "run"));
+        }
+    });
+}
+
+#[test]
+fn a_request_that_nobody_ran_is_told_so_with_a_time_to_come_back() {
+    run(async |spawner| {
+        let full = ScriptedBackEnd::start(spawner, "b1", vec![not_run()]).await;
+        let bed = Bed::start(spawner, &[&full]).await;
+        let answer = bed.call(&Request::new("/unsafe/x")).await;
+        assert_eq!(answer.status, 503);
+        assert_eq!(answer.header("mastbay-outcome").as_deref(), Some("not-run"));
+        assert!(answer.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn an_unsafe_request_whose_answer_is_lost_is_never_sent_again() {
+    run(async |spawner| {
+        let broken = ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::Close]]).await;
+        let other = ScriptedBackEnd::start(spawner, "b2", vec![vec![Step::Close]]).await;
+        let bed = Bed::start(spawner, &[&broken, &other]).await;
+        let answer = bed.call(&Request::new("/unsafe/x")).await;
+        assert_eq!(answer.status, 502);
+        assert_eq!(broken.arrivals() + other.arrivals(), 1);
+    });
+}
+
+#[test]
+fn a_safe_request_whose_answer_is_lost_goes_to_another() {
+    run(async |spawner| {
+        let broken = ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::Close]]).await;
+        let other = ScriptedBackEnd::start(spawner, "b2", vec![answer("run")]).await;
+        let bed = Bed::start(spawner, &[&broken, &other]).await;
+        for _ in 0..3 {
+            assert_eq!(bed.call(&Request::new("/safe/x")).await.status, 200);
+        }
+    });
+}
+
+#[test]
+fn the_answer_to_another_request_reaches_nobody() {
+    run(async |spawner| {
+        let foreign =
+            "HTTP/1.1 200 OK\r\nmastbay-request-id: other\r\ncontent-length: 5\r\n\r\nwrong";
+        let crossed =
+            ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::Write(foreign.to_owned())]])
+                .await;
+        let bed = Bed::start(spawner, &[&crossed]).await;
+        let answer = bed.call(&Request::new("/unsafe/x")).await;
+        assert_eq!(answer.status, 502);
+        assert!(!answer.body.contains("wrong"));
+    });
+}
+
+#[test]
+fn bytes_after_an_answer_spoil_the_connection_and_not_the_next_answer() {
+    run(async |spawner| {
+        let extra = "HTTP/1.1 200 OK\r\nmastbay-request-id: ID\r\ncontent-length: 5\r\n\r\nextra";
+        let mut first = answer("first");
+        first.push(Step::Write(extra.to_owned()));
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![first, answer("second")]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "first");
+        assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "second");
+        assert_eq!(back_end.connections.get(), 2);
+    });
+}
+
+#[test]
+fn what_is_no_answer_reaches_nobody() {
+    run(async |spawner| {
+        let garbage = vec![vec![Step::Write("\u{1}\u{2} garbage\r\n\r\n".to_owned()), Step::Close]];
+        let broken = ScriptedBackEnd::start(spawner, "b1", garbage).await;
+        let bed = Bed::start(spawner, &[&broken]).await;
+        let answer = bed.call(&Request::new("/unsafe/x")).await;
+        assert_eq!((answer.status, answer.whole), (502, true));
+        assert!(!answer.body.contains("garbage"));
+    });
+}
+
+#[test]
+fn an_answer_that_breaks_off_is_not_passed_on_as_whole() {
+    run(async |spawner| {
+        let part = "HTTP/1.1 200 OK\r\nmastbay-request-id: ID\r\ncontent-length: 50\r\n\r\nhalf";
+        let steps = vec![vec![Step::Write(part.to_owned()), Step::Close]];
+        let broken = ScriptedBackEnd::start(spawner, "b1", steps).await;
+        let bed = Bed::start(spawner, &[&broken]).await;
+        let answer = bed.call(&Request::new("/unsafe/x")).await;
+        assert_eq!(answer.status, 502);
+    });
+}
+
+#[test]
+fn a_stream_comes_back_whole() {
+    run(async |spawner| {
+        let parts = [&events(1, 3), STREAM_END];
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![stream(&parts, &[])]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        let answer = bed.call(&Request::new("/stream/x")).await;
+        assert!(answer.whole, "{answer:?}");
+        assert_eq!(answer.body.matches("data: x").count(), 3);
+    });
+}
+
+#[test]
+fn a_stream_that_breaks_off_is_visibly_broken_and_holds_whole_events_only() {
+    run(async |spawner| {
+        let parts = [&events(1, 2), &chunk("id: 3\nda")[..]];
+        let steps = vec![stream(&parts, &[Step::Close])];
+        let back_end = ScriptedBackEnd::start(spawner, "b1", steps).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        let answer = bed.call(&Request::new("/stream/x")).await;
+        assert!(!answer.whole);
+        assert_eq!(answer.body.matches("data: x").count(), 2);
+        assert!(!answer.body.contains("id: 3"));
+        assert_eq!(back_end.arrivals(), 1);
+    });
+}
+
+#[test]
+fn a_resumable_stream_goes_on_at_another_back_end() {
+    run(async |spawner| {
+        let broken = stream(&[&events(1, 2), &chunk("id: 3\nda")], &[Step::Close]);
+        let rest = stream(&[&events(2, 5), STREAM_END], &[]);
+        // Whichever is asked first breaks off; the other takes the stream up, with an event too many.
+        let log = vec![broken, rest];
+        let first = ScriptedBackEnd::start(spawner, "b1", log.clone()).await;
+        let bed = Bed::start(spawner, &[&first]).await;
+        let second = ScriptedBackEnd::start(spawner, "b2", vec![log[1].clone()]).await;
+        let request = Request::new("/resumable/x");
+        let caller = bed.open(&request).await;
+        until(async || first.arrivals() == 1).await;
+        bed.list(2, &[&first, &second]);
+        let mut caller = caller;
+        let mut text = String::new();
+        caller.read_to_string(&mut text).await.expect("read");
+        for number in 1..=5 {
+            assert_eq!(text.matches(&format!("id: {number}\n")).count(), 1, "{text}");
+        }
+        assert!(text.ends_with(STREAM_END));
+        let head = second.heads.borrow()[0].clone();
+        assert_eq!(header(&head, "mastbay-last-event").as_deref(), Some("2"));
+    });
+}
+
+#[test]
+fn a_caller_that_goes_away_frees_the_back_end() {
+    run(async |spawner| {
+        for (path, steps) in [
+            ("/stream/x", stream(&[&events(1, 1)], &[Step::UntilClosed])),
+            ("/unsafe/x", vec![Step::UntilClosed]),
+        ] {
+            let back_end = ScriptedBackEnd::start(spawner, "b1", vec![steps]).await;
+            let bed = Bed::start(spawner, &[&back_end]).await;
+            let caller = bed.open(&Request::new(path)).await;
+            until(async || back_end.arrivals() == 1).await;
+            drop(caller);
+            until(async || back_end.closed_by_router.get() == 1).await;
+        }
+    });
+}
+
+#[test]
+fn a_route_that_runs_out_of_time_is_answered_and_its_back_end_freed() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::UntilClosed]]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        assert_eq!(bed.call(&Request::new("/brief/x")).await.status, 504);
+        until(async || back_end.closed_by_router.get() == 1).await;
+        let head = back_end.heads.borrow()[0].clone();
+        let left: u64 =
+            header(&head, "mastbay-deadline-ms").expect("set").parse().expect("a number");
+        assert!(left <= 150);
+    });
+}
+
+#[test]
+fn a_deadline_that_passes_before_the_request_is_sent_is_told_as_not_run() {
+    run(async |spawner| {
+        let bed = Bed::start(spawner, &[]).await;
+        let answer = bed.call(&Request::new("/unsafe/x").with("mastbay-deadline-ms", "30")).await;
+        assert_eq!(answer.status, 503);
+        assert_eq!(answer.header("mastbay-outcome").as_deref(), Some("not-run"));
+    });
+}
+
+#[test]
+fn a_back_end_that_drains_or_is_gone_gets_nothing_new() {
+    run(async |spawner| {
+        let leaving = ScriptedBackEnd::start(spawner, "b1", vec![answer("1")]).await;
+        let staying = ScriptedBackEnd::start(spawner, "b2", vec![answer("2")]).await;
+        let bed = Bed::start(spawner, &[&leaving, &staying]).await;
+        let mut listed = vec![leaving.listed("plain"), staying.listed("plain")];
+        listed[0].state = BackEndState::Draining;
+        let list = mastbay_routing::BackEndList { revision: 2, back_ends: listed };
+        bed.router.offer_back_ends(list, "test");
+        for _ in 0..10 {
+            assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "2");
+        }
+        bed.list(3, &[&leaving]);
+        assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "1");
+    });
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        let mut newer = configuration(5);
+        newer.routes.retain(|route| route.path_prefix != "/safe/");
+        bed.router.offer_configuration(newer, "test");
+        assert_eq!(bed.call(&Request::new("/safe/x")).await.status, 404);
+        bed.router.offer_configuration(configuration(4), "test");
+        assert_eq!(bed.call(&Request::new("/safe/x")).await.status, 404);
+        assert_eq!(bed.router.versions().0, 5);
+    });
+}
+
+#[test]
+fn a_router_that_misses_a_version_fetches_it_from_a_peer() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
+        let first = Bed::start(spawner, &[&back_end]).await;
+        let second = Bed::start(spawner, &[]).await;
+        first.router.offer_configuration(configuration(9), "test");
+        first.list(7, &[&back_end]);
+        // Bed routers have no seeds: the first hears of the second by a digest of its own making.
+        let digest = mastbay_routing::Digest {
+            sender: mastbay_routing::PeerId { address: second.settings.digests, life: 1 },
+            sequence: 1,
+            snapshots: second.settings.operations,
+            leaving: false,
+            configuration: 0,
+            back_ends: 0,
+            engines: Vec::new(),
+            tenants: Vec::new(),
+            peers: Vec::new(),
+        };
+        let socket = smol::net::UdpSocket::bind(("127.0.0.1", 0)).await.expect("bound");
+        let datagram = rmp_serde::to_vec(&digest).expect("encoded");
+        socket.send_to(&datagram, first.settings.digests).await.expect("sent");
+        until(async || second.router.versions() == (9, 7)).await;
+    });
+}
+
+#[test]
+fn malformed_heads_do_no_harm() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("fine")]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        for bytes in
+            ["\0\0\0\r\n\r\n", "GET\r\n\r\n", "POST /safe/x HTTP/1.1\r\ncontent-length: x\r\n\r\n"]
+        {
+            let mut stream =
+                smol::net::TcpStream::connect(bed.settings.callers).await.expect("open");
+            stream.write_all(bytes.as_bytes()).await.expect("sent");
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer).await;
+            assert!(!answer.starts_with(b"HTTP/1.1 2"));
+        }
+        let mut nameless = Request::new("/safe/x");
+        nameless.headers.clear();
+        assert_eq!(bed.call(&nameless).await.status, 400);
+        assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "fine");
+        assert_eq!(back_end.arrivals(), 1);
+    });
+}
