--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -47,7 +47,7 @@
         let targets: BTreeSet<SocketAddr> = dispatcher.peers().into_iter().collect();
         (digest, targets)
     };
-    if round % DIGESTS_PER_SEED_CALL == 0 || targets.is_empty() {
+    if round.is_multiple_of(DIGESTS_PER_SEED_CALL) || targets.is_empty() {
         targets.extend(seeds(router));
     }
     targets.remove(&router.settings.digests);
@@ -115,6 +115,9 @@
 pub async fn fetch_newer(router: Rc<Router>) {
     loop {
         smol::Timer::after(NEWER_PERIOD).await;
+        if !router.catalogue.borrow().is_complete() {
+            ask_seeds(&router).await;
+        }
         let newer = router.dispatcher.borrow().newer_elsewhere(router.now());
         let Some(address) = newer else { continue };
         // The own source is usually about to tell the same.
@@ -126,6 +129,16 @@
     }
 }
 
+/// Asks the seeds in turn while nothing is known: the own source may be out of reach.
+async fn ask_seeds(router: &Rc<Router>) {
+    let others = router.settings.seeds.iter().filter(|seed| **seed != router.settings.operations);
+    for seed in others {
+        if !router.catalogue.borrow().is_complete() {
+            fetch_snapshot(router, *seed).await;
+        }
+    }
+}
+
 /// Fetches a snapshot from one peer.
 pub async fn fetch_snapshot(router: &Rc<Router>, address: SocketAddr) {
     let request = Request::builder()
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -7,10 +7,11 @@
     BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, EngineLimits, Limits, Route,
     RouteKind, RoutingConfiguration, Service, Target, Tenant,
 };
+use mastbay_testbed::PortBlock;
 use prometheus_client::registry::Registry;
 use smol::LocalExecutor;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
-use smol::net::{TcpListener, TcpStream, UdpSocket};
+use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -214,27 +215,20 @@
     smol::block_on(executor.run(bounded)).expect("the test ends in time");
 }
 
-/// An address that is free, found by binding it.
-pub async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
-pub async fn settings() -> RouterSettings {
-    let digests = UdpSocket::bind(("127.0.0.1", 0)).await.expect("a free port");
+pub fn settings(ports: &mut PortBlock) -> RouterSettings {
     RouterSettings {
         name: "test".to_owned(),
         zone: "a".to_owned(),
-        callers: free_address().await,
-        readiness: free_address().await,
-        operations: free_address().await,
+        callers: ports.next_address(),
+        readiness: ports.next_address(),
+        operations: ports.next_address(),
         descriptors: 1_000,
         memory_megabytes: 100,
         most_waiting: 100,
         stop_limit: Duration::from_secs(4),
         share_window: Duration::from_secs(4),
         first_start: true,
-        digests: digests.local_addr().expect("bound"),
+        digests: ports.next_address(),
         seeds: Vec::new(),
         budget: BudgetLimits::default(),
         log: "info".to_owned(),
@@ -244,7 +238,10 @@
 impl Bed {
     /// Starts a router that knows the configuration and `back_ends` of the service `plain`.
     pub async fn start(spawner: Spawner, back_ends: &[&ScriptedBackEnd]) -> Self {
-        let settings = settings().await;
+        let mut ports = PortBlock::take();
+        let settings = settings(&mut ports);
+        // The router's listeners stay open as long as this process runs, and so must its block.
+        std::mem::forget(ports);
         let seams = Seams { callers: Box::new(OwnDialect), back_ends: Box::new(OwnDialect) };
         let mut registry = Registry::default();
         let metrics = RouterMetrics::register(&mut registry);
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -297,10 +297,13 @@
         let ticket = TicketId(self.next_ticket);
         self.next_ticket += 1;
         let privileged = !demand.tried.is_empty();
-        if !others_wait || privileged {
-            if let Some(placement) = self.try_place(now, ticket, &demand, false) {
-                return Admission::Placed(placement);
-            }
+        let placed = if !others_wait || privileged {
+            self.try_place(now, ticket, &demand, false)
+        } else {
+            None
+        };
+        if let Some(placement) = placed {
+            return Admission::Placed(placement);
         }
         if !privileged && self.is_over_share(now, &demand) {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
@@ -532,10 +535,10 @@
     }
 
     fn shares(&mut self, now: Timestamp) -> Rc<Shares> {
-        if let Some((made, shares)) = &self.shares {
-            if now.since(*made) < SHARES_LIFE {
-                return shares.clone();
-            }
+        if let Some((made, shares)) = &self.shares
+            && now.since(*made) < SHARES_LIFE
+        {
+            return shares.clone();
         }
         let shares = Rc::new(self.new_shares(now));
         self.shares = Some((now, shares.clone()));
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -73,7 +73,7 @@
 
 #[test]
 fn a_repeated_or_old_digest_changes_nothing() {
-    let mut fleet = vec![dispatcher(1, 1, 4), dispatcher(2, 1, 4)];
+    let mut fleet = [dispatcher(1, 1, 4), dispatcher(2, 1, 4)];
     let old = fleet[0].digest(at(0), false);
     for own in 0..2 {
         place(&mut fleet[0], at(0), 1, own).expect("room");
