Tell tenants and further routers in one digest of four; meet every router that a peer mentions

Cause: digests came to about 0.7 KB, 12 a second to each peer: over 50 KB/s a router at 7 routers, against a budget of 15 KB/s. Change: tenants' rates and addresses of peers go in each fourth digest; those mentioned and not known are called on at any digest, not only at a new peer's first.

--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -68,7 +68,6 @@
 /// Takes digests for as long as the router runs.
 pub async fn receive_digests(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0_u8; LARGEST_DATAGRAM];
-    let mut called = BTreeSet::new();
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
             smol::Timer::after(DIGEST_PERIOD).await;
@@ -76,38 +75,34 @@
         };
         // A datagram that is no digest is not from a peer of ours.
         if let Ok(digest) = rmp_serde::from_slice::<Digest>(&buffer[..length]) {
-            take_digest(&router, &socket, digest, &mut called).await;
+            take_digest(&router, &socket, digest).await;
         }
     }
 }
 
-async fn take_digest(
-    router: &Rc<Router>,
-    socket: &UdpSocket,
-    digest: Digest,
-    called: &mut BTreeSet<SocketAddr>,
-) {
+/// Takes a digest; answers a sender that was not known, and calls on routers that it mentions and that
+/// are not known.
+async fn take_digest(router: &Rc<Router>, socket: &UdpSocket, digest: Digest) {
     let now = router.now();
     let sender = digest.sender.address;
-    let mentioned = digest.peers.clone();
-    let (is_new, mine, known) = {
+    let mut unknown = digest.peers.clone();
+    let known = {
         let mut dispatcher = router.dispatcher.borrow_mut();
-        let is_new = dispatcher.on_digest(now, digest);
-        let mine = is_new.then(|| dispatcher.digest(now, router.stopping.get()));
-        (is_new, mine, dispatcher.peers())
+        if dispatcher.on_digest(now, digest) {
+            unknown.push(sender);
+            events::peer_heard(sender, dispatcher.routers(now));
+        }
+        dispatcher.peers()
     };
-    if is_new {
-        events::peer_heard(sender, known.len() + 1);
+    unknown.retain(|address| *address != router.settings.digests);
+    unknown.retain(|address| *address == sender || !known.contains(address));
+    if unknown.is_empty() {
+        return;
     }
-    if let Some(Ok(datagram)) = mine.as_ref().map(rmp_serde::to_vec) {
-        let strangers = mentioned.into_iter().filter(|address| {
-            *address != router.settings.digests
-                && !known.contains(address)
-                && called.insert(*address)
-        });
-        for address in std::iter::once(sender).chain(strangers) {
-            let _ = socket.send_to(&datagram, address).await;
-        }
+    let mine = router.dispatcher.borrow_mut().digest(now, router.stopping.get());
+    let Ok(datagram) = rmp_serde::to_vec(&mine) else { return };
+    for address in unknown {
+        let _ = socket.send_to(&datagram, address).await;
     }
 }
 
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -51,8 +51,8 @@
     pub back_ends: u64,
     /// What it has at back ends.
     pub engines: Vec<EngineReport>,
-    /// What tenants ask of it.
-    pub tenants: Vec<TenantReport>,
-    /// Digest addresses of further routers that it hears.
+    /// What tenants ask of it; left out where the last one told holds on.
+    pub tenants: Option<Vec<TenantReport>>,
+    /// Digest addresses of further routers that it hears, in some digests.
     pub peers: Vec<SocketAddr>,
 }
--- a/crates/routing/src/dispatch/fleet.rs
+++ b/crates/routing/src/dispatch/fleet.rs
@@ -14,6 +14,8 @@
 const PEER_LIFE: Duration = Duration::from_secs(12);
 /// Addresses of peers passed on in one digest.
 const PEERS_PASSED_ON: usize = 6;
+/// One digest in this many tells of tenants and of further routers; they change slowly.
+const FULL_DIGEST: u64 = 4;
 
 #[derive(Debug)]
 struct Peer {
@@ -55,8 +57,12 @@
             return None;
         }
         let mut reports = self.forget_earlier_lives(digest.sender);
-        let peer = Peer { heard: now, digest: digest.clone(), counted: true };
-        let replaced = self.peers.insert(digest.sender, peer);
+        let mut replaced = self.peers.remove(&digest.sender);
+        let earlier_tenants = replaced.as_mut().and_then(|peer| peer.digest.tenants.take());
+        let mut digest = digest.clone();
+        digest.tenants = digest.tenants.or(earlier_tenants);
+        let sender = digest.sender;
+        self.peers.insert(sender, Peer { heard: now, digest, counted: true });
         let is_new_peer = replaced.is_none();
         reports.extend(replaced.into_iter().flat_map(Peer::counted_reports));
         Some(Replaced { reports, is_new_peer })
@@ -112,7 +118,8 @@
         let mut asked: HashMap<String, f64> = HashMap::new();
         let mut given: HashMap<String, f64> = HashMap::new();
         let counted = self.peers.values().filter(|peer| peer.counted);
-        let reports = counted.flat_map(|peer| &peer.digest.tenants).chain(own);
+        let told = counted.filter_map(|peer| peer.digest.tenants.as_ref()).flatten();
+        let reports = told.chain(own);
         for report in reports {
             *asked.entry(report.name.clone()).or_default() += f64::from(report.asked);
             *given.entry(report.name.clone()).or_default() += f64::from(report.given);
@@ -130,9 +137,8 @@
         tenants: Vec<TenantReport>,
     ) -> Digest {
         self.sequence += 1;
-        let peers = self.addresses();
-        let start = self.sequence as usize % peers.len().max(1);
-        let peers = peers.iter().cycle().skip(start).take(PEERS_PASSED_ON.min(peers.len()));
+        let is_full = self.sequence % FULL_DIGEST == 1;
+        let peers = if is_full { self.some_addresses() } else { Vec::new() };
         Digest {
             sender: self.me,
             sequence: self.sequence,
@@ -141,11 +147,19 @@
             configuration,
             back_ends,
             engines,
-            tenants,
-            peers: peers.copied().collect(),
+            tenants: is_full.then_some(tenants),
+            peers,
         }
     }
 
+    /// Some peers, others each time.
+    fn some_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.addresses();
+        let start = (self.sequence / FULL_DIGEST) as usize % peers.len().max(1);
+        let some = peers.iter().cycle().skip(start).take(PEERS_PASSED_ON.min(peers.len()));
+        some.copied().collect()
+    }
+
     /// Digest addresses of the peers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.keys().map(|peer| peer.address).collect()
