--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -66,8 +66,8 @@
 const CALLERS_PART: f64 = 0.75;
 /// Part of the memory that callers' connections may take.
 const CALLERS_MEMORY: f64 = 0.6;
-/// Memory of an open connection with its buffers, in bytes, as measured (docs/CAPACITY.md).
-const CONNECTION_MEMORY: f64 = 40e3;
+/// Memory of an open connection with its request under way, in bytes, as measured (docs/CAPACITY.md).
+const CONNECTION_MEMORY: f64 = 60e3;
 /// Part of the connections from which on answers end their connection.
 const CROWDED_PART: usize = 3;
 
