Bound waits on the store by the propagation of changes; jitter them

Ruled out: gossip too slow (no peer knew either). Tests: watching.rs (the bound; calls by size of fleet), a_change_that_no_watch_was_told_of_comes_in_force_all_the_same.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,7 +10,7 @@
 use crate::settings::RouterSettings;
 use mastbay_routing::{
     BackEndList, Dispatcher, DispatcherLimits, PeerId, Placement, Refusal, RouteTable,
-    RoutingConfiguration, TicketId,
+    RoutingConfiguration, TicketId, watch_wait,
 };
 use mastbay_types::Timestamp;
 use smol::LocalExecutor;
@@ -130,6 +130,12 @@
         }
     }
 
+    /// How long the next call to a source may wait for a change.
+    pub fn source_wait(&self) -> Duration {
+        let routers = self.dispatcher.borrow().routers(self.now());
+        watch_wait(self.settings.propagation, routers, rand::random())
+    }
+
     /// Whether it takes work.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.catalogue.borrow().is_complete()
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -31,6 +31,8 @@
     pub stop_limit: Duration,
     /// `[router] share-window`: time over which tenants' shares are kept.
     pub share_window: Duration,
+    /// `[router] propagation`: time in which a change of a source must be in force.
+    pub propagation: Duration,
     /// `[router] first-start`: whether the whole fleet starts for the first time.
     pub first_start: bool,
     /// `[peers] listen`: where digests of peers arrive.
@@ -88,6 +90,7 @@
 
 const DEFAULT_WAITING: u64 = 400;
 const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(8);
+const DEFAULT_PROPAGATION: Duration = Duration::from_secs(2);
 const DEFAULT_SHARE_WINDOW: Duration = Duration::from_secs(4);
 
 /// Reads the sections of a router.
@@ -104,6 +107,7 @@
     let waiting: Bounded<1, 1_000_000> = section.or("most-waiting", Bounded(DEFAULT_WAITING));
     let stop: Span<100, 600_000> = section.or("stop-limit", Span(DEFAULT_STOP_LIMIT));
     let window: Span<100, 600_000> = section.or("share-window", Span(DEFAULT_SHARE_WINDOW));
+    let propagation: Span<100, 600_000> = section.or("propagation", Span(DEFAULT_PROPAGATION));
     let first_start = section.or("first-start", true);
     section.finish();
 
@@ -128,6 +132,7 @@
         most_waiting: waiting.0 as usize,
         stop_limit: stop.0,
         share_window: window.0,
+        propagation: propagation.0,
         first_start,
         digests: digests?,
         seeds,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod shares;
 mod table;
 mod waiting;
+mod watching;
 
 pub use attempt::{Attempt, AttemptState, Verdict};
 pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
@@ -32,3 +33,4 @@
 pub use prompt::{Prompt, PromptPart};
 pub use shares::{Usage, water_level};
 pub use table::{RouteTable, TableEntry};
+pub use watching::watch_wait;
