Bound bodies by memory; heads and idle time by the configuration in force

Change: limits are asked for each connection; bodies under way take a fifth of the memory at most, past that a request is told as not run. Relay takes a Source; one place reads the retry budget in exchange.

--- /dev/null
+++ b/crates/router/src/body_budget.rs
@@ -0,0 +1,50 @@
+//! A bound on the memory that bodies of requests take, over all requests that are under way.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Bytes taken for a body whose length its caller does not tell, before it is read.
+const UNTOLD_LENGTH: u64 = 64 << 10;
+
+/// The bytes that bodies may take together.
+#[derive(Debug, Clone)]
+pub struct BodyBudget {
+    most: u64,
+    used: Rc<Cell<u64>>,
+}
+
+/// Bytes taken from a budget; dropped, they are given back.
+#[derive(Debug)]
+pub struct BodyShare {
+    bytes: u64,
+    used: Rc<Cell<u64>>,
+}
+
+impl BodyBudget {
+    /// A budget of `most` bytes.
+    pub fn new(most: u64) -> Self {
+        Self { most, used: Rc::default() }
+    }
+
+    /// Takes room for a body of `length` bytes, if there is any.
+    pub fn take(&self, length: Option<u64>) -> Option<BodyShare> {
+        let bytes = length.unwrap_or(UNTOLD_LENGTH);
+        let used = self.used.get().saturating_add(bytes);
+        if used > self.most {
+            return None;
+        }
+        self.used.set(used);
+        Some(BodyShare { bytes, used: self.used.clone() })
+    }
+
+    /// Bytes in use.
+    pub fn used(&self) -> u64 {
+        self.used.get()
+    }
+}
+
+impl Drop for BodyShare {
+    fn drop(&mut self) {
+        self.used.set(self.used.get().saturating_sub(self.bytes));
+    }
+}
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::events::{self, Outcome, OutcomeKind};
 use crate::listener::{LocalBody, full};
 use crate::pool::{BackEndConnection, PoolError};
-use crate::relay::{Relay, StreamBody};
+use crate::relay::{Relay, Source, StreamBody};
 use crate::router::Router;
 use crate::serve::{Call, note_end, own_answer};
 use crate::ticket::Ticket;
@@ -155,16 +155,9 @@
         connection.note_headers(&head.headers);
         let id = placement.back_end.id.clone();
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
-            let relay = Relay::new(
-                &self.router,
-                &self.call,
-                &self.attempt,
-                ticket,
-                id,
-                connection,
-                body,
-                std::mem::take(&mut self.tried),
-            );
+            let source = Source { ticket, back_end: id, connection, body };
+            let tried = std::mem::take(&mut self.tried);
+            let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(Ended::Stream(head, relay));
         }
         let Ok(body) = read_limited(body, ANSWER_LIMIT).await else {
@@ -178,9 +171,7 @@
         self.call.note_first_event(self.router.now());
         if head.status.is_server_error() {
             ticket.fail(Fault::Failure);
-            let left = self.router.dispatcher.borrow_mut();
-            let has_budget = { left }.retries_left(self.router.now(), &self.call.service) >= 1.0;
-            if self.attempt.borrow().may_send() && has_budget {
+            if self.attempt.borrow().may_send() && self.has_retries() {
                 return None;
             }
         } else {
@@ -194,6 +185,11 @@
         sender.send(placement, self.call.head.last_event, true).await
     }
 
+    fn has_retries(&self) -> bool {
+        let now = self.router.now();
+        self.router.dispatcher.borrow_mut().retries_left(now, &self.call.service) >= 1.0
+    }
+
     fn take_retry(&self) -> bool {
         let now = self.router.now();
         self.router.dispatcher.borrow_mut().take_retry(now, &self.call.service)
@@ -411,7 +407,7 @@
             headers.insert(HOST, host.clone());
         }
         let path = call.uri.path_and_query()?.as_str();
-        let mut request = Request::new(Full::new(call.body.clone()));
+        let mut request = Request::new(Full::new(call.body.bytes.clone()));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = path.parse::<Uri>().ok()?;
         *request.headers_mut() = headers;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 //! What callers and back ends speak, and where configuration and back ends come from, plugs in at the
 //! seams in [`dialect`] and [`catalogue`]. Everything runs on one thread.
 
+pub mod body_budget;
 pub mod catalogue;
 pub mod client;
 pub mod dialect;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -92,11 +92,12 @@
     Ok(TcpListener::from(smol::Async::new_nonblocking(listener)?))
 }
 
-/// Serves connections until the stop is signalled, then until the last has ended.
+/// Serves connections until the stop is signalled, then until the last has ended. `limits` are asked for
+/// each connection, since a configuration may change them.
 pub async fn serve<H, F>(
     spawner: Spawner,
     listener: TcpListener,
-    limits: ListenerLimits,
+    limits: impl Fn() -> ListenerLimits,
     stop: StopSignal,
     open: OpenConnections,
     handler: H,
@@ -113,7 +114,8 @@
         };
         match accepted.or(stopped).await {
             None => break,
-            Some(Ok((stream, _))) if open.count() < limits.most_connections => {
+            Some(Ok((stream, _))) if open.count() < limits().most_connections => {
+                let limits = limits();
                 let (handler, stop, alive) = (handler.clone(), stop.clone(), alive.clone());
                 let counted = Counted::new(&open);
                 let task = spawner.spawn(async move {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -92,11 +92,15 @@
 }
 
 /// The back end that a stream comes from.
-struct Source {
-    ticket: Ticket,
-    back_end: BackEndId,
-    connection: BackEndConnection,
-    body: Incoming,
+pub struct Source {
+    /// The room taken there.
+    pub ticket: Ticket,
+    /// The back end.
+    pub back_end: BackEndId,
+    /// The connection to it.
+    pub connection: BackEndConnection,
+    /// The rest of its answer.
+    pub body: Incoming,
 }
 
 /// What came next from the back end.
@@ -109,23 +113,19 @@
 }
 
 impl Relay {
-    /// A stream whose head has come.
-    #[expect(clippy::too_many_arguments, reason = "the parts of an exchange that become a stream")]
+    /// A stream whose head has come from `source`, after the back ends in `tried` were given up.
     pub fn new(
         router: &Rc<Router>,
         call: &Rc<Call>,
         attempt: &Rc<RefCell<Attempt>>,
-        ticket: Ticket,
-        back_end: BackEndId,
-        connection: BackEndConnection,
-        body: Incoming,
+        source: Source,
         tried: Vec<BackEndId>,
     ) -> Self {
         Self {
             router: router.clone(),
             call: call.clone(),
             attempt: attempt.clone(),
-            source: Some(Source { ticket, back_end, connection, body }),
+            source: Some(source),
             splitter: EventSplitter::default(),
             last_event: call.head.last_event,
             events: 0,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,5 +1,6 @@
 //! The state that all parts of a router share, on one thread.
 
+use crate::body_budget::BodyBudget;
 use crate::catalogue::Catalogue;
 use crate::dialect::{BackEndDialect, CallerDialect};
 use crate::events;
@@ -59,6 +60,7 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: RouterMetrics,
     pub(crate) lines: RefCell<LineBudget>,
+    pub(crate) bodies: BodyBudget,
     pub(crate) stopping: Cell<bool>,
     pub(crate) stop: StopSignal,
     pub(crate) open: OpenConnections,
@@ -87,7 +89,9 @@
             most_waiting: settings.most_waiting,
         };
         let dispatcher = Dispatcher::new(limits, me, settings.operations);
+        let bodies = BodyBudget::new(settings.body_bytes());
         Rc::new(Self {
+            bodies,
             settings,
             seams,
             spawner,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,5 +1,6 @@
 //! A caller's request, from its head to its answer.
 
+use crate::body_budget::BodyShare;
 use crate::dialect::{CallerHead, OwnAnswer};
 use crate::events::{self, Outcome};
 use crate::exchange::Exchange;
@@ -7,7 +8,7 @@
 use crate::listener::{LocalBody, full};
 use crate::router::Router;
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri, http};
 use mastbay_routing::{Considered, Demand, Placement, Refusal, TableEntry};
@@ -29,7 +30,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Body,
     /// Its route.
     pub entry: TableEntry,
     /// The service that the route's weights chose.
@@ -116,6 +117,15 @@
     }
 }
 
+/// The body of a request and its share of the memory for bodies.
+pub struct Body {
+    /// The bytes.
+    pub bytes: Bytes,
+    _share: BodyShare,
+}
+
+/// When a caller may come back for whose body there is no memory.
+const NO_MEMORY_PAUSE: Duration = Duration::from_millis(500);
 /// Time that the body of a request may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -153,6 +163,14 @@
     let head = router.seams.callers.read(&parts);
     let head = head.map_err(|_| refused(None, OwnAnswer::Malformed))?;
     let limits = router.table().map(|table| table.configuration().limits).unwrap_or_default();
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > limits.body_bytes as u64) {
+        return Err(refused(Some(head.request_id), OwnAnswer::TooLarge));
+    }
+    let Some(share) = router.bodies.take(length) else {
+        let retry_after = Some(NO_MEMORY_PAUSE);
+        return Err(refused(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
+    };
     let read = mastbay_web::within(BODY_TIME, read_limited(body, limits.body_bytes)).await;
     let body = match read {
         Ok(Ok(body)) => body,
@@ -163,7 +181,8 @@
             return Err(refused(Some(head.request_id), OwnAnswer::Malformed));
         }
     };
-    route(router, arrived, parts, head, body).map_err(|(id, answer)| refused(Some(id), answer))
+    let routed = route(router, arrived, parts, head, Body { bytes: body, _share: share });
+    routed.map_err(|(id, answer)| refused(Some(id), answer))
 }
 
 /// Finds the route and the tenant of a request in the configuration that is in force now.
@@ -172,7 +191,7 @@
     arrived: Timestamp,
     parts: http::request::Parts,
     head: CallerHead,
-    body: Bytes,
+    body: Body,
 ) -> Result<Call, (String, OwnAnswer)> {
     let unknown_yet = OwnAnswer::NotRun { retry_after: Some(UNCONFIGURED_PAUSE) };
     let Some(table) = router.table() else { return Err((head.request_id, unknown_yet)) };
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -68,6 +68,8 @@
 const CALLERS_PART: f64 = 0.75;
 /// Part of the memory that callers' connections may take.
 const CALLERS_MEMORY: f64 = 0.6;
+/// Part of the memory that bodies of requests may take.
+const BODIES_MEMORY: f64 = 0.2;
 /// Memory of an open connection with its request under way, in bytes, as measured (docs/CAPACITY.md).
 const CONNECTION_MEMORY: f64 = 60e3;
 /// Part of the connections from which on answers end their connection.
@@ -82,6 +84,11 @@
         (by_descriptors.min(by_memory) as usize).max(1)
     }
 
+    /// Bytes that the bodies of requests under way may take together.
+    pub fn body_bytes(&self) -> u64 {
+        (self.memory_megabytes as f64 * 1e6 * BODIES_MEMORY) as u64
+    }
+
     /// Open connections from which on answers end their connection, so that idle ones give way.
     pub fn crowded_connections(&self) -> usize {
         self.most_connections() / CROWDED_PART
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -121,7 +121,7 @@
         .spawn(serve(
             spawner,
             readiness_listener,
-            limits,
+            move || limits,
             never.clone(),
             OpenConnections::default(),
             handler,
@@ -136,7 +136,7 @@
         .spawn(serve(
             spawner,
             operations_listener,
-            limits,
+            move || limits,
             never,
             OpenConnections::default(),
             handler,
@@ -145,10 +145,15 @@
 }
 
 fn serve_callers(router: &Rc<Router>, listener: TcpListener) -> smol::Task<()> {
-    let limits = ListenerLimits {
-        most_connections: router.settings.most_connections(),
-        head_bytes: 16 << 10,
-        idle_time: Duration::from_secs(15),
+    let asked = router.clone();
+    let limits = move || {
+        let configured = asked.table().map(|table| table.configuration().limits);
+        let configured = configured.unwrap_or_default();
+        ListenerLimits {
+            most_connections: asked.settings.most_connections(),
+            head_bytes: configured.head_bytes,
+            idle_time: configured.idle_time,
+        }
     };
     let serving = router.clone();
     let handler = move |request| serve_request(serving.clone(), request);
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -286,6 +286,20 @@
     });
 }
 
+#[test]
+fn the_configuration_bounds_the_heads_of_requests() {
+    run(async |spawner| {
+        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
+        let bed = Bed::start(spawner, &[&back_end]).await;
+        let long = Request::new("/safe/x").with("x-long", &"x".repeat(30_000));
+        assert_eq!(bed.call(&long).await.status, 431);
+        let mut wider = configuration(2);
+        wider.limits.head_bytes = 64 << 10;
+        bed.router.offer_configuration(wider, "test");
+        assert_eq!(bed.call(&long).await.status, 200);
+    });
+}
+
 #[test]
 fn a_router_that_misses_a_version_fetches_it_from_a_peer() {
     run(async |spawner| {
