--- /dev/null
+++ b/crates/simulation/src/bin/mastbay-router-fleet.rs
@@ -0,0 +1,48 @@
+//! Holds fleets of routers that decide alone against one router that knows everything at once.
+
+use mastbay_simulation::router_fleet::{RouterFleet, play_router_fleet};
+use std::time::Duration;
+
+/// Prints a line for each load and size of fleet.
+#[derive(argh::FromArgs)]
+struct Arguments {
+    /// sizes of fleets, joined by commas (1,7,60)
+    #[argh(option, default = "String::from(\"1,7,60\")")]
+    routers: String,
+    /// seconds of traffic (12)
+    #[argh(option, default = "12")]
+    seconds: u64,
+    /// seed of all chance (1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Engines for each of the loads, and requests a second that one engine is asked for.
+const ENGINES: usize = 24;
+const LOADS: [f64; 3] = [10.0, 20.0, 30.0];
+
+fn main() {
+    let arguments: Arguments = argh::from_env();
+    println!("requests/s  routers  in time  late  refused  read again, k  most at an engine");
+    for load in LOADS {
+        for routers in arguments.routers.split(',').filter_map(|text| text.trim().parse().ok()) {
+            let report = play_router_fleet(RouterFleet {
+                routers,
+                engines: ENGINES,
+                slots: 48,
+                requests_per_second: load * ENGINES as f64,
+                length: Duration::from_secs(arguments.seconds),
+                seed: arguments.seed,
+            });
+            println!(
+                "{:10.0}  {routers:7}  {:7.3}  {:4}  {:7}  {:13}  {:17}",
+                load * ENGINES as f64,
+                report.in_time_share(),
+                report.late,
+                report.refused,
+                report.read_again_thousands,
+                report.most_at_engine,
+            );
+        }
+    }
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`engines`] models back ends; [`world`] runs a dispatcher against them and measures.
 //! - [`fleet`] is our own dispatcher: gateways and schedulers that exchange messages over
 //!   [`network`]; [`baselines`] are the ways it is compared with.
+//! - [`router_fleet`] holds routers that decide alone against one that knows everything at once.
 //! - [`safety`] runs single requests through every fault at every step; [`slopes`] measures what
 //!   control costs as the fleet grows.
 
@@ -17,6 +18,7 @@
 pub mod measure;
 pub mod network;
 pub mod report;
+pub mod router_fleet;
 pub mod safety;
 pub mod scenario;
 pub mod slopes;
