Split the dispatcher's messages and fair level, and a try at a back end, from grown files

Change: messages.rs, fair_level.rs, send.rs, headers.rs; moved, not changed. Ruled out: changes of behaviour: tests of routing, router and platform pass as before.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -1,27 +1,23 @@
 //! A request's way to back ends: placed, sent, sent again where that is allowed, answered.
 
-use crate::dialect::{AnswerKind, OutgoingCall, OwnAnswer};
+use crate::dialect::OwnAnswer;
 use crate::events::{self, Outcome, OutcomeKind};
+use crate::headers::keep_end_to_end;
 use crate::listener::{LocalBody, full};
-use crate::pool::{BackEndConnection, PoolError};
+use crate::pool::BackEndConnection;
 use crate::relay::{Relay, Source, StreamBody};
 use crate::router::Router;
+use crate::send::{Sender, Try};
 use crate::serve::{Call, note_end, own_answer};
 use crate::ticket::Ticket;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING,
-    UPGRADE,
-};
-use hyper::{Request, Response, StatusCode, Uri, http};
+use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
     Attempt, BackEndId, Fault, Placement, Refusal, RefusalReason, RouteKind, Verdict,
 };
 use mastbay_web::{read_limited, within};
 use std::cell::RefCell;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,11 +25,6 @@
 const ANSWER_LIMIT: usize = 16 << 20;
 /// Back ends that are tried in vain, without a byte sent or with their word that it did not run.
 const MOST_REJECTIONS: u32 = 3;
-/// Silence of a back end after which a request that may run again goes to another, in objectives.
-const SILENCE_OBJECTIVES: f64 = 2.0;
-/// Least such silence.
-const LEAST_SILENCE: Duration = Duration::from_millis(600);
-
 /// A request on its way.
 pub struct Exchange {
     router: Rc<Router>,
@@ -45,18 +36,6 @@
     rejections: u32,
 }
 
-/// How one try at one back end ended.
-pub enum Try {
-    /// With the head of an answer.
-    Answered(http::response::Parts, Incoming, BackEndConnection),
-    /// Nothing was sent.
-    NotSent(Fault),
-    /// The back end says that it did not run the request.
-    NotRun(Fault),
-    /// Sent, outcome unknown.
-    Lost(Fault),
-}
-
 /// What came of all tries.
 pub enum Ended {
     /// A whole answer of a back end.
@@ -285,148 +264,3 @@
         }
     }
 }
-
-/// Removes what concerns one connection only.
-pub fn keep_end_to_end(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, CONTENT_LENGTH] {
-        headers.remove(name);
-    }
-    for name in
-        ["keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "expect"]
-    {
-        headers.remove(name);
-    }
-}
-
-/// Sends a request to one back end.
-pub struct Sender<'a> {
-    /// The router.
-    pub router: &'a Rc<Router>,
-    /// The request.
-    pub call: &'a Call,
-    /// Its life so far.
-    pub attempt: &'a RefCell<Attempt>,
-}
-
-impl Sender<'_> {
-    /// Sends the request and waits for the head of its answer.
-    pub async fn send(
-        &self,
-        placement: &Placement,
-        last_event: Option<u64>,
-        may_be_unsent: bool,
-    ) -> Try {
-        let back_end = &placement.back_end;
-        let taken = self.router.pool.take(back_end, self.most_connections()).await;
-        let mut connection = match taken {
-            Ok(connection) => connection,
-            Err(PoolError::Exhausted) => return Try::NotSent(Fault::Full),
-            Err(_) => return Try::NotSent(Fault::Unreachable),
-        };
-        // The back end may have begun to leave while the connection came up.
-        if !self.router.dispatcher.borrow().is_usable(&back_end.id) {
-            return Try::NotSent(Fault::Replaced);
-        }
-        let Some(request) = self.request(placement, last_event) else {
-            return Try::NotSent(Fault::Broken);
-        };
-        self.attempt.borrow_mut().on_send();
-        let answered = self.wait_for_head(&mut connection, request, placement).await;
-        match answered {
-            Some(Ok(answer)) => self.read_head(answer, connection),
-            Some(Err(error)) if !error.written && may_be_unsent => {
-                self.attempt.borrow_mut().on_nothing_written();
-                Try::NotSent(Fault::Full)
-            }
-            Some(Err(_)) | None => Try::Lost(Fault::Broken),
-        }
-    }
-
-    /// The head of the answer; nothing if the back end is silent and another may be tried.
-    async fn wait_for_head(
-        &self,
-        connection: &mut BackEndConnection,
-        request: Request<Full<Bytes>>,
-        placement: &Placement,
-    ) -> Option<Result<Response<Incoming>, crate::pool::ExchangeError>> {
-        let mut exchange = pin!(connection.exchange(request));
-        let silence =
-            self.call.entry.route.objective.mul_f64(SILENCE_OBJECTIVES).max(LEAST_SILENCE);
-        if let Ok(answered) = within(silence + placement.predicted, exchange.as_mut()).await {
-            return Some(answered);
-        }
-        if self.may_give_up_on_silence() {
-            return None;
-        }
-        Some(exchange.await)
-    }
-
-    fn may_give_up_on_silence(&self) -> bool {
-        let mut as_lost = self.attempt.borrow().clone();
-        as_lost.on_lost();
-        let now = self.router.now();
-        let mut dispatcher = self.router.dispatcher.borrow_mut();
-        as_lost.may_send() && dispatcher.retries_left(now, &self.call.service) >= 1.0
-    }
-
-    fn read_head(&self, answer: Response<Incoming>, connection: BackEndConnection) -> Try {
-        let (head, body) = answer.into_parts();
-        match self.router.seams.back_ends.classify(&self.call.head.request_id, &head) {
-            AnswerKind::Answer => Try::Answered(head, body, connection),
-            AnswerKind::NotRunFull => Try::NotRun(Fault::Full),
-            AnswerKind::NotRunReplaced => Try::NotRun(Fault::Replaced),
-            AnswerKind::Foreign => Try::Lost(Fault::Broken),
-        }
-    }
-
-    fn request(
-        &self,
-        placement: &Placement,
-        last_event: Option<u64>,
-    ) -> Option<Request<Full<Bytes>>> {
-        let call = self.call;
-        let outgoing = OutgoingCall {
-            back_end: &placement.back_end.id.0,
-            time_left: call.time_left(self.router.now()),
-            tenant: call.tenant.as_deref(),
-            last_event,
-        };
-        let mut headers = self.router.seams.back_ends.outgoing(&call.headers, &outgoing);
-        keep_end_to_end(&mut headers);
-        if let Some(host) = call.headers.get(HOST) {
-            headers.insert(HOST, host.clone());
-        }
-        let path = call.uri.path_and_query()?.as_str();
-        let mut request = Request::new(Full::new(call.body.bytes.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = path.parse::<Uri>().ok()?;
-        *request.headers_mut() = headers;
-        Some(request)
-    }
-
-    /// Connections that this router may have to one back end of the service.
-    fn most_connections(&self) -> u32 {
-        let table = self.router.table();
-        let service = table.as_ref().and_then(|table| table.service(&self.call.service));
-        let most = service.map_or(DEFAULT_MOST_CONNECTIONS, |service| service.most_connections);
-        let routers = self.router.dispatcher.borrow().routers(self.router.now()).max(LEAST_ROUTERS);
-        ((f64::from(most) * CONNECTIONS_PART) as u32 / routers as u32).max(2)
-    }
-}
-
-/// Connections to one back end where its service tells no bound.
-const DEFAULT_MOST_CONNECTIONS: u32 = 256;
-/// Part of the connections that routers known to each other use.
-const CONNECTIONS_PART: f64 = 0.8;
-/// A router that knows fewer others still takes no more than one of this many parts.
-const LEAST_ROUTERS: usize = 3;
--- /dev/null
+++ b/crates/router/src/headers.rs
@@ -0,0 +1,27 @@
+//! Headers that concern one connection only.
+
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+
+/// Removes what concerns one connection only.
+pub fn keep_end_to_end(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, CONTENT_LENGTH] {
+        headers.remove(name);
+    }
+    for name in
+        ["keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "expect"]
+    {
+        headers.remove(name);
+    }
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,9 +1,9 @@
 //! A stream on its way to its caller: whole events only, taken up at another back end if that is allowed.
 
 use crate::events::{Outcome, OutcomeKind};
-use crate::exchange::{Sender, Try};
 use crate::pool::BackEndConnection;
 use crate::router::Router;
+use crate::send::{Sender, Try};
 use crate::serve::{Call, note_end};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
--- /dev/null
+++ b/crates/routing/src/dispatch/fair_level.rs
@@ -0,0 +1,51 @@
+//! Tenants' rates over the fleet, the fair level that follows, and the order of waiters.
+
+use crate::shares::water_level;
+use crate::waiting::{Waiter, WaitingOrder};
+use std::collections::HashMap;
+
+/// Tenants' rates over the fleet and the fair level.
+#[derive(Debug)]
+pub struct Shares {
+    given: HashMap<String, f64>,
+    /// The most that a tenant is given before others go first, in tokens a second.
+    pub level: f64,
+}
+
+impl Shares {
+    /// The shares that follow from rates asked and given by tenant. What is given shows what engines
+    /// really make; the capacity of the configuration is a guess.
+    pub fn new(
+        asked: &HashMap<String, f64>,
+        given: HashMap<String, f64>,
+        capacity: Option<u64>,
+    ) -> Self {
+        let mut demands: Vec<f64> = asked.values().copied().collect();
+        let total_given: f64 = given.values().sum();
+        let level = capacity.map_or(f64::INFINITY, |capacity| {
+            water_level(&mut demands, total_given.max(capacity as f64))
+        });
+        Self { given, level }
+    }
+
+    /// Service given to a tenant, in tokens a second.
+    pub fn given(&self, tenant: &str) -> f64 {
+        self.given.get(tenant).copied().unwrap_or(0.0)
+    }
+
+    /// Whether a tenant is given more than the fair level.
+    pub fn is_over(&self, tenant: &str) -> bool {
+        self.given(tenant) > self.level
+    }
+
+    /// The place of a waiter in the order.
+    pub fn order(&self, waiter: &Waiter) -> WaitingOrder {
+        let tenant = waiter.demand.tenant.as_deref();
+        WaitingOrder {
+            priority: waiter.demand.priority,
+            over_share: tenant.is_some_and(|tenant| self.is_over(tenant)),
+            given: tenant.map_or(0.0, |tenant| self.given(tenant)),
+            ticket: waiter.ticket.0,
+        }
+    }
+}
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -2,19 +2,21 @@
 //!
 //! A router decides alone, on what it has itself at each back end and on what its peers last told.
 
+mod fair_level;
 mod fleet;
 mod homes;
+mod messages;
 mod placement;
 
 use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
-use crate::budget::{BudgetLimits, RetryBudget};
+use crate::budget::RetryBudget;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
 use crate::digest::{Digest, EngineReport, PeerId};
 use crate::engine::{Engine, Load};
 use crate::health::Fault;
-use crate::prompt::Prompt;
 use crate::shares::Usage;
-use crate::waiting::{Waiter, WaitingOrder, WaitingQueue};
+use crate::waiting::{Waiter, WaitingQueue};
+use fair_level::Shares;
 use fleet::Fleet;
 use homes::Homes;
 use mastbay_types::Timestamp;
@@ -22,143 +24,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-/// Settings of a [`Dispatcher`].
-#[derive(Debug, Clone, PartialEq)]
-pub struct DispatcherLimits {
-    /// The router's zone.
-    pub zone: String,
-    /// Time over which tenants' shares are kept.
-    pub share_window: Duration,
-    /// The fleet's budget of second sends for each service.
-    pub budget: BudgetLimits,
-    /// No burst of second sends before this moment.
-    pub burst_from: Timestamp,
-    /// Most requests that wait.
-    pub most_waiting: usize,
-}
-
-/// Names a request in a dispatcher, from admission to its end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct TicketId(pub u64);
-
-/// What a request asks for.
-#[derive(Debug, Clone)]
-pub struct Demand {
-    /// The service.
-    pub service: String,
-    /// Its prompt, if it is for a model.
-    pub prompt: Option<Prompt>,
-    /// When it came.
-    pub arrived: Timestamp,
-    /// When it is of no more use to its caller.
-    pub deadline: Timestamp,
-    /// Time within which it should be answered.
-    pub objective: Duration,
-    /// Rank; 0 is the highest.
-    pub priority: u32,
-    /// Its tenant.
-    pub tenant: Option<Arc<str>>,
-    /// Back ends that it is not given again.
-    pub tried: Vec<BackEndId>,
-}
-
-impl Demand {
-    fn load(&self, uncached: u64) -> Load {
-        let memory = self.prompt.as_ref().map_or(0, Prompt::memory);
-        Load { running: 1, unread: uncached, memory }
-    }
-}
-
-/// A back end chosen for a request.
-#[derive(Debug, Clone)]
-pub struct Placement {
-    /// The request's ticket.
-    pub ticket: TicketId,
-    /// The back end.
-    pub back_end: BackEnd,
-    /// Time to the first event as predicted.
-    pub predicted: Duration,
-    /// Requests known to be there from all routers.
-    pub running: u32,
-    /// Prompt tokens that it has to read for this request.
-    pub uncached: u64,
-    /// Age of the oldest figure that was used, zero if there are no peers.
-    pub age: Duration,
-}
-
-/// A request that is not served now.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: RefusalReason,
-    /// When to come back.
-    pub retry_after: Duration,
-    /// What was known, if any back end came into question.
-    pub considered: Option<Considered>,
-}
-
-/// What decided against a request: its first back end as it was known, and its tenant's share.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Considered {
-    /// The back end that comes first for the request.
-    pub back_end: BackEndId,
-    /// Requests known to be there.
-    pub running: u32,
-    /// Its slots.
-    pub slots: u32,
-    /// Prompt tokens known to wait there to be read.
-    pub unread: u64,
-    /// Time to the first event as predicted.
-    pub predicted: Duration,
-    /// Service given to the tenant over the fleet, in tokens a second.
-    pub given: f64,
-    /// The fair level, in tokens a second; infinite if all can be served.
-    pub level: f64,
-}
-
-impl Refusal {
-    /// The router stops before the request had its turn.
-    pub fn stopping() -> Self {
-        Self { reason: RefusalReason::Stopping, retry_after: Duration::ZERO, considered: None }
-    }
-}
-
-/// Why a request is not served now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub enum RefusalReason {
-    /// No back end of the service is known to take work.
-    #[display("no_back_end")]
-    NoBackEnd,
-    /// No back end has room now, and the tenant has more than the fair level.
-    #[display("over_share")]
-    OverShare,
-    /// No back end has room in time.
-    #[display("no_room")]
-    NoRoom,
-    /// The router stops.
-    #[display("stopping")]
-    Stopping,
-    /// Too many requests wait.
-    #[display("queue_full")]
-    QueueFull,
-}
-
-/// Decisions on requests that waited.
-pub type Verdicts = Vec<(TicketId, Result<Placement, Refusal>)>;
-
-/// The answer to a request for admission.
-#[derive(Debug)]
-pub enum Admission {
-    /// It goes to a back end now.
-    Placed(Placement),
-    /// It waits; [`Dispatcher::poll`] tells what becomes of it.
-    Waiting(TicketId),
-    /// It is not served.
-    Refused(Refusal),
-}
+pub use messages::{
+    Admission, Considered, Demand, DispatcherLimits, Placement, Refusal, RefusalReason, TicketId,
+    Verdicts,
+};
 
 /// A request that a back end works on.
 #[derive(Debug)]
@@ -548,16 +419,7 @@
     fn new_shares(&mut self, now: Timestamp) -> Shares {
         let own = self.usage.reports(now);
         let (asked, given) = self.fleet.tenant_rates(&own);
-        let mut demands: Vec<f64> = asked.values().copied().collect();
-        // What is given shows what engines really make; the figure of the configuration is a guess.
-        let total_given: f64 = given.values().sum();
-        let level = match self.capacity {
-            Some(capacity) => {
-                crate::shares::water_level(&mut demands, total_given.max(capacity as f64))
-            }
-            None => f64::INFINITY,
-        };
-        Shares { given, level }
+        Shares::new(&asked, given, self.capacity)
     }
 
     /// Reserves room for a request at the best back end, if one has it. A request whose time to wait
@@ -591,33 +453,6 @@
     }
 }
 
-/// Tenants' rates over the fleet and the fair level.
-#[derive(Debug)]
-struct Shares {
-    given: HashMap<String, f64>,
-    level: f64,
-}
-
-impl Shares {
-    fn given(&self, tenant: &str) -> f64 {
-        self.given.get(tenant).copied().unwrap_or(0.0)
-    }
-
-    fn is_over(&self, tenant: &str) -> bool {
-        self.given(tenant) > self.level
-    }
-
-    fn order(&self, waiter: &Waiter) -> WaitingOrder {
-        let tenant = waiter.demand.tenant.as_deref();
-        WaitingOrder {
-            priority: waiter.demand.priority,
-            over_share: tenant.is_some_and(|tenant| self.is_over(tenant)),
-            given: tenant.map_or(0.0, |tenant| self.given(tenant)),
-            ticket: waiter.ticket.0,
-        }
-    }
-}
-
 /// Until when a request waits: a part of its objective; one that was tried before, the whole.
 fn hold_until(demand: &Demand) -> Timestamp {
     let part = if demand.tried.is_empty() { HOLD_PART } else { 1.0 };
