One place for the retry budget and for what a given-up request is told; drop what nothing calls

Cause: reading the change again: the budget was asked for in three places and taken in two by the same lines; refused and give_up held the same match; put_back was push under another name; next_expiry had no caller. Change: Router::has_retries and take_retry, Exchange::told. Ruled out: changes of behaviour: order and bounds of the calls are as before.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -80,7 +80,7 @@
                 Ok(obtained) => obtained,
                 Err(refusal) => return self.refused(refusal),
             };
-            if self.arrivals > 0 && !self.take_retry() {
+            if self.arrivals > 0 && !self.router.take_retry(&self.call.service) {
                 return self.give_up("retry_budget");
             }
             self.call.note_placement(&placement, self.router.now());
@@ -150,7 +150,7 @@
         self.call.note_first_event(self.router.now());
         if head.status.is_server_error() {
             ticket.fail(Fault::Failure);
-            if self.attempt.borrow().may_send() && self.has_retries() {
+            if self.attempt.borrow().may_send() && self.router.has_retries(&self.call.service) {
                 return None;
             }
         } else {
@@ -164,16 +164,6 @@
         sender.send(placement, self.call.head.last_event, true).await
     }
 
-    fn has_retries(&self) -> bool {
-        let now = self.router.now();
-        self.router.dispatcher.borrow_mut().retries_left(now, &self.call.service) >= 1.0
-    }
-
-    fn take_retry(&self) -> bool {
-        let now = self.router.now();
-        self.router.dispatcher.borrow_mut().take_retry(now, &self.call.service)
-    }
-
     fn refused(&self, refusal: Refusal) -> Ended {
         self.call.note_refusal(&refusal);
         let reason = match refusal.reason {
@@ -183,23 +173,20 @@
             RefusalReason::Stopping => "stopping",
             RefusalReason::QueueFull => "queue_full",
         };
-        match self.attempt.borrow().verdict() {
-            Verdict::NotRun => {
-                let retry_after = Some(refusal.retry_after);
-                Ended::GivenUp(OwnAnswer::NotRun { retry_after }, reason)
-            }
-            Verdict::MayHaveRun => Ended::GivenUp(OwnAnswer::UnknownOutcome, reason),
-        }
+        self.told(refusal.retry_after, reason)
     }
 
     fn give_up(&self, reason: &'static str) -> Ended {
-        match self.attempt.borrow().verdict() {
-            Verdict::NotRun => {
-                let retry_after = Some(REJECTED_PAUSE);
-                Ended::GivenUp(OwnAnswer::NotRun { retry_after }, reason)
-            }
-            Verdict::MayHaveRun => Ended::GivenUp(OwnAnswer::UnknownOutcome, reason),
-        }
+        self.told(REJECTED_PAUSE, reason)
+    }
+
+    /// What the caller is told of a request that goes to no further back end.
+    fn told(&self, retry_after: Duration, reason: &'static str) -> Ended {
+        let answer = match self.attempt.borrow().verdict() {
+            Verdict::NotRun => OwnAnswer::NotRun { retry_after: Some(retry_after) },
+            Verdict::MayHaveRun => OwnAnswer::UnknownOutcome,
+        };
+        Ended::GivenUp(answer, reason)
     }
 }
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -236,12 +236,10 @@
     fn may_resume(&self) -> bool {
         let mut as_lost = self.attempt.borrow().clone();
         as_lost.on_lost();
-        let now = self.router.now();
-        let mut dispatcher = self.router.dispatcher.borrow_mut();
         self.call.entry.route.resumable
             && self.resumes < MOST_RESUMES
             && as_lost.may_send()
-            && dispatcher.retries_left(now, &self.call.service) >= 1.0
+            && self.router.has_retries(&self.call.service)
     }
 
     /// Takes the stream up at another back end.
@@ -269,11 +267,10 @@
         demand.tried = self.tried.clone();
         demand.arrived = self.router.now();
         let (ticket, placement) = Ticket::obtain(&self.router, demand).await.ok()?;
-        let now = self.router.now();
-        if !self.router.dispatcher.borrow_mut().take_retry(now, &self.call.service) {
+        if !self.router.take_retry(&self.call.service) {
             return None;
         }
-        self.call.note_placement(&placement, now);
+        self.call.note_placement(&placement, self.router.now());
         let sender = Sender { router: &self.router, call: &self.call, attempt: &self.attempt };
         match sender.send(&placement, self.last_event, false).await {
             Try::Answered(head, body, connection) if head.status == StatusCode::OK => {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -161,6 +161,16 @@
         self.catalogue.borrow().table()
     }
 
+    /// Whether the budget of a service holds a further send.
+    pub(crate) fn has_retries(&self, service: &str) -> bool {
+        self.dispatcher.borrow_mut().retries_left(self.now(), service) >= 1.0
+    }
+
+    /// Takes a further send from the budget of a service, if it holds one.
+    pub(crate) fn take_retry(&self, service: &str) -> bool {
+        self.dispatcher.borrow_mut().take_retry(self.now(), service)
+    }
+
     /// Tells waiting requests what became of them.
     pub(crate) fn poll_waiting(&self) {
         if !self.dispatcher.borrow().has_waiting() {
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -100,9 +100,7 @@
     fn may_give_up_on_silence(&self) -> bool {
         let mut as_lost = self.attempt.borrow().clone();
         as_lost.on_lost();
-        let now = self.router.now();
-        let mut dispatcher = self.router.dispatcher.borrow_mut();
-        as_lost.may_send() && dispatcher.retries_left(now, &self.call.service) >= 1.0
+        as_lost.may_send() && self.router.has_retries(&self.call.service)
     }
 
     fn read_head(&self, answer: Response<Incoming>, connection: BackEndConnection) -> Try {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -200,11 +200,6 @@
         verdicts
     }
 
-    /// When [`Self::poll`] has something to give up next.
-    pub fn next_expiry(&self) -> Option<Timestamp> {
-        self.waiting.values().filter_map(WaitingQueue::next_expiry).min()
-    }
-
     /// Whether any request waits.
     pub fn has_waiting(&self) -> bool {
         !self.waiting.is_empty()
@@ -341,7 +336,7 @@
             }
         }
         if let Some(queue) = self.waiting.get_mut(service) {
-            left.into_iter().for_each(|waiter| queue.put_back(waiter));
+            left.into_iter().for_each(|waiter| queue.push(waiter));
         }
     }
 
--- a/crates/routing/src/waiting.rs
+++ b/crates/routing/src/waiting.rs
@@ -67,14 +67,4 @@
         });
         ordered.into_iter().map(|(_, waiter)| waiter).collect()
     }
-
-    /// Puts a waiter back that was taken out in vain.
-    pub fn put_back(&mut self, waiter: Waiter) {
-        self.waiters.push(waiter);
-    }
-
-    /// When the next waiter is given up.
-    pub fn next_expiry(&self) -> Option<Timestamp> {
-        self.waiters.iter().map(|waiter| waiter.until).min()
-    }
 }
