--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -7,7 +7,8 @@
     BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, EngineLimits, Limits, Route,
     RouteKind, RoutingConfiguration, Service, Target, Tenant,
 };
-use mastbay_testbed::PortBlock;
+pub use mastbay_testbed::header;
+use mastbay_testbed::{PortBlock, read_request};
 use prometheus_client::registry::Registry;
 use smol::LocalExecutor;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
@@ -105,33 +106,6 @@
     }
 }
 
-/// Reads a request with its body; gives its head.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    let mut buffer = [0; 4_096];
-    loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some(end) = text.find("\r\n\r\n") {
-            let length = header(&text[..end], "content-length");
-            let length: usize = length.and_then(|value| value.parse().ok()).unwrap_or(0);
-            if bytes.len() >= end + 4 + length {
-                return Some(text[..end].to_owned());
-            }
-        }
-        match stream.read(&mut buffer).await {
-            Ok(read) if read > 0 => bytes.extend_from_slice(&buffer[..read]),
-            _ => return None,
-        }
-    }
-}
-
-/// A header of a message's head.
-pub fn header(head: &str, name: &str) -> Option<String> {
-    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
-    let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
-    found.map(|(_, value)| value.to_owned())
-}
-
 /// A whole answer with a body of known length.
 pub fn answer(body: &str) -> Vec<Step> {
     let length = body.len();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 mod load;
 mod ports;
 mod process;
+mod raw;
 mod relay;
 mod runs;
 
@@ -18,5 +19,6 @@
 pub use load::{Load, LoadOptions, Observed, Told};
 pub use ports::PortBlock;
 pub use process::{Process, StartFailed, binary};
+pub use raw::{header, read_request};
 pub use relay::Relay;
 pub use runs::Runs;
--- /dev/null
+++ b/crates/testbed/src/raw.rs
@@ -0,0 +1,34 @@
+//! Requests as bytes, for stand-ins that answer in ways no HTTP library would.
+
+use smol::io::AsyncReadExt;
+use smol::net::TcpStream;
+
+/// Bytes read at a time.
+const CHUNK: usize = 4_096;
+
+/// Reads a request with its body of known length; gives its head, or nothing if the connection ended.
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; CHUNK];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text[..end], "content-length");
+            let length: usize = length.and_then(|value| value.parse().ok()).unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                return Some(text[..end].to_owned());
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(read) if read > 0 => bytes.extend_from_slice(&buffer[..read]),
+            _ => return None,
+        }
+    }
+}
+
+/// A header of a message's head.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    let found = lines.find(|(key, _)| key.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.to_owned())
+}
