Send callers elsewhere when a router has more than it carries; let one router fill an engine's slots

Cause: at the grown Kolkata site the balancer's hash brings one tenant's callers, up to 500 requests a second, to one router of 0.12 core. Two things failed there, from its log: (1) its connections to each engine were bounded at an even part of the fleet's, 6 of 530, and 11,340 tries ended with fault=Full reason=not_sent while engines had 24 slots; (2) its processor: it answered 503 or closed 28,098 connections while its 15 neighbours did next to nothing. Change: ConnectionBounds (open connections go by the back end's slots, only resting ones are divided evenly); OverloadGuard (a router whose turns are late for most of the time, or that has too many connections, calls itself not ready and ends connections for 3 to 8 s, unless a quarter of the fleet does so already); digests tell a standing in place of a flag that nobody read. The tenant moves as one from router to router, so each in turn is overloaded for two seconds; next.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -5,7 +5,7 @@
 use crate::serve::Call;
 use derive_more::Display;
 use mastbay_routing::{
-    BackEndId, BackEndList, BackEndState, Considered, Fault, Placement, RouteTable,
+    BackEndId, BackEndList, BackEndState, Considered, Fault, Placement, RouteTable, Turn,
 };
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -224,6 +224,17 @@
     tracing::info!(event = "dependency", name, available, detail);
 }
 
+/// The router begins or ceases to send new callers elsewhere.
+pub fn overload(shedding: bool, lateness: f64, turn: Turn) {
+    tracing::info!(
+        event = "overload",
+        shedding,
+        lateness,
+        connections_part = turn.connections,
+        others_shedding = turn.others_shedding,
+    );
+}
+
 /// A phase of the process's life began.
 pub fn life(phase: &str, name: &str) {
     tracing::info!(event = "process", phase, name);
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -43,7 +43,7 @@
     let (digest, mut targets) = {
         let mut dispatcher = router.dispatcher.borrow_mut();
         dispatcher.expire_peers(now);
-        let digest = dispatcher.digest(now, router.stopping.get());
+        let digest = dispatcher.digest(now, router.standing());
         let targets: BTreeSet<SocketAddr> = dispatcher.peers().into_iter().collect();
         (digest, targets)
     };
@@ -99,7 +99,7 @@
     if unknown.is_empty() {
         return;
     }
-    let mine = router.dispatcher.borrow_mut().digest(now, router.stopping.get());
+    let mine = router.dispatcher.borrow_mut().digest(now, router.standing());
     let Ok(datagram) = rmp_serde::to_vec(&mine) else { return };
     for address in unknown {
         let _ = socket.send_to(&datagram, address).await;
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -8,7 +8,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
-use mastbay_routing::{BackEnd, BackEndId, BackEndList};
+use mastbay_routing::{BackEnd, BackEndId, BackEndList, ConnectionBounds};
 use mastbay_web::{Counted, WriteCount, within};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -96,6 +96,7 @@
 #[derive(Default)]
 struct BackEndConnections {
     idle: Vec<Idle>,
+    most_resting: u32,
     open: Rc<Cell<u32>>,
 }
 
@@ -123,19 +124,21 @@
     pub async fn take(
         &self,
         back_end: &BackEnd,
-        most: u32,
+        bounds: ConnectionBounds,
     ) -> Result<BackEndConnection, PoolError> {
         if let Some(connection) = self.take_idle(&back_end.id) {
             return Ok(connection);
         }
-        let counted = self.count_open(&back_end.id, most)?;
+        let counted = self.count_open(&back_end.id, bounds)?;
         self.open(back_end, counted).await
     }
 
-    /// Keeps a connection whose exchange ended cleanly.
+    /// Keeps a connection whose exchange ended cleanly, unless as many rest there as may.
     pub fn keep(&self, id: &BackEndId, connection: BackEndConnection) {
         let mut back_ends = self.back_ends.borrow_mut();
-        if let Some(connections) = back_ends.get_mut(id) {
+        let connections = back_ends.get_mut(id);
+        let with_room = connections.filter(|kept| kept.idle.len() < kept.most_resting as usize);
+        if let Some(connections) = with_room {
             let until = Instant::now() + connection.keep;
             connections.idle.push(Idle { connection, until });
         }
@@ -167,10 +170,12 @@
         None
     }
 
-    fn count_open(&self, id: &BackEndId, most: u32) -> Result<OpenCount, PoolError> {
+    fn count_open(&self, id: &BackEndId, bounds: ConnectionBounds) -> Result<OpenCount, PoolError> {
         let mut back_ends = self.back_ends.borrow_mut();
-        let open = &back_ends.entry(id.clone()).or_default().open;
-        if open.get() >= most {
+        let connections = back_ends.entry(id.clone()).or_default();
+        connections.most_resting = bounds.resting;
+        let open = &connections.open;
+        if open.get() >= bounds.open {
             return Err(PoolError::Exhausted);
         }
         open.set(open.get() + 1);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,8 +10,8 @@
 use crate::pool::Pool;
 use crate::settings::RouterSettings;
 use mastbay_routing::{
-    BackEndList, Dispatcher, DispatcherLimits, PeerId, Placement, Refusal, RouteTable,
-    RoutingConfiguration, TicketId, watch_wait,
+    BackEndList, Dispatcher, DispatcherLimits, OverloadGuard, PeerId, Placement, Refusal,
+    RouteTable, RoutingConfiguration, Standing, TicketId, Turn, watch_wait,
 };
 use mastbay_types::Timestamp;
 use smol::LocalExecutor;
@@ -62,6 +62,7 @@
     pub(crate) lines: RefCell<LineBudget>,
     pub(crate) bodies: BodyBudget,
     pub(crate) stopping: Cell<bool>,
+    overload: RefCell<OverloadGuard>,
     pub(crate) stop: StopSignal,
     pub(crate) open: OpenConnections,
     origin: Instant,
@@ -102,6 +103,7 @@
             metrics,
             lines: RefCell::default(),
             stopping: Cell::new(false),
+            overload: RefCell::default(),
             stop: StopSignal::default(),
             open: OpenConnections::default(),
             origin: Instant::now(),
@@ -142,12 +144,24 @@
 
     /// Whether it takes work.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.catalogue.borrow().is_complete()
+        self.standing() == Standing::Serving && self.catalogue.borrow().is_complete()
     }
 
-    /// Whether answers end their connection: the router stops, or many connections are open.
+    /// Whether it takes new callers.
+    pub fn standing(&self) -> Standing {
+        if self.stopping.get() {
+            Standing::Leaving
+        } else if self.overload.borrow().is_shedding() {
+            Standing::Shedding
+        } else {
+            Standing::Serving
+        }
+    }
+
+    /// Whether answers end their connection: callers are to go elsewhere, or many connections are open.
     pub(crate) fn ends_connections(&self) -> bool {
-        self.stopping.get() || self.open.count() > self.settings.crowded_connections()
+        self.standing() != Standing::Serving
+            || self.open.count() > self.settings.crowded_connections()
     }
 
     /// The version of the configuration in force and the revision of the back ends, 0 if unknown.
@@ -191,10 +205,25 @@
             let due = self.now() + POLL_PERIOD;
             smol::Timer::after(POLL_PERIOD).await;
             let now = self.now();
-            self.dispatcher.borrow_mut().on_lag(now, now.since(due));
+            self.take_turn(now, now.since(due));
             self.poll_waiting();
         }
     }
+
+    fn take_turn(&self, now: Timestamp, lag: Duration) {
+        self.dispatcher.borrow_mut().on_lag(now, lag);
+        let most = self.settings.most_connections() as f64;
+        let turn = Turn {
+            period: POLL_PERIOD,
+            lag,
+            connections: self.open.count() as f64 / most,
+            others_shedding: self.dispatcher.borrow().shedding_part(),
+        };
+        let changed = self.overload.borrow_mut().on_turn(now, turn);
+        if let Some(shedding) = changed {
+            events::overload(shedding, self.overload.borrow().lateness(), turn);
+        }
+    }
 }
 
 /// Time between two looks at waiting requests, beside those at each end of a request.
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, Uri, http};
-use mastbay_routing::{Attempt, Fault, Placement};
+use mastbay_routing::{Attempt, BackEnd, ConnectionBounds, Fault, Placement};
 use mastbay_web::within;
 use std::cell::RefCell;
 use std::pin::pin;
@@ -53,7 +53,7 @@
         may_be_unsent: bool,
     ) -> Try {
         let back_end = &placement.back_end;
-        let taken = self.router.pool.take(back_end, self.most_connections()).await;
+        let taken = self.router.pool.take(back_end, self.connection_bounds(back_end)).await;
         let mut connection = match taken {
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => return Try::NotSent(Fault::Full),
@@ -138,19 +138,15 @@
         Some(request)
     }
 
-    /// Connections that this router may have to one back end of the service.
-    fn most_connections(&self) -> u32 {
+    /// The bounds on this router's connections to a back end of the service.
+    fn connection_bounds(&self, back_end: &BackEnd) -> ConnectionBounds {
         let table = self.router.table();
         let service = table.as_ref().and_then(|table| table.service(&self.call.service));
         let most = service.map_or(DEFAULT_MOST_CONNECTIONS, |service| service.most_connections);
-        let routers = self.router.dispatcher.borrow().routers(self.router.now()).max(LEAST_ROUTERS);
-        ((f64::from(most) * CONNECTIONS_PART) as u32 / routers as u32).max(2)
+        let routers = self.router.dispatcher.borrow().routers(self.router.now());
+        ConnectionBounds::new(most, back_end.slots, routers)
     }
 }
 
 /// Connections to one back end where its service tells no bound.
 const DEFAULT_MOST_CONNECTIONS: u32 = 256;
-/// Part of the connections that routers known to each other use.
-const CONNECTIONS_PART: f64 = 0.8;
-/// A router that knows fewer others still takes no more than one of this many parts.
-const LEAST_ROUTERS: usize = 3;
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -313,7 +313,7 @@
             sender: mastbay_routing::PeerId { address: second.settings.digests, life: 1 },
             sequence: 1,
             snapshots: second.settings.operations,
-            leaving: false,
+            standing: mastbay_routing::Standing::Serving,
             configuration: 0,
             back_ends: 0,
             engines: Vec::new(),
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -34,6 +34,18 @@
     pub given: f32,
 }
 
+/// Whether a router takes new callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Standing {
+    /// It does.
+    #[default]
+    Serving,
+    /// It has more to do than it can and sends new ones elsewhere.
+    Shedding,
+    /// It stops and takes no more work.
+    Leaving,
+}
+
 /// One router's figures.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -43,8 +55,8 @@
     pub sequence: u64,
     /// Where the sender hands out its configuration and back ends.
     pub snapshots: SocketAddr,
-    /// Whether the sender stops and takes no more work.
-    pub leaving: bool,
+    /// Whether the sender takes new callers.
+    pub standing: Standing,
     /// Version of the configuration that it has in force, 0 if none.
     pub configuration: u64,
     /// Revision of the back ends that it knows, 0 if none.
--- a/crates/routing/src/dispatch/fleet.rs
+++ b/crates/routing/src/dispatch/fleet.rs
@@ -1,7 +1,7 @@
 //! The other routers, as their digests tell of them.
 
 use crate::back_end::BackEndId;
-use crate::digest::{Digest, EngineReport, PeerId, TenantReport};
+use crate::digest::{Digest, EngineReport, PeerId, Standing, TenantReport};
 use crate::engine::Load;
 use mastbay_types::Timestamp;
 use std::collections::{BTreeMap, HashMap};
@@ -93,6 +93,13 @@
         1 + self.peers.values().filter(|peer| now.since(peer.heard) <= PEER_LIFE).count()
     }
 
+    /// Part of the peers that send new callers elsewhere.
+    pub fn shedding_part(&self) -> f64 {
+        let counted = || self.peers.values().filter(|peer| peer.counted);
+        let shedding = counted().filter(|peer| peer.digest.standing == Standing::Shedding).count();
+        shedding as f64 / counted().count().max(1) as f64
+    }
+
     /// Age of the oldest figures that count.
     pub fn oldest_age(&self, now: Timestamp) -> Duration {
         let counted = self.peers.values().filter(|peer| peer.counted);
@@ -130,7 +137,7 @@
     /// A digest of this router.
     pub fn digest(
         &mut self,
-        leaving: bool,
+        standing: Standing,
         configuration: u64,
         back_ends: u64,
         engines: Vec<EngineReport>,
@@ -143,7 +150,7 @@
             sender: self.me,
             sequence: self.sequence,
             snapshots: self.snapshots,
-            leaving,
+            standing,
             configuration,
             back_ends,
             engines,
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -11,7 +11,7 @@
 use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 use crate::budget::RetryBudget;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
-use crate::digest::{Digest, EngineReport, PeerId};
+use crate::digest::{Digest, EngineReport, PeerId, Standing};
 use crate::engine::{Engine, Load};
 use crate::health::Fault;
 use crate::shares::Usage;
@@ -162,6 +162,11 @@
         self.budget(service).left(now, routers)
     }
 
+    /// Part of the other routers that send new callers elsewhere.
+    pub fn shedding_part(&self) -> f64 {
+        self.fleet.shedding_part()
+    }
+
     /// Places a request now, lets it wait or refuses it. `draw` is uniform in 0..1.
     pub fn admit(&mut self, now: Timestamp, demand: Demand, draw: f64) -> Admission {
         let others_wait = self.waiting.get(&demand.service).is_some_and(|queue| queue.len() > 0);
@@ -278,12 +283,12 @@
     }
 
     /// This router's own figures.
-    pub fn digest(&mut self, now: Timestamp, leaving: bool) -> Digest {
+    pub fn digest(&mut self, now: Timestamp, standing: Standing) -> Digest {
         let engines = self.engines.iter().filter(|(_, engine)| engine.own != Load::default());
         let engines =
             engines.map(|(id, engine)| EngineReport { id: id.clone(), load: engine.own }).collect();
         let tenants = self.usage.reports(now);
-        self.fleet.digest(leaving, self.configuration, self.back_ends, engines, tenants)
+        self.fleet.digest(standing, self.configuration, self.back_ends, engines, tenants)
     }
 
     /// Addresses that digests go to.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,10 +7,12 @@
 mod back_end;
 mod budget;
 mod configuration;
+mod connections;
 mod digest;
 mod dispatch;
 mod engine;
 mod health;
+mod overload;
 mod prompt;
 mod shares;
 mod table;
@@ -23,13 +25,15 @@
 pub use configuration::{
     EngineLimits, Limits, Route, RouteKind, RoutingConfiguration, Service, Target, Tenant,
 };
-pub use digest::{Digest, EngineReport, PeerId, TenantReport};
+pub use connections::ConnectionBounds;
+pub use digest::{Digest, EngineReport, PeerId, Standing, TenantReport};
 pub use dispatch::{
     Admission, Considered, Demand, Dispatcher, DispatcherLimits, Placement, Refusal, RefusalReason,
     TicketId, Verdicts,
 };
 pub use engine::Load;
 pub use health::{Fault, Health};
+pub use overload::{OverloadGuard, Turn};
 pub use prompt::{Prompt, PromptPart};
 pub use shares::{Usage, water_level};
 pub use table::{RouteTable, TableEntry};
--- /dev/null
+++ b/crates/routing/src/overload.rs
@@ -0,0 +1,96 @@
+//! Whether a router has more to do than its processor carries, so that new callers should go elsewhere.
+//!
+//! The measure is the part of its time by which a periodic turn comes late: on a processor that keeps up
+//! turns are in time, on one that does not each waits behind the work of all the others.
+
+use mastbay_types::Timestamp;
+use std::time::Duration;
+
+/// Time over which lateness is averaged.
+const MEMORY: Duration = Duration::from_millis(700);
+/// Part of the time by which turns are late from which on a router is overloaded.
+const OVERLOADED: f64 = 0.6;
+/// Part of the callers' connections that may be open before a router is overloaded.
+const CONNECTIONS_PART: f64 = 0.6;
+/// First time for which new callers are sent elsewhere.
+const FIRST_SHED: Duration = Duration::from_secs(3);
+/// Longest such time.
+const LONGEST_SHED: Duration = Duration::from_secs(8);
+/// A router that is overloaded again within this time sheds for twice as long.
+const RELAPSE: Duration = Duration::from_secs(6);
+/// Part of the fleet that may shed at a time: if all have too much, there is no elsewhere.
+const MOST_SHEDDING: f64 = 0.25;
+
+/// A periodic turn that the router has taken.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Turn {
+    /// Time between two turns as planned.
+    pub period: Duration,
+    /// Time by which this one came late.
+    pub lag: Duration,
+    /// Open connections of callers over the most that may be open.
+    pub connections: f64,
+    /// Part of the other routers that shed.
+    pub others_shedding: f64,
+}
+
+/// Watches for overload and says when new callers are to go elsewhere.
+#[derive(Debug, Clone, Default)]
+pub struct OverloadGuard {
+    lateness: f64,
+    shedding_until: Option<Timestamp>,
+    ended: Option<Timestamp>,
+    last_shed: Duration,
+}
+
+impl OverloadGuard {
+    /// The router has taken a turn. Gives the new state if it changes: whether it sheds.
+    pub fn on_turn(&mut self, now: Timestamp, turn: Turn) -> Option<bool> {
+        self.average(turn);
+        match self.shedding_until {
+            Some(until) if now < until => None,
+            Some(_) if self.is_overloaded(turn) => {
+                self.shed(now, self.last_shed);
+                None
+            }
+            Some(_) => {
+                self.shedding_until = None;
+                self.ended = Some(now);
+                Some(false)
+            }
+            None if self.is_overloaded(turn) && turn.others_shedding < MOST_SHEDDING => {
+                let relapsed = self.ended.is_some_and(|ended| now.since(ended) < RELAPSE);
+                let span = if relapsed { self.last_shed * 2 } else { FIRST_SHED };
+                self.shed(now, span.min(LONGEST_SHED));
+                Some(true)
+            }
+            None => None,
+        }
+    }
+
+    /// Whether new callers are to go elsewhere.
+    pub fn is_shedding(&self) -> bool {
+        self.shedding_until.is_some()
+    }
+
+    /// The part of its time by which the router is late, 0 to 1.
+    pub fn lateness(&self) -> f64 {
+        self.lateness
+    }
+
+    fn average(&mut self, turn: Turn) {
+        let passed = (turn.period + turn.lag).as_secs_f64();
+        let late = turn.lag.as_secs_f64() / passed.max(f64::MIN_POSITIVE);
+        let gain = 1.0 - (-passed / MEMORY.as_secs_f64()).exp();
+        self.lateness += gain * (late - self.lateness);
+    }
+
+    fn is_overloaded(&self, turn: Turn) -> bool {
+        self.lateness > OVERLOADED || turn.connections > CONNECTIONS_PART
+    }
+
+    fn shed(&mut self, now: Timestamp, span: Duration) {
+        self.shedding_until = Some(now + span);
+        self.last_shed = span;
+    }
+}
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, BackEndId, BackEndState, Dispatcher, Fault, Placement, RefusalReason, TicketId,
+    Admission, BackEndId, BackEndState, Dispatcher, Fault, Placement, RefusalReason, Standing,
+    TicketId,
 };
 use mastbay_types::Timestamp;
 use quickcheck::quickcheck;
@@ -74,11 +75,11 @@
 #[test]
 fn a_repeated_or_old_digest_changes_nothing() {
     let mut fleet = [dispatcher(1, 1, 4), dispatcher(2, 1, 4)];
-    let old = fleet[0].digest(at(0), false);
+    let old = fleet[0].digest(at(0), Standing::Serving);
     for own in 0..2 {
         place(&mut fleet[0], at(0), 1, own).expect("room");
     }
-    let new = fleet[0].digest(at(1), false);
+    let new = fleet[0].digest(at(1), Standing::Serving);
     for digest in [new.clone(), new, old] {
         fleet[1].on_digest(at(2), digest);
     }
@@ -94,7 +95,7 @@
         place(&mut fleet[0], at(0), 1, own).expect("room");
     }
     exchange_digests(at(10), &mut fleet);
-    let mut reborn = dispatcher(1, 1, 4).digest(at(0), false);
+    let mut reborn = dispatcher(1, 1, 4).digest(at(0), Standing::Serving);
     reborn.sender.life = 77;
     fleet[1].on_digest(at(20), reborn);
     assert!(place(&mut fleet[1], at(21), 1, 9).is_some());
@@ -311,7 +312,7 @@
         }
         exchange_digests(at(now + 60_001), &mut fleet);
         let later = at(now + 60_002);
-        let digests = fleet.iter_mut().map(|one| one.digest(later, false));
+        let digests = fleet.iter_mut().map(|one| one.digest(later, Standing::Serving));
         digests.collect::<Vec<_>>().iter().all(|digest| digest.engines.is_empty())
     }
 }
--- /dev/null
+++ b/crates/routing/tests/overload.rs
@@ -0,0 +1,86 @@
+//! When a router sends new callers elsewhere.
+
+mod support;
+
+use mastbay_routing::{OverloadGuard, Turn};
+use std::time::Duration;
+use support::at;
+
+const PERIOD: Duration = Duration::from_millis(8);
+
+fn turn(lag_ms: u64) -> Turn {
+    Turn {
+        period: PERIOD,
+        lag: Duration::from_millis(lag_ms),
+        connections: 0.1,
+        others_shedding: 0.0,
+    }
+}
+
+/// Takes turns from `start` to `end`, in milliseconds, and gives the changes with their times.
+fn changes(guard: &mut OverloadGuard, start: u64, end: u64, turn: Turn) -> Vec<(u64, bool)> {
+    let mut seen = Vec::new();
+    let mut now = start;
+    while now < end {
+        now += (turn.period + turn.lag).as_millis() as u64;
+        if let Some(shedding) = guard.on_turn(at(now), turn) {
+            seen.push((now, shedding));
+        }
+    }
+    seen
+}
+
+/// Found on a day on which one router of 0.12 core had a whole tenant's callers while its neighbours
+/// had next to nothing to do.
+#[test]
+fn a_router_that_cannot_keep_up_sends_new_callers_elsewhere_within_a_second() {
+    let mut guard = OverloadGuard::default();
+    let seen = changes(&mut guard, 0, 2_000, turn(80));
+    assert!(matches!(seen[..], [(when, true)] if when < 1_100), "{seen:?}");
+}
+
+#[test]
+fn a_router_that_keeps_up_sheds_nobody() {
+    let mut guard = OverloadGuard::default();
+    assert_eq!(changes(&mut guard, 0, 20_000, turn(4)), []);
+}
+
+#[test]
+fn one_long_pause_is_no_overload() {
+    let mut guard = OverloadGuard::default();
+    assert_eq!(guard.on_turn(at(500), turn(400)), None);
+    assert_eq!(changes(&mut guard, 500, 5_000, turn(1)), []);
+}
+
+#[test]
+fn a_router_that_has_caught_up_takes_callers_again() {
+    let mut guard = OverloadGuard::default();
+    changes(&mut guard, 0, 1_000, turn(80));
+    let seen = changes(&mut guard, 1_000, 6_000, turn(1));
+    assert!(matches!(seen[..], [(when, false)] if when < 4_500), "{seen:?}");
+}
+
+#[test]
+fn one_that_is_overloaded_again_sheds_for_longer() {
+    let mut guard = OverloadGuard::default();
+    changes(&mut guard, 0, 1_000, turn(80));
+    changes(&mut guard, 1_000, 5_000, turn(1));
+    let again = changes(&mut guard, 5_000, 6_500, turn(80));
+    assert!(matches!(again[..], [(_, true)]), "{again:?}");
+    let seen = changes(&mut guard, 6_500, 20_000, turn(1));
+    assert!(matches!(seen[..], [(when, false)] if when - again[0].0 >= 6_000), "{seen:?}");
+}
+
+#[test]
+fn many_open_connections_are_an_overload_too() {
+    let mut guard = OverloadGuard::default();
+    let crowded = Turn { connections: 0.7, ..turn(0) };
+    assert_eq!(guard.on_turn(at(8), crowded), Some(true));
+}
+
+#[test]
+fn where_a_quarter_of_the_fleet_sheds_already_there_is_no_elsewhere() {
+    let mut guard = OverloadGuard::default();
+    let all = Turn { others_shedding: 0.3, ..turn(80) };
+    assert_eq!(changes(&mut guard, 0, 5_000, all), []);
+}
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use mastbay_routing::{
     BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Digest, Dispatcher,
     DispatcherLimits, EngineLimits, Limits, PeerId, Prompt, PromptPart, RoutingConfiguration,
-    Service,
+    Service, Standing,
 };
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -94,7 +94,8 @@
 }
 
 pub fn exchange_digests(now: Timestamp, fleet: &mut [Dispatcher]) {
-    let digests: Vec<Digest> = fleet.iter_mut().map(|one| one.digest(now, false)).collect();
+    let digests: Vec<Digest> =
+        fleet.iter_mut().map(|one| one.digest(now, Standing::Serving)).collect();
     for dispatcher in fleet.iter_mut() {
         for digest in &digests {
             dispatcher.on_digest(now, digest.clone());
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -5,7 +5,7 @@
 use mastbay_routing::{
     Admission, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Dispatcher,
     DispatcherLimits, EngineLimits, Limits, PeerId, Placement, Prompt, PromptPart,
-    RoutingConfiguration, Service, TicketId,
+    RoutingConfiguration, Service, Standing, TicketId,
 };
 use mastbay_types::Timestamp;
 use rand::{Rng, RngExt, SeedableRng};
@@ -276,7 +276,7 @@
 
     fn send_digest(&mut self, router: usize) {
         self.dispatchers[router].expire_peers(self.now);
-        let digest = self.dispatchers[router].digest(self.now, false);
+        let digest = self.dispatchers[router].digest(self.now, Standing::Serving);
         let heard = self.now + DATAGRAM_TIME;
         for (index, peer) in self.dispatchers.iter_mut().enumerate() {
             if index != router {
