Turn connections away that the processor can't carry; keep time limits in one list

A second cause was sought in system timers, one for each streamed event and request. Change: OverloadGuard::turned_away_part: new connections are dropped unread in proportion to recent lateness; their callers connect elsewhere. Runtime (was Spawner) keeps all limits in one list that one periodic turn looks through. Ruled out: timers as what bounds the hot router (3% of the processor time).

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -1,13 +1,13 @@
 //! A client for calls to peers and to sources, on the router's thread. A connection that gave no whole
 //! reply is never used again.
 
-use crate::router::Spawner;
+use crate::runtime::Runtime;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode};
-use mastbay_web::{read_limited, within};
+use mastbay_web::read_limited;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use std::cell::RefCell;
@@ -49,15 +49,15 @@
 
 /// Calls to one address, one at a time, over a connection that is kept.
 pub struct LocalClient {
-    spawner: Spawner,
+    runtime: Runtime,
     address: SocketAddr,
     kept: RefCell<Option<Open>>,
 }
 
 impl LocalClient {
     /// A client without a connection.
-    pub fn new(spawner: Spawner, address: SocketAddr) -> Self {
-        Self { spawner, address, kept: RefCell::default() }
+    pub fn new(runtime: Runtime, address: SocketAddr) -> Self {
+        Self { runtime, address, kept: RefCell::default() }
     }
 
     /// Makes a call and waits `limit` at most for its whole reply.
@@ -69,7 +69,7 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Reply, CallError> {
-        within(limit, self.exchange(request)).await.unwrap_or(Err(CallError::TimedOut))
+        self.runtime.within(limit, self.exchange(request)).await.unwrap_or(Err(CallError::TimedOut))
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
@@ -87,14 +87,14 @@
     }
 
     async fn open(&self) -> Result<Open, CallError> {
-        let connected = within(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
+        let connected = self.runtime.within(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
         let stream = connected.ok().and_then(Result::ok).ok_or(CallError::Unreachable)?;
         // A stream that refuses the option still works.
         let _ = stream.set_nodelay(true);
         let opened = handshake(FuturesIo::new(stream)).await;
         let (sender, driver) = opened.map_err(|_| CallError::Unreachable)?;
         // The driver's own error shows in the call that it ends.
-        let driver = self.spawner.spawn(async move { driver.await.unwrap_or_default() });
+        let driver = self.runtime.spawn(async move { driver.await.unwrap_or_default() });
         Ok(Open { sender, _driver: driver })
     }
 }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -16,7 +16,7 @@
 use mastbay_routing::{
     Attempt, BackEndId, Fault, Placement, Refusal, RefusalReason, RouteKind, Verdict,
 };
-use mastbay_web::{read_limited, within};
+use mastbay_web::read_limited;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,7 +63,7 @@
             rejections: 0,
         };
         let unfinished = Unfinished::new(router, &call);
-        let ended = match within(call.time_left(now), exchange.drive()).await {
+        let ended = match router.runtime.within(call.time_left(now), exchange.drive()).await {
             Ok(ended) => ended,
             Err(_) => out_of_time(&attempt.borrow()),
         };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod relay;
 mod router;
+mod runtime;
 mod send;
 mod serve;
 mod settings;
@@ -28,6 +29,7 @@
 
 pub use listener::{ListenerLimits, StopSignal};
 pub use metrics::RouterMetrics;
-pub use router::{Router, Seams, Spawner};
+pub use router::{Router, Seams};
+pub use runtime::Runtime;
 pub use settings::{RouterSettings, SECTIONS, read_router_settings};
 pub use stop::{RunError, run};
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -9,7 +9,7 @@
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::router::Spawner;
+use crate::runtime::Runtime;
 
 /// The body of an answer; it need not leave the router's thread.
 pub type LocalBody = Pin<Box<dyn Body<Data = Bytes, Error = BodyError>>>;
@@ -30,7 +30,7 @@
 }
 
 /// Bounds on connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ListenerLimits {
     /// Most connections open at a time.
     pub most_connections: usize,
@@ -38,6 +38,8 @@
     pub head_bytes: usize,
     /// Longest time that a connection rests, or that a head takes.
     pub idle_time: Duration,
+    /// Part of the new connections that are turned away.
+    pub turned_away_part: f64,
 }
 
 /// Closed once: wakes all that wait for it.
@@ -95,7 +97,7 @@
 /// Serves connections until the stop is signalled, then until the last has ended. `limits` are asked for
 /// each connection, since a configuration may change them.
 pub async fn serve<H, F>(
-    spawner: Spawner,
+    runtime: Runtime,
     listener: TcpListener,
     limits: impl Fn() -> ListenerLimits,
     stop: StopSignal,
@@ -114,19 +116,20 @@
         };
         match accepted.or(stopped).await {
             None => break,
-            Some(Ok((stream, _))) if open.count() < limits().most_connections => {
+            Some(Ok((stream, _))) if admits(&limits(), &open) => {
                 let limits = limits();
                 let (handler, stop, alive) = (handler.clone(), stop.clone(), alive.clone());
                 let counted = Counted::new(&open);
-                let task = spawner.spawn(async move {
-                    serve_connection(stream, limits, stop, handler).await;
+                let task = runtime.spawn(async move {
+                    serve_connection(runtime, stream, limits, stop, handler).await;
                     drop(counted);
                     drop(alive);
                 });
                 task.detach();
             }
+            // Dropped unread: its caller knows that nothing was read and connects elsewhere.
             Some(Ok(_)) => {}
-            Some(Err(_)) => drop(smol::Timer::after(ACCEPT_PAUSE).await),
+            Some(Err(_)) => runtime.sleep(ACCEPT_PAUSE).await,
         }
     }
     drop(listener);
@@ -134,6 +137,12 @@
     let _ = all_ended.recv().await;
 }
 
+fn admits(limits: &ListenerLimits, open: &OpenConnections) -> bool {
+    let turned_away =
+        limits.turned_away_part > 0.0 && rand::random::<f64>() < limits.turned_away_part;
+    !turned_away && open.count() < limits.most_connections
+}
+
 /// The number of connections that are open at a listener.
 #[derive(Debug, Clone, Default)]
 pub struct OpenConnections(Rc<Cell<usize>>);
@@ -161,6 +170,7 @@
 }
 
 async fn serve_connection<H, F>(
+    runtime: Runtime,
     stream: TcpStream,
     limits: ListenerLimits,
     stop: StopSignal,
@@ -176,7 +186,7 @@
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(runtime.http_timer())
         .header_read_timeout(limits.idle_time)
         .max_buf_size((limits.head_bytes + HEAD_SLACK).max(LEAST_BUFFER))
         .serve_connection(FuturesIo::new(stream), service);
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -34,7 +34,7 @@
     for round in 0_u64.. {
         let peers = send_round(&router, &socket, round).await;
         let factor = (peers as f64 / PEERS_AT_FULL_RATE as f64).max(1.0);
-        smol::Timer::after(DIGEST_PERIOD.mul_f64(factor)).await;
+        router.runtime.sleep(DIGEST_PERIOD.mul_f64(factor)).await;
     }
 }
 
@@ -70,7 +70,7 @@
     let mut buffer = vec![0_u8; LARGEST_DATAGRAM];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
-            smol::Timer::after(DIGEST_PERIOD).await;
+            router.runtime.sleep(DIGEST_PERIOD).await;
             continue;
         };
         // A datagram that is no digest is not from a peer of ours.
@@ -109,14 +109,14 @@
 /// Fetches what peers know and this router misses, for as long as it runs.
 pub async fn fetch_newer(router: Rc<Router>) {
     loop {
-        smol::Timer::after(NEWER_PERIOD).await;
+        router.runtime.sleep(NEWER_PERIOD).await;
         if !router.catalogue.borrow().is_complete() {
             ask_seeds(&router).await;
         }
         let newer = router.dispatcher.borrow().newer_elsewhere(router.now());
         let Some(address) = newer else { continue };
         // The own source is usually about to tell the same.
-        smol::Timer::after(NEWER_PERIOD).await;
+        router.runtime.sleep(NEWER_PERIOD).await;
         let still = router.dispatcher.borrow().newer_elsewhere(router.now());
         if still.is_some() {
             fetch_snapshot(&router, address).await;
@@ -141,7 +141,7 @@
         .header(HOST, address.to_string())
         .body(Full::<Bytes>::default());
     let Ok(request) = request else { return };
-    let client = LocalClient::new(router.spawner, address);
+    let client = LocalClient::new(router.runtime, address);
     let Ok(reply) = client.call(request, SNAPSHOT_LIMIT).await else { return };
     if reply.status != StatusCode::OK {
         return;
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to back ends: one exchange at a time, kept while clean, bounded over the fleet.
 
-use crate::router::Spawner;
+use crate::runtime::Runtime;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
@@ -9,7 +9,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use mastbay_routing::{BackEnd, BackEndId, BackEndList, ConnectionBounds};
-use mastbay_web::{Counted, WriteCount, within};
+use mastbay_web::{Counted, WriteCount};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use std::cell::{Cell, RefCell};
@@ -110,14 +110,14 @@
 
 /// Connections to all back ends.
 pub struct Pool {
-    spawner: Spawner,
+    runtime: Runtime,
     back_ends: RefCell<HashMap<BackEndId, BackEndConnections>>,
 }
 
 impl Pool {
     /// A pool without connections.
-    pub fn new(spawner: Spawner) -> Self {
-        Self { spawner, back_ends: RefCell::default() }
+    pub fn new(runtime: Runtime) -> Self {
+        Self { runtime, back_ends: RefCell::default() }
     }
 
     /// A connection that is ready for an exchange: the one used last, or a new one.
@@ -187,7 +187,8 @@
         back_end: &BackEnd,
         counted: OpenCount,
     ) -> Result<BackEndConnection, PoolError> {
-        let connected = within(CONNECT_LIMIT, TcpStream::connect(back_end.address)).await;
+        let connected =
+            self.runtime.within(CONNECT_LIMIT, TcpStream::connect(back_end.address)).await;
         let stream = connected.map_err(|_| PoolError::TimedOut)?;
         let stream = stream.map_err(|_| PoolError::Unreachable)?;
         // A stream that refuses the option still works.
@@ -199,7 +200,7 @@
         let (sender, driver) =
             builder.handshake(counted_stream).await.map_err(|_| PoolError::Unreachable)?;
         // The driver's own error shows in the exchange that it ends.
-        let driver = self.spawner.spawn(async move { driver.await.unwrap_or_default() });
+        let driver = self.runtime.spawn(async move { driver.await.unwrap_or_default() });
         let keep = DEFAULT_KEEP;
         Ok(BackEndConnection { sender, written, keep, _driver: driver, _counted: counted })
     }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use mastbay_routing::{Attempt, BackEndId, Fault};
 use mastbay_types::Timestamp;
-use mastbay_web::{BodyError, within};
+use mastbay_web::BodyError;
 use smol::stream::{Stream, StreamExt};
 use std::cell::RefCell;
 use std::pin::Pin;
@@ -167,7 +167,7 @@
             return Next::OutOfTime;
         }
         let Some(source) = &mut self.source else { return Next::Broken("no_source") };
-        match within(left.min(SILENCE), source.body.frame()).await {
+        match self.router.runtime.within(left.min(SILENCE), source.body.frame()).await {
             Ok(Some(Ok(frame))) => Next::Bytes(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(_))) => Next::Broken("broke_off"),
             Ok(None) => Next::End,
@@ -256,7 +256,7 @@
         }
         self.resumes += 1;
         let left = self.call.time_left(self.router.now());
-        let source = within(left, self.next_source()).await.unwrap_or_default();
+        let source = self.router.runtime.within(left, self.next_source()).await.unwrap_or_default();
         crate::events::resumed(&self.call, reason, self.last_event, source.is_some());
         self.source = source;
         self.source.is_some()
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -8,36 +8,19 @@
 use crate::listener::{OpenConnections, StopSignal};
 use crate::metrics::RouterMetrics;
 use crate::pool::Pool;
+use crate::runtime::{Runtime, TURN_PERIOD};
 use crate::settings::RouterSettings;
 use mastbay_routing::{
     BackEndList, Dispatcher, DispatcherLimits, OverloadGuard, PeerId, Placement, Refusal,
     RouteTable, RoutingConfiguration, Standing, TicketId, Turn, watch_wait,
 };
 use mastbay_types::Timestamp;
-use smol::LocalExecutor;
 use smol::channel::Sender;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Starts tasks on the router's one thread.
-#[derive(Debug, Clone, Copy)]
-pub struct Spawner(&'static LocalExecutor<'static>);
-
-impl Spawner {
-    /// A spawner on `executor`, which its owner runs.
-    pub fn new(executor: &'static LocalExecutor<'static>) -> Self {
-        Self(executor)
-    }
-
-    /// Starts a task.
-    pub fn spawn<T: 'static>(self, future: impl Future<Output = T> + 'static) -> smol::Task<T> {
-        self.0.spawn(future)
-    }
-}
-
 /// What callers and back ends speak.
 pub struct Seams {
     /// What callers speak.
@@ -53,7 +36,7 @@
 pub struct Router {
     pub(crate) settings: RouterSettings,
     pub(crate) seams: Seams,
-    pub(crate) spawner: Spawner,
+    pub(crate) runtime: Runtime,
     pub(crate) catalogue: RefCell<Catalogue>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) waiting: RefCell<HashMap<TicketId, VerdictSender>>,
@@ -73,7 +56,7 @@
     pub fn new(
         settings: RouterSettings,
         seams: Seams,
-        spawner: Spawner,
+        runtime: Runtime,
         metrics: RouterMetrics,
     ) -> Rc<Self> {
         let me = PeerId { address: settings.digests, life: rand::random() };
@@ -95,11 +78,11 @@
             bodies,
             settings,
             seams,
-            spawner,
+            runtime,
             catalogue: RefCell::default(),
             dispatcher: RefCell::new(dispatcher),
             waiting: RefCell::default(),
-            pool: Pool::new(spawner),
+            pool: Pool::new(runtime),
             metrics,
             lines: RefCell::default(),
             stopping: Cell::new(false),
@@ -158,9 +141,15 @@
         }
     }
 
+    /// The part of new connections that are turned away unread. A planned stop turns none away.
+    pub(crate) fn turned_away_part(&self) -> f64 {
+        if self.stopping.get() { 0.0 } else { self.overload.borrow().turned_away_part() }
+    }
+
     /// Whether answers end their connection: callers are to go elsewhere, or many connections are open.
     pub(crate) fn ends_connections(&self) -> bool {
         self.standing() != Standing::Serving
+            || self.turned_away_part() > 0.0
             || self.open.count() > self.settings.crowded_connections()
     }
 
@@ -202,8 +191,8 @@
     /// Polls waiting requests for as long as the router runs.
     pub(crate) async fn keep_polling(self: Rc<Self>) {
         loop {
-            let due = self.now() + POLL_PERIOD;
-            smol::Timer::after(POLL_PERIOD).await;
+            let due = self.now() + TURN_PERIOD;
+            self.runtime.sleep(TURN_PERIOD).await;
             let now = self.now();
             self.take_turn(now, now.since(due));
             self.poll_waiting();
@@ -214,7 +203,7 @@
         self.dispatcher.borrow_mut().on_lag(now, lag);
         let most = self.settings.most_connections() as f64;
         let turn = Turn {
-            period: POLL_PERIOD,
+            period: TURN_PERIOD,
             lag,
             connections: self.open.count() as f64 / most,
             others_shedding: self.dispatcher.borrow().shedding_part(),
@@ -225,6 +214,3 @@
         }
     }
 }
-
-/// Time between two looks at waiting requests, beside those at each end of a request.
-const POLL_PERIOD: Duration = Duration::from_millis(8);
--- /dev/null
+++ b/crates/router/src/runtime.rs
@@ -0,0 +1,176 @@
+//! The router's one thread: tasks on it, and limits on how long they wait.
+//!
+//! Limits are kept in one ordered list that a periodic turn looks through. A timer of the operating
+//! system for each would cost several system calls a request and a streamed event, where a limit that is
+//! a few milliseconds late does no harm.
+
+use mastbay_web::TimedOut;
+use smol::LocalExecutor;
+use smol::future::FutureExt;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+/// Time between two turns.
+pub(crate) const TURN_PERIOD: Duration = Duration::from_millis(8);
+/// Limits that end this soon after a turn end with it.
+const SLACK: Duration = Duration::from_millis(4);
+
+/// Starts tasks on the router's one thread and bounds their waits.
+#[derive(Debug, Clone, Copy)]
+pub struct Runtime {
+    executor: &'static LocalExecutor<'static>,
+    limits: &'static LimitList,
+}
+
+impl Runtime {
+    /// A runtime on `executor`, which its owner runs.
+    pub fn new(executor: &'static LocalExecutor<'static>) -> Self {
+        let limits: &'static LimitList = Box::leak(Box::default());
+        executor.spawn(limits.keep()).detach();
+        Self { executor, limits }
+    }
+
+    /// Starts a task.
+    pub fn spawn<T: 'static>(self, future: impl Future<Output = T> + 'static) -> smol::Task<T> {
+        self.executor.spawn(future)
+    }
+
+    /// Waits for `span`, rounded to the turns.
+    pub fn sleep(self, span: Duration) -> Sleep {
+        Sleep::new(self.limits, Instant::now() + span)
+    }
+
+    /// The future's output, or [`TimedOut`] after `limit`.
+    ///
+    /// # Errors
+    /// If the limit passed first.
+    pub async fn within<F: Future>(
+        self,
+        limit: Duration,
+        future: F,
+    ) -> Result<F::Output, TimedOut> {
+        let output = async { Ok(future.await) };
+        let expired = async {
+            self.sleep(limit).await;
+            Err(TimedOut)
+        };
+        output.or(expired).await
+    }
+
+    /// The timer that the HTTP library uses.
+    pub fn http_timer(self) -> HttpTimer {
+        HttpTimer(self.limits)
+    }
+}
+
+/// The limits of a thread as the HTTP library asks for them.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpTimer(&'static LimitList);
+
+impl hyper::rt::Timer for HttpTimer {
+    fn sleep(&self, span: Duration) -> Pin<Box<dyn hyper::rt::Sleep>> {
+        self.sleep_until(Instant::now() + span)
+    }
+
+    fn sleep_until(&self, due: Instant) -> Pin<Box<dyn hyper::rt::Sleep>> {
+        Box::pin(Sleep::new(self.0, due))
+    }
+}
+
+/// The place of a limit in the list: when it ends, and a number that tells it from others.
+type Entry = (Instant, u64);
+
+#[derive(Debug, Default)]
+struct Waiting {
+    wakers: BTreeMap<Entry, Waker>,
+    next: u64,
+}
+
+/// All limits of a thread, in the order in which they end. Locked only by that thread.
+#[derive(Debug, Default)]
+struct LimitList(Mutex<Waiting>);
+
+impl LimitList {
+    async fn keep(&self) {
+        loop {
+            smol::Timer::after(TURN_PERIOD).await;
+            self.wake_ended(Instant::now());
+        }
+    }
+
+    fn wake_ended(&self, now: Instant) {
+        let mut waiting = self.lock();
+        let still = waiting.wakers.split_off(&(now + SLACK, 0));
+        let ended = std::mem::replace(&mut waiting.wakers, still);
+        drop(waiting);
+        ended.into_values().for_each(Waker::wake);
+    }
+
+    fn add(&self, due: Instant, waker: Waker) -> Entry {
+        let mut waiting = self.lock();
+        waiting.next += 1;
+        let entry = (due, waiting.next);
+        waiting.wakers.insert(entry, waker);
+        entry
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Waits until a moment, rounded to the turns.
+#[derive(Debug)]
+pub struct Sleep {
+    limits: &'static LimitList,
+    due: Instant,
+    entry: Option<Entry>,
+}
+
+impl Sleep {
+    fn new(limits: &'static LimitList, due: Instant) -> Self {
+        Self { limits, due, entry: None }
+    }
+
+    fn is_over(&self) -> bool {
+        match self.entry {
+            Some(entry) => !self.limits.lock().wakers.contains_key(&entry),
+            None => Instant::now() >= self.due,
+        }
+    }
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if self.is_over() {
+            self.entry = None;
+            self.due = Instant::now();
+            return Poll::Ready(());
+        }
+        match self.entry {
+            Some(entry) => {
+                if let Some(waker) = self.limits.lock().wakers.get_mut(&entry) {
+                    waker.clone_from(context.waker());
+                }
+            }
+            None => self.entry = Some(self.limits.add(self.due, context.waker().clone())),
+        }
+        Poll::Pending
+    }
+}
+
+impl hyper::rt::Sleep for Sleep {}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Some(entry) = self.entry {
+            self.limits.lock().wakers.remove(&entry);
+        }
+    }
+}
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -11,7 +11,6 @@
 use hyper::header::HOST;
 use hyper::{Request, Response, Uri, http};
 use mastbay_routing::{Attempt, BackEnd, ConnectionBounds, Fault, Placement};
-use mastbay_web::within;
 use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
@@ -88,7 +87,9 @@
         let mut exchange = pin!(connection.exchange(request));
         let silence =
             self.call.entry.route.objective.mul_f64(SILENCE_OBJECTIVES).max(LEAST_SILENCE);
-        if let Ok(answered) = within(silence + placement.predicted, exchange.as_mut()).await {
+        if let Ok(answered) =
+            self.router.runtime.within(silence + placement.predicted, exchange.as_mut()).await
+        {
             return Some(answered);
         }
         if self.may_give_up_on_silence() {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -171,7 +171,7 @@
         let retry_after = Some(NO_MEMORY_PAUSE);
         return Err(refused(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
     };
-    let read = mastbay_web::within(BODY_TIME, read_limited(body, limits.body_bytes)).await;
+    let read = router.runtime.within(BODY_TIME, read_limited(body, limits.body_bytes)).await;
     let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(ReadBodyError::TooLarge { .. })) => {
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -84,19 +84,19 @@
 }
 
 fn start_background(router: &Rc<Router>, digests: &Rc<UdpSocket>) {
-    let spawner = router.spawner;
-    spawner.spawn(router.clone().keep_polling()).detach();
-    spawner.spawn(peers::send_digests(router.clone(), digests.clone())).detach();
-    spawner.spawn(peers::receive_digests(router.clone(), digests.clone())).detach();
-    spawner.spawn(peers::fetch_newer(router.clone())).detach();
+    let runtime = router.runtime;
+    runtime.spawn(router.clone().keep_polling()).detach();
+    runtime.spawn(peers::send_digests(router.clone(), digests.clone())).detach();
+    runtime.spawn(peers::receive_digests(router.clone(), digests.clone())).detach();
+    runtime.spawn(peers::fetch_newer(router.clone())).detach();
     let sweeping = router.clone();
     let sweep = async move {
         loop {
-            smol::Timer::after(SWEEP_PERIOD).await;
+            sweeping.runtime.sleep(SWEEP_PERIOD).await;
             sweeping.pool.sweep();
         }
     };
-    spawner.spawn(sweep).detach();
+    runtime.spawn(sweep).detach();
 }
 
 fn serve_operations(
@@ -109,6 +109,7 @@
         most_connections: OPERATIONS_CONNECTIONS,
         head_bytes: 8 << 10,
         idle_time: Duration::from_secs(30),
+        turned_away_part: 0.0,
     };
     let never = StopSignal::default();
     let asked = router.clone();
@@ -116,10 +117,10 @@
         let answer = readiness(&asked);
         async move { answer }
     };
-    let spawner = router.spawner;
-    spawner
+    let runtime = router.runtime;
+    runtime
         .spawn(serve(
-            spawner,
+            runtime,
             readiness_listener,
             move || limits,
             never.clone(),
@@ -132,9 +133,9 @@
         let answer = operations(&asked, &registry, &request);
         async move { answer }
     };
-    spawner
+    runtime
         .spawn(serve(
-            spawner,
+            runtime,
             operations_listener,
             move || limits,
             never,
@@ -153,12 +154,13 @@
             most_connections: asked.settings.most_connections(),
             head_bytes: configured.head_bytes,
             idle_time: configured.idle_time,
+            turned_away_part: asked.turned_away_part(),
         }
     };
     let serving = router.clone();
     let handler = move |request| serve_request(serving.clone(), request);
-    router.spawner.spawn(serve(
-        router.spawner,
+    router.runtime.spawn(serve(
+        router.runtime,
         listener,
         limits,
         router.stop.clone(),
@@ -175,8 +177,8 @@
     router.stopping.set(true);
     let limit = router.settings.stop_limit.saturating_sub(STOP_MARGIN);
     let notice = NOTICE_TIME.min(limit / 2);
-    smol::Timer::after(notice).await;
+    router.runtime.sleep(notice).await;
     router.stop.give();
-    let ended = mastbay_web::within(limit - notice, serving).await;
+    let ended = router.runtime.within(limit - notice, serving).await;
     events::life(if ended.is_ok() { "stopped" } else { "stopped_at_limit" }, name);
 }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, missing_docs)]
 
 use mastbay_router::own_dialect::OwnDialect;
-use mastbay_router::{Router, RouterMetrics, RouterSettings, Seams, Spawner};
+use mastbay_router::{Router, RouterMetrics, RouterSettings, Runtime, Seams};
 use mastbay_routing::{
     BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, EngineLimits, Limits, Route,
     RouteKind, RoutingConfiguration, Service, Target, Tenant,
@@ -44,7 +44,7 @@
 }
 
 impl ScriptedBackEnd {
-    pub async fn start(spawner: Spawner, name: &str, reactions: Vec<Vec<Step>>) -> Self {
+    pub async fn start(runtime: Runtime, name: &str, reactions: Vec<Vec<Step>>) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
         let back_end = Self {
             name: name.to_owned(),
@@ -57,10 +57,10 @@
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 serving.connections.set(serving.connections.get() + 1);
-                spawner.spawn(serving.clone().serve(stream, reactions.clone())).detach();
+                runtime.spawn(serving.clone().serve(stream, reactions.clone())).detach();
             }
         };
-        spawner.spawn(accept).detach();
+        runtime.spawn(accept).detach();
         back_end
     }
 
@@ -178,14 +178,14 @@
 /// A router that serves on loopback.
 pub struct Bed {
     pub router: Rc<Router>,
-    pub spawner: Spawner,
+    pub runtime: Runtime,
     pub settings: RouterSettings,
 }
 
 /// Runs a test on one thread, bounded by [`PATIENCE`].
-pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Spawner) -> F) {
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Runtime) -> F) {
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::default());
-    let bounded = mastbay_web::within(PATIENCE, test(Spawner::new(executor)));
+    let bounded = mastbay_web::within(PATIENCE, test(Runtime::new(executor)));
     smol::block_on(executor.run(bounded)).expect("the test ends in time");
 }
 
@@ -212,7 +212,7 @@
 
 impl Bed {
     /// Starts a router that knows the configuration and `back_ends` of the service `plain`.
-    pub async fn start(spawner: Spawner, back_ends: &[&ScriptedBackEnd]) -> Self {
+    pub async fn start(runtime: Runtime, back_ends: &[&ScriptedBackEnd]) -> Self {
         let mut ports = PortBlock::take();
         let settings = settings(&mut ports);
         // The router's listeners stay open as long as this process runs, and so must its block.
@@ -220,12 +220,12 @@
         let seams = Seams { callers: Box::new(OwnDialect), back_ends: Box::new(OwnDialect) };
         let mut registry = Registry::default();
         let metrics = RouterMetrics::register(&mut registry);
-        let router = Router::new(settings.clone(), seams, spawner, metrics);
+        let router = Router::new(settings.clone(), seams, runtime, metrics);
         router.offer_configuration(configuration(1), "test");
-        let bed = Self { router, spawner, settings };
+        let bed = Self { router, runtime, settings };
         bed.list(1, back_ends);
         let running = mastbay_router::run(bed.router.clone(), Rc::new(registry), || {});
-        spawner.spawn(async move { running.await.expect("runs") }).detach();
+        runtime.spawn(async move { running.await.expect("runs") }).detach();
         bed.until_listening().await;
         bed
     }
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -17,9 +17,9 @@
 
 #[test]
 fn an_answer_comes_back_whole() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("hello")]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("hello")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         let answer = bed.call(&Request::new("/safe/x?y=1").body("question")).await;
         assert_eq!((answer.status, answer.body.as_str(), answer.whole), (200, "hello", true));
         let head = back_end.heads.borrow()[0].clone();
@@ -30,9 +30,9 @@
 
 #[test]
 fn the_key_becomes_the_tenant_and_a_forged_tenant_goes_nowhere() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         let keyed = Request::new("/keyed/x").with("authorization", "Bearer key-a");
         bed.call(&keyed.with("mastbay-tenant", "someone-else")).await;
         let head = back_end.heads.borrow()[0].clone();
@@ -47,9 +47,9 @@
 
 #[test]
 fn what_no_route_serves_and_what_is_too_large_is_turned_away() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         assert_eq!(bed.call(&Request::new("/nowhere/x")).await.status, 404);
         let large = Request::new("/safe/x").body(&"x".repeat(10_001));
         assert_eq!(bed.call(&large).await.status, 413);
@@ -59,10 +59,10 @@
 
 #[test]
 fn a_request_that_a_back_end_did_not_run_goes_to_another() {
-    run(async |spawner| {
-        let full = ScriptedBackEnd::start(spawner, "b1", vec![not_run()]).await;
-        let other = ScriptedBackEnd::start(spawner, "b2", vec![answer("run")]).await;
-        let bed = Bed::start(spawner, &[&full, &other]).await;
+    run(async |runtime| {
+        let full = ScriptedBackEnd::start(runtime, "b1", vec![not_run()]).await;
+        let other = ScriptedBackEnd::start(runtime, "b2", vec![answer("run")]).await;
+        let bed = Bed::start(runtime, &[&full, &other]).await;
         for _ in 0..4 {
             let answer = bed.call(&Request::new("/unsafe/x")).await;
             assert_eq!((answer.status, answer.body.as_str()), (200, "run"));
@@ -72,9 +72,9 @@
 
 #[test]
 fn a_request_that_nobody_ran_is_told_so_with_a_time_to_come_back() {
-    run(async |spawner| {
-        let full = ScriptedBackEnd::start(spawner, "b1", vec![not_run()]).await;
-        let bed = Bed::start(spawner, &[&full]).await;
+    run(async |runtime| {
+        let full = ScriptedBackEnd::start(runtime, "b1", vec![not_run()]).await;
+        let bed = Bed::start(runtime, &[&full]).await;
         let answer = bed.call(&Request::new("/unsafe/x")).await;
         assert_eq!(answer.status, 503);
         assert_eq!(answer.header("mastbay-outcome").as_deref(), Some("not-run"));
@@ -84,10 +84,10 @@
 
 #[test]
 fn an_unsafe_request_whose_answer_is_lost_is_never_sent_again() {
-    run(async |spawner| {
-        let broken = ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::Close]]).await;
-        let other = ScriptedBackEnd::start(spawner, "b2", vec![vec![Step::Close]]).await;
-        let bed = Bed::start(spawner, &[&broken, &other]).await;
+    run(async |runtime| {
+        let broken = ScriptedBackEnd::start(runtime, "b1", vec![vec![Step::Close]]).await;
+        let other = ScriptedBackEnd::start(runtime, "b2", vec![vec![Step::Close]]).await;
+        let bed = Bed::start(runtime, &[&broken, &other]).await;
         let answer = bed.call(&Request::new("/unsafe/x")).await;
         assert_eq!(answer.status, 502);
         assert_eq!(broken.arrivals() + other.arrivals(), 1);
@@ -96,10 +96,10 @@
 
 #[test]
 fn a_safe_request_whose_answer_is_lost_goes_to_another() {
-    run(async |spawner| {
-        let broken = ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::Close]]).await;
-        let other = ScriptedBackEnd::start(spawner, "b2", vec![answer("run")]).await;
-        let bed = Bed::start(spawner, &[&broken, &other]).await;
+    run(async |runtime| {
+        let broken = ScriptedBackEnd::start(runtime, "b1", vec![vec![Step::Close]]).await;
+        let other = ScriptedBackEnd::start(runtime, "b2", vec![answer("run")]).await;
+        let bed = Bed::start(runtime, &[&broken, &other]).await;
         for _ in 0..3 {
             assert_eq!(bed.call(&Request::new("/safe/x")).await.status, 200);
         }
@@ -108,13 +108,13 @@
 
 #[test]
 fn the_answer_to_another_request_reaches_nobody() {
-    run(async |spawner| {
+    run(async |runtime| {
         let foreign =
             "HTTP/1.1 200 OK\r\nmastbay-request-id: other\r\ncontent-length: 5\r\n\r\nwrong";
         let crossed =
-            ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::Write(foreign.to_owned())]])
+            ScriptedBackEnd::start(runtime, "b1", vec![vec![Step::Write(foreign.to_owned())]])
                 .await;
-        let bed = Bed::start(spawner, &[&crossed]).await;
+        let bed = Bed::start(runtime, &[&crossed]).await;
         let answer = bed.call(&Request::new("/unsafe/x")).await;
         assert_eq!(answer.status, 502);
         assert!(!answer.body.contains("wrong"));
@@ -123,12 +123,12 @@
 
 #[test]
 fn bytes_after_an_answer_spoil_the_connection_and_not_the_next_answer() {
-    run(async |spawner| {
+    run(async |runtime| {
         let extra = "HTTP/1.1 200 OK\r\nmastbay-request-id: ID\r\ncontent-length: 5\r\n\r\nextra";
         let mut first = answer("first");
         first.push(Step::Write(extra.to_owned()));
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![first, answer("second")]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![first, answer("second")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "first");
         assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "second");
         assert_eq!(back_end.connections.get(), 2);
@@ -137,10 +137,10 @@
 
 #[test]
 fn what_is_no_answer_reaches_nobody() {
-    run(async |spawner| {
+    run(async |runtime| {
         let garbage = vec![vec![Step::Write("\u{1}\u{2} garbage\r\n\r\n".to_owned()), Step::Close]];
-        let broken = ScriptedBackEnd::start(spawner, "b1", garbage).await;
-        let bed = Bed::start(spawner, &[&broken]).await;
+        let broken = ScriptedBackEnd::start(runtime, "b1", garbage).await;
+        let bed = Bed::start(runtime, &[&broken]).await;
         let answer = bed.call(&Request::new("/unsafe/x")).await;
         assert_eq!((answer.status, answer.whole), (502, true));
         assert!(!answer.body.contains("garbage"));
@@ -149,11 +149,11 @@
 
 #[test]
 fn an_answer_that_breaks_off_is_not_passed_on_as_whole() {
-    run(async |spawner| {
+    run(async |runtime| {
         let part = "HTTP/1.1 200 OK\r\nmastbay-request-id: ID\r\ncontent-length: 50\r\n\r\nhalf";
         let steps = vec![vec![Step::Write(part.to_owned()), Step::Close]];
-        let broken = ScriptedBackEnd::start(spawner, "b1", steps).await;
-        let bed = Bed::start(spawner, &[&broken]).await;
+        let broken = ScriptedBackEnd::start(runtime, "b1", steps).await;
+        let bed = Bed::start(runtime, &[&broken]).await;
         let answer = bed.call(&Request::new("/unsafe/x")).await;
         assert_eq!(answer.status, 502);
     });
@@ -161,10 +161,10 @@
 
 #[test]
 fn a_stream_comes_back_whole() {
-    run(async |spawner| {
+    run(async |runtime| {
         let parts = [&events(1, 3), STREAM_END];
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![stream(&parts, &[])]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![stream(&parts, &[])]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         let answer = bed.call(&Request::new("/stream/x")).await;
         assert!(answer.whole, "{answer:?}");
         assert_eq!(answer.body.matches("data: x").count(), 3);
@@ -173,11 +173,11 @@
 
 #[test]
 fn a_stream_that_breaks_off_is_visibly_broken_and_holds_whole_events_only() {
-    run(async |spawner| {
+    run(async |runtime| {
         let parts = [&events(1, 2), &chunk("id: 3\nda")[..]];
         let steps = vec![stream(&parts, &[Step::Close])];
-        let back_end = ScriptedBackEnd::start(spawner, "b1", steps).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+        let back_end = ScriptedBackEnd::start(runtime, "b1", steps).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         let answer = bed.call(&Request::new("/stream/x")).await;
         assert!(!answer.whole);
         assert_eq!(answer.body.matches("data: x").count(), 2);
@@ -188,14 +188,14 @@
 
 #[test]
 fn a_resumable_stream_goes_on_at_another_back_end() {
-    run(async |spawner| {
+    run(async |runtime| {
         let broken = stream(&[&events(1, 2), &chunk("id: 3\nda")], &[Step::Close]);
         let rest = stream(&[&events(2, 5), STREAM_END], &[]);
         // Whichever is asked first breaks off; the other takes the stream up, with an event too many.
         let log = vec![broken, rest];
-        let first = ScriptedBackEnd::start(spawner, "b1", log.clone()).await;
-        let bed = Bed::start(spawner, &[&first]).await;
-        let second = ScriptedBackEnd::start(spawner, "b2", vec![log[1].clone()]).await;
+        let first = ScriptedBackEnd::start(runtime, "b1", log.clone()).await;
+        let bed = Bed::start(runtime, &[&first]).await;
+        let second = ScriptedBackEnd::start(runtime, "b2", vec![log[1].clone()]).await;
         let request = Request::new("/resumable/x");
         let caller = bed.open(&request).await;
         until(async || first.arrivals() == 1).await;
@@ -214,13 +214,13 @@
 
 #[test]
 fn a_caller_that_goes_away_frees_the_back_end() {
-    run(async |spawner| {
+    run(async |runtime| {
         for (path, steps) in [
             ("/stream/x", stream(&[&events(1, 1)], &[Step::UntilClosed])),
             ("/unsafe/x", vec![Step::UntilClosed]),
         ] {
-            let back_end = ScriptedBackEnd::start(spawner, "b1", vec![steps]).await;
-            let bed = Bed::start(spawner, &[&back_end]).await;
+            let back_end = ScriptedBackEnd::start(runtime, "b1", vec![steps]).await;
+            let bed = Bed::start(runtime, &[&back_end]).await;
             let caller = bed.open(&Request::new(path)).await;
             until(async || back_end.arrivals() == 1).await;
             drop(caller);
@@ -231,9 +231,9 @@
 
 #[test]
 fn a_route_that_runs_out_of_time_is_answered_and_its_back_end_freed() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![vec![Step::UntilClosed]]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![vec![Step::UntilClosed]]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         assert_eq!(bed.call(&Request::new("/brief/x")).await.status, 504);
         until(async || back_end.closed_by_router.get() == 1).await;
         let head = back_end.heads.borrow()[0].clone();
@@ -245,8 +245,8 @@
 
 #[test]
 fn a_deadline_that_passes_before_the_request_is_sent_is_told_as_not_run() {
-    run(async |spawner| {
-        let bed = Bed::start(spawner, &[]).await;
+    run(async |runtime| {
+        let bed = Bed::start(runtime, &[]).await;
         let answer = bed.call(&Request::new("/unsafe/x").with("mastbay-deadline-ms", "30")).await;
         assert_eq!(answer.status, 503);
         assert_eq!(answer.header("mastbay-outcome").as_deref(), Some("not-run"));
@@ -255,10 +255,10 @@
 
 #[test]
 fn a_back_end_that_drains_or_is_gone_gets_nothing_new() {
-    run(async |spawner| {
-        let leaving = ScriptedBackEnd::start(spawner, "b1", vec![answer("1")]).await;
-        let staying = ScriptedBackEnd::start(spawner, "b2", vec![answer("2")]).await;
-        let bed = Bed::start(spawner, &[&leaving, &staying]).await;
+    run(async |runtime| {
+        let leaving = ScriptedBackEnd::start(runtime, "b1", vec![answer("1")]).await;
+        let staying = ScriptedBackEnd::start(runtime, "b2", vec![answer("2")]).await;
+        let bed = Bed::start(runtime, &[&leaving, &staying]).await;
         let mut listed = vec![leaving.listed("plain"), staying.listed("plain")];
         listed[0].state = BackEndState::Draining;
         let list = mastbay_routing::BackEndList { revision: 2, back_ends: listed };
@@ -273,9 +273,9 @@
 
 #[test]
 fn a_configuration_never_goes_back() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         let mut newer = configuration(5);
         newer.routes.retain(|route| route.path_prefix != "/safe/");
         bed.router.offer_configuration(newer, "test");
@@ -288,9 +288,9 @@
 
 #[test]
 fn the_configuration_bounds_the_heads_of_requests() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         let long = Request::new("/safe/x").with("x-long", &"x".repeat(30_000));
         assert_eq!(bed.call(&long).await.status, 431);
         let mut wider = configuration(2);
@@ -302,10 +302,10 @@
 
 #[test]
 fn a_router_that_misses_a_version_fetches_it_from_a_peer() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("")]).await;
-        let first = Bed::start(spawner, &[&back_end]).await;
-        let second = Bed::start(spawner, &[]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("")]).await;
+        let first = Bed::start(runtime, &[&back_end]).await;
+        let second = Bed::start(runtime, &[]).await;
         first.router.offer_configuration(configuration(9), "test");
         first.list(7, &[&back_end]);
         // Bed routers have no seeds: the first hears of the second by a digest of its own making.
@@ -329,9 +329,9 @@
 
 #[test]
 fn malformed_heads_do_no_harm() {
-    run(async |spawner| {
-        let back_end = ScriptedBackEnd::start(spawner, "b1", vec![answer("fine")]).await;
-        let bed = Bed::start(spawner, &[&back_end]).await;
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("fine")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
         for bytes in
             ["\0\0\0\r\n\r\n", "GET\r\n\r\n", "POST /safe/x HTTP/1.1\r\ncontent-length: x\r\n\r\n"]
         {
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -6,8 +6,14 @@
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
-/// Time over which lateness is averaged.
-const MEMORY: Duration = Duration::from_millis(700);
+/// Time over which lateness is averaged before callers are sent elsewhere as a whole.
+const LONG_MEMORY: Duration = Duration::from_millis(700);
+/// Time over which it is averaged before single connections are turned away.
+const SHORT_MEMORY: Duration = Duration::from_millis(250);
+/// Lateness from which on new connections are turned away, and that at which nearly all are.
+const TURNING_AWAY: (f64, f64) = (0.45, 0.85);
+/// Most of the new connections that are turned away: those that are taken show when there is room again.
+const MOST_TURNED_AWAY: f64 = 0.95;
 /// Part of the time by which turns are late from which on a router is overloaded.
 const OVERLOADED: f64 = 0.6;
 /// Part of the callers' connections that may be open before a router is overloaded.
@@ -38,6 +44,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct OverloadGuard {
     lateness: f64,
+    recent_lateness: f64,
     shedding_until: Option<Timestamp>,
     ended: Option<Timestamp>,
     last_shed: Duration,
@@ -73,6 +80,14 @@
         self.shedding_until.is_some()
     }
 
+    /// The part of new connections to turn away unread: their callers connect to another router at once,
+    /// while here their requests would wait behind all others.
+    pub fn turned_away_part(&self) -> f64 {
+        let (first, last) = TURNING_AWAY;
+        let part = (self.recent_lateness - first) / (last - first);
+        part.clamp(0.0, MOST_TURNED_AWAY)
+    }
+
     /// The part of its time by which the router is late, 0 to 1.
     pub fn lateness(&self) -> f64 {
         self.lateness
@@ -81,8 +96,8 @@
     fn average(&mut self, turn: Turn) {
         let passed = (turn.period + turn.lag).as_secs_f64();
         let late = turn.lag.as_secs_f64() / passed.max(f64::MIN_POSITIVE);
-        let gain = 1.0 - (-passed / MEMORY.as_secs_f64()).exp();
-        self.lateness += gain * (late - self.lateness);
+        self.lateness += gain(passed, LONG_MEMORY) * (late - self.lateness);
+        self.recent_lateness += gain(passed, SHORT_MEMORY) * (late - self.recent_lateness);
     }
 
     fn is_overloaded(&self, turn: Turn) -> bool {
@@ -94,3 +109,8 @@
         self.last_shed = span;
     }
 }
+
+/// The weight of what was seen in the last `passed` seconds.
+fn gain(passed: f64, memory: Duration) -> f64 {
+    1.0 - (-passed / memory.as_secs_f64()).exp()
+}
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -84,3 +84,20 @@
     let all = Turn { others_shedding: 0.3, ..turn(80) };
     assert_eq!(changes(&mut guard, 0, 5_000, all), []);
 }
+
+/// The balancer moves a tenant's callers as one, so that the next router would be overloaded in turn.
+#[test]
+fn connections_beyond_what_the_processor_carries_are_turned_away_at_once() {
+    let mut guard = OverloadGuard::default();
+    changes(&mut guard, 0, 500, turn(40));
+    assert!(guard.turned_away_part() > 0.3, "{}", guard.turned_away_part());
+    changes(&mut guard, 500, 1_500, turn(2));
+    assert_eq!(guard.turned_away_part(), 0.0);
+}
+
+#[test]
+fn some_connections_are_taken_however_late_the_router_is() {
+    let mut guard = OverloadGuard::default();
+    changes(&mut guard, 0, 5_000, turn(500));
+    assert!(guard.turned_away_part() < 1.0);
+}
