Small routers leave callers to larger ones

Change: digests tell a router's part of a core (settings, processor). One that is overloaded sheds for 60 s if there are much larger routers, and never if most are much smaller; among equals 3 to 8 s as before. Overload is found in 0.4 s. Ruled out: the large router itself: of 0.5 core, it answers about 1,500 requests a second, half of them with a refusal since the tenant is over its share.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -232,7 +232,8 @@
         shedding,
         lateness,
         connections_part = turn.connections,
-        others_shedding = turn.others_shedding,
+        others_shedding = turn.others.shedding,
+        others_larger = turn.others.larger,
     );
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -114,6 +114,7 @@
             share_window: settings.share_window,
             budget: settings.budget,
             burst_from,
+            processor: settings.processor as f32,
             most_waiting: settings.most_waiting,
         };
         let dispatcher = Dispatcher::new(limits, me, settings.operations);
@@ -304,7 +305,7 @@
             period: TURN_PERIOD,
             lag,
             connections: self.open.count() as f64 / most,
-            others_shedding: self.dispatcher.borrow().shedding_part(),
+            others: self.dispatcher.borrow().others(),
         };
         let changed = self.overload.borrow_mut().on_turn(now, turn);
         if let Some(shedding) = changed {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -25,6 +25,8 @@
     pub descriptors: usize,
     /// `[router] memory`: memory that the process may take, in megabytes.
     pub memory_megabytes: usize,
+    /// `[router] processor`: its part of a processor core.
+    pub processor: f64,
     /// `[router] most-waiting`: requests that wait at a time.
     pub most_waiting: usize,
     /// `[router] stop-limit`: time for a planned stop.
@@ -97,6 +99,7 @@
     }
 }
 
+const DEFAULT_PROCESSOR: f64 = 1.0;
 const DEFAULT_WAITING: u64 = 400;
 const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(8);
 const DEFAULT_PROPAGATION: Duration = Duration::from_secs(2);
@@ -114,6 +117,7 @@
     let descriptors: Bounded<400, 10_000_000> =
         section.or("descriptors", Bounded(DEFAULT_DESCRIPTORS));
     let memory: Bounded<16, 10_000_000> = section.or("memory", Bounded(DEFAULT_MEMORY));
+    let processor = section.or("processor", Amount(DEFAULT_PROCESSOR));
     let waiting: Bounded<1, 1_000_000> = section.or("most-waiting", Bounded(DEFAULT_WAITING));
     let stop: Span<100, 600_000> = section.or("stop-limit", Span(DEFAULT_STOP_LIMIT));
     let window: Span<100, 600_000> = section.or("share-window", Span(DEFAULT_SHARE_WINDOW));
@@ -140,6 +144,7 @@
         operations: operations?,
         descriptors: descriptors.0 as usize,
         memory_megabytes: memory.0 as usize,
+        processor: processor.0,
         most_waiting: waiting.0 as usize,
         stop_limit: stop.0,
         share_window: window.0,
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -201,6 +201,7 @@
         most_waiting: 100,
         stop_limit: Duration::from_secs(4),
         share_window: Duration::from_secs(4),
+        processor: 1.0,
         event_delay: Duration::from_millis(120),
         propagation: Duration::from_secs(2),
         first_start: true,
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -317,6 +317,7 @@
             snapshots: second.settings.operations,
             standing: mastbay_routing::Standing::Serving,
             contact: mastbay_routing::SourceContact::Usable,
+            processor: 1.0,
             configuration: 0,
             back_ends: 0,
             engines: Vec::new(),
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -58,6 +58,8 @@
     pub snapshots: SocketAddr,
     /// Whether the sender takes new callers.
     pub standing: Standing,
+    /// Its part of a processor core.
+    pub processor: f32,
     /// What the sender knows of the source by its own calls.
     pub contact: SourceContact,
     /// Version of the configuration that it has in force, 0 if none.
--- a/crates/routing/src/dispatch/fleet.rs
+++ b/crates/routing/src/dispatch/fleet.rs
@@ -3,6 +3,7 @@
 use crate::back_end::BackEndId;
 use crate::digest::{Digest, EngineReport, PeerId, Standing, TenantReport};
 use crate::engine::Load;
+use crate::overload::Others;
 use crate::watching::{Candidate, SourceContact, follows_source};
 use mastbay_types::Timestamp;
 use std::collections::{BTreeMap, HashMap};
@@ -15,6 +16,8 @@
 const PEER_LIFE: Duration = Duration::from_secs(12);
 /// Addresses of peers passed on in one digest.
 const PEERS_PASSED_ON: usize = 6;
+/// How many times the processor of another a much larger router has.
+const MUCH_MORE: f32 = 1.5;
 /// One digest in this many tells of tenants and of further routers; they change slowly.
 const FULL_DIGEST: u64 = 4;
 
@@ -30,6 +33,8 @@
 pub struct OwnState {
     /// Whether it takes new callers.
     pub standing: Standing,
+    /// Its part of a processor core.
+    pub processor: f32,
     /// What it knows of the source.
     pub contact: SourceContact,
     /// Version of its configuration, 0 if none.
@@ -116,11 +121,18 @@
         follows_source(Candidate { router: self.me, contact }, others)
     }
 
-    /// Part of the peers that send new callers elsewhere.
-    pub fn shedding_part(&self) -> f64 {
-        let counted = || self.peers.values().filter(|peer| peer.counted);
-        let shedding = counted().filter(|peer| peer.digest.standing == Standing::Shedding).count();
-        shedding as f64 / counted().count().max(1) as f64
+    /// What is known of the peers beside a router with `processor`.
+    pub fn others(&self, processor: f32) -> Others {
+        let digests = || self.peers.values().filter(|peer| peer.counted).map(|peer| &peer.digest);
+        let all = digests().count().max(1) as f64;
+        let part = |is_counted: &dyn Fn(&Digest) -> bool| {
+            digests().filter(|digest| is_counted(digest)).count() as f64 / all
+        };
+        Others {
+            shedding: part(&|digest| digest.standing == Standing::Shedding),
+            larger: part(&|digest| digest.processor > processor * MUCH_MORE),
+            smaller: part(&|digest| digest.processor * MUCH_MORE < processor),
+        }
     }
 
     /// Age of the oldest figures that count.
@@ -172,6 +184,7 @@
             sequence: self.sequence,
             snapshots: self.snapshots,
             standing: own.standing,
+            processor: own.processor,
             contact: own.contact,
             configuration: own.configuration,
             back_ends: own.back_ends,
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -19,6 +19,8 @@
     pub budget: BudgetLimits,
     /// No burst of second sends before this moment.
     pub burst_from: Timestamp,
+    /// The router's part of a processor core.
+    pub processor: f32,
     /// Most requests that wait.
     pub most_waiting: usize,
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 use crate::digest::{Digest, EngineReport, PeerId, Standing};
 use crate::engine::{Engine, Load};
 use crate::health::Fault;
+use crate::overload::Others;
 use crate::shares::Usage;
 use crate::waiting::{Waiter, WaitingQueue};
 use crate::watching::SourceContact;
@@ -175,9 +176,9 @@
         self.fleet.follows_source(self.contact)
     }
 
-    /// Part of the other routers that send new callers elsewhere.
-    pub fn shedding_part(&self) -> f64 {
-        self.fleet.shedding_part()
+    /// What is known of the other routers.
+    pub fn others(&self) -> Others {
+        self.fleet.others(self.limits.processor)
     }
 
     /// Places a request now, lets it wait or refuses it. `draw` is uniform in 0..1.
@@ -303,6 +304,7 @@
         let tenants = self.usage.reports(now);
         let own = OwnState {
             standing,
+            processor: self.limits.processor,
             contact: self.contact,
             configuration: self.configuration,
             back_ends: self.back_ends,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -35,7 +35,7 @@
 pub use engine::Load;
 pub use health::{Fault, Health};
 pub use lapsed::{LapsedBackEnds, OutageWatch};
-pub use overload::{OverloadGuard, Turn};
+pub use overload::{Others, OverloadGuard, Turn};
 pub use prompt::{Prompt, PromptPart};
 pub use shares::{Usage, water_level};
 pub use table::{RouteTable, TableEntry};
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 /// Time over which lateness is averaged before callers are sent elsewhere as a whole.
-const LONG_MEMORY: Duration = Duration::from_millis(700);
+const LONG_MEMORY: Duration = Duration::from_millis(400);
+/// Longest time that one turn speaks for: a single long pause is no overload.
+const LONGEST_TURN: Duration = Duration::from_millis(120);
 /// Time over which it is averaged before single connections are turned away.
 const SHORT_MEMORY: Duration = Duration::from_millis(250);
 /// Lateness from which on new connections are turned away, and that at which nearly all are.
@@ -20,15 +22,21 @@
 const OVERLOADED: f64 = 0.6;
 /// Part of the callers' connections that may be open before a router is overloaded.
 const CONNECTIONS_PART: f64 = 0.6;
-/// First time for which new callers are sent elsewhere.
+/// First time for which new callers are sent elsewhere while there are larger routers: it gives those
+/// callers the time to reach one, since the balancer sends them to a router at a time.
+const SHED_TO_LARGER: Duration = Duration::from_secs(60);
+/// First time for which new callers are sent elsewhere among equals.
 const FIRST_SHED: Duration = Duration::from_secs(3);
-/// Longest such time.
+/// Longest such time among equals.
 const LONGEST_SHED: Duration = Duration::from_secs(8);
 /// A router that is overloaded again within this time sheds for twice as long.
 const RELAPSE: Duration = Duration::from_secs(6);
 /// Part of the fleet that may shed at a time: if all have too much, there is no elsewhere.
 const MOST_SHEDDING: f64 = 0.25;
 
+/// Part of the others that have much less processor from which on a router keeps its callers.
+const MOSTLY_SMALLER: f64 = 0.5;
+
 /// A periodic turn that the router has taken.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Turn {
@@ -38,8 +46,19 @@
     pub lag: Duration,
     /// Open connections of callers over the most that may be open.
     pub connections: f64,
-    /// Part of the other routers that shed.
-    pub others_shedding: f64,
+    /// The other routers.
+    pub others: Others,
+}
+
+/// What a router knows of the others when it weighs whether they can take its callers.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Others {
+    /// Part of them that shed.
+    pub shedding: f64,
+    /// Part of them that have much more processor.
+    pub larger: f64,
+    /// Part of them that have much less processor.
+    pub smaller: f64,
 }
 
 /// Watches for overload and says when new callers are to go elsewhere.
@@ -67,10 +86,8 @@
                 self.ended = Some(now);
                 Some(false)
             }
-            None if self.is_overloaded(turn) && turn.others_shedding < MOST_SHEDDING => {
-                let relapsed = self.ended.is_some_and(|ended| now.since(ended) < RELAPSE);
-                let span = if relapsed { self.last_shed * 2 } else { FIRST_SHED };
-                self.shed(now, span.min(LONGEST_SHED));
+            None if self.is_overloaded(turn) && may_shed(turn.others) => {
+                self.shed(now, self.next_span(now, turn.others));
                 Some(true)
             }
             None => None,
@@ -103,10 +120,20 @@
     fn average(&mut self, turn: Turn) {
         let passed = (turn.period + turn.lag).as_secs_f64();
         let late = turn.lag.as_secs_f64() / passed.max(f64::MIN_POSITIVE);
+        let passed = passed.min(LONGEST_TURN.as_secs_f64());
         self.lateness += gain(passed, LONG_MEMORY) * (late - self.lateness);
         self.recent_lateness += gain(passed, SHORT_MEMORY) * (late - self.recent_lateness);
     }
 
+    fn next_span(&self, now: Timestamp, others: Others) -> Duration {
+        if others.larger > 0.0 {
+            return SHED_TO_LARGER;
+        }
+        let relapsed = self.ended.is_some_and(|ended| now.since(ended) < RELAPSE);
+        let span = if relapsed { self.last_shed * 2 } else { FIRST_SHED };
+        span.min(LONGEST_SHED)
+    }
+
     fn is_overloaded(&self, turn: Turn) -> bool {
         self.lateness > OVERLOADED || turn.connections > CONNECTIONS_PART
     }
@@ -117,6 +144,11 @@
     }
 }
 
+/// Whether others can take the callers: not if many shed already, nor if most are much smaller.
+fn may_shed(others: Others) -> bool {
+    others.shedding < MOST_SHEDDING && others.smaller < MOSTLY_SMALLER
+}
+
 /// The weight of what was seen in the last `passed` seconds.
 fn gain(passed: f64, memory: Duration) -> f64 {
     1.0 - (-passed / memory.as_secs_f64()).exp()
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use mastbay_routing::{OverloadGuard, Turn};
+use mastbay_routing::{Others, OverloadGuard, Turn};
 use std::time::Duration;
 use support::at;
 
@@ -13,7 +13,7 @@
         period: PERIOD,
         lag: Duration::from_millis(lag_ms),
         connections: 0.1,
-        others_shedding: 0.0,
+        others: Others::default(),
     }
 }
 
@@ -36,7 +36,7 @@
 fn a_router_that_cannot_keep_up_sends_new_callers_elsewhere_within_a_second() {
     let mut guard = OverloadGuard::default();
     let seen = changes(&mut guard, 0, 2_000, turn(80));
-    assert!(matches!(seen[..], [(when, true)] if when < 1_100), "{seen:?}");
+    assert!(matches!(seen[..], [(when, true)] if when < 700), "{seen:?}");
 }
 
 #[test]
@@ -48,7 +48,7 @@
 #[test]
 fn one_long_pause_is_no_overload() {
     let mut guard = OverloadGuard::default();
-    assert_eq!(guard.on_turn(at(500), turn(400)), None);
+    assert_eq!(guard.on_turn(at(500), turn(1_500)), None);
     assert_eq!(changes(&mut guard, 500, 5_000, turn(1)), []);
 }
 
@@ -81,7 +81,7 @@
 #[test]
 fn where_a_quarter_of_the_fleet_sheds_already_there_is_no_elsewhere() {
     let mut guard = OverloadGuard::default();
-    let all = Turn { others_shedding: 0.3, ..turn(80) };
+    let all = Turn { others: Others { shedding: 0.3, ..Others::default() }, ..turn(80) };
     assert_eq!(changes(&mut guard, 0, 5_000, all), []);
 }
 
@@ -111,3 +111,22 @@
     changes(&mut guard, 1_000, 2_000, turn(0));
     assert!(!guard.is_pressed());
 }
+
+/// Found on days on which one client asks a thousand times a second: the balancer sends it to one router
+/// at a time, and only few of them have the processor for it.
+#[test]
+fn small_routers_leave_callers_to_larger_ones_for_long() {
+    let mut guard = OverloadGuard::default();
+    let larger = Others { larger: 0.1, ..Others::default() };
+    changes(&mut guard, 0, 1_100, Turn { others: larger, ..turn(80) });
+    let seen = changes(&mut guard, 1_100, 90_000, Turn { others: larger, ..turn(1) });
+    assert!(matches!(seen[..], [(when, false)] if when > 50_000), "{seen:?}");
+}
+
+#[test]
+fn a_router_among_smaller_ones_keeps_its_callers() {
+    let mut guard = OverloadGuard::default();
+    let smaller = Others { smaller: 0.9, ..Others::default() };
+    assert_eq!(changes(&mut guard, 0, 5_000, Turn { others: smaller, ..turn(80) }), []);
+    assert!(guard.turned_away_part() > 0.5);
+}
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -32,6 +32,7 @@
         share_window: Duration::from_secs(4),
         budget: BudgetLimits::default(),
         burst_from: Timestamp::ZERO,
+        processor: 1.0,
         most_waiting: 50,
     }
 }
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -310,6 +310,7 @@
         share_window: Duration::from_secs(4),
         budget: BudgetLimits::default(),
         burst_from: Timestamp::ZERO,
+        processor: 1.0,
         most_waiting: 400,
     };
     let me = PeerId { address: address(index), life: 1 };
