Weigh what is read again against the slot that it frees

Change: a back end's cost is its occupancy, failures and lateness, and the tokens to be read again for each token made; beginnings that are cheap by that measure may go to five engines, others to two as before. The crowding term goes.

--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -19,12 +19,19 @@
 const PLAIN_QUEUE: u32 = 2;
 /// Back ends, in their order for a beginning, that may read it.
 const MOST_RANKS: usize = 2;
-/// Share of failures at which a back end counts as one rank lower, and then one more for each such share.
+/// The same for a beginning that costs little to read again.
+const MOST_RANKS_OF_CHEAP: usize = 5;
+/// Cost up to which a beginning is cheap to read again.
+const CHEAP: f64 = 0.5;
+/// Tokens read again for each token made that cost as much as a back end whose slots are all taken. What
+/// moves to another back end frees a slot here for as long as it makes tokens.
+const READ_AGAIN_PER_MADE: f64 = 10.0;
+/// Cost of each further rank: between equals, the same back end is chosen everywhere.
+const RANK_COST: f64 = 0.02;
+/// Share of failures that costs as much as a back end whose slots are all taken.
 const FAILURE_STEP: f64 = 0.08;
-/// Load beyond which a back end counts as one rank lower, over the mean load.
-const CROWDED: f64 = 1.5;
-/// Load up to which no back end counts as crowded, as part of its slots.
-const NEVER_CROWDED: f64 = 0.4;
+/// Cost of a predicted first event as late as the objective.
+const LATE_COST: f64 = 0.5;
 /// What another zone costs a plain request, in slots.
 const OTHER_ZONE_SLOTS: f64 = 0.08;
 
@@ -187,15 +194,16 @@
     ) -> Vec<Weighed> {
         let beginning = prompt.affinity_key().unwrap_or_default();
         let homes = self.homes.of(&self.engines, &demand.service, beginning);
-        let mean = self.mean_running(now, &demand.service);
+        let is_cheap = cost_of_reading(prompt, prompt.shared_tokens()) < CHEAP;
+        let ranks = if is_cheap { MOST_RANKS_OF_CHEAP } else { MOST_RANKS };
         let candidates = homes.iter().filter_map(|id| self.engines.get(id));
         let candidates = candidates.filter(|engine| self.is_candidate(now, engine, demand));
         let mut weighed = Vec::new();
-        for (rank, engine) in candidates.take(MOST_RANKS).enumerate() {
+        for (rank, engine) in candidates.take(ranks).enumerate() {
             if !self.has_room(engine, demand, prompt, terms) {
                 continue;
             }
-            let candidate = self.weigh(now, engine, demand, prompt, rank, mean);
+            let candidate = self.weigh(now, engine, demand, prompt, rank);
             if is_idle(engine) || is_in_time(now, &candidate, demand, terms) {
                 weighed.push(candidate);
             }
@@ -209,17 +217,7 @@
         let beginning = prompt.affinity_key().unwrap_or_default();
         let homes = self.homes.of(&self.engines, &demand.service, beginning);
         let engine = self.engines.get(homes.first()?)?;
-        Some(self.weigh(now, engine, demand, prompt, 0, f64::INFINITY))
-    }
-
-    /// Requests at a back end of a service on the mean.
-    fn mean_running(&self, now: Timestamp, service: &str) -> f64 {
-        let engines = self.engines.values().filter(|engine| engine.back_end.service == service);
-        let well = engines.filter(|engine| !engine.health.is_paused(now));
-        let (count, running) = well.fold((0_u32, 0_u32), |(count, running), engine| {
-            (count + 1, running + engine.load().running)
-        });
-        f64::from(running) / f64::from(count.max(1))
+        Some(self.weigh(now, engine, demand, prompt, 0))
     }
 
     fn has_room(&self, engine: &Engine, demand: &Demand, prompt: &Prompt, terms: Terms) -> bool {
@@ -240,7 +238,6 @@
         demand: &Demand,
         prompt: &Prompt,
         rank: usize,
-        mean_running: f64,
     ) -> Weighed {
         let load = engine.load();
         let mut uncached = engine.uncached(prompt);
@@ -251,18 +248,22 @@
         let work_ahead = load.unread + uncached;
         let predicted = pace.predict(work_ahead) * engine.slowness;
         let slots = f64::from(engine.back_end.slots.max(1));
-        let bound = (mean_running * CROWDED).max(slots * NEVER_CROWDED);
-        let crowding = (f64::from(load.running) / bound.max(1.0) - 1.0).max(0.0) * CROWDED;
+        let occupancy = f64::from(load.running) / slots;
         let failures = engine.health.failure_share(now) / FAILURE_STEP;
-        let holds = uncached <= prompt.own_tokens();
-        let rank = if holds { rank.min(1) } else { rank };
-        let late = predicted / milliseconds(demand.objective).max(1.0);
-        let cost = rank as f64 + crowding + failures + late * 0.5;
+        let read_again = cost_of_reading(prompt, uncached.saturating_sub(prompt.own_tokens()));
+        let late = predicted / milliseconds(demand.objective).max(1.0) * LATE_COST;
+        let cost = read_again + occupancy + failures + late + rank as f64 * RANK_COST;
         let predicted = Duration::from_secs_f64(predicted / 1e3);
         Weighed { id: engine.back_end.id.clone(), predicted, uncached, work_ahead, cost }
     }
 }
 
+/// What it costs to read `tokens` of a prompt's beginning again.
+fn cost_of_reading(prompt: &Prompt, tokens: u64) -> f64 {
+    let made = f64::from(prompt.expected_output().max(1));
+    tokens as f64 / made / READ_AGAIN_PER_MADE
+}
+
 /// Whether an engine has so little to do that no prediction speaks against it. Without this a wrong
 /// prediction would refuse all, and nothing would be seen that could mend it.
 fn is_idle(engine: &Engine) -> bool {
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -38,11 +38,15 @@
         u64::from(self.input_tokens) + u64::from(self.expected_output())
     }
 
+    /// Tokens of the parts that it shares with others.
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum()
+    }
+
     /// Tokens of the part that belongs to the request or its session alone.
     pub fn own_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        let shared: u64 = self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum();
-        u64::from(self.input_tokens).saturating_sub(shared)
+        u64::from(self.input_tokens).saturating_sub(self.shared_tokens())
     }
 
     /// The key by which requests with the same beginning are brought together: the last part that is
