Let a request with a long beginning wait a little for the engine that holds it

Change: delay scheduling: for 0.15 of the objective such a request goes only to an engine that holds its beginning, then to the second too (it is refused at 0.25 as before). Beginnings that are cheap to read are not concerned.

--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -21,6 +21,9 @@
 const MOST_RANKS: usize = 2;
 /// The same for a beginning that costs little to read again.
 const MOST_RANKS_OF_CHEAP: usize = 5;
+/// Part of the objective for which a request waits for the engine that holds its beginning before another
+/// reads it again.
+const LOCALITY_WAIT: f64 = 0.15;
 /// Cost up to which a beginning is cheap to read again.
 const CHEAP: f64 = 0.5;
 /// Tokens read again for each token made that cost as much as a back end whose slots are all taken. What
@@ -195,6 +198,10 @@
         let beginning = prompt.affinity_key().unwrap_or_default();
         let homes = self.homes.of(&self.engines, &demand.service, beginning);
         let is_cheap = cost_of_reading(prompt, prompt.shared_tokens()) < CHEAP;
+        let waited = now.since(demand.arrived);
+        let waits_for_locality = !is_cheap
+            && demand.tried.is_empty()
+            && waited < demand.objective.mul_f64(LOCALITY_WAIT);
         let ranks = if is_cheap { MOST_RANKS_OF_CHEAP } else { MOST_RANKS };
         let candidates = homes.iter().filter_map(|id| self.engines.get(id));
         let candidates = candidates.filter(|engine| self.is_candidate(now, engine, demand));
@@ -204,6 +211,10 @@
                 continue;
             }
             let candidate = self.weigh(now, engine, demand, prompt, rank);
+            let reads_again = candidate.uncached > prompt.own_tokens();
+            if reads_again && waits_for_locality {
+                continue;
+            }
             if is_idle(engine) || is_in_time(now, &candidate, demand, terms) {
                 weighed.push(candidate);
             }
