Leave room for light tenants that other routers could not place

Who has the most running at an engine knows of each free slot 0.2 to 0.5 s before the others and takes it. Change: a router tells for each engine how many requests of tenants under half of the level found no room there lately; tenants over half of it leave so many slots free, 0.4 of them at most. Ruled out: the level; the 38 engines that were down or hung meanwhile (others were served); the processor of the two routers. Mutation: without the slots left free the new test fails.

--- a/crates/routing/src/dispatch/fair_level.rs
+++ b/crates/routing/src/dispatch/fair_level.rs
@@ -4,6 +4,20 @@
 use crate::waiting::{Waiter, WaitingOrder};
 use std::collections::HashMap;
 
+/// Part of the fair level from which on a tenant is a large one.
+const LARGE: f64 = 0.5;
+
+/// How much of its share a tenant is given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TenantStanding {
+    /// Well under the fair level.
+    Light,
+    /// A large part of the fair level.
+    Large,
+    /// More than the fair level.
+    OverShare,
+}
+
 /// Tenants' rates over the fleet and the fair level.
 #[derive(Debug)]
 pub struct Shares {
@@ -33,9 +47,16 @@
         self.given.get(tenant).copied().unwrap_or(0.0)
     }
 
-    /// Whether a tenant is given more than the fair level.
-    pub fn is_over(&self, tenant: &str) -> bool {
-        self.given(tenant) > self.level
+    /// How much of its share a tenant is given.
+    pub fn standing(&self, tenant: &str) -> TenantStanding {
+        let given = self.given(tenant);
+        if given > self.level {
+            TenantStanding::OverShare
+        } else if given > self.level * LARGE {
+            TenantStanding::Large
+        } else {
+            TenantStanding::Light
+        }
     }
 
     /// The place of a waiter in the order.
@@ -43,7 +64,8 @@
         let tenant = waiter.demand.tenant.as_deref();
         WaitingOrder {
             priority: waiter.demand.priority,
-            over_share: tenant.is_some_and(|tenant| self.is_over(tenant)),
+            over_share: tenant
+                .is_some_and(|tenant| self.standing(tenant) == TenantStanding::OverShare),
             given: tenant.map_or(0.0, |tenant| self.given(tenant)),
             ticket: waiter.ticket.0,
         }
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -53,7 +53,7 @@
 impl Demand {
     pub(super) fn load(&self, uncached: u64) -> Load {
         let memory = self.prompt.as_ref().map_or(0, Prompt::memory);
-        Load { running: 1, unread: uncached, memory }
+        Load { running: 1, unread: uncached, memory, unmet: 0 }
     }
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -18,7 +18,7 @@
 use crate::shares::Usage;
 use crate::waiting::{Waiter, WaitingQueue};
 use crate::watching::SourceContact;
-use fair_level::Shares;
+use fair_level::{Shares, TenantStanding};
 use fleet::{Fleet, OwnState};
 use homes::Homes;
 use mastbay_types::Timestamp;
@@ -195,14 +195,16 @@
         if let Some(placement) = placed {
             return Admission::Placed(placement);
         }
-        if !privileged && self.is_over_share(now, &demand) {
+        if !privileged && self.tenant_standing(now, &demand) == TenantStanding::OverShare {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
         }
-        let queue = self.waiting.entry(demand.service.clone()).or_default();
-        if queue.len() >= self.limits.most_waiting {
+        let waiting = self.waiting.get(&demand.service).map_or(0, WaitingQueue::len);
+        if waiting >= self.limits.most_waiting {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::QueueFull, draw));
         }
+        self.note_unmet(now, &demand);
         let until = hold_until(&demand);
+        let queue = self.waiting.entry(demand.service.clone()).or_default();
         queue.push(Waiter { ticket, demand, until });
         Admission::Waiting(ticket)
     }
@@ -298,9 +300,11 @@
 
     /// This router's own figures.
     pub fn digest(&mut self, now: Timestamp, standing: Standing) -> Digest {
-        let engines = self.engines.iter().filter(|(_, engine)| engine.own != Load::default());
-        let engines =
-            engines.map(|(id, engine)| EngineReport { id: id.clone(), load: engine.own }).collect();
+        let reports = self
+            .engines
+            .iter()
+            .map(|(id, engine)| EngineReport { id: id.clone(), load: engine.own_report(now) });
+        let engines = reports.filter(|report| report.load != Load::default()).collect();
         let tenants = self.usage.reports(now);
         let own = OwnState {
             standing,
@@ -423,9 +427,20 @@
         })
     }
 
-    fn is_over_share(&mut self, now: Timestamp, demand: &Demand) -> bool {
-        let Some(tenant) = &demand.tenant else { return false };
-        self.shares(now).is_over(tenant)
+    fn tenant_standing(&mut self, now: Timestamp, demand: &Demand) -> TenantStanding {
+        let Some(tenant) = &demand.tenant else { return TenantStanding::Light };
+        self.shares(now).standing(tenant)
+    }
+
+    /// Notes that a request found no room, so that room is left for its tenant if it is a light one.
+    fn note_unmet(&mut self, now: Timestamp, demand: &Demand) {
+        if demand.prompt.is_none() || self.tenant_standing(now, demand) != TenantStanding::Light {
+            return;
+        }
+        let Some(first) = self.first_choice(now, demand) else { return };
+        if let Some(engine) = self.engines.get_mut(&first.id) {
+            engine.on_unmet(now);
+        }
     }
 
     fn shares(&mut self, now: Timestamp) -> Rc<Shares> {
@@ -454,8 +469,8 @@
         demand: &Demand,
         last_call: bool,
     ) -> Option<Placement> {
-        let over_share = self.is_over_share(now, demand);
-        let weighed = self.best(now, demand, Terms { over_share, last_call })?;
+        let standing = self.tenant_standing(now, demand);
+        let weighed = self.best(now, demand, Terms { standing, last_call })?;
         let age = self.fleet.oldest_age(now);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
         let load = demand.load(uncached);
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -1,5 +1,6 @@
 //! The choice of a back end: the one that holds the prompt's beginning, as long as it is in time.
 
+use super::fair_level::TenantStanding;
 use super::{Demand, Dispatcher};
 use crate::back_end::{BackEndId, BackEndState};
 use crate::engine::Engine;
@@ -9,6 +10,8 @@
 
 /// Part of the slots that tenants over the fair level may take.
 const OVER_SHARE_SLOTS: f64 = 0.85;
+/// Most of the slots that are left free for light tenants that found no room.
+const MOST_LEFT_FOR_LIGHT: f64 = 0.4;
 /// Part of the objective within which a tenant over the fair level must be served.
 const OVER_SHARE_TIME: f64 = 0.6;
 /// Part of the objective within which the first event is predicted to come.
@@ -141,8 +144,8 @@
 /// How a request is looked at.
 #[derive(Debug, Clone, Copy)]
 pub struct Terms {
-    /// Its tenant has more than the fair level.
-    pub over_share: bool,
+    /// How much of its share its tenant is given.
+    pub standing: TenantStanding,
     /// Its time to wait is over.
     pub last_call: bool,
 }
@@ -234,7 +237,12 @@
     fn has_room(&self, engine: &Engine, demand: &Demand, prompt: &Prompt, terms: Terms) -> bool {
         let load = engine.load();
         let slots = f64::from(engine.back_end.slots.max(1));
-        let slots = if terms.over_share { slots * OVER_SHARE_SLOTS } else { slots };
+        let left_for_light = f64::from(load.unmet).min(slots * MOST_LEFT_FOR_LIGHT);
+        let slots = match terms.standing {
+            TenantStanding::Light => slots,
+            TenantStanding::Large => slots - left_for_light,
+            TenantStanding::OverShare => (slots * OVER_SHARE_SLOTS).min(slots - left_for_light),
+        };
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
         let fits = memory.is_none_or(|memory| {
             (load.memory + prompt.memory()) as f64 <= memory as f64 * MEMORY_PART
@@ -286,7 +294,8 @@
 /// Whether a back end's first event would come in time; at the last call it may be late.
 fn is_in_time(now: Timestamp, weighed: &Weighed, demand: &Demand, terms: Terms) -> bool {
     let waited = now.since(demand.arrived);
-    let part = if terms.over_share { OVER_SHARE_TIME } else { TIME_PART };
+    let is_over = terms.standing == TenantStanding::OverShare;
+    let part = if is_over { OVER_SHARE_TIME } else { TIME_PART };
     let allowed = if !demand.tried.is_empty() {
         demand.deadline.since(demand.arrived)
     } else if terms.last_call {
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -17,6 +17,9 @@
     pub unread: u64,
     /// Memory that they take, in tokens.
     pub memory: u64,
+    /// Requests of tenants well under the fair level that found no room there lately. Room is left for
+    /// them by those that send for the largest tenants.
+    pub unmet: u32,
 }
 
 impl Load {
@@ -25,6 +28,7 @@
         self.running += other.running;
         self.unread += other.unread;
         self.memory += other.memory;
+        self.unmet += other.unmet;
     }
 
     /// Takes another load away.
@@ -32,6 +36,29 @@
         self.running = self.running.saturating_sub(other.running);
         self.unread = self.unread.saturating_sub(other.unread);
         self.memory = self.memory.saturating_sub(other.memory);
+        self.unmet = self.unmet.saturating_sub(other.unmet);
+    }
+}
+
+/// Time over which unmet requests fade.
+const UNMET_LIFE: Duration = Duration::from_millis(700);
+
+/// A number of events that fades.
+#[derive(Debug, Clone, Copy, Default)]
+struct FadingCount {
+    count: f64,
+    moved: Timestamp,
+}
+
+impl FadingCount {
+    fn now(&self, now: Timestamp) -> f64 {
+        let passed = now.since(self.moved).as_secs_f64() / UNMET_LIFE.as_secs_f64();
+        self.count * (-passed).exp()
+    }
+
+    fn add(&mut self, now: Timestamp) {
+        self.count = self.now(now) + 1.0;
+        self.moved = now;
     }
 }
 
@@ -53,6 +80,7 @@
     pub health: Health,
     /// Its time to first events over the time predicted, as a moving mean.
     pub slowness: f64,
+    unmet: FadingCount,
     parts: HashMap<u64, Timestamp>,
 }
 
@@ -65,6 +93,7 @@
             others: Load::default(),
             health: Health::default(),
             slowness: 1.0,
+            unmet: FadingCount::default(),
             parts: HashMap::new(),
         }
     }
@@ -101,6 +130,16 @@
         }
     }
 
+    /// A request of a tenant well under the fair level found no room here.
+    pub fn on_unmet(&mut self, now: Timestamp) {
+        self.unmet.add(now);
+    }
+
+    /// What this router tells of it.
+    pub fn own_report(&self, now: Timestamp) -> Load {
+        Load { unmet: self.unmet.now(now).round() as u32, ..self.own }
+    }
+
     /// It has lost its memory.
     pub fn forget(&mut self) {
         self.parts.clear();
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -196,6 +196,42 @@
     assert_eq!(verdicts.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [small]);
 }
 
+/// Found on a day on which a tenant that asks for most of the capacity came to one router, which knows of
+/// each free slot half a second before the others, and a small one to another.
+#[test]
+fn a_router_leaves_room_for_light_tenants_that_others_could_not_place() {
+    let mut fleet = vec![dispatcher(1, 1, 8), dispatcher(2, 1, 8)];
+    for router in &mut fleet {
+        router.on_configuration(&configuration(Some(900)));
+    }
+    let admit = |router: &mut Dispatcher, millis: u64, tenant: &str, own: u64| {
+        let demand = demand(at(millis), Some(prompt(1, own, 50)), tenant);
+        router.on_request(at(millis), &demand);
+        router.admit(at(millis), demand, 0.5)
+    };
+    let mut running = Vec::new();
+    for own in 0..8 {
+        match admit(&mut fleet[0], 0, "large", own) {
+            Admission::Placed(placement) => running.push(placement.ticket),
+            other => panic!("{other:?}"),
+        }
+    }
+    exchange_digests(at(60), &mut fleet);
+    for own in 0..4 {
+        assert!(matches!(admit(&mut fleet[1], 70, "small", own), Admission::Waiting(_)));
+    }
+    // Only one digest in four tells of tenants.
+    for millis in 80..84 {
+        exchange_digests(at(millis), &mut fleet);
+    }
+    for ticket in running.drain(..3) {
+        fleet[0].on_end(at(90), ticket, Ok(()));
+    }
+    assert!(!matches!(admit(&mut fleet[0], 91, "large", 10), Admission::Placed(_)));
+    exchange_digests(at(100), &mut fleet);
+    assert_eq!(fleet[1].poll(at(101), 0.5).iter().filter(|verdict| verdict.1.is_ok()).count(), 3);
+}
+
 #[test]
 fn waiters_for_a_full_engine_hold_nobody_else_up() {
     let mut dispatcher = dispatcher(1, 12, 1);
