Judge an outage of the store over the fleet, not by a router's own loss

Believed cause, from the code: routers that were cut off took their own loss of the store for its outage, read the list first, marked it as read after an outage, and the routers in touch that learned it from them kept what was gone for 1.5 s more. Change: digests tell Idle, Answered or Lost; each router judges by all that it hears whether the store answers anybody; the mark on lists goes. A router that begins to follow the store makes its first call without a wait, so that a change of followers looks like no outage.

--- a/crates/router/src/catalogue.rs
+++ b/crates/router/src/catalogue.rs
@@ -34,13 +34,19 @@
         Some(table)
     }
 
-    /// Takes a list of back ends if it is newer than the one known. Gives those to use from now on.
-    pub fn offer_back_ends(&mut self, now: Timestamp, offered: BackEndList) -> Option<BackEndList> {
+    /// Takes a list of back ends if it is newer than the one known; right after an outage of the source it
+    /// may lack living ones (`recovering`). Gives those to use from now on.
+    pub fn offer_back_ends(
+        &mut self,
+        now: Timestamp,
+        recovering: bool,
+        offered: BackEndList,
+    ) -> Option<BackEndList> {
         if self.back_ends.as_ref().is_some_and(|list| list.revision >= offered.revision) {
             return None;
         }
         if let Some(old) = &self.back_ends {
-            self.lapsed.on_list(now, old, &offered);
+            self.lapsed.on_list(now, recovering, old, &offered);
         }
         let usable = self.lapsed.with_kept(&offered);
         self.back_ends = Some(Rc::new(offered));
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -65,6 +65,8 @@
 
 /// Part of the delay that an event may have for which events are gathered.
 const GATHERING_PART: f64 = 0.4;
+/// Wait of the first call to a source.
+const FIRST_WAIT: Duration = Duration::from_millis(1);
 /// Time between two looks at whether this router follows the source.
 const DUTY_PERIOD: Duration = Duration::from_millis(100);
 
@@ -158,18 +160,24 @@
     }
 
     /// Takes a list of back ends from a source; an older one changes nothing.
-    pub fn offer_back_ends(&self, mut offered: BackEndList, origin: Origin) {
+    pub fn offer_back_ends(&self, offered: BackEndList, origin: Origin) {
         let now = self.now();
-        if origin == Origin::Source {
-            offered.after_outage = self.outage.borrow().is_recovering(now);
-        }
-        let taken = self.catalogue.borrow_mut().offer_back_ends(now, offered);
+        let recovering = self.outage.borrow().is_recovering(now);
+        let taken = self.catalogue.borrow_mut().offer_back_ends(now, recovering, offered);
         if let Some(usable) = taken {
             self.use_back_ends(&usable, origin);
             self.tell_peers(origin);
         }
     }
 
+    fn watch_outage(&self, now: Timestamp) {
+        if self.dispatcher.borrow().is_source_answering() {
+            self.outage.borrow_mut().on_answer(now);
+        } else {
+            self.outage.borrow_mut().on_lost(now);
+        }
+    }
+
     fn use_back_ends(&self, usable: &BackEndList, origin: Origin) {
         self.dispatcher.borrow_mut().on_back_ends(usable);
         self.pool.retain(usable);
@@ -185,13 +193,20 @@
     }
 
     /// How long the next call to a source may wait for a change.
+    ///
+    /// The first call of one that begins to follow it is answered at once: it may have missed changes, and
+    /// the others see that there is contact.
     pub fn source_wait(&self) -> Duration {
+        if self.dispatcher.borrow().source_contact() != SourceContact::Answered {
+            return FIRST_WAIT;
+        }
         watch_wait(self.settings.propagation, rand::random())
     }
 
     /// Waits until this router is one of those that follow the source.
     pub async fn until_following_source(&self) {
         while !self.follows_source() {
+            self.dispatcher.borrow_mut().on_source_contact(SourceContact::Idle);
             self.runtime.sleep(DUTY_PERIOD).await;
         }
     }
@@ -206,11 +221,6 @@
 
     /// A call to a source was answered, or failed.
     pub fn on_source_contact(&self, contact: SourceContact) {
-        let now = self.now();
-        match contact {
-            SourceContact::Usable => self.outage.borrow_mut().on_answer(now),
-            SourceContact::Lost => self.outage.borrow_mut().on_lost(now),
-        }
         self.dispatcher.borrow_mut().on_source_contact(contact);
     }
 
@@ -295,6 +305,7 @@
     }
 
     fn take_turn(&self, now: Timestamp, lag: Duration) {
+        self.watch_outage(now);
         let expired = self.catalogue.borrow_mut().expire_lapsed(now);
         if let Some(usable) = expired {
             self.use_back_ends(&usable, Origin::Source);
--- a/crates/routing/src/back_end.rs
+++ b/crates/routing/src/back_end.rs
@@ -46,9 +46,6 @@
 pub struct BackEndList {
     /// The source's revision; rises.
     pub revision: u64,
-    /// Whether it was read so soon after an outage of the source that living back ends may be missing.
-    #[serde(default)]
-    pub after_outage: bool,
     /// The back ends.
     pub back_ends: Vec<BackEnd>,
 }
--- a/crates/routing/src/dispatch/fleet.rs
+++ b/crates/routing/src/dispatch/fleet.rs
@@ -112,6 +112,12 @@
         1 + self.peers.values().filter(|peer| now.since(peer.heard) <= PEER_LIFE).count()
     }
 
+    /// Whether the last call of any peer to the source was answered.
+    pub fn is_source_answering(&self) -> bool {
+        let mut heard = self.peers.values().filter(|peer| peer.counted);
+        heard.any(|peer| peer.digest.contact == SourceContact::Answered)
+    }
+
     /// Whether this router follows the source.
     pub fn follows_source(&self, contact: SourceContact) -> bool {
         let heard = self.peers.values().filter(|peer| peer.counted);
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -171,6 +171,16 @@
         self.contact = contact;
     }
 
+    /// What this router knows of the source by its own calls.
+    pub fn source_contact(&self) -> SourceContact {
+        self.contact
+    }
+
+    /// Whether the last call of any router to the source was answered, as far as this one hears.
+    pub fn is_source_answering(&self) -> bool {
+        self.contact == SourceContact::Answered || self.fleet.is_source_answering()
+    }
+
     /// Whether this router follows the source; the others learn from their peers.
     pub fn follows_source(&self) -> bool {
         self.fleet.follows_source(self.contact)
--- a/crates/routing/src/lapsed.rs
+++ b/crates/routing/src/lapsed.rs
@@ -9,15 +9,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time after an outage for which a missing back end is kept. Living ones are back within two seconds;
-/// a leaving one must get nothing new after that, with time to tell all routers.
-const KEPT: Duration = Duration::from_millis(1_500);
+/// Time for which a back end is kept that is missing after an outage. Living ones are back within two
+/// seconds.
+const KEPT: Duration = Duration::from_millis(2_000);
 /// Time after an outage in which lists may lack living back ends.
 const RECOVERY: Duration = Duration::from_millis(2_500);
 /// Shorter outages lapse nothing.
 const SHORTEST_OUTAGE: Duration = Duration::from_millis(1_000);
 
-/// Follows a router's contact with the source.
+/// Follows whether any router of the fleet has contact with the source. One that is cut off alone says
+/// nothing about the source: entries lapse only while it is away for the back ends too.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct OutageWatch {
     lost: Option<Timestamp>,
@@ -25,12 +26,12 @@
 }
 
 impl OutageWatch {
-    /// A call to the source failed.
+    /// No router's last call was answered.
     pub fn on_lost(&mut self, now: Timestamp) {
         self.lost.get_or_insert(now);
     }
 
-    /// A call to the source was answered.
+    /// Some router's last call was answered.
     pub fn on_answer(&mut self, now: Timestamp) {
         if self.is_outage(now) {
             self.recovering_until = Some(now + RECOVERY);
@@ -55,12 +56,18 @@
 }
 
 impl LapsedBackEnds {
-    /// A list replaces another: those that took work and are missing are kept, if it was read after an
-    /// outage. Those that are listed are kept no longer.
-    pub fn on_list(&mut self, now: Timestamp, old: &BackEndList, new: &BackEndList) {
+    /// A list replaces another: those that took work and are missing are kept, if the source is just
+    /// `recovering` from an outage. Those that are listed are kept no longer.
+    pub fn on_list(
+        &mut self,
+        now: Timestamp,
+        recovering: bool,
+        old: &BackEndList,
+        new: &BackEndList,
+    ) {
         let listed: BTreeSet<&BackEndId> = new.back_ends.iter().map(|listed| &listed.id).collect();
         self.kept.retain(|id, _| !listed.contains(id));
-        if !new.after_outage {
+        if !recovering {
             return;
         }
         let missing = old.back_ends.iter().filter(|known| !listed.contains(&known.id));
--- a/crates/routing/src/watching.rs
+++ b/crates/routing/src/watching.rs
@@ -21,9 +21,11 @@
 /// What a router knows of the source by its own calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum SourceContact {
-    /// Its last call was answered, or it made none.
+    /// It makes no calls.
     #[default]
-    Usable,
+    Idle,
+    /// Its last call was answered.
+    Answered,
     /// Its last call failed.
     Lost,
 }
@@ -42,7 +44,7 @@
 pub fn follows_source(me: Candidate, others: impl Iterator<Item = Candidate>) -> bool {
     let mine = rank(me.router);
     let before_me = others
-        .filter(|other| other.contact == SourceContact::Usable)
+        .filter(|other| other.contact != SourceContact::Lost)
         .filter(|other| rank(other.router) < mine)
         .take(WATCHERS);
     before_me.count() < WATCHERS
