--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -2,7 +2,7 @@
 
 use crate::dialect::OwnAnswer;
 use crate::line_budget::LeftOut;
-use crate::router::Origin;
+use crate::news::Origin;
 use crate::serve::Call;
 use derive_more::Display;
 use mastbay_routing::{
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 mod line_budget;
 mod listener;
 mod metrics;
+mod news;
 mod operations;
 pub mod own_dialect;
 mod paced;
@@ -30,7 +31,8 @@
 
 pub use listener::{ListenerLimits, StopSignal};
 pub use metrics::RouterMetrics;
-pub use router::{Origin, Router, Seams};
+pub use news::Origin;
+pub use router::{Router, Seams};
 pub use runtime::Runtime;
 pub use settings::{RouterSettings, SECTIONS, read_router_settings};
 pub use stop::{RunError, run};
--- /dev/null
+++ b/crates/router/src/news.rs
@@ -0,0 +1,39 @@
+//! News of the configuration and the back ends: where they come from, and who is told.
+
+use derive_more::Display;
+use smol::channel::{Receiver, Sender};
+
+/// Where a configuration or a list of back ends came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Origin {
+    /// The router's own source.
+    #[display("source")]
+    Source,
+    /// Another router.
+    #[display("peer")]
+    Peer,
+}
+
+/// Wakes one task; giving it again before that changes nothing.
+pub(crate) struct News(Sender<()>, Receiver<()>);
+
+impl Default for News {
+    fn default() -> Self {
+        let (sender, receiver) = smol::channel::bounded(1);
+        Self(sender, receiver)
+    }
+}
+
+impl News {
+    /// Wakes the task.
+    pub(crate) fn give(&self) {
+        // A full channel already holds the news.
+        let _ = self.0.try_send(());
+    }
+
+    /// Waits until it is given.
+    pub(crate) async fn taken(&self) {
+        // The sender lives as long as the receiver.
+        let _ = self.1.recv().await;
+    }
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -3,8 +3,9 @@
 use crate::catalogue::Snapshot;
 use crate::client::LocalClient;
 use crate::events;
+use crate::news::Origin;
 use crate::operations::SNAPSHOT_PATH;
-use crate::router::{Origin, Router};
+use crate::router::Router;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,16 +7,16 @@
 use crate::line_budget::LineBudget;
 use crate::listener::{OpenConnections, StopSignal};
 use crate::metrics::RouterMetrics;
+use crate::news::{News, Origin};
 use crate::pool::Pool;
 use crate::runtime::{Runtime, TURN_PERIOD};
 use crate::settings::RouterSettings;
-use derive_more::Display;
 use mastbay_routing::{
     BackEndList, Dispatcher, DispatcherLimits, OutageWatch, OverloadGuard, PeerId, Placement,
     Refusal, RouteTable, RoutingConfiguration, SourceContact, Standing, TicketId, Turn, watch_wait,
 };
 use mastbay_types::Timestamp;
-use smol::channel::{Receiver, Sender};
+use smol::channel::Sender;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -30,39 +30,6 @@
     pub back_ends: Box<dyn BackEndDialect>,
 }
 
-/// Where a configuration or a list of back ends came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum Origin {
-    /// The router's own source.
-    #[display("source")]
-    Source,
-    /// Another router.
-    #[display("peer")]
-    Peer,
-}
-
-/// Wakes one task; giving it again before that changes nothing.
-pub(crate) struct News(Sender<()>, Receiver<()>);
-
-impl Default for News {
-    fn default() -> Self {
-        let (sender, receiver) = smol::channel::bounded(1);
-        Self(sender, receiver)
-    }
-}
-
-impl News {
-    fn give(&self) {
-        // A full channel already holds the news.
-        let _ = self.0.try_send(());
-    }
-
-    pub(crate) async fn taken(&self) {
-        // The sender lives as long as the receiver.
-        let _ = self.1.recv().await;
-    }
-}
-
 /// Part of the delay that an event may have for which events are gathered.
 const GATHERING_PART: f64 = 0.4;
 /// Wait of the first call to a source.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -7,6 +7,8 @@
 mod homes;
 mod messages;
 mod placement;
+mod sharing;
+mod source;
 
 use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 use crate::budget::RetryBudget;
@@ -14,7 +16,6 @@
 use crate::digest::{Digest, EngineReport, PeerId, Standing};
 use crate::engine::{Engine, Load};
 use crate::health::Fault;
-use crate::overload::Others;
 use crate::shares::Usage;
 use crate::waiting::{Waiter, WaitingQueue};
 use crate::watching::SourceContact;
@@ -48,8 +49,6 @@
 const HOLD_PART: f64 = 0.25;
 /// Waiters that are tried in vain before the rest of a queue is left for later.
 const TRIES_IN_VAIN: usize = 64;
-/// Time for which tenants' rates are used before they are summed again.
-const SHARES_LIFE: Duration = Duration::from_millis(50);
 /// Lag of the router up to which the times that it sees are taken for those of back ends.
 const TOLERATED_LAG: Duration = Duration::from_millis(15);
 /// Time for which requests under way are marked by a lag.
@@ -166,31 +165,6 @@
         self.budget(service).left(now, routers)
     }
 
-    /// A call to the source was answered, or failed.
-    pub fn on_source_contact(&mut self, contact: SourceContact) {
-        self.contact = contact;
-    }
-
-    /// What this router knows of the source by its own calls.
-    pub fn source_contact(&self) -> SourceContact {
-        self.contact
-    }
-
-    /// Whether the last call of any router to the source was answered, as far as this one hears.
-    pub fn is_source_answering(&self) -> bool {
-        self.contact == SourceContact::Answered || self.fleet.is_source_answering()
-    }
-
-    /// Whether this router follows the source; the others learn from their peers.
-    pub fn follows_source(&self) -> bool {
-        self.fleet.follows_source(self.contact)
-    }
-
-    /// What is known of the other routers.
-    pub fn others(&self) -> Others {
-        self.fleet.others(self.limits.processor)
-    }
-
     /// Places a request now, lets it wait or refuses it. `draw` is uniform in 0..1.
     pub fn admit(&mut self, now: Timestamp, demand: Demand, draw: f64) -> Admission {
         let others_wait = self.waiting.get(&demand.service).is_some_and(|queue| queue.len() > 0);
@@ -331,13 +305,6 @@
         self.fleet.addresses()
     }
 
-    /// A peer that has told of a newer configuration or newer back ends, and where it hands them out.
-    ///
-    /// `draw`, uniform in 0..1, picks one, so that not all ask the same.
-    pub fn newer_elsewhere(&self, now: Timestamp, draw: f64) -> Option<SocketAddr> {
-        self.fleet.newer_than(now, self.configuration, self.back_ends, draw)
-    }
-
     fn new_engine(&self, back_end: BackEnd) -> Engine {
         let mut engine = Engine::new(back_end);
         engine.others = self.fleet.load_at(&engine.back_end.id);
@@ -437,39 +404,6 @@
         })
     }
 
-    fn tenant_standing(&mut self, now: Timestamp, demand: &Demand) -> TenantStanding {
-        let Some(tenant) = &demand.tenant else { return TenantStanding::Light };
-        self.shares(now).standing(tenant)
-    }
-
-    /// Notes that a request found no room, so that room is left for its tenant if it is a light one.
-    fn note_unmet(&mut self, now: Timestamp, demand: &Demand) {
-        if demand.prompt.is_none() || self.tenant_standing(now, demand) != TenantStanding::Light {
-            return;
-        }
-        let Some(first) = self.first_choice(now, demand) else { return };
-        if let Some(engine) = self.engines.get_mut(&first.id) {
-            engine.on_unmet(now);
-        }
-    }
-
-    fn shares(&mut self, now: Timestamp) -> Rc<Shares> {
-        if let Some((made, shares)) = &self.shares
-            && now.since(*made) < SHARES_LIFE
-        {
-            return shares.clone();
-        }
-        let shares = Rc::new(self.new_shares(now));
-        self.shares = Some((now, shares.clone()));
-        shares
-    }
-
-    fn new_shares(&mut self, now: Timestamp) -> Shares {
-        let own = self.usage.reports(now);
-        let (asked, given) = self.fleet.tenant_rates(&own);
-        Shares::new(&asked, given, self.capacity)
-    }
-
     /// Reserves room for a request at the best back end, if one has it. A request whose time to wait
     /// is over (`last_call`) is also placed where it is late.
     fn try_place(
--- /dev/null
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -0,0 +1,45 @@
+//! A router's view of tenants' shares, and of light tenants that find no room.
+
+use super::fair_level::{Shares, TenantStanding};
+use super::{Demand, Dispatcher};
+use mastbay_types::Timestamp;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time for which tenants' rates are used before they are summed again.
+const SHARES_LIFE: Duration = Duration::from_millis(50);
+
+impl Dispatcher {
+    pub(super) fn tenant_standing(&mut self, now: Timestamp, demand: &Demand) -> TenantStanding {
+        let Some(tenant) = &demand.tenant else { return TenantStanding::Light };
+        self.shares(now).standing(tenant)
+    }
+
+    /// Notes that a request found no room, so that room is left for its tenant if it is a light one.
+    pub(super) fn note_unmet(&mut self, now: Timestamp, demand: &Demand) {
+        if demand.prompt.is_none() || self.tenant_standing(now, demand) != TenantStanding::Light {
+            return;
+        }
+        let Some(first) = self.first_choice(now, demand) else { return };
+        if let Some(engine) = self.engines.get_mut(&first.id) {
+            engine.on_unmet(now);
+        }
+    }
+
+    pub(super) fn shares(&mut self, now: Timestamp) -> Rc<Shares> {
+        if let Some((made, shares)) = &self.shares
+            && now.since(*made) < SHARES_LIFE
+        {
+            return shares.clone();
+        }
+        let shares = Rc::new(self.new_shares(now));
+        self.shares = Some((now, shares.clone()));
+        shares
+    }
+
+    fn new_shares(&mut self, now: Timestamp) -> Shares {
+        let own = self.usage.reports(now);
+        let (asked, given) = self.fleet.tenant_rates(&own);
+        Shares::new(&asked, given, self.capacity)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/dispatch/source.rs
@@ -0,0 +1,41 @@
+//! What the fleet knows of the source of configuration and back ends, and who asks it.
+
+use super::Dispatcher;
+use crate::overload::Others;
+use crate::watching::SourceContact;
+use mastbay_types::Timestamp;
+use std::net::SocketAddr;
+
+impl Dispatcher {
+    /// A call to the source was answered, or failed.
+    pub fn on_source_contact(&mut self, contact: SourceContact) {
+        self.contact = contact;
+    }
+
+    /// What this router knows of the source by its own calls.
+    pub fn source_contact(&self) -> SourceContact {
+        self.contact
+    }
+
+    /// Whether the last call of any router to the source was answered, as far as this one hears.
+    pub fn is_source_answering(&self) -> bool {
+        self.contact == SourceContact::Answered || self.fleet.is_source_answering()
+    }
+
+    /// Whether this router follows the source; the others learn from their peers.
+    pub fn follows_source(&self) -> bool {
+        self.fleet.follows_source(self.contact)
+    }
+
+    /// What is known of the other routers.
+    pub fn others(&self) -> Others {
+        self.fleet.others(self.limits.processor)
+    }
+
+    /// A peer that has told of a newer configuration or newer back ends, and where it hands them out.
+    ///
+    /// `draw`, uniform in 0..1, picks one, so that not all ask the same.
+    pub fn newer_elsewhere(&self, now: Timestamp, draw: f64) -> Option<SocketAddr> {
+        self.fleet.newer_than(now, self.configuration, self.back_ends, draw)
+    }
+}
