A settings section [policy] for placement, admission and sharing

Cause: the issue asks for an ablation; each mechanism has to be switched at one place. The constants of placement that an ablation weighs move to routing::Policy, read and checked from [policy] in the router's settings.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,12 +1,12 @@
 //! Settings of a router, in INI form, checked whole.
 
-use mastbay_routing::BudgetLimits;
+use mastbay_routing::{BudgetLimits, ConcurrencyPolicy, Policy};
 use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The sections that a router reads.
-pub const SECTIONS: [&str; 4] = ["router", "peers", "retries", "log"];
+pub const SECTIONS: [&str; 5] = ["router", "peers", "retries", "policy", "log"];
 
 /// Settings of a router.
 #[derive(Debug, Clone, PartialEq)]
@@ -45,6 +45,8 @@
     pub seeds: Vec<SocketAddr>,
     /// `[retries]`: the fleet's budget for second sends.
     pub budget: BudgetLimits,
+    /// `[policy]`: how requests are placed, admitted and shared.
+    pub policy: Policy,
     /// `[log] filter`: what is logged.
     pub log: String,
 }
@@ -132,6 +134,7 @@
     section.finish();
 
     let budget = read_budget(document, faults);
+    let policy = read_policy(document, faults);
     let mut section = document.section("log", faults);
     let log = section.or("filter", "info".to_owned());
     section.finish();
@@ -154,6 +157,7 @@
         digests: digests?,
         seeds,
         budget,
+        policy,
         log,
     })
 }
@@ -167,3 +171,59 @@
     section.finish();
     BudgetLimits { ratio: ratio.0, window: window.0, burst: burst.0 }
 }
+
+fn read_policy(document: &Document, faults: &mut Faults) -> Policy {
+    let default = Policy::default();
+    let mut section = document.section("policy", faults);
+    let concurrency = section.or("concurrency", Concurrency(default.concurrency));
+    let preferred: Bounded<1, 6> =
+        section.or("preferred-engines", Bounded(default.preferred_engines as u64));
+    let cheap: Bounded<1, 6> =
+        section.or("preferred-engines-cheap", Bounded(default.preferred_engines_cheap as u64));
+    let policy = Policy {
+        concurrency: concurrency.0,
+        preferred_engines: preferred.0 as usize,
+        preferred_engines_cheap: cheap.0 as usize,
+        locality_wait: section.or("locality-wait", Part(default.locality_wait)).0,
+        light_reserve: section.or("light-reserve", Part(default.light_reserve)).0,
+        over_share_slots: section.or("over-share-slots", Part(default.over_share_slots)).0,
+        over_share_time: section.or("over-share-time", Part(default.over_share_time)).0,
+        time_part: section.or("time-part", Part(default.time_part)).0,
+        hold_part: section.or("hold-part", Part(default.hold_part)).0,
+        fair_share: section.or("fair-share", default.fair_share),
+        latency_ratio: section.or("latency-ratio", default.latency_ratio),
+    };
+    section.finish();
+    policy
+}
+
+/// A part of a whole.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Part(f64);
+
+impl Value for Part {
+    const EXPECTED: &'static str = "a number from 0 to 1";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text.parse::<f64>() {
+            Ok(part) if (0.0..=1.0).contains(&part) => Ok(Part(part)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// How many requests may be under way at one engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Concurrency(ConcurrencyPolicy);
+
+impl Value for Concurrency {
+    const EXPECTED: &'static str = "'slots' or a number from 1 to 100000";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match (text, text.parse::<u32>()) {
+            ("slots", _) => Ok(Concurrency(ConcurrencyPolicy::Slots)),
+            (_, Ok(most @ 1..=100_000)) => Ok(Concurrency(ConcurrencyPolicy::Fixed(most))),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -207,6 +207,7 @@
         digests: ports.next_address(),
         seeds: Vec::new(),
         budget: BudgetLimits::default(),
+        policy: mastbay_routing::Policy::default(),
         log: "info".to_owned(),
     }
 }
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -3,6 +3,7 @@
 use crate::back_end::{BackEnd, BackEndId};
 use crate::budget::BudgetLimits;
 use crate::engine::Load;
+use crate::policy::Policy;
 use crate::prompt::Prompt;
 use mastbay_types::Timestamp;
 use std::sync::Arc;
@@ -23,6 +24,8 @@
     pub processor: f32,
     /// Most requests that wait.
     pub most_waiting: usize,
+    /// Settings of the policies.
+    pub policy: Policy,
 }
 
 /// Names a request in a dispatcher, from admission to its end.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -45,8 +45,6 @@
     first_event: bool,
 }
 
-/// Part of the objective that a request may wait before it is refused.
-const HOLD_PART: f64 = 0.25;
 /// Waiters that are tried in vain before the rest of a queue is left for later.
 const TRIES_IN_VAIN: usize = 64;
 /// Lag of the router up to which the times that it sees are taken for those of back ends.
@@ -187,7 +185,7 @@
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::QueueFull, draw));
         }
         self.note_unmet(now, &demand);
-        let until = hold_until(&demand);
+        let until = self.hold_until(&demand);
         let queue = self.waiting.entry(demand.service.clone()).or_default();
         queue.push(Waiter { ticket, demand, until });
         Admission::Waiting(ticket)
@@ -434,10 +432,10 @@
         self.running.insert(ticket, entry);
         Some(Placement { ticket, back_end, predicted, running, uncached, age })
     }
-}
 
-/// Until when a request waits: a part of its objective; one that was tried before, the whole.
-fn hold_until(demand: &Demand) -> Timestamp {
-    let part = if demand.tried.is_empty() { HOLD_PART } else { 1.0 };
-    (demand.arrived + demand.objective.mul_f64(part)).min(demand.deadline)
+    /// Until when a request waits: a part of its objective; one that was tried before, the whole.
+    fn hold_until(&self, demand: &Demand) -> Timestamp {
+        let part = if demand.tried.is_empty() { self.limits.policy.hold_part } else { 1.0 };
+        (demand.arrived + demand.objective.mul_f64(part)).min(demand.deadline)
+    }
 }
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -4,29 +4,15 @@
 use super::{Demand, Dispatcher};
 use crate::back_end::{BackEndId, BackEndState};
 use crate::engine::Engine;
+use crate::policy::{ConcurrencyPolicy, Policy};
 use crate::prompt::Prompt;
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
-/// Part of the slots that tenants over the fair level may take.
-const OVER_SHARE_SLOTS: f64 = 0.85;
-/// Most of the slots that are left free for light tenants that found no room.
-const MOST_LEFT_FOR_LIGHT: f64 = 0.4;
-/// Part of the objective within which a tenant over the fair level must be served.
-const OVER_SHARE_TIME: f64 = 0.6;
-/// Part of the objective within which the first event is predicted to come.
-const TIME_PART: f64 = 0.9;
 /// Part of the memory that running requests may take.
 const MEMORY_PART: f64 = 0.92;
 /// Requests that a plain back end may have beyond its slots.
 const PLAIN_QUEUE: u32 = 2;
-/// Back ends, in their order for a beginning, that may read it.
-const MOST_RANKS: usize = 2;
-/// The same for a beginning that costs little to read again.
-const MOST_RANKS_OF_CHEAP: usize = 5;
-/// Part of the objective for which a request waits for the engine that holds its beginning before another
-/// reads it again.
-const LOCALITY_WAIT: f64 = 0.15;
 /// Cost up to which a beginning is cheap to read again.
 const CHEAP: f64 = 0.5;
 /// Tokens read again for each token made that cost as much as a back end whose slots are all taken. What
@@ -198,14 +184,16 @@
         prompt: &Prompt,
         terms: Terms,
     ) -> Vec<Weighed> {
+        let policy = self.limits.policy.clone();
         let beginning = prompt.affinity_key().unwrap_or_default();
         let homes = self.homes.of(&self.engines, &demand.service, beginning);
         let is_cheap = cost_of_reading(prompt, prompt.shared_tokens()) < CHEAP;
         let waited = now.since(demand.arrived);
         let waits_for_locality = !is_cheap
             && demand.tried.is_empty()
-            && waited < demand.objective.mul_f64(LOCALITY_WAIT);
-        let ranks = if is_cheap { MOST_RANKS_OF_CHEAP } else { MOST_RANKS };
+            && waited < demand.objective.mul_f64(policy.locality_wait);
+        let ranks =
+            if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
         let candidates = homes.iter().filter_map(|id| self.engines.get(id));
         let candidates = candidates.filter(|engine| self.is_candidate(now, engine, demand));
         let mut weighed = Vec::new();
@@ -218,7 +206,7 @@
             if reads_again && waits_for_locality {
                 continue;
             }
-            if is_idle(engine) || is_in_time(now, &candidate, demand, terms) {
+            if is_idle(engine) || is_in_time(now, &candidate, demand, terms, &policy) {
                 weighed.push(candidate);
             }
         }
@@ -236,12 +224,15 @@
 
     fn has_room(&self, engine: &Engine, demand: &Demand, prompt: &Prompt, terms: Terms) -> bool {
         let load = engine.load();
-        let slots = f64::from(engine.back_end.slots.max(1));
-        let left_for_light = f64::from(load.unmet).min(slots * MOST_LEFT_FOR_LIGHT);
+        let policy = &self.limits.policy;
+        let slots = f64::from(self.most_running(engine));
+        let left_for_light = f64::from(load.unmet).min(slots * policy.light_reserve);
         let slots = match terms.standing {
             TenantStanding::Light => slots,
             TenantStanding::Large => slots - left_for_light,
-            TenantStanding::OverShare => (slots * OVER_SHARE_SLOTS).min(slots - left_for_light),
+            TenantStanding::OverShare => {
+                (slots * policy.over_share_slots).min(slots - left_for_light)
+            }
         };
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
         let fits = memory.is_none_or(|memory| {
@@ -250,6 +241,15 @@
         f64::from(load.running + 1) <= slots && fits
     }
 
+    /// Requests that may be under way at an engine.
+    fn most_running(&self, engine: &Engine) -> u32 {
+        let slots = engine.back_end.slots.max(1);
+        match self.limits.policy.concurrency {
+            ConcurrencyPolicy::Slots => slots,
+            ConcurrencyPolicy::Fixed(most) => slots.min(most.max(1)),
+        }
+    }
+
     fn weigh(
         &self,
         now: Timestamp,
@@ -265,7 +265,8 @@
         }
         let pace = self.paces.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.unread + uncached;
-        let predicted = pace.predict(work_ahead) * engine.slowness;
+        let ratio = if self.limits.policy.latency_ratio { engine.slowness } else { 1.0 };
+        let predicted = pace.predict(work_ahead) * ratio;
         let slots = f64::from(engine.back_end.slots.max(1));
         let occupancy = f64::from(load.running) / slots;
         let failures = engine.health.failure_share(now) / FAILURE_STEP;
@@ -292,10 +293,16 @@
 }
 
 /// Whether a back end's first event would come in time; at the last call it may be late.
-fn is_in_time(now: Timestamp, weighed: &Weighed, demand: &Demand, terms: Terms) -> bool {
+fn is_in_time(
+    now: Timestamp,
+    weighed: &Weighed,
+    demand: &Demand,
+    terms: Terms,
+    policy: &Policy,
+) -> bool {
     let waited = now.since(demand.arrived);
     let is_over = terms.standing == TenantStanding::OverShare;
-    let part = if is_over { OVER_SHARE_TIME } else { TIME_PART };
+    let part = if is_over { policy.over_share_time } else { policy.time_part };
     let allowed = if !demand.tried.is_empty() {
         demand.deadline.since(demand.arrived)
     } else if terms.last_call {
--- a/crates/routing/src/dispatch/sharing.rs
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -11,6 +11,9 @@
 
 impl Dispatcher {
     pub(super) fn tenant_standing(&mut self, now: Timestamp, demand: &Demand) -> TenantStanding {
+        if !self.limits.policy.fair_share {
+            return TenantStanding::Light;
+        }
         let Some(tenant) = &demand.tenant else { return TenantStanding::Light };
         self.shares(now).standing(tenant)
     }
--- /dev/null
+++ b/crates/routing/src/policy.rs
@@ -0,0 +1,57 @@
+//! Settings of the policies that place, admit and share. Each mechanism can be switched off, so that an
+//! ablation measures what it is worth.
+
+/// How many requests may be under way at one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConcurrencyPolicy {
+    /// As many as the engine has slots.
+    Slots,
+    /// At most this many, and never more than the engine has slots.
+    Fixed(u32),
+}
+
+/// Settings of the policies. The defaults are what measured best; docs/CASCADIA.md has the figures.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Policy {
+    /// Requests that may be under way at one engine.
+    pub concurrency: ConcurrencyPolicy,
+    /// Engines, in the rendezvous order of a shared prefix, that may prefill it.
+    pub preferred_engines: usize,
+    /// The same for a prefix that costs little to prefill again.
+    pub preferred_engines_cheap: usize,
+    /// Part of the objective for which a request waits for the engine that holds its prefix before another
+    /// one prefills it again.
+    pub locality_wait: f64,
+    /// Most of an engine's slots that are left free for light tenants that found no room, as a part.
+    pub light_reserve: f64,
+    /// Part of an engine's slots that tenants above the fair share may take.
+    pub over_share_slots: f64,
+    /// Part of the objective within which the first event of a tenant above the fair share is predicted.
+    pub over_share_time: f64,
+    /// Part of the objective within which every other first event is predicted.
+    pub time_part: f64,
+    /// Part of the objective for which a request may wait before it is refused.
+    pub hold_part: f64,
+    /// Whether tenants are held to the fair share. If not, all are treated alike.
+    pub fair_share: bool,
+    /// Whether predictions are scaled by what each engine took against what was predicted.
+    pub latency_ratio: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            concurrency: ConcurrencyPolicy::Slots,
+            preferred_engines: 2,
+            preferred_engines_cheap: 5,
+            locality_wait: 0.15,
+            light_reserve: 0.4,
+            over_share_slots: 0.85,
+            over_share_time: 0.6,
+            time_part: 0.9,
+            hold_part: 0.25,
+            fair_share: true,
+            latency_ratio: true,
+        }
+    }
+}
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -3,8 +3,8 @@
 
 use mastbay_routing::{
     BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Digest, Dispatcher,
-    DispatcherLimits, EngineLimits, Limits, PeerId, Prompt, PromptPart, RoutingConfiguration,
-    Service, Standing,
+    DispatcherLimits, EngineLimits, Limits, PeerId, Policy, Prompt, PromptPart,
+    RoutingConfiguration, Service, Standing,
 };
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -34,6 +34,7 @@
         burst_from: Timestamp::ZERO,
         processor: 1.0,
         most_waiting: 50,
+        policy: Policy::default(),
     }
 }
 
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -4,7 +4,7 @@
 
 use mastbay_routing::{
     Admission, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Dispatcher,
-    DispatcherLimits, EngineLimits, Limits, PeerId, Placement, Prompt, PromptPart,
+    DispatcherLimits, EngineLimits, Limits, PeerId, Placement, Policy, Prompt, PromptPart,
     RoutingConfiguration, Service, Standing, TicketId,
 };
 use mastbay_types::Timestamp;
@@ -312,6 +312,7 @@
         burst_from: Timestamp::ZERO,
         processor: 1.0,
         most_waiting: 400,
+        policy: Policy::default(),
     };
     let me = PeerId { address: address(index), life: 1 };
     let engine = EngineLimits { batch: 48, memory_tokens: 1_000_000, tokens_per_event: 1 };
