--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a router, in INI form, checked whole.
 
-use mastbay_routing::{BudgetLimits, ConcurrencyPolicy, Policy};
+use mastbay_routing::{BudgetLimits, ConcurrencyPolicy, FairCapacity, Policy};
 use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -191,6 +191,7 @@
         time_part: section.or("time-part", Part(default.time_part)).0,
         hold_part: section.or("hold-part", Part(default.hold_part)).0,
         fair_share: section.or("fair-share", default.fair_share),
+        fair_capacity: section.or("fair-capacity", Capacity(default.fair_capacity)).0,
         latency_ratio: section.or("latency-ratio", default.latency_ratio),
     };
     section.finish();
@@ -212,6 +213,22 @@
     }
 }
 
+/// The capacity that fair shares are parts of.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Capacity(FairCapacity);
+
+impl Value for Capacity {
+    const EXPECTED: &'static str = "'declared' or 'served'";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text {
+            "declared" => Ok(Capacity(FairCapacity::Declared)),
+            "served" => Ok(Capacity(FairCapacity::Served)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
 /// How many requests may be under way at one engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Concurrency(ConcurrencyPolicy);
--- a/crates/routing/src/dispatch/fair_level.rs
+++ b/crates/routing/src/dispatch/fair_level.rs
@@ -1,5 +1,6 @@
 //! Tenants' rates over the fleet, the fair level that follows, and the order of waiters.
 
+use crate::policy::FairCapacity;
 use crate::shares::water_level;
 use crate::waiting::{Waiter, WaitingOrder};
 use std::collections::HashMap;
@@ -33,11 +34,17 @@
         asked: &HashMap<String, f64>,
         given: HashMap<String, f64>,
         capacity: Option<u64>,
+        kind: FairCapacity,
     ) -> Self {
         let mut demands: Vec<f64> = asked.values().copied().collect();
         let total_given: f64 = given.values().sum();
         let level = capacity.map_or(f64::INFINITY, |capacity| {
-            water_level(&mut demands, total_given.max(capacity as f64))
+            let declared = capacity as f64;
+            let shared = match kind {
+                FairCapacity::Declared => declared,
+                FairCapacity::Served => total_given.max(declared),
+            };
+            water_level(&mut demands, shared)
         });
         Self { given, level }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -37,7 +37,7 @@
 pub use health::{Fault, Health};
 pub use lapsed::{LapsedBackEnds, OutageWatch};
 pub use overload::{Others, OverloadGuard, Turn};
-pub use policy::{ConcurrencyPolicy, Policy};
+pub use policy::{ConcurrencyPolicy, FairCapacity, Policy};
 pub use prompt::{Prompt, PromptPart};
 pub use shares::{Usage, water_level};
 pub use table::{RouteTable, TableEntry};
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -10,6 +10,15 @@
     Fixed(u32),
 }
 
+/// The capacity that tenants' fair shares are parts of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FairCapacity {
+    /// What the configuration declares.
+    Declared,
+    /// What is served, where that is more than the configuration declares.
+    Served,
+}
+
 /// Settings of the policies. The defaults are what measured best; docs/CASCADIA.md has the figures.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Policy {
@@ -34,6 +43,8 @@
     pub hold_part: f64,
     /// Whether tenants are held to the fair share. If not, all are treated alike.
     pub fair_share: bool,
+    /// The capacity that fair shares are parts of.
+    pub fair_capacity: FairCapacity,
     /// Whether predictions are scaled by what each engine took against what was predicted.
     pub latency_ratio: bool,
 }
@@ -51,6 +62,7 @@
             time_part: 0.9,
             hold_part: 0.25,
             fair_share: true,
+            fair_capacity: FairCapacity::Served,
             latency_ratio: true,
         }
     }
