An adaptive concurrency limit for each engine, agreed by digests

Change: routers observe the time between events. An engine's limit moves to where that is twice the least seen for its service (where throughput over latency is highest if the time grows linearly); the mean of what all routers found holds, told in digests. Tenants above their share are served up to the limit, others up to 2.5 of it. The constants that this replaces do not have to be known. Tests: crates/routing/tests/concurrency.rs. Also: the fair level is logged as absent where there is none; the limit is logged in place of the slots.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -192,8 +192,10 @@
             self.call.note_first_event(self.router.now());
             self.router.metrics.on_first_event(&self.call, self.router.now());
         }
+        let mut arrived = 0;
         let mut passed_on = BytesMut::with_capacity(whole.len());
         for event in events_of(&whole) {
+            arrived += 1;
             let number = self.router.seams.back_ends.event_number(&event);
             if number.is_some() && number <= self.last_event {
                 continue;
@@ -202,6 +204,9 @@
             self.events += 1;
             passed_on.extend_from_slice(&event);
         }
+        if let Some(source) = &self.source {
+            source.ticket.on_events(arrived);
+        }
         Ok((!passed_on.is_empty()).then(|| passed_on.freeze()))
     }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -60,6 +60,8 @@
     pub predicted: Duration,
     /// Requests that were known to be at its back end.
     pub running: u32,
+    /// The concurrency limit of its back end.
+    pub limit: u32,
     /// Prompt tokens that its back end was taken to read.
     pub uncached: u64,
     /// Age of the oldest figures that decided.
@@ -93,6 +95,7 @@
         trace.waited = now.since(self.arrived);
         trace.predicted = placement.predicted;
         trace.running = placement.running;
+        trace.limit = placement.limit;
         trace.uncached = placement.uncached;
         trace.age = placement.age;
         trace.sends += 1;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -186,7 +186,9 @@
         preferred_engines_cheap: cheap.0 as usize,
         locality_wait: section.or("locality-wait", Part(default.locality_wait)).0,
         light_reserve: section.or("light-reserve", Part(default.light_reserve)).0,
-        over_share_slots: section.or("over-share-slots", Part(default.over_share_slots)).0,
+        slowdown: section.or("slowdown", Times(default.slowdown)).0,
+        within_share: section.or("within-share", Times(default.within_share)).0,
+        over_share: section.or("over-share", Times(default.over_share)).0,
         over_share_time: section.or("over-share-time", Part(default.over_share_time)).0,
         time_part: section.or("time-part", Part(default.time_part)).0,
         hold_part: section.or("hold-part", Part(default.hold_part)).0,
@@ -213,6 +215,21 @@
     }
 }
 
+/// How many times of something.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Times(f64);
+
+impl Value for Times {
+    const EXPECTED: &'static str = "a number from 0.1 to 100";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text.parse::<f64>() {
+            Ok(times) if (0.1..=100.0).contains(&times) => Ok(Times(times)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
 /// The capacity that fair shares are parts of.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Capacity(FairCapacity);
@@ -234,10 +251,11 @@
 struct Concurrency(ConcurrencyPolicy);
 
 impl Value for Concurrency {
-    const EXPECTED: &'static str = "'slots' or a number from 1 to 100000";
+    const EXPECTED: &'static str = "'adaptive', 'slots' or a number from 1 to 100000";
 
     fn read(text: &str) -> Result<Self, Expected> {
         match (text, text.parse::<u32>()) {
+            ("adaptive", _) => Ok(Concurrency(ConcurrencyPolicy::Adaptive)),
             ("slots", _) => Ok(Concurrency(ConcurrencyPolicy::Slots)),
             (_, Ok(most @ 1..=100_000)) => Ok(Concurrency(ConcurrencyPolicy::Fixed(most))),
             _ => Err(Self::EXPECTED.into()),
--- a/crates/router/src/ticket.rs
+++ b/crates/router/src/ticket.rs
@@ -44,6 +44,12 @@
         self.router.dispatcher.borrow_mut().on_first_event(now, self.id);
     }
 
+    /// `count` events of the request's stream have come.
+    pub fn on_events(&self, count: u32) {
+        let now = self.router.now();
+        self.router.dispatcher.borrow_mut().on_events(now, self.id, count);
+    }
+
     /// The request ended well.
     pub fn succeed(&self) {
         self.outcome.set(Ok(()));
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -322,6 +322,7 @@
             back_ends: 0,
             engines: Vec::new(),
             tenants: None,
+            paces: None,
             peers: Vec::new(),
         };
         let socket = smol::net::UdpSocket::bind(("127.0.0.1", 0)).await.expect("bound");
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -22,6 +22,24 @@
     pub id: BackEndId,
     /// What the router has there.
     pub load: Load,
+    /// The concurrency limit that it found, in requests; 0 if it found none.
+    pub limit: u32,
+}
+
+impl EngineReport {
+    /// Whether it differs from what is taken of an engine that is not reported.
+    pub fn tells_anything(&self) -> bool {
+        self.load != Load::default() || self.limit > 0
+    }
+}
+
+/// The time between events of a service's engines without load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServicePace {
+    /// The service's name.
+    pub service: String,
+    /// Least time between two events that was observed, in microseconds.
+    pub unloaded_micros: u32,
 }
 
 /// What a tenant asks of a router.
@@ -72,6 +90,8 @@
     pub engines: Vec<EngineReport>,
     /// What tenants ask of it; left out where the last one told holds on.
     pub tenants: Option<Vec<TenantReport>>,
+    /// The paces of services that it observed; left out where the last ones told hold on.
+    pub paces: Option<Vec<ServicePace>>,
     /// Digest addresses of further routers that it hears, in some digests.
     pub peers: Vec<SocketAddr>,
 }
--- a/crates/routing/src/dispatch/fleet.rs
+++ b/crates/routing/src/dispatch/fleet.rs
@@ -1,8 +1,7 @@
 //! The other routers, as their digests tell of them.
 
 use crate::back_end::BackEndId;
-use crate::digest::{Digest, EngineReport, PeerId, Standing, TenantReport};
-use crate::engine::Load;
+use crate::digest::{Digest, EngineReport, PeerId, ServicePace, Standing, TenantReport};
 use crate::overload::Others;
 use crate::watching::{Candidate, SourceContact, follows_source};
 use mastbay_types::Timestamp;
@@ -80,8 +79,10 @@
         let mut reports = self.forget_earlier_lives(digest.sender);
         let mut replaced = self.peers.remove(&digest.sender);
         let earlier_tenants = replaced.as_mut().and_then(|peer| peer.digest.tenants.take());
+        let earlier_paces = replaced.as_mut().and_then(|peer| peer.digest.paces.take());
         let mut digest = digest.clone();
         digest.tenants = digest.tenants.or(earlier_tenants);
+        digest.paces = digest.paces.or(earlier_paces);
         let sender = digest.sender;
         self.peers.insert(sender, Peer { heard: now, digest, counted: true });
         let is_new_peer = replaced.is_none();
@@ -152,15 +153,19 @@
         counted.map(|peer| now.since(peer.heard)).max().unwrap_or_default()
     }
 
-    /// What all peers have at one back end.
-    pub fn load_at(&self, id: &BackEndId) -> Load {
-        let mut load = Load::default();
-        for peer in self.peers.values().filter(|peer| peer.counted) {
-            for report in peer.digest.engines.iter().filter(|report| report.id == *id) {
-                load.add(report.load);
-            }
-        }
-        load
+    /// What the peers tell of one back end.
+    pub fn reports_of(&self, id: &BackEndId) -> impl Iterator<Item = &EngineReport> {
+        let counted = self.peers.values().filter(|peer| peer.counted);
+        counted.flat_map(|peer| &peer.digest.engines).filter(move |report| report.id == *id)
+    }
+
+    /// The least time between events of a service's engines that any peer observed.
+    pub fn unloaded_pace(&self, service: &str) -> Option<Duration> {
+        let counted = self.peers.values().filter(|peer| peer.counted);
+        let told = counted.filter_map(|peer| peer.digest.paces.as_ref()).flatten();
+        let least =
+            told.filter(|pace| pace.service == service).map(|pace| pace.unloaded_micros).min();
+        least.map(|micros| Duration::from_micros(u64::from(micros)))
     }
 
     /// Rates asked and given by tenant, over this router's own and the peers'.
@@ -186,6 +191,7 @@
         own: OwnState,
         engines: Vec<EngineReport>,
         tenants: Vec<TenantReport>,
+        paces: Vec<ServicePace>,
     ) -> Digest {
         self.sequence += 1;
         let is_full = self.sequence % FULL_DIGEST == 1;
@@ -202,6 +208,7 @@
             back_ends: own.back_ends,
             engines,
             tenants: is_full.then_some(tenants),
+            paces: is_full.then_some(paces),
             peers,
         }
     }
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -71,6 +71,8 @@
     pub predicted: Duration,
     /// Requests known to be there from all routers.
     pub running: u32,
+    /// Its concurrency limit, in requests.
+    pub limit: u32,
     /// Prompt tokens that it has to read for this request.
     pub uncached: u64,
     /// Age of the oldest figure that was used, zero if there are no peers.
@@ -95,16 +97,16 @@
     pub back_end: BackEndId,
     /// Requests known to be there.
     pub running: u32,
-    /// Its slots.
-    pub slots: u32,
+    /// Its concurrency limit, in requests.
+    pub limit: u32,
     /// Prompt tokens known to wait there to be read.
     pub unread: u64,
     /// Time to the first event as predicted.
     pub predicted: Duration,
     /// Service given to the tenant over the fleet, in tokens a second.
     pub given: f64,
-    /// The fair level, in tokens a second; infinite if all can be served.
-    pub level: f64,
+    /// The fair level, in tokens a second; none if all can be served.
+    pub level: Option<f64>,
 }
 
 impl Refusal {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -6,12 +6,14 @@
 mod fleet;
 mod homes;
 mod messages;
+mod pacing;
 mod placement;
 mod sharing;
 mod source;
 
 use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 use crate::budget::RetryBudget;
+use crate::concurrency::UnloadedPace;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
 use crate::digest::{Digest, EngineReport, PeerId, Standing};
 use crate::engine::{Engine, Load};
@@ -43,6 +45,9 @@
     predicted: Duration,
     work_ahead: u64,
     first_event: bool,
+    /// Events since the pace was observed last, and when that was.
+    events: u32,
+    observed: Timestamp,
 }
 
 /// Waiters that are tried in vain before the rest of a queue is left for later.
@@ -64,6 +69,7 @@
     engine_limits: HashMap<String, EngineLimits>,
     capacity: Option<u64>,
     paces: HashMap<String, Pace>,
+    unloaded: HashMap<String, UnloadedPace>,
     homes: Homes,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
@@ -88,6 +94,7 @@
             engine_limits: HashMap::new(),
             capacity: None,
             paces: HashMap::new(),
+            unloaded: HashMap::new(),
             homes: Homes::default(),
             waiting: HashMap::new(),
             running: HashMap::new(),
@@ -222,6 +229,7 @@
         if std::mem::replace(&mut running.first_event, true) {
             return;
         }
+        running.observed = now;
         let unread = std::mem::take(&mut running.load.unread);
         let taken = now.since(running.sent);
         let (predicted, work_ahead) = (running.predicted, running.work_ahead);
@@ -268,7 +276,7 @@
         self.take_from_others(&replaced.reports);
         for report in &digest.engines {
             if let Some(engine) = self.engines.get_mut(&report.id) {
-                engine.others.add(report.load);
+                engine.add_report(report);
             }
         }
         replaced.is_new_peer
@@ -282,11 +290,8 @@
 
     /// This router's own figures.
     pub fn digest(&mut self, now: Timestamp, standing: Standing) -> Digest {
-        let reports = self
-            .engines
-            .iter()
-            .map(|(id, engine)| EngineReport { id: id.clone(), load: engine.own_report(now) });
-        let engines = reports.filter(|report| report.load != Load::default()).collect();
+        let reports = self.engines.values().map(|engine| engine.own_report(now));
+        let engines = reports.filter(EngineReport::tells_anything).collect();
         let tenants = self.usage.reports(now);
         let own = OwnState {
             zone: self.limits.zone.clone(),
@@ -296,7 +301,8 @@
             configuration: self.configuration,
             back_ends: self.back_ends,
         };
-        self.fleet.digest(own, engines, tenants)
+        let paces = self.unloaded_paces();
+        self.fleet.digest(own, engines, tenants, paces)
     }
 
     /// Addresses that digests go to.
@@ -306,14 +312,15 @@
 
     fn new_engine(&self, back_end: BackEnd) -> Engine {
         let mut engine = Engine::new(back_end);
-        engine.others = self.fleet.load_at(&engine.back_end.id);
+        let id = engine.back_end.id.clone();
+        self.fleet.reports_of(&id).for_each(|report| engine.add_report(report));
         engine
     }
 
     fn take_from_others(&mut self, removed: &[EngineReport]) {
         for report in removed {
             if let Some(engine) = self.engines.get_mut(&report.id) {
-                engine.others.remove(report.load);
+                engine.remove_report(report);
             }
         }
     }
@@ -388,11 +395,11 @@
         Some(Considered {
             back_end: weighed.id,
             running: load.running,
-            slots: engine.back_end.slots,
+            limit: self.concurrency_limit(now, engine).round() as u32,
             unread: load.unread,
             predicted: weighed.predicted,
             given,
-            level: shares.level,
+            level: shares.level.is_finite().then_some(shares.level),
         })
     }
 
@@ -417,6 +424,7 @@
         let age = self.fleet.oldest_age(now);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
         let load = demand.load(uncached);
+        let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
         let engine = self.engines.get_mut(&id)?;
         let running = engine.load().running;
         engine.own.add(load);
@@ -427,10 +435,18 @@
         if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
             self.usage.on_given(now, tenant, prompt.cost());
         }
-        let entry =
-            Running { back_end: id, load, sent: now, predicted, work_ahead, first_event: false };
+        let entry = Running {
+            back_end: id,
+            load,
+            sent: now,
+            predicted,
+            work_ahead,
+            first_event: false,
+            events: 0,
+            observed: now,
+        };
         self.running.insert(ticket, entry);
-        Some(Placement { ticket, back_end, predicted, running, uncached, age })
+        Some(Placement { ticket, back_end, predicted, running, limit, uncached, age })
     }
 
     /// Until when a request waits: a part of its objective; one that was tried before, the whole.
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -198,7 +198,7 @@
         let candidates = candidates.filter(|engine| self.is_candidate(now, engine, demand));
         let mut weighed = Vec::new();
         for (rank, engine) in candidates.take(ranks).enumerate() {
-            if !self.has_room(engine, demand, prompt, terms) {
+            if !self.has_room(now, engine, demand, prompt, terms) {
                 continue;
             }
             let candidate = self.weigh(now, engine, demand, prompt, rank);
@@ -222,31 +222,41 @@
         Some(self.weigh(now, engine, demand, prompt, 0))
     }
 
-    fn has_room(&self, engine: &Engine, demand: &Demand, prompt: &Prompt, terms: Terms) -> bool {
+    fn has_room(
+        &self,
+        now: Timestamp,
+        engine: &Engine,
+        demand: &Demand,
+        prompt: &Prompt,
+        terms: Terms,
+    ) -> bool {
         let load = engine.load();
         let policy = &self.limits.policy;
-        let slots = f64::from(self.most_running(engine));
-        let left_for_light = f64::from(load.unmet).min(slots * policy.light_reserve);
-        let slots = match terms.standing {
-            TenantStanding::Light => slots,
-            TenantStanding::Large => slots - left_for_light,
+        let slots = f64::from(engine.back_end.slots.max(1));
+        let limit = self.concurrency_limit(now, engine);
+        let within_share = (limit * policy.within_share).min(slots);
+        let left_for_light = f64::from(load.unmet).min(within_share * policy.light_reserve);
+        let most = match terms.standing {
+            TenantStanding::Light => within_share,
+            TenantStanding::Large => within_share - left_for_light,
             TenantStanding::OverShare => {
-                (slots * policy.over_share_slots).min(slots - left_for_light)
+                (limit * policy.over_share).min(within_share - left_for_light)
             }
         };
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
         let fits = memory.is_none_or(|memory| {
             (load.memory + prompt.memory()) as f64 <= memory as f64 * MEMORY_PART
         });
-        f64::from(load.running + 1) <= slots && fits
+        f64::from(load.running + 1) <= most && fits
     }
 
-    /// Requests that may be under way at an engine.
-    fn most_running(&self, engine: &Engine) -> u32 {
-        let slots = engine.back_end.slots.max(1);
+    /// The concurrency limit of an engine, in requests.
+    pub(super) fn concurrency_limit(&self, now: Timestamp, engine: &Engine) -> f64 {
+        let slots = f64::from(engine.back_end.slots.max(1));
         match self.limits.policy.concurrency {
             ConcurrencyPolicy::Slots => slots,
-            ConcurrencyPolicy::Fixed(most) => slots.min(most.max(1)),
+            ConcurrencyPolicy::Adaptive => engine.agreed_limit(now).min(slots),
+            ConcurrencyPolicy::Fixed(most) => slots.min(f64::from(most.max(1))),
         }
     }
 
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -1,6 +1,8 @@
 //! One back end as a router sees it: its load from all routers, its pace, and what it has in memory.
 
 use crate::back_end::BackEnd;
+use crate::concurrency::{ConcurrencyLimit, LimitSum};
+use crate::digest::EngineReport;
 use crate::health::Health;
 use crate::prompt::Prompt;
 use mastbay_types::Timestamp;
@@ -80,6 +82,10 @@
     pub health: Health,
     /// Its time to first events over the time predicted, as a moving mean.
     pub slowness: f64,
+    /// The concurrency limit that this router finds.
+    pub limit: ConcurrencyLimit,
+    /// What other routers found.
+    peer_limits: LimitSum,
     unmet: FadingCount,
     parts: HashMap<u64, Timestamp>,
 }
@@ -93,6 +99,8 @@
             others: Load::default(),
             health: Health::default(),
             slowness: 1.0,
+            limit: ConcurrencyLimit::default(),
+            peer_limits: LimitSum::default(),
             unmet: FadingCount::default(),
             parts: HashMap::new(),
         }
@@ -110,6 +118,25 @@
         load
     }
 
+    /// A peer told of it.
+    pub fn add_report(&mut self, report: &EngineReport) {
+        self.others.add(report.load);
+        self.peer_limits.add(report.limit);
+    }
+
+    /// What a peer told of it no longer counts.
+    pub fn remove_report(&mut self, report: &EngineReport) {
+        self.others.remove(report.load);
+        self.peer_limits.remove(report.limit);
+    }
+
+    /// The concurrency limit on which the routers agree: the mean of what they found.
+    pub fn agreed_limit(&self, now: Timestamp) -> f64 {
+        let slots = self.back_end.slots.max(1);
+        let agreed = self.peer_limits.mean_with(self.limit.found(now));
+        agreed.unwrap_or_else(|| ConcurrencyLimit::start(slots))
+    }
+
     /// Prompt tokens that it has to read: those after the first part that it does not hold.
     pub fn uncached(&self, prompt: &Prompt) -> u64 {
         let held = prompt.parts.iter().take_while(|part| self.parts.contains_key(&part.id));
@@ -136,8 +163,10 @@
     }
 
     /// What this router tells of it.
-    pub fn own_report(&self, now: Timestamp) -> Load {
-        Load { unmet: self.unmet.now(now).round() as u32, ..self.own }
+    pub fn own_report(&self, now: Timestamp) -> EngineReport {
+        let load = Load { unmet: self.unmet.now(now).round() as u32, ..self.own };
+        let limit = self.limit.found(now).map_or(0, |limit| limit.round() as u32);
+        EngineReport { id: self.back_end.id.clone(), load, limit }
     }
 
     /// It has lost its memory.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod back_end;
 mod budget;
+mod concurrency;
 mod configuration;
 mod connections;
 mod digest;
@@ -24,11 +25,12 @@
 pub use attempt::{Attempt, AttemptState, Verdict};
 pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 pub use budget::{BudgetLimits, RetryBudget};
+pub use concurrency::{ConcurrencyLimit, EVENTS_OBSERVED, LimitSum, UnloadedPace};
 pub use configuration::{
     EngineLimits, Limits, Route, RouteKind, RoutingConfiguration, Service, Target, Tenant,
 };
 pub use connections::ConnectionBounds;
-pub use digest::{Digest, EngineReport, PeerId, Standing, TenantReport};
+pub use digest::{Digest, EngineReport, PeerId, ServicePace, Standing, TenantReport};
 pub use dispatch::{
     Admission, Considered, Demand, Dispatcher, DispatcherLimits, Placement, Refusal, RefusalReason,
     TicketId, Verdicts,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -6,6 +6,8 @@
 pub enum ConcurrencyPolicy {
     /// As many as the engine has slots.
     Slots,
+    /// What the routers find from the pace of its streams, see [`crate::ConcurrencyLimit`].
+    Adaptive,
     /// At most this many, and never more than the engine has slots.
     Fixed(u32),
 }
@@ -33,8 +35,12 @@
     pub locality_wait: f64,
     /// Most of an engine's slots that are left free for light tenants that found no room, as a part.
     pub light_reserve: f64,
-    /// Part of an engine's slots that tenants above the fair share may take.
-    pub over_share_slots: f64,
+    /// Time between events that the concurrency limit aims at, in times of that without load.
+    pub slowdown: f64,
+    /// Requests under way up to which tenants within their fair share are served, in concurrency limits.
+    pub within_share: f64,
+    /// The same for tenants above their fair share.
+    pub over_share: f64,
     /// Part of the objective within which the first event of a tenant above the fair share is predicted.
     pub over_share_time: f64,
     /// Part of the objective within which every other first event is predicted.
@@ -52,12 +58,14 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            concurrency: ConcurrencyPolicy::Slots,
+            concurrency: ConcurrencyPolicy::Adaptive,
             preferred_engines: 2,
             preferred_engines_cheap: 5,
             locality_wait: 0.15,
             light_reserve: 0.4,
-            over_share_slots: 0.85,
+            slowdown: 2.0,
+            within_share: 2.5,
+            over_share: 1.0,
             over_share_time: 0.6,
             time_part: 0.9,
             hold_part: 0.25,
--- /dev/null
+++ b/crates/routing/tests/concurrency.rs
@@ -0,0 +1,137 @@
+//! The adaptive concurrency limit: where it settles, and how routers agree on it.
+
+mod support;
+
+use mastbay_routing::{
+    Admission, ConcurrencyLimit, Dispatcher, EVENTS_OBSERVED, LimitSum, Placement, Standing,
+    UnloadedPace,
+};
+use mastbay_types::Timestamp;
+use quickcheck::{TestResult, quickcheck};
+use std::time::Duration;
+use support::{at, demand, dispatcher, exchange_digests, prompt};
+
+const BOUND: Duration = Duration::from_millis(40);
+
+/// Milliseconds between events of an engine whose steps take longer with each request under way.
+fn pace(fixed: f64, per_request: f64, running: f64) -> Duration {
+    Duration::from_secs_f64((fixed + per_request * running) / 1e3)
+}
+
+/// The limit after a minute before an engine that always has as many requests as the limit allows.
+fn settled(fixed: f64, per_request: f64, slots: u32) -> f64 {
+    let mut limit = ConcurrencyLimit::default();
+    let bound = pace(fixed, per_request, 0.0).mul_f64(2.0);
+    for turn in 0..1_200 {
+        let now = Timestamp::from_millis(turn * 50);
+        let agreed = limit.found(now).unwrap_or_else(|| ConcurrencyLimit::start(slots));
+        limit.observe(now, pace(fixed, per_request, agreed));
+        limit.adjust(now, bound, agreed, agreed as u32, slots);
+    }
+    limit.found(Timestamp::from_millis(60_000)).expect("found")
+}
+
+quickcheck! {
+    fn it_settles_where_streams_take_twice_as_long(fixed: u8, knee: u8) -> TestResult {
+        let (fixed, knee) = (f64::from(fixed) + 5.0, f64::from(knee % 100) + 10.0);
+        let limit = settled(fixed, fixed / knee, 128);
+        TestResult::from_bool((0.75 * knee..=1.15 * knee).contains(&limit))
+    }
+}
+
+#[test]
+fn it_never_leaves_the_slots() {
+    assert_eq!(settled(20.0, 0.01, 12), 12.0);
+    assert!(settled(20.0, 20.0, 4) <= 4.0);
+}
+
+#[test]
+fn a_limit_that_is_not_in_use_does_not_rise() {
+    let mut limit = ConcurrencyLimit::default();
+    for turn in 0..200 {
+        limit.observe(at(turn * 50), Duration::from_millis(10));
+        limit.adjust(at(turn * 50), BOUND, 20.0, 3, 128);
+    }
+    assert_eq!(limit.found(at(10_000)), Some(20.0));
+    assert_eq!(limit.found(at(20_000)), None, "no stream was seen for long");
+}
+
+#[test]
+fn it_falls_at_most_a_tenth_at_a_time_and_not_twice_in_a_moment() {
+    let mut limit = ConcurrencyLimit::default();
+    for _ in 0..10 {
+        limit.observe(at(1_000), Duration::from_secs(5));
+    }
+    limit.adjust(at(1_000), BOUND, 50.0, 50, 128);
+    assert_eq!(limit.found(at(1_100)), Some(45.0));
+    limit.adjust(at(1_050), BOUND, 45.0, 45, 128);
+    assert_eq!(limit.found(at(1_100)), Some(45.0));
+}
+
+#[test]
+fn the_least_pace_is_forgotten_after_minutes() {
+    let mut unloaded = UnloadedPace::default();
+    unloaded.observe(at(0), Duration::from_millis(10));
+    unloaded.observe(at(130_000), Duration::from_millis(30));
+    assert_eq!(unloaded.least(), Some(Duration::from_millis(10)));
+    unloaded.observe(at(260_000), Duration::from_millis(30));
+    assert_eq!(unloaded.least(), Some(Duration::from_millis(30)));
+}
+
+#[test]
+fn the_mean_counts_only_those_who_found_a_limit() {
+    let mut sum = LimitSum::default();
+    assert_eq!(sum.mean_with(None), None);
+    sum.add(0);
+    sum.add(30);
+    assert_eq!(sum.mean_with(Some(10.0)), Some(20.0));
+    sum.remove(30);
+    sum.remove(0);
+    assert_eq!(sum.mean_with(Some(10.0)), Some(10.0));
+}
+
+fn place(dispatcher: &mut Dispatcher, now: Timestamp, own: u64) -> Option<Placement> {
+    match dispatcher.admit(now, demand(now, Some(prompt(1, own, 50)), "t"), 0.5) {
+        Admission::Placed(placement) => Some(placement),
+        Admission::Waiting(_) | Admission::Refused(_) => None,
+    }
+}
+
+/// Lets a router see streams whose events are `gap` milliseconds apart.
+fn see_streams(dispatcher: &mut Dispatcher, from: u64, gap: u64) {
+    for stream in 0..60 {
+        let began = from + stream * 20;
+        let placement = place(dispatcher, at(began), from + stream).expect("room");
+        dispatcher.on_first_event(at(began + 1), placement.ticket);
+        let observed = at(began + 1 + gap * u64::from(EVENTS_OBSERVED));
+        dispatcher.on_events(observed, placement.ticket, EVENTS_OBSERVED);
+        dispatcher.on_end(observed, placement.ticket, Ok(()));
+    }
+}
+
+/// How many requests of one tenant a router sends to its only engine.
+fn placed(dispatcher: &mut Dispatcher, now: Timestamp) -> usize {
+    (0..200).filter_map(|own| place(dispatcher, now, 900_000 + own)).count()
+}
+
+#[test]
+fn a_router_that_has_seen_nothing_takes_the_limit_of_its_peers() {
+    let mut fleet = [dispatcher(1, 1, 128), dispatcher(2, 1, 128)];
+    see_streams(&mut fleet[0], 0, 10);
+    see_streams(&mut fleet[0], 5_000, 60);
+    exchange_digests(at(7_000), &mut fleet);
+    let [first, second] = &mut fleet;
+    let (first, second) = (placed(first, at(7_010)), placed(second, at(7_010)));
+    assert!(first < 60, "the slow pace has taken the limit down: {first}");
+    assert_eq!(first, second);
+}
+
+#[test]
+fn a_lone_digest_tells_the_unloaded_pace() {
+    let mut fleet = [dispatcher(1, 1, 128), dispatcher(2, 1, 128)];
+    see_streams(&mut fleet[0], 0, 10);
+    let digest = fleet[0].digest(at(2_000), Standing::Serving);
+    let paces = digest.paces.expect("the first digest is a full one");
+    assert_eq!(paces.len(), 1);
+    assert_eq!(paces[0].unloaded_micros, 10_000);
+}
