Estimate the first event from tokens and pairs of tokens

Cause: a line over pending tokens understates long prompts, whose attention grows with the square of their length. Change: FirstEventEstimator fits a fixed time, a time per token and one per pair; pending prefill is told as both. A module of its own with the constants on top; 'unread' is called pending prefill.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -135,7 +135,7 @@
         predicted_ms = milliseconds(considered.predicted),
         running = considered.running,
         limit = considered.limit,
-        unread = considered.unread,
+        pending_prefill = considered.pending_prefill,
         tenant_given = considered.given as u64,
         fair_level = considered.level.map(|level| level as u64),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -56,7 +56,8 @@
 impl Demand {
     pub(super) fn load(&self, uncached: u64) -> Load {
         let memory = self.prompt.as_ref().map_or(0, Prompt::memory);
-        Load { running: 1, unread: uncached, memory, unmet: 0 }
+        let prefill = self.prompt.as_ref().map(|prompt| prompt.prefill(uncached));
+        Load { running: 1, prefill: prefill.unwrap_or_default(), memory, unmet: 0 }
     }
 }
 
@@ -99,8 +100,8 @@
     pub running: u32,
     /// Its concurrency limit, in requests.
     pub limit: u32,
-    /// Prompt tokens known to wait there to be read.
-    pub unread: u64,
+    /// Prompt tokens known to wait there for their prefill.
+    pub pending_prefill: u64,
     /// Time to the first event as predicted.
     pub predicted: Duration,
     /// Service given to the tenant over the fleet, in tokens a second.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 use crate::configuration::{EngineLimits, RoutingConfiguration};
 use crate::digest::{Digest, EngineReport, PeerId, Standing};
 use crate::engine::{Engine, Load};
+use crate::first_event::{FirstEventEstimator, PrefillWork};
 use crate::health::Fault;
 use crate::shares::Usage;
 use crate::waiting::{Waiter, WaitingQueue};
@@ -25,7 +26,7 @@
 use fleet::{Fleet, OwnState};
 use homes::Homes;
 use mastbay_types::Timestamp;
-use placement::{Pace, Terms, Weighed};
+use placement::{Terms, Weighed};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,7 +44,7 @@
     load: Load,
     sent: Timestamp,
     predicted: Duration,
-    work_ahead: u64,
+    work_ahead: PrefillWork,
     first_event: bool,
     /// Events since the pace was observed last, and when that was.
     events: u32,
@@ -68,7 +69,7 @@
     engines: BTreeMap<BackEndId, Engine>,
     engine_limits: HashMap<String, EngineLimits>,
     capacity: Option<u64>,
-    paces: HashMap<String, Pace>,
+    first_events: HashMap<String, FirstEventEstimator>,
     unloaded: HashMap<String, UnloadedPace>,
     homes: Homes,
     waiting: HashMap<String, WaitingQueue>,
@@ -93,7 +94,7 @@
             engines: BTreeMap::new(),
             engine_limits: HashMap::new(),
             capacity: None,
-            paces: HashMap::new(),
+            first_events: HashMap::new(),
             unloaded: HashMap::new(),
             homes: Homes::default(),
             waiting: HashMap::new(),
@@ -230,17 +231,17 @@
             return;
         }
         running.observed = now;
-        let unread = std::mem::take(&mut running.load.unread);
+        let prefill = std::mem::take(&mut running.load.prefill);
         let taken = now.since(running.sent);
         let (predicted, work_ahead) = (running.predicted, running.work_ahead);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
-        engine.own.unread = engine.own.unread.saturating_sub(unread);
+        engine.own.prefill.remove(prefill);
         if now < self.lagging_until {
             return;
         }
         engine.slowness = placement::next_slowness(engine.slowness, predicted, taken);
-        let pace = self.paces.entry(engine.back_end.service.clone()).or_default();
-        pace.observe(work_ahead, taken);
+        let estimator = self.first_events.entry(engine.back_end.service.clone()).or_default();
+        estimator.observe(work_ahead, taken);
     }
 
     /// A request has ended, well or not, or its caller has gone: it takes no more room. Gives whether a
@@ -396,7 +397,7 @@
             back_end: weighed.id,
             running: load.running,
             limit: self.concurrency_limit(now, engine).round() as u32,
-            unread: load.unread,
+            pending_prefill: load.prefill.tokens,
             predicted: weighed.predicted,
             given,
             level: shares.level.is_finite().then_some(shares.level),
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -4,6 +4,7 @@
 use super::{Demand, Dispatcher};
 use crate::back_end::{BackEndId, BackEndState};
 use crate::engine::Engine;
+use crate::first_event::PrefillWork;
 use crate::policy::{ConcurrencyPolicy, Policy};
 use crate::prompt::Prompt;
 use mastbay_types::Timestamp;
@@ -27,84 +28,15 @@
 /// What another zone costs a plain request, in slots.
 const OTHER_ZONE_SLOTS: f64 = 0.08;
 
-/// Part of the weight of earlier observations that each new one leaves.
-const MEMORY_OF_PACE: f64 = 0.995;
-/// Observations that the first guess weighs as much as.
-const FIRST_WEIGHT: f64 = 12.0;
-/// First guess: time to the first event without anything to read, and with `GUESS_TOKENS` to read.
-const GUESS_MS: (f64, f64) = (40.0, 160.0);
-const GUESS_TOKENS: f64 = 10_000.0;
-/// Bounds on the fixed time, in milliseconds, and on the time for a token.
-const FIXED_MS: (f64, f64) = (2.0, 400.0);
-const TOKEN_MS: (f64, f64) = (0.000_5, 0.2);
-/// An observation counts as at most this many times the prediction and this many milliseconds more: a
-/// flood that routers could not yet see says little about the pace.
-const MOST_OBSERVED: (f64, f64) = (1.5, 40.0);
 /// Part of its slots up to which an engine that has nothing to read is never refused.
 const IDLE_SLOTS: f64 = 0.5;
-/// Prompt tokens to read up to which an engine counts as having nothing to read.
-const IDLE_UNREAD: u64 = 1_500;
+/// Prompt tokens to prefill up to which an engine counts as having nothing to prefill.
+const IDLE_PREFILL: u64 = 1_500;
 /// Part of a back end's slowness that one observation moves.
 const SLOWNESS_GAIN: f64 = 0.05;
 /// Least and most slowness believed.
 const SLOWNESS_RANGE: (f64, f64) = (0.7, 6.0);
 
-/// The time to the first event of a service's engines as a line over the tokens that they have to read
-/// before it, fitted to what was seen with weights that fade.
-#[derive(Debug, Clone, Copy)]
-pub struct Pace {
-    weight: f64,
-    tokens: f64,
-    time: f64,
-    tokens_tokens: f64,
-    tokens_time: f64,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        let mut pace =
-            Self { weight: 0.0, tokens: 0.0, time: 0.0, tokens_tokens: 0.0, tokens_time: 0.0 };
-        pace.add(0.0, GUESS_MS.0, FIRST_WEIGHT);
-        pace.add(GUESS_TOKENS, GUESS_MS.1, FIRST_WEIGHT);
-        pace
-    }
-}
-
-impl Pace {
-    /// The first event came `taken` after `work` tokens were ahead.
-    pub fn observe(&mut self, work: u64, taken: Duration) {
-        let most = self.predict(work) * MOST_OBSERVED.0 + MOST_OBSERVED.1;
-        let taken = milliseconds(taken).min(most);
-        for sum in [
-            &mut self.weight,
-            &mut self.tokens,
-            &mut self.time,
-            &mut self.tokens_tokens,
-            &mut self.tokens_time,
-        ] {
-            *sum *= MEMORY_OF_PACE;
-        }
-        self.add(work as f64, taken, 1.0);
-    }
-
-    /// The predicted time to the first event, in milliseconds.
-    pub fn predict(&self, work: u64) -> f64 {
-        let spread = self.weight * self.tokens_tokens - self.tokens * self.tokens;
-        let slope = (self.weight * self.tokens_time - self.tokens * self.time) / spread.max(1.0);
-        let slope = slope.clamp(TOKEN_MS.0, TOKEN_MS.1);
-        let fixed = (self.time - slope * self.tokens) / self.weight;
-        fixed.clamp(FIXED_MS.0, FIXED_MS.1) + slope * work as f64
-    }
-
-    fn add(&mut self, tokens: f64, time: f64, weight: f64) {
-        self.weight += weight;
-        self.tokens += weight * tokens;
-        self.time += weight * time;
-        self.tokens_tokens += weight * tokens * tokens;
-        self.tokens_time += weight * tokens * time;
-    }
-}
-
 /// The slowness after one more observation.
 pub fn next_slowness(slowness: f64, predicted: Duration, taken: Duration) -> f64 {
     let ratio = milliseconds(taken).max(1.0) / milliseconds(predicted).max(1.0);
@@ -121,8 +53,8 @@
     pub predicted: Duration,
     /// Prompt tokens that it reads for the request.
     pub uncached: u64,
-    /// Prompt tokens that it reads until the request's first event.
-    pub work_ahead: u64,
+    /// Prefill that it does until the request's first event.
+    pub work_ahead: PrefillWork,
     /// What the choice goes by; less is better.
     cost: f64,
 }
@@ -171,7 +103,13 @@
             let failures = engine.health.failure_share(now) / FAILURE_STEP;
             let cost = f64::from(engine.load().running) / slots * engine.slowness + zone + failures;
             let id = engine.back_end.id.clone();
-            Weighed { id, predicted: Duration::ZERO, uncached: 0, work_ahead: 0, cost }
+            Weighed {
+                id,
+                predicted: Duration::ZERO,
+                uncached: 0,
+                work_ahead: PrefillWork::default(),
+                cost,
+            }
         });
         weighed.collect()
     }
@@ -273,10 +211,10 @@
         if rank == 0 {
             uncached = uncached.min(prompt.own_tokens());
         }
-        let pace = self.paces.get(&demand.service).copied().unwrap_or_default();
-        let work_ahead = load.unread + uncached;
+        let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
+        let work_ahead = load.prefill.plus(prompt.prefill(uncached));
         let ratio = if self.limits.policy.latency_ratio { engine.slowness } else { 1.0 };
-        let predicted = pace.predict(work_ahead) * ratio;
+        let predicted = estimator.estimate(work_ahead) * ratio;
         let slots = f64::from(engine.back_end.slots.max(1));
         let occupancy = f64::from(load.running) / slots;
         let failures = engine.health.failure_share(now) / FAILURE_STEP;
@@ -299,7 +237,7 @@
 fn is_idle(engine: &Engine) -> bool {
     let load = engine.load();
     let slots = f64::from(engine.back_end.slots.max(1));
-    load.unread <= IDLE_UNREAD && f64::from(load.running) < slots * IDLE_SLOTS
+    load.prefill.tokens <= IDLE_PREFILL && f64::from(load.running) < slots * IDLE_SLOTS
 }
 
 /// Whether a back end's first event would come in time; at the last call it may be late.
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -3,6 +3,7 @@
 use crate::back_end::BackEnd;
 use crate::concurrency::{ConcurrencyLimit, LimitSum};
 use crate::digest::EngineReport;
+use crate::first_event::PrefillWork;
 use crate::health::Health;
 use crate::prompt::Prompt;
 use mastbay_types::Timestamp;
@@ -15,8 +16,8 @@
 pub struct Load {
     /// Requests.
     pub running: u32,
-    /// Prompt tokens of them that are still to be read.
-    pub unread: u64,
+    /// Prefill for them that is still pending.
+    pub prefill: PrefillWork,
     /// Memory that they take, in tokens.
     pub memory: u64,
     /// Requests of tenants well under the fair level that found no room there lately. Room is left for
@@ -28,7 +29,7 @@
     /// Adds another load.
     pub fn add(&mut self, other: Load) {
         self.running += other.running;
-        self.unread += other.unread;
+        self.prefill.add(other.prefill);
         self.memory += other.memory;
         self.unmet += other.unmet;
     }
@@ -36,7 +37,7 @@
     /// Takes another load away.
     pub fn remove(&mut self, other: Load) {
         self.running = self.running.saturating_sub(other.running);
-        self.unread = self.unread.saturating_sub(other.unread);
+        self.prefill.remove(other.prefill);
         self.memory = self.memory.saturating_sub(other.memory);
         self.unmet = self.unmet.saturating_sub(other.unmet);
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 mod digest;
 mod dispatch;
 mod engine;
+mod first_event;
 mod health;
 mod lapsed;
 mod overload;
@@ -36,6 +37,7 @@
     TicketId, Verdicts,
 };
 pub use engine::Load;
+pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
 pub use lapsed::{LapsedBackEnds, OutageWatch};
 pub use overload::{Others, OverloadGuard, Turn};
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -1,5 +1,7 @@
 //! What a request tells of its prompt.
 
+use crate::first_event::PrefillWork;
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -33,6 +35,12 @@
         u64::from(self.input_tokens) + 2 * u64::from(self.expected_output())
     }
 
+    /// The prefill of its last `uncached` tokens after those that are cached.
+    pub fn prefill(&self, uncached: u64) -> PrefillWork {
+        let cached = u64::from(self.input_tokens).saturating_sub(uncached);
+        PrefillWork::of_prompt(cached, uncached)
+    }
+
     /// Memory that the request takes at its end, in tokens.
     pub fn memory(&self) -> u64 {
         u64::from(self.input_tokens) + u64::from(self.expected_output())
