Lower the limit for tenants above their share only while others miss their objective

Change: routers count how many requests of tenants within their share miss their objective at each engine and tell it in digests. The limit falls while that is above the accepted share (5 in 100), rises otherwise as long as the pace is under three times the unloaded one. Tests: concurrency.rs. figures_come_back_to_nothing now checks that no load is told at once and nothing at all a minute later, since a refusal of the last poll counts for the service level for some seconds.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -187,6 +187,7 @@
         locality_wait: section.or("locality-wait", Part(default.locality_wait)).0,
         light_reserve: section.or("light-reserve", Part(default.light_reserve)).0,
         slowdown: section.or("slowdown", Times(default.slowdown)).0,
+        accepted_misses: section.or("accepted-misses", Times(default.accepted_misses)).0,
         within_share: section.or("within-share", Times(default.within_share)).0,
         over_share: section.or("over-share", Times(default.over_share)).0,
         over_share_time: section.or("over-share-time", Part(default.over_share_time)).0,
@@ -220,11 +221,11 @@
 struct Times(f64);
 
 impl Value for Times {
-    const EXPECTED: &'static str = "a number from 0.1 to 100";
+    const EXPECTED: &'static str = "a number from 0.001 to 100";
 
     fn read(text: &str) -> Result<Self, Expected> {
         match text.parse::<f64>() {
-            Ok(times) if (0.1..=100.0).contains(&times) => Ok(Times(times)),
+            Ok(times) if (0.001..=100.0).contains(&times) => Ok(Times(times)),
             _ => Err(Self::EXPECTED.into()),
         }
     }
--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -72,11 +72,12 @@
         is_believed.then(|| Duration::from_secs_f64(self.pace / 1e3))
     }
 
-    /// Moves the limit, which starts from `agreed`, toward the one at which events are `bound` apart.
+    /// Moves the limit, which starts from `agreed`. It rises while both signals are under 1 and `running` shows
+    /// that it is in use, and falls by how far one of them is above.
     pub fn adjust(
         &mut self,
         now: Timestamp,
-        bound: Duration,
+        signals: LoadSignals,
         agreed: f64,
         running: u32,
         slots: u32,
@@ -86,7 +87,7 @@
             return;
         }
         self.changed = now;
-        let load = self.pace / (bound.as_secs_f64() * 1e3).max(f64::MIN_POSITIVE);
+        let load = signals.pace.max(signals.misses);
         let next = if load > 1.0 {
             agreed * (1.0 - (FALL * (load - 1.0)).min(MOST_FALL))
         } else if load < RISE_BELOW && f64::from(running) >= agreed * IN_USE {
@@ -99,6 +100,15 @@
     }
 }
 
+/// How loaded an engine is. At 1 a signal holds the limit where it is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadSignals {
+    /// The time between events, in times of the most that is accepted.
+    pub pace: f64,
+    /// Requests of tenants within their share that missed their objective, in times of the accepted share.
+    pub misses: f64,
+}
+
 /// The sum of what several routers found, for their mean.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LimitSum {
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -2,6 +2,7 @@
 
 use crate::back_end::BackEndId;
 use crate::engine::Load;
+use crate::service_level::LevelCounts;
 use crate::watching::SourceContact;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -24,12 +25,14 @@
     pub load: Load,
     /// The concurrency limit that it found, in requests; 0 if it found none.
     pub limit: u32,
+    /// What tenants within their fair share met with there lately.
+    pub level: LevelCounts,
 }
 
 impl EngineReport {
     /// Whether it differs from what is taken of an engine that is not reported.
     pub fn tells_anything(&self) -> bool {
-        self.load != Load::default() || self.limit > 0
+        self.load != Load::default() || self.limit > 0 || self.level != LevelCounts::default()
     }
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -46,6 +46,8 @@
     predicted: Duration,
     work_ahead: PrefillWork,
     first_event: bool,
+    /// When it should be answered, if its tenant is within its share and the engine could have done it alone.
+    accountable: Option<Timestamp>,
     /// Events since the pace was observed last, and when that was.
     events: u32,
     observed: Timestamp,
@@ -239,6 +241,9 @@
         if now < self.lagging_until {
             return;
         }
+        if let Some(due) = running.accountable {
+            engine.on_service(now, now <= due);
+        }
         engine.slowness = placement::next_slowness(engine.slowness, predicted, taken);
         let estimator = self.first_events.entry(engine.back_end.service.clone()).or_default();
         estimator.observe(work_ahead, taken);
@@ -363,6 +368,7 @@
             let verdict = match self.try_place(now, waiter.ticket, &waiter.demand, true) {
                 Some(placement) => Ok(placement),
                 None => {
+                    self.note_missed(now, &waiter.demand);
                     let reason = if self.has_back_end(service) {
                         RefusalReason::NoRoom
                     } else {
@@ -423,6 +429,7 @@
         let standing = self.tenant_standing(now, demand);
         let weighed = self.best(now, demand, Terms { standing, last_call })?;
         let age = self.fleet.oldest_age(now);
+        let accountable = self.accountable(demand, standing, weighed.uncached);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
         let load = demand.load(uncached);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
@@ -443,6 +450,7 @@
             predicted,
             work_ahead,
             first_event: false,
+            accountable,
             events: 0,
             observed: now,
         };
--- a/crates/routing/src/dispatch/pacing.rs
+++ b/crates/routing/src/dispatch/pacing.rs
@@ -2,7 +2,7 @@
 
 use super::{Dispatcher, TicketId};
 use crate::back_end::BackEndId;
-use crate::concurrency::EVENTS_OBSERVED;
+use crate::concurrency::{EVENTS_OBSERVED, LoadSignals};
 use crate::digest::ServicePace;
 use mastbay_types::Timestamp;
 use std::time::Duration;
@@ -33,10 +33,15 @@
         unloaded.observe(now, smoothed);
         let own_and_told = unloaded.least().into_iter().chain(self.fleet.unloaded_pace(service));
         let Some(least) = own_and_told.min() else { return };
-        let bound = least.mul_f64(self.limits.policy.slowdown);
+        let policy = &self.limits.policy;
+        let bound = least.mul_f64(policy.slowdown);
+        let signals = LoadSignals {
+            pace: smoothed.as_secs_f64() / bound.as_secs_f64().max(f64::MIN_POSITIVE),
+            misses: engine.missed_share(now) / policy.accepted_misses,
+        };
         let (agreed, running) = (engine.agreed_limit(now), engine.load().running);
         let slots = engine.back_end.slots.max(1);
-        engine.limit.adjust(now, bound, agreed, running, slots);
+        engine.limit.adjust(now, signals, agreed, running, slots);
     }
 
     /// The least time between events of each service that this router observed.
--- a/crates/routing/src/dispatch/sharing.rs
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -29,6 +29,34 @@
         }
     }
 
+    /// When a request is due that counts for the service level of tenants within their share. One that an
+    /// engine could not serve in time with nothing else to do says nothing about the load.
+    pub(super) fn accountable(
+        &self,
+        demand: &Demand,
+        standing: TenantStanding,
+        uncached: u64,
+    ) -> Option<Timestamp> {
+        let prompt = demand.prompt.as_ref()?;
+        let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
+        let alone = Duration::from_secs_f64(estimator.estimate(prompt.prefill(uncached)) / 1e3);
+        let is_within = standing != TenantStanding::OverShare;
+        let could_be_in_time = alone <= demand.objective.mul_f64(self.limits.policy.time_part);
+        (is_within && could_be_in_time).then_some(demand.arrived + demand.objective)
+    }
+
+    /// Notes that a request was refused: a miss if it counts for the service level.
+    pub(super) fn note_missed(&mut self, now: Timestamp, demand: &Demand) {
+        let standing = self.tenant_standing(now, demand);
+        let Some(first) = self.first_choice(now, demand) else { return };
+        if self.accountable(demand, standing, first.uncached).is_none() {
+            return;
+        }
+        if let Some(engine) = self.engines.get_mut(&first.id) {
+            engine.on_service(now, false);
+        }
+    }
+
     pub(super) fn shares(&mut self, now: Timestamp) -> Rc<Shares> {
         if let Some((made, shares)) = &self.shares
             && now.since(*made) < SHARES_LIFE
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -3,9 +3,11 @@
 use crate::back_end::BackEnd;
 use crate::concurrency::{ConcurrencyLimit, LimitSum};
 use crate::digest::EngineReport;
+use crate::fading::FadingCount;
 use crate::first_event::PrefillWork;
 use crate::health::Health;
 use crate::prompt::Prompt;
+use crate::service_level::{LevelCounts, ServiceLevel};
 use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -46,25 +48,6 @@
 /// Time over which unmet requests fade.
 const UNMET_LIFE: Duration = Duration::from_millis(700);
 
-/// A number of events that fades.
-#[derive(Debug, Clone, Copy, Default)]
-struct FadingCount {
-    count: f64,
-    moved: Timestamp,
-}
-
-impl FadingCount {
-    fn now(&self, now: Timestamp) -> f64 {
-        let passed = now.since(self.moved).as_secs_f64() / UNMET_LIFE.as_secs_f64();
-        self.count * (-passed).exp()
-    }
-
-    fn add(&mut self, now: Timestamp) {
-        self.count = self.now(now) + 1.0;
-        self.moved = now;
-    }
-}
-
 /// Parts remembered for one back end.
 const MOST_PARTS: usize = 4_096;
 /// Parts older than this are taken as given way when room is needed in the memory of parts.
@@ -87,6 +70,10 @@
     pub limit: ConcurrencyLimit,
     /// What other routers found.
     peer_limits: LimitSum,
+    /// What tenants within their fair share met with here, over this router.
+    service_level: ServiceLevel,
+    /// The same over the other routers.
+    others_level: LevelCounts,
     unmet: FadingCount,
     parts: HashMap<u64, Timestamp>,
 }
@@ -102,7 +89,9 @@
             slowness: 1.0,
             limit: ConcurrencyLimit::default(),
             peer_limits: LimitSum::default(),
-            unmet: FadingCount::default(),
+            service_level: ServiceLevel::default(),
+            others_level: LevelCounts::default(),
+            unmet: FadingCount::new(UNMET_LIFE),
             parts: HashMap::new(),
         }
     }
@@ -123,12 +112,14 @@
     pub fn add_report(&mut self, report: &EngineReport) {
         self.others.add(report.load);
         self.peer_limits.add(report.limit);
+        self.others_level.add(report.level);
     }
 
     /// What a peer told of it no longer counts.
     pub fn remove_report(&mut self, report: &EngineReport) {
         self.others.remove(report.load);
         self.peer_limits.remove(report.limit);
+        self.others_level.remove(report.level);
     }
 
     /// The concurrency limit on which the routers agree: the mean of what they found.
@@ -158,16 +149,29 @@
         }
     }
 
+    /// A request of a tenant within its fair share was served in time here, or not.
+    pub fn on_service(&mut self, now: Timestamp, in_time: bool) {
+        self.service_level.on_request(now, in_time);
+    }
+
+    /// The share of such requests that were not served in time, over all routers.
+    pub fn missed_share(&self, now: Timestamp) -> f64 {
+        let mut counts = self.service_level.counts(now);
+        counts.add(self.others_level);
+        counts.missed_share()
+    }
+
     /// A request of a tenant well under the fair level found no room here.
     pub fn on_unmet(&mut self, now: Timestamp) {
-        self.unmet.add(now);
+        self.unmet.add(now, 1.0);
     }
 
     /// What this router tells of it.
     pub fn own_report(&self, now: Timestamp) -> EngineReport {
-        let load = Load { unmet: self.unmet.now(now).round() as u32, ..self.own };
+        let load = Load { unmet: self.unmet.at(now).round() as u32, ..self.own };
         let limit = self.limit.found(now).map_or(0, |limit| limit.round() as u32);
-        EngineReport { id: self.back_end.id.clone(), load, limit }
+        let level = self.service_level.counts(now);
+        EngineReport { id: self.back_end.id.clone(), load, limit, level }
     }
 
     /// It has lost its memory.
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -1,6 +1,8 @@
 //! Settings of the policies that place, admit and share. Each mechanism can be switched off, so that an
 //! ablation measures what it is worth.
 
+use crate::service_level::ACCEPTED_MISSES;
+
 /// How many requests may be under way at one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConcurrencyPolicy {
@@ -37,6 +39,9 @@
     pub light_reserve: f64,
     /// Time between events that the concurrency limit aims at, in times of that without load.
     pub slowdown: f64,
+    /// Share of the requests of tenants within their fair share that may miss their objective before tenants
+    /// above it are given less.
+    pub accepted_misses: f64,
     /// Requests under way up to which tenants within their fair share are served, in concurrency limits.
     pub within_share: f64,
     /// The same for tenants above their fair share.
@@ -63,7 +68,8 @@
             preferred_engines_cheap: 5,
             locality_wait: 0.15,
             light_reserve: 0.4,
-            slowdown: 2.0,
+            slowdown: 3.0,
+            accepted_misses: ACCEPTED_MISSES,
             within_share: 2.5,
             over_share: 1.0,
             over_share_time: 0.6,
--- a/crates/routing/tests/concurrency.rs
+++ b/crates/routing/tests/concurrency.rs
@@ -3,30 +3,27 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, ConcurrencyLimit, Dispatcher, EVENTS_OBSERVED, LimitSum, Placement, Standing,
-    UnloadedPace,
+    Admission, ConcurrencyLimit, Dispatcher, EVENTS_OBSERVED, LimitSum, LoadSignals, Placement,
+    ServiceLevel, Standing, UnloadedPace,
 };
 use mastbay_types::Timestamp;
 use quickcheck::{TestResult, quickcheck};
 use std::time::Duration;
 use support::{at, demand, dispatcher, exchange_digests, prompt};
 
-const BOUND: Duration = Duration::from_millis(40);
-
-/// Milliseconds between events of an engine whose steps take longer with each request under way.
-fn pace(fixed: f64, per_request: f64, running: f64) -> Duration {
-    Duration::from_secs_f64((fixed + per_request * running) / 1e3)
-}
+const LIGHT: LoadSignals = LoadSignals { pace: 0.2, misses: 0.0 };
+const HEAVY: LoadSignals = LoadSignals { pace: 9.0, misses: 0.0 };
 
 /// The limit after a minute before an engine that always has as many requests as the limit allows.
 fn settled(fixed: f64, per_request: f64, slots: u32) -> f64 {
     let mut limit = ConcurrencyLimit::default();
-    let bound = pace(fixed, per_request, 0.0).mul_f64(2.0);
     for turn in 0..1_200 {
         let now = Timestamp::from_millis(turn * 50);
         let agreed = limit.found(now).unwrap_or_else(|| ConcurrencyLimit::start(slots));
-        limit.observe(now, pace(fixed, per_request, agreed));
-        limit.adjust(now, bound, agreed, agreed as u32, slots);
+        let pace = fixed + per_request * agreed;
+        limit.observe(now, Duration::from_secs_f64(pace / 1e3));
+        let signals = LoadSignals { pace: pace / (2.0 * fixed), misses: 0.0 };
+        limit.adjust(now, signals, agreed, agreed as u32, slots);
     }
     limit.found(Timestamp::from_millis(60_000)).expect("found")
 }
@@ -50,7 +47,7 @@
     let mut limit = ConcurrencyLimit::default();
     for turn in 0..200 {
         limit.observe(at(turn * 50), Duration::from_millis(10));
-        limit.adjust(at(turn * 50), BOUND, 20.0, 3, 128);
+        limit.adjust(at(turn * 50), LIGHT, 20.0, 3, 128);
     }
     assert_eq!(limit.found(at(10_000)), Some(20.0));
     assert_eq!(limit.found(at(20_000)), None, "no stream was seen for long");
@@ -62,12 +59,38 @@
     for _ in 0..10 {
         limit.observe(at(1_000), Duration::from_secs(5));
     }
-    limit.adjust(at(1_000), BOUND, 50.0, 50, 128);
+    limit.adjust(at(1_000), HEAVY, 50.0, 50, 128);
     assert_eq!(limit.found(at(1_100)), Some(45.0));
-    limit.adjust(at(1_050), BOUND, 45.0, 45, 128);
+    limit.adjust(at(1_050), HEAVY, 45.0, 45, 128);
     assert_eq!(limit.found(at(1_100)), Some(45.0));
 }
 
+#[test]
+fn misses_of_tenants_within_their_share_lower_it_however_fast_the_streams_are() {
+    let mut limit = ConcurrencyLimit::default();
+    for turn in 0..10 {
+        limit.observe(at(turn), Duration::from_millis(10));
+    }
+    limit.adjust(at(1_000), LoadSignals { misses: 1.5, ..LIGHT }, 50.0, 50, 128);
+    assert_eq!(limit.found(at(1_000)), Some(45.0));
+}
+
+#[test]
+fn one_miss_among_few_requests_moves_the_service_level_little() {
+    let mut level = ServiceLevel::default();
+    for turn in 0..5 {
+        level.on_request(at(turn * 10), turn != 2);
+    }
+    let few = level.counts(at(50)).missed_share();
+    assert!((0.05..0.1).contains(&few), "{few}");
+    for turn in 0..200 {
+        level.on_request(at(100 + turn), turn % 2 == 0);
+    }
+    let many = level.counts(at(300)).missed_share();
+    assert!((0.4..0.55).contains(&many), "{many}");
+    assert!(level.counts(at(30_000)).missed_share() < 0.051, "the past fades");
+}
+
 #[test]
 fn the_least_pace_is_forgotten_after_minutes() {
     let mut unloaded = UnloadedPace::default();
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, BackEndId, BackEndState, Dispatcher, Fault, Placement, Prompt, PromptPart,
+    Admission, BackEndId, BackEndState, Dispatcher, Fault, Load, Placement, Prompt, PromptPart,
     RefusalReason, Standing, TicketId,
 };
 use mastbay_types::Timestamp;
@@ -377,7 +377,13 @@
         }
         exchange_digests(at(now + 60_001), &mut fleet);
         let later = at(now + 60_002);
-        let digests = fleet.iter_mut().map(|one| one.digest(later, Standing::Serving));
-        digests.collect::<Vec<_>>().iter().all(|digest| digest.engines.is_empty())
+        let has_load = fleet.iter_mut().any(|one| {
+            let digest = one.digest(later, Standing::Serving);
+            digest.engines.iter().any(|report| report.load != Load::default())
+        });
+        // Refusals of the last poll count for the service level until they have faded.
+        let much_later = at(now + 120_000);
+        let digests = fleet.iter_mut().map(|one| one.digest(much_later, Standing::Serving));
+        !has_load && digests.collect::<Vec<_>>().iter().all(|digest| digest.engines.is_empty())
     }
 }
