Hold only tenants above their share to the limit; serve prompts that can't be in time late but whole

Change: tenants within their share may use all slots. A request that no engine could serve in time goes where its first event comes within 1.1 times what it takes alone. First events move the limit too, so that services of short streams have one.

--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -44,6 +44,8 @@
     limit: f64,
     /// Smoothed time between events, in milliseconds.
     pace: f64,
+    pace_observations: u32,
+    /// First events and paces that were seen.
     observations: u32,
     observed: Timestamp,
     changed: Timestamp,
@@ -55,20 +57,29 @@
         (f64::from(slots) * START_PART).max(LEAST_LIMIT).min(f64::from(slots))
     }
 
-    /// The limit in requests, if this router has found one and still sees streams of the engine.
+    /// The limit in requests, if this router has found one and still sees answers of the engine.
     pub fn found(&self, now: Timestamp) -> Option<f64> {
         let is_fresh = now.since(self.observed) <= LIMIT_LIFE;
         (self.limit > 0.0 && is_fresh).then_some(self.limit)
     }
 
-    /// A stream's events came `per_event` apart. Gives the smoothed time between events once it is believed.
-    pub fn observe(&mut self, now: Timestamp, per_event: Duration) -> Option<Duration> {
+    /// A first event came. A service whose streams are too short to show a pace is known by these alone.
+    pub fn observe_first_event(&mut self, now: Timestamp) {
         self.observed = now;
-        let seen = per_event.as_secs_f64() * 1e3;
         self.observations = self.observations.saturating_add(1);
-        let gain = PACE_GAIN.max(1.0 / f64::from(self.observations));
-        self.pace += gain * (seen - self.pace);
-        let is_believed = self.observations >= FEWEST_OBSERVATIONS;
+    }
+
+    /// A stream's events came `per_event` apart.
+    pub fn observe_pace(&mut self, now: Timestamp, per_event: Duration) {
+        self.observe_first_event(now);
+        self.pace_observations = self.pace_observations.saturating_add(1);
+        let gain = PACE_GAIN.max(1.0 / f64::from(self.pace_observations));
+        self.pace += gain * (per_event.as_secs_f64() * 1e3 - self.pace);
+    }
+
+    /// The smoothed time between events, once it is believed.
+    pub fn pace(&self) -> Option<Duration> {
+        let is_believed = self.pace_observations >= FEWEST_OBSERVATIONS;
         is_believed.then(|| Duration::from_secs_f64(self.pace / 1e3))
     }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -247,6 +247,9 @@
         engine.slowness = placement::next_slowness(engine.slowness, predicted, taken);
         let estimator = self.first_events.entry(engine.back_end.service.clone()).or_default();
         estimator.observe(work_ahead, taken);
+        engine.limit.observe_first_event(now);
+        let back_end = running.back_end.clone();
+        self.adjust_limit(now, &back_end);
     }
 
     /// A request has ended, well or not, or its caller has gone: it takes no more room. Gives whether a
--- a/crates/routing/src/dispatch/pacing.rs
+++ b/crates/routing/src/dispatch/pacing.rs
@@ -2,10 +2,10 @@
 
 use super::{Dispatcher, TicketId};
 use crate::back_end::BackEndId;
-use crate::concurrency::{EVENTS_OBSERVED, LoadSignals};
+use crate::concurrency::{EVENTS_OBSERVED, LoadSignals, UnloadedPace};
 use crate::digest::ServicePace;
+use crate::engine::Engine;
 use mastbay_types::Timestamp;
-use std::time::Duration;
 
 impl Dispatcher {
     /// `count` events of a request's stream have come.
@@ -20,30 +20,39 @@
         if now < self.lagging_until || began < self.lagging_until {
             return;
         }
+        let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
+        engine.limit.observe_pace(now, now.since(began) / events);
+        if let Some(pace) = engine.limit.pace() {
+            self.unloaded.entry(engine.back_end.service.clone()).or_default().observe(now, pace);
+        }
         let back_end = running.back_end.clone();
-        self.observe_pace(now, &back_end, now.since(began) / events);
+        self.adjust_limit(now, &back_end);
     }
 
-    /// An engine's streams have their events `per_event` apart: its concurrency limit follows.
-    fn observe_pace(&mut self, now: Timestamp, id: &BackEndId, per_event: Duration) {
-        let Some(engine) = self.engines.get_mut(id) else { return };
-        let Some(smoothed) = engine.limit.observe(now, per_event) else { return };
-        let service = &engine.back_end.service;
-        let unloaded = self.unloaded.entry(service.clone()).or_default();
-        unloaded.observe(now, smoothed);
-        let own_and_told = unloaded.least().into_iter().chain(self.fleet.unloaded_pace(service));
-        let Some(least) = own_and_told.min() else { return };
+    /// Moves the concurrency limit of an engine that has just been observed.
+    pub(super) fn adjust_limit(&mut self, now: Timestamp, id: &BackEndId) {
+        let Some(engine) = self.engines.get(id) else { return };
         let policy = &self.limits.policy;
-        let bound = least.mul_f64(policy.slowdown);
         let signals = LoadSignals {
-            pace: smoothed.as_secs_f64() / bound.as_secs_f64().max(f64::MIN_POSITIVE),
+            pace: self.slowdown(engine).unwrap_or(0.0) / policy.slowdown,
             misses: engine.missed_share(now) / policy.accepted_misses,
         };
         let (agreed, running) = (engine.agreed_limit(now), engine.load().running);
         let slots = engine.back_end.slots.max(1);
+        let Some(engine) = self.engines.get_mut(id) else { return };
         engine.limit.adjust(now, signals, agreed, running, slots);
     }
 
+    /// The time between events of an engine's streams, in times of the least that any router observed at
+    /// the service; nothing for streams too short to tell.
+    fn slowdown(&self, engine: &Engine) -> Option<f64> {
+        let pace = engine.limit.pace()?;
+        let service = &engine.back_end.service;
+        let own = self.unloaded.get(service).and_then(UnloadedPace::least);
+        let least = own.into_iter().chain(self.fleet.unloaded_pace(service)).min()?;
+        Some(pace.as_secs_f64() / least.as_secs_f64().max(f64::MIN_POSITIVE))
+    }
+
     /// The least time between events of each service that this router observed.
     pub(super) fn unloaded_paces(&self) -> Vec<ServicePace> {
         let observed = self.unloaded.iter().filter_map(|(service, pace)| {
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -51,6 +51,8 @@
     pub id: BackEndId,
     /// Time to the first event.
     pub predicted: Duration,
+    /// The same if nothing else were pending there.
+    pub alone: Duration,
     /// Prompt tokens that it reads for the request.
     pub uncached: u64,
     /// Prefill that it does until the request's first event.
@@ -106,6 +108,7 @@
             Weighed {
                 id,
                 predicted: Duration::ZERO,
+                alone: Duration::ZERO,
                 uncached: 0,
                 work_ahead: PrefillWork::default(),
                 cost,
@@ -171,14 +174,12 @@
         let load = engine.load();
         let policy = &self.limits.policy;
         let slots = f64::from(engine.back_end.slots.max(1));
-        let limit = self.concurrency_limit(now, engine);
-        let within_share = (limit * policy.within_share).min(slots);
-        let left_for_light = f64::from(load.unmet).min(within_share * policy.light_reserve);
+        let left_for_light = f64::from(load.unmet).min(slots * policy.light_reserve);
         let most = match terms.standing {
-            TenantStanding::Light => within_share,
-            TenantStanding::Large => within_share - left_for_light,
+            TenantStanding::Light => slots,
+            TenantStanding::Large => slots - left_for_light,
             TenantStanding::OverShare => {
-                (limit * policy.over_share).min(within_share - left_for_light)
+                self.concurrency_limit(now, engine).min(slots - left_for_light)
             }
         };
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
@@ -215,6 +216,8 @@
         let work_ahead = load.prefill.plus(prompt.prefill(uncached));
         let ratio = if self.limits.policy.latency_ratio { engine.slowness } else { 1.0 };
         let predicted = estimator.estimate(work_ahead) * ratio;
+        let alone = estimator.estimate(prompt.prefill(uncached)) * ratio;
+        let alone = Duration::from_secs_f64(alone / 1e3);
         let slots = f64::from(engine.back_end.slots.max(1));
         let occupancy = f64::from(load.running) / slots;
         let failures = engine.health.failure_share(now) / FAILURE_STEP;
@@ -222,7 +225,7 @@
         let late = predicted / milliseconds(demand.objective).max(1.0) * LATE_COST;
         let cost = read_again + occupancy + failures + late + rank as f64 * RANK_COST;
         let predicted = Duration::from_secs_f64(predicted / 1e3);
-        Weighed { id: engine.back_end.id.clone(), predicted, uncached, work_ahead, cost }
+        Weighed { id: engine.back_end.id.clone(), predicted, alone, uncached, work_ahead, cost }
     }
 }
 
@@ -258,7 +261,9 @@
     } else {
         demand.objective.mul_f64(part)
     };
-    waited + weighed.predicted <= allowed
+    let is_too_long = weighed.alone > demand.objective.mul_f64(part);
+    let late = if is_too_long && !is_over { policy.late_slack } else { 0.0 };
+    waited + weighed.predicted <= allowed.max(weighed.alone.mul_f64(late))
 }
 
 fn milliseconds(span: Duration) -> f64 {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -32,6 +32,9 @@
     pub preferred_engines: usize,
     /// The same for a prefix that costs little to prefill again.
     pub preferred_engines_cheap: usize,
+    /// A request that no engine could serve in time is placed where its first event comes within this many
+    /// times what it takes alone: late, but whole. 0 refuses it unless an engine has nothing else to do.
+    pub late_slack: f64,
     /// Part of the objective for which a request waits for the engine that holds its prefix before another
     /// one prefills it again.
     pub locality_wait: f64,
@@ -42,10 +45,6 @@
     /// Share of the requests of tenants within their fair share that may miss their objective before tenants
     /// above it are given less.
     pub accepted_misses: f64,
-    /// Requests under way up to which tenants within their fair share are served, in concurrency limits.
-    pub within_share: f64,
-    /// The same for tenants above their fair share.
-    pub over_share: f64,
     /// Part of the objective within which the first event of a tenant above the fair share is predicted.
     pub over_share_time: f64,
     /// Part of the objective within which every other first event is predicted.
@@ -66,12 +65,11 @@
             concurrency: ConcurrencyPolicy::Adaptive,
             preferred_engines: 2,
             preferred_engines_cheap: 5,
+            late_slack: 1.1,
             locality_wait: 0.15,
             light_reserve: 0.4,
             slowdown: 3.0,
             accepted_misses: ACCEPTED_MISSES,
-            within_share: 2.5,
-            over_share: 1.0,
             over_share_time: 0.6,
             time_part: 0.9,
             hold_part: 0.25,
