--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -85,7 +85,7 @@
             burst_from,
             processor: settings.processor as f32,
             most_waiting: settings.most_waiting,
-            policy: settings.policy.clone(),
+            policy: settings.policy,
         };
         let dispatcher = Dispatcher::new(limits, me, settings.operations);
         let bodies = BodyBudget::new(settings.body_bytes());
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -125,7 +125,7 @@
         prompt: &Prompt,
         terms: Terms,
     ) -> Vec<Weighed> {
-        let policy = self.limits.policy.clone();
+        let policy = self.limits.policy;
         let beginning = prompt.affinity_key().unwrap_or_default();
         let homes = self.homes.of(&self.engines, &demand.service, beginning);
         let is_cheap = cost_of_reading(prompt, prompt.shared_tokens()) < CHEAP;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -24,7 +24,7 @@
 }
 
 /// Settings of the policies. The defaults are what measured best; docs/CASCADIA.md has the figures.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
     /// Requests that may be under way at one engine.
     pub concurrency: ConcurrencyPolicy,
