--- a/crates/routing/src/dispatch/fair_level.rs
+++ b/crates/routing/src/dispatch/fair_level.rs
@@ -5,18 +5,18 @@
 use crate::waiting::{Waiter, WaitingOrder};
 use std::collections::HashMap;
 
-/// Part of the fair level from which on a tenant is a large one.
-const LARGE: f64 = 0.5;
+/// Part of the fair share from which on others are left capacity before a tenant gets more.
+const HALF: f64 = 0.5;
 
-/// How much of its share a tenant is given.
+/// How much of its max-min fair share of the capacity a tenant is given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TenantStanding {
-    /// Well under the fair level.
-    Light,
-    /// A large part of the fair level.
-    Large,
-    /// More than the fair level.
-    OverShare,
+pub enum ShareClass {
+    /// Under half of the fair share.
+    BelowHalf,
+    /// From half of the fair share up to it.
+    BelowShare,
+    /// More than the fair share.
+    AboveShare,
 }
 
 /// Tenants' rates over the fleet and the fair level.
@@ -55,14 +55,14 @@
     }
 
     /// How much of its share a tenant is given.
-    pub fn standing(&self, tenant: &str) -> TenantStanding {
+    pub fn class(&self, tenant: &str) -> ShareClass {
         let given = self.given(tenant);
         if given > self.level {
-            TenantStanding::OverShare
-        } else if given > self.level * LARGE {
-            TenantStanding::Large
+            ShareClass::AboveShare
+        } else if given > self.level * HALF {
+            ShareClass::BelowShare
         } else {
-            TenantStanding::Light
+            ShareClass::BelowHalf
         }
     }
 
@@ -71,8 +71,7 @@
         let tenant = waiter.demand.tenant.as_deref();
         WaitingOrder {
             priority: waiter.demand.priority,
-            over_share: tenant
-                .is_some_and(|tenant| self.standing(tenant) == TenantStanding::OverShare),
+            over_share: tenant.is_some_and(|tenant| self.class(tenant) == ShareClass::AboveShare),
             given: tenant.map_or(0.0, |tenant| self.given(tenant)),
             ticket: waiter.ticket.0,
         }
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -57,7 +57,7 @@
     pub(super) fn load(&self, uncached: u64) -> Load {
         let memory = self.prompt.as_ref().map_or(0, Prompt::memory);
         let prefill = self.prompt.as_ref().map(|prompt| prompt.prefill(uncached));
-        Load { running: 1, prefill: prefill.unwrap_or_default(), memory, unmet: 0 }
+        Load { running: 1, prefill: prefill.unwrap_or_default(), memory, unplaced: 0 }
     }
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -4,10 +4,10 @@
 
 mod fair_level;
 mod fleet;
-mod homes;
 mod messages;
 mod pacing;
 mod placement;
+mod preferred_engines;
 mod sharing;
 mod source;
 
@@ -22,11 +22,11 @@
 use crate::shares::Usage;
 use crate::waiting::{Waiter, WaitingQueue};
 use crate::watching::SourceContact;
-use fair_level::{Shares, TenantStanding};
+use fair_level::{ShareClass, Shares};
 use fleet::{Fleet, OwnState};
-use homes::Homes;
 use mastbay_types::Timestamp;
 use placement::{Terms, Weighed};
+use preferred_engines::PreferredEngines;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,8 +53,8 @@
     observed: Timestamp,
 }
 
-/// Waiters that are tried in vain before the rest of a queue is left for later.
-const TRIES_IN_VAIN: usize = 64;
+/// Waiters that fail to be placed before the rest of a queue is left for later.
+const MOST_FAILED_PLACEMENTS: usize = 64;
 /// Lag of the router up to which the times that it sees are taken for those of back ends.
 const TOLERATED_LAG: Duration = Duration::from_millis(15);
 /// Time for which requests under way are marked by a lag.
@@ -73,7 +73,7 @@
     capacity: Option<u64>,
     first_events: HashMap<String, FirstEventEstimator>,
     unloaded: HashMap<String, UnloadedPace>,
-    homes: Homes,
+    preferred: PreferredEngines,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
@@ -98,7 +98,7 @@
             capacity: None,
             first_events: HashMap::new(),
             unloaded: HashMap::new(),
-            homes: Homes::default(),
+            preferred: PreferredEngines::default(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
@@ -126,7 +126,7 @@
     /// Takes a newer list of back ends.
     pub fn on_back_ends(&mut self, list: &BackEndList) {
         self.back_ends = list.revision;
-        self.homes.clear();
+        self.preferred.clear();
         let mut known = std::mem::take(&mut self.engines);
         for back_end in &list.back_ends {
             let engine = match known.remove(&back_end.id) {
@@ -187,14 +187,14 @@
         if let Some(placement) = placed {
             return Admission::Placed(placement);
         }
-        if !privileged && self.tenant_standing(now, &demand) == TenantStanding::OverShare {
+        if !privileged && self.share_class(now, &demand) == ShareClass::AboveShare {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
         }
         let waiting = self.waiting.get(&demand.service).map_or(0, WaitingQueue::len);
         if waiting >= self.limits.most_waiting {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::QueueFull, draw));
         }
-        self.note_unmet(now, &demand);
+        self.note_unplaced(now, &demand);
         let until = self.hold_until(&demand);
         let queue = self.waiting.entry(demand.service.clone()).or_default();
         queue.push(Waiter { ticket, demand, until });
@@ -244,7 +244,8 @@
         if let Some(due) = running.accountable {
             engine.on_service(now, now <= due);
         }
-        engine.slowness = placement::next_slowness(engine.slowness, predicted, taken);
+        engine.latency_ratio =
+            placement::next_latency_ratio(engine.latency_ratio, predicted, taken);
         let estimator = self.first_events.entry(engine.back_end.service.clone()).or_default();
         estimator.observe(work_ahead, taken);
         engine.limit.observe_first_event(now);
@@ -344,9 +345,9 @@
         let shares = self.shares(now);
         let Some(queue) = self.waiting.get_mut(service) else { return };
         let mut left = Vec::new();
-        let mut in_vain = 0;
+        let mut failed = 0;
         for waiter in queue.take_in_order(|waiter| shares.order(waiter)) {
-            let placed = if in_vain < TRIES_IN_VAIN {
+            let placed = if failed < MOST_FAILED_PLACEMENTS {
                 self.try_place(now, waiter.ticket, &waiter.demand, false)
             } else {
                 None
@@ -354,7 +355,7 @@
             match placed {
                 Some(placement) => verdicts.push((waiter.ticket, Ok(placement))),
                 None => {
-                    in_vain += 1;
+                    failed += 1;
                     left.push(waiter);
                 }
             }
@@ -429,7 +430,7 @@
         demand: &Demand,
         last_call: bool,
     ) -> Option<Placement> {
-        let standing = self.tenant_standing(now, demand);
+        let standing = self.share_class(now, demand);
         let weighed = self.best(now, demand, Terms { standing, last_call })?;
         let age = self.fleet.oldest_age(now);
         let accountable = self.accountable(demand, standing, weighed.uncached);
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -1,6 +1,6 @@
-//! The choice of a back end: the one that holds the prompt's beginning, as long as it is in time.
+//! The choice of a back end: the one that holds the prompt's shared prefix, as long as it is in time.
 
-use super::fair_level::TenantStanding;
+use super::fair_level::ShareClass;
 use super::{Demand, Dispatcher};
 use crate::back_end::{BackEndId, BackEndState};
 use crate::engine::Engine;
@@ -14,7 +14,7 @@
 const MEMORY_PART: f64 = 0.92;
 /// Requests that a plain back end may have beyond its slots.
 const PLAIN_QUEUE: u32 = 2;
-/// Cost up to which a beginning is cheap to read again.
+/// Cost up to which a prefix is cheap to read again.
 const CHEAP: f64 = 0.5;
 /// Tokens read again for each token made that cost as much as a back end whose slots are all taken. What
 /// moves to another back end frees a slot here for as long as it makes tokens.
@@ -32,16 +32,16 @@
 const IDLE_SLOTS: f64 = 0.5;
 /// Prompt tokens to prefill up to which an engine counts as having nothing to prefill.
 const IDLE_PREFILL: u64 = 1_500;
-/// Part of a back end's slowness that one observation moves.
-const SLOWNESS_GAIN: f64 = 0.05;
-/// Least and most slowness believed.
-const SLOWNESS_RANGE: (f64, f64) = (0.7, 6.0);
+/// Part of a back end's latency ratio that one observation moves.
+const LATENCY_RATIO_GAIN: f64 = 0.05;
+/// Least and most latency ratio believed.
+const LATENCY_RATIO_BOUNDS: (f64, f64) = (0.7, 6.0);
 
-/// The slowness after one more observation.
-pub fn next_slowness(slowness: f64, predicted: Duration, taken: Duration) -> f64 {
-    let ratio = milliseconds(taken).max(1.0) / milliseconds(predicted).max(1.0);
-    let seen = (slowness * ratio).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-    slowness + SLOWNESS_GAIN * (seen - slowness)
+/// The latency ratio after one more observation.
+pub fn next_latency_ratio(ratio: f64, predicted: Duration, taken: Duration) -> f64 {
+    let missed_by = milliseconds(taken).max(1.0) / milliseconds(predicted).max(1.0);
+    let seen = (ratio * missed_by).clamp(LATENCY_RATIO_BOUNDS.0, LATENCY_RATIO_BOUNDS.1);
+    ratio + LATENCY_RATIO_GAIN * (seen - ratio)
 }
 
 /// A back end weighed for a request.
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Terms {
     /// How much of its share its tenant is given.
-    pub standing: TenantStanding,
+    pub standing: ShareClass,
     /// Its time to wait is over.
     pub last_call: bool,
 }
@@ -103,7 +103,8 @@
             let is_near = engine.back_end.zone == self.limits.zone;
             let zone = if is_near { 0.0 } else { OTHER_ZONE_SLOTS };
             let failures = engine.health.failure_share(now) / FAILURE_STEP;
-            let cost = f64::from(engine.load().running) / slots * engine.slowness + zone + failures;
+            let cost =
+                f64::from(engine.load().running) / slots * engine.latency_ratio + zone + failures;
             let id = engine.back_end.id.clone();
             Weighed {
                 id,
@@ -117,7 +118,7 @@
         weighed.collect()
     }
 
-    /// Engines that are in time, by their rank for the prompt's beginning.
+    /// Engines that are in time, by their rank for the prompt's shared prefix.
     fn weigh_engines(
         &mut self,
         now: Timestamp,
@@ -126,8 +127,8 @@
         terms: Terms,
     ) -> Vec<Weighed> {
         let policy = self.limits.policy;
-        let beginning = prompt.affinity_key().unwrap_or_default();
-        let homes = self.homes.of(&self.engines, &demand.service, beginning);
+        let prefix = prompt.prefix_key().unwrap_or_default();
+        let preferred = self.preferred.of(&self.engines, &demand.service, prefix);
         let is_cheap = cost_of_reading(prompt, prompt.shared_tokens()) < CHEAP;
         let waited = now.since(demand.arrived);
         let waits_for_locality = !is_cheap
@@ -135,7 +136,7 @@
             && waited < demand.objective.mul_f64(policy.locality_wait);
         let ranks =
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
-        let candidates = homes.iter().filter_map(|id| self.engines.get(id));
+        let candidates = preferred.iter().filter_map(|id| self.engines.get(id));
         let candidates = candidates.filter(|engine| self.is_candidate(now, engine, demand));
         let mut weighed = Vec::new();
         for (rank, engine) in candidates.take(ranks).enumerate() {
@@ -157,9 +158,9 @@
     /// The engine that comes first for a request's prompt, whether it has room or not.
     pub(super) fn first_choice(&mut self, now: Timestamp, demand: &Demand) -> Option<Weighed> {
         let prompt = demand.prompt.as_ref()?;
-        let beginning = prompt.affinity_key().unwrap_or_default();
-        let homes = self.homes.of(&self.engines, &demand.service, beginning);
-        let engine = self.engines.get(homes.first()?)?;
+        let prefix = prompt.prefix_key().unwrap_or_default();
+        let preferred = self.preferred.of(&self.engines, &demand.service, prefix);
+        let engine = self.engines.get(preferred.first()?)?;
         Some(self.weigh(now, engine, demand, prompt, 0))
     }
 
@@ -174,13 +175,11 @@
         let load = engine.load();
         let policy = &self.limits.policy;
         let slots = f64::from(engine.back_end.slots.max(1));
-        let left_for_light = f64::from(load.unmet).min(slots * policy.light_reserve);
+        let reserved = f64::from(load.unplaced).min(slots * policy.reserve_below_half);
         let most = match terms.standing {
-            TenantStanding::Light => slots,
-            TenantStanding::Large => slots - left_for_light,
-            TenantStanding::OverShare => {
-                self.concurrency_limit(now, engine).min(slots - left_for_light)
-            }
+            ShareClass::BelowHalf => slots,
+            ShareClass::BelowShare => slots - reserved,
+            ShareClass::AboveShare => self.concurrency_limit(now, engine).min(slots - reserved),
         };
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
         let fits = memory.is_none_or(|memory| {
@@ -214,7 +213,7 @@
         }
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.prefill.plus(prompt.prefill(uncached));
-        let ratio = if self.limits.policy.latency_ratio { engine.slowness } else { 1.0 };
+        let ratio = if self.limits.policy.latency_ratio { engine.latency_ratio } else { 1.0 };
         let predicted = estimator.estimate(work_ahead) * ratio;
         let alone = estimator.estimate(prompt.prefill(uncached)) * ratio;
         let alone = Duration::from_secs_f64(alone / 1e3);
@@ -229,7 +228,7 @@
     }
 }
 
-/// What it costs to read `tokens` of a prompt's beginning again.
+/// What it costs to read `tokens` of a prompt's shared prefix again.
 fn cost_of_reading(prompt: &Prompt, tokens: u64) -> f64 {
     let made = f64::from(prompt.expected_output().max(1));
     tokens as f64 / made / READ_AGAIN_PER_MADE
@@ -252,8 +251,8 @@
     policy: &Policy,
 ) -> bool {
     let waited = now.since(demand.arrived);
-    let is_over = terms.standing == TenantStanding::OverShare;
-    let part = if is_over { policy.over_share_time } else { policy.time_part };
+    let is_over = terms.standing == ShareClass::AboveShare;
+    let part = if is_over { policy.above_share_time } else { policy.time_part };
     let allowed = if !demand.tried.is_empty() {
         demand.deadline.since(demand.arrived)
     } else if terms.last_call {
--- a/crates/routing/src/dispatch/homes.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -1,4 +1,4 @@
-//! The order in which back ends take requests with the same beginning, remembered for each beginning.
+//! The order in which back ends take requests with the same shared prefix, remembered for each prefix.
 
 use crate::back_end::{BackEndId, BackEndState};
 use crate::engine::Engine;
@@ -6,45 +6,45 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-/// Beginnings remembered; past this all are forgotten and ranked anew.
+/// Prefixes remembered; past this all are forgotten and ranked anew.
 const MOST_REMEMBERED: usize = 8_192;
-/// Back ends kept in the order of a beginning.
+/// Back ends kept in the order of a prefix.
 const RANKS_KEPT: usize = 6;
 
-/// A service and the beginning of a prompt.
+/// A service and the shared prefix of a prompt.
 type Key = (Rc<str>, u64);
 
 /// Rankings made since the back ends changed last.
 #[derive(Debug, Default)]
-pub struct Homes {
+pub struct PreferredEngines {
     services: HashMap<String, Rc<str>>,
     rankings: HashMap<Key, Rc<[BackEndId]>>,
 }
 
-impl Homes {
+impl PreferredEngines {
     /// The back ends have changed.
     pub fn clear(&mut self) {
         self.rankings.clear();
     }
 
-    /// The first back ends of a service for a beginning; the same at every router with the same list.
+    /// The first back ends of a service for a prefix; the same at every router with the same list.
     pub fn of(
         &mut self,
         engines: &BTreeMap<BackEndId, Engine>,
         service: &str,
-        beginning: u64,
+        prefix: u64,
     ) -> Rc<[BackEndId]> {
         if self.rankings.len() > MOST_REMEMBERED {
             self.rankings.clear();
         }
         let name = self.services.entry(service.to_owned()).or_insert_with(|| Rc::from(service));
-        let ranking = self.rankings.entry((name.clone(), beginning));
-        ranking.or_insert_with(|| rank(engines, service, beginning)).clone()
+        let ranking = self.rankings.entry((name.clone(), prefix));
+        ranking.or_insert_with(|| rank(engines, service, prefix)).clone()
     }
 }
 
-fn rank(engines: &BTreeMap<BackEndId, Engine>, service: &str, beginning: u64) -> Rc<[BackEndId]> {
-    let key = beginning.to_be_bytes();
+fn rank(engines: &BTreeMap<BackEndId, Engine>, service: &str, prefix: u64) -> Rc<[BackEndId]> {
+    let key = prefix.to_be_bytes();
     let ready = engines.values().filter(|engine| {
         engine.back_end.service == service && engine.back_end.state == BackEndState::Ready
     });
--- a/crates/routing/src/dispatch/sharing.rs
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -1,6 +1,6 @@
-//! A router's view of tenants' shares, and of light tenants that find no room.
+//! A router's view of tenants' shares, and of tenants below half of theirs whose requests could not be placed.
 
-use super::fair_level::{Shares, TenantStanding};
+use super::fair_level::{ShareClass, Shares};
 use super::{Demand, Dispatcher};
 use mastbay_types::Timestamp;
 use std::rc::Rc;
@@ -10,22 +10,23 @@
 const SHARES_LIFE: Duration = Duration::from_millis(50);
 
 impl Dispatcher {
-    pub(super) fn tenant_standing(&mut self, now: Timestamp, demand: &Demand) -> TenantStanding {
+    pub(super) fn share_class(&mut self, now: Timestamp, demand: &Demand) -> ShareClass {
         if !self.limits.policy.fair_share {
-            return TenantStanding::Light;
+            return ShareClass::BelowHalf;
         }
-        let Some(tenant) = &demand.tenant else { return TenantStanding::Light };
-        self.shares(now).standing(tenant)
+        let Some(tenant) = &demand.tenant else { return ShareClass::BelowHalf };
+        self.shares(now).class(tenant)
     }
 
-    /// Notes that a request found no room, so that room is left for its tenant if it is a light one.
-    pub(super) fn note_unmet(&mut self, now: Timestamp, demand: &Demand) {
-        if demand.prompt.is_none() || self.tenant_standing(now, demand) != TenantStanding::Light {
+    /// Notes that a request could not be placed, so that slots are left for it if its tenant is below half of
+    /// its share.
+    pub(super) fn note_unplaced(&mut self, now: Timestamp, demand: &Demand) {
+        if demand.prompt.is_none() || self.share_class(now, demand) != ShareClass::BelowHalf {
             return;
         }
         let Some(first) = self.first_choice(now, demand) else { return };
         if let Some(engine) = self.engines.get_mut(&first.id) {
-            engine.on_unmet(now);
+            engine.on_unplaced(now);
         }
     }
 
@@ -34,20 +35,20 @@
     pub(super) fn accountable(
         &self,
         demand: &Demand,
-        standing: TenantStanding,
+        standing: ShareClass,
         uncached: u64,
     ) -> Option<Timestamp> {
         let prompt = demand.prompt.as_ref()?;
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let alone = Duration::from_secs_f64(estimator.estimate(prompt.prefill(uncached)) / 1e3);
-        let is_within = standing != TenantStanding::OverShare;
+        let is_within = standing != ShareClass::AboveShare;
         let could_be_in_time = alone <= demand.objective.mul_f64(self.limits.policy.time_part);
         (is_within && could_be_in_time).then_some(demand.arrived + demand.objective)
     }
 
     /// Notes that a request was refused: a miss if it counts for the service level.
     pub(super) fn note_missed(&mut self, now: Timestamp, demand: &Demand) {
-        let standing = self.tenant_standing(now, demand);
+        let standing = self.share_class(now, demand);
         let Some(first) = self.first_choice(now, demand) else { return };
         if self.accountable(demand, standing, first.uncached).is_none() {
             return;
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -22,9 +22,9 @@
     pub prefill: PrefillWork,
     /// Memory that they take, in tokens.
     pub memory: u64,
-    /// Requests of tenants well under the fair level that found no room there lately. Room is left for
+    /// Requests of tenants below half of their share that could not be placed there lately. Slots are left for
     /// them by those that send for the largest tenants.
-    pub unmet: u32,
+    pub unplaced: u32,
 }
 
 impl Load {
@@ -33,7 +33,7 @@
         self.running += other.running;
         self.prefill.add(other.prefill);
         self.memory += other.memory;
-        self.unmet += other.unmet;
+        self.unplaced += other.unplaced;
     }
 
     /// Takes another load away.
@@ -41,12 +41,12 @@
         self.running = self.running.saturating_sub(other.running);
         self.prefill.remove(other.prefill);
         self.memory = self.memory.saturating_sub(other.memory);
-        self.unmet = self.unmet.saturating_sub(other.unmet);
+        self.unplaced = self.unplaced.saturating_sub(other.unplaced);
     }
 }
 
-/// Time over which unmet requests fade.
-const UNMET_LIFE: Duration = Duration::from_millis(700);
+/// Time over which unplaced requests fade.
+const UNPLACED_LIFE: Duration = Duration::from_millis(700);
 
 /// Parts remembered for one back end.
 const MOST_PARTS: usize = 4_096;
@@ -65,7 +65,7 @@
     /// What exchanges tell of it.
     pub health: Health,
     /// Its time to first events over the time predicted, as a moving mean.
-    pub slowness: f64,
+    pub latency_ratio: f64,
     /// The concurrency limit that this router finds.
     pub limit: ConcurrencyLimit,
     /// What other routers found.
@@ -74,7 +74,7 @@
     service_level: ServiceLevel,
     /// The same over the other routers.
     others_level: LevelCounts,
-    unmet: FadingCount,
+    unplaced: FadingCount,
     parts: HashMap<u64, Timestamp>,
 }
 
@@ -86,12 +86,12 @@
             own: Load::default(),
             others: Load::default(),
             health: Health::default(),
-            slowness: 1.0,
+            latency_ratio: 1.0,
             limit: ConcurrencyLimit::default(),
             peer_limits: LimitSum::default(),
             service_level: ServiceLevel::default(),
             others_level: LevelCounts::default(),
-            unmet: FadingCount::new(UNMET_LIFE),
+            unplaced: FadingCount::new(UNPLACED_LIFE),
             parts: HashMap::new(),
         }
     }
@@ -161,14 +161,14 @@
         counts.missed_share()
     }
 
-    /// A request of a tenant well under the fair level found no room here.
-    pub fn on_unmet(&mut self, now: Timestamp) {
-        self.unmet.add(now, 1.0);
+    /// A request of a tenant below half of its share could not be placed here.
+    pub fn on_unplaced(&mut self, now: Timestamp) {
+        self.unplaced.add(now, 1.0);
     }
 
     /// What this router tells of it.
     pub fn own_report(&self, now: Timestamp) -> EngineReport {
-        let load = Load { unmet: self.unmet.at(now).round() as u32, ..self.own };
+        let load = Load { unplaced: self.unplaced.at(now).round() as u32, ..self.own };
         let limit = self.limit.found(now).map_or(0, |limit| limit.round() as u32);
         let level = self.service_level.counts(now);
         EngineReport { id: self.back_end.id.clone(), load, limit, level }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -38,15 +38,16 @@
     /// Part of the objective for which a request waits for the engine that holds its prefix before another
     /// one prefills it again.
     pub locality_wait: f64,
-    /// Most of an engine's slots that are left free for light tenants that found no room, as a part.
-    pub light_reserve: f64,
+    /// Most of an engine's slots, as a part, that are left for tenants below half of their share whose
+    /// requests could not be placed.
+    pub reserve_below_half: f64,
     /// Time between events that the concurrency limit aims at, in times of that without load.
     pub slowdown: f64,
     /// Share of the requests of tenants within their fair share that may miss their objective before tenants
     /// above it are given less.
     pub accepted_misses: f64,
     /// Part of the objective within which the first event of a tenant above the fair share is predicted.
-    pub over_share_time: f64,
+    pub above_share_time: f64,
     /// Part of the objective within which every other first event is predicted.
     pub time_part: f64,
     /// Part of the objective for which a request may wait before it is refused.
@@ -67,10 +68,10 @@
             preferred_engines_cheap: 5,
             late_slack: 1.1,
             locality_wait: 0.15,
-            light_reserve: 0.4,
+            reserve_below_half: 0.4,
             slowdown: 3.0,
             accepted_misses: ACCEPTED_MISSES,
-            over_share_time: 0.6,
+            above_share_time: 0.6,
             time_part: 0.9,
             hold_part: 0.25,
             fair_share: true,
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -57,9 +57,9 @@
         u64::from(self.input_tokens).saturating_sub(self.shared_tokens())
     }
 
-    /// The key by which requests with the same beginning are brought together: the last part that is
+    /// The key by which requests with the same shared prefix are brought together: the last part that is
     /// shared with others, or the only part.
-    pub fn affinity_key(&self) -> Option<u64> {
+    pub fn prefix_key(&self) -> Option<u64> {
         let shared = self.parts.len().saturating_sub(1).max(1);
         self.parts.get(shared - 1).map(|part| part.id)
     }
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn all_routers_give_the_same_beginning_to_the_same_engine() {
+fn all_routers_give_the_same_prefix_to_the_same_engine() {
     for subject in 0..40 {
         let mut chosen: Vec<BackEndId> = (1..=7)
             .filter_map(|host| place(&mut dispatcher(host, 12, 8), at(0), subject, subject))
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn beginnings_spread_over_the_engines() {
+fn prefixes_spread_over_the_engines() {
     let mut dispatcher = dispatcher(1, 12, 100);
     let mut counts = std::collections::BTreeMap::new();
     for subject in 0..600 {
@@ -123,15 +123,15 @@
     dispatcher.on_end(at(1), first.ticket, Err(Some(Fault::Unreachable)));
     let second = place(&mut dispatcher, at(2), 5, 2).expect("room");
     assert_ne!(first.back_end.id, second.back_end.id);
-    // Its failures count less and less; the second holds the beginning too by now.
+    // Its failures count less and less; the second holds the prefix too by now.
     let later = place(&mut dispatcher, at(12_500), 5, 3).expect("room");
     assert_eq!(first.back_end.id, later.back_end.id);
 }
 
 /// Found on days on which slots are what is short: each request that moved to another engine had it read
-/// five thousand tokens again, while requests with short beginnings filled the slots of its own.
+/// five thousand tokens again, while requests with short prefixes filled the slots of its own.
 #[test]
-fn requests_with_short_beginnings_leave_slots_to_those_with_long_ones() {
+fn requests_with_short_prefixes_leave_slots_to_those_with_long_ones() {
     let mut dispatcher = dispatcher(1, 6, 8);
     let short = |own: u64| Prompt {
         parts: vec![PromptPart { id: 7, tokens: 80 }, PromptPart { id: 100 + own, tokens: 400 }],
@@ -150,7 +150,7 @@
     let long: std::collections::BTreeSet<BackEndId> = (0..3)
         .map(|own| place(&mut dispatcher, at(1), 1, own).expect("room").back_end.id)
         .collect();
-    assert_eq!(long.len(), 1, "a long beginning stays where it is");
+    assert_eq!(long.len(), 1, "a long prefix stays where it is");
 }
 
 #[test]
@@ -236,7 +236,7 @@
 fn waiters_for_a_full_engine_hold_nobody_else_up() {
     let mut dispatcher = dispatcher(1, 12, 1);
     let first = place(&mut dispatcher, at(0), 1, 1).expect("room at the first engine");
-    // The second engine reads the beginning only for a request that has waited for the first.
+    // The second engine prefills the prefix only for a request that has waited for the first.
     wait(&mut dispatcher, at(0), "t", 2);
     assert!(dispatcher.poll(at(59), 0.5).is_empty());
     assert!(matches!(dispatcher.poll(at(60), 0.5)[..], [(_, Ok(_))]));
@@ -250,7 +250,7 @@
             alone.on_end(at(1), placed.ticket, Ok(()));
             placed.back_end.id != first.back_end.id
         })
-        .expect("a beginning with another home");
+        .expect("a prefix with another first engine");
     let asked = demand(at(62), Some(prompt(other, 99, 50)), "large");
     let Admission::Waiting(ticket) = dispatcher.admit(at(62), asked, 0.5) else {
         panic!("it goes behind those that wait");
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -65,9 +65,9 @@
 const FIRST_STEP: Duration = Duration::from_millis(30);
 /// Time from the first event to the last.
 const GENERATION: Duration = Duration::from_millis(1_500);
-/// Beginnings that requests share, and the tokens of one.
-const BEGINNINGS: u64 = 600;
-const BEGINNING_TOKENS: u32 = 1_400;
+/// Prefixes that requests share, and the tokens of one.
+const PREFIXES: u64 = 600;
+const PREFIX_TOKENS: u32 = 1_400;
 /// Tokens of a request's own part, from and to.
 const OWN_TOKENS: (u32, u32) = (300, 5_000);
 /// Time between digests of a router with up to ten peers, as the router has it.
@@ -218,17 +218,17 @@
     }
 
     fn demand(&mut self) -> Demand {
-        // Some beginnings are asked for far more often than others.
+        // Some prefixes are asked for far more often than others.
         let skewed = self.random.random::<f64>().powi(2);
-        let beginning = (skewed * BEGINNINGS as f64) as u64;
+        let prefix = (skewed * PREFIXES as f64) as u64;
         let own = self.random.random_range(OWN_TOKENS.0..OWN_TOKENS.1);
         let parts = vec![
-            PromptPart { id: beginning, tokens: BEGINNING_TOKENS },
+            PromptPart { id: prefix, tokens: PREFIX_TOKENS },
             PromptPart { id: self.random.next_u64() | (1 << 63), tokens: own },
         ];
         let prompt = Prompt {
             parts,
-            input_tokens: BEGINNING_TOKENS + own,
+            input_tokens: PREFIX_TOKENS + own,
             most_output_tokens: 200,
             output_hint: None,
         };
@@ -261,7 +261,7 @@
         let Some(engine) = self.engines.get_mut(&placement.back_end.id) else { return };
         let (first, shared) = engine.take(self.now, self.scenario.slots, prompt);
         self.report.most_at_engine = self.report.most_at_engine.max(engine.ends.len() as u32);
-        let is_first_read = prompt.affinity_key().is_none_or(|key| self.read_once.insert(key));
+        let is_first_read = prompt.prefix_key().is_none_or(|key| self.read_once.insert(key));
         if !is_first_read {
             self.report.read_again_thousands += u64::from(shared) / 1_000;
         }
--- a/crates/simulation/tests/router_fleet.rs
+++ b/crates/simulation/tests/router_fleet.rs
@@ -43,7 +43,7 @@
 }
 
 #[test]
-fn beginnings_are_seldom_read_again_below_full_load() {
+fn prefixes_are_seldom_prefilled_again_below_full_load() {
     let report = play(7, 10.0, 1);
     assert!(report.read_again_thousands <= 20, "{report:?}");
     assert_eq!(report.refused, 0, "{report:?}");
