Let misses lower the limit only where an engine is slower than at the knee

From the logs: after all machines had restarted at 34 s, misses of tenants within their share (7 to 22 in 100, from the restart itself) took the limit from 32 to 6 and held it there for ten seconds, with 7 to 11 requests and next to no pending prefill at engines whose streams were 1.1 to 1.4 times as slow as without load; the fair level fell to 60,000 tokens a second with what was served. Ruled out: a wrong unloaded pace (20 ms in both lives). Change: the accepted slowdown is 3, and 2 (the knee) while more than 5 in 100 miss. Below it nobody is held back.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -188,6 +188,7 @@
         locality_wait: section.or("locality-wait", Part(default.locality_wait)).0,
         reserve_below_half: section.or("reserve-below-half", Part(default.reserve_below_half)).0,
         slowdown: section.or("slowdown", Times(default.slowdown)).0,
+        strained_slowdown: section.or("strained-slowdown", Times(default.strained_slowdown)).0,
         accepted_misses: section.or("accepted-misses", Times(default.accepted_misses)).0,
         above_share_time: section.or("above-share-time", Part(default.above_share_time)).0,
         time_part: section.or("time-part", Part(default.time_part)).0,
--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -83,22 +83,14 @@
         is_believed.then(|| Duration::from_secs_f64(self.pace / 1e3))
     }
 
-    /// Moves the limit, which starts from `agreed`. It rises while both signals are under 1 and `running` shows
-    /// that it is in use, and falls by how far one of them is above.
-    pub fn adjust(
-        &mut self,
-        now: Timestamp,
-        signals: LoadSignals,
-        agreed: f64,
-        running: u32,
-        slots: u32,
-    ) {
+    /// Moves the limit, which starts from `agreed`. It rises while `load` is under 1 and `running` shows that
+    /// it is in use, and falls by how far `load` is above 1.
+    pub fn adjust(&mut self, now: Timestamp, load: f64, agreed: f64, running: u32, slots: u32) {
         let too_soon = self.limit > 0.0 && now.since(self.changed) < CHANGE_PERIOD;
         if self.observations < FEWEST_OBSERVATIONS || too_soon {
             return;
         }
         self.changed = now;
-        let load = signals.pace.max(signals.misses);
         let next = if load > 1.0 {
             agreed * (1.0 - (FALL * (load - 1.0)).min(MOST_FALL))
         } else if load < RISE_BELOW && f64::from(running) >= agreed * IN_USE {
@@ -111,15 +103,6 @@
     }
 }
 
-/// How loaded an engine is. At 1 a signal holds the limit where it is.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadSignals {
-    /// The time between events, in times of the most that is accepted.
-    pub pace: f64,
-    /// Requests of tenants within their share that missed their objective, in times of the accepted share.
-    pub misses: f64,
-}
-
 /// The sum of what several routers found, for their mean.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LimitSum {
--- a/crates/routing/src/dispatch/pacing.rs
+++ b/crates/routing/src/dispatch/pacing.rs
@@ -2,7 +2,7 @@
 
 use super::{Dispatcher, TicketId};
 use crate::back_end::BackEndId;
-use crate::concurrency::{EVENTS_OBSERVED, LoadSignals, UnloadedPace};
+use crate::concurrency::{EVENTS_OBSERVED, UnloadedPace};
 use crate::digest::ServicePace;
 use crate::engine::Engine;
 use mastbay_types::Timestamp;
@@ -32,15 +32,21 @@
     /// Moves the concurrency limit of an engine that has just been observed.
     pub(super) fn adjust_limit(&mut self, now: Timestamp, id: &BackEndId) {
         let Some(engine) = self.engines.get(id) else { return };
-        let policy = &self.limits.policy;
-        let signals = LoadSignals {
-            pace: self.slowdown(engine).unwrap_or(0.0) / policy.slowdown,
-            misses: engine.missed_share(now) / policy.accepted_misses,
-        };
+        let load = self.engine_load(now, engine);
         let (agreed, running) = (engine.agreed_limit(now), engine.load().running);
         let slots = engine.back_end.slots.max(1);
         let Some(engine) = self.engines.get_mut(id) else { return };
-        engine.limit.adjust(now, signals, agreed, running, slots);
+        engine.limit.adjust(now, load, agreed, running, slots);
+    }
+
+    /// How loaded an engine is, 1 where the limit should stay. The accepted slowdown is lower while tenants
+    /// within their share miss their objective too often. Below it, an engine has capacity left, and holding
+    /// others back would help nobody: the misses have another cause, a fault or a restart.
+    fn engine_load(&self, now: Timestamp, engine: &Engine) -> f64 {
+        let policy = &self.limits.policy;
+        let misses = engine.missed_share(now) / policy.accepted_misses;
+        let accepted = if misses > 1.0 { policy.strained_slowdown } else { policy.slowdown };
+        self.slowdown(engine).map_or(misses, |slowdown| slowdown / accepted)
     }
 
     /// The time between events of an engine's streams, in times of the least that any router observed at
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,7 +28,7 @@
 pub use attempt::{Attempt, AttemptState, Verdict};
 pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 pub use budget::{BudgetLimits, RetryBudget};
-pub use concurrency::{ConcurrencyLimit, EVENTS_OBSERVED, LimitSum, LoadSignals, UnloadedPace};
+pub use concurrency::{ConcurrencyLimit, EVENTS_OBSERVED, LimitSum, UnloadedPace};
 pub use configuration::{
     EngineLimits, Limits, Route, RouteKind, RoutingConfiguration, Service, Target, Tenant,
 };
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -41,8 +41,11 @@
     /// Most of an engine's slots, as a part, that are left for tenants below half of their share whose
     /// requests could not be placed.
     pub reserve_below_half: f64,
-    /// Time between events that the concurrency limit aims at, in times of that without load.
+    /// Time between events that the concurrency limit accepts, in times of that without load.
     pub slowdown: f64,
+    /// The same while tenants within their fair share miss their objective too often: the knee, where
+    /// throughput over latency is highest.
+    pub strained_slowdown: f64,
     /// Share of the requests of tenants within their fair share that may miss their objective before tenants
     /// above it are given less.
     pub accepted_misses: f64,
@@ -70,6 +73,7 @@
             locality_wait: 0.15,
             reserve_below_half: 0.4,
             slowdown: 3.0,
+            strained_slowdown: 2.0,
             accepted_misses: ACCEPTED_MISSES,
             above_share_time: 0.6,
             time_part: 0.9,
