Count only requests of tenants above their share against the limit

Change: digests tell how many requests are of tenants above their share; the limit counts these. Accepted slowdown 3, 1.5 while misses are above 5 in 100. Test: requests_of_others_do_not_use_up_the_limit.

--- a/crates/routing/src/concurrency.rs
+++ b/crates/routing/src/concurrency.rs
@@ -1,10 +1,11 @@
-//! An adaptive concurrency limit for each engine, found from the pace of its streams.
+//! An adaptive concurrency limit for each engine: how many requests of tenants above their fair share may be
+//! under way there.
 //!
-//! An engine gives every stream one token a step, and a step takes longer the more requests are under way
-//! and the more prompt tokens it prefills. Its power (throughput over latency, Kleinrock) is highest where
-//! the time between events is twice that of an unloaded engine, as long as that time grows linearly with
-//! the load. The limit rises while streams are faster than that and it is in use, and falls while they are
-//! slower. Every slot beyond it makes all streams slower and few of them end sooner.
+//! Engines are first come, first served, so what such tenants send delays everybody. Each stream gets one
+//! token a step, and a step takes longer the more requests are under way and the more prompt tokens are
+//! prefilled. The time between events, in times of that of an unloaded engine, therefore shows how loaded an
+//! engine is. The limit rises while that slowdown is under what is accepted and the limit is in use, and falls
+//! while it is above.
 
 use mastbay_types::Timestamp;
 use std::time::Duration;
@@ -16,7 +17,8 @@
 /// Part of the slots that the limit starts from while nobody has observed the engine. It doubles within a
 /// second if the pace allows it.
 const START_PART: f64 = 0.25;
-/// Least limit: with fewer requests under way, steps are no shorter that one could notice.
+/// Least limit, so that tenants above their share are always served a little: with fewer requests under way
+/// steps would hardly be shorter.
 const LEAST_LIMIT: f64 = 6.0;
 /// Time between two changes of a limit, about that of a digest with some new observations.
 const CHANGE_PERIOD: Duration = Duration::from_millis(200);
@@ -83,9 +85,9 @@
         is_believed.then(|| Duration::from_secs_f64(self.pace / 1e3))
     }
 
-    /// Moves the limit, which starts from `agreed`. It rises while `load` is under 1 and `running` shows that
-    /// it is in use, and falls by how far `load` is above 1.
-    pub fn adjust(&mut self, now: Timestamp, load: f64, agreed: f64, running: u32, slots: u32) {
+    /// Moves the limit, which starts from `agreed`. It rises while `load` is under 1 and most of it is in use
+    /// (`in_use`, in requests), and falls by how far `load` is above 1.
+    pub fn adjust(&mut self, now: Timestamp, load: f64, agreed: f64, in_use: u32, slots: u32) {
         let too_soon = self.limit > 0.0 && now.since(self.changed) < CHANGE_PERIOD;
         if self.observations < FEWEST_OBSERVATIONS || too_soon {
             return;
@@ -93,7 +95,7 @@
         self.changed = now;
         let next = if load > 1.0 {
             agreed * (1.0 - (FALL * (load - 1.0)).min(MOST_FALL))
-        } else if load < RISE_BELOW && f64::from(running) >= agreed * IN_USE {
+        } else if load < RISE_BELOW && f64::from(in_use) >= agreed * IN_USE {
             agreed + (agreed * RISE).max(LEAST_RISE)
         } else {
             agreed
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher is asked and what it answers.
 
+use super::fair_level::ShareClass;
 use crate::back_end::{BackEnd, BackEndId};
 use crate::budget::BudgetLimits;
 use crate::engine::Load;
@@ -54,10 +55,12 @@
 }
 
 impl Demand {
-    pub(super) fn load(&self, uncached: u64) -> Load {
+    pub(super) fn load(&self, uncached: u64, class: ShareClass) -> Load {
         let memory = self.prompt.as_ref().map_or(0, Prompt::memory);
         let prefill = self.prompt.as_ref().map(|prompt| prompt.prefill(uncached));
-        Load { running: 1, prefill: prefill.unwrap_or_default(), memory, unplaced: 0 }
+        let above_share = u32::from(class == ShareClass::AboveShare);
+        let prefill = prefill.unwrap_or_default();
+        Load { running: 1, above_share, prefill, memory, unplaced: 0 }
     }
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -435,7 +435,7 @@
         let age = self.fleet.oldest_age(now);
         let accountable = self.accountable(demand, standing, weighed.uncached);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
-        let load = demand.load(uncached);
+        let load = demand.load(uncached, standing);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
         let engine = self.engines.get_mut(&id)?;
         let running = engine.load().running;
--- a/crates/routing/src/dispatch/pacing.rs
+++ b/crates/routing/src/dispatch/pacing.rs
@@ -33,10 +33,10 @@
     pub(super) fn adjust_limit(&mut self, now: Timestamp, id: &BackEndId) {
         let Some(engine) = self.engines.get(id) else { return };
         let load = self.engine_load(now, engine);
-        let (agreed, running) = (engine.agreed_limit(now), engine.load().running);
+        let (agreed, in_use) = (engine.agreed_limit(now), engine.load().above_share);
         let slots = engine.back_end.slots.max(1);
         let Some(engine) = self.engines.get_mut(id) else { return };
-        engine.limit.adjust(now, load, agreed, running, slots);
+        engine.limit.adjust(now, load, agreed, in_use, slots);
     }
 
     /// How loaded an engine is, 1 where the limit should stay. The accepted slowdown is lower while tenants
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -178,14 +178,16 @@
         let reserved = f64::from(load.unplaced).min(slots * policy.reserve_below_half);
         let most = match terms.standing {
             ShareClass::BelowHalf => slots,
-            ShareClass::BelowShare => slots - reserved,
-            ShareClass::AboveShare => self.concurrency_limit(now, engine).min(slots - reserved),
+            ShareClass::BelowShare | ShareClass::AboveShare => slots - reserved,
         };
+        let limit = self.concurrency_limit(now, engine);
+        let is_limited =
+            terms.standing == ShareClass::AboveShare && f64::from(load.above_share + 1) > limit;
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
         let fits = memory.is_none_or(|memory| {
             (load.memory + prompt.memory()) as f64 <= memory as f64 * MEMORY_PART
         });
-        f64::from(load.running + 1) <= most && fits
+        f64::from(load.running + 1) <= most && !is_limited && fits
     }
 
     /// The concurrency limit of an engine, in requests.
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -18,6 +18,8 @@
 pub struct Load {
     /// Requests.
     pub running: u32,
+    /// Those of them whose tenants were above their fair share when they were placed.
+    pub above_share: u32,
     /// Prefill for them that is still pending.
     pub prefill: PrefillWork,
     /// Memory that they take, in tokens.
@@ -31,6 +33,7 @@
     /// Adds another load.
     pub fn add(&mut self, other: Load) {
         self.running += other.running;
+        self.above_share += other.above_share;
         self.prefill.add(other.prefill);
         self.memory += other.memory;
         self.unplaced += other.unplaced;
@@ -39,6 +42,7 @@
     /// Takes another load away.
     pub fn remove(&mut self, other: Load) {
         self.running = self.running.saturating_sub(other.running);
+        self.above_share = self.above_share.saturating_sub(other.above_share);
         self.prefill.remove(other.prefill);
         self.memory = self.memory.saturating_sub(other.memory);
         self.unplaced = self.unplaced.saturating_sub(other.unplaced);
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -3,7 +3,7 @@
 
 use crate::service_level::ACCEPTED_MISSES;
 
-/// How many requests may be under way at one engine.
+/// How many requests of tenants above their fair share may be under way at one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConcurrencyPolicy {
     /// As many as the engine has slots.
@@ -26,7 +26,7 @@
 /// Settings of the policies. The defaults are what measured best; docs/CASCADIA.md has the figures.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
-    /// Requests that may be under way at one engine.
+    /// Requests of tenants above their fair share that may be under way at one engine.
     pub concurrency: ConcurrencyPolicy,
     /// Engines, in the rendezvous order of a shared prefix, that may prefill it.
     pub preferred_engines: usize,
@@ -43,8 +43,8 @@
     pub reserve_below_half: f64,
     /// Time between events that the concurrency limit accepts, in times of that without load.
     pub slowdown: f64,
-    /// The same while tenants within their fair share miss their objective too often: the knee, where
-    /// throughput over latency is highest.
+    /// The same while tenants within their fair share miss their objective too often. Below it an engine has
+    /// capacity left, and the misses have another cause.
     pub strained_slowdown: f64,
     /// Share of the requests of tenants within their fair share that may miss their objective before tenants
     /// above it are given less.
@@ -73,7 +73,7 @@
             locality_wait: 0.15,
             reserve_below_half: 0.4,
             slowdown: 3.0,
-            strained_slowdown: 2.0,
+            strained_slowdown: 1.5,
             accepted_misses: ACCEPTED_MISSES,
             above_share_time: 0.6,
             time_part: 0.9,
--- a/crates/routing/tests/concurrency.rs
+++ b/crates/routing/tests/concurrency.rs
@@ -216,3 +216,15 @@
     assert!(limit_after_misses(12) >= start, "streams are as fast as without load");
     assert!(limit_after_misses(25) < start, "streams take over twice the time without load");
 }
+
+/// With a limit on all requests of an engine, tenants within their share could leave one above it nothing.
+#[test]
+fn requests_of_others_do_not_use_up_the_limit() {
+    let mut dispatcher = loaded_by_one_tenant();
+    for own in 0..100 {
+        assert!(place_for(&mut dispatcher, at(2_010), "small", own), "request {own}");
+    }
+    let large = |own| place_for(&mut dispatcher, at(2_020 + 10 * own), "large", 500 + own);
+    let placed = (0..60).map(large).filter(|placed| *placed).count();
+    assert!(placed >= 20, "{placed} of 28 free slots");
+}
