--- a/crates/routing/tests/concurrency.rs
+++ b/crates/routing/tests/concurrency.rs
@@ -224,7 +224,7 @@
     for own in 0..100 {
         assert!(place_for(&mut dispatcher, at(2_010), "small", own), "request {own}");
     }
-    let large = |own| place_for(&mut dispatcher, at(2_020 + 10 * own), "large", 500 + own);
+    let large = |own: u64| place_for(&mut dispatcher, at(2_020 + 10 * own), "large", 500 + own);
     let placed = (0..60).map(large).filter(|placed| *placed).count();
     assert!(placed >= 20, "{placed} of 28 free slots");
 }
