--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A router decides alone, on what it has itself at each back end and on what its peers last told.
 
+mod admission;
 mod fair_level;
 mod fleet;
 mod messages;
@@ -20,9 +21,9 @@
 use crate::first_event::{FirstEventEstimator, PrefillWork};
 use crate::health::Fault;
 use crate::shares::Usage;
-use crate::waiting::{Waiter, WaitingQueue};
+use crate::waiting::WaitingQueue;
 use crate::watching::SourceContact;
-use fair_level::{ShareClass, Shares};
+use fair_level::Shares;
 use fleet::{Fleet, OwnState};
 use mastbay_types::Timestamp;
 use placement::{Terms, Weighed};
@@ -53,16 +54,10 @@
     observed: Timestamp,
 }
 
-/// Waiters that fail to be placed before the rest of a queue is left for later.
-const MOST_FAILED_PLACEMENTS: usize = 64;
 /// Lag of the router up to which the times that it sees are taken for those of back ends.
 const TOLERATED_LAG: Duration = Duration::from_millis(15);
 /// Time for which requests under way are marked by a lag.
 const LAG_AFTERMATH: Duration = Duration::from_millis(600);
-/// Longest time that a refused caller is told to stay away.
-const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(2_500);
-/// Callers follow the time to come back only up to this part of the time that they have left.
-const RETRY_AFTER_PART: f64 = 0.3;
 
 /// A router's decisions on where and when requests are served.
 #[derive(Debug)]
@@ -173,51 +168,6 @@
         self.budget(service).left(now, routers)
     }
 
-    /// Places a request now, lets it wait or refuses it. `draw` is uniform in 0..1.
-    pub fn admit(&mut self, now: Timestamp, demand: Demand, draw: f64) -> Admission {
-        let others_wait = self.waiting.get(&demand.service).is_some_and(|queue| queue.len() > 0);
-        let ticket = TicketId(self.next_ticket);
-        self.next_ticket += 1;
-        let privileged = !demand.tried.is_empty();
-        let placed = if !others_wait || privileged {
-            self.try_place(now, ticket, &demand, false)
-        } else {
-            None
-        };
-        if let Some(placement) = placed {
-            return Admission::Placed(placement);
-        }
-        if !privileged && self.share_class(now, &demand) == ShareClass::AboveShare {
-            return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
-        }
-        let waiting = self.waiting.get(&demand.service).map_or(0, WaitingQueue::len);
-        if waiting >= self.limits.most_waiting {
-            return Admission::Refused(self.refusal(now, &demand, RefusalReason::QueueFull, draw));
-        }
-        self.note_unplaced(now, &demand);
-        let until = self.hold_until(&demand);
-        let queue = self.waiting.entry(demand.service.clone()).or_default();
-        queue.push(Waiter { ticket, demand, until });
-        Admission::Waiting(ticket)
-    }
-
-    /// Lets waiters in where there is room and gives up those whose time is over.
-    pub fn poll(&mut self, now: Timestamp, draw: f64) -> Verdicts {
-        let mut verdicts = Vec::new();
-        let services: Vec<String> = self.waiting.keys().cloned().collect();
-        for service in services {
-            self.let_in(now, &service, &mut verdicts);
-            self.give_up(now, &service, draw, &mut verdicts);
-        }
-        self.waiting.retain(|_, queue| queue.len() > 0);
-        verdicts
-    }
-
-    /// Whether any request waits.
-    pub fn has_waiting(&self) -> bool {
-        !self.waiting.is_empty()
-    }
-
     /// The router itself runs late by `lag`. Times seen for a while after much of it tell of the router
     /// and not of back ends, so nothing is learned from them.
     pub fn on_lag(&mut self, now: Timestamp, lag: Duration) {
@@ -341,86 +291,6 @@
         budgets.entry(service.to_owned()).or_insert_with(|| RetryBudget::new(limits, burst_from))
     }
 
-    fn let_in(&mut self, now: Timestamp, service: &str, verdicts: &mut Verdicts) {
-        let shares = self.shares(now);
-        let Some(queue) = self.waiting.get_mut(service) else { return };
-        let mut left = Vec::new();
-        let mut failed = 0;
-        for waiter in queue.take_in_order(|waiter| shares.order(waiter)) {
-            let placed = if failed < MOST_FAILED_PLACEMENTS {
-                self.try_place(now, waiter.ticket, &waiter.demand, false)
-            } else {
-                None
-            };
-            match placed {
-                Some(placement) => verdicts.push((waiter.ticket, Ok(placement))),
-                None => {
-                    failed += 1;
-                    left.push(waiter);
-                }
-            }
-        }
-        if let Some(queue) = self.waiting.get_mut(service) {
-            left.into_iter().for_each(|waiter| queue.push(waiter));
-        }
-    }
-
-    fn give_up(&mut self, now: Timestamp, service: &str, draw: f64, verdicts: &mut Verdicts) {
-        let Some(queue) = self.waiting.get_mut(service) else { return };
-        let expired = queue.take_expired(now);
-        for waiter in expired {
-            let verdict = match self.try_place(now, waiter.ticket, &waiter.demand, true) {
-                Some(placement) => Ok(placement),
-                None => {
-                    self.note_missed(now, &waiter.demand);
-                    let reason = if self.has_back_end(service) {
-                        RefusalReason::NoRoom
-                    } else {
-                        RefusalReason::NoBackEnd
-                    };
-                    Err(self.refusal(now, &waiter.demand, reason, draw))
-                }
-            };
-            verdicts.push((waiter.ticket, verdict));
-        }
-    }
-
-    fn refusal(
-        &mut self,
-        now: Timestamp,
-        demand: &Demand,
-        reason: RefusalReason,
-        draw: f64,
-    ) -> Refusal {
-        let left = demand.deadline.since(now).mul_f64(RETRY_AFTER_PART);
-        let retry_after = left.min(LONGEST_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw);
-        Refusal { reason, retry_after, considered: self.consider(now, demand) }
-    }
-
-    fn consider(&mut self, now: Timestamp, demand: &Demand) -> Option<Considered> {
-        let shares = self.shares(now);
-        let given = demand.tenant.as_ref().map_or(0.0, |tenant| shares.given(tenant));
-        let weighed = self.first_choice(now, demand)?;
-        let engine = self.engines.get(&weighed.id)?;
-        let load = engine.load();
-        Some(Considered {
-            back_end: weighed.id,
-            running: load.running,
-            limit: self.concurrency_limit(now, engine).round() as u32,
-            pending_prefill: load.prefill.tokens,
-            predicted: weighed.predicted,
-            given,
-            level: shares.level.is_finite().then_some(shares.level),
-        })
-    }
-
-    fn has_back_end(&self, service: &str) -> bool {
-        let mut engines = self.engines.values();
-        engines.any(|engine| {
-            engine.back_end.service == service && engine.back_end.state == BackEndState::Ready
-        })
-    }
-
     /// Reserves room for a request at the best back end, if one has it. A request whose time to wait
     /// is over (`last_call`) is also placed where it is late.
     fn try_place(
@@ -430,12 +300,12 @@
         demand: &Demand,
         last_call: bool,
     ) -> Option<Placement> {
-        let standing = self.share_class(now, demand);
-        let weighed = self.best(now, demand, Terms { standing, last_call })?;
+        let class = self.share_class(now, demand);
+        let weighed = self.best(now, demand, Terms { class, last_call })?;
         let age = self.fleet.oldest_age(now);
-        let accountable = self.accountable(demand, standing, weighed.uncached);
+        let accountable = self.accountable(demand, class, weighed.uncached);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
-        let load = demand.load(uncached, standing);
+        let load = demand.load(uncached, class);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
         let engine = self.engines.get_mut(&id)?;
         let running = engine.load().running;
@@ -461,10 +331,4 @@
         self.running.insert(ticket, entry);
         Some(Placement { ticket, back_end, predicted, running, limit, uncached, age })
     }
-
-    /// Until when a request waits: a part of its objective; one that was tried before, the whole.
-    fn hold_until(&self, demand: &Demand) -> Timestamp {
-        let part = if demand.tried.is_empty() { self.limits.policy.hold_part } else { 1.0 };
-        (demand.arrived + demand.objective.mul_f64(part)).min(demand.deadline)
-    }
 }
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -14,11 +14,11 @@
 const MEMORY_PART: f64 = 0.92;
 /// Requests that a plain back end may have beyond its slots.
 const PLAIN_QUEUE: u32 = 2;
-/// Cost up to which a prefix is cheap to read again.
+/// Cost up to which a prefix is cheap to prefill again.
 const CHEAP: f64 = 0.5;
-/// Tokens read again for each token made that cost as much as a back end whose slots are all taken. What
-/// moves to another back end frees a slot here for as long as it makes tokens.
-const READ_AGAIN_PER_MADE: f64 = 10.0;
+/// Tokens prefilled again for each token generated that cost as much as a back end whose slots are all taken. What
+/// moves to another back end frees a slot here for as long as it generates tokens.
+const RECOMPUTED_PER_GENERATED: f64 = 10.0;
 /// Cost of each further rank: between equals, the same back end is chosen everywhere.
 const RANK_COST: f64 = 0.02;
 /// Share of failures that costs as much as a back end whose slots are all taken.
@@ -28,7 +28,7 @@
 /// What another zone costs a plain request, in slots.
 const OTHER_ZONE_SLOTS: f64 = 0.08;
 
-/// Part of its slots up to which an engine that has nothing to read is never refused.
+/// Part of its slots up to which an engine that has nothing to prefill is never refused.
 const IDLE_SLOTS: f64 = 0.5;
 /// Prompt tokens to prefill up to which an engine counts as having nothing to prefill.
 const IDLE_PREFILL: u64 = 1_500;
@@ -53,7 +53,7 @@
     pub predicted: Duration,
     /// The same if nothing else were pending there.
     pub alone: Duration,
-    /// Prompt tokens that it reads for the request.
+    /// Prompt tokens that it prefills for the request.
     pub uncached: u64,
     /// Prefill that it does until the request's first event.
     pub work_ahead: PrefillWork,
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Terms {
     /// How much of its share its tenant is given.
-    pub standing: ShareClass,
+    pub class: ShareClass,
     /// Its time to wait is over.
     pub last_call: bool,
 }
@@ -129,7 +129,7 @@
         let policy = self.limits.policy;
         let prefix = prompt.prefix_key().unwrap_or_default();
         let preferred = self.preferred.of(&self.engines, &demand.service, prefix);
-        let is_cheap = cost_of_reading(prompt, prompt.shared_tokens()) < CHEAP;
+        let is_cheap = cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP;
         let waited = now.since(demand.arrived);
         let waits_for_locality = !is_cheap
             && demand.tried.is_empty()
@@ -144,8 +144,8 @@
                 continue;
             }
             let candidate = self.weigh(now, engine, demand, prompt, rank);
-            let reads_again = candidate.uncached > prompt.own_tokens();
-            if reads_again && waits_for_locality {
+            let recomputes = candidate.uncached > prompt.own_tokens();
+            if recomputes && waits_for_locality {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, terms, &policy) {
@@ -176,13 +176,13 @@
         let policy = &self.limits.policy;
         let slots = f64::from(engine.back_end.slots.max(1));
         let reserved = f64::from(load.unplaced).min(slots * policy.reserve_below_half);
-        let most = match terms.standing {
+        let most = match terms.class {
             ShareClass::BelowHalf => slots,
             ShareClass::BelowShare | ShareClass::AboveShare => slots - reserved,
         };
         let limit = self.concurrency_limit(now, engine);
         let is_limited =
-            terms.standing == ShareClass::AboveShare && f64::from(load.above_share + 1) > limit;
+            terms.class == ShareClass::AboveShare && f64::from(load.above_share + 1) > limit;
         let memory = self.engine_limits.get(&demand.service).map(|limits| limits.memory_tokens);
         let fits = memory.is_none_or(|memory| {
             (load.memory + prompt.memory()) as f64 <= memory as f64 * MEMORY_PART
@@ -222,18 +222,18 @@
         let slots = f64::from(engine.back_end.slots.max(1));
         let occupancy = f64::from(load.running) / slots;
         let failures = engine.health.failure_share(now) / FAILURE_STEP;
-        let read_again = cost_of_reading(prompt, uncached.saturating_sub(prompt.own_tokens()));
+        let recomputed = cost_of_recomputing(prompt, uncached.saturating_sub(prompt.own_tokens()));
         let late = predicted / milliseconds(demand.objective).max(1.0) * LATE_COST;
-        let cost = read_again + occupancy + failures + late + rank as f64 * RANK_COST;
+        let cost = recomputed + occupancy + failures + late + rank as f64 * RANK_COST;
         let predicted = Duration::from_secs_f64(predicted / 1e3);
         Weighed { id: engine.back_end.id.clone(), predicted, alone, uncached, work_ahead, cost }
     }
 }
 
-/// What it costs to read `tokens` of a prompt's shared prefix again.
-fn cost_of_reading(prompt: &Prompt, tokens: u64) -> f64 {
-    let made = f64::from(prompt.expected_output().max(1));
-    tokens as f64 / made / READ_AGAIN_PER_MADE
+/// What it costs to prefill `tokens` of a prompt's shared prefix again.
+fn cost_of_recomputing(prompt: &Prompt, tokens: u64) -> f64 {
+    let generated = f64::from(prompt.expected_output().max(1));
+    tokens as f64 / generated / RECOMPUTED_PER_GENERATED
 }
 
 /// Whether an engine has so little to do that no prediction speaks against it. Without this a wrong
@@ -253,7 +253,7 @@
     policy: &Policy,
 ) -> bool {
     let waited = now.since(demand.arrived);
-    let is_over = terms.standing == ShareClass::AboveShare;
+    let is_over = terms.class == ShareClass::AboveShare;
     let part = if is_over { policy.above_share_time } else { policy.time_part };
     let allowed = if !demand.tried.is_empty() {
         demand.deadline.since(demand.arrived)
--- a/crates/routing/src/dispatch/sharing.rs
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -35,22 +35,22 @@
     pub(super) fn accountable(
         &self,
         demand: &Demand,
-        standing: ShareClass,
+        class: ShareClass,
         uncached: u64,
     ) -> Option<Timestamp> {
         let prompt = demand.prompt.as_ref()?;
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let alone = Duration::from_secs_f64(estimator.estimate(prompt.prefill(uncached)) / 1e3);
-        let is_within = standing != ShareClass::AboveShare;
+        let is_within = class != ShareClass::AboveShare;
         let could_be_in_time = alone <= demand.objective.mul_f64(self.limits.policy.time_part);
         (is_within && could_be_in_time).then_some(demand.arrived + demand.objective)
     }
 
     /// Notes that a request was refused: a miss if it counts for the service level.
     pub(super) fn note_missed(&mut self, now: Timestamp, demand: &Demand) {
-        let standing = self.share_class(now, demand);
+        let class = self.share_class(now, demand);
         let Some(first) = self.first_choice(now, demand) else { return };
-        if self.accountable(demand, standing, first.uncached).is_none() {
+        if self.accountable(demand, class, first.uncached).is_none() {
             return;
         }
         if let Some(engine) = self.engines.get_mut(&first.id) {
