Newcomers wait for those that reach the source; scale of patience by the fleet's size

Patience counted only the routers that were heard, and the operator's first configuration came seconds later, so all went on asking. Change: patience follows the fleet's size as any router tells it; those that should follow ask after 0.3 of it; a router that hears of one with contact waits for that one.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -193,7 +193,7 @@
         }
         let newcomer = Newcomer {
             running: now.since(Timestamp::ZERO),
-            routers: dispatcher.routers(),
+            routers: dispatcher.fleet_size(),
             is_seed: self.settings.seeds.is_empty() || self.settings.is_seed(),
             follows_source: dispatcher.follows_source(now),
             others_reach_source: dispatcher.others_reach_source(now),
--- a/crates/routing/src/dispatch/fleet.rs
+++ b/crates/routing/src/dispatch/fleet.rs
@@ -351,9 +351,14 @@
             .collect();
     }
 
+    /// Routers of the fleet, as many as any router knows.
+    pub fn size(&self) -> usize {
+        let told = self.peers.values().map(|peer| peer.state.routers as usize).max();
+        self.routers().max(told.unwrap_or(0))
+    }
+
     fn next_role(&self, own: &OwnState) -> Role {
-        let told = self.peers.values().map(|peer| peer.state.routers as usize).max().unwrap_or(0);
-        if self.peers.len().max(told.saturating_sub(1)) <= LARGEST_MESH {
+        if self.size() <= LARGEST_MESH + 1 {
             return Role::Mesh;
         }
         let has_members = self.told.keys().any(|teller| matches!(teller, Teller::Router(_)));
@@ -413,6 +418,12 @@
             || self.close_peers(now).any(|peer| peer.contact == SourceContact::Answered)
     }
 
+    /// Whether any router that was heard lately reached the source with its last call.
+    pub fn does_any_reach_source(&self, now: Timestamp) -> bool {
+        self.is_source_answering(now)
+            || self.fresh_peers(now).any(|peer| peer.contact == SourceContact::Answered)
+    }
+
     /// Whether this router follows the source: of a large fleet, only aggregators do, and who is cut off.
     pub fn follows_source(&self, now: Timestamp, contact: SourceContact) -> bool {
         if matches!(self.role, Role::Member(_)) {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -156,6 +156,11 @@
         self.engines.values().map(Engine::load)
     }
 
+    /// Routers of the fleet, as many as any router knows.
+    pub fn fleet_size(&self) -> usize {
+        self.fleet.size()
+    }
+
     /// How this router tells its figures.
     pub fn role(&self) -> Role {
         self.fleet.role()
--- a/crates/routing/src/dispatch/source.rs
+++ b/crates/routing/src/dispatch/source.rs
@@ -25,7 +25,7 @@
 
     /// Whether the last call of any other router to the source was answered, as far as this one hears.
     pub fn others_reach_source(&self, now: Timestamp) -> bool {
-        self.fleet.is_source_answering(now)
+        self.fleet.does_any_reach_source(now)
     }
 
     /// Whether this router follows the source; the others learn from their peers.
--- a/crates/routing/src/watching.rs
+++ b/crates/routing/src/watching.rs
@@ -21,9 +21,11 @@
 /// Time after its start in which a router that is no seed leaves the source to others, beside
 /// [`PATIENCE_PER_ROUTER`]. A peer answers within milliseconds; it may have to learn everything first.
 const LEAST_PATIENCE: Duration = Duration::from_millis(150);
-/// Further time for each router that is heard: they all ask the few that know, which hand out a snapshot in some
+/// Further time for each router of the fleet: they all ask the few that know, which hand out a snapshot in some
 /// milliseconds each.
 const PATIENCE_PER_ROUTER: Duration = Duration::from_millis(10);
+/// Part of that time after which those that should follow the source ask it: by then routers know each other.
+const FOLLOWERS_PATIENCE: f64 = 0.3;
 
 /// What a router knows of the source by its own calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -62,7 +64,7 @@
 pub struct Newcomer {
     /// Time since it started.
     pub running: Duration,
-    /// Routers that it hears, itself included.
+    /// Routers of the fleet, as far as it hears.
     pub routers: usize,
     /// Whether it is one of those that others call first.
     pub is_seed: bool,
@@ -80,9 +82,9 @@
             return true;
         }
         let patience = LEAST_PATIENCE + PATIENCE_PER_ROUTER * self.routers as u32;
-        let has_listened = self.running >= LEAST_PATIENCE;
         let is_left_alone = self.running >= patience && !self.others_reach_source;
-        is_left_alone || (has_listened && self.follows_source)
+        let followers_patience = patience.mul_f64(FOLLOWERS_PATIENCE).max(LEAST_PATIENCE);
+        is_left_alone || (self.running >= followers_patience && self.follows_source)
     }
 }
 
