--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -7,8 +7,7 @@
 //! - [`fleet`] is our own dispatcher: gateways and schedulers that exchange messages over
 //!   [`network`]; [`baselines`] are the ways it is compared with.
 //! - [`router_fleet`] holds routers that decide alone against one that knows everything at once.
-//! - [`safety`] runs single requests through every fault at every step; [`slopes`] measures what
-//!   control costs as the fleet grows.
+//! - [`safety`] runs single requests through every fault at every step.
 
 pub mod baselines;
 pub mod engines;
@@ -21,6 +20,5 @@
 pub mod router_fleet;
 pub mod safety;
 pub mod scenario;
-pub mod slopes;
 pub mod workload;
 pub mod world;
