Aggregators take in only what has changed; who is reported to aggregates

Now what a report leaves out is no change, and rounds sum only what they tell. Cause 2, found by members_turn_to_another_aggregator... once rounds fell differently: a member that noticed the loss of its aggregator first reported to one that still was a member itself and ignored it, passed over all large routers in turn and knew nothing of the others for 1.5 s. Whoever is reported to now aggregates.

--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -160,7 +160,8 @@
         let mut change = FiguresChange::default();
         let is_new_peer = self.hear(now, digest.router, &mut change)?;
         self.mentioned.extend(digest.peers);
-        let counts = digest.is_member == (self.role == Role::Aggregator);
+        // Who is reported to aggregates, also if it would not have chosen itself.
+        let counts = digest.is_member == (self.role != Role::Mesh);
         if let Some(figures) = digest.figures.filter(|_| counts) {
             let told = Told {
                 heard: now,
@@ -247,11 +248,13 @@
         Some(is_new)
     }
 
+    /// Takes what is told. Figures that it leaves out hold on and are no change.
     fn tell(&mut self, teller: Teller, mut told: Told, change: &mut FiguresChange) {
-        let earlier = self.told.remove(&teller).map(|earlier| earlier.figures);
-        change.removed.extend(earlier.clone());
-        told.figures = told.figures.or_earlier(earlier);
         change.added = Some(told.figures.clone());
+        if let Some(earlier) = self.told.remove(&teller) {
+            let newer = std::mem::replace(&mut told.figures, earlier.figures);
+            change.removed.push(told.figures.replace(newer));
+        }
         self.told.insert(teller, told);
     }
 
--- a/crates/routing/src/dispatch/fleet/role.rs
+++ b/crates/routing/src/dispatch/fleet/role.rs
@@ -15,11 +15,8 @@
     pub fn choose_role(&mut self, now: Timestamp, own: &OwnState) -> FiguresChange {
         self.suspect_silent_aggregators(now);
         let role = self.next_role(own);
-        let mut change = FiguresChange::default();
+        let change = self.drop_figures_of_other_role(role);
         if std::mem::discriminant(&role) != std::mem::discriminant(&self.role) {
-            // A new aggregator makes do with the last sums of the fleet until others send it theirs.
-            let keeps_fleet = role == Role::Aggregator;
-            self.drop_told(&mut change, |teller| !(keeps_fleet && teller == Teller::Fleet));
             self.sums_heard = now;
         }
         self.role = role;
@@ -30,6 +27,19 @@
         change
     }
 
+    /// Drops what `next`, if it is another role, does not hear any more. A new aggregator keeps the last sums of the
+    /// fleet until others send it theirs, and what its members have begun to report.
+    fn drop_figures_of_other_role(&mut self, next: Role) -> FiguresChange {
+        let mut change = FiguresChange::default();
+        match (self.role, next) {
+            (Role::Mesh, Role::Mesh)
+            | (Role::Member(_), Role::Member(_) | Role::Aggregator)
+            | (Role::Aggregator, Role::Aggregator) => {}
+            _ => self.drop_told(&mut change, |_| true),
+        }
+        change
+    }
+
     fn suspect_silent_aggregators(&mut self, now: Timestamp) {
         let awaited = self.awaited.iter();
         let silent = awaited.filter(|(_, heard)| now.since(**heard) > AGGREGATOR_SILENCE);
@@ -67,7 +77,7 @@
             return Role::Mesh;
         }
         let has_members = self.told.keys().any(|teller| matches!(teller, Teller::Router(_)));
-        if has_members && self.role == Role::Aggregator {
+        if has_members && self.role != Role::Mesh {
             return Role::Aggregator;
         }
         let in_zone = self.candidates(own).filter(|candidate| candidate.zone == own.zone);
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -25,19 +25,23 @@
 const REPORTS_KEPT: usize = 16;
 
 impl Fleet {
-    /// Whether the next digest of a mesh tells what changes slowly too.
-    pub fn is_full_digest(&self) -> bool {
-        (self.sequence + 1) % FULL_DIGEST == 1
+    /// Whether the next round of a large fleet tells what changes slowly too.
+    fn is_full_round(&self) -> bool {
+        self.round.is_multiple_of(FULL_ROUND)
     }
 
-    /// Whether this round of a large fleet tells what changes slowly too.
-    fn is_full_round(&self) -> bool {
-        self.round % FULL_ROUND == 1
+    /// Whether the next round tells what changes slowly; a mesh tells of engines' levels each time.
+    pub fn tells_slow_figures(&self) -> bool {
+        self.role == Role::Mesh || self.is_full_round()
     }
 
-    /// A digest of this router for all others.
-    pub fn digest(&mut self, own: OwnState, figures: Figures) -> Digest {
-        let is_full = self.is_full_digest();
+    /// A digest of this router for all others; one in a few tells of tenants, paces and further routers.
+    pub fn digest(&mut self, own: OwnState, mut figures: Figures) -> Digest {
+        let is_full = (self.sequence + 1) % FULL_DIGEST == 1;
+        if !is_full {
+            figures.tenants = None;
+            figures.paces = None;
+        }
         let count = if is_full { PEERS_PASSED_ON } else { 0 };
         self.digest_with(own, Some(figures), count)
     }
@@ -88,7 +92,6 @@
         figures: Figures,
         seeds: &[SocketAddr],
     ) -> Vec<Outgoing> {
-        self.round += 1;
         let called_seeds = if self.calls_seeds() { seeds } else { &[] };
         let mut messages = match self.role {
             Role::Mesh => vec![self.mesh_round(own, figures, called_seeds)],
@@ -103,6 +106,7 @@
             }
         };
         messages.extend(self.greetings(now, own));
+        self.round += 1;
         messages
     }
 
@@ -132,7 +136,7 @@
         let factor = (self.peers.len() / LARGEST_MESH).max(1) as u64;
         self.peers.is_empty()
             || self.is_isolated
-            || self.round % (ROUNDS_PER_SEED_CALL * factor) == 1
+            || self.round.is_multiple_of(ROUNDS_PER_SEED_CALL * factor)
     }
 
     fn mesh_round(&mut self, own: &OwnState, figures: Figures, seeds: &[SocketAddr]) -> Outgoing {
@@ -151,7 +155,6 @@
     }
 
     fn member_report(&mut self, own: &OwnState, figures: Figures, to: SocketAddr) -> Outgoing {
-        let figures = if self.is_full_round() { figures } else { only_loads(figures) };
         let loads = figures.loads.clone();
         let router = self.next_state(own.clone());
         self.reports.push_back((router.sequence, loads));
@@ -163,16 +166,20 @@
     }
 
     fn aggregator_round(&mut self, own: &OwnState, figures: &Figures) -> Vec<Outgoing> {
-        let mut members = FiguresSum::default();
-        let mut fleet = FiguresSum::default();
-        members.add(figures);
-        fleet.add(figures);
-        for (teller, told) in &self.told {
-            fleet.add(&told.figures);
-            if matches!(teller, Teller::Router(_)) {
-                members.add(&told.figures);
+        let with_slow_ones = self.is_full_round();
+        let add = |sum: &mut FiguresSum, figures: &Figures| {
+            sum.add_loads(figures);
+            if with_slow_ones {
+                sum.add_slow_ones(figures);
             }
-        }
+        };
+        let mut members = FiguresSum::default();
+        add(&mut members, figures);
+        self.members().for_each(|(_, told)| add(&mut members, &told.figures));
+        let mut fleet = members.clone();
+        let other_sums =
+            self.told.iter().filter(|(teller, _)| !matches!(teller, Teller::Router(_)));
+        other_sums.for_each(|(_, told)| add(&mut fleet, &told.figures));
         let of_members = self.sum(own, SumScope::Members, members);
         let of_fleet = self.sum(own, SumScope::Fleet, fleet);
         vec![
@@ -220,7 +227,3 @@
         Outgoing { message, targets }
     }
 }
-
-fn only_loads(figures: Figures) -> Figures {
-    Figures { loads: figures.loads, ..Figures::default() }
-}
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -5,7 +5,7 @@
 use crate::back_end::BackEnd;
 use crate::digest::{Digest, Outgoing, PeerMessage, Standing, Sum};
 use crate::engine::{Engine, Load};
-use crate::figures::{EngineKey, Figures};
+use crate::figures::{EngineKey, EngineLoad, Figures};
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
 
@@ -43,11 +43,7 @@
     /// This router's own digest for all others of a small fleet.
     pub fn digest(&mut self, now: Timestamp, standing: Standing) -> Digest {
         let own = self.own_state(standing);
-        let mut figures = self.own_figures(now);
-        if !self.fleet.is_full_digest() {
-            figures.tenants = None;
-            figures.paces = None;
-        }
+        let figures = self.own_figures(now);
         self.fleet.digest(own, figures)
     }
 
@@ -62,7 +58,11 @@
         let own = self.own_state(standing);
         let change = self.fleet.choose_role(now, &own);
         self.apply(change);
-        let figures = self.own_figures(now);
+        let figures = if self.fleet.tells_slow_figures() {
+            self.own_figures(now)
+        } else {
+            Figures { loads: self.own_loads(now), ..Figures::default() }
+        };
         self.fleet.next_round(now, &own, figures, seeds)
     }
 
@@ -83,12 +83,15 @@
         }
     }
 
-    fn own_figures(&mut self, now: Timestamp) -> Figures {
+    fn own_loads(&self, now: Timestamp) -> Vec<EngineLoad> {
         let loads = self.engines.values().map(|engine| engine.own_load(now));
-        let loads = loads.filter(|entry| entry.load != Load::default()).collect();
+        loads.filter(|entry| entry.load != Load::default()).collect()
+    }
+
+    fn own_figures(&mut self, now: Timestamp) -> Figures {
         let levels = self.engines.values().filter_map(|engine| engine.own_level(now)).collect();
         Figures {
-            loads,
+            loads: self.own_loads(now),
             levels: Some(levels),
             tenants: Some(self.usage.reports(now)),
             paces: Some(self.unloaded_paces()),
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -77,13 +77,14 @@
 }
 
 impl Figures {
-    /// These figures, with what they leave out as `earlier` told it.
-    pub fn or_earlier(mut self, earlier: Option<Self>) -> Self {
-        let earlier = earlier.unwrap_or_default();
-        self.levels = self.levels.or(earlier.levels);
-        self.tenants = self.tenants.or(earlier.tenants);
-        self.paces = self.paces.or(earlier.paces);
-        self
+    /// Takes newer figures; what they leave out holds on. Gives what they replace.
+    pub fn replace(&mut self, newer: Self) -> Self {
+        Self {
+            loads: std::mem::replace(&mut self.loads, newer.loads),
+            levels: take_newer(&mut self.levels, newer.levels),
+            tenants: take_newer(&mut self.tenants, newer.tenants),
+            paces: take_newer(&mut self.paces, newer.paces),
+        }
     }
 
     /// These figures without `loads` that are part of them.
@@ -100,8 +101,13 @@
     }
 }
 
+/// Puts a newer value in place, if there is one, and gives the one that it replaces.
+fn take_newer<T>(held: &mut Option<T>, newer: Option<T>) -> Option<T> {
+    newer.and_then(|newer| held.replace(newer))
+}
+
 /// Adds up figures.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct FiguresSum {
     loads: BTreeMap<EngineKey, Load>,
     levels: BTreeMap<EngineKey, (LimitSum, LevelCounts)>,
@@ -110,11 +116,15 @@
 }
 
 impl FiguresSum {
-    /// Adds the figures of one more router, or of several.
-    pub fn add(&mut self, figures: &Figures) {
+    /// Adds what one more router, or several, have at engines.
+    pub fn add_loads(&mut self, figures: &Figures) {
         for entry in &figures.loads {
             self.loads.entry(entry.engine).or_default().add(entry.load);
         }
+    }
+
+    /// Adds those figures of one more router, or of several, that change slowly.
+    pub fn add_slow_ones(&mut self, figures: &Figures) {
         for entry in figures.levels.iter().flatten() {
             let (limits, level) = self.levels.entry(entry.engine).or_default();
             limits.add(entry.limits);
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, Dispatcher, DispatcherLimits, Outgoing, PeerId, PeerMessage, ROUND_PERIOD,
+    Admission, BackEndId, Dispatcher, DispatcherLimits, EngineKey, EngineLevel, EngineLoad,
+    Figures, LevelCounts, LimitSum, Load, Outgoing, PeerId, PeerMessage, ROUND_PERIOD,
     SourceContact, Standing, SumScope, TicketId,
 };
 use mastbay_types::Timestamp;
@@ -349,3 +350,43 @@
     let left = newcomer.retries_left(Timestamp::from_millis(10), support::MODEL);
     assert!(left < 0.1, "{left} second sends of a burst of 10 for 300 routers");
 }
+
+/// Levels are told in one report of eight. Taking those that hold on out and in again with each report was most of an
+/// aggregator's work: they are many times as many as the loads.
+#[test]
+fn what_a_report_leaves_out_holds_on_and_is_no_change() {
+    let key = |name: &str| EngineKey::from(&BackEndId::from(name));
+    let load =
+        |running| EngineLoad { engine: key("e0"), load: Load { running, ..Load::default() } };
+    let level = EngineLevel {
+        engine: key("e0"),
+        limits: LimitSum::of(Some(7.0)),
+        level: LevelCounts::default(),
+    };
+    let mut held = Figures { levels: Some(vec![level]), ..Figures::default() };
+    let replaced = held.replace(Figures { loads: vec![load(3)], ..Figures::default() });
+    assert_eq!(replaced, Figures::default(), "no level is replaced");
+    assert_eq!(
+        (held.loads.as_slice(), held.levels.as_deref()),
+        ([load(3)].as_slice(), Some([level].as_slice()))
+    );
+    let replaced = held.replace(Figures { levels: Some(Vec::new()), ..Figures::default() });
+    assert_eq!((replaced.loads, replaced.levels), (vec![load(3)], Some(vec![level])));
+}
+
+/// A mesh tells of tenants in one digest of four, through rounds as well as through single digests.
+#[test]
+fn rounds_of_a_mesh_tell_of_tenants_now_and_then() {
+    let mut router = router(0, 1);
+    let tells_of_tenants = |round: u64| {
+        let now = Timestamp::from_millis(80 * round);
+        let messages = router.next_round(now, Standing::Serving, &[address(1)]);
+        let figures = messages.into_iter().find_map(|outgoing| match outgoing.message {
+            PeerMessage::Digest(digest) => digest.figures,
+            PeerMessage::Sum(_) => None,
+        });
+        figures.is_some_and(|figures| figures.levels.is_some() && figures.tenants.is_some())
+    };
+    let told: Vec<bool> = (0..8).map(tells_of_tenants).collect();
+    assert_eq!(told, [true, false, false, false, true, false, false, false]);
+}
