Take turns only when a limit ends; repeating work ends its sleeps on common turns

Change: the next turn is planned for the first limit that ends, 8 ms apart at least; work that repeats sleeps to common turns of 20 ms; the router's own turn is one of those, and 8 ms as before while requests wait or it is pressed.

--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -28,7 +28,8 @@
     loop {
         send_round(&router, &socket).await;
         // A round comes early where something newer is in force.
-        let _ = router.runtime.within(ROUND_PERIOD, router.news.taken()).await;
+        let period = router.runtime.until_turn(ROUND_PERIOD);
+        let _ = router.runtime.within(period, router.news.taken()).await;
     }
 }
 
@@ -105,7 +106,7 @@
 /// Fetches what peers know and this router misses, for as long as it runs.
 pub async fn fetch_newer(router: Rc<Router>) {
     loop {
-        router.runtime.sleep(NEWER_PERIOD).await;
+        router.runtime.sleep(router.runtime.until_turn(NEWER_PERIOD)).await;
         let hears_nobody = router.dispatcher.borrow().routers() == 1;
         if hears_nobody && !router.catalogue.borrow().is_complete() {
             ask_seeds(&router).await;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -9,7 +9,7 @@
 use crate::metrics::RouterMetrics;
 use crate::news::{News, Origin};
 use crate::pool::Pool;
-use crate::runtime::{Runtime, TURN_PERIOD};
+use crate::runtime::{COMMON_TURN, Runtime, TURN_PERIOD};
 use crate::settings::RouterSettings;
 use crate::snapshots::EncodedSnapshots;
 use mastbay_routing::{
@@ -37,7 +37,7 @@
 /// Wait of the first call to a source.
 const FIRST_WAIT: Duration = Duration::from_millis(1);
 /// Time between two looks at whether this router follows the source.
-const DUTY_PERIOD: Duration = Duration::from_millis(50);
+const DUTY_PERIOD: Duration = Duration::from_millis(100);
 /// The verdict on a request that waits.
 pub(crate) type VerdictSender = Sender<Result<Placement, Refusal>>;
 
@@ -178,7 +178,7 @@
     pub async fn until_following_source(&self) {
         while !self.follows_source() {
             self.dispatcher.borrow_mut().on_source_contact(SourceContact::Idle);
-            self.runtime.sleep(DUTY_PERIOD).await;
+            self.runtime.sleep(self.runtime.until_turn(DUTY_PERIOD)).await;
         }
     }
 
@@ -277,15 +277,27 @@
     /// Polls waiting requests for as long as the router runs.
     pub(crate) async fn keep_polling(self: Rc<Self>) {
         loop {
-            let due = self.now() + TURN_PERIOD;
-            self.runtime.sleep(TURN_PERIOD).await;
+            let period = self.turn_period();
+            let due = self.now() + period;
+            self.runtime.sleep(period).await;
             let now = self.now();
-            self.take_turn(now, now.since(due));
+            self.take_turn(now, period, now.since(due));
             self.poll_waiting();
         }
     }
 
-    fn take_turn(&self, now: Timestamp, lag: Duration) {
+    /// Time until the next turn: soon while requests wait or the router is hard pressed.
+    fn turn_period(&self) -> Duration {
+        let is_pressed =
+            self.overload.borrow().is_pressed() || self.standing() == Standing::Shedding;
+        if is_pressed || self.dispatcher.borrow().has_waiting() {
+            TURN_PERIOD
+        } else {
+            self.runtime.until_turn(COMMON_TURN)
+        }
+    }
+
+    fn take_turn(&self, now: Timestamp, period: Duration, lag: Duration) {
         self.watch_outage(now);
         let expired = self.catalogue.borrow_mut().expire_lapsed(now);
         if let Some(usable) = expired {
@@ -294,7 +306,7 @@
         self.dispatcher.borrow_mut().on_lag(now, lag);
         let most = self.settings.most_connections() as f64;
         let turn = Turn {
-            period: TURN_PERIOD,
+            period,
             lag,
             connections: self.open.count() as f64 / most,
             others: self.dispatcher.borrow().others(),
--- a/crates/router/src/runtime.rs
+++ b/crates/router/src/runtime.rs
@@ -1,11 +1,14 @@
 //! The router's one thread: tasks on it, and limits on how long they wait.
 //!
-//! Limits are kept in one ordered list that a periodic turn looks through. A timer of the operating
-//! system for each would cost several system calls a request and a streamed event, where a limit that is
-//! a few milliseconds late does no harm.
+//! Limits are kept in one ordered list that is looked through in turns: when the first of them ends, and not more
+//! often than each few milliseconds. A timer of the operating system for each would cost several system calls a
+//! request and a streamed event, where a limit that is a few milliseconds late does no harm. Work that repeats ends its
+//! sleeps on common turns, so that a router with little to do is seldom woken: hundreds of them share a machine room,
+//! and each wake-up costs processor time.
 
 use mastbay_web::TimedOut;
 use smol::LocalExecutor;
+use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -14,8 +17,10 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-/// Time between two turns.
+/// Least time between two turns.
 pub(crate) const TURN_PERIOD: Duration = Duration::from_millis(8);
+/// Time between two common turns, on which work that repeats ends its sleeps.
+pub(crate) const COMMON_TURN: Duration = Duration::from_millis(20);
 /// Limits that end this soon after a turn end with it.
 const SLACK: Duration = Duration::from_millis(4);
 
@@ -59,6 +64,15 @@
         Sleep::new(self.limits, Instant::now() + span)
     }
 
+    /// Time until the common turn that is nearest to `span` from now, the next one at least.
+    pub fn until_turn(self, span: Duration) -> Duration {
+        let now = self.limits.origin.elapsed();
+        let turn = COMMON_TURN.as_secs_f64();
+        let nearest = ((now + span).as_secs_f64() / turn).round();
+        let next = (now.as_secs_f64() / turn).floor() + 1.0;
+        COMMON_TURN.mul_f64(nearest.max(next)).saturating_sub(now)
+    }
+
     /// The future's output, or [`TimedOut`] after `limit`.
     ///
     /// # Errors
@@ -99,24 +113,70 @@
 /// The place of a limit in the list: when it ends, and a number that tells it from others.
 type Entry = (Instant, u64);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Waiting {
     wakers: BTreeMap<Entry, Waker>,
     next: u64,
+    /// When the next turn is taken, if anything waits.
+    next_turn: Option<Instant>,
 }
 
 /// All limits of a thread, in the order in which they end. Locked only by that thread.
-#[derive(Debug, Default)]
-struct LimitList(Mutex<Waiting>);
+#[derive(Debug)]
+struct LimitList {
+    origin: Instant,
+    waiting: Mutex<Waiting>,
+    /// Told when a limit is added that ends before the next turn.
+    earlier: (Sender<()>, Receiver<()>),
+}
+
+impl Default for LimitList {
+    fn default() -> Self {
+        let waiting = Waiting { wakers: BTreeMap::new(), next: 0, next_turn: None };
+        Self {
+            origin: Instant::now(),
+            waiting: Mutex::new(waiting),
+            earlier: smol::channel::bounded(1),
+        }
+    }
+}
 
 impl LimitList {
     async fn keep(&self) {
+        let mut last_turn = Instant::now();
         loop {
-            smol::Timer::after(TURN_PERIOD).await;
-            self.wake_ended(Instant::now());
+            self.until_turn(last_turn + TURN_PERIOD).await;
+            last_turn = Instant::now();
+            self.wake_ended(last_turn);
         }
     }
 
+    /// Waits until the first limit ends, and until `earliest` at least.
+    async fn until_turn(&self, earliest: Instant) {
+        loop {
+            let next_turn = self.plan_turn(earliest);
+            let is_due = async {
+                match next_turn {
+                    Some(next_turn) => drop(smol::Timer::at(next_turn).await),
+                    None => std::future::pending().await,
+                }
+                true
+            };
+            // The sender lives as long as the receiver.
+            let is_earlier = async { self.earlier.1.recv().await.is_err() };
+            if is_due.or(is_earlier).await {
+                return;
+            }
+        }
+    }
+
+    fn plan_turn(&self, earliest: Instant) -> Option<Instant> {
+        let mut waiting = self.lock();
+        let first = waiting.wakers.first_key_value().map(|((due, _), _)| *due);
+        waiting.next_turn = first.map(|due| due.max(earliest));
+        waiting.next_turn
+    }
+
     fn wake_ended(&self, now: Instant) {
         let mut waiting = self.lock();
         let still = waiting.wakers.split_off(&(now + SLACK, 0));
@@ -130,11 +190,15 @@
         waiting.next += 1;
         let entry = (due, waiting.next);
         waiting.wakers.insert(entry, waker);
+        if waiting.next_turn.is_none_or(|next_turn| due < next_turn) {
+            // A full channel already tells it.
+            let _ = self.earlier.0.try_send(());
+        }
         entry
     }
 
     fn lock(&self) -> MutexGuard<'_, Waiting> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
