--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -25,8 +25,12 @@
     routers: BTreeMap<SocketAddr, Dispatcher>,
     /// Routers that neither send nor receive.
     silent: BTreeSet<SocketAddr>,
-    /// Senders whose messages are lost.
+    /// Senders whose sums are lost.
     deaf_to: BTreeSet<SocketAddr>,
+    /// One datagram in this many is lost, none if 0.
+    lost_one_in: u64,
+    /// Whether each datagram comes twice.
+    repeats: bool,
     seeds: Vec<SocketAddr>,
     datagrams: u64,
 }
@@ -57,6 +61,8 @@
             routers: (0..size).map(|index| (address(index), router(index, 1))).collect(),
             silent: BTreeSet::new(),
             deaf_to: BTreeSet::new(),
+            lost_one_in: 0,
+            repeats: false,
             seeds: (0..3).map(address).collect(),
             datagrams: 0,
         }
@@ -103,12 +109,18 @@
     ) -> Option<Outgoing> {
         self.datagrams += 1;
         let is_sum = matches!(message, PeerMessage::Sum(_));
-        if self.silent.contains(&target) || (is_sum && self.deaf_to.contains(&sender)) {
+        let is_lost = self.lost_one_in > 0 && self.datagrams.is_multiple_of(self.lost_one_in);
+        let is_unheard = is_sum && self.deaf_to.contains(&sender);
+        if is_lost || is_unheard || self.silent.contains(&target) {
             return None;
         }
         let heard = self.now + DATAGRAM_TIME;
         let router = self.routers.get_mut(&target)?;
-        let new_peer = router.on_message(heard, message.clone())?;
+        let new_peer = router.on_message(heard, message.clone());
+        if self.repeats {
+            assert_eq!(router.on_message(heard, message.clone()), None);
+        }
+        let new_peer = new_peer?;
         let greeting = PeerMessage::Digest(router.greeting(Standing::Serving));
         let targets = vec![new_peer.address];
         new_peer.wants_greeting.then_some(Outgoing { message: greeting, targets })
@@ -390,3 +402,70 @@
     let told: Vec<bool> = (0..8).map(tells_of_tenants).collect();
     assert_eq!(told, [true, false, false, false, true, false, false, false]);
 }
+
+#[test]
+fn a_lost_datagram_in_twenty_does_little_harm() {
+    let mut fleet = Fleet::new(120);
+    fleet.rounds(40);
+    for index in 0..60 {
+        assert_eq!(fleet.start(index, 1).len(), 1);
+    }
+    fleet.rounds(6);
+    // Prime, so that it is not the same target's datagram each round.
+    fleet.lost_one_in = 19;
+    for _ in 0..100 {
+        fleet.round();
+        let beliefs = fleet.beliefs();
+        let median = beliefs[60];
+        assert!((58..=63).contains(&median), "{median} at {:?}", fleet.now);
+    }
+}
+
+#[test]
+fn repeated_datagrams_count_once() {
+    let mut fleet = Fleet::new(120);
+    fleet.repeats = true;
+    fleet.rounds(40);
+    for index in 0..60 {
+        assert_eq!(fleet.start(index, 1).len(), 1);
+    }
+    fleet.rounds(6);
+    assert_eq!(fleet.beliefs(), vec![60; 120]);
+}
+
+/// A fleet around the size at which aggregators begin, and one that has shrunk below it, counts all once.
+#[test]
+fn a_fleet_that_grows_and_shrinks_changes_the_way_it_tells_figures() {
+    let mut fleet = Fleet::new(24);
+    fleet.rounds(30);
+    for index in 0..24 {
+        assert_eq!(fleet.start(index, 1).len(), 1);
+    }
+    fleet.rounds(4);
+    assert_eq!(fleet.beliefs(), vec![24; 24]);
+    for index in 24..40 {
+        fleet.routers.insert(address(index), router(index, 1));
+    }
+    fleet.rounds(30);
+    assert_eq!(fleet.beliefs(), vec![24; 40]);
+    assert!(!fleet.aggregators().is_empty());
+    fleet.silent = (24..40).map(address).collect();
+    // Peers are taken as gone after 12 s of silence.
+    fleet.rounds(12 * 13 + 20);
+    assert_eq!(fleet.beliefs(), vec![24; 24]);
+    assert!(fleet.aggregators().is_empty());
+}
+
+#[test]
+fn when_all_large_routers_of_a_zone_fall_silent_small_ones_aggregate() {
+    let mut fleet = Fleet::new(300);
+    fleet.rounds(40);
+    for index in 100..140 {
+        assert_eq!(fleet.start(index, 1).len(), 1);
+    }
+    fleet.rounds(5);
+    fleet.silent = (0..3 * ZONES).map(address).collect();
+    fleet.rounds(35);
+    assert_eq!(fleet.beliefs(), vec![40; 285]);
+    assert_eq!(fleet.aggregators().len(), ZONES);
+}
