--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -56,6 +56,8 @@
     let sum = Sum {
         router,
         scope: SumScope::Fleet,
+        part: 0,
+        parts: 1,
         figures,
         source_answers: true,
         shedding: 0,
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -89,7 +89,11 @@
     pub router: RouterState,
     /// Whose figures these are.
     pub scope: SumScope,
-    /// The sums.
+    /// Which part of the engines they are of, see [`crate::EngineKey::part`].
+    pub part: u32,
+    /// Parts that the engines are split into, so that each message fits a datagram.
+    pub parts: u32,
+    /// The sums; those of tenants and services come with the first part.
     pub figures: Figures,
     /// Whether the last call of any router to the source was answered, as far as the aggregator hears.
     pub source_answers: bool,
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -42,6 +42,8 @@
     pub configuration: u64,
     /// Revision of its back ends, 0 if none.
     pub back_ends: u64,
+    /// Number of its back ends.
+    pub engines: usize,
 }
 
 /// Figures that no longer count, and those that do from now on.
@@ -86,10 +88,10 @@
 enum Teller {
     /// One router's own.
     Router(SocketAddr),
-    /// Those of an aggregator and its members.
-    Members(SocketAddr),
-    /// Those of the whole fleet, as this router's aggregator tells them.
-    Fleet,
+    /// Those of an aggregator and its members, at one part of the engines.
+    Members(SocketAddr, u32),
+    /// Those of the whole fleet, as this router's aggregator tells them, at one part of the engines.
+    Fleet(u32),
 }
 
 #[derive(Debug)]
@@ -190,14 +192,22 @@
         self.hear(now, sum.router, &mut change)?;
         let teller = match (sum.scope, self.role) {
             (SumScope::Members, Role::Aggregator) => {
-                self.drop_told(&mut change, |teller| {
-                    teller == Teller::Router(sender.address) || teller == Teller::Fleet
+                self.drop_told(&mut change, |teller| match teller {
+                    Teller::Router(address) => address == sender.address,
+                    Teller::Members(address, part) => {
+                        address == sender.address && part >= sum.parts
+                    }
+                    Teller::Fleet(_) => true,
                 });
-                Teller::Members(sender.address)
+                Teller::Members(sender.address, sum.part)
             }
             (SumScope::Fleet, Role::Member(aggregator)) if aggregator == sender.address => {
                 self.sums_heard = now;
-                Teller::Fleet
+                self.drop_told(
+                    &mut change,
+                    |teller| matches!(teller, Teller::Fleet(part) if part >= sum.parts),
+                );
+                Teller::Fleet(sum.part)
             }
             _ => return Some(change),
         };
@@ -240,7 +250,7 @@
         }
         if is_new {
             self.drop_told(change, |teller| {
-                teller == Teller::Router(address) || teller == Teller::Members(address)
+                matches!(teller, Teller::Router(told) | Teller::Members(told, _) if told == address)
             });
         }
         let draw = self.peers.get(&address).map_or_else(|| draw(address), |peer| peer.draw);
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -21,6 +21,8 @@
 const FULL_DIGEST: u64 = 4;
 /// One round in this many of a large fleet tells of what changes slowly.
 const FULL_ROUND: u64 = 8;
+/// Engines in one message of sums: with their levels they take 57 bytes each, and a datagram holds 61,440.
+const ENGINES_PER_SUM: usize = 900;
 /// Reports kept until the sums that hold them come back.
 const REPORTS_KEPT: usize = 16;
 
@@ -180,33 +182,50 @@
         let other_sums =
             self.told.iter().filter(|(teller, _)| !matches!(teller, Teller::Router(_)));
         other_sums.for_each(|(_, told)| add(&mut fleet, &told.figures));
-        let of_members = self.sum(own, SumScope::Members, members);
-        let of_fleet = self.sum(own, SumScope::Fleet, fleet);
-        vec![
-            self.outgoing(PeerMessage::Sum(of_members), self.other_aggregators()),
-            self.outgoing(PeerMessage::Sum(of_fleet), self.members().map(|(to, _)| to).collect()),
-        ]
-    }
-
-    fn sum(&mut self, own: &OwnState, scope: SumScope, sum: FiguresSum) -> Sum {
+        let of_members = self.sums(own, SumScope::Members, members);
+        let of_fleet = self.sums(own, SumScope::Fleet, fleet);
+        let aggregators = self.other_aggregators();
+        let reporting: Vec<SocketAddr> = self.members().map(|(member, _)| member).collect();
+        let to_aggregators = of_members
+            .into_iter()
+            .map(|sum| self.outgoing(PeerMessage::Sum(sum), aggregators.clone()));
+        let to_members =
+            of_fleet.into_iter().map(|sum| self.outgoing(PeerMessage::Sum(sum), reporting.clone()));
+        to_aggregators.chain(to_members).collect()
+    }
+
+    /// Messages with a sum, one for each part of the engines.
+    fn sums(&mut self, own: &OwnState, scope: SumScope, sum: FiguresSum) -> Vec<Sum> {
+        let parts = own.engines.div_ceil(ENGINES_PER_SUM).max(1) as u32;
+        let figures = sum.into_figures(self.is_full_round()).split(parts);
+        let numbered = (0..parts).zip(figures);
+        numbered.map(|(part, figures)| self.sum(own, scope, (part, parts), figures)).collect()
+    }
+
+    fn sum(
+        &mut self,
+        own: &OwnState,
+        scope: SumScope,
+        (part, parts): (u32, u32),
+        figures: Figures,
+    ) -> Sum {
         let answered = own.contact == SourceContact::Answered;
         let others_answered = self.told.values().any(|told| told.source_answers);
         let is_shedding = |peer: &&Peer| peer.state.standing == Standing::Shedding;
         let shedding = self.members().filter_map(|(address, _)| self.peers.get(&address));
         let own_shedding = u32::from(own.standing == Standing::Shedding);
         let shedding = shedding.filter(is_shedding).count() as u32 + own_shedding;
-        let figures = sum.into_figures(self.is_full_round());
         let included = self.members().map(|(_, told)| told.by).collect();
         let source_answers = answered || (scope == SumScope::Fleet && others_answered);
         let router = self.next_state(own.clone());
-        Sum { router, scope, figures, source_answers, shedding, included }
+        Sum { router, scope, part, parts, figures, source_answers, shedding, included }
     }
 
     /// The routers that report to this one.
     fn members(&self) -> impl Iterator<Item = (SocketAddr, &Told)> {
         self.told.iter().filter_map(|(teller, told)| match teller {
             Teller::Router(address) => Some((*address, told)),
-            Teller::Members(_) | Teller::Fleet => None,
+            Teller::Members(..) | Teller::Fleet(_) => None,
         })
     }
 
@@ -214,8 +233,8 @@
     fn other_aggregators(&self) -> Vec<SocketAddr> {
         let mut all: Vec<SocketAddr> = self.awaited.keys().copied().collect();
         all.extend(self.told.keys().filter_map(|teller| match teller {
-            Teller::Members(address) => Some(*address),
-            Teller::Router(_) | Teller::Fleet => None,
+            Teller::Members(address, _) => Some(*address),
+            Teller::Router(_) | Teller::Fleet(_) => None,
         }));
         all
     }
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -30,7 +30,7 @@
     fn close_peers(&self, now: Timestamp) -> impl Iterator<Item = &RouterState> {
         let is_mesh = self.role == Role::Mesh;
         let is_close = move |state: &&RouterState| {
-            is_mesh || self.told.contains_key(&Teller::Members(state.id.address))
+            is_mesh || self.told.contains_key(&Teller::Members(state.id.address, 0))
         };
         self.fresh_peers(now).filter(is_close)
     }
@@ -75,7 +75,7 @@
         };
         let in_zone = || peers().filter(|state| state.zone == own.zone);
         let shedding = in_zone().filter(|state| state.standing == Standing::Shedding).count();
-        let (in_zone, shedding) = match self.told.get(&Teller::Fleet) {
+        let (in_zone, shedding) = match self.told.get(&Teller::Fleet(0)) {
             Some(told) => (told.routers - 1, told.shedding),
             None => (in_zone().count(), shedding),
         };
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -80,6 +80,7 @@
             contact: self.contact,
             configuration: self.configuration,
             back_ends: self.back_ends,
+            engines: self.engines.len(),
         }
     }
 
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -23,6 +23,13 @@
     }
 }
 
+impl EngineKey {
+    /// The part that the engine belongs to where all are split into `parts`.
+    pub fn part(self, parts: u32) -> u32 {
+        self.0 % parts.max(1)
+    }
+}
+
 /// What routers have at one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineLoad {
@@ -87,6 +94,27 @@
         }
     }
 
+    /// These figures split by engine; those of tenants and services stay with the first part.
+    pub fn split(self, parts: u32) -> Vec<Self> {
+        if parts <= 1 {
+            return vec![self];
+        }
+        let of_part = |part: u32| Self {
+            loads: self
+                .loads
+                .iter()
+                .copied()
+                .filter(|entry| entry.engine.part(parts) == part)
+                .collect(),
+            levels: self.levels.as_ref().map(|levels| {
+                levels.iter().copied().filter(|entry| entry.engine.part(parts) == part).collect()
+            }),
+            tenants: self.tenants.clone().filter(|_| part == 0),
+            paces: self.paces.clone().filter(|_| part == 0),
+        };
+        (0..parts).map(of_part).collect()
+    }
+
     /// These figures without `loads` that are part of them.
     pub fn without_loads(mut self, loads: &[EngineLoad]) -> Self {
         let removed: HashMap<EngineKey, Load> =
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -33,6 +33,8 @@
     repeats: bool,
     seeds: Vec<SocketAddr>,
     datagrams: u64,
+    /// Most engines in one sum so far.
+    most_engines_told: usize,
 }
 
 fn address(index: usize) -> SocketAddr {
@@ -40,6 +42,10 @@
 }
 
 fn router(index: usize, life: u64) -> Dispatcher {
+    router_before(index, life, ENGINES)
+}
+
+fn router_before(index: usize, life: u64, engines: usize) -> Dispatcher {
     let is_large = index / ZONES < 3;
     let limits = DispatcherLimits {
         zone: format!("z{}", index % ZONES),
@@ -50,15 +56,21 @@
     let me = PeerId { address: address(index), life: life * 1_000 + index as u64 };
     let mut dispatcher = Dispatcher::new(limits, me, address(index));
     dispatcher.on_configuration(&configuration(Some(1_000_000)));
-    dispatcher.on_back_ends(&list(1, ENGINES, SLOTS));
+    dispatcher.on_back_ends(&list(1, engines, SLOTS));
     dispatcher
 }
 
 impl Fleet {
     fn new(size: usize) -> Self {
+        Self::before(size, ENGINES)
+    }
+
+    fn before(size: usize, engines: usize) -> Self {
+        let router = |index| (address(index), router_before(index, 1, engines));
         Self {
             now: Timestamp::ZERO,
-            routers: (0..size).map(|index| (address(index), router(index, 1))).collect(),
+            routers: (0..size).map(router).collect(),
+            most_engines_told: 0,
             silent: BTreeSet::new(),
             deaf_to: BTreeSet::new(),
             lost_one_in: 0,
@@ -109,6 +121,11 @@
     ) -> Option<Outgoing> {
         self.datagrams += 1;
         let is_sum = matches!(message, PeerMessage::Sum(_));
+        if let PeerMessage::Sum(sum) = message {
+            let levels = sum.figures.levels.as_ref().map_or(0, Vec::len);
+            let told = sum.figures.loads.len().max(levels);
+            self.most_engines_told = self.most_engines_told.max(told);
+        }
         let is_lost = self.lost_one_in > 0 && self.datagrams.is_multiple_of(self.lost_one_in);
         let is_unheard = is_sum && self.deaf_to.contains(&sender);
         if is_lost || is_unheard || self.silent.contains(&target) {
@@ -469,3 +486,25 @@
     assert_eq!(fleet.beliefs(), vec![40; 285]);
     assert_eq!(fleet.aggregators().len(), ZONES);
 }
+
+/// A sum over 3,000 engines does not fit a datagram: none would arrive, and all would take themselves as cut off.
+#[test]
+fn sums_over_thousands_of_engines_are_split() {
+    let mut fleet = Fleet::before(60, 3_000);
+    fleet.rounds(30);
+    let mut placed = 0;
+    for subject in 0..1_500 {
+        let now = fleet.now;
+        let router = fleet.router(subject as usize % 60);
+        let asked = demand(now, Some(prompt(subject, subject, 10)), "t");
+        placed += u32::from(matches!(router.admit(now, asked, 0.5), Admission::Placed(_)));
+    }
+    assert_eq!(placed, 1_500);
+    fleet.rounds(6);
+    for _ in 0..20 {
+        fleet.round();
+        assert_eq!(fleet.beliefs(), vec![1_500; 60], "at {:?}", fleet.now);
+    }
+    assert!(fleet.most_engines_told > 200, "{}", fleet.most_engines_told);
+    assert!(fleet.most_engines_told < 1_000, "{}", fleet.most_engines_told);
+}
