--- a/crates/routing/src/dispatch/aggregation.rs
+++ b/crates/routing/src/dispatch/aggregation.rs
@@ -53,32 +53,32 @@
     pub processor: f32,
     /// Whether it was silent lately where it should have sent sums.
     pub is_suspected: bool,
-    /// Its place among equals, see [`draw`].
-    pub draw: u64,
+    /// Its place among equals, see [`tiebreak`].
+    pub tiebreak: u64,
 }
 
 /// The place of a router among equals: the same in every router's view.
-pub fn draw(router: SocketAddr) -> u64 {
+pub fn tiebreak(router: SocketAddr) -> u64 {
     stable_hash(&[router.to_string().as_bytes()])
 }
 
 impl<'a> Candidate<'a> {
     /// A router as it tells of itself.
-    pub fn new(state: &'a RouterState, draw: u64, is_suspected: bool) -> Self {
+    pub fn new(state: &'a RouterState, tiebreak: u64, is_suspected: bool) -> Self {
         Self {
             id: state.id,
             zone: &state.zone,
             standing: state.standing,
             processor: state.processor,
             is_suspected,
-            draw,
+            tiebreak,
         }
     }
 
     /// The order in which routers are chosen: sound ones first, then those with more processor.
     fn rank(&self) -> (bool, Standing, Reverse<u32>, u64, SocketAddr) {
         let milli_cores = (self.processor * 1e3) as u32;
-        (self.is_suspected, self.standing, Reverse(milli_cores), self.draw, self.id.address)
+        (self.is_suspected, self.standing, Reverse(milli_cores), self.tiebreak, self.id.address)
     }
 }
 
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod rounds;
 mod view;
 
-use super::aggregation::{Role, draw};
+use super::aggregation::{Role, tiebreak};
 use crate::digest::{Digest, Included, PeerId, RouterState, Standing, Sum, SumScope};
 use crate::figures::{EngineLoad, Figures};
 use crate::overload::Others;
@@ -80,12 +80,12 @@
     /// It sent no sums although this router reported to it, and was not heard since.
     is_suspected: bool,
     /// Its place among equals.
-    draw: u64,
+    tiebreak: u64,
 }
 
-/// Whose figures are told.
+/// Whose figures are held here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Teller {
+enum FiguresSource {
     /// One router's own.
     Router(SocketAddr),
     /// Those of an aggregator and its members, at one part of the engines.
@@ -95,7 +95,7 @@
 }
 
 #[derive(Debug)]
-struct Told {
+struct HeldFigures {
     heard: Timestamp,
     /// The message that told them last.
     by: Included,
@@ -113,13 +113,13 @@
 pub struct Fleet {
     me: PeerId,
     /// This router's place among equals.
-    draw: u64,
+    tiebreak: u64,
     snapshots: SocketAddr,
     sequence: u64,
     round: u64,
     role: Role,
     peers: BTreeMap<SocketAddr, Peer>,
-    told: BTreeMap<Teller, Told>,
+    held: BTreeMap<FiguresSource, HeldFigures>,
     /// Routers that should send sums to this one, and when they did last, or else since when they should.
     awaited: BTreeMap<SocketAddr, Timestamp>,
     /// When sums of the fleet came last, or else when this router became a member.
@@ -138,13 +138,13 @@
     pub fn new(me: PeerId, snapshots: SocketAddr) -> Self {
         Self {
             me,
-            draw: draw(me.address),
+            tiebreak: tiebreak(me.address),
             snapshots,
             sequence: 0,
             round: 0,
             role: Role::default(),
             peers: BTreeMap::new(),
-            told: BTreeMap::new(),
+            held: BTreeMap::new(),
             awaited: BTreeMap::new(),
             sums_heard: Timestamp::ZERO,
             is_isolated: false,
@@ -165,7 +165,7 @@
         // Who is reported to aggregates, also if it would not have chosen itself.
         let counts = digest.is_member == (self.role != Role::Mesh);
         if let Some(figures) = digest.figures.filter(|_| counts) {
-            let told = Told {
+            let held = HeldFigures {
                 heard: now,
                 by,
                 figures,
@@ -174,7 +174,7 @@
                 shedding: 0,
                 includes_me: false,
             };
-            self.tell(Teller::Router(sender.address), told, &mut change);
+            self.hold(FiguresSource::Router(sender.address), held, &mut change);
         }
         let new_peer = is_new_peer.then(|| NewPeer {
             address: sender.address,
@@ -190,24 +190,24 @@
         let by = Included { life: sender.life, sequence: sum.router.sequence };
         let mut change = FiguresChange::default();
         self.hear(now, sum.router, &mut change)?;
-        let teller = match (sum.scope, self.role) {
+        let source = match (sum.scope, self.role) {
             (SumScope::Members, Role::Aggregator) => {
-                self.drop_told(&mut change, |teller| match teller {
-                    Teller::Router(address) => address == sender.address,
-                    Teller::Members(address, part) => {
+                self.drop_held(&mut change, |source| match source {
+                    FiguresSource::Router(address) => address == sender.address,
+                    FiguresSource::Members(address, part) => {
                         address == sender.address && part >= sum.parts
                     }
-                    Teller::Fleet(_) => true,
+                    FiguresSource::Fleet(_) => true,
                 });
-                Teller::Members(sender.address, sum.part)
+                FiguresSource::Members(sender.address, sum.part)
             }
             (SumScope::Fleet, Role::Member(aggregator)) if aggregator == sender.address => {
                 self.sums_heard = now;
-                self.drop_told(
+                self.drop_held(
                     &mut change,
-                    |teller| matches!(teller, Teller::Fleet(part) if part >= sum.parts),
+                    |source| matches!(source, FiguresSource::Fleet(part) if part >= sum.parts),
                 );
-                Teller::Fleet(sum.part)
+                FiguresSource::Fleet(sum.part)
             }
             _ => return Some(change),
         };
@@ -219,7 +219,7 @@
             Some(loads) => sum.figures.without_loads(loads),
             None => sum.figures,
         };
-        let told = Told {
+        let held = HeldFigures {
             heard: now,
             by,
             figures,
@@ -228,7 +228,7 @@
             shedding: sum.shedding as usize,
             includes_me: mine.is_some(),
         };
-        self.tell(teller, told, &mut change);
+        self.hold(source, held, &mut change);
         Some(change)
     }
 
@@ -249,30 +249,35 @@
             return None;
         }
         if is_new {
-            self.drop_told(change, |teller| {
-                matches!(teller, Teller::Router(told) | Teller::Members(told, _) if told == address)
+            self.drop_held(change, |source| {
+                matches!(source, FiguresSource::Router(held) | FiguresSource::Members(held, _) if held == address)
             });
         }
-        let draw = self.peers.get(&address).map_or_else(|| draw(address), |peer| peer.draw);
-        self.peers.insert(address, Peer { heard: now, state, is_suspected: false, draw });
+        let tiebreak =
+            self.peers.get(&address).map_or_else(|| tiebreak(address), |peer| peer.tiebreak);
+        self.peers.insert(address, Peer { heard: now, state, is_suspected: false, tiebreak });
         Some(is_new)
     }
 
-    /// Takes what is told. Figures that it leaves out hold on and are no change.
-    fn tell(&mut self, teller: Teller, mut told: Told, change: &mut FiguresChange) {
-        change.added = Some(told.figures.clone());
-        if let Some(earlier) = self.told.remove(&teller) {
-            let newer = std::mem::replace(&mut told.figures, earlier.figures);
-            change.removed.push(told.figures.replace(newer));
+    /// Takes newer figures of a source. What they leave out holds on and is no change.
+    fn hold(&mut self, source: FiguresSource, mut held: HeldFigures, change: &mut FiguresChange) {
+        change.added = Some(held.figures.clone());
+        if let Some(earlier) = self.held.remove(&source) {
+            let newer = std::mem::replace(&mut held.figures, earlier.figures);
+            change.removed.push(held.figures.replace(newer));
         }
-        self.told.insert(teller, told);
+        self.held.insert(source, held);
     }
 
-    fn drop_told(&mut self, change: &mut FiguresChange, is_dropped: impl Fn(Teller) -> bool) {
-        let dropped: Vec<Teller> =
-            self.told.keys().copied().filter(|teller| is_dropped(*teller)).collect();
-        let dropped = dropped.iter().filter_map(|teller| self.told.remove(teller));
-        change.removed.extend(dropped.map(|told| told.figures));
+    fn drop_held(
+        &mut self,
+        change: &mut FiguresChange,
+        is_dropped: impl Fn(FiguresSource) -> bool,
+    ) {
+        let dropped: Vec<FiguresSource> =
+            self.held.keys().copied().filter(|source| is_dropped(*source)).collect();
+        let dropped = dropped.iter().filter_map(|source| self.held.remove(source));
+        change.removed.extend(dropped.map(|held| held.figures));
     }
 
     /// The loads of a report that this router has sent.
@@ -284,10 +289,10 @@
     /// Forgets silent peers and figures that are too old.
     pub fn expire(&mut self, now: Timestamp) -> FiguresChange {
         let mut change = FiguresChange::default();
-        let is_old = |told: &Told| now.since(told.heard) > FIGURES_LIFE;
-        let old: Vec<Teller> =
-            self.told.iter().filter(|(_, told)| is_old(told)).map(|(teller, _)| *teller).collect();
-        self.drop_told(&mut change, |teller| old.contains(&teller));
+        let is_old = |held: &HeldFigures| now.since(held.heard) > FIGURES_LIFE;
+        let old: Vec<FiguresSource> =
+            self.held.iter().filter(|(_, held)| is_old(held)).map(|(source, _)| *source).collect();
+        self.drop_held(&mut change, |source| old.contains(&source));
         let life = self.peer_life();
         self.peers.retain(|_, peer| now.since(peer.heard) <= life);
         self.greeted.retain(|_, greeted| now.since(*greeted) <= GREETING_PAUSE);
--- a/crates/routing/src/dispatch/fleet/role.rs
+++ b/crates/routing/src/dispatch/fleet/role.rs
@@ -1,6 +1,6 @@
 //! How a router tells its figures: to all, to an aggregator, or as one.
 
-use super::{FiguresChange, Fleet, OwnState, Teller};
+use super::{FiguresChange, FiguresSource, Fleet, OwnState};
 use crate::dispatch::aggregation::{Aggregators, Candidate, LARGEST_MESH, Role};
 use mastbay_types::Timestamp;
 use std::time::Duration;
@@ -35,7 +35,7 @@
             (Role::Mesh, Role::Mesh)
             | (Role::Member(_), Role::Member(_) | Role::Aggregator)
             | (Role::Aggregator, Role::Aggregator) => {}
-            _ => self.drop_told(&mut change, |_| true),
+            _ => self.drop_held(&mut change, |_| true),
         }
         change
     }
@@ -76,7 +76,7 @@
         if self.size() <= LARGEST_MESH + 1 {
             return Role::Mesh;
         }
-        let has_members = self.told.keys().any(|teller| matches!(teller, Teller::Router(_)));
+        let has_members = self.held.keys().any(|source| matches!(source, FiguresSource::Router(_)));
         if has_members && self.role != Role::Mesh {
             return Role::Aggregator;
         }
@@ -90,14 +90,14 @@
     /// All routers as candidates to aggregate.
     fn candidates<'a>(&'a self, own: &'a OwnState) -> impl Iterator<Item = Candidate<'a>> {
         let peers = self.peers.values();
-        let peers = peers.map(|peer| Candidate::new(&peer.state, peer.draw, peer.is_suspected));
+        let peers = peers.map(|peer| Candidate::new(&peer.state, peer.tiebreak, peer.is_suspected));
         let me = Candidate {
             id: self.me,
             zone: &own.zone,
             standing: own.standing,
             processor: own.processor,
             is_suspected: false,
-            draw: self.draw,
+            tiebreak: self.tiebreak,
         };
         peers.chain([me])
     }
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -1,6 +1,6 @@
 //! The messages that a router sends.
 
-use super::{Fleet, HEARTBEATS_PER_ROUND, OwnState, Peer, Teller, Told};
+use super::{FiguresSource, Fleet, HEARTBEATS_PER_ROUND, HeldFigures, OwnState, Peer};
 use crate::digest::{Digest, Outgoing, PeerMessage, RouterState, Standing, Sum, SumScope};
 use crate::dispatch::aggregation::{LARGEST_MESH, Role};
 use crate::figures::{Figures, FiguresSum};
@@ -125,7 +125,7 @@
             return None;
         }
         // Each router begins elsewhere, so that not all greet the same ones.
-        let first = self.draw as usize % targets.len();
+        let first = self.tiebreak as usize % targets.len();
         targets.rotate_left(first);
         let later = targets.split_off(targets.len().min(GREETINGS_PER_ROUND));
         self.mentioned = later.into_iter().collect();
@@ -177,11 +177,11 @@
         };
         let mut members = FiguresSum::default();
         add(&mut members, figures);
-        self.members().for_each(|(_, told)| add(&mut members, &told.figures));
+        self.members().for_each(|(_, held)| add(&mut members, &held.figures));
         let mut fleet = members.clone();
         let other_sums =
-            self.told.iter().filter(|(teller, _)| !matches!(teller, Teller::Router(_)));
-        other_sums.for_each(|(_, told)| add(&mut fleet, &told.figures));
+            self.held.iter().filter(|(source, _)| !matches!(source, FiguresSource::Router(_)));
+        other_sums.for_each(|(_, held)| add(&mut fleet, &held.figures));
         let of_members = self.sums(own, SumScope::Members, members);
         let of_fleet = self.sums(own, SumScope::Fleet, fleet);
         let aggregators = self.other_aggregators();
@@ -210,31 +210,31 @@
         figures: Figures,
     ) -> Sum {
         let answered = own.contact == SourceContact::Answered;
-        let others_answered = self.told.values().any(|told| told.source_answers);
+        let others_answered = self.held.values().any(|held| held.source_answers);
         let is_shedding = |peer: &&Peer| peer.state.standing == Standing::Shedding;
         let shedding = self.members().filter_map(|(address, _)| self.peers.get(&address));
         let own_shedding = u32::from(own.standing == Standing::Shedding);
         let shedding = shedding.filter(is_shedding).count() as u32 + own_shedding;
-        let included = self.members().map(|(_, told)| told.by).collect();
+        let included = self.members().map(|(_, held)| held.by).collect();
         let source_answers = answered || (scope == SumScope::Fleet && others_answered);
         let router = self.next_state(own.clone());
         Sum { router, scope, part, parts, figures, source_answers, shedding, included }
     }
 
     /// The routers that report to this one.
-    fn members(&self) -> impl Iterator<Item = (SocketAddr, &Told)> {
-        self.told.iter().filter_map(|(teller, told)| match teller {
-            Teller::Router(address) => Some((*address, told)),
-            Teller::Members(..) | Teller::Fleet(_) => None,
+    fn members(&self) -> impl Iterator<Item = (SocketAddr, &HeldFigures)> {
+        self.held.iter().filter_map(|(source, held)| match source {
+            FiguresSource::Router(address) => Some((*address, held)),
+            FiguresSource::Members(..) | FiguresSource::Fleet(_) => None,
         })
     }
 
     /// Those that should aggregate, and those that do.
     fn other_aggregators(&self) -> Vec<SocketAddr> {
         let mut all: Vec<SocketAddr> = self.awaited.keys().copied().collect();
-        all.extend(self.told.keys().filter_map(|teller| match teller {
-            Teller::Members(address, _) => Some(*address),
-            Teller::Router(_) | Teller::Fleet(_) => None,
+        all.extend(self.held.keys().filter_map(|source| match source {
+            FiguresSource::Members(address, _) => Some(*address),
+            FiguresSource::Router(_) | FiguresSource::Fleet(_) => None,
         }));
         all
     }
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -1,6 +1,6 @@
 //! What a router knows by its peers: how many there are, who reaches the source, what they have at engines.
 
-use super::{FIGURES_LIFE, Fleet, OwnState, Teller};
+use super::{FIGURES_LIFE, FiguresSource, Fleet, OwnState};
 use crate::digest::{RouterState, Standing};
 use crate::dispatch::aggregation::Role;
 use crate::figures::{EngineKey, EngineLevel, EngineLoad, Figures, TenantReport};
@@ -30,14 +30,14 @@
     fn close_peers(&self, now: Timestamp) -> impl Iterator<Item = &RouterState> {
         let is_mesh = self.role == Role::Mesh;
         let is_close = move |state: &&RouterState| {
-            is_mesh || self.told.contains_key(&Teller::Members(state.id.address, 0))
+            is_mesh || self.held.contains_key(&FiguresSource::Members(state.id.address, 0))
         };
         self.fresh_peers(now).filter(is_close)
     }
 
     /// Whether the last call of any other router to the source was answered.
     pub fn is_source_answering(&self, now: Timestamp) -> bool {
-        self.told.values().any(|told| told.source_answers)
+        self.held.values().any(|held| held.source_answers)
             || self.close_peers(now).any(|peer| peer.contact == SourceContact::Answered)
     }
 
@@ -75,8 +75,8 @@
         };
         let in_zone = || peers().filter(|state| state.zone == own.zone);
         let shedding = in_zone().filter(|state| state.standing == Standing::Shedding).count();
-        let (in_zone, shedding) = match self.told.get(&Teller::Fleet(0)) {
-            Some(told) => (told.routers - 1, told.shedding),
+        let (in_zone, shedding) = match self.held.get(&FiguresSource::Fleet(0)) {
+            Some(held) => (held.routers - 1, held.shedding),
             None => (in_zone().count(), shedding),
         };
         Others {
@@ -89,11 +89,11 @@
 
     /// Age of the oldest figures that count.
     pub fn oldest_age(&self, now: Timestamp) -> Duration {
-        self.told.values().map(|told| now.since(told.heard)).max().unwrap_or_default()
+        self.held.values().map(|held| now.since(held.heard)).max().unwrap_or_default()
     }
 
     fn figures(&self) -> impl Iterator<Item = &Figures> {
-        self.told.values().map(|told| &told.figures)
+        self.held.values().map(|held| &held.figures)
     }
 
     /// What the others have at one engine.
@@ -124,7 +124,7 @@
         let mut asked: HashMap<String, f64> = HashMap::new();
         let mut given: HashMap<String, f64> = HashMap::new();
         let told = self.figures().filter_map(|figures| figures.tenants.as_ref()).flatten();
-        let includes_me = self.told.values().any(|told| told.includes_me);
+        let includes_me = self.held.values().any(|held| held.includes_me);
         let own = own.iter().filter(|_| !includes_me);
         for report in told.chain(own) {
             *asked.entry(report.name.clone()).or_default() += f64::from(report.asked);
