--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -5,7 +5,7 @@
 use crate::back_end::BackEnd;
 use crate::digest::{Digest, Outgoing, PeerMessage, Standing, Sum};
 use crate::engine::{Engine, Load};
-use crate::figures::{EngineKey, EngineLoad, Figures};
+use crate::figures::{EngineKey, EngineLevel, EngineLoad, Figures};
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
 
@@ -108,35 +108,28 @@
 
     fn apply(&mut self, change: FiguresChange) {
         for removed in &change.removed {
-            self.take_from_others(removed);
+            self.change_others(removed, Engine::remove_load, Engine::remove_level);
         }
         if let Some(added) = &change.added {
-            self.add_to_others(added);
+            self.change_others(added, Engine::add_load, Engine::add_level);
         }
     }
 
-    fn take_from_others(&mut self, figures: &Figures) {
-        for entry in &figures.loads {
-            if let Some(engine) = self.engine_by_key(entry.engine) {
-                engine.remove_load(entry.load);
-            }
-        }
-        for entry in figures.levels.iter().flatten() {
-            if let Some(engine) = self.engine_by_key(entry.engine) {
-                engine.remove_level(entry);
-            }
-        }
-    }
-
-    fn add_to_others(&mut self, figures: &Figures) {
+    /// Changes what others have at engines by each of the figures.
+    fn change_others(
+        &mut self,
+        figures: &Figures,
+        change_load: fn(&mut Engine, Load),
+        change_level: fn(&mut Engine, &EngineLevel),
+    ) {
         for entry in &figures.loads {
             if let Some(engine) = self.engine_by_key(entry.engine) {
-                engine.add_load(entry.load);
+                change_load(engine, entry.load);
             }
         }
         for entry in figures.levels.iter().flatten() {
             if let Some(engine) = self.engine_by_key(entry.engine) {
-                engine.add_level(entry);
+                change_level(engine, entry);
             }
         }
     }
