--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -204,7 +204,8 @@
     }
 }
 
-async fn serve_connection<H, F>(
+/// Serves one connection until it ends.
+pub async fn serve_connection<H, F>(
     runtime: Runtime,
     mut stream: TcpStream,
     limits: ListenerLimits,
