--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -2,16 +2,14 @@
 
 use crate::events;
 use crate::line_budget::LineKind;
-use crate::listener::{
-    ListenerLimits, LocalBody, Overflow, Overflowed, close_unread, serve, serve_connection,
-};
+use crate::listener::{ListenerLimits, LocalBody, Overflow, Overflowed, close_unread, serve};
 use crate::offload::{self, OffloadError};
 use crate::router::Router;
-use crate::serve::{refuse_request, serve_request};
+use crate::serve::serve_request;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response};
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -88,10 +86,6 @@
     Rc::new(move |caller| {
         let router = router.clone();
         Box::pin(async move {
-            if rand::random::<f64>() < router.refused_part() {
-                refuse(router, caller).await;
-                return Overflowed::Done;
-            }
             let draws = (rand::random(), rand::random());
             let peers = router.dispatcher.borrow().offload_targets(draws);
             for peer in peers {
@@ -113,13 +107,6 @@
     })
 }
 
-/// Refuses the requests of a connection.
-async fn refuse(router: Rc<Router>, caller: TcpStream) {
-    let (runtime, stop, limits) = (router.runtime, router.stop.clone(), limits(&router));
-    let handler = move |request| refuse_request(router.clone(), request);
-    serve_connection(runtime, caller, limits, stop, handler).await;
-}
-
 /// Tells of a peer that did not take a connection, as long as there is room in the log.
 fn note_not_offloaded(router: &Router, peer: SocketAddr, error: &OffloadError) {
     let (is_written, left_out) = router.lines.borrow_mut().take(router.now(), LineKind::Failure);
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -204,8 +204,7 @@
     }
 }
 
-/// Serves one connection until it ends.
-pub async fn serve_connection<H, F>(
+async fn serve_connection<H, F>(
     runtime: Runtime,
     mut stream: TcpStream,
     limits: ListenerLimits,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -246,11 +246,6 @@
         if self.stopping.get() { 0.0 } else { self.overload.borrow().offloaded_part() }
     }
 
-    /// The part of new connections whose requests are refused at once. A planned stop refuses none.
-    pub(crate) fn refused_part(&self) -> f64 {
-        if self.stopping.get() { 0.0 } else { self.overload.borrow().refused_part() }
-    }
-
     /// Whether it takes connections of a peer that has more to do than it carries.
     pub(crate) fn takes_offloaded(&self) -> bool {
         self.is_ready()
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -129,8 +129,6 @@
 
 /// When a caller may come back for whose body there is no memory.
 const NO_MEMORY_PAUSE: Duration = Duration::from_millis(500);
-/// Longest time after which a caller may come back to a router that has more to do than it carries.
-const OVERLOAD_PAUSE: Duration = Duration::from_millis(4_000);
 /// Time that the body of a request may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -148,31 +146,6 @@
     response
 }
 
-/// Refuses a request without deciding on it: the router has more to do than it carries.
-pub async fn refuse_request(router: Rc<Router>, request: Request<Incoming>) -> Response<LocalBody> {
-    let (parts, body) = request.into_parts();
-    // Its caller reads no answer before it has sent the body, whose bytes are dropped as they come.
-    let largest = router.table().map_or(0, |table| table.configuration().limits.body_bytes);
-    let read = router.runtime.within(BODY_TIME, read_limited(body, largest)).await;
-    let head = router.seams.callers.read(&parts).ok().filter(|_| matches!(read, Ok(Ok(_))));
-    let answer = match &head {
-        Some(head) => OwnAnswer::NotRun { retry_after: Some(overload_pause(head.time_left)) },
-        None => OwnAnswer::Malformed,
-    };
-    router.metrics.on_own_answer(answer);
-    let request_id = head.as_ref().map(|head| head.request_id.as_str());
-    let mut response = own_answer(&router, request_id, answer);
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-/// When a caller may come back to a router that has more to do than it carries: once balancers have learned that it
-/// takes no new callers, but not beyond a third of what the caller has left.
-fn overload_pause(time_left: Option<Duration>) -> Duration {
-    let longest = time_left.map_or(OVERLOAD_PAUSE, |left| OVERLOAD_PAUSE.min(left / 3));
-    longest.mul_f64(rand::random_range(0.7..1.0))
-}
-
 /// A request that is answered before it is routed.
 struct Refused {
     request_id: Option<String>,
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -16,11 +16,6 @@
 const TURNING_AWAY: (f64, f64) = (0.45, 0.85);
 /// Lateness from which on new connections are handed to peers, and that at which nearly all are.
 const OFFLOADING: (f64, f64) = (0.15, 0.5);
-/// Lateness from which on requests on new connections are refused at once, and that at which nearly all are.
-const REFUSING: (f64, f64) = (0.5, 0.9);
-/// Most of the new connections whose requests are refused at once: a refusal is cheaper than handing a connection on,
-/// but callers come back.
-const MOST_REFUSED: f64 = 0.5;
 /// Lateness from which on a router is pressed: it does what it can to spend less on each request.
 const PRESSED: f64 = 0.15;
 /// Most of the new connections that are turned away: those that are taken show when there is room again.
@@ -120,12 +115,6 @@
         self.part_between(OFFLOADING)
     }
 
-    /// The part of new connections whose requests to refuse at once: what a router that cannot even hand on all its
-    /// connections takes beyond its means makes all of them late.
-    pub fn refused_part(&self) -> f64 {
-        self.part_between(REFUSING).min(MOST_REFUSED)
-    }
-
     fn part_between(&self, (first, last): (f64, f64)) -> f64 {
         let part = (self.recent_lateness - first) / (last - first);
         part.clamp(0.0, MOST_TURNED_AWAY)
