Members stand in for aggregators that the source turns away

Change: members that hear of no router that reaches the source try it in turns, about one of the fleet in 0.2 s; one that is answered goes on for 5 s, and aggregators count members that reach it. Ruled out: all members at once (62 lists of 63 engines each time). Test first: members_follow_the_source_while_it_turns_all_aggregators_away fails on the old code (nobody is ever answered).

--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -26,6 +26,8 @@
 const HEARTBEATS_PER_LIFE: u32 = 3;
 /// Heartbeats that a router of a large fleet sends in a round.
 const HEARTBEATS_PER_ROUND: usize = 2;
+/// Time without any router that reaches the source after which members try it: a failed call is repeated meanwhile.
+const STAND_IN_PATIENCE: Duration = Duration::from_millis(300);
 /// Time for which a router is not greeted again: it may be about to answer.
 const GREETING_PAUSE: Duration = Duration::from_secs(1);
 
@@ -133,6 +135,10 @@
     /// When sums of the fleet came last, or else when this router became a member.
     sums_heard: Timestamp,
     is_isolated: bool,
+    /// Since when no router is known to reach the source.
+    source_lost: Option<Timestamp>,
+    /// Since when this router reaches the source when no other did.
+    stands_in_since: Option<Timestamp>,
     reports: VecDeque<(u64, Vec<EngineLoad>)>,
     /// Routers that others have mentioned and that are not known.
     mentioned: BTreeSet<SocketAddr>,
@@ -158,6 +164,8 @@
             awaited: BTreeMap::new(),
             sums_heard: Timestamp::ZERO,
             is_isolated: false,
+            source_lost: None,
+            stands_in_since: None,
             reports: VecDeque::new(),
             mentioned: BTreeSet::new(),
             greeted: BTreeMap::new(),
@@ -169,17 +177,19 @@
     pub fn on_digest(&mut self, now: Timestamp, digest: Digest) -> Option<Heard> {
         let sender = digest.router.id;
         let by = Included { life: sender.life, sequence: digest.router.sequence };
+        let contact = digest.router.contact;
         let mut change = FiguresChange::default();
         let is_new_peer = self.hear(now, digest.router, &mut change)?;
         self.mentioned.extend(digest.peers);
         // Who is reported to aggregates, also if it would not have chosen itself.
+        let source_answers = digest.is_member && contact == SourceContact::Answered;
         let counts = digest.is_member == (self.role != Role::Mesh);
         if let Some(figures) = digest.figures.filter(|_| counts) {
             let held = HeldFigures {
                 heard: now,
                 by,
                 figures,
-                source_answers: false,
+                source_answers,
                 routers: 1,
                 shedding: 0,
                 includes_me: false,
--- a/crates/routing/src/dispatch/fleet/role.rs
+++ b/crates/routing/src/dispatch/fleet/role.rs
@@ -1,7 +1,8 @@
 //! How a router tells its figures: to all, to an aggregator, or as one.
 
-use super::{FiguresChange, FiguresSource, Fleet, OwnState};
+use super::{FiguresChange, FiguresSource, Fleet, OwnState, STAND_IN_PATIENCE};
 use crate::dispatch::aggregation::{Aggregators, Candidate, LARGEST_MESH, Role};
+use crate::watching::SourceContact;
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
@@ -24,9 +25,26 @@
         let is_member = matches!(role, Role::Member(_));
         self.is_isolated = is_member && now.since(self.sums_heard) > ISOLATION;
         self.others = self.count_others(now, own);
+        self.follow_contact(now, own.contact);
         change
     }
 
+    fn follow_contact(&mut self, now: Timestamp, own: SourceContact) {
+        if own == SourceContact::Answered {
+            let lost = self.source_lost.take();
+            if lost.is_some_and(|lost| now.since(lost) >= STAND_IN_PATIENCE) {
+                self.stands_in_since = Some(now);
+            }
+            return;
+        }
+        self.stands_in_since = None;
+        if self.does_any_reach_source(now) {
+            self.source_lost = None;
+        } else {
+            self.source_lost.get_or_insert(now);
+        }
+    }
+
     /// Drops what `next`, if it is another role, does not hear any more. A new aggregator keeps the last sums of the
     /// fleet until others send it theirs, and what its members have begun to report.
     fn drop_figures_of_other_role(&mut self, next: Role) -> FiguresChange {
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -212,13 +212,16 @@
         figures: Figures,
     ) -> Sum {
         let answered = own.contact == SourceContact::Answered;
-        let others_answered = self.held.values().any(|held| held.source_answers);
+        let others_answered = self.held.iter().any(|(source, held)| {
+            let is_told = scope == SumScope::Fleet || matches!(source, FiguresSource::Router(_));
+            is_told && held.source_answers
+        });
         let is_shedding = |peer: &&Peer| peer.state.standing == Standing::Shedding;
         let shedding = self.members().filter_map(|(address, _)| self.peers.get(&address));
         let own_shedding = u32::from(own.standing == Standing::Shedding);
         let shedding = shedding.filter(is_shedding).count() as u32 + own_shedding;
         let included = self.members().map(|(_, held)| held.by).collect();
-        let source_answers = answered || (scope == SumScope::Fleet && others_answered);
+        let source_answers = answered || others_answered;
         let router = self.next_state(own.clone());
         Sum { router, scope, part, parts, figures, source_answers, shedding, included }
     }
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -1,16 +1,20 @@
 //! What a router knows by its peers: how many there are, who reaches the source, what they have at engines.
 
-use super::{FIGURES_LIFE, FiguresSource, Fleet, OwnState};
+use super::{FIGURES_LIFE, FiguresSource, Fleet, OwnState, STAND_IN_PATIENCE};
 use crate::digest::{RouterState, Standing};
 use crate::dispatch::aggregation::Role;
 use crate::figures::{EngineKey, EngineLevel, EngineLoad, Figures, TenantReport};
 use crate::overload::Others;
 use crate::watching::{self, SourceContact};
-use mastbay_types::Timestamp;
+use mastbay_types::{Timestamp, stable_hash};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Time of a member's turn to try.
+const STAND_IN_TURN: Duration = Duration::from_millis(200);
+/// Time for which a member that is answered follows the source before it looks whether others do.
+const STAND_IN: Duration = Duration::from_secs(5);
 /// How many times the processor of another a much larger router has.
 const MUCH_MORE: f32 = 1.5;
 
@@ -47,10 +51,11 @@
             || self.fresh_peers(now).any(|peer| peer.contact == SourceContact::Answered)
     }
 
-    /// Whether this router follows the source: of a large fleet, only aggregators do, and who is cut off.
+    /// Whether this router follows the source: of a large fleet, only aggregators do, who is cut off, and those that
+    /// stand in for aggregators.
     pub fn follows_source(&self, now: Timestamp, contact: SourceContact) -> bool {
         if matches!(self.role, Role::Member(_)) {
-            return self.is_isolated;
+            return self.is_isolated || self.stands_in(now);
         }
         let serving = self.close_peers(now).filter(|peer| peer.standing != Standing::Leaving);
         let others =
@@ -58,6 +63,18 @@
         watching::follows_source(watching::Candidate { router: self.me, contact }, others)
     }
 
+    /// Whether a member follows the source because no router reaches it: the source may turn away all aggregators and
+    /// serve others. Members try in turns, about one of the fleet in each, and one that is answered goes on for a while.
+    fn stands_in(&self, now: Timestamp) -> bool {
+        if let Some(since) = self.stands_in_since {
+            return now.since(since) < STAND_IN;
+        }
+        let is_lost = self.source_lost.is_some_and(|lost| now.since(lost) >= STAND_IN_PATIENCE);
+        let turn = now.as_micros() / STAND_IN_TURN.as_micros() as u64;
+        let draw = stable_hash(&[&turn.to_be_bytes(), &self.tiebreak.to_be_bytes()]);
+        is_lost && draw.is_multiple_of(self.size() as u64)
+    }
+
     /// What is known of the peers beside this router.
     pub fn others(&self) -> Others {
         self.others
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -331,3 +331,70 @@
     assert!(fleet.most_engines_told > 200, "{}", fleet.most_engines_told);
     assert!(fleet.most_engines_told < 1_000, "{}", fleet.most_engines_told);
 }
+
+/// Found as CONFIG broken (shifted licpat, drawn day): the store turned away the aggregators of all three zones for nine seconds, and
+/// no other router asked it.
+#[test]
+fn members_follow_the_source_while_it_turns_all_aggregators_away() {
+    for (size, refused_one_in) in [(62, 3), (300, 3), (62, 2)] {
+        let mut fleet = Fleet::new(size);
+        fleet.rounds(40);
+        let aggregators = fleet.aggregators();
+        let mut calls = 0;
+        let mut answered_from = None;
+        let mut silent_rounds = 0;
+        let began = fleet.now;
+        for round in 0..110 {
+            for index in 0..size {
+                let now = fleet.now;
+                let is_refused =
+                    aggregators.contains(&address(index)) || index % refused_one_in == 0;
+                let router = fleet.router(index);
+                let contact = match (router.follows_source(now), is_refused) {
+                    (false, _) => SourceContact::Idle,
+                    (true, true) => SourceContact::Lost,
+                    (true, false) => SourceContact::Answered,
+                };
+                let is_call =
+                    contact != SourceContact::Idle && !aggregators.contains(&address(index));
+                calls += u32::from(is_call && router.source_contact() != contact);
+                router.on_source_contact(contact);
+                if contact == SourceContact::Answered {
+                    answered_from.get_or_insert(fleet.now);
+                }
+            }
+            let is_answered = (0..size)
+                .any(|index| fleet.router(index).source_contact() == SourceContact::Answered);
+            silent_rounds += u32::from(!is_answered && round >= 20);
+            fleet.round();
+        }
+        let waited = answered_from.map(|answered| answered.since(began));
+        assert!(waited.is_some_and(|waited| waited.as_millis() < 1_600), "{size}: {waited:?}");
+        assert!(silent_rounds <= 25, "{size}: nobody is answered in {silent_rounds} of 90 rounds");
+        assert!(calls <= 40, "{size}: {calls} members began to ask in nine seconds");
+    }
+}
+
+#[test]
+fn members_leave_the_source_to_aggregators_that_reach_it() {
+    let mut fleet = Fleet::new(62);
+    fleet.rounds(40);
+    let aggregators = fleet.aggregators();
+    // Until they are asked for the first time, members may stand in for them.
+    const SETTLED: usize = 80;
+    for round in 0..SETTLED + 60 {
+        for index in 0..62 {
+            let now = fleet.now;
+            let router = fleet.router(index);
+            let follows = router.follows_source(now);
+            let may_follow = round < SETTLED || aggregators.contains(&address(index));
+            assert!(!follows || may_follow, "router {index} in round {round}");
+            router.on_source_contact(if follows {
+                SourceContact::Answered
+            } else {
+                SourceContact::Idle
+            });
+        }
+        fleet.round();
+    }
+}
