Undo the circle of files in the router: requests on their way, outcomes and endings are modules of their own

Cause: events, exchange, metrics, relay, router, send, serve and ticket imported each other in a circle, so none could be read alone. Change: Call and its trace move to call.rs, Outcome to outcome.rs, the router's own answers and the account of an end to ending.rs. Arrows now go one way: serve, exchange, relay and send, ticket and ending, router, events and metrics, call and outcome.

--- /dev/null
+++ b/crates/router/src/ending.rs
@@ -0,0 +1,36 @@
+//! How a request ends: the router's own answers, and what log and metrics are told.
+
+use crate::call::Call;
+use crate::dialect::OwnAnswer;
+use crate::events;
+use crate::line_budget::LineKind;
+use crate::listener::{LocalBody, full};
+use crate::outcome::Outcome;
+use crate::router::Router;
+use hyper::Response;
+
+/// An answer of the router's own.
+pub fn own_answer(
+    router: &Router,
+    request_id: Option<&str>,
+    answer: OwnAnswer,
+) -> Response<LocalBody> {
+    let mut response = Response::new(full(format!("{answer}\n")));
+    *response.status_mut() = answer.status();
+    *response.headers_mut() = router.seams.callers.own_headers(request_id, answer);
+    response
+}
+
+/// Tells log and metrics how a request ended.
+pub fn note_end(router: &Router, call: &Call, outcome: &Outcome) {
+    let now = router.now();
+    router.metrics.on_end(call, outcome, now);
+    let kind = if outcome.is_success() { LineKind::Success } else { LineKind::Failure };
+    let (is_written, left_out) = router.lines.borrow_mut().take(now, kind);
+    if let Some(left_out) = left_out {
+        events::lines_left_out(left_out);
+    }
+    if is_written {
+        events::ended(call, outcome, now);
+    }
+}
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -1,14 +1,16 @@
 //! A request's way to back ends: placed, sent, sent again where that is allowed, answered.
 
+use crate::call::Call;
 use crate::dialect::OwnAnswer;
-use crate::events::{self, Outcome, OutcomeKind};
+use crate::ending::{note_end, own_answer};
+use crate::events;
 use crate::headers::keep_end_to_end;
 use crate::listener::{LocalBody, full};
+use crate::outcome::{Outcome, OutcomeKind};
 use crate::pool::BackEndConnection;
 use crate::relay::{Relay, Source, StreamBody};
 use crate::router::Router;
 use crate::send::{Sender, Try};
-use crate::serve::{Call, note_end, own_answer};
 use crate::ticket::Ticket;
 use bytes::Bytes;
 use hyper::body::Incoming;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,10 +5,12 @@
 //! seams in [`dialect`] and [`catalogue`]. Everything runs on one thread.
 
 pub mod body_budget;
+mod call;
 mod callers;
 pub mod catalogue;
 pub mod client;
 pub mod dialect;
+mod ending;
 pub mod events;
 mod exchange;
 mod headers;
@@ -18,6 +20,7 @@
 mod news;
 pub mod offload;
 mod operations;
+mod outcome;
 pub mod own_dialect;
 mod paced;
 mod peers;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms of a router.
 
+use crate::call::Call;
 use crate::dialect::OwnAnswer;
-use crate::events::Outcome;
-use crate::serve::Call;
+use crate::outcome::Outcome;
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,10 +1,11 @@
 //! A stream on its way to its caller: whole events only, taken up at another back end if that is allowed.
 
-use crate::events::{Outcome, OutcomeKind};
+use crate::call::Call;
+use crate::ending::note_end;
+use crate::outcome::{Outcome, OutcomeKind};
 use crate::pool::BackEndConnection;
 use crate::router::Router;
 use crate::send::{Sender, Try};
-use crate::serve::{Call, note_end};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -1,10 +1,10 @@
 //! One try at one back end: connection, request, head of the answer.
 
+use crate::call::Call;
 use crate::dialect::{AnswerKind, OutgoingCall};
 use crate::headers::keep_end_to_end;
 use crate::pool::{BackEndConnection, ExchangeError, PoolError};
 use crate::router::Router;
-use crate::serve::Call;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,17 +1,15 @@
 //! A caller's request, from its head to its answer.
 
-use crate::body_budget::BodyShare;
+use crate::call::{Body, Call};
 use crate::dialect::{CallerHead, OwnAnswer};
-use crate::events::{self, Outcome};
+use crate::ending::own_answer;
+use crate::events;
 use crate::exchange::Exchange;
-use crate::line_budget::LineKind;
-use crate::listener::{LocalBody, full};
+use crate::listener::LocalBody;
 use crate::router::Router;
-use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, Uri, http};
-use mastbay_routing::{Considered, Demand, Placement, Refusal, TableEntry};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::{Request, Response, http};
 use mastbay_types::Timestamp;
 use mastbay_web::{ReadBodyError, read_limited};
 use std::cell::RefCell;
@@ -19,114 +17,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A request whose route is known and whose body has arrived.
-pub struct Call {
-    /// What the dialect read from its head.
-    pub head: CallerHead,
-    /// Its method.
-    pub method: Method,
-    /// Its path and query.
-    pub uri: Uri,
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Body,
-    /// Its route.
-    pub entry: TableEntry,
-    /// The service that the route's weights chose.
-    pub service: String,
-    /// Its tenant.
-    pub tenant: Option<Arc<str>>,
-    /// Its rank.
-    pub priority: u32,
-    /// When its head came.
-    pub arrived: Timestamp,
-    /// When it must have its final answer.
-    pub deadline: Timestamp,
-    /// What was decided on its way, for its one log line.
-    pub trace: RefCell<Trace>,
-}
-
-/// What was decided on a request's way.
-#[derive(Debug, Clone, Default)]
-pub struct Trace {
-    /// Time until it was placed last.
-    pub waited: Duration,
-    /// Time from its arrival to its first event or whole answer.
-    pub first_event: Option<Duration>,
-    /// Longest pause between two events.
-    pub longest_pause: Duration,
-    /// Time to the first event that was predicted.
-    pub predicted: Duration,
-    /// Requests that were known to be at its back end.
-    pub running: u32,
-    /// The concurrency limit of its back end.
-    pub limit: u32,
-    /// Prompt tokens that its back end was taken to read.
-    pub uncached: u64,
-    /// Age of the oldest figures that decided.
-    pub age: Duration,
-    /// Times that it was handed to a back end.
-    pub sends: u32,
-    /// What decided against it, if it was refused.
-    pub considered: Option<Considered>,
-    /// When its caller was told to come back.
-    pub retry_after: Option<Duration>,
-}
-
-impl Call {
-    /// What it asks of the dispatcher.
-    pub fn demand(&self) -> Demand {
-        Demand {
-            service: self.service.clone(),
-            prompt: self.head.prompt.clone(),
-            arrived: self.arrived,
-            deadline: self.deadline,
-            objective: self.entry.route.objective,
-            priority: self.priority,
-            tenant: self.tenant.clone(),
-            tried: Vec::new(),
-        }
-    }
-
-    /// It was given to a back end.
-    pub fn note_placement(&self, placement: &Placement, now: Timestamp) {
-        let mut trace = self.trace.borrow_mut();
-        trace.waited = now.since(self.arrived);
-        trace.predicted = placement.predicted;
-        trace.running = placement.running;
-        trace.limit = placement.limit;
-        trace.uncached = placement.uncached;
-        trace.age = placement.age;
-        trace.sends += 1;
-    }
-
-    /// It was refused.
-    pub fn note_refusal(&self, refusal: &Refusal) {
-        let mut trace = self.trace.borrow_mut();
-        trace.considered = refusal.considered.clone();
-        trace.retry_after = Some(refusal.retry_after);
-    }
-
-    /// Its first event or whole answer has come.
-    pub fn note_first_event(&self, now: Timestamp) {
-        let mut trace = self.trace.borrow_mut();
-        trace.first_event.get_or_insert(now.since(self.arrived));
-    }
-
-    /// Time left until its deadline.
-    pub fn time_left(&self, now: Timestamp) -> Duration {
-        self.deadline.since(now)
-    }
-}
-
-/// The body of a request and its share of the memory for bodies.
-pub struct Body {
-    /// The bytes.
-    pub bytes: Bytes,
-    _share: BodyShare,
-}
-
 /// When a caller may come back for whose body there is no memory.
 const NO_MEMORY_PAUSE: Duration = Duration::from_millis(500);
 /// Time that the body of a request may take.
@@ -184,7 +74,7 @@
             return Err(refused(Some(head.request_id), OwnAnswer::Malformed));
         }
     };
-    let routed = route(router, arrived, parts, head, Body { bytes: body, _share: share });
+    let routed = route(router, arrived, parts, head, Body { bytes: body, share });
     routed.map_err(|(id, answer)| refused(Some(id), answer))
 }
 
@@ -229,29 +119,3 @@
 
 /// When a caller may come back to a router that knows no configuration yet.
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(500);
-
-/// An answer of the router's own.
-pub fn own_answer(
-    router: &Router,
-    request_id: Option<&str>,
-    answer: OwnAnswer,
-) -> Response<LocalBody> {
-    let mut response = Response::new(full(format!("{answer}\n")));
-    *response.status_mut() = answer.status();
-    *response.headers_mut() = router.seams.callers.own_headers(request_id, answer);
-    response
-}
-
-/// Tells log and metrics how a request ended.
-pub fn note_end(router: &Router, call: &Call, outcome: &Outcome) {
-    let now = router.now();
-    router.metrics.on_end(call, outcome, now);
-    let kind = if outcome.is_success() { LineKind::Success } else { LineKind::Failure };
-    let (is_written, left_out) = router.lines.borrow_mut().take(now, kind);
-    if let Some(left_out) = left_out {
-        events::lines_left_out(left_out);
-    }
-    if is_written {
-        events::ended(call, outcome, now);
-    }
-}
