Tell what denies a tenant service before and beside its share: connections closed unread, offered rate, age of rates

Cause of the change: three hypotheses on an unfair window at size could not be told apart by the logs. Callers on connections that a late or full router closes unread leave no line and are in no tenant's rate, and a refusal told neither what its tenant asks for over the fleet nor how old the rates were that decided.

connections_overflowed: a line a second at most while a router hands on, keeps, turns away or drops new connections; mastbay_router_connections_closed_unread counts the last two. Refusals tell tenant_asked and rates_age_ms. No decision is changed.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -4,6 +4,7 @@
 use crate::line_budget::LineKind;
 use crate::listener::{ListenerLimits, LocalBody, Overflow, Overflowed, close_unread, serve};
 use crate::offload;
+use crate::overflow::OverflowOutcome;
 use crate::router::Router;
 use crate::serve::serve_request;
 use hyper::body::Incoming;
@@ -90,7 +91,7 @@
             for peer in peers {
                 match offload::ask(router.runtime, peer).await {
                     Ok(offloaded) => {
-                        router.metrics.on_offloaded();
+                        router.note_overflow(OverflowOutcome::HandedOn);
                         let interval = router.offload_interval();
                         offloaded.copy(router.runtime, caller, interval).await;
                         return Overflowed::Done;
@@ -103,8 +104,10 @@
                 }
             }
             if rand::random::<f64>() < router.turned_away_part() {
+                router.note_overflow(OverflowOutcome::TurnedAway);
                 return Overflowed::Done;
             }
+            router.note_overflow(OverflowOutcome::KeptHere);
             Overflowed::ServeHere(caller)
         })
     })
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -6,6 +6,7 @@
 use crate::news::Origin;
 use crate::offload::OffloadError;
 use crate::outcome::Outcome;
+use crate::overflow::OverflowCounts;
 use mastbay_routing::{
     BackEndList, BackEndState, Considered, EvacuatedZones, Fault, Placement, Role, RouteTable, Turn,
 };
@@ -70,7 +71,9 @@
         running = considered.running,
         limit = considered.limit,
         pending_prefill = considered.pending_prefill,
+        tenant_asked = considered.asked as u64,
         tenant_given = considered.given as u64,
+        rates_age_ms = milliseconds(considered.rates_age),
         fair_level = considered.level.map(|level| level as u64),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         retry_after_ms = trace.retry_after.map_or(0, milliseconds),
@@ -161,6 +164,20 @@
     );
 }
 
+/// New connections of callers were not simply served since the last such line. `turned_away` and `full` were closed unread, so
+/// they are part of no tenant's rate.
+pub fn connections_overflowed(counts: OverflowCounts, lateness: f64) {
+    let OverflowCounts { handed_on, kept_here, turned_away, full } = counts;
+    tracing::info!(
+        event = "connections_overflowed",
+        handed_on,
+        kept_here,
+        turned_away,
+        full,
+        lateness,
+    );
+}
+
 /// A peer did not take a connection.
 pub fn not_offloaded(peer: SocketAddr, error: &OffloadError) {
     tracing::info!(event = "connection_not_offloaded", peer = %peer, reason = %error);
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -149,6 +149,7 @@
             // keep this loop busy, and nothing else would run.
             Some(Ok((stream, _))) if open.count() >= limits().most_connections => {
                 drop(stream);
+                open.note_refused();
                 runtime.sleep(FULL_PAUSE).await;
             }
             Some(Ok((stream, _))) => {
@@ -179,14 +180,26 @@
     let _ = all_ended.recv().await;
 }
 
-/// The number of connections that are open at a listener.
+/// Connections that are open at listeners, and those that found them full.
 #[derive(Debug, Clone, Default)]
-pub struct OpenConnections(Rc<Cell<usize>>);
+pub struct OpenConnections {
+    open: Rc<Cell<usize>>,
+    refused: Rc<Cell<u32>>,
+}
 
 impl OpenConnections {
-    /// The number.
+    /// The number of open connections.
     pub fn count(&self) -> usize {
-        self.0.get()
+        self.open.get()
+    }
+
+    /// The number of connections closed unread since the last call, because as many as may be open were open.
+    pub fn take_refused(&self) -> u32 {
+        self.refused.take()
+    }
+
+    fn note_refused(&self) {
+        self.refused.set(self.refused.get().saturating_add(1));
     }
 }
 
@@ -194,14 +207,14 @@
 
 impl Counted {
     fn new(open: &OpenConnections) -> Self {
-        open.0.set(open.count() + 1);
+        open.open.set(open.count() + 1);
         Self(open.clone())
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.0.set(self.0.count().saturating_sub(1));
+        self.0.open.set(self.0.count().saturating_sub(1));
     }
 }
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -3,6 +3,7 @@
 use crate::call::Call;
 use crate::dialect::OwnAnswer;
 use crate::outcome::Outcome;
+use crate::overflow::OverflowOutcome;
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -29,6 +30,7 @@
     ended: Family<EndLabels, Counter>,
     own_answers: Family<AnswerLabels, Counter>,
     offloaded: Counter,
+    closed_unread: Counter,
     first_event: Histogram,
     duration: Histogram,
 }
@@ -40,6 +42,7 @@
             ended: Family::default(),
             own_answers: Family::default(),
             offloaded: Counter::default(),
+            closed_unread: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
             duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
         };
@@ -49,6 +52,9 @@
         registry.register(name, "answers of the router's own", metrics.own_answers.clone());
         let name = "mastbay_router_offloaded_connections";
         registry.register(name, "connections handed to peers", metrics.offloaded.clone());
+        let name = "mastbay_router_connections_closed_unread";
+        let help = "new connections closed unread, since the router was late or full";
+        registry.register(name, help, metrics.closed_unread.clone());
         let name = "mastbay_router_first_event_seconds";
         registry.register(name, "time to a stream's first event", metrics.first_event.clone());
         let name = "mastbay_router_request_seconds";
@@ -69,9 +75,18 @@
         self.first_event.observe(now.since(call.arrived).as_secs_f64());
     }
 
-    /// A connection was handed to a peer.
-    pub fn on_offloaded(&self) {
-        self.offloaded.inc();
+    /// A new connection was not simply served.
+    pub fn on_overflow(&self, outcome: OverflowOutcome) {
+        match outcome {
+            OverflowOutcome::HandedOn => self.offloaded.inc(),
+            OverflowOutcome::TurnedAway => self.closed_unread.inc(),
+            OverflowOutcome::KeptHere => return,
+        };
+    }
+
+    /// Connections were closed unread since as many as may be open were open.
+    pub fn on_full(&self, connections: u32) {
+        self.closed_unread.inc_by(u64::from(connections));
     }
 
     /// The router answered by itself.
--- /dev/null
+++ b/crates/router/src/overflow.rs
@@ -0,0 +1,67 @@
+//! What becomes of new connections that a router does not simply serve: the account behind its log line and metrics.
+//!
+//! Callers on connections that are closed unread are denied service before their tenant is known, so no tenant's rate
+//! counts them. This account is the only trace that they leave.
+
+use mastbay_types::Timestamp;
+use std::time::Duration;
+
+/// Time between two log lines while there is anything to tell.
+const LINE_PERIOD: Duration = Duration::from_secs(1);
+
+/// What became of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OverflowOutcome {
+    /// A peer took it.
+    HandedOn,
+    /// No peer took it, and it was served here.
+    KeptHere,
+    /// No peer took it, and it was closed unread.
+    TurnedAway,
+}
+
+/// Connections by what became of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OverflowCounts {
+    /// Those that a peer took.
+    pub handed_on: u32,
+    /// Those that no peer took and that were served here.
+    pub kept_here: u32,
+    /// Those that no peer took and that were closed unread.
+    pub turned_away: u32,
+    /// Those that were closed unread since as many as may be open were open.
+    pub full: u32,
+}
+
+/// The account of one router.
+#[derive(Debug, Default)]
+pub struct OverflowAccount {
+    counts: OverflowCounts,
+    told: Timestamp,
+}
+
+impl OverflowAccount {
+    /// A connection was not simply served.
+    pub fn note(&mut self, outcome: OverflowOutcome) {
+        let count = match outcome {
+            OverflowOutcome::HandedOn => &mut self.counts.handed_on,
+            OverflowOutcome::KeptHere => &mut self.counts.kept_here,
+            OverflowOutcome::TurnedAway => &mut self.counts.turned_away,
+        };
+        *count += 1;
+    }
+
+    /// Some connections were closed unread since as many as may be open were open.
+    pub fn note_full(&mut self, connections: u32) {
+        self.counts.full += connections;
+    }
+
+    /// The counts since the last line, if one is due: there is something to tell and a second has passed.
+    pub fn take_due(&mut self, now: Timestamp) -> Option<OverflowCounts> {
+        if self.counts == OverflowCounts::default() || now.since(self.told) < LINE_PERIOD {
+            return None;
+        }
+        self.told = now;
+        Some(std::mem::take(&mut self.counts))
+    }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -8,6 +8,7 @@
 use crate::listener::{OpenConnections, StopSignal};
 use crate::metrics::RouterMetrics;
 use crate::news::{News, Origin};
+use crate::overflow::{OverflowAccount, OverflowOutcome};
 use crate::pool::Pool;
 use crate::runtime::{COMMON_TURN, Runtime, TURN_PERIOD};
 use crate::settings::RouterSettings;
@@ -58,6 +59,7 @@
     pub(crate) bodies: BodyBudget,
     pub(crate) stopping: Cell<bool>,
     overload: RefCell<OverloadGuard>,
+    overflow: RefCell<OverflowAccount>,
     outage: RefCell<OutageWatch>,
     /// A peer has something newer but could not be asked for it.
     pub(crate) peers_fail: Cell<bool>,
@@ -108,6 +110,7 @@
             lines: RefCell::default(),
             stopping: Cell::new(false),
             overload: RefCell::default(),
+            overflow: RefCell::default(),
             outage: RefCell::default(),
             peers_fail: Cell::new(false),
             news: News::default(),
@@ -246,6 +249,23 @@
         if self.stopping.get() { 0.0 } else { self.overload.borrow().offloaded_part() }
     }
 
+    /// A new connection was not simply served.
+    pub(crate) fn note_overflow(&self, outcome: OverflowOutcome) {
+        self.metrics.on_overflow(outcome);
+        self.overflow.borrow_mut().note(outcome);
+    }
+
+    /// Tells of the connections that were not simply served lately, a line a second at most.
+    fn tell_overflow(&self, now: Timestamp) {
+        let mut account = self.overflow.borrow_mut();
+        let full = self.open.take_refused();
+        self.metrics.on_full(full);
+        account.note_full(full);
+        if let Some(counts) = account.take_due(now) {
+            events::connections_overflowed(counts, self.overload.borrow().lateness());
+        }
+    }
+
     /// Whether it takes connections of a peer that has more to do than it carries.
     pub(crate) fn takes_offloaded(&self) -> bool {
         self.is_ready()
@@ -355,5 +375,6 @@
         if let Some(shedding) = changed {
             events::overload(shedding, self.overload.borrow().lateness(), turn);
         }
+        self.tell_overflow(now);
     }
 }
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -122,7 +122,8 @@
 
     fn consider(&mut self, now: Timestamp, demand: &Demand) -> Option<Considered> {
         let shares = self.shares(now);
-        let given = demand.tenant.as_ref().map_or(0.0, |tenant| shares.given(tenant));
+        let tenant = demand.tenant.as_deref().unwrap_or_default();
+        let rates_age = self.fleet.rates_age(now);
         let weighed = self.first_choice(now, demand)?;
         let engine = self.engines.get(&weighed.id)?;
         let load = engine.load();
@@ -132,7 +133,9 @@
             limit: self.concurrency_limit(now, engine).round() as u32,
             pending_prefill: load.prefill.tokens,
             predicted: weighed.predicted,
-            given,
+            asked: shares.asked(tenant),
+            given: shares.given(tenant),
+            rates_age,
             level: shares.level.is_finite().then_some(shares.level),
         })
     }
--- a/crates/routing/src/dispatch/fair_level.rs
+++ b/crates/routing/src/dispatch/fair_level.rs
@@ -22,6 +22,7 @@
 /// Tenants' rates over the fleet and the fair level.
 #[derive(Debug)]
 pub struct Shares {
+    asked: HashMap<String, f64>,
     given: HashMap<String, f64>,
     /// The most that a tenant is given before others go first, in tokens a second.
     pub level: f64,
@@ -31,7 +32,7 @@
     /// The shares that follow from rates asked and given by tenant. What is given shows what engines
     /// really make; the capacity of the configuration is a guess.
     pub fn new(
-        asked: &HashMap<String, f64>,
+        asked: HashMap<String, f64>,
         given: HashMap<String, f64>,
         capacity: Option<u64>,
         kind: FairCapacity,
@@ -46,7 +47,13 @@
             };
             water_level(&mut demands, shared)
         });
-        Self { given, level }
+        Self { asked, given, level }
+    }
+
+    /// Service that a tenant asks for, in tokens a second. What its callers ask for on connections that are closed unread is
+    /// not part of it.
+    pub fn asked(&self, tenant: &str) -> f64 {
+        self.asked.get(tenant).copied().unwrap_or(0.0)
     }
 
     /// Service given to a tenant, in tokens a second.
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -105,6 +105,8 @@
 #[derive(Debug)]
 struct HeldFigures {
     heard: Timestamp,
+    /// When the rates of tenants among them were told last; most messages leave them out.
+    rates_heard: Timestamp,
     /// The message that told them last.
     by: Included,
     figures: Figures,
@@ -189,6 +191,7 @@
         if let Some(figures) = digest.figures.filter(|_| counts) {
             let held = HeldFigures {
                 heard: now,
+                rates_heard: now,
                 by,
                 figures,
                 source_answers,
@@ -243,6 +246,7 @@
         };
         let held = HeldFigures {
             heard: now,
+            rates_heard: now,
             by,
             figures,
             source_answers: sum.source_answers,
@@ -286,6 +290,9 @@
     fn hold(&mut self, source: FiguresSource, mut held: HeldFigures, change: &mut FiguresChange) {
         change.added = Some(held.figures.clone());
         if let Some(earlier) = self.held.remove(&source) {
+            if held.figures.tenants.is_none() {
+                held.rates_heard = earlier.rates_heard;
+            }
             let newer = std::mem::replace(&mut held.figures, earlier.figures);
             change.removed.push(held.figures.replace(newer));
         }
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -122,6 +122,12 @@
         self.held.values().map(|held| now.since(held.heard)).max().unwrap_or_default()
     }
 
+    /// Time since the oldest rates of tenants that count were told to this router.
+    pub fn rates_age(&self, now: Timestamp) -> Duration {
+        let told = self.held.values().filter(|held| held.figures.tenants.is_some());
+        told.map(|held| now.since(held.rates_heard)).max().unwrap_or_default()
+    }
+
     fn figures(&self) -> impl Iterator<Item = &Figures> {
         self.held.values().map(|held| &held.figures)
     }
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -110,8 +110,12 @@
     pub pending_prefill: u64,
     /// Time to the first event as predicted.
     pub predicted: Duration,
+    /// Service that the tenant asks for over the fleet, in tokens a second.
+    pub asked: f64,
     /// Service given to the tenant over the fleet, in tokens a second.
     pub given: f64,
+    /// Time since the oldest of the rates that count was told to this router.
+    pub rates_age: Duration,
     /// The fair level, in tokens a second; none if all can be served.
     pub level: Option<f64>,
 }
--- a/crates/routing/src/dispatch/sharing.rs
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -72,6 +72,6 @@
     fn new_shares(&mut self, now: Timestamp) -> Shares {
         let own = self.usage.reports(now);
         let (asked, given) = self.fleet.tenant_rates(&own);
-        Shares::new(&asked, given, self.capacity, self.limits.policy.fair_capacity)
+        Shares::new(asked, given, self.capacity, self.limits.policy.fair_capacity)
     }
 }
