--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod offload;
 mod operations;
 mod outcome;
-mod overflow;
+pub mod overflow;
 pub mod own_dialect;
 mod paced;
 mod peers;
--- a/crates/routing/src/shares.rs
+++ b/crates/routing/src/shares.rs
@@ -1,5 +1,6 @@
 //! What tenants ask for and are given, and the fair level that follows from it.
 
+use crate::fading::FadingCount;
 use crate::figures::TenantReport;
 use mastbay_types::Timestamp;
 use std::collections::HashMap;
@@ -13,41 +14,28 @@
 /// requests reach a router in it at the load of the deployments.
 const LEAST_KEPT: Duration = Duration::from_millis(300);
 
-/// An amount a second, over a window that fades.
-#[derive(Debug, Clone, Copy, Default)]
-struct FadingRate {
-    amount: f64,
-    moved: Timestamp,
+/// Tokens that one tenant asked for and was given.
+#[derive(Debug, Clone, Copy)]
+struct TenantUsage {
+    asked: FadingCount,
+    given: FadingCount,
 }
 
-impl FadingRate {
-    fn fade(&mut self, now: Timestamp, window: Duration) {
-        let passed = now.since(self.moved).as_secs_f64() / window.as_secs_f64();
-        self.amount *= (-passed).exp();
-        self.moved = now;
-    }
-
-    fn add(&mut self, now: Timestamp, window: Duration, amount: f64) {
-        self.fade(now, window);
-        self.amount += amount;
+impl TenantUsage {
+    fn new(window: Duration) -> Self {
+        Self { asked: FadingCount::new(window), given: FadingCount::new(window) }
     }
 
-    /// The rate, for an account that has been kept for `kept`. What a window holds that is not full yet
-    /// is divided by the part that is, so that a router that has just started doesn't tell too little.
-    fn per_second(mut self, now: Timestamp, window: Duration, kept: Duration) -> f64 {
-        self.fade(now, window);
-        let kept = kept.max(LEAST_KEPT).as_secs_f64() / window.as_secs_f64();
-        let full = 1.0 - (-kept).exp();
-        self.amount / window.as_secs_f64() / full
+    /// The rates at `now`, in tokens a second. What a window holds that is not full yet is divided by the part that is, so
+    /// that a router that has just started doesn't tell too little.
+    fn rates(&self, now: Timestamp, window: Duration, kept: Duration) -> (f64, f64) {
+        let window = window.as_secs_f64();
+        let kept = kept.max(LEAST_KEPT).as_secs_f64() / window;
+        let full = window * (1.0 - (-kept).exp());
+        (self.asked.at(now) / full, self.given.at(now) / full)
     }
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct TenantUsage {
-    asked: FadingRate,
-    given: FadingRate,
-}
-
 /// One router's account of its tenants.
 #[derive(Debug)]
 pub struct Usage {
@@ -66,14 +54,17 @@
     /// A tenant asks for `cost` tokens of service.
     pub fn on_asked(&mut self, now: Timestamp, tenant: &Arc<str>, cost: u64) {
         self.began.get_or_insert(now);
-        let usage = self.tenants.entry(tenant.clone()).or_default();
-        usage.asked.add(now, self.window, cost as f64);
+        self.usage_of(tenant).asked.add(now, cost as f64);
     }
 
     /// A tenant is given `cost` tokens of service.
     pub fn on_given(&mut self, now: Timestamp, tenant: &Arc<str>, cost: u64) {
-        let usage = self.tenants.entry(tenant.clone()).or_default();
-        usage.given.add(now, self.window, cost as f64);
+        self.usage_of(tenant).given.add(now, cost as f64);
+    }
+
+    fn usage_of(&mut self, tenant: &Arc<str>) -> &mut TenantUsage {
+        let window = self.window;
+        self.tenants.entry(tenant.clone()).or_insert_with(|| TenantUsage::new(window))
     }
 
     /// The rates of all tenants that ask for anything or are given it, by name; the others are forgotten.
@@ -81,13 +72,12 @@
         let window = self.window;
         let kept = self.began.map_or(Duration::ZERO, |began| now.since(began));
         self.tenants.retain(|_, usage| {
-            let asked = usage.asked.per_second(now, window, kept);
-            asked.max(usage.given.per_second(now, window, kept)) >= FORGOTTEN_RATE
+            let (asked, given) = usage.rates(now, window, kept);
+            asked.max(given) >= FORGOTTEN_RATE
         });
-        let reports = self.tenants.iter().map(|(name, usage)| TenantReport {
-            name: name.to_string(),
-            asked: usage.asked.per_second(now, window, kept) as f32,
-            given: usage.given.per_second(now, window, kept) as f32,
+        let reports = self.tenants.iter().map(|(name, usage)| {
+            let (asked, given) = usage.rates(now, window, kept);
+            TenantReport { name: name.to_string(), asked: asked as f32, given: given as f32 }
         });
         let mut reports: Vec<TenantReport> = reports.collect();
         reports.sort_by(|left, right| left.name.cmp(&right.name));
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -361,6 +361,21 @@
     assert_eq!(counts.values().copied().collect::<Vec<_>>(), [4, 4]);
 }
 
+/// Without these two figures a tenant that is denied by old rates looks like one that asks for too much.
+#[test]
+fn a_refusal_tells_what_its_tenant_asks_for_and_how_old_the_rates_are() {
+    let mut fleet = vec![dispatcher(1, 1, 1), dispatcher(2, 1, 1)];
+    fleet[0].on_request(at(0), &demand(at(0), Some(prompt(1, 1, 50)), "t"));
+    place(&mut fleet[1], at(0), 1, 2).expect("room");
+    exchange_digests(at(0), &mut fleet);
+    wait(&mut fleet[1], at(100), "t", 3);
+    let verdicts = fleet[1].poll(at(250), 0.5);
+    let refusal = verdicts[0].1.as_ref().expect_err("refused");
+    let considered = refusal.considered.as_ref().expect("an engine came into question");
+    assert!(considered.asked > 0.0, "asked for at the other router");
+    assert_eq!(considered.rates_age, Duration::from_millis(250));
+}
+
 quickcheck! {
     /// Whatever is placed, ended and told, a fleet that is idle in the end knows that it is idle.
     fn figures_come_back_to_nothing(steps: Vec<(u8, u8, bool)>) -> bool {
