--- a/crates/web/src/tests.rs
+++ b/crates/web/src/tests.rs
@@ -8,7 +8,10 @@
 use hyper::{Request, Response};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
+use std::io::{Read, Write};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 const LIMIT: Duration = Duration::from_secs(10);
@@ -100,3 +103,65 @@
         assert!(TcpStream::connect(address).await.is_err());
     });
 }
+
+/// Stops of a server in a row, each under callers that connect all the time.
+const STOPS: usize = 60;
+/// Callers at a time.
+const CALLERS: usize = 6;
+/// Time for a connection: one that a stopping server does not answer is not let in.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+
+/// Calls until told to end. Gives the connections that were let in and broke without an answer.
+fn call_until(address: SocketAddr, over: &AtomicBool, answered: &AtomicUsize) -> usize {
+    let mut broken = 0;
+    while !over.load(Ordering::SeqCst) {
+        let connected = std::net::TcpStream::connect_timeout(&address, CONNECT_LIMIT);
+        let Ok(mut stream) = connected else { continue };
+        let asked = stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        let mut answer = String::new();
+        let read = asked.and_then(|()| stream.read_to_string(&mut answer));
+        if read.is_ok() && answer.ends_with("whole") {
+            answered.fetch_add(1, Ordering::SeqCst);
+        } else {
+            broken += 1;
+        }
+    }
+    broken
+}
+
+// Symptom: of 4,456 requests of callers that go on calling while each process is stopped and started again, one broke after
+// its bytes were sent.
+//
+// Sequence: the server is told to stop, takes all connections that wait, and closes its listener. A connection that the
+// operating system completes between the last look and the close is reset, with a request on it.
+//
+// Cause: nothing kept new handshakes away while the last connections were taken.
+//
+// What settled it: with 30 ms between the look and the close 25 to 40 requests of 4,000 break in the same way, with the
+// same words.
+#[test]
+fn a_stop_breaks_no_connection_that_was_let_in() {
+    smol::block_on(async {
+        let mut broken = 0;
+        for _ in 0..STOPS {
+            let (address, stopper, running) = serve(|_| Response::new(full("whole"))).await;
+            let over = Arc::new(AtomicBool::new(false));
+            let answered = Arc::new(AtomicUsize::new(0));
+            let caller = || {
+                let (over, answered) = (over.clone(), answered.clone());
+                smol::unblock(move || call_until(address, &over, &answered))
+            };
+            let callers: Vec<_> = (0..CALLERS).map(|_| caller()).collect();
+            while answered.load(Ordering::SeqCst) < CALLERS {
+                smol::future::yield_now().await;
+            }
+            stopper.stop();
+            within(LIMIT, running).await.expect("the server ends");
+            over.store(true, Ordering::SeqCst);
+            for caller in callers {
+                broken += caller.await;
+            }
+        }
+        assert_eq!(broken, 0, "connections that were let in broke in {STOPS} stops");
+    });
+}
