Tell a caller whose request a peer took when that peer dies

The late router was well and closed the connections with no answer.

Change: the copy knows whether bytes of the caller were copied since the last byte of an answer; if the peer's side ends then, the caller is told that the outcome is unknown. Not if the last answer ends the connection, since what follows it is not read, nor in an answer that has begun, which breaks visibly. Tests: a_caller_is_told_when_the_peer_that_took_its_request_dies gives "" without the change; nothing_is_added_to_an_answer_that_has_begun.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -1,5 +1,6 @@
 //! Connections of callers: served here, handed to a peer, or taken from one.
 
+use crate::dialect::OwnAnswer;
 use crate::events;
 use crate::line_budget::LineKind;
 use crate::listener::{ListenerLimits, LocalBody, Overflow, Overflowed, close_unread, serve};
@@ -93,7 +94,8 @@
                     Ok(offloaded) => {
                         router.note_overflow(OverflowOutcome::HandedOn);
                         let interval = router.offload_interval();
-                        offloaded.copy(router.runtime, caller, interval).await;
+                        let unanswered = unknown_outcome(&router);
+                        offloaded.copy(router.runtime, caller, interval, &unanswered).await;
                         return Overflowed::Done;
                     }
                     Err(error) if router.may_write_line(LineKind::Failure) => {
@@ -112,3 +114,16 @@
         })
     })
 }
+
+/// The answer to a caller whose request a peer took and did not answer, as bytes: its connection is copied unread, so nothing
+/// is known of the request.
+fn unknown_outcome(router: &Router) -> Vec<u8> {
+    let answer = OwnAnswer::UnknownOutcome;
+    let body = format!("{answer}\n");
+    let mut text = format!("HTTP/1.1 {}\r\n", answer.status());
+    for (name, value) in &router.seams.callers.own_headers(None, answer) {
+        text.push_str(&format!("{name}: {}\r\n", String::from_utf8_lossy(value.as_bytes())));
+    }
+    text.push_str(&format!("connection: close\r\ncontent-length: {}\r\n\r\n{body}", body.len()));
+    text.into_bytes()
+}
--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -14,6 +14,8 @@
 };
 
 const INTERVAL: Duration = Duration::from_millis(40);
+/// What a caller is sent whose request a peer took and did not answer.
+const UNANSWERED: &str = "HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\n\r\n";
 
 async fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
@@ -27,7 +29,7 @@
     let caller = TcpStream::connect(address).await.expect("connected");
     let (accepted, _) = listener.accept().await.expect("accepted");
     let offloaded = ask(runtime, bed.settings.digests).await.expect("taken");
-    runtime.spawn(offloaded.copy(runtime, accepted, INTERVAL)).detach();
+    runtime.spawn(offloaded.copy(runtime, accepted, INTERVAL, UNANSWERED.as_bytes())).detach();
     caller
 }
 
@@ -156,9 +158,58 @@
             std::io::Write::write_all(&mut caller, request.text().as_bytes()).expect("sent");
             drop(caller);
             let (accepted, _) = listener.accept().await.expect("accepted");
-            offloaded.copy(runtime, accepted, INTERVAL).await;
+            offloaded.copy(runtime, accepted, INTERVAL, UNANSWERED.as_bytes()).await;
         }
         assert_eq!(bed.call(&Request::new("/safe/last")).await.status, 200);
         assert_eq!(back_end.arrivals(), 1);
     });
 }
+
+/// Gives all that a caller gets whose connection is handed to a peer that takes a request, says `answer` and is killed.
+async fn told_when_the_peer_dies(runtime: Runtime, answer: &'static str) -> String {
+    let (peer, peer_address) = listener().await;
+    let dying = runtime.spawn(async move {
+        let (mut stream, _) = peer.accept().await.expect("accepted");
+        stream.write_all(GREETING).await.expect("greeted");
+        let mut request = [0; 1_024];
+        let length = stream.read(&mut request).await.expect("read");
+        assert!(length > 0);
+        stream.write_all(answer.as_bytes()).await.expect("answered");
+    });
+    let (callers, address) = listener().await;
+    let mut caller = TcpStream::connect(address).await.expect("connected");
+    let (accepted, _) = callers.accept().await.expect("accepted");
+    let offloaded = ask(runtime, peer_address).await.expect("taken");
+    let request = Request::new("/unsafe/x").kept().text();
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    offloaded.copy(runtime, accepted, INTERVAL, UNANSWERED.as_bytes()).await;
+    dying.await;
+    let mut told = String::new();
+    caller.read_to_string(&mut told).await.expect("closed");
+    told
+}
+
+// Symptom: four requests on connections of one router, which was well, ended at the same moment in closed connections, after engines had
+// begun to work on them.
+//
+// Sequence: a router that is late hands connections to a peer; the peer sends their requests to engines and is killed; the engines
+// see their connections close, and so do the callers.
+//
+// Cause: a connection is copied unread, and its end was copied as well, whether a request awaited its answer or not.
+//
+// What settled it: the requests reached engines from the peer, 0.02 s after they were sent to the first router, and the peer was killed
+// 0.1 s later.
+#[test]
+fn a_caller_is_told_when_the_peer_that_took_its_request_dies() {
+    run(async |runtime| assert_eq!(told_when_the_peer_dies(runtime, "").await, UNANSWERED));
+}
+
+#[test]
+fn nothing_is_added_to_an_answer_that_has_begun() {
+    run(async |runtime| {
+        let whole = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+        assert_eq!(told_when_the_peer_dies(runtime, whole).await, whole);
+        let part = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwh";
+        assert_eq!(told_when_the_peer_dies(runtime, part).await, part);
+    });
+}
