--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -8,6 +8,7 @@
 use mastbay_routing::{Considered, Demand, Placement, Refusal, TableEntry};
 use mastbay_types::Timestamp;
 use std::cell::RefCell;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
     pub tenant: Option<Arc<str>>,
     /// Its rank.
     pub priority: u32,
+    /// The router that handed its connection on, if it did not come from its caller.
+    pub handed_on_by: Option<IpAddr>,
     /// When its head came.
     pub arrived: Timestamp,
     /// When it must have its final answer.
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -4,7 +4,7 @@
 use crate::events;
 use crate::line_budget::LineKind;
 use crate::listener::{ListenerLimits, LocalBody, Overflow, Overflowed, close_unread, serve};
-use crate::offload;
+use crate::offload::{self, Copied};
 use crate::overflow::OverflowOutcome;
 use crate::router::Router;
 use crate::serve::serve_request;
@@ -12,8 +12,9 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use smol::net::TcpListener;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time for which a connection that a peer handed over may rest: a second longer than its caller is told.
 const OFFLOADED_IDLE: Duration = Duration::from_secs(2);
@@ -35,7 +36,10 @@
     let asked = router.clone();
     let limits = move || ListenerLimits { overflow_part: asked.overflow_part(), ..limits(&asked) };
     let serving = router.clone();
-    let handler = move |request| serve_request(serving.clone(), request);
+    let handler = move |_| {
+        let serving = serving.clone();
+        move |request| serve_request(serving.clone(), None, request)
+    };
     let (stop, open) = (router.stop.clone(), router.open.clone());
     let own = serve(runtime, callers, limits, overflow(router), stop, open, handler);
     let offloaded = serve_offloaded(router.clone(), offloaded);
@@ -55,16 +59,20 @@
         ..limits(&asked)
     };
     let serving = router.clone();
-    let handler = move |request| serve_offloaded_request(serving.clone(), request);
+    let handler = move |from: SocketAddr| {
+        let serving = serving.clone();
+        move |request| serve_offloaded_request(serving.clone(), from.ip(), request)
+    };
     let (stop, open) = (router.stop.clone(), router.open.clone());
     serve(router.runtime, listener, limits, close_unread(), stop, open, handler).await;
 }
 
 async fn serve_offloaded_request(
     router: Rc<Router>,
+    handed_on_by: IpAddr,
     request: Request<Incoming>,
 ) -> Response<LocalBody> {
-    let mut response = serve_request(router, request).await;
+    let mut response = serve_request(router, Some(handed_on_by), request).await;
     response.headers_mut().insert(KEEP_ALIVE, HeaderValue::from_static(OFFLOADED_KEEP_ALIVE));
     response
 }
@@ -95,7 +103,11 @@
                         router.note_overflow(OverflowOutcome::HandedOn);
                         let interval = router.offload_interval();
                         let unanswered = unknown_outcome(&router);
-                        offloaded.copy(router.runtime, caller, interval, &unanswered).await;
+                        let began = Instant::now();
+                        let copied = offloaded.copy(router.runtime, caller, interval, &unanswered);
+                        if copied.await == Copied::Unanswered {
+                            note_unanswered(&router, peer, began.elapsed());
+                        }
                         return Overflowed::Done;
                     }
                     Err(error) if router.may_write_line(LineKind::Failure) => {
@@ -115,6 +127,14 @@
     })
 }
 
+fn note_unanswered(router: &Router, peer: SocketAddr, waited: Duration) {
+    router.note_overflow(OverflowOutcome::Unanswered);
+    router.metrics.on_own_answer(OwnAnswer::UnknownOutcome);
+    if router.may_write_line(LineKind::Failure) {
+        events::handed_on_unanswered(peer, waited);
+    }
+}
+
 /// The answer to a caller whose request a peer took and did not answer, as bytes: its connection is copied unread, so nothing
 /// is known of the request.
 fn unknown_outcome(router: &Router) -> Vec<u8> {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -11,7 +11,7 @@
     BackEndList, BackEndState, Considered, EvacuatedZones, Fault, Placement, Role, RouteTable, Turn,
 };
 use mastbay_types::Timestamp;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// A request ended. What decided against it follows if it was refused.
@@ -34,6 +34,7 @@
         reason = outcome.reason,
         route = %call.entry.route.name,
         configuration = call.entry.version,
+        handed_on_by = call.handed_on_by.map(|router| router.to_string()),
         tenant = call.tenant.as_deref().unwrap_or(""),
         service = %call.service,
         back_end,
@@ -63,6 +64,7 @@
         reason = outcome.reason,
         route = %call.entry.route.name,
         configuration = call.entry.version,
+        handed_on_by = call.handed_on_by.map(|router| router.to_string()),
         tenant = call.tenant.as_deref().unwrap_or(""),
         service = %call.service,
         back_end = %considered.back_end,
@@ -86,7 +88,12 @@
 }
 
 /// A request was answered before it was routed.
-pub fn turned_away(request_id: Option<&str>, answer: OwnAnswer, versions: (u64, u64)) {
+pub fn turned_away(
+    request_id: Option<&str>,
+    answer: OwnAnswer,
+    versions: (u64, u64),
+    handed_on_by: Option<IpAddr>,
+) {
     tracing::info!(
         event = "request_turned_away",
         request = request_id.unwrap_or(""),
@@ -94,6 +101,7 @@
         status = answer.status().as_u16(),
         configuration = versions.0,
         back_ends = versions.1,
+        handed_on_by = handed_on_by.map(|router| router.to_string()),
     );
 }
 
@@ -137,6 +145,7 @@
         routes = configuration.routes.len(),
         services = configuration.services.len(),
         tenants = configuration.tenants.len(),
+        peer = origin.peer().map(|peer| peer.to_string()),
         source = %origin,
     );
 }
@@ -167,10 +176,11 @@
 /// New connections of callers were not simply served since the last such line. `turned_away` and `full` were closed unread, so
 /// they are part of no tenant's rate.
 pub fn connections_overflowed(counts: OverflowCounts, lateness: f64) {
-    let OverflowCounts { handed_on, kept_here, turned_away, full } = counts;
+    let OverflowCounts { handed_on, unanswered, kept_here, turned_away, full } = counts;
     tracing::info!(
         event = "connections_overflowed",
         handed_on,
+        unanswered,
         kept_here,
         turned_away,
         full,
@@ -183,6 +193,15 @@
     tracing::info!(event = "connection_not_offloaded", peer = %peer, reason = %error);
 }
 
+/// A peer took a connection with a request and ended it without any answer.
+pub fn handed_on_unanswered(peer: SocketAddr, waited: Duration) {
+    tracing::warn!(
+        event = "handed_on_unanswered",
+        peer = %peer,
+        waited_ms = milliseconds(waited),
+    );
+}
+
 /// A peer was heard for the first time.
 pub fn peer_heard(peer: SocketAddr, routers: usize) {
     tracing::info!(event = "peer_heard", peer = %peer, routers);
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -123,7 +123,7 @@
 }
 
 /// Serves connections until the stop is signalled, then until the last has ended. `limits` are asked for
-/// each connection, since a configuration may change them.
+/// each connection, since a configuration may change them, and so is `handler`, by the address that connects.
 pub async fn serve<H, F>(
     runtime: Runtime,
     listener: TcpListener,
@@ -131,9 +131,9 @@
     overflow: Overflow,
     stop: StopSignal,
     open: OpenConnections,
-    handler: H,
+    handler: impl Fn(SocketAddr) -> H,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<LocalBody>> + 'static,
 {
     let (alive, all_ended) = smol::channel::bounded::<Infallible>(1);
@@ -152,12 +152,12 @@
                 open.note_refused();
                 runtime.sleep(FULL_PAUSE).await;
             }
-            Some(Ok((stream, _))) => {
+            Some(Ok((stream, from))) => {
                 let limits = limits();
                 let overflows =
                     limits.overflow_part > 0.0 && rand::random::<f64>() < limits.overflow_part;
                 let overflow = overflows.then(|| overflow.clone());
-                let (handler, stop, alive) = (handler.clone(), stop.clone(), alive.clone());
+                let (handler, stop, alive) = (handler(from), stop.clone(), alive.clone());
                 let counted = Counted::new(&open);
                 let task = runtime.spawn(async move {
                     let here = match overflow {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -80,7 +80,7 @@
         match outcome {
             OverflowOutcome::HandedOn => self.offloaded.inc(),
             OverflowOutcome::TurnedAway => self.closed_unread.inc(),
-            OverflowOutcome::KeptHere => return,
+            OverflowOutcome::Unanswered | OverflowOutcome::KeptHere => return,
         };
     }
 
--- a/crates/router/src/news.rs
+++ b/crates/router/src/news.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 use smol::channel::{Receiver, Sender};
+use std::net::SocketAddr;
 
 /// Where a configuration or a list of back ends came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -9,9 +10,19 @@
     /// The router's own source.
     #[display("source")]
     Source,
-    /// Another router.
+    /// Another router, by the address where it hands out snapshots.
     #[display("peer")]
-    Peer,
+    Peer(SocketAddr),
+}
+
+impl Origin {
+    /// The other router, if it came from one.
+    pub fn peer(self) -> Option<SocketAddr> {
+        match self {
+            Self::Source => None,
+            Self::Peer(address) => Some(address),
+        }
+    }
 }
 
 /// Wakes one task; giving it again before that changes nothing.
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -67,7 +67,7 @@
         mut caller: TcpStream,
         interval: Duration,
         unanswered: &[u8],
-    ) {
+    ) -> Copied {
         // A stream that refuses the option still works.
         let _ = caller.set_nodelay(true);
         // A task of its own: polled together, each piece of an answer would cost a vain read of the caller's side. With
@@ -83,10 +83,21 @@
         if copied != Err(BrokenSide::Caller) && progress.is_answer_due() {
             // A caller that has gone too needs no word. Both connections are closed by dropping them.
             let _ = caller.write_all(unanswered).await;
+            return Copied::Unanswered;
         }
+        Copied::Whole
     }
 }
 
+/// How the copying of a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Copied {
+    /// By either side, and no answer was due.
+    Whole,
+    /// The peer gave no answer to a request.
+    Unanswered,
+}
+
 /// How far a connection that is copied unread has come.
 #[derive(Debug, Clone, Default)]
 struct Progress(Rc<ProgressCells>);
--- a/crates/router/src/overflow.rs
+++ b/crates/router/src/overflow.rs
@@ -14,6 +14,8 @@
 pub enum OverflowOutcome {
     /// A peer took it.
     HandedOn,
+    /// A peer took it and gave no answer to a request.
+    Unanswered,
     /// No peer took it, and it was served here.
     KeptHere,
     /// No peer took it, and it was closed unread.
@@ -25,6 +27,8 @@
 pub struct OverflowCounts {
     /// Those that a peer took.
     pub handed_on: u32,
+    /// Those that a peer took and that ended without an answer to a request.
+    pub unanswered: u32,
     /// Those that no peer took and that were served here.
     pub kept_here: u32,
     /// Those that no peer took and that were closed unread.
@@ -45,6 +49,7 @@
     pub fn note(&mut self, outcome: OverflowOutcome) {
         let count = match outcome {
             OverflowOutcome::HandedOn => &mut self.counts.handed_on,
+            OverflowOutcome::Unanswered => &mut self.counts.unanswered,
             OverflowOutcome::KeptHere => &mut self.counts.kept_here,
             OverflowOutcome::TurnedAway => &mut self.counts.turned_away,
         };
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -149,13 +149,13 @@
     }
     let Ok(snapshot) = rmp_serde::from_slice::<Snapshot>(&reply.body) else { return false };
     if let Some(configuration) = snapshot.configuration {
-        router.offer_configuration(configuration, Origin::Peer);
+        router.offer_configuration(configuration, Origin::Peer(address));
     }
     if let Some(back_ends) = snapshot.back_ends {
-        router.offer_back_ends(back_ends, Origin::Peer);
+        router.offer_back_ends(back_ends, Origin::Peer(address));
     }
     if let Some(evacuations) = snapshot.evacuations {
-        router.offer_evacuations(evacuations, Origin::Peer);
+        router.offer_evacuations(evacuations, Origin::Peer(address));
     }
     true
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -13,6 +13,7 @@
 use mastbay_types::Timestamp;
 use mastbay_web::{ReadBodyError, read_limited};
 use std::cell::RefCell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,11 +23,15 @@
 /// Time that the body of a request may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
-/// Serves one request.
-pub async fn serve_request(router: Rc<Router>, request: Request<Incoming>) -> Response<LocalBody> {
-    let arrived = router.now();
+/// Serves one request. `handed_on_by` is the router that handed its connection on, if any did.
+pub async fn serve_request(
+    router: Rc<Router>,
+    handed_on_by: Option<IpAddr>,
+    request: Request<Incoming>,
+) -> Response<LocalBody> {
+    let arrival = Arrival { at: router.now(), handed_on_by };
     let (parts, body) = request.into_parts();
-    let mut response = match accept(&router, arrived, parts, body).await {
+    let mut response = match accept(&router, arrival, parts, body).await {
         Ok(call) => Exchange::run(&router, Rc::new(call)).await,
         Err(refused) => own_answer(&router, refused.request_id.as_deref(), refused.answer),
     };
@@ -36,6 +41,15 @@
     response
 }
 
+/// When a request came, and by whom.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Arrival {
+    /// When its head was read.
+    at: Timestamp,
+    /// The router that handed its connection on.
+    handed_on_by: Option<IpAddr>,
+}
+
 /// A request that is answered before it is routed.
 struct Refused {
     request_id: Option<String>,
@@ -44,12 +58,12 @@
 
 async fn accept(
     router: &Rc<Router>,
-    arrived: Timestamp,
+    arrival: Arrival,
     parts: http::request::Parts,
     body: Incoming,
 ) -> Result<Call, Refused> {
     let refused = |request_id: Option<String>, answer| {
-        events::turned_away(request_id.as_deref(), answer, router.versions());
+        events::turned_away(request_id.as_deref(), answer, router.versions(), arrival.handed_on_by);
         router.metrics.on_own_answer(answer);
         Refused { request_id, answer }
     };
@@ -74,14 +88,14 @@
             return Err(refused(Some(head.request_id), OwnAnswer::Malformed));
         }
     };
-    let routed = route(router, arrived, parts, head, Body { bytes: body, share });
+    let routed = route(router, arrival, parts, head, Body { bytes: body, share });
     routed.map_err(|(id, answer)| refused(Some(id), answer))
 }
 
 /// Finds the route and the tenant of a request in the configuration that is in force now.
 fn route(
     router: &Router,
-    arrived: Timestamp,
+    arrival: Arrival,
     parts: http::request::Parts,
     head: CallerHead,
     body: Body,
@@ -111,8 +125,9 @@
         entry,
         service,
         priority,
-        arrived,
-        deadline: arrived + held,
+        handed_on_by: arrival.handed_on_by,
+        arrived: arrival.at,
+        deadline: arrival.at + held,
         trace: RefCell::default(),
     })
 }
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -131,7 +131,7 @@
             close_unread(),
             never.clone(),
             OpenConnections::default(),
-            handler,
+            move |_| handler.clone(),
         ))
         .detach();
     let asked = router.clone();
@@ -147,7 +147,7 @@
             close_unread(),
             never,
             OpenConnections::default(),
-            handler,
+            move |_| handler.clone(),
         ))
         .detach();
 }
--- a/crates/router/tests/overflow.rs
+++ b/crates/router/tests/overflow.rs
@@ -17,7 +17,8 @@
     account.note(OverflowOutcome::TurnedAway);
     account.note_full(3);
     let told = account.take_due(Timestamp::from_millis(1_000));
-    let expected = OverflowCounts { handed_on: 1, kept_here: 0, turned_away: 1, full: 3 };
+    let expected =
+        OverflowCounts { handed_on: 1, unanswered: 0, kept_here: 0, turned_away: 1, full: 3 };
     assert_eq!(told, Some(expected));
     account.note(OverflowOutcome::KeptHere);
     assert_eq!(account.take_due(Timestamp::from_millis(1_900)), None);
