Hand a connection on only to a peer with the same configuration, for one request, within the request's time

Changes reach routers up to a second apart on busy processors, so callers of one address met versions in turn; a peer that stood still held their answers.

Now a connection is handed on once its request has come; the greeting tells the version by which the peer serves it, and it is handed on only if that is the own one; the peer keeps to that version and ends the connection with the answer; the caller is told once the request's time is over. Left from before: the answer to such a caller is built when it is needed.

Weighed and not taken: deciding by digests (members hear each other every 3.4 s); taking connections back when a version changes (an unread connection does not tell where an answer ends); a shorter life (a resting connection still crosses a change).

--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -9,6 +9,18 @@
 use crate::router::Router;
 use hyper::Response;
 
+/// The bytes of an answer of the router's own, after which the connection ends.
+pub fn own_answer_bytes(router: &Router, request_id: Option<&str>, answer: OwnAnswer) -> Vec<u8> {
+    let body = format!("{answer}\n");
+    let mut bytes = format!("HTTP/1.1 {}\r\n", answer.status()).into_bytes();
+    for (name, value) in &router.seams.callers.own_headers(request_id, answer) {
+        bytes.extend([name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"].concat());
+    }
+    let end = format!("connection: close\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    bytes.extend(end.into_bytes());
+    bytes
+}
+
 /// An answer of the router's own.
 pub fn own_answer(
     router: &Router,
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -4,7 +4,7 @@
 use crate::dialect::OwnAnswer;
 use crate::line_budget::LeftOut;
 use crate::news::Origin;
-use crate::offload::OffloadError;
+use crate::offload::{Loss, OffloadError};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use mastbay_routing::{
@@ -190,14 +190,24 @@
 
 /// A peer did not take a connection.
 pub fn not_offloaded(peer: SocketAddr, error: &OffloadError) {
-    tracing::info!(event = "connection_not_offloaded", peer = %peer, reason = %error);
+    let version = match error {
+        OffloadError::OtherConfiguration { peer } => Some(*peer),
+        OffloadError::Unreachable(_) | OffloadError::NoRoom | OffloadError::Silent => None,
+    };
+    tracing::info!(
+        event = "connection_not_offloaded",
+        peer = %peer,
+        reason = %error,
+        configuration = version,
+    );
 }
 
-/// A peer took a connection with a request and ended it without any answer.
-pub fn handed_on_unanswered(peer: SocketAddr, waited: Duration) {
+/// A peer took a connection with a request and gave no answer.
+pub fn handed_on_unanswered(peer: SocketAddr, loss: Loss, waited: Duration) {
     tracing::warn!(
         event = "handed_on_unanswered",
         peer = %peer,
+        reason = %loss,
         waited_ms = milliseconds(waited),
     );
 }
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -2,7 +2,6 @@
 
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -19,8 +18,9 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use crate::offload::GREETING_LENGTH;
 use crate::runtime::Runtime;
 
 /// The body of an answer; it need not leave the router's thread.
@@ -42,10 +42,8 @@
     pub idle_time: Duration,
     /// Part of the new connections that are not served but left to the listener's [`Overflow`].
     pub overflow_part: f64,
-    /// Time after which the next answer ends a connection, if there is any.
-    pub longest_life: Option<Duration>,
-    /// What is sent before anything is read, empty for ordinary callers.
-    pub greeting: &'static [u8],
+    /// What is sent before anything is read, to routers that hand a connection on.
+    pub greeting: Option<[u8; GREETING_LENGTH]>,
 }
 
 /// What became of a connection that a listener does not serve itself.
@@ -230,19 +228,14 @@
 {
     // A stream that refuses the option still works.
     let _ = stream.set_nodelay(true);
-    if !limits.greeting.is_empty() && stream.write_all(limits.greeting).await.is_err() {
+    if let Some(greeting) = limits.greeting
+        && stream.write_all(&greeting).await.is_err()
+    {
         return;
     }
-    let ends = limits.longest_life.map(|life| Instant::now() + life);
     let service = service_fn(move |request| {
         let answer = handler(request);
-        async move {
-            let mut answer = answer.await;
-            if ends.is_some_and(|ends| Instant::now() >= ends) {
-                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(answer)
-        }
+        async move { Ok::<_, Infallible>(answer.await) }
     });
     let connection = http1::Builder::new()
         .timer(runtime.http_timer())
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -3,6 +3,9 @@
 //! The connection is copied byte by byte and not read, which costs a fraction of serving its requests, and what comes
 //! back is copied at intervals. The peer greets before the first byte of the caller goes out, so a connection that no
 //! peer takes is whole and can still be served or closed here. Connections that a peer was handed go no further.
+//!
+//! Both routers have the same configuration in force when a connection is handed on, the peer serves it by that one, and it
+//! carries one request: whatever comes in force later at either of them, callers of one address meet one configuration.
 
 use crate::runtime::Runtime;
 use derive_more::{Display, Error};
@@ -16,8 +19,10 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-/// What a peer sends first on a connection that it takes.
-pub const GREETING: &[u8] = b"+";
+/// Length of a greeting, in bytes.
+pub const GREETING_LENGTH: usize = 9;
+/// What a greeting begins with.
+const TAKEN: u8 = b'+';
 /// Time for a peer to take a connection: several times a round trip between machines of a zone.
 const GREETING_LIMIT: Duration = Duration::from_millis(150);
 /// Bytes copied at a time.
@@ -25,6 +30,21 @@
 /// Reads of an answer that are not delayed: its head may come before its first event.
 const PROMPT_READS: u32 = 2;
 
+/// What a peer sends first on a connection that it takes: a plus sign and the version of the configuration that it serves it by,
+/// in eight bytes, the highest first.
+pub fn greeting(version: u64) -> [u8; GREETING_LENGTH] {
+    let mut greeting = [TAKEN; GREETING_LENGTH];
+    greeting[1..].copy_from_slice(&version.to_be_bytes());
+    greeting
+}
+
+/// The version that a greeting tells; nothing if it is none.
+fn greeted_version(greeting: [u8; GREETING_LENGTH]) -> Option<u64> {
+    let (first, version) = greeting.split_first()?;
+    let version = version.try_into().ok().map(u64::from_be_bytes);
+    version.filter(|_| *first == TAKEN)
+}
+
 /// Why a peer did not take a connection.
 #[derive(Debug, Display, Error)]
 pub enum OffloadError {
@@ -37,36 +57,51 @@
     /// It was silent.
     #[display("silent")]
     Silent,
+    /// It has another version of the configuration in force.
+    #[display("other_configuration")]
+    OtherConfiguration {
+        /// That version.
+        peer: u64,
+    },
 }
 
 /// A connection to a peer that has taken one of this router's callers.
 pub struct Offloaded(TcpStream);
 
-/// Asks a peer to take a connection.
+/// Asks a peer to take a connection, which it must serve by version `version` of the configuration.
 ///
 /// # Errors
 /// If it does not.
-pub async fn ask(runtime: Runtime, peer: SocketAddr) -> Result<Offloaded, OffloadError> {
+pub async fn ask(
+    runtime: Runtime,
+    peer: SocketAddr,
+    version: u64,
+) -> Result<Offloaded, OffloadError> {
     let greeted = async {
         let mut stream = TcpStream::connect(peer).await.map_err(OffloadError::Unreachable)?;
         // A stream that refuses the option still works.
         let _ = stream.set_nodelay(true);
-        let mut greeting = [0; GREETING.len()];
+        let mut greeting = [0; GREETING_LENGTH];
         stream.read_exact(&mut greeting).await.map_err(|_| OffloadError::NoRoom)?;
-        if greeting == GREETING { Ok(Offloaded(stream)) } else { Err(OffloadError::NoRoom) }
+        // A change reaches routers up to a second apart. Without this callers of one address were answered by a newer version and
+        // 0.29 s later by an older one, as 85 processes with changes in series showed.
+        match greeted_version(greeting) {
+            Some(peer) if peer == version => Ok(Offloaded(stream)),
+            Some(peer) => Err(OffloadError::OtherConfiguration { peer }),
+            None => Err(OffloadError::NoRoom),
+        }
     };
     runtime.within(GREETING_LIMIT, greeted).await.unwrap_or(Err(OffloadError::Silent))
 }
 
 impl Offloaded {
-    /// Copies both ways until either side closes. Answers are copied at `interval` after their beginning. A caller whose
-    /// request the peer took and of whose answer no byte came is sent `unanswered`.
+    /// Copies both ways until either side closes, for `limit` at most. Answers are copied at `interval` after their beginning.
     pub async fn copy(
         self,
         runtime: Runtime,
-        mut caller: TcpStream,
+        caller: TcpStream,
         interval: Duration,
-        unanswered: &[u8],
+        limit: Duration,
     ) -> Copied {
         // A stream that refuses the option still works.
         let _ = caller.set_nodelay(true);
@@ -76,26 +111,45 @@
         let progress = Progress::default();
         let requests = copy_requests(caller.clone(), self.0.clone(), progress.clone());
         let requests = runtime.spawn(requests);
-        let copied = copy_answers(runtime, self.0, caller.clone(), interval, &progress).await;
+        let answers = copy_answers(runtime, self.0, caller.clone(), interval, &progress);
+        // A peer that stands still neither answers nor closes: its callers got no answer until it went on, 0.38 s after the time-out
+        // of a route of 1 s on 85 processes, and for as long as the peer stood still where it took longer.
+        let copied = runtime.within(limit, answers).await;
         drop(requests);
-        // The peer has gone, killed most likely: without a word each caller would see its connection close. With four requests
-        // lost so at one moment a router that is well counts as one that drops requests.
-        if copied != Err(BrokenSide::Caller) && progress.is_answer_due() {
-            // A caller that has gone too needs no word. Both connections are closed by dropping them.
-            let _ = caller.write_all(unanswered).await;
-            return Copied::Unanswered;
-        }
-        Copied::Whole
+        let loss = match copied {
+            Ok(Err(BrokenSide::Caller)) => return Copied::Ended,
+            Ok(Ok(()) | Err(BrokenSide::Peer)) => Loss::PeerGone,
+            Err(_) => Loss::PeerSilent,
+        };
+        // Without a word each caller would see its connection close. With four requests lost so at one moment a router that is
+        // well counts as one that drops requests.
+        if progress.is_answer_due() { Copied::Unanswered { caller, loss } } else { Copied::Ended }
     }
 }
 
 /// How the copying of a connection ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Copied {
-    /// By either side, and no answer was due.
-    Whole,
-    /// The peer gave no answer to a request.
-    Unanswered,
+    /// By either side, and no answer was due, or it had begun.
+    Ended,
+    /// The peer gave no byte of an answer to a request, and the caller waits.
+    Unanswered {
+        /// The caller.
+        caller: TcpStream,
+        /// Why there was none.
+        loss: Loss,
+    },
+}
+
+/// Why a peer gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Loss {
+    /// Its connection ended.
+    #[display("gone")]
+    PeerGone,
+    /// It was silent for as long as the request may take.
+    #[display("silent")]
+    PeerSilent,
 }
 
 /// How far a connection that is copied unread has come.
@@ -104,33 +158,29 @@
 
 #[derive(Debug, Default)]
 struct ProgressCells {
-    /// Bytes of the caller were copied since the last byte of an answer: a request awaits its answer.
-    awaits: Cell<bool>,
-    /// The last answer ends the connection: what the caller sends after it is not read.
-    ends: Cell<bool>,
+    /// Bytes of a request were copied.
+    is_asked: Cell<bool>,
+    /// Bytes of its answer were copied.
+    is_answered: Cell<bool>,
+    /// The caller has closed and waits for nothing.
+    has_left: Cell<bool>,
 }
 
-/// The header of an answer that ends its connection, as routers write it.
-const ENDS_CONNECTION: &[u8] = b"\r\nconnection: close\r\n";
-
 impl Progress {
     fn on_request(&self) {
-        self.0.awaits.set(true);
+        self.0.is_asked.set(true);
     }
 
-    fn on_answer(&self, bytes: &[u8]) {
-        if self.0.awaits.replace(false) {
-            let mut windows = bytes.windows(ENDS_CONNECTION.len());
-            self.0.ends.set(windows.any(|window| window == ENDS_CONNECTION));
-        }
+    fn on_answer(&self) {
+        self.0.is_answered.set(true);
     }
 
     fn on_caller_closed(&self) {
-        self.0.awaits.set(false);
+        self.0.has_left.set(true);
     }
 
     fn is_answer_due(&self) -> bool {
-        self.0.awaits.get() && !self.0.ends.get()
+        self.0.is_asked.get() && !self.0.is_answered.get() && !self.0.has_left.get()
     }
 }
 
@@ -187,7 +237,7 @@
             let length = ready!(Pin::new(&mut *peer).poll_read(context, buffer));
             let length = length.map_err(|_| BrokenSide::Peer)?;
             if length > 0 {
-                progress.on_answer(&buffer[..length]);
+                progress.on_answer();
             }
             let unwritten = write_some(caller, context, &buffer[..length]);
             let unwritten = unwritten.map_err(|_| BrokenSide::Caller)?;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -6,10 +6,12 @@
 use crate::events;
 use crate::exchange::Exchange;
 use crate::listener::LocalBody;
+use crate::peeked::host;
 use crate::router::Router;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, http};
+use mastbay_routing::{Route, RouteTable};
 use mastbay_types::Timestamp;
 use mastbay_web::{ReadBodyError, read_limited};
 use std::cell::RefCell;
@@ -23,13 +25,45 @@
 /// Time that the body of a request may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
-/// Serves one request. `handed_on_by` is the router that handed its connection on, if any did.
+/// How a request came here.
+#[derive(Debug, Clone)]
+pub enum Way {
+    /// From its caller.
+    Direct,
+    /// By a router that handed its connection on.
+    HandedOn {
+        /// That router.
+        by: IpAddr,
+        /// The configuration that this router had in force when it took the connection, as the other one did.
+        table: Option<Rc<RouteTable>>,
+    },
+}
+
+impl Way {
+    /// The router that handed the connection on, if any did.
+    fn handed_on_by(&self) -> Option<IpAddr> {
+        match self {
+            Self::Direct => None,
+            Self::HandedOn { by, .. } => Some(*by),
+        }
+    }
+
+    /// The configuration that decides.
+    fn table(&self, router: &Router) -> Option<Rc<RouteTable>> {
+        match self {
+            Self::Direct => router.table(),
+            Self::HandedOn { table, .. } => table.clone(),
+        }
+    }
+}
+
+/// Serves one request.
 pub async fn serve_request(
     router: Rc<Router>,
-    handed_on_by: Option<IpAddr>,
+    way: Way,
     request: Request<Incoming>,
 ) -> Response<LocalBody> {
-    let arrival = Arrival { at: router.now(), handed_on_by };
+    let arrival = Arrival { at: router.now(), way };
     let (parts, body) = request.into_parts();
     let mut response = match accept(&router, arrival, parts, body).await {
         Ok(call) => Exchange::run(&router, Rc::new(call)).await,
@@ -41,13 +75,12 @@
     response
 }
 
-/// When a request came, and by whom.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// When a request came, and how.
+#[derive(Debug, Clone)]
 struct Arrival {
     /// When its head was read.
     at: Timestamp,
-    /// The router that handed its connection on.
-    handed_on_by: Option<IpAddr>,
+    way: Way,
 }
 
 /// A request that is answered before it is routed.
@@ -62,14 +95,16 @@
     parts: http::request::Parts,
     body: Incoming,
 ) -> Result<Call, Refused> {
+    let handed_on_by = arrival.way.handed_on_by();
     let refused = |request_id: Option<String>, answer| {
-        events::turned_away(request_id.as_deref(), answer, router.versions(), arrival.handed_on_by);
+        events::turned_away(request_id.as_deref(), answer, router.versions(), handed_on_by);
         router.metrics.on_own_answer(answer);
         Refused { request_id, answer }
     };
     let head = router.seams.callers.read(&parts);
     let head = head.map_err(|_| refused(None, OwnAnswer::Malformed))?;
-    let limits = router.table().map(|table| table.configuration().limits).unwrap_or_default();
+    let table = arrival.way.table(router);
+    let limits = table.map(|table| table.configuration().limits).unwrap_or_default();
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > limits.body_bytes as u64) {
         return Err(refused(Some(head.request_id), OwnAnswer::TooLarge));
@@ -92,7 +127,7 @@
     routed.map_err(|(id, answer)| refused(Some(id), answer))
 }
 
-/// Finds the route and the tenant of a request in the configuration that is in force now.
+/// Finds the route and the tenant of a request in the configuration that decides now that it has come whole.
 fn route(
     router: &Router,
     arrival: Arrival,
@@ -101,9 +136,9 @@
     body: Body,
 ) -> Result<Call, (String, OwnAnswer)> {
     let unknown_yet = OwnAnswer::NotRun { retry_after: Some(UNCONFIGURED_PAUSE) };
-    let Some(table) = router.table() else { return Err((head.request_id, unknown_yet)) };
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let Some(entry) = table.route(host, parts.uri.path()) else {
+    let table = arrival.way.table(router);
+    let Some(table) = table else { return Err((head.request_id, unknown_yet)) };
+    let Some(entry) = table.route(host(&parts), parts.uri.path()) else {
         return Err((head.request_id, OwnAnswer::NoRoute));
     };
     let tenant = head.key.as_deref().and_then(|key| table.tenant(key));
@@ -114,7 +149,7 @@
     let Some(service) = entry.service(rand::random()).map(str::to_owned) else {
         return Err((head.request_id, unknown_yet));
     };
-    let held = head.time_left.map_or(entry.route.timeout, |left| left.min(entry.route.timeout));
+    let deadline = arrival.at + time_allowed(&head, &entry.route);
     Ok(Call {
         tenant: tenant.map(|tenant| Arc::from(tenant.name.as_str())),
         head,
@@ -125,12 +160,17 @@
         entry,
         service,
         priority,
-        handed_on_by: arrival.handed_on_by,
+        handed_on_by: arrival.way.handed_on_by(),
         arrived: arrival.at,
-        deadline: arrival.at + held,
+        deadline,
         trace: RefCell::default(),
     })
 }
 
+/// Time that a request may take: as long as its caller waits, and no longer than its route allows.
+pub fn time_allowed(head: &CallerHead, route: &Route) -> Duration {
+    head.time_left.map_or(route.timeout, |left| left.min(route.timeout))
+}
+
 /// When a caller may come back to a router that knows no configuration yet.
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -113,8 +113,7 @@
         head_bytes: 8 << 10,
         idle_time: Duration::from_secs(30),
         overflow_part: 0.0,
-        longest_life: None,
-        greeting: &[],
+        greeting: None,
     };
     let never = StopSignal::default();
     let asked = router.clone();
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -105,11 +105,14 @@
     }
 
     /// Peers of this router's zone that may take connections off it: one drawn among those with much more processor,
-    /// then one among all, each by its processor. `draws` are uniform in 0..1.
+    /// then one among all, each by its processor. `draws` are uniform in 0..1. A peer known to have a newer configuration would
+    /// take none; one that was last heard with an older one may have this router's by now.
     pub fn offload_targets(&self, own: &OwnState, draws: (f64, f64)) -> Vec<SocketAddr> {
         let in_zone = || {
             let peers = self.peers.values().map(|peer| &peer.state);
-            peers.filter(|state| state.zone == own.zone && state.standing == Standing::Serving)
+            let serving =
+                peers.filter(|state| state.zone == own.zone && state.standing == Standing::Serving);
+            serving.filter(|state| state.configuration <= own.configuration)
         };
         let larger = in_zone().filter(|state| state.processor > own.processor * MUCH_MORE);
         let first = draw_by_processor(larger, draws.0);
