--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -236,6 +236,11 @@
     tracing::warn!(event = "message_not_sent", failed, bytes, error = %error);
 }
 
+/// An object of a source can't be read; what was known of it before stays only if it is a configuration.
+pub fn object_not_understood(kind: &str, name: &str, error: &impl std::fmt::Display) {
+    tracing::warn!(event = "object_not_understood", kind, name, error = %error);
+}
+
 /// A dependency was lost or regained.
 pub fn dependency(name: &str, available: bool, detail: &str) {
     tracing::info!(event = "dependency", name, available, detail);
