Connections that are handed on carry further requests while the configuration agreed on is in force

Now a handed connection rests and lives as it did before the mend; a further request that comes when another configuration is in force at the router that handed it on is left unread and the connection closed, so its caller knows that it did not run. The router does not wait for the request before it asks a peer; the head is read only when an answer is overdue.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -6,15 +6,22 @@
 use crate::router::Router;
 use crate::serve::{Way, serve_request};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time for the request on a connection that a peer handed over: it had begun to come before.
+/// Time for which a connection that a peer handed over may rest: a second longer than its caller is told.
 const OFFLOADED_IDLE: Duration = Duration::from_secs(2);
+/// What the caller on such a connection is told of that.
+const OFFLOADED_KEEP_ALIVE: &str = "timeout=1";
+/// Time after which the next answer ends such a connection. The peer cannot end it between two requests, since it does
+/// not read them, and may have to stop.
+const OFFLOADED_LIFE: Duration = Duration::from_secs(3);
+/// The header that tells how long a connection may rest.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Serves callers that connect here, and those that peers hand over, until the stop.
 pub fn serve_callers(
@@ -38,12 +45,14 @@
     })
 }
 
-/// Serves connections that peers hand over: one request on each, by the configuration that the greeting told.
+/// Serves connections that peers hand over, by the configuration that the greeting told. They end soon, so that a peer that stops
+/// need not cut them.
 async fn serve_offloaded(router: Rc<Router>, listener: TcpListener) {
     let asked = router.clone();
     let limits = move || ListenerLimits {
         idle_time: OFFLOADED_IDLE,
         overflow_part: if asked.takes_offloaded() { 0.0 } else { 1.0 },
+        longest_life: Some(OFFLOADED_LIFE),
         greeting: Some(offload::greeting(asked.versions().0)),
         ..limits(&asked)
     };
@@ -59,14 +68,13 @@
     serve(router.runtime, listener, limits, close_unread(), stop, open, handler).await;
 }
 
-/// The answer ends the connection: a later request on it might meet another configuration than the caller's router has by then.
 async fn serve_offloaded_request(
     router: Rc<Router>,
     way: Way,
     request: Request<Incoming>,
 ) -> Response<LocalBody> {
     let mut response = serve_request(router, way, request).await;
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response.headers_mut().insert(KEEP_ALIVE, HeaderValue::from_static(OFFLOADED_KEEP_ALIVE));
     response
 }
 
@@ -77,6 +85,7 @@
         head_bytes: configured.head_bytes,
         idle_time: configured.idle_time,
         overflow_part: 0.0,
+        longest_life: None,
         greeting: None,
     }
 }
--- a/crates/router/src/handing_on.rs
+++ b/crates/router/src/handing_on.rs
@@ -6,13 +6,12 @@
 use crate::events;
 use crate::line_budget::LineKind;
 use crate::listener::Overflowed;
-use crate::offload::{self, Copied, Loss, OffloadError};
+use crate::offload::{self, Copied, HandedOn, Loss, OffloadError};
 use crate::overflow::OverflowOutcome;
-use crate::peeked::{host, peek_request};
+use crate::request_head::{host, parse_head};
 use crate::router::Router;
 use crate::serve::time_allowed;
 use mastbay_routing::RouteTable;
-use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use std::net::SocketAddr;
@@ -22,33 +21,22 @@
 /// Time beyond a request's own for its answer to come back from a peer, which ends it in its time.
 const WAY_BACK: Duration = Duration::from_millis(250);
 
-/// A request that a peer may take.
-struct Waiting {
-    /// Its name, if its head could be read.
-    request_id: Option<String>,
-    /// The configuration that is in force now that it has come.
-    table: Rc<RouteTable>,
-    /// Time that it may take.
-    limit: Duration,
-}
-
 /// Hands a connection to a peer, or closes it unread, or leaves it to be served here.
 pub(crate) async fn hand_on(router: Rc<Router>, caller: TcpStream) -> Overflowed {
-    let Some(waiting) = first_request(&router, &caller).await else {
-        return Overflowed::ServeHere(caller);
-    };
+    let Some(table) = router.table() else { return Overflowed::ServeHere(caller) };
     let draws = (rand::random(), rand::random());
     let peers = router.dispatcher.borrow().offload_targets(draws);
     for peer in peers {
-        match offload::ask(router.runtime, peer, waiting.table.version()).await {
+        match offload::ask(router.runtime, peer, table.version()).await {
             Ok(offloaded) => {
                 router.note_overflow(OverflowOutcome::HandedOn);
                 let interval = router.offload_interval();
+                let handed_on = Rc::new(Agreed { router: router.clone(), table });
                 let began = Instant::now();
-                let copied = offloaded.copy(router.runtime, caller, interval, waiting.limit).await;
-                if let Copied::Unanswered { caller, loss } = copied {
+                let copied = offloaded.copy(router.runtime, caller, interval, handed_on).await;
+                if let Copied::Unanswered { caller, loss, start } = copied {
                     note_unanswered(&router, peer, loss, began.elapsed());
-                    tell(&router, caller, waiting.request_id.as_deref(), loss).await;
+                    tell(&router, caller, &start, loss).await;
                 }
                 return Overflowed::Done;
             }
@@ -63,30 +51,36 @@
     Overflowed::ServeHere(caller)
 }
 
-/// Waits until a connection's first request has come: only then is it known by which configuration it is to be served. Nothing if the
-/// connection ends or rests, or the router stops, or knows no configuration.
-async fn first_request(router: &Router, caller: &TcpStream) -> Option<Waiting> {
-    let idle_time = router.table()?.configuration().limits.idle_time;
-    let stopped = async {
-        router.stop.wait().await;
-        None
-    };
-    let come = async { peek_request(caller).await.ok() };
-    let head = router.runtime.within(idle_time, come.or(stopped)).await.ok()??;
-    let table = router.table()?;
-    let named = head.as_ref().and_then(|head| router.seams.callers.read(head).ok());
-    let allowed = head.as_ref().zip(named.as_ref()).and_then(|(head, named)| {
-        let entry = table.route(host(head), head.uri.path())?;
-        Some(time_allowed(named, &entry.route))
-    });
-    let limit = allowed.unwrap_or_else(|| longest_time(&table)) + WAY_BACK;
-    Some(Waiting { request_id: named.map(|named| named.request_id), table, limit })
+/// The configuration that both routers had in force when a connection was handed on.
+struct Agreed {
+    router: Rc<Router>,
+    table: Rc<RouteTable>,
+}
+
+impl HandedOn for Agreed {
+    fn is_current(&self) -> bool {
+        self.router.versions().0 == self.table.version()
+    }
+
+    fn limit(&self, start: &[u8]) -> Duration {
+        self.allowed(start).unwrap_or_else(|| self.longest()) + WAY_BACK
+    }
 }
 
-/// The longest time that any route allows.
-fn longest_time(table: &RouteTable) -> Duration {
-    let routes = table.configuration().routes.iter();
-    routes.map(|route| route.timeout).max().unwrap_or_default()
+impl Agreed {
+    /// Time that a request may take, if its head can be read and has a route.
+    fn allowed(&self, start: &[u8]) -> Option<Duration> {
+        let head = parse_head(start)?;
+        let caller_head = self.router.seams.callers.read(&head).ok()?;
+        let entry = self.table.route(host(&head), head.uri.path())?;
+        Some(time_allowed(&caller_head, &entry.route))
+    }
+
+    /// The longest time that any route allows.
+    fn longest(&self) -> Duration {
+        let routes = self.table.configuration().routes.iter();
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    }
 }
 
 fn note_not_taken(router: &Router, peer: SocketAddr, error: &OffloadError) {
@@ -112,7 +106,9 @@
     }
 }
 
-async fn tell(router: &Router, mut caller: TcpStream, request_id: Option<&str>, loss: Loss) {
+async fn tell(router: &Router, mut caller: TcpStream, start: &[u8], loss: Loss) {
+    let head = parse_head(start).and_then(|head| router.seams.callers.read(&head).ok());
+    let request_id = head.as_ref().map(|head| head.request_id.as_str());
     let bytes = own_answer_bytes(router, request_id, answer_after(loss));
     // A caller that has gone needs no word.
     let _ = caller.write_all(&bytes).await;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -2,6 +2,7 @@
 
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -18,7 +19,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::offload::GREETING_LENGTH;
 use crate::runtime::Runtime;
@@ -42,6 +43,8 @@
     pub idle_time: Duration,
     /// Part of the new connections that are not served but left to the listener's [`Overflow`].
     pub overflow_part: f64,
+    /// Time after which the next answer ends a connection, if there is any.
+    pub longest_life: Option<Duration>,
     /// What is sent before anything is read, to routers that hand a connection on.
     pub greeting: Option<[u8; GREETING_LENGTH]>,
 }
@@ -233,9 +236,16 @@
     {
         return;
     }
+    let ends = limits.longest_life.map(|life| Instant::now() + life);
     let service = service_fn(move |request| {
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let mut answer = answer.await;
+            if ends.is_some_and(|ends| Instant::now() >= ends) {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(runtime.http_timer())
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -4,11 +4,12 @@
 //! back is copied at intervals. The peer greets before the first byte of the caller goes out, so a connection that no
 //! peer takes is whole and can still be served or closed here. Connections that a peer was handed go no further.
 //!
-//! Both routers have the same configuration in force when a connection is handed on, the peer serves it by that one, and it
-//! carries one request: whatever comes in force later at either of them, callers of one address meet one configuration.
+//! Both routers have the same configuration in force when a connection is handed on. The peer serves it by that one, and requests
+//! are copied only while it is in force here: callers of one address meet one configuration at a time.
 
 use crate::runtime::Runtime;
 use derive_more::{Display, Error};
+use smol::future::FutureExt;
 use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use smol::net::TcpStream;
 use std::cell::{Cell, RefCell};
@@ -17,7 +18,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Length of a greeting, in bytes.
 pub const GREETING_LENGTH: usize = 9;
@@ -27,6 +28,10 @@
 const GREETING_LIMIT: Duration = Duration::from_millis(150);
 /// Bytes copied at a time.
 const BUFFER_SIZE: usize = 32 << 10;
+/// Bytes that are kept of how a request begins: its head, of most.
+const START_KEPT: usize = 4 << 10;
+/// Time between two looks at whether an answer is overdue. Most connections have ended before the first.
+const SILENCE_PERIOD: Duration = Duration::from_millis(400);
 /// Reads of an answer that are not delayed: its head may come before its first event.
 const PROMPT_READS: u32 = 2;
 
@@ -94,14 +99,23 @@
     runtime.within(GREETING_LIMIT, greeted).await.unwrap_or(Err(OffloadError::Silent))
 }
 
+/// What the router that hands a connection on knows of its requests.
+pub trait HandedOn {
+    /// Whether the configuration that the peer serves them by is still in force here.
+    fn is_current(&self) -> bool;
+
+    /// Time within which the answer to a request must have begun to come; `start` is how its bytes begin.
+    fn limit(&self, start: &[u8]) -> Duration;
+}
+
 impl Offloaded {
-    /// Copies both ways until either side closes, for `limit` at most. Answers are copied at `interval` after their beginning.
+    /// Copies both ways until either side closes. Answers are copied at `interval` after their beginning.
     pub async fn copy(
         self,
         runtime: Runtime,
         caller: TcpStream,
         interval: Duration,
-        limit: Duration,
+        handed_on: Rc<dyn HandedOn>,
     ) -> Copied {
         // A stream that refuses the option still works.
         let _ = caller.set_nodelay(true);
@@ -109,21 +123,44 @@
         // one shared buffer and fewer prompt reads this raised what a router of 0.12 core hands on from 430 to 820
         // connections a second, counted by the router.
         let progress = Progress::default();
-        let requests = copy_requests(caller.clone(), self.0.clone(), progress.clone());
+        let requests =
+            copy_requests(caller.clone(), self.0.clone(), progress.clone(), handed_on.clone());
         let requests = runtime.spawn(requests);
-        let answers = copy_answers(runtime, self.0, caller.clone(), interval, &progress);
-        // A peer that stands still neither answers nor closes: its callers got no answer until it went on, 0.38 s after the time-out
-        // of a route of 1 s on 85 processes, and for as long as the peer stood still where it took longer.
-        let copied = runtime.within(limit, answers).await;
-        drop(requests);
-        let loss = match copied {
-            Ok(Err(BrokenSide::Caller)) => return Copied::Ended,
-            Ok(Ok(()) | Err(BrokenSide::Peer)) => Loss::PeerGone,
-            Err(_) => Loss::PeerSilent,
+        let answers = async {
+            match copy_answers(runtime, self.0, caller.clone(), interval, &progress).await {
+                Ok(()) | Err(BrokenSide::Peer) => Some(Loss::PeerGone),
+                Err(BrokenSide::Caller) => None,
+            }
+        };
+        // A peer that stands still neither answers nor closes: callers got no answer until it went on, 0.38 s after the time-out
+        // of a route of 1 s on 85 processes, and for as long as it stood still where that was longer.
+        let silence = async {
+            watch_silence(runtime, &progress, &*handed_on).await;
+            Some(Loss::PeerSilent)
         };
+        let loss = answers.or(silence).await;
+        drop(requests);
         // Without a word each caller would see its connection close. With four requests lost so at one moment a router that is
         // well counts as one that drops requests.
-        if progress.is_answer_due() { Copied::Unanswered { caller, loss } } else { Copied::Ended }
+        match loss.filter(|_| progress.is_answer_due()) {
+            Some(loss) => Copied::Unanswered { caller, loss, start: progress.0.start.take() },
+            None => Copied::Ended,
+        }
+    }
+}
+
+/// Ends once an answer has not begun to come within its time.
+async fn watch_silence(runtime: Runtime, progress: &Progress, handed_on: &dyn HandedOn) {
+    loop {
+        runtime.sleep(SILENCE_PERIOD).await;
+        while let Some(asked) = progress.asked() {
+            let due = asked + handed_on.limit(&progress.0.start.borrow());
+            let now = Instant::now();
+            if now >= due {
+                return;
+            }
+            runtime.sleep(SILENCE_PERIOD.min(due - now)).await;
+        }
     }
 }
 
@@ -138,6 +175,8 @@
         caller: TcpStream,
         /// Why there was none.
         loss: Loss,
+        /// How the bytes of the request begin.
+        start: Vec<u8>,
     },
 }
 
@@ -158,29 +197,44 @@
 
 #[derive(Debug, Default)]
 struct ProgressCells {
-    /// Bytes of a request were copied.
-    is_asked: Cell<bool>,
-    /// Bytes of its answer were copied.
-    is_answered: Cell<bool>,
-    /// The caller has closed and waits for nothing.
-    has_left: Cell<bool>,
+    /// When the first bytes of a request were copied of whose answer no byte has come.
+    asked: Cell<Option<Instant>>,
+    /// How the bytes of the last request begin.
+    start: RefCell<Vec<u8>>,
+    /// The last answer ends the connection: what the caller sends after it is not read.
+    ends: Cell<bool>,
 }
 
+/// The header of an answer that ends its connection, as routers write it.
+const ENDS_CONNECTION: &[u8] = b"\r\nconnection: close\r\n";
+
 impl Progress {
-    fn on_request(&self) {
-        self.0.is_asked.set(true);
+    fn asked(&self) -> Option<Instant> {
+        self.0.asked.get()
+    }
+
+    fn on_request(&self, bytes: &[u8]) {
+        if self.asked().is_none() {
+            self.0.asked.set(Some(Instant::now()));
+            let mut start = self.0.start.borrow_mut();
+            start.clear();
+            start.extend_from_slice(&bytes[..bytes.len().min(START_KEPT)]);
+        }
     }
 
-    fn on_answer(&self) {
-        self.0.is_answered.set(true);
+    fn on_answer(&self, bytes: &[u8]) {
+        if self.0.asked.take().is_some() {
+            let mut windows = bytes.windows(ENDS_CONNECTION.len());
+            self.0.ends.set(windows.any(|window| window == ENDS_CONNECTION));
+        }
     }
 
     fn on_caller_closed(&self) {
-        self.0.has_left.set(true);
+        self.0.asked.set(None);
     }
 
     fn is_answer_due(&self) -> bool {
-        self.0.is_asked.get() && !self.0.is_answered.get() && !self.0.has_left.get()
+        self.asked().is_some() && !self.0.ends.get()
     }
 }
 
@@ -191,13 +245,19 @@
     Caller,
 }
 
-/// Copies requests until the caller closes; then the peer learns of it.
-async fn copy_requests(mut caller: TcpStream, mut peer: TcpStream, progress: Progress) {
-    let mut goes_on = Ok(true);
-    while let Ok(true) = goes_on {
-        goes_on = copy_requests_once(&mut caller, &mut peer, &progress).await;
+/// Copies requests until the caller closes, or a further one comes when another configuration is in force; then the peer learns of
+/// it. That request stays unread.
+async fn copy_requests(
+    mut caller: TcpStream,
+    mut peer: TcpStream,
+    progress: Progress,
+    handed_on: Rc<dyn HandedOn>,
+) {
+    let mut copied = Ok(Requests::GoOn);
+    while let Ok(Requests::GoOn) = copied {
+        copied = copy_requests_once(&mut caller, &mut peer, &progress, &*handed_on).await;
     }
-    if let Ok(false) = goes_on {
+    if let Ok(Requests::CallerClosed) = copied {
         progress.on_caller_closed();
     }
     // A connection that is closed already needs no further close.
@@ -237,7 +297,7 @@
             let length = ready!(Pin::new(&mut *peer).poll_read(context, buffer));
             let length = length.map_err(|_| BrokenSide::Peer)?;
             if length > 0 {
-                progress.on_answer();
+                progress.on_answer(&buffer[..length]);
             }
             let unwritten = write_some(caller, context, &buffer[..length]);
             let unwritten = unwritten.map_err(|_| BrokenSide::Caller)?;
@@ -249,14 +309,30 @@
     Ok(length > 0)
 }
 
+/// What follows the bytes of a caller that were copied last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Requests {
+    /// More of them.
+    GoOn,
+    /// None: the caller has closed.
+    CallerClosed,
+    /// None is copied: another configuration is in force.
+    Superseded,
+}
+
 /// The same for requests. A caller that has closed by the time its request is read wants no answer, so its request
 /// goes nowhere: a late router would send on requests of callers that left long ago.
 async fn copy_requests_once(
     caller: &mut TcpStream,
     peer: &mut TcpStream,
     progress: &Progress,
-) -> std::io::Result<bool> {
-    let (goes_on, unwritten) = poll_fn(|context| {
+    handed_on: &dyn HandedOn,
+) -> std::io::Result<Requests> {
+    let (next, unwritten) = poll_fn(|context| {
+        // Whatever comes while no answer is due begins a request.
+        if progress.asked().is_none() && !handed_on.is_current() {
+            return Poll::Ready(Ok((Requests::Superseded, Vec::new())));
+        }
         BUFFER.with_borrow_mut(|buffer| {
             let mut length = ready!(Pin::new(&mut *caller).poll_read(context, buffer))?;
             while length > 0 && length < buffer.len() {
@@ -266,16 +342,17 @@
                     Poll::Pending => break,
                 }
             }
-            if length > 0 {
-                progress.on_request();
+            if length == 0 {
+                return Poll::Ready(std::io::Result::Ok((Requests::CallerClosed, Vec::new())));
             }
+            progress.on_request(&buffer[..length]);
             let unwritten = write_some(peer, context, &buffer[..length])?;
-            Poll::Ready(std::io::Result::Ok((length > 0, unwritten)))
+            Poll::Ready(Ok((Requests::GoOn, unwritten)))
         })
     })
     .await?;
     peer.write_all(&unwritten).await?;
-    Ok(goes_on)
+    Ok(next)
 }
 
 /// Writes what the connection takes at once and gives the rest.
--- a/crates/router/src/peeked.rs
+++ b/crates/router/src/request_head.rs
@@ -1,29 +1,12 @@
-//! The head of a request that still lies unread on its connection.
+//! The head of a request from bytes of a connection that is not served here.
 
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
-use smol::net::TcpStream;
 
-/// Bytes that are looked at. A longer head is taken as one that can't be read.
-const PEEKED: usize = 4 << 10;
-/// Header lines that are looked at.
+/// Header lines that are read.
 const MOST_HEADERS: usize = 64;
 
-/// Waits until a request begins to come and looks at it without taking it off the connection: it can still be served, copied or
-/// closed unread. Gives its head if that is there whole; `Ok(None)` if it is not.
-///
-/// # Errors
-/// If the connection has ended before.
-pub async fn peek_request(stream: &TcpStream) -> std::io::Result<Option<Parts>> {
-    let mut buffer = vec![0; PEEKED];
-    let length = stream.peek(&mut buffer).await?;
-    if length == 0 {
-        return Err(std::io::ErrorKind::UnexpectedEof.into());
-    }
-    Ok(parse_head(&buffer[..length]))
-}
-
 /// The head of the request that `bytes` begin with, if it is whole and well formed.
 pub fn parse_head(bytes: &[u8]) -> Option<Parts> {
     let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::events;
 use crate::exchange::Exchange;
 use crate::listener::LocalBody;
-use crate::peeked::host;
+use crate::request_head::host;
 use crate::router::Router;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -113,6 +113,7 @@
         head_bytes: 8 << 10,
         idle_time: Duration::from_secs(30),
         overflow_part: 0.0,
+        longest_life: None,
         greeting: None,
     };
     let never = StopSignal::default();
--- a/crates/router/tests/peeked.rs
+++ b/crates/router/tests/request_head.rs
@@ -1,6 +1,6 @@
-//! Heads of requests that lie unread on their connections.
+//! Heads of requests on connections that are copied.
 
-use mastbay_router::peeked::{host, parse_head};
+use mastbay_router::request_head::{host, parse_head};
 use quickcheck::quickcheck;
 
 #[test]
