Red test: a handed request without a route waits for a silent peer

Its log and the peer's: the request was for the route of a version that neither had when the connection was handed on; the peer stood still and answered no_route after 1.5 s.

--- a/crates/router/tests/handing_on.rs
+++ b/crates/router/tests/handing_on.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use mastbay_router::offload::greeting;
 use mastbay_router::{Origin, Runtime};
 use mastbay_routing::{
     Digest, PeerId, PeerMessage, RouterState, RoutingConfiguration, SourceContact, Standing,
 };
 use smol::channel::{Receiver, Sender};
+use smol::io::AsyncWriteExt;
+use smol::net::TcpListener;
 use std::net::{SocketAddr, UdpSocket};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -70,27 +73,27 @@
         self.commands.send_blocking(Command::Take(version)).expect("it runs");
         self.done.recv_blocking().expect("it runs");
     }
+}
 
-    /// Tells another router of it.
-    fn introduce_to(&self, bed: &Bed) {
-        let router = RouterState {
-            id: PeerId { address: self.digests, life: 1 },
-            sequence: 1,
-            snapshots: self.operations,
-            zone: bed.settings.zone.clone(),
-            standing: Standing::Serving,
-            processor: 1.0,
-            contact: SourceContact::Idle,
-            configuration: 1,
-            back_ends: 1,
-            evacuations: 1,
-            routers: 2,
-        };
-        let digest = Digest { router, figures: None, is_member: false, peers: Vec::new() };
-        let bytes = rmp_serde::to_vec(&PeerMessage::Digest(digest)).expect("encoded");
-        let socket = UdpSocket::bind("127.0.0.1:0").expect("bound");
-        socket.send_to(&bytes, bed.settings.digests).expect("sent");
-    }
+/// Tells a router of another one with version 1 in force.
+fn introduce(bed: &Bed, digests: SocketAddr, snapshots: SocketAddr) {
+    let router = RouterState {
+        id: PeerId { address: digests, life: 1 },
+        sequence: 1,
+        snapshots,
+        zone: bed.settings.zone.clone(),
+        standing: Standing::Serving,
+        processor: 1.0,
+        contact: SourceContact::Idle,
+        configuration: 1,
+        back_ends: 1,
+        evacuations: 1,
+        routers: 2,
+    };
+    let digest = Digest { router, figures: None, is_member: false, peers: Vec::new() };
+    let bytes = rmp_serde::to_vec(&PeerMessage::Digest(digest)).expect("encoded");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("bound");
+    socket.send_to(&bytes, bed.settings.digests).expect("sent");
 }
 
 impl Drop for OtherRouter {
@@ -130,7 +133,7 @@
 async fn router_beside(runtime: Runtime, other: &OtherRouter) -> Bed {
     let back_end = ScriptedBackEnd::start(runtime, "own", vec![answer("own")]).await;
     let bed = Bed::start(runtime, &[&back_end]).await;
-    other.introduce_to(&bed);
+    introduce(&bed, other.digests, other.operations);
     bed
 }
 
@@ -225,3 +228,40 @@
         panic!("nothing was handed on");
     });
 }
+
+// A request for a route that a change had just added was handed on before either router had that change. Its peer stood still, and
+// since no route told how long it may take, the caller waited for the peer: it answered after 1.5 s, on a route of 1 s.
+#[test]
+fn a_caller_without_a_route_is_told_in_time_when_the_other_router_stands_still() {
+    run(async |runtime| {
+        let bed = Bed::start(runtime, &[]).await;
+        introduce(&bed, silent_router(runtime).await, bed.settings.operations);
+        for _ in 0..TRIES {
+            press().await;
+            let sent = Instant::now();
+            let answer = bed.call(&Request::new("/nowhere/x")).await;
+            let is_own = answer.status == 404 || answer.head.is_empty();
+            if !is_own {
+                let took = sent.elapsed();
+                assert!(took < Duration::from_secs(3), "told after {took:?}: {}", answer.head);
+                return;
+            }
+        }
+        panic!("nothing was handed on");
+    });
+}
+
+/// A router that takes connections and stands still then.
+async fn silent_router(runtime: Runtime) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("an address");
+    let taking = async move {
+        let mut taken = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            stream.write_all(&greeting(1)).await.expect("greeted");
+            taken.push(stream);
+        }
+    };
+    runtime.spawn(taking).detach();
+    address
+}
