A handed request without a route is answered for when its peer stands still

Cause: the time of a handed request was bounded by the longest route where its own was not known, and none is known for a route that neither router had yet. Such a request is refused at once by whoever serves it, so it gets no time but that of the way back.

Beside it: request_turned_away tells the version that decided, not the newest one of the router that took the connection.

--- a/crates/router/src/handing_on.rs
+++ b/crates/router/src/handing_on.rs
@@ -11,6 +11,7 @@
 use crate::request_head::{host, parse_head};
 use crate::router::Router;
 use crate::serve::time_allowed;
+use hyper::http::request::Parts;
 use mastbay_routing::RouteTable;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -63,17 +64,19 @@
     }
 
     fn limit(&self, start: &[u8]) -> Duration {
-        self.allowed(start).unwrap_or_else(|| self.longest()) + WAY_BACK
+        let head = parse_head(start);
+        head.map_or_else(|| self.longest(), |head| self.allowed(&head)) + WAY_BACK
     }
 }
 
 impl Agreed {
-    /// Time that a request may take, if its head can be read and has a route.
-    fn allowed(&self, start: &[u8]) -> Option<Duration> {
-        let head = parse_head(start)?;
-        let caller_head = self.router.seams.callers.read(&head).ok()?;
-        let entry = self.table.route(host(&head), head.uri.path())?;
-        Some(time_allowed(&caller_head, &entry.route))
+    /// Time that a request may take: none if it is malformed or has no route, since the peer refuses it at once. Bounded by the longest
+    /// route, a caller of a route that had just been added had no answer after 1.5 s, on a route of 1 s.
+    fn allowed(&self, head: &Parts) -> Duration {
+        let caller_head = self.router.seams.callers.read(head).ok();
+        let entry = self.table.route(host(head), head.uri.path());
+        let both = caller_head.zip(entry);
+        both.map_or(Duration::ZERO, |(head, entry)| time_allowed(&head, &entry.route))
     }
 
     /// The longest time that any route allows.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -96,8 +96,11 @@
     body: Incoming,
 ) -> Result<Call, Refused> {
     let handed_on_by = arrival.way.handed_on_by();
+    let way = arrival.way.clone();
     let refused = |request_id: Option<String>, answer| {
-        events::turned_away(request_id.as_deref(), answer, router.versions(), handed_on_by);
+        let version = way.table(router).map_or(0, |table| table.version());
+        let versions = (version, router.versions().1);
+        events::turned_away(request_id.as_deref(), answer, versions, handed_on_by);
         router.metrics.on_own_answer(answer);
         Refused { request_id, answer }
     };
