Test of a request under way waits until it is copied, not for 50 ms

Cause: on a busy machine 50 ms may pass before the first bytes are copied; then the change comes first and the test fails for no fault. Now it waits until the copying asks how long the request may take. Assertions are unchanged.

--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -29,11 +29,13 @@
 struct Handing {
     is_current: Cell<bool>,
     limit: Duration,
+    /// It was asked how long a request may take that is being copied.
+    has_request: Cell<bool>,
 }
 
 impl Handing {
     fn new(limit: Duration) -> Rc<Self> {
-        Rc::new(Self { is_current: Cell::new(true), limit })
+        Rc::new(Self { is_current: Cell::new(true), limit, has_request: Cell::new(false) })
     }
 }
 
@@ -43,6 +45,7 @@
     }
 
     fn limit(&self, _start: &[u8]) -> Duration {
+        self.has_request.set(true);
         self.limit
     }
 }
@@ -243,7 +246,7 @@
         let text = request.text();
         let (first, rest) = text.split_at(text.len() - 5);
         caller.write_all(first.as_bytes()).await.expect("sent");
-        smol::Timer::after(Duration::from_millis(50)).await;
+        until(async || handing.has_request.get()).await;
         handing.is_current.set(false);
         caller.write_all(rest.as_bytes()).await.expect("sent");
         let mut bytes = Vec::new();
