Sight: requests are named by a fingerprint, and a back end that ended is told from a broken connection

The record of the incident can't tell that two arrivals are the same request, since a line names each by the id of its attempt, nor that a back end ended: fault=Broken stands for a reset, a spoilt answer and an end. Lost tries, resumes and ends now carry a fingerprint of tenant, method, host, target and body, and event=back_end_ended tells an end: connections broke, new ones are refused twice within 0.1 s, nothing came from it since. A reset leaves the listener, so it isn't taken for an end. No decision changes.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
-use mastbay_routing::{Considered, Demand, Placement, Refusal, TableEntry};
+use mastbay_routing::{
+    Considered, Demand, Placement, Refusal, RequestFingerprint, RequestIdentity, TableEntry,
+};
 use mastbay_types::Timestamp;
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +42,8 @@
     pub deadline: Timestamp,
     /// What was decided on its way, for its one log line.
     pub trace: RefCell<Trace>,
+    /// What it is recognized by when it comes again, once that was asked for.
+    pub fingerprint: OnceCell<RequestFingerprint>,
 }
 
 /// What was decided on a request's way.
@@ -109,6 +113,19 @@
         trace.first_event.get_or_insert(now.since(self.arrived));
     }
 
+    /// What it is recognized by when it comes again.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            RequestFingerprint::of(&RequestIdentity {
+                tenant: self.tenant.as_deref(),
+                method: self.method.as_str(),
+                host: &self.entry.route.host,
+                target: self.uri.path_and_query().map_or("", |target| target.as_str()),
+                body: &self.body.bytes,
+            })
+        })
+    }
+
     /// Time left until its deadline.
     pub fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -8,9 +8,11 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use mastbay_routing::{
-    BackEndList, BackEndState, Considered, EvacuatedZones, Fault, Placement, Role, RouteTable, Turn,
+    BackEnd, BackEndList, BackEndState, Considered, EvacuatedZones, Fault, Placement,
+    RequestFingerprint, Role, RouteTable, Turn,
 };
 use mastbay_types::Timestamp;
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -50,6 +52,7 @@
         uncached = trace.uncached,
         age_ms = milliseconds(trace.age),
         sends = trace.sends,
+        fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
     );
 }
 
@@ -122,6 +125,7 @@
         predicted_ms = placement.predicted.as_millis() as u64,
         running = placement.running,
         age_ms = placement.age.as_millis() as u64,
+        fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
     );
 }
 
@@ -133,6 +137,17 @@
         reason,
         last_event = last_event.unwrap_or(0),
         found,
+        fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
+    );
+}
+
+/// A back end ended while requests were under way there: their connections broke, and it refuses new ones.
+pub fn back_end_ended(back_end: &BackEnd, requests: &BTreeSet<RequestFingerprint>) {
+    tracing::warn!(
+        event = "back_end_ended",
+        back_end = %back_end.id,
+        address = %back_end.address,
+        requests = requests.len(),
     );
 }
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A request's way to back ends: placed, sent, sent again where that is allowed, answered.
 
+use crate::broken_connections;
 use crate::call::Call;
 use crate::dialect::OwnAnswer;
 use crate::ending::{note_end, own_answer};
@@ -142,6 +143,7 @@
             return Some(Ended::Stream(head, Box::new(relay)));
         }
         let Ok(body) = read_limited(body, ANSWER_LIMIT).await else {
+            broken_connections::note(&self.router, &self.call, &id);
             self.attempt.borrow_mut().on_lost();
             ticket.fail(Fault::Broken);
             let again = self.attempt.borrow().may_send();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! seams in [`dialect`] and [`catalogue`]. Everything runs on one thread.
 
 pub mod body_budget;
+mod broken_connections;
 mod call;
 mod callers;
 pub mod catalogue;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -31,6 +31,7 @@
     own_answers: Family<AnswerLabels, Counter>,
     offloaded: Counter,
     closed_unread: Counter,
+    back_ends_ended: Counter,
     first_event: Histogram,
     duration: Histogram,
 }
@@ -43,6 +44,7 @@
             own_answers: Family::default(),
             offloaded: Counter::default(),
             closed_unread: Counter::default(),
+            back_ends_ended: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
             duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
         };
@@ -55,6 +57,9 @@
         let name = "mastbay_router_connections_closed_unread";
         let help = "new connections closed unread, since the router was late or full";
         registry.register(name, help, metrics.closed_unread.clone());
+        let name = "mastbay_router_back_ends_ended";
+        let help = "back ends that ended with requests of this router under way";
+        registry.register(name, help, metrics.back_ends_ended.clone());
         let name = "mastbay_router_first_event_seconds";
         registry.register(name, "time to a stream's first event", metrics.first_event.clone());
         let name = "mastbay_router_request_seconds";
@@ -89,6 +94,11 @@
         self.closed_unread.inc_by(u64::from(connections));
     }
 
+    /// A back end ended with requests under way.
+    pub fn on_back_end_ended(&self) {
+        self.back_ends_ended.inc();
+    }
+
     /// The router answered by itself.
     pub fn on_own_answer(&self, answer: OwnAnswer) {
         let labels = AnswerLabels { status: answer.status().as_u16() };
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -15,6 +15,8 @@
 use smol_hyper::rt::FuturesIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -140,6 +142,12 @@
         self.open(back_end, counted).await
     }
 
+    /// Whether an address refuses connections: nothing listens there. One that is silent or out of reach does not.
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        let connected = self.runtime.within(CONNECT_LIMIT, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Keeps a connection whose exchange ended cleanly, unless as many rest there as may.
     pub fn keep(&self, id: &BackEndId, connection: BackEndConnection) {
         connection.set_pace(None);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,5 +1,6 @@
 //! A stream on its way to its caller: whole events only, taken up at another back end if that is allowed.
 
+use crate::broken_connections;
 use crate::call::Call;
 use crate::ending::note_end;
 use crate::outcome::{Outcome, OutcomeKind};
@@ -150,10 +151,16 @@
                     self.finish();
                     return None;
                 }
-                Next::End => "ended_inside_event",
+                Next::End => {
+                    self.note_broken();
+                    "ended_inside_event"
+                }
                 Next::Silent if !self.may_resume() => continue,
                 Next::Silent => "silent",
-                Next::Broken(reason) => reason,
+                Next::Broken(reason) => {
+                    self.note_broken();
+                    reason
+                }
                 Next::OutOfTime => return self.break_off("out_of_time"),
             };
             if !self.resume(broken).await {
@@ -211,6 +218,12 @@
         Ok((!passed_on.is_empty()).then(|| passed_on.freeze()))
     }
 
+    fn note_broken(&self) {
+        if let Some(source) = &self.source {
+            broken_connections::note(&self.router, &self.call, &source.back_end);
+        }
+    }
+
     fn note_pause(&mut self) {
         let now = self.router.now();
         let pause = now.since(self.last_passed_on);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,7 @@
 //! The state that all parts of a router share, on one thread.
 
 use crate::body_budget::BodyBudget;
+use crate::broken_connections::BrokenConnections;
 use crate::catalogue::Catalogue;
 use crate::dialect::{BackEndDialect, CallerDialect};
 use crate::events;
@@ -61,6 +62,7 @@
     overload: RefCell<OverloadGuard>,
     overflow: RefCell<OverflowAccount>,
     outage: RefCell<OutageWatch>,
+    pub(crate) broken: BrokenConnections,
     /// A peer has something newer but could not be asked for it.
     pub(crate) peers_fail: Cell<bool>,
     /// Given when something newer came in force here, so that peers are told at once.
@@ -112,6 +114,7 @@
             overload: RefCell::default(),
             overflow: RefCell::default(),
             outage: RefCell::default(),
+            broken: BrokenConnections::default(),
             peers_fail: Cell::new(false),
             news: News::default(),
             stop: StopSignal::default(),
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -1,5 +1,6 @@
 //! One try at one back end: connection, request, head of the answer.
 
+use crate::broken_connections;
 use crate::call::Call;
 use crate::dialect::{AnswerKind, OutgoingCall};
 use crate::headers::keep_end_to_end;
@@ -73,7 +74,11 @@
                 self.attempt.borrow_mut().on_nothing_written();
                 Try::NotSent(Fault::Full)
             }
-            Some(Err(_)) | None => Try::Lost(Fault::Broken),
+            Some(Err(_)) => {
+                broken_connections::note(self.router, self.call, &back_end.id);
+                Try::Lost(Fault::Broken)
+            }
+            None => Try::Lost(Fault::Broken),
         }
     }
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -14,7 +14,7 @@
 use mastbay_routing::{Route, RouteTable};
 use mastbay_types::Timestamp;
 use mastbay_web::{ReadBodyError, read_limited};
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -167,6 +167,7 @@
         arrived: arrival.at,
         deadline,
         trace: RefCell::default(),
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -15,7 +15,7 @@
 mod sharing;
 mod source;
 
-use crate::back_end::{BackEndId, BackEndList};
+use crate::back_end::{BackEnd, BackEndId, BackEndList};
 use crate::budget::RetryBudget;
 use crate::concurrency::UnloadedPace;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
@@ -170,6 +170,16 @@
         self.engines.get(id).is_some_and(Engine::takes_work)
     }
 
+    /// A back end as it is listed.
+    pub fn back_end(&self, id: &BackEndId) -> Option<&BackEnd> {
+        self.engines.get(id).map(|engine| &engine.back_end)
+    }
+
+    /// Whether an event or an answer of a back end came after a moment.
+    pub fn has_heard_since(&self, id: &BackEndId, since: Timestamp) -> bool {
+        self.engines.get(id).is_some_and(|engine| engine.heard > since)
+    }
+
     /// Addresses of all listed back ends.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.engines.values().map(|engine| engine.back_end.address).collect()
@@ -234,6 +244,7 @@
         let taken = now.since(running.sent);
         let (predicted, work_ahead) = (running.predicted, running.work_ahead);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
+        engine.heard = now;
         engine.own.prefill.remove(prefill);
         if now < self.lagging_until || engine.warmup.is_cold(now) {
             return;
@@ -265,7 +276,10 @@
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return false };
         engine.own.remove(running.load);
         match outcome {
-            Ok(()) => engine.health.on_success(now),
+            Ok(()) => {
+                engine.heard = now;
+                engine.health.on_success(now);
+            }
             Err(Some(fault)) => {
                 engine.health.on_fault(now, fault);
                 if matches!(fault, Fault::Unreachable | Fault::Replaced) {
--- a/crates/routing/src/dispatch/pacing.rs
+++ b/crates/routing/src/dispatch/pacing.rs
@@ -12,6 +12,9 @@
     pub fn on_events(&mut self, now: Timestamp, ticket: TicketId, count: u32) {
         let Some(running) = self.running.get_mut(&ticket) else { return };
         running.events += count;
+        if let Some(engine) = self.engines.get_mut(&running.back_end) {
+            engine.heard = now;
+        }
         if running.events < EVENTS_OBSERVED {
             return;
         }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -87,6 +87,8 @@
     pub warmup: Warmup,
     /// Whether its zone is evacuated.
     pub is_evacuated: bool,
+    /// When an event or an answer of it came last.
+    pub heard: Timestamp,
 }
 
 impl Engine {
@@ -95,6 +97,7 @@
         Self {
             warmup: Warmup::of_new(now, back_end.cold_for),
             is_evacuated: false,
+            heard: Timestamp::ZERO,
             key: EngineKey::from(&back_end.id),
             back_end,
             own: Load::default(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod evacuation;
 mod fading;
 mod figures;
+mod fingerprint;
 mod first_event;
 mod health;
 mod lapsed;
@@ -48,6 +49,7 @@
 pub use figures::{
     EngineKey, EngineLevel, EngineLoad, Figures, FiguresSum, ServicePace, TenantReport,
 };
+pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
 pub use lapsed::{LapsedBackEnds, OutageWatch};
