--- a/crates/router/tests/handing_on.rs
+++ b/crates/router/tests/handing_on.rs
@@ -4,13 +4,11 @@
 
 use mastbay_router::offload::greeting;
 use mastbay_router::{Origin, Runtime};
-use mastbay_routing::{
-    Digest, PeerId, PeerMessage, RouterState, RoutingConfiguration, SourceContact, Standing,
-};
+use mastbay_routing::RoutingConfiguration;
 use smol::channel::{Receiver, Sender};
 use smol::io::AsyncWriteExt;
 use smol::net::TcpListener;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use support::{Bed, Request, ScriptedBackEnd, Step, answer, configuration, run, until};
@@ -75,27 +73,6 @@
     }
 }
 
-/// Tells a router of another one with version 1 in force.
-fn introduce(bed: &Bed, digests: SocketAddr, snapshots: SocketAddr) {
-    let router = RouterState {
-        id: PeerId { address: digests, life: 1 },
-        sequence: 1,
-        snapshots,
-        zone: bed.settings.zone.clone(),
-        standing: Standing::Serving,
-        processor: 1.0,
-        contact: SourceContact::Idle,
-        configuration: 1,
-        back_ends: 1,
-        evacuations: 1,
-        routers: 2,
-    };
-    let digest = Digest { router, figures: None, is_member: false, peers: Vec::new() };
-    let bytes = rmp_serde::to_vec(&PeerMessage::Digest(digest)).expect("encoded");
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("bound");
-    socket.send_to(&bytes, bed.settings.digests).expect("sent");
-}
-
 impl Drop for OtherRouter {
     fn drop(&mut self) {
         // One that has ended already needs no word.
@@ -133,7 +110,7 @@
 async fn router_beside(runtime: Runtime, other: &OtherRouter) -> Bed {
     let back_end = ScriptedBackEnd::start(runtime, "own", vec![answer("own")]).await;
     let bed = Bed::start(runtime, &[&back_end]).await;
-    introduce(&bed, other.digests, other.operations);
+    bed.introduce(other.digests, other.operations);
     bed
 }
 
@@ -235,7 +212,7 @@
 fn a_caller_without_a_route_is_told_in_time_when_the_other_router_stands_still() {
     run(async |runtime| {
         let bed = Bed::start(runtime, &[]).await;
-        introduce(&bed, silent_router(runtime).await, bed.settings.operations);
+        bed.introduce(silent_router(runtime).await, bed.settings.operations);
         for _ in 0..TRIES {
             press().await;
             let sent = Instant::now();
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -1,11 +1,14 @@
 //! A router on loopback with scripted back ends and plain callers, all on the test's own thread.
 #![allow(dead_code, missing_docs)]
 
+pub mod ending;
+
 use mastbay_router::own_dialect::OwnDialect;
 use mastbay_router::{Origin, Router, RouterMetrics, RouterSettings, Runtime, Seams};
 use mastbay_routing::{
-    BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, EngineLimits, EvacuatedZones,
-    Limits, Route, RouteKind, RoutingConfiguration, Service, Target, Tenant, WarmupLimits,
+    BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Digest, EngineLimits,
+    EvacuatedZones, Limits, PeerId, PeerMessage, Route, RouteKind, RouterState,
+    RoutingConfiguration, Service, SourceContact, Standing, Target, Tenant, WarmupLimits,
 };
 pub use mastbay_testbed::header;
 use mastbay_testbed::{PortBlock, read_request};
@@ -14,7 +17,7 @@
 use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -253,6 +256,27 @@
         self.router.offer_back_ends(BackEndList { revision, back_ends }, Origin::Source);
     }
 
+    /// Tells the router of another one with version 1 in force.
+    pub fn introduce(&self, digests: SocketAddr, snapshots: SocketAddr) {
+        let router = RouterState {
+            id: PeerId { address: digests, life: 1 },
+            sequence: 1,
+            snapshots,
+            zone: self.settings.zone.clone(),
+            standing: Standing::Serving,
+            processor: 1.0,
+            contact: SourceContact::Idle,
+            configuration: 1,
+            back_ends: 1,
+            evacuations: 1,
+            routers: 2,
+        };
+        let digest = Digest { router, figures: None, is_member: false, peers: Vec::new() };
+        let bytes = rmp_serde::to_vec(&PeerMessage::Digest(digest)).expect("encoded");
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("bound");
+        socket.send_to(&bytes, self.settings.digests).expect("sent");
+    }
+
     async fn until_listening(&self) {
         until(|| async { TcpStream::connect(self.settings.callers).await.is_ok() }).await;
     }
