--- a/crates/router/src/broken_connections.rs
+++ b/crates/router/src/broken_connections.rs
@@ -4,7 +4,7 @@
 //! One that closes a connection in the middle of an answer, or resets some of them, still takes new ones.
 
 use crate::call::Call;
-use crate::events;
+use crate::quarantine;
 use crate::router::Router;
 use mastbay_routing::{BackEnd, BackEndId, BackEndState, RequestFingerprint};
 use mastbay_types::Timestamp;
@@ -41,6 +41,16 @@
         is_first
     }
 
+    /// Whether no connection broke lately.
+    pub fn is_empty(&self) -> bool {
+        self.0.borrow().is_empty()
+    }
+
+    /// Back ends of which it isn't known yet whether they ended under a request.
+    pub fn awaited_for(&self, request: RequestFingerprint) -> usize {
+        self.0.borrow().values().filter(|broken| broken.requests.contains(&request)).count()
+    }
+
     fn take(&self, id: &BackEndId) -> Option<Broken> {
         self.0.borrow_mut().remove(id)
     }
@@ -65,8 +75,7 @@
     let Some(broken) = router.broken.take(&back_end.id) else { return };
     let was_heard = router.dispatcher.borrow().has_heard_since(&back_end.id, broken.since);
     if is_refused && !was_heard {
-        events::back_end_ended(&back_end, &broken.requests);
-        router.metrics.on_back_end_ended();
+        quarantine::on_back_end_ended(&router, &back_end, &broken.requests);
     }
 }
 
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -85,6 +85,7 @@
             priority: self.priority,
             tenant: self.tenant.clone(),
             tried: Vec::new(),
+            suspect: None,
         }
     }
 
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -8,8 +8,8 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use mastbay_routing::{
-    BackEnd, BackEndList, BackEndState, Considered, EvacuatedZones, Fault, Placement,
-    RequestFingerprint, Role, RouteTable, Turn,
+    BackEnd, BackEndList, BackEndState, Considered, EngineKey, EvacuatedZones, Fault, Placement,
+    QuarantinedRequest, RequestFingerprint, Role, RouteTable, Turn,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -146,11 +146,29 @@
     tracing::warn!(
         event = "back_end_ended",
         back_end = %back_end.id,
+        name = hex_name(EngineKey::from(&back_end.id)),
         address = %back_end.address,
         requests = requests.len(),
     );
 }
 
+/// A request is sent to no back end from now on. `back_ends` are the names, in messages between routers, of the lives that ended under
+/// it; `source` is who told the last of them.
+pub fn request_quarantined(quarantined: &QuarantinedRequest, source: &str) {
+    let back_ends = quarantined.back_ends.iter().map(|back_end| hex_name(*back_end));
+    tracing::warn!(
+        event = "request_quarantined",
+        fingerprint = %quarantined.request,
+        back_ends = back_ends.collect::<Vec<_>>().join(","),
+        for_s = quarantined.left.as_secs(),
+        source,
+    );
+}
+
+fn hex_name(back_end: EngineKey) -> String {
+    back_end.to_bytes().iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 /// A configuration is in force.
 pub fn configuration_in_force(table: &RouteTable, origin: Origin) {
     let configuration = table.configuration();
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -5,10 +5,11 @@
 use crate::dialect::OwnAnswer;
 use crate::ending::{note_end, own_answer};
 use crate::events;
-use crate::headers::keep_end_to_end;
+use crate::headers::{is_delimited, keep_end_to_end};
 use crate::listener::{LocalBody, full};
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::pool::BackEndConnection;
+use crate::quarantine;
 use crate::relay::{Relay, Source, StreamBody};
 use crate::router::Router;
 use crate::send::{Sender, Try};
@@ -17,7 +18,8 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
-    Attempt, BackEndId, Fault, Placement, Refusal, RefusalReason, RouteKind, Verdict,
+    Attempt, BackEndId, Fault, Placement, Refusal, RefusalReason, RequestStanding, RouteKind,
+    Verdict,
 };
 use mastbay_web::read_limited;
 use std::cell::RefCell;
@@ -78,11 +80,20 @@
         loop {
             let mut demand = self.call.demand();
             demand.tried = self.tried.clone();
+            match quarantine::standing(&self.router, &self.call).await {
+                RequestStanding::Quarantined { left } => return self.quarantined(left),
+                RequestStanding::Suspect => demand.suspect = Some(self.call.fingerprint()),
+                RequestStanding::Clear => {}
+            }
             let obtained = Ticket::obtain(&self.router, demand).await;
             let (ticket, placement) = match obtained {
                 Ok(obtained) => obtained,
                 Err(refusal) => return self.refused(refusal),
             };
+            // A request that waited for its place may be quarantined meanwhile.
+            if let Some(left) = quarantine::time_left(&self.router, &self.call) {
+                return self.quarantined(left);
+            }
             if self.arrivals > 0 && !self.router.take_retry(&self.call.service) {
                 return self.give_up("retry_budget");
             }
@@ -136,8 +147,9 @@
     ) -> Option<Ended> {
         connection.note_headers(&head.headers);
         let id = placement.back_end.id.clone();
+        let is_delimited = is_delimited(&head.headers);
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
-            let source = Source { ticket, back_end: id, connection, body };
+            let source = Source { ticket, back_end: id, connection, body, is_delimited };
             let tried = std::mem::take(&mut self.tried);
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(Ended::Stream(head, Box::new(relay)));
@@ -159,6 +171,9 @@
             }
         } else {
             ticket.succeed();
+            if is_delimited {
+                quarantine::note_served(&self.router, &self.call);
+            }
         }
         Some(Ended::Answer(head, body, id))
     }
@@ -180,6 +195,12 @@
         self.told(refusal.retry_after, reason)
     }
 
+    fn quarantined(&self, left: Duration) -> Ended {
+        self.call.trace.borrow_mut().retry_after = Some(left);
+        self.router.metrics.on_quarantined_call();
+        self.told(left, "quarantined")
+    }
+
     fn give_up(&self, reason: &'static str) -> Ended {
         self.told(REJECTED_PAUSE, reason)
     }
--- a/crates/router/src/headers.rs
+++ b/crates/router/src/headers.rs
@@ -1,4 +1,4 @@
-//! Headers that concern one connection only.
+//! Headers that concern one connection or one message only.
 
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -25,3 +25,8 @@
         headers.remove(name);
     }
 }
+
+/// Whether an answer tells its own end. One that ends with its connection may have been cut.
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,6 +28,7 @@
 mod paced;
 mod peers;
 mod pool;
+mod quarantine;
 mod relay;
 pub mod request_head;
 mod router;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -32,6 +33,8 @@
     offloaded: Counter,
     closed_unread: Counter,
     back_ends_ended: Counter,
+    quarantined: Gauge,
+    quarantined_calls: Counter,
     first_event: Histogram,
     duration: Histogram,
 }
@@ -45,6 +48,8 @@
             offloaded: Counter::default(),
             closed_unread: Counter::default(),
             back_ends_ended: Counter::default(),
+            quarantined: Gauge::default(),
+            quarantined_calls: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
             duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
         };
@@ -60,6 +65,12 @@
         let name = "mastbay_router_back_ends_ended";
         let help = "back ends that ended with requests of this router under way";
         registry.register(name, help, metrics.back_ends_ended.clone());
+        let name = "mastbay_router_quarantined_requests";
+        let help = "requests that are sent to no back end, since several ended under them";
+        registry.register(name, help, metrics.quarantined.clone());
+        let name = "mastbay_router_quarantined_calls";
+        let help = "arrivals of quarantined requests";
+        registry.register(name, help, metrics.quarantined_calls.clone());
         let name = "mastbay_router_first_event_seconds";
         registry.register(name, "time to a stream's first event", metrics.first_event.clone());
         let name = "mastbay_router_request_seconds";
@@ -99,6 +110,16 @@
         self.back_ends_ended.inc();
     }
 
+    /// So many requests are quarantined.
+    pub fn set_quarantined(&self, requests: usize) {
+        self.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+
+    /// A quarantined request came.
+    pub fn on_quarantined_call(&self) {
+        self.quarantined_calls.inc();
+    }
+
     /// The router answered by itself.
     pub fn on_own_answer(&self, answer: OwnAnswer) {
         let labels = AnswerLabels { status: answer.status().as_u16() };
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::client::LocalClient;
 use crate::events;
 use crate::news::Origin;
+use crate::quarantine;
 use crate::router::Router;
 use crate::snapshots::snapshot_target;
 use bytes::Bytes;
@@ -45,7 +46,9 @@
         }
         messages
     };
-    for Outgoing { message, targets } in messages {
+    for Outgoing { message, targets } in
+        messages.into_iter().chain(quarantine::next_messages(router))
+    {
         send(socket, &message, &targets).await;
     }
 }
@@ -81,19 +84,27 @@
 pub async fn receive_messages(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0_u8; LARGEST_DATAGRAM];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             router.runtime.sleep(ROUND_PERIOD).await;
             continue;
         };
         // A datagram that is no message is not from a peer of ours.
         if let Ok(message) = rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
-            take_message(&router, &socket, message).await;
+            take_message(&router, &socket, sender, message).await;
         }
     }
 }
 
 /// Takes a message and greets a sender that was not known.
-async fn take_message(router: &Rc<Router>, socket: &UdpSocket, message: PeerMessage) {
+async fn take_message(
+    router: &Rc<Router>,
+    socket: &UdpSocket,
+    sender: SocketAddr,
+    message: PeerMessage,
+) {
+    if let PeerMessage::Ends(reports) = &message {
+        return quarantine::take_reports(router, reports, sender);
+    }
     let new_peer = router.dispatcher.borrow_mut().on_message(router.now(), message);
     let Some(new_peer) = new_peer else { return };
     events::peer_heard(new_peer.address, router.dispatcher.borrow().routers());
@@ -101,6 +112,9 @@
         let greeting = router.dispatcher.borrow_mut().greeting(router.standing());
         send(socket, &PeerMessage::Digest(greeting), &[new_peer.address]).await;
     }
+    if let Some(message) = quarantine::message_for_newcomer(router) {
+        send(socket, &message, &[new_peer.address]).await;
+    }
 }
 
 /// Fetches what peers know and this router misses, for as long as it runs.
--- /dev/null
+++ b/crates/router/src/quarantine.rs
@@ -0,0 +1,143 @@
+//! Keeps requests from back ends under which others have ended, together with the other routers.
+//!
+//! Without this a request that ended each engine which ran it was sent on at each coming: 23 runs of 20 arrivals at one router,
+//! 19 of 24 at four (`tests/fatal_requests.rs`, which bounds both by six).
+
+use crate::call::Call;
+use crate::events;
+use crate::router::Router;
+use mastbay_routing::{
+    BackEnd, EndReport, EngineKey, Outgoing, PeerMessage, QuarantinedRequest, RequestFingerprint,
+    RequestStanding,
+};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time between two looks at whether it is known by now what became of a back end.
+const VERDICT_PERIOD: Duration = Duration::from_millis(16);
+
+/// What is known of a request. Where one more end would quarantine it and it isn't known yet whether a back end ended under it a
+/// moment ago, that is waited for, a tenth of a second as a rule.
+pub async fn standing(router: &Router, call: &Call) -> RequestStanding {
+    if !has_any(router) {
+        return RequestStanding::Clear;
+    }
+    while is_verdict_awaited(router, call.fingerprint()) {
+        router.runtime.sleep(VERDICT_PERIOD).await;
+    }
+    current_standing(router, call)
+}
+
+/// Whether anything is known that could speak against a request; as a rule there is nothing, and no fingerprint is taken.
+fn has_any(router: &Router) -> bool {
+    !router.quarantine.borrow().is_empty() || !router.broken.is_empty()
+}
+
+fn is_verdict_awaited(router: &Router, request: RequestFingerprint) -> bool {
+    let awaited = router.broken.awaited_for(request);
+    let ends = router.quarantine.borrow().ends(router.now(), request);
+    awaited > 0 && awaited + ends + 1 >= router.settings.quarantine.ends
+}
+
+/// What is known of a request by now. One whose connection just broke is a suspect until it is known why.
+fn current_standing(router: &Router, call: &Call) -> RequestStanding {
+    if !has_any(router) {
+        return RequestStanding::Clear;
+    }
+    let request = call.fingerprint();
+    let known = router.quarantine.borrow().standing(router.now(), request);
+    let is_awaited = router.broken.awaited_for(request) > 0;
+    if known == RequestStanding::Clear && is_awaited { RequestStanding::Suspect } else { known }
+}
+
+/// Whether back ends ended under a request, or may have.
+pub fn is_suspect(router: &Router, call: &Call) -> bool {
+    current_standing(router, call) == RequestStanding::Suspect
+}
+
+/// For how long a request is sent to no back end, if it is quarantined.
+pub fn time_left(router: &Router, call: &Call) -> Option<Duration> {
+    match current_standing(router, call) {
+        RequestStanding::Quarantined { left } => Some(left),
+        RequestStanding::Clear | RequestStanding::Suspect => None,
+    }
+}
+
+/// A request was served to its end.
+pub fn note_served(router: &Router, call: &Call) {
+    if !router.quarantine.borrow().is_empty() {
+        router.quarantine.borrow_mut().on_served(call.fingerprint());
+    }
+}
+
+/// A back end ended while requests of this router were under way there. The others are told at once.
+pub fn on_back_end_ended(
+    router: &Router,
+    back_end: &BackEnd,
+    requests: &BTreeSet<RequestFingerprint>,
+) {
+    events::back_end_ended(back_end, requests);
+    router.metrics.on_back_end_ended();
+    let now = router.now();
+    let key = EngineKey::from(&back_end.id);
+    let quarantined: Vec<QuarantinedRequest> = {
+        let mut quarantine = router.quarantine.borrow_mut();
+        requests.iter().filter_map(|request| quarantine.on_end(now, key, *request)).collect()
+    };
+    note_quarantined(router, &quarantined, "own");
+    router.news.give();
+}
+
+/// Another router reports ends.
+pub fn take_reports(router: &Router, reports: &[EndReport], sender: SocketAddr) {
+    let relaying = router.dispatcher.borrow().relaying();
+    let now = router.now();
+    let quarantined = router.quarantine.borrow_mut().on_reports(now, reports, relaying);
+    if !quarantined.is_empty() {
+        note_quarantined(router, &quarantined, &sender.to_string());
+    }
+}
+
+fn note_quarantined(router: &Router, quarantined: &[QuarantinedRequest], source: &str) {
+    quarantined.iter().for_each(|one| events::request_quarantined(one, source));
+    let all = router.quarantine.borrow().quarantined(router.now());
+    router.metrics.set_quarantined(all.len());
+}
+
+/// What this router tells others of ends in one round; as a rule nothing.
+pub fn next_messages(router: &Rc<Router>) -> Vec<Outgoing> {
+    let now = router.now();
+    let mut quarantine = router.quarantine.borrow_mut();
+    let reports = quarantine.next_reports(now);
+    let reminder = quarantine.next_reminder(now);
+    let dispatcher = router.dispatcher.borrow();
+    let mut messages = Vec::new();
+    if !reports.is_empty() {
+        let targets = dispatcher.gossip_targets(rand::random());
+        messages.push(Outgoing { message: PeerMessage::Ends(reports), targets });
+    }
+    if !reminder.is_empty() {
+        let targets = dispatcher.some_peer(rand::random()).into_iter().collect();
+        messages.push(Outgoing { message: PeerMessage::Ends(reminder), targets });
+    }
+    messages
+}
+
+/// All that a router which just came must know: the requests that are quarantined.
+pub fn message_for_newcomer(router: &Router) -> Option<PeerMessage> {
+    let reports = router.quarantine.borrow().reports_for_newcomer(router.now());
+    (!reports.is_empty()).then_some(PeerMessage::Ends(reports))
+}
+
+/// Forgets what no longer counts.
+pub fn expire(router: &Router) {
+    let now = router.now();
+    let mut quarantine = router.quarantine.borrow_mut();
+    if quarantine.is_empty() {
+        return;
+    }
+    quarantine.expire(now);
+    router.metrics.set_quarantined(quarantine.quarantined(now).len());
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -3,8 +3,10 @@
 use crate::broken_connections;
 use crate::call::Call;
 use crate::ending::note_end;
+use crate::headers::is_delimited;
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::pool::BackEndConnection;
+use crate::quarantine;
 use crate::router::Router;
 use crate::send::{Sender, Try};
 use crate::ticket::Ticket;
@@ -12,7 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use mastbay_routing::{Attempt, BackEndId, Fault};
+use mastbay_routing::{Attempt, BackEndId, Fault, RequestStanding};
 use mastbay_types::Timestamp;
 use mastbay_web::BodyError;
 use smol::stream::{Stream, StreamExt};
@@ -103,6 +105,8 @@
     pub connection: BackEndConnection,
     /// The rest of its answer.
     pub body: Incoming,
+    /// Whether its answer tells its own end.
+    pub is_delimited: bool,
 }
 
 /// What came next from the back end.
@@ -238,6 +242,9 @@
         if let Some(source) = self.source.take() {
             source.ticket.on_first_event();
             source.ticket.succeed();
+            if source.is_delimited {
+                quarantine::note_served(&self.router, &self.call);
+            }
             self.router.pool.keep(&source.back_end, source.connection);
             self.note(OutcomeKind::Streamed, None, Some(&source.back_end));
         }
@@ -274,6 +281,10 @@
         if !may_resume {
             return false;
         }
+        let standing = quarantine::standing(&self.router, &self.call).await;
+        if matches!(standing, RequestStanding::Quarantined { .. }) {
+            return false;
+        }
         self.resumes += 1;
         let left = self.call.time_left(self.router.now());
         let source = self.router.runtime.within(left, self.next_source()).await.unwrap_or_default();
@@ -286,6 +297,9 @@
         let mut demand = self.call.demand();
         demand.tried = self.tried.clone();
         demand.arrived = self.router.now();
+        if quarantine::is_suspect(&self.router, &self.call) {
+            demand.suspect = Some(self.call.fingerprint());
+        }
         let (ticket, placement) = Ticket::obtain(&self.router, demand).await.ok()?;
         if !self.router.take_retry(&self.call.service) {
             return None;
@@ -296,7 +310,9 @@
             Try::Answered(head, body, connection) if head.status == StatusCode::OK => {
                 self.attempt.borrow_mut().on_answer();
                 let back_end = placement.back_end.id;
-                Some(Source { ticket, back_end, connection: *connection, body })
+                let is_delimited = is_delimited(&head.headers);
+                let connection = *connection;
+                Some(Source { ticket, back_end, connection, body, is_delimited })
             }
             Try::Answered(..) => {
                 ticket.fail(Fault::Failure);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -16,8 +16,8 @@
 use crate::snapshots::EncodedSnapshots;
 use mastbay_routing::{
     BackEndList, Dispatcher, DispatcherLimits, EvacuatedZones, Newcomer, OutageWatch,
-    OverloadGuard, PeerId, Placement, Refusal, RouteTable, RoutingConfiguration, SourceContact,
-    Standing, TicketId, Turn, watch_wait,
+    OverloadGuard, PeerId, Placement, Quarantine, Refusal, RouteTable, RoutingConfiguration,
+    SourceContact, Standing, TicketId, Turn, watch_wait,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
@@ -63,6 +63,7 @@
     overflow: RefCell<OverflowAccount>,
     outage: RefCell<OutageWatch>,
     pub(crate) broken: BrokenConnections,
+    pub(crate) quarantine: RefCell<Quarantine>,
     /// A peer has something newer but could not be asked for it.
     pub(crate) peers_fail: Cell<bool>,
     /// Given when something newer came in force here, so that peers are told at once.
@@ -98,6 +99,7 @@
         };
         let dispatcher = Dispatcher::new(limits, me, settings.operations);
         let bodies = BodyBudget::new(settings.body_bytes());
+        let quarantine = Quarantine::new(settings.quarantine);
         Rc::new(Self {
             bodies,
             settings,
@@ -115,6 +117,7 @@
             overflow: RefCell::default(),
             outage: RefCell::default(),
             broken: BrokenConnections::default(),
+            quarantine: RefCell::new(quarantine),
             peers_fail: Cell::new(false),
             news: News::default(),
             stop: StopSignal::default(),
@@ -226,6 +229,11 @@
         self.dispatcher.borrow_mut().on_source_contact(contact);
     }
 
+    /// Whether any request is sent to no back end, since several ended under it.
+    pub fn has_quarantined_any(&self) -> bool {
+        !self.quarantine.borrow().quarantined(self.now()).is_empty()
+    }
+
     /// Whether it takes work.
     pub fn is_ready(&self) -> bool {
         self.standing() == Standing::Serving && self.catalogue.borrow().is_complete()
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,12 +1,15 @@
 //! Settings of a router, in INI form, checked whole.
 
-use mastbay_routing::{BudgetLimits, ConcurrencyPolicy, FairCapacity, Policy, WarmupLimits};
+use mastbay_routing::{
+    BudgetLimits, ConcurrencyPolicy, FairCapacity, Policy, QuarantineLimits, WarmupLimits,
+};
 use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The sections that a router reads.
-pub const SECTIONS: [&str; 6] = ["router", "peers", "retries", "warmup", "policy", "log"];
+pub const SECTIONS: [&str; 7] =
+    ["router", "peers", "retries", "quarantine", "warmup", "policy", "log"];
 
 /// Settings of a router.
 #[derive(Debug, Clone, PartialEq)]
@@ -45,6 +48,8 @@
     pub seeds: Vec<SocketAddr>,
     /// `[retries]`: the fleet's budget for second sends.
     pub budget: BudgetLimits,
+    /// `[quarantine]`: when a request is sent to no further back end.
+    pub quarantine: QuarantineLimits,
     /// `[warmup]`: how far above a cold back end's rate the fleet may go.
     pub warmup: WarmupLimits,
     /// `[policy]`: how requests are placed, admitted and shared.
@@ -141,6 +146,7 @@
     section.finish();
 
     let budget = read_budget(document, faults);
+    let quarantine = read_quarantine(document, faults);
     let warmup = read_warmup(document, faults);
     let policy = read_policy(document, faults);
     let mut section = document.section("log", faults);
@@ -165,6 +171,7 @@
         digests: digests?,
         seeds,
         budget,
+        quarantine,
         warmup,
         policy,
         log,
@@ -181,6 +188,15 @@
     BudgetLimits { ratio: ratio.0, window: window.0, burst: burst.0 }
 }
 
+fn read_quarantine(document: &Document, faults: &mut Faults) -> QuarantineLimits {
+    let default = QuarantineLimits::default();
+    let mut section = document.section("quarantine", faults);
+    let ends: Bounded<1, 1_000> = section.or("ends", Bounded(default.ends as u64));
+    let period: Span<1_000, 604_800_000> = section.or("period", Span(default.period));
+    section.finish();
+    QuarantineLimits { ends: ends.0 as usize, period: period.0 }
+}
+
 fn read_warmup(document: &Document, faults: &mut Faults) -> WarmupLimits {
     let default = WarmupLimits::default();
     let mut section = document.section("warmup", faults);
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -5,6 +5,7 @@
 use crate::listener::{ListenerLimits, OpenConnections, StopSignal, close_unread, listen, serve};
 use crate::operations::{operations, readiness};
 use crate::peers;
+use crate::quarantine;
 use crate::router::Router;
 use async_signal::{Signal, Signals};
 use derive_more::{Display, Error};
@@ -97,6 +98,7 @@
         loop {
             sweeping.runtime.sleep(sweeping.runtime.until_turn(SWEEP_PERIOD)).await;
             sweeping.pool.sweep();
+            quarantine::expire(&sweeping);
         }
     };
     runtime.spawn(sweep).detach();
--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -15,9 +15,11 @@
 
 use mastbay_router::{Origin, Runtime};
 use mastbay_routing::BackEndList;
+use std::cell::RefCell;
+use std::future::Future;
 use std::time::Duration;
 use support::ending::{EndingBackEnds, FATAL};
-use support::{Answer, Bed, Request, run};
+use support::{Answer, Bed, Request, STREAM_HEAD, ScriptedBackEnd, Step, run, until};
 
 /// Sends that are allowed over the whole fleet: three until it is known what the request does, and three more.
 const MOST_RUNS: u32 = 6;
@@ -85,3 +87,84 @@
         assert!(answers[12..].iter().all(is_told), "{:?}", &answers[12..]);
     });
 }
+
+/// Callers of other requests while one comes again and again that ends back ends: each request is of its own, runs 30 ms and may be
+/// sent twice.
+async fn call_bystanders(bed: &Bed, callers: usize, calls: usize) -> Vec<Answer> {
+    let answers: RefCell<Vec<Answer>> = RefCell::default();
+    let all = (0..callers).map(|caller| {
+        let answers = &answers;
+        async move {
+            for number in 0..calls {
+                let request = Request::new(&format!("/safe/{caller}/{number}"));
+                let answer = bed.call(&request).await;
+                answers.borrow_mut().push(answer);
+            }
+        }
+    });
+    join_all(all).await;
+    answers.into_inner()
+}
+
+/// Runs futures side by side until all have ended.
+async fn join_all<F: Future<Output = ()>>(all: impl Iterator<Item = F>) {
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = all.map(|one| executor.spawn(one)).collect();
+    let ended = async {
+        for task in tasks {
+            task.await;
+        }
+    };
+    executor.run(ended).await;
+}
+
+/// Back ends that end are missing for a while, and whatever was under way there is sent once more. Without a quarantine 561 to
+/// 629 of these 720 bystanders were served (three runs).
+#[test]
+fn bystanders_of_a_request_that_ends_back_ends_are_served() {
+    run(async |runtime| {
+        let back_ends = EndingBackEnds::start(runtime, 8, DOWN_FOR).await;
+        let beds = start_routers(runtime, 1, &back_ends).await;
+        let fatal = call_in_turn(&beds, "unsafe", 40);
+        let (_, answers) = smol::future::zip(fatal, call_bystanders(&beds[0], 12, 60)).await;
+        let served = answers.iter().filter(|answer| answer.status == 200).count();
+        println!("{served} of {} bystanders served", answers.len());
+        assert!(served * 100 >= answers.len() * 98, "{served} of {}", answers.len());
+        let refused = answers.iter().filter(|answer| answer.status == 503).count();
+        assert_eq!(refused, 0, "taken for the request that ends back ends");
+    });
+}
+
+/// Connections that break in the middle of an answer, while the back end lives, say nothing against a request.
+#[test]
+fn a_request_whose_answers_break_off_is_sent_on() {
+    for broken in [vec![Step::Close], vec![Step::Write(STREAM_HEAD.to_owned()), Step::Close]] {
+        run(async |runtime| {
+            let first = ScriptedBackEnd::start(runtime, "b1", vec![broken.clone()]).await;
+            let second = ScriptedBackEnd::start(runtime, "b2", vec![broken.clone()]).await;
+            let bed = Bed::start(runtime, &[&first, &second]).await;
+            let answers = call_in_turn(std::slice::from_ref(&bed), "unsafe", 12).await;
+            assert!(answers.iter().all(|answer| answer.status == 502), "{answers:?}");
+            assert_eq!(first.arrivals() + second.arrivals(), 12);
+        });
+    }
+}
+
+/// A router that starts while the request goes on coming learns of it from the others before it has sent it once more itself.
+#[test]
+fn a_router_that_starts_later_knows_what_is_quarantined() {
+    run(async |runtime| {
+        let back_ends = EndingBackEnds::start(runtime, 8, DOWN_FOR).await;
+        let earlier = start_routers(runtime, 2, &back_ends).await;
+        call_in_turn(&earlier, "unsafe", 12).await;
+        let runs = back_ends.fatal_runs.get();
+        let later = start_routers(runtime, 1, &back_ends).await;
+        later[0].introduce(earlier[0].settings.digests, earlier[0].settings.operations);
+        earlier[0].introduce(later[0].settings.digests, later[0].settings.operations);
+        // Its peer's first message comes with the first round.
+        until(async || later[0].router.has_quarantined_any()).await;
+        let answers = call_in_turn(&later, "unsafe", 3).await;
+        assert!(answers.iter().all(|answer| answer.status == 503), "{answers:?}");
+        assert_eq!(back_ends.fatal_runs.get(), runs);
+    });
+}
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use mastbay_router::{Origin, Router, RouterMetrics, RouterSettings, Runtime, Seams};
 use mastbay_routing::{
     BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Digest, EngineLimits,
-    EvacuatedZones, Limits, PeerId, PeerMessage, Route, RouteKind, RouterState,
+    EvacuatedZones, Limits, PeerId, PeerMessage, QuarantineLimits, Route, RouteKind, RouterState,
     RoutingConfiguration, Service, SourceContact, Standing, Target, Tenant, WarmupLimits,
 };
 pub use mastbay_testbed::header;
@@ -215,6 +215,7 @@
         digests: ports.next_address(),
         seeds: Vec::new(),
         budget: BudgetLimits::default(),
+        quarantine: QuarantineLimits::default(),
         warmup: WarmupLimits::default(),
         policy: mastbay_routing::Policy::default(),
         log: "info".to_owned(),
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -1,6 +1,7 @@
 //! What routers tell each other.
 
 use crate::figures::Figures;
+use crate::quarantine::EndReport;
 use crate::watching::SourceContact;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -112,6 +113,8 @@
     Digest(Digest),
     /// Sums of an aggregator.
     Sum(Sum),
+    /// Back ends that ended under requests.
+    Ends(Vec<EndReport>),
 }
 
 /// A message and who it goes to.
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -15,6 +15,9 @@
 const STAND_IN_TURN: Duration = Duration::from_millis(200);
 /// Time for which a member that is answered follows the source before it looks whether others do.
 const STAND_IN: Duration = Duration::from_secs(5);
+/// Peers of a large fleet that are told of ends in a round. All of 295 routers know after 0.64 s what three of them saw, with a tenth of
+/// the datagrams lost, and after 0.72 s with three tenths lost (virtual time, `tests/quarantine.rs`).
+const GOSSIP_TARGETS: u8 = 3;
 /// How many times the processor of another a much larger router has.
 const MUCH_MORE: f32 = 1.5;
 
@@ -24,6 +27,25 @@
         1 + self.peers.len()
     }
 
+    /// Who is told of ends in a round: all peers of a mesh, a few drawn ones of a larger fleet.
+    pub fn gossip_targets(&self, draw: u64) -> Vec<SocketAddr> {
+        if self.role == Role::Mesh {
+            return self.peers.keys().copied().collect();
+        }
+        let draws =
+            (0..GOSSIP_TARGETS).map(|number| stable_hash(&[&draw.to_be_bytes(), &[number]]));
+        let mut targets: Vec<SocketAddr> = draws.filter_map(|draw| self.some_peer(draw)).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// One peer, drawn.
+    pub fn some_peer(&self, draw: u64) -> Option<SocketAddr> {
+        let place = draw.checked_rem(self.peers.len() as u64)?;
+        self.peers.keys().nth(place as usize).copied()
+    }
+
     fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = &RouterState> {
         let fresh = self.peers.values().filter(move |peer| now.since(peer.heard) <= FIGURES_LIFE);
         fresh.map(|peer| &peer.state)
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -4,6 +4,7 @@
 use crate::back_end::{BackEnd, BackEndId};
 use crate::budget::BudgetLimits;
 use crate::engine::Load;
+use crate::fingerprint::RequestFingerprint;
 use crate::policy::Policy;
 use crate::prompt::Prompt;
 use crate::warmup::WarmupLimits;
@@ -55,6 +56,8 @@
     pub tenant: Option<Arc<str>>,
     /// Back ends that it is not given again.
     pub tried: Vec<BackEndId>,
+    /// Its fingerprint, if back ends ended under it.
+    pub suspect: Option<RequestFingerprint>,
 }
 
 impl Demand {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod preferred_engines;
 mod sharing;
 mod source;
+mod suspects;
 
 use crate::back_end::{BackEnd, BackEndId, BackEndList};
 use crate::budget::RetryBudget;
@@ -25,6 +26,7 @@
 use crate::figures::EngineKey;
 use crate::first_event::{FirstEventEstimator, PrefillWork};
 use crate::health::Fault;
+use crate::quarantine::Relaying;
 use crate::shares::Usage;
 use crate::waiting::WaitingQueue;
 use crate::watching::SourceContact;
@@ -200,6 +202,21 @@
         self.fleet.role()
     }
 
+    /// Who is told of ends in a round: all peers of a small fleet, a few of a large one. `draw` is uniform.
+    pub fn gossip_targets(&self, draw: u64) -> Vec<SocketAddr> {
+        self.fleet.gossip_targets(draw)
+    }
+
+    /// One peer, drawn.
+    pub fn some_peer(&self, draw: u64) -> Option<SocketAddr> {
+        self.fleet.some_peer(draw)
+    }
+
+    /// Whether this router passes on what others report of ends.
+    pub fn relaying(&self) -> Relaying {
+        if self.fleet.role() == Role::Mesh { Relaying::Nothing } else { Relaying::All }
+    }
+
     /// Number of routers believed to be there, this one included.
     pub fn routers(&self) -> usize {
         self.fleet.routers()
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 impl Dispatcher {
-    /// A message of another router has come. Gives that router if it was not known before.
+    /// A message of another router has come that tells of itself or of sums. Gives that router if it was not known before.
     pub fn on_message(&mut self, now: Timestamp, message: PeerMessage) -> Option<NewPeer> {
         match message {
             PeerMessage::Digest(digest) => self.on_digest(now, digest),
@@ -18,6 +18,7 @@
                 self.on_sum(now, sum);
                 None
             }
+            PeerMessage::Ends(_) => None,
         }
     }
 
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -78,6 +78,9 @@
         demand: &Demand,
         terms: Terms,
     ) -> Option<Weighed> {
+        if let Some(suspect) = demand.suspect {
+            return self.best_for_suspect(now, demand, suspect, terms);
+        }
         let weighed = match &demand.prompt {
             Some(prompt) => self.weigh_engines(now, demand, prompt, terms),
             None => self.weigh_plain(now, demand),
@@ -85,7 +88,7 @@
         weighed.into_iter().min_by(|left, right| left.cost.total_cmp(&right.cost))
     }
 
-    fn is_candidate(&self, now: Timestamp, engine: &Engine, demand: &Demand) -> bool {
+    pub(super) fn is_candidate(&self, now: Timestamp, engine: &Engine, demand: &Demand) -> bool {
         engine.back_end.service == demand.service
             && engine.takes_work()
             && self.bears_more(now, engine)
@@ -97,26 +100,46 @@
     fn weigh_plain(&self, now: Timestamp, demand: &Demand) -> Vec<Weighed> {
         let candidates =
             self.engines.values().filter(|engine| self.is_candidate(now, engine, demand));
-        let with_room = candidates
-            .filter(|engine| engine.load().running < engine.back_end.slots.max(1) + PLAIN_QUEUE);
-        let weighed = with_room.map(|engine| {
-            let slots = f64::from(engine.back_end.slots.max(1));
-            let is_near = engine.back_end.zone == self.limits.zone;
-            let zone = if is_near { 0.0 } else { OTHER_ZONE_SLOTS };
-            let failures = engine.health.failure_share(now) / FAILURE_STEP;
-            let cost =
-                f64::from(engine.load().running) / slots * engine.latency_ratio + zone + failures;
-            let id = engine.back_end.id.clone();
-            Weighed {
-                id,
-                predicted: Duration::ZERO,
-                alone: Duration::ZERO,
-                uncached: 0,
-                work_ahead: PrefillWork::default(),
-                cost,
-            }
-        });
-        weighed.collect()
+        candidates.filter_map(|engine| self.weigh_if_plain_room(now, engine)).collect()
+    }
+
+    /// A plain back end, if it has room.
+    pub(super) fn weigh_if_plain_room(&self, now: Timestamp, engine: &Engine) -> Option<Weighed> {
+        if engine.load().running >= engine.back_end.slots.max(1) + PLAIN_QUEUE {
+            return None;
+        }
+        let slots = f64::from(engine.back_end.slots.max(1));
+        let is_near = engine.back_end.zone == self.limits.zone;
+        let zone = if is_near { 0.0 } else { OTHER_ZONE_SLOTS };
+        let failures = engine.health.failure_share(now) / FAILURE_STEP;
+        let cost =
+            f64::from(engine.load().running) / slots * engine.latency_ratio + zone + failures;
+        Some(Weighed {
+            id: engine.back_end.id.clone(),
+            predicted: Duration::ZERO,
+            alone: Duration::ZERO,
+            uncached: 0,
+            work_ahead: PrefillWork::default(),
+            cost,
+        })
+    }
+
+    /// An engine that need not hold the prompt's shared prefix, if it has room and is in time.
+    pub(super) fn weigh_if_fit(
+        &self,
+        now: Timestamp,
+        engine: &Engine,
+        demand: &Demand,
+        prompt: &Prompt,
+        terms: Terms,
+    ) -> Option<Weighed> {
+        if !self.has_room(now, engine, demand, prompt, terms) {
+            return None;
+        }
+        let weighed = self.weigh(now, engine, demand, prompt, 1);
+        let is_fit =
+            is_idle(engine) || is_in_time(now, &weighed, demand, terms, &self.limits.policy);
+        is_fit.then_some(weighed)
     }
 
     /// Engines that are in time, by their rank for the prompt's shared prefix.
--- /dev/null
+++ b/crates/routing/src/dispatch/suspects.rs
@@ -0,0 +1,31 @@
+//! Where requests go under which back ends ended before.
+//!
+//! All that were under way at a back end that ended are suspects, one of them with reason. Each of them has an order of back ends of its
+//! own, so that they part: the next back end that ends tells one from the others. Copies of the same request meet, at whatever
+//! router they come, and end one back end where they would have ended several.
+
+use super::placement::{Terms, Weighed};
+use super::{Demand, Dispatcher};
+use crate::engine::Engine;
+use crate::fingerprint::RequestFingerprint;
+use mastbay_types::Timestamp;
+
+impl Dispatcher {
+    /// The first back end with room in a suspect's own order.
+    pub(super) fn best_for_suspect(
+        &mut self,
+        now: Timestamp,
+        demand: &Demand,
+        suspect: RequestFingerprint,
+        terms: Terms,
+    ) -> Option<Weighed> {
+        let candidates =
+            self.engines.values().filter(|engine| self.is_candidate(now, engine, demand));
+        let mut candidates: Vec<&Engine> = candidates.collect();
+        candidates.sort_by_cached_key(|engine| std::cmp::Reverse(suspect.order_at(engine.key)));
+        candidates.into_iter().find_map(|engine| match &demand.prompt {
+            Some(prompt) => self.weigh_if_fit(now, engine, demand, prompt, terms),
+            None => self.weigh_if_plain_room(now, engine),
+        })
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod overload;
 mod policy;
 mod prompt;
+mod quarantine;
 mod service_level;
 mod shares;
 mod table;
@@ -56,6 +57,9 @@
 pub use overload::{Others, OverloadGuard, Turn};
 pub use policy::{ConcurrencyPolicy, FairCapacity, Policy};
 pub use prompt::{Prompt, PromptPart};
+pub use quarantine::{
+    EndReport, Quarantine, QuarantineLimits, QuarantinedRequest, Relaying, RequestStanding,
+};
 pub use service_level::{ACCEPTED_MISSES, LevelCounts, ServiceLevel};
 pub use shares::{Usage, water_level};
 pub use table::{RouteTable, TableEntry};
--- /dev/null
+++ b/crates/routing/src/quarantine.rs
@@ -0,0 +1,348 @@
+//! Requests under which back ends ended, and those of them that are sent to no further one.
+//!
+//! Up to a whole back end's slots of requests are under way where one ends, and any of them may have ended it. A request is held to
+//! have done so once several lives of back ends ended under it and it was never served to its end in between: one that only happened
+//! to be there is served elsewhere, which clears it. Reports of ends are sets that merge in any order and name the life that ended, so
+//! that no end counts twice, however often and by whomever it is told.
+
+use crate::figures::EngineKey;
+use crate::fingerprint::RequestFingerprint;
+use mastbay_types::{Timestamp, stable_hash};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// Settings of a [`Quarantine`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantineLimits {
+    /// Lives of back ends that end under a request before it is quarantined.
+    pub ends: usize,
+    /// Time for which an end counts.
+    pub period: Duration,
+}
+
+impl Default for QuarantineLimits {
+    fn default() -> Self {
+        Self { ends: 3, period: Duration::from_secs(3_600) }
+    }
+}
+
+/// Requests that are remembered; past this, those with the fewest ends are forgotten first, then the oldest. A back end that ends adds
+/// as many as it had slots.
+const MOST_REQUESTS: usize = 4_096;
+/// Rounds in which a report is told. With three targets a round and as many rounds, one router of a large fleet misses a report once in
+/// 8,000 times, and hears the next end's all the same.
+const TELLINGS: u32 = 3;
+/// Reports in one message; each takes some 40 bytes.
+const REPORTS_PER_MESSAGE: usize = 128;
+/// Rounds between two messages that tell of quarantined requests again, to whoever missed them or started since.
+const ROUNDS_PER_REMINDER: u64 = 4;
+/// Quarantined requests in one such message.
+const REQUESTS_PER_REMINDER: usize = 24;
+
+/// A life of a back end that ended under a request, as routers tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndReport {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// The life that ended.
+    pub back_end: EngineKey,
+    /// Time for which it counts on, in milliseconds.
+    pub counts_for_ms: u32,
+    /// Whether the request was served to its end since, so that the end doesn't count.
+    pub is_cleared: bool,
+}
+
+/// What is known of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestStanding {
+    /// Nothing that speaks against it.
+    Clear,
+    /// Back ends ended under it, fewer than the limit.
+    Suspect,
+    /// It is sent to no back end.
+    Quarantined {
+        /// For how long.
+        left: Duration,
+    },
+}
+
+/// A request that is quarantined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantinedRequest {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// The lives of back ends that ended under it.
+    pub back_ends: Vec<EngineKey>,
+    /// For how long it is quarantined.
+    pub left: Duration,
+}
+
+/// An end that counts or was cleared.
+#[derive(Debug, Clone, Copy)]
+struct End {
+    until: Timestamp,
+    is_cleared: bool,
+}
+
+#[derive(Debug, Default)]
+struct Suspicion {
+    ends: BTreeMap<EngineKey, End>,
+}
+
+impl Suspicion {
+    fn counted(&self, now: Timestamp) -> impl Iterator<Item = (&EngineKey, &End)> {
+        self.ends.iter().filter(move |(_, end)| !end.is_cleared && end.until > now)
+    }
+
+    /// Until when the limit is reached, if it is.
+    fn quarantined_until(&self, now: Timestamp, limits: &QuarantineLimits) -> Option<Timestamp> {
+        let mut until: Vec<Timestamp> = self.counted(now).map(|(_, end)| end.until).collect();
+        until.sort_unstable_by(|left, right| right.cmp(left));
+        until.get(limits.ends.max(1) - 1).copied()
+    }
+
+    fn latest(&self) -> Timestamp {
+        self.ends.values().map(|end| end.until).max().unwrap_or_default()
+    }
+}
+
+/// A report that is still to be told.
+#[derive(Debug)]
+struct News {
+    request: RequestFingerprint,
+    back_end: EngineKey,
+    tellings_left: u32,
+}
+
+/// How far this router passes on what others reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Relaying {
+    /// Whoever sees an end tells all others itself.
+    Nothing,
+    /// Each router tells a few others what it heard.
+    All,
+}
+
+/// What a router knows of requests under which back ends ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    limits: QuarantineLimits,
+    requests: HashMap<RequestFingerprint, Suspicion>,
+    news: VecDeque<News>,
+    round: u64,
+    reminded: usize,
+}
+
+impl Quarantine {
+    /// Nothing is known yet.
+    pub fn new(limits: QuarantineLimits) -> Self {
+        Self { limits, ..Self::default() }
+    }
+
+    /// Whether nothing speaks against any request.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// What is known of a request.
+    pub fn standing(&self, now: Timestamp, request: RequestFingerprint) -> RequestStanding {
+        let Some(suspicion) = self.requests.get(&request) else { return RequestStanding::Clear };
+        if let Some(until) = suspicion.quarantined_until(now, &self.limits) {
+            return RequestStanding::Quarantined { left: until.since(now) };
+        }
+        match suspicion.counted(now).next() {
+            Some(_) => RequestStanding::Suspect,
+            None => RequestStanding::Clear,
+        }
+    }
+
+    /// Ends that count against a request.
+    pub fn ends(&self, now: Timestamp, request: RequestFingerprint) -> usize {
+        self.requests.get(&request).map_or(0, |suspicion| suspicion.counted(now).count())
+    }
+
+    /// A back end ended under a request of this router. Gives the request if it is quarantined by that.
+    pub fn on_end(
+        &mut self,
+        now: Timestamp,
+        back_end: EngineKey,
+        request: RequestFingerprint,
+    ) -> Option<QuarantinedRequest> {
+        let until = now + self.limits.period;
+        self.merge(now, request, back_end, End { until, is_cleared: false }, TELLINGS)
+    }
+
+    /// A request was served to its end: no end before that was its doing.
+    pub fn on_served(&mut self, request: RequestFingerprint) {
+        let Some(suspicion) = self.requests.get_mut(&request) else { return };
+        let news = &mut self.news;
+        for (back_end, end) in suspicion.ends.iter_mut().filter(|(_, end)| !end.is_cleared) {
+            end.is_cleared = true;
+            news.push_back(News { request, back_end: *back_end, tellings_left: TELLINGS });
+        }
+    }
+
+    /// Another router reports ends. Gives the requests that are quarantined by that.
+    pub fn on_reports(
+        &mut self,
+        now: Timestamp,
+        reports: &[EndReport],
+        relaying: Relaying,
+    ) -> Vec<QuarantinedRequest> {
+        let tellings = if relaying == Relaying::All { TELLINGS } else { 0 };
+        let merged = reports.iter().filter_map(|report| {
+            let counts_for = Duration::from_millis(report.counts_for_ms.into());
+            let until = now + counts_for.min(self.limits.period);
+            let end = End { until, is_cleared: report.is_cleared };
+            self.merge(now, report.request, report.back_end, end, tellings)
+        });
+        merged.collect()
+    }
+
+    /// A source lists a request as quarantined.
+    pub fn on_listed(&mut self, now: Timestamp, listed: &QuarantinedRequest) {
+        for back_end in &listed.back_ends {
+            let until = now + listed.left.min(self.limits.period);
+            let end = End { until, is_cleared: false };
+            self.merge(now, listed.request, *back_end, end, TELLINGS);
+        }
+    }
+
+    /// The requests that are quarantined.
+    pub fn quarantined(&self, now: Timestamp) -> Vec<QuarantinedRequest> {
+        let all = self.requests.iter();
+        let mut quarantined: Vec<QuarantinedRequest> = all
+            .filter_map(|(request, suspicion)| self.as_quarantined(now, *request, suspicion))
+            .collect();
+        quarantined.sort_unstable_by_key(|quarantined| quarantined.request);
+        quarantined
+    }
+
+    /// Forgets ends that no longer count.
+    pub fn expire(&mut self, now: Timestamp) {
+        for suspicion in self.requests.values_mut() {
+            suspicion.ends.retain(|_, end| end.until > now);
+        }
+        self.requests.retain(|_, suspicion| !suspicion.ends.is_empty());
+    }
+
+    /// What this router tells others in one round; often nothing.
+    pub fn next_reports(&mut self, now: Timestamp) -> Vec<EndReport> {
+        self.round += 1;
+        let mut reports = Vec::new();
+        let due = self.news.len().min(REPORTS_PER_MESSAGE);
+        for _ in 0..due {
+            let Some(mut news) = self.news.pop_front() else { break };
+            reports.extend(self.report(now, news.request, news.back_end));
+            news.tellings_left -= 1;
+            if news.tellings_left > 0 {
+                self.news.push_back(news);
+            }
+        }
+        reports
+    }
+
+    /// What reminds others of requests that are quarantined; nothing in most rounds.
+    pub fn next_reminder(&mut self, now: Timestamp) -> Vec<EndReport> {
+        if self.is_empty() || !self.round.is_multiple_of(ROUNDS_PER_REMINDER) {
+            return Vec::new();
+        }
+        let mut quarantined = self.quarantined(now);
+        let begin = self.reminded % quarantined.len().max(1);
+        quarantined.rotate_left(begin);
+        quarantined.truncate(REQUESTS_PER_REMINDER);
+        self.reminded = begin + quarantined.len();
+        self.reports_of(now, &quarantined)
+    }
+
+    /// What a router must know that has just come: the requests that are quarantined, as many as one message holds.
+    pub fn reports_for_newcomer(&self, now: Timestamp) -> Vec<EndReport> {
+        let mut reports = self.reports_of(now, &self.quarantined(now));
+        reports.truncate(REPORTS_PER_MESSAGE);
+        reports
+    }
+
+    /// As many ends of each request as quarantine it.
+    fn reports_of(&self, now: Timestamp, quarantined: &[QuarantinedRequest]) -> Vec<EndReport> {
+        let reports = quarantined.iter().flat_map(|quarantined| {
+            let ends = quarantined.back_ends.iter().take(self.limits.ends);
+            ends.filter_map(|back_end| self.report(now, quarantined.request, *back_end))
+        });
+        reports.collect()
+    }
+
+    fn report(
+        &self,
+        now: Timestamp,
+        request: RequestFingerprint,
+        back_end: EngineKey,
+    ) -> Option<EndReport> {
+        let end = self.requests.get(&request)?.ends.get(&back_end)?;
+        let left = end.until.since(now).as_millis();
+        let counts_for_ms = u32::try_from(left).unwrap_or(u32::MAX);
+        Some(EndReport { request, back_end, counts_for_ms, is_cleared: end.is_cleared })
+    }
+
+    /// Takes what is known of one end. That it was cleared holds against all else. Gives the request if it is quarantined by that.
+    fn merge(
+        &mut self,
+        now: Timestamp,
+        request: RequestFingerprint,
+        back_end: EngineKey,
+        end: End,
+        tellings: u32,
+    ) -> Option<QuarantinedRequest> {
+        if end.until <= now {
+            return None;
+        }
+        self.make_room(&request);
+        let limits = self.limits;
+        let suspicion = self.requests.entry(request).or_default();
+        let was_quarantined = suspicion.quarantined_until(now, &limits).is_some();
+        let known = suspicion.ends.get(&back_end).copied();
+        if known.is_some_and(|known| known.is_cleared || !end.is_cleared) {
+            return None;
+        }
+        let until = known.map_or(end.until, |known| known.until);
+        suspicion.ends.insert(back_end, End { until, ..end });
+        if tellings > 0 {
+            self.news.push_back(News { request, back_end, tellings_left: tellings });
+        }
+        let suspicion = self.requests.get(&request).filter(|_| !was_quarantined)?;
+        self.as_quarantined(now, request, suspicion)
+    }
+
+    fn as_quarantined(
+        &self,
+        now: Timestamp,
+        request: RequestFingerprint,
+        suspicion: &Suspicion,
+    ) -> Option<QuarantinedRequest> {
+        let until = suspicion.quarantined_until(now, &self.limits)?;
+        let back_ends = suspicion.counted(now).map(|(back_end, _)| *back_end).collect();
+        Some(QuarantinedRequest { request, back_ends, left: until.since(now) })
+    }
+
+    /// Forgets the request that matters least, if one more would be too many.
+    fn make_room(&mut self, coming: &RequestFingerprint) {
+        if self.requests.len() < MOST_REQUESTS || self.requests.contains_key(coming) {
+            return;
+        }
+        let worth = |suspicion: &Suspicion| {
+            let counted = suspicion.ends.values().filter(|end| !end.is_cleared).count();
+            (counted, suspicion.latest())
+        };
+        let least = self.requests.iter().min_by_key(|(_, suspicion)| worth(suspicion));
+        if let Some(request) = least.map(|(request, _)| *request) {
+            self.requests.remove(&request);
+        }
+    }
+}
+
+impl RequestFingerprint {
+    /// Where a suspect stands in the order of a back end: the same at every router, and another for each request.
+    pub fn order_at(self, back_end: EngineKey) -> u64 {
+        stable_hash(&[&self.short().to_be_bytes(), &back_end.to_bytes()])
+    }
+}
--- a/crates/routing/tests/support/fleet.rs
+++ b/crates/routing/tests/support/fleet.rs
@@ -195,7 +195,7 @@
                 PeerMessage::Sum(sum) => {
                     sum.scope == SumScope::Fleet && !outgoing.targets.is_empty()
                 }
-                PeerMessage::Digest(_) => false,
+                PeerMessage::Digest(_) | PeerMessage::Ends(_) => false,
             });
             found.extend(serves.then_some(*address));
         }
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -101,6 +101,7 @@
         priority: 1,
         tenant: Some(Arc::from(tenant)),
         tried: Vec::new(),
+        suspect: None,
     }
 }
 
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -242,6 +242,7 @@
             priority: 1,
             tenant: Some(Arc::from(tenant)),
             tried: Vec::new(),
+            suspect: None,
         }
     }
 
