Quarantined requests are kept in the store, so that they outlive all routers

Cause: no machine has a disk and all routers may be gone at once; a request that had been quarantined would have ended three more back ends after each such loss. The few followers of the source write an object for each, read them when they begin to follow, and lift what an operator removes. The stand-in that ends back ends moved to the testbed.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -146,7 +146,7 @@
     tracing::warn!(
         event = "back_end_ended",
         back_end = %back_end.id,
-        name = hex_name(EngineKey::from(&back_end.id)),
+        name = %EngineKey::from(&back_end.id),
         address = %back_end.address,
         requests = requests.len(),
     );
@@ -155,7 +155,7 @@
 /// A request is sent to no back end from now on. `back_ends` are the names, in messages between routers, of the lives that ended under
 /// it; `source` is who told the last of them.
 pub fn request_quarantined(quarantined: &QuarantinedRequest, source: &str) {
-    let back_ends = quarantined.back_ends.iter().map(|back_end| hex_name(*back_end));
+    let back_ends = quarantined.back_ends.iter().map(EngineKey::to_string);
     tracing::warn!(
         event = "request_quarantined",
         fingerprint = %quarantined.request,
@@ -165,8 +165,14 @@
     );
 }
 
-fn hex_name(back_end: EngineKey) -> String {
-    back_end.to_bytes().iter().map(|byte| format!("{byte:02x}")).collect()
+/// A quarantined request was written where it outlives the routers.
+pub fn quarantine_archived(request: RequestFingerprint) {
+    tracing::info!(event = "quarantine_archived", fingerprint = %request);
+}
+
+/// An operator removed the entry of a quarantined request: it is sent to back ends again.
+pub fn quarantine_lifted(request: RequestFingerprint) {
+    tracing::warn!(event = "quarantine_lifted", fingerprint = %request);
 }
 
 /// A configuration is in force.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,7 +2,7 @@
 //! it has under way, and passes configuration on to those that miss it.
 //!
 //! What callers and back ends speak, and where configuration and back ends come from, plugs in at the
-//! seams in [`dialect`] and [`catalogue`]. Everything runs on one thread.
+//! seams in [`dialect`], [`catalogue`] and [`quarantine_archive`]. Everything runs on one thread.
 
 pub mod body_budget;
 mod broken_connections;
@@ -29,6 +29,7 @@
 mod peers;
 mod pool;
 mod quarantine;
+pub mod quarantine_archive;
 mod relay;
 pub mod request_head;
 mod router;
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -68,7 +68,7 @@
 /// A request was served to its end.
 pub fn note_served(router: &Router, call: &Call) {
     if !router.quarantine.borrow().is_empty() {
-        router.quarantine.borrow_mut().on_served(call.fingerprint());
+        router.quarantine.borrow_mut().clear(call.fingerprint());
     }
 }
 
@@ -131,6 +131,27 @@
     (!reports.is_empty()).then_some(PeerMessage::Ends(reports))
 }
 
+/// The requests that are quarantined.
+pub fn quarantined(router: &Router) -> Vec<QuarantinedRequest> {
+    router.quarantine.borrow().quarantined(router.now())
+}
+
+/// The archive holds a request as quarantined. The others are told at once.
+pub fn take_archived(router: &Router, entry: &QuarantinedRequest) {
+    let now = router.now();
+    if router.quarantine.borrow_mut().on_listed(now, entry) {
+        note_quarantined(router, std::slice::from_ref(entry), "archive");
+        router.news.give();
+    }
+}
+
+/// An operator lifts the quarantine of a request.
+pub fn lift(router: &Router, request: RequestFingerprint) {
+    events::quarantine_lifted(request);
+    router.quarantine.borrow_mut().clear(request);
+    router.news.give();
+}
+
 /// Forgets what no longer counts.
 pub fn expire(router: &Router) {
     let now = router.now();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -205,6 +205,11 @@
         }
     }
 
+    /// Whether it is one of the routers that follow the source now.
+    pub fn is_following_source(&self) -> bool {
+        self.follows_source()
+    }
+
     /// Whether it follows the source: as one of the fleet's few, or because a peer has something newer and
     /// does not hand it out, or because it knows nothing yet and waits for its peers no longer.
     fn follows_source(&self) -> bool {
--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -14,25 +14,40 @@
 mod support;
 
 use mastbay_router::{Origin, Runtime};
-use mastbay_routing::BackEndList;
+use mastbay_routing::{BackEnd, BackEndId, BackEndList, BackEndState};
+use mastbay_testbed::{Behaviour, EndingBackEnds, FATAL};
 use std::cell::RefCell;
 use std::future::Future;
 use std::time::Duration;
-use support::ending::{EndingBackEnds, FATAL};
 use support::{Answer, Bed, Request, STREAM_HEAD, ScriptedBackEnd, Step, run, until};
 
 /// Sends that are allowed over the whole fleet: three until it is known what the request does, and three more.
 const MOST_RUNS: u32 = 6;
 /// Time between two arrivals.
 const PAUSE: Duration = Duration::from_millis(60);
-/// Time for which a back end is down after it ended.
-const DOWN_FOR: Duration = Duration::from_millis(400);
+const BEHAVIOUR: Behaviour =
+    Behaviour { id_header: "mastbay-request-id", down_for: Duration::from_millis(400) };
+
+/// The back ends as a source lists them.
+fn listed(back_ends: &EndingBackEnds) -> Vec<BackEnd> {
+    let addresses = back_ends.addresses.iter().enumerate();
+    let listed = addresses.map(|(number, address)| BackEnd {
+        id: BackEndId::from(format!("b{number}").as_str()),
+        service: "plain".to_owned(),
+        address: *address,
+        zone: "a".to_owned(),
+        slots: 8,
+        state: BackEndState::Ready,
+        cold_for: Duration::ZERO,
+    });
+    listed.collect()
+}
 
 async fn start_routers(runtime: Runtime, count: usize, back_ends: &EndingBackEnds) -> Vec<Bed> {
     let mut beds: Vec<Bed> = Vec::new();
     for _ in 0..count {
         let bed = Bed::start(runtime, &[]).await;
-        let list = BackEndList { revision: 2, back_ends: back_ends.listed() };
+        let list = BackEndList { revision: 2, back_ends: listed(back_ends) };
         bed.router.offer_back_ends(list, Origin::Source);
         beds.push(bed);
     }
@@ -63,10 +78,10 @@
 fn a_request_that_ends_back_ends_runs_six_times_at_most() {
     for prefix in ["resumable", "stream", "safe", "unsafe"] {
         run(async |runtime| {
-            let back_ends = EndingBackEnds::start(runtime, 8, DOWN_FOR).await;
+            let back_ends = EndingBackEnds::start(8, BEHAVIOUR);
             let beds = start_routers(runtime, 1, &back_ends).await;
             let answers = call_in_turn(&beds, prefix, 20).await;
-            let runs = back_ends.fatal_runs.get();
+            let runs = back_ends.fatal_runs();
             assert!(runs <= MOST_RUNS, "{prefix}: {runs} runs");
             let last = answers.last().expect("one at least");
             assert_eq!(last.header("mastbay-outcome").as_deref(), Some("not-run"), "{last:?}");
@@ -78,10 +93,10 @@
 #[test]
 fn routers_together_run_a_request_that_ends_back_ends_six_times_at_most() {
     run(async |runtime| {
-        let back_ends = EndingBackEnds::start(runtime, 12, DOWN_FOR).await;
+        let back_ends = EndingBackEnds::start(12, BEHAVIOUR);
         let beds = start_routers(runtime, 4, &back_ends).await;
         let answers = call_in_turn(&beds, "unsafe", 24).await;
-        let runs = back_ends.fatal_runs.get();
+        let runs = back_ends.fatal_runs();
         assert!(runs <= MOST_RUNS, "{runs} runs");
         let is_told = |answer: &Answer| answer.status == 503;
         assert!(answers[12..].iter().all(is_told), "{:?}", &answers[12..]);
@@ -123,7 +138,7 @@
 #[test]
 fn bystanders_of_a_request_that_ends_back_ends_are_served() {
     run(async |runtime| {
-        let back_ends = EndingBackEnds::start(runtime, 8, DOWN_FOR).await;
+        let back_ends = EndingBackEnds::start(8, BEHAVIOUR);
         let beds = start_routers(runtime, 1, &back_ends).await;
         let fatal = call_in_turn(&beds, "unsafe", 40);
         let (_, answers) = smol::future::zip(fatal, call_bystanders(&beds[0], 12, 60)).await;
@@ -154,10 +169,10 @@
 #[test]
 fn a_router_that_starts_later_knows_what_is_quarantined() {
     run(async |runtime| {
-        let back_ends = EndingBackEnds::start(runtime, 8, DOWN_FOR).await;
+        let back_ends = EndingBackEnds::start(8, BEHAVIOUR);
         let earlier = start_routers(runtime, 2, &back_ends).await;
         call_in_turn(&earlier, "unsafe", 12).await;
-        let runs = back_ends.fatal_runs.get();
+        let runs = back_ends.fatal_runs();
         let later = start_routers(runtime, 1, &back_ends).await;
         later[0].introduce(earlier[0].settings.digests, earlier[0].settings.operations);
         earlier[0].introduce(later[0].settings.digests, later[0].settings.operations);
@@ -165,6 +180,6 @@
         until(async || later[0].router.has_quarantined_any()).await;
         let answers = call_in_turn(&later, "unsafe", 3).await;
         assert!(answers.iter().all(|answer| answer.status == 503), "{answers:?}");
-        assert_eq!(back_ends.fatal_runs.get(), runs);
+        assert_eq!(back_ends.fatal_runs(), runs);
     });
 }
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -8,15 +8,33 @@
 use crate::concurrency::LimitSum;
 use crate::engine::Load;
 use crate::service_level::LevelCounts;
+use derive_more::{Display, Error};
 use mastbay_types::stable_hash;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
+use std::str::FromStr;
 
 /// Names an engine in messages between routers: a hash of its id, which takes fewer bytes and is compared
 /// faster. Of a thousand engines two share a hash once in ten thousand lists; their figures are then added up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display,
+)]
+#[display("{_0:08x}")]
 pub struct EngineKey(u32);
 
+/// A text names no engine: it is no number of up to eight hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("an engine is named by up to eight hexadecimal digits")]
+pub struct ParseEngineKeyError;
+
+impl FromStr for EngineKey {
+    type Err = ParseEngineKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u32::from_str_radix(text, 16).map(Self).map_err(|_| ParseEngineKeyError)
+    }
+}
+
 impl From<&BackEndId> for EngineKey {
     fn from(id: &BackEndId) -> Self {
         Self((stable_hash(&[id.0.as_bytes()]) >> 32) as u32)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,7 +48,8 @@
 pub use engine::Load;
 pub use evacuation::EvacuatedZones;
 pub use figures::{
-    EngineKey, EngineLevel, EngineLoad, Figures, FiguresSum, ServicePace, TenantReport,
+    EngineKey, EngineLevel, EngineLoad, Figures, FiguresSum, ParseEngineKeyError, ServicePace,
+    TenantReport,
 };
 pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use first_event::{FirstEventEstimator, PrefillWork};
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -173,8 +173,8 @@
         self.merge(now, request, back_end, End { until, is_cleared: false }, TELLINGS)
     }
 
-    /// A request was served to its end: no end before that was its doing.
-    pub fn on_served(&mut self, request: RequestFingerprint) {
+    /// A request was served to its end, so no end before that was its doing; or an operator lifts its quarantine.
+    pub fn clear(&mut self, request: RequestFingerprint) {
         let Some(suspicion) = self.requests.get_mut(&request) else { return };
         let news = &mut self.news;
         for (back_end, end) in suspicion.ends.iter_mut().filter(|(_, end)| !end.is_cleared) {
@@ -200,13 +200,15 @@
         merged.collect()
     }
 
-    /// A source lists a request as quarantined.
-    pub fn on_listed(&mut self, now: Timestamp, listed: &QuarantinedRequest) {
+    /// An archive lists a request as quarantined. Gives whether that was news.
+    pub fn on_listed(&mut self, now: Timestamp, listed: &QuarantinedRequest) -> bool {
+        let mut is_news = false;
         for back_end in &listed.back_ends {
             let until = now + listed.left.min(self.limits.period);
             let end = End { until, is_cleared: false };
-            self.merge(now, listed.request, *back_end, end, TELLINGS);
+            is_news |= self.merge(now, listed.request, *back_end, end, TELLINGS).is_some();
         }
+        is_news
     }
 
     /// The requests that are quarantined.
@@ -301,7 +303,12 @@
         let suspicion = self.requests.entry(request).or_default();
         let was_quarantined = suspicion.quarantined_until(now, &limits).is_some();
         let known = suspicion.ends.get(&back_end).copied();
-        if known.is_some_and(|known| known.is_cleared || !end.is_cleared) {
+        if known.is_some_and(|known| known.is_cleared && !end.is_cleared) {
+            // Whoever tells this has missed that it was cleared.
+            self.news.push_back(News { request, back_end, tellings_left: 1 });
+            return None;
+        }
+        if known.is_some_and(|known| known.is_cleared == end.is_cleared) {
             return None;
         }
         let until = known.map_or(end.until, |known| known.until);
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -62,7 +62,7 @@
     for number in 1..=2 {
         quarantine.on_end(at(0), life(number), request(1));
     }
-    quarantine.on_served(request(1));
+    quarantine.clear(request(1));
     assert_eq!(quarantine.standing(at(0), request(1)), RequestStanding::Clear);
     quarantine.on_end(at(1), life(3), request(1));
     assert_eq!(quarantine.standing(at(1), request(1)), RequestStanding::Suspect);
--- a/crates/testbed/src/raw.rs
+++ b/crates/testbed/src/raw.rs
@@ -8,6 +8,11 @@
 
 /// Reads a request with its body of known length; gives its head, or nothing if the connection ended.
 pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    read_whole_request(stream).await.map(|(head, _)| head)
+}
+
+/// The head and the body of the next request, once both have come.
+pub async fn read_whole_request(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut bytes = Vec::new();
     let mut buffer = [0; CHUNK];
     loop {
@@ -16,7 +21,8 @@
             let length = header(&text[..end], "content-length");
             let length: usize = length.and_then(|value| value.parse().ok()).unwrap_or(0);
             if bytes.len() >= end + 4 + length {
-                return Some(text[..end].to_owned());
+                let body = String::from_utf8_lossy(&bytes[end + 4..end + 4 + length]);
+                return Some((text[..end].to_owned(), body.into_owned()));
             }
         }
         match stream.read(&mut buffer).await {
