The life of a back end is part of its identity

Cause: all that routers believe of a back end hung on its name: loads and sums, prefixes held, limit, health, warm-up, kept entries, connections. One that starts again under its name was taken for the one that had ended. Whoever hears that a life ended sends nothing there until a later one is listed, 10 s at most.

--- a/crates/router/src/catalogue.rs
+++ b/crates/router/src/catalogue.rs
@@ -2,7 +2,7 @@
 //! ever goes forward within its life.
 
 use mastbay_routing::{
-    BackEndList, EvacuatedZones, LapsedBackEnds, RouteTable, RoutingConfiguration,
+    BackEndList, EvacuatedZones, LapsedBackEnds, LatestLives, RouteTable, RoutingConfiguration,
 };
 use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,7 @@
     back_ends: Option<Rc<BackEndList>>,
     evacuations: Option<EvacuatedZones>,
     lapsed: LapsedBackEnds,
+    lives: LatestLives,
 }
 
 impl Catalogue {
@@ -61,6 +62,7 @@
         if self.back_ends.as_ref().is_some_and(|list| list.revision >= offered.revision) {
             return None;
         }
+        let offered = self.lives.of(self.back_ends.as_deref(), offered);
         if let Some(old) = &self.back_ends {
             self.lapsed.on_list(now, recovering, old, &offered);
         }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -8,8 +8,8 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use mastbay_routing::{
-    BackEnd, BackEndList, BackEndState, Considered, EngineKey, EvacuatedZones, Fault, Placement,
-    QuarantinedRequest, RequestFingerprint, Role, RouteTable, Turn,
+    BackEnd, BackEndId, BackEndList, BackEndState, Considered, EngineKey, EvacuatedZones, Fault,
+    Placement, QuarantinedRequest, RequestFingerprint, Role, RouteTable, Turn,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -25,7 +25,7 @@
 }
 
 fn served_or_failed(call: &Call, outcome: &Outcome, now: Timestamp) {
-    let back_end = outcome.back_end.as_ref().map_or("", |id| &id.0);
+    let back_end = outcome.back_end.as_ref().map(BackEndId::to_string).unwrap_or_default();
     let trace = call.trace.borrow();
     let prompt = call.head.prompt.as_ref();
     tracing::info!(
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -82,6 +82,7 @@
     router.metrics.on_back_end_ended();
     let now = router.now();
     let key = EngineKey::from(&back_end.id);
+    router.dispatcher.borrow_mut().on_back_end_ended(now, key);
     let quarantined: Vec<QuarantinedRequest> = {
         let mut quarantine = router.quarantine.borrow_mut();
         requests.iter().filter_map(|request| quarantine.on_end(now, key, *request)).collect()
@@ -94,6 +95,9 @@
 pub fn take_reports(router: &Router, reports: &[EndReport], sender: SocketAddr) {
     let relaying = router.dispatcher.borrow().relaying();
     let now = router.now();
+    for report in reports {
+        router.dispatcher.borrow_mut().on_back_end_ended(now, report.back_end);
+    }
     let quarantined = router.quarantine.borrow_mut().on_reports(now, reports, relaying);
     if !quarantined.is_empty() {
         note_quarantined(router, &quarantined, &sender.to_string());
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -126,7 +126,7 @@
     ) -> Option<Request<Full<Bytes>>> {
         let call = self.call;
         let outgoing = OutgoingCall {
-            back_end: &placement.back_end.id.0,
+            back_end: &placement.back_end.id.name,
             time_left: call.time_left(self.router.now()),
             tenant: call.tenant.as_deref(),
             last_event,
--- a/crates/routing/src/back_end.rs
+++ b/crates/routing/src/back_end.rs
@@ -1,18 +1,40 @@
 //! Back ends as their source tells them.
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Names one life of a back end: a restarted one has another.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
-pub struct BackEndId(pub Arc<str>);
+/// Names one life of a back end. All that is believed of a back end hangs on it, so nothing of an earlier life counts for a later one.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BackEndId {
+    /// Its name, which a restarted one may have again.
+    pub name: Arc<str>,
+    /// Which of the lives under that name it is; a later one is larger. 0 where its source tells none: then a restarted one has
+    /// another name.
+    pub life: u64,
+}
+
+impl BackEndId {
+    /// A life of a back end.
+    pub fn new(name: &str, life: u64) -> Self {
+        Self { name: Arc::from(name), life }
+    }
+}
 
 impl From<&str> for BackEndId {
-    fn from(text: &str) -> Self {
-        Self(Arc::from(text))
+    fn from(name: &str) -> Self {
+        Self::new(name, 0)
+    }
+}
+
+impl fmt::Display for BackEndId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.life {
+            0 => formatter.write_str(&self.name),
+            life => write!(formatter, "{}#{life}", self.name),
+        }
     }
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -182,6 +182,13 @@
         self.engines.get(id).is_some_and(|engine| engine.heard > since)
     }
 
+    /// A life of a back end ended. All others are spared to find that out by a connection that is refused.
+    pub fn on_back_end_ended(&mut self, now: Timestamp, key: EngineKey) {
+        if let Some(engine) = self.engine_by_key(key) {
+            engine.on_ended(now);
+        }
+    }
+
     /// Addresses of all listed back ends.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.engines.values().map(|engine| engine.back_end.address).collect()
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    fn engine_by_key(&mut self, key: EngineKey) -> Option<&mut Engine> {
+    pub(super) fn engine_by_key(&mut self, key: EngineKey) -> Option<&mut Engine> {
         self.engines.get_mut(self.engine_ids.get(&key)?)
     }
 }
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -93,6 +93,7 @@
             && engine.takes_work()
             && self.bears_more(now, engine)
             && !engine.health.is_paused(now)
+            && !engine.is_ended(now)
             && !demand.tried.contains(&engine.back_end.id)
     }
 
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -49,7 +49,7 @@
         engines.values().filter(|engine| engine.back_end.service == service && engine.takes_work());
     let mut ranked: Vec<(u64, &BackEndId)> = ready
         .map(|engine| &engine.back_end.id)
-        .map(|id| (stable_hash(&[&key, id.0.as_bytes()]), id))
+        .map(|id| (stable_hash(&[&key, id.name.as_bytes()]), id))
         .collect();
     ranked.sort_by_key(|(hash, _)| std::cmp::Reverse(*hash));
     ranked.into_iter().take(RANKS_KEPT).map(|(_, id)| id.clone()).collect()
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -53,6 +53,10 @@
 /// Time over which unplaced requests fade.
 const UNPLACED_LIFE: Duration = Duration::from_millis(700);
 
+/// Time for which a back end that ended gets nothing under the life that is over. Its entry goes or names a later life sooner; if it
+/// lives all the same, it gets work again.
+const ENDED_PAUSE: Duration = Duration::from_secs(10);
+
 /// Parts remembered for one back end.
 const MOST_PARTS: usize = 4_096;
 /// Parts older than this are taken as given way when room is needed in the memory of parts.
@@ -89,6 +93,8 @@
     pub is_evacuated: bool,
     /// When an event or an answer of it came last.
     pub heard: Timestamp,
+    /// When this router learned that this life of it ended.
+    ended: Option<Timestamp>,
 }
 
 impl Engine {
@@ -98,6 +104,7 @@
             warmup: Warmup::of_new(now, back_end.cold_for),
             is_evacuated: false,
             heard: Timestamp::ZERO,
+            ended: None,
             key: EngineKey::from(&back_end.id),
             back_end,
             own: Load::default(),
@@ -126,6 +133,16 @@
         self.back_end.state == BackEndState::Ready && !self.is_evacuated
     }
 
+    /// This life of it ended, as this router or another found out.
+    pub fn on_ended(&mut self, now: Timestamp) {
+        self.ended.get_or_insert(now);
+    }
+
+    /// Whether it ended a short while ago, so that it is there under another life at best.
+    pub fn is_ended(&self, now: Timestamp) -> bool {
+        self.ended.is_some_and(|ended| now.since(ended) < ENDED_PAUSE)
+    }
+
     /// The load from all routers.
     pub fn load(&self) -> Load {
         let mut load = self.own;
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::str::FromStr;
 
-/// Names an engine in messages between routers: a hash of its id, which takes fewer bytes and is compared
+/// Names a life of an engine in messages between routers: a hash of its id, which takes fewer bytes and is compared
 /// faster. Of a thousand engines two share a hash once in ten thousand lists; their figures are then added up.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display,
@@ -37,7 +37,11 @@
 
 impl From<&BackEndId> for EngineKey {
     fn from(id: &BackEndId) -> Self {
-        Self((stable_hash(&[id.0.as_bytes()]) >> 32) as u32)
+        let hash = match id.life {
+            0 => stable_hash(&[id.name.as_bytes()]),
+            life => stable_hash(&[id.name.as_bytes(), &life.to_be_bytes()]),
+        };
+        Self((hash >> 32) as u32)
     }
 }
 
--- a/crates/routing/src/lapsed.rs
+++ b/crates/routing/src/lapsed.rs
@@ -65,12 +65,13 @@
         old: &BackEndList,
         new: &BackEndList,
     ) {
-        let listed: BTreeSet<&BackEndId> = new.back_ends.iter().map(|listed| &listed.id).collect();
-        self.kept.retain(|id, _| !listed.contains(id));
+        // A back end that is listed with a later life has no earlier one that could be missing.
+        let listed: BTreeSet<&str> = new.back_ends.iter().map(|listed| &*listed.id.name).collect();
+        self.kept.retain(|id, _| !listed.contains(&*id.name));
         if !recovering {
             return;
         }
-        let missing = old.back_ends.iter().filter(|known| !listed.contains(&known.id));
+        let missing = old.back_ends.iter().filter(|known| !listed.contains(&*known.id.name));
         for back_end in missing.filter(|known| known.state == BackEndState::Ready) {
             self.kept.insert(back_end.id.clone(), (back_end.clone(), now + KEPT));
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 mod first_event;
 mod health;
 mod lapsed;
+mod lives;
 mod overload;
 mod policy;
 mod prompt;
@@ -55,6 +56,7 @@
 pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
 pub use lapsed::{LapsedBackEnds, OutageWatch};
+pub use lives::LatestLives;
 pub use overload::{Others, OverloadGuard, Turn};
 pub use policy::{ConcurrencyPolicy, FairCapacity, Policy};
 pub use prompt::{Prompt, PromptPart};
--- a/crates/routing/tests/evacuation.rs
+++ b/crates/routing/tests/evacuation.rs
@@ -53,7 +53,7 @@
 }
 
 fn zones_of(places: &[BackEndId]) -> BTreeSet<&str> {
-    places.iter().map(|id| &id.0[..1]).collect()
+    places.iter().map(|id| &id.name[..1]).collect()
 }
 
 #[test]
@@ -65,7 +65,7 @@
     let during = places(&mut router, 2_000);
     assert_eq!(zones_of(&during), BTreeSet::from(["a", "c"]));
     let moved = before.iter().zip(&during).filter(|(before, during)| before != during);
-    assert!(moved.clone().all(|(before, _)| before.0.starts_with('b')), "only what must moves");
+    assert!(moved.clone().all(|(before, _)| before.name.starts_with('b')), "only what must moves");
     assert!(!router.is_usable(&BackEndId::from("b0")));
     router.on_evacuations(&evacuated(6, &[]));
     assert_eq!(places(&mut router, 3_000), before);
