One source of time that counts suspensions; after a standstill nothing old is taken for new

Cause: all time was the standard library's clock, which stands still while a machine is suspended. Afterwards a request's time left was told to back ends as if its caller had stood still too, requests whose time had passed went on, idle connections, versions and peers looked fresh. The router's clock is CLOCK_BOOTTIME now, for decisions, limits and ages alike; timers of the system fire late after a suspension, so limits are looked through at each turn, each 80 ms at the most. A turn that is 300 ms late tells a standstill: what is read right after it counts as come at its beginning, and after one that outlasts the propagation bound requests wait up to 0.6 s for the first news of a peer or a source.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -297,6 +297,11 @@
     );
 }
 
+/// The router did nothing for a while: its machine was suspended or frozen, or it got no processor time.
+pub fn stood_still(lasted: Duration) {
+    tracing::warn!(event = "stood_still", lasted_ms = milliseconds(lasted));
+}
+
 /// A phase of the process's life began.
 pub fn life(phase: &str, name: &str) {
     tracing::info!(event = "process", phase, name);
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -78,6 +78,10 @@
 
     async fn drive(mut self) -> Ended {
         loop {
+            // After a suspension limits end some moments late.
+            if self.call.time_left(self.router.now()).is_zero() {
+                return out_of_time(&self.attempt.borrow());
+            }
             let mut demand = self.call.demand();
             demand.tried = self.tried.clone();
             match quarantine::standing(&self.router, &self.call).await {
--- a/crates/router/src/handing_on.rs
+++ b/crates/router/src/handing_on.rs
@@ -17,7 +17,7 @@
 use smol::net::TcpStream;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time beyond a request's own for its answer to come back from a peer, which ends it in its time.
 const WAY_BACK: Duration = Duration::from_millis(250);
@@ -33,10 +33,10 @@
                 router.note_overflow(OverflowOutcome::HandedOn);
                 let interval = router.offload_interval();
                 let handed_on = Rc::new(Agreed { router: router.clone(), table });
-                let began = Instant::now();
+                let began = router.now();
                 let copied = offloaded.copy(router.runtime, caller, interval, handed_on).await;
                 if let Copied::Unanswered { caller, loss, start } = copied {
-                    note_unanswered(&router, peer, loss, began.elapsed());
+                    note_unanswered(&router, peer, loss, router.now().since(began));
                     tell(&router, caller, &start, loss).await;
                 }
                 return Overflowed::Done;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 pub mod catalogue;
 pub mod client;
+mod clock;
 pub mod dialect;
 mod ending;
 pub mod events;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::offload::GREETING_LENGTH;
 use crate::runtime::Runtime;
@@ -236,12 +236,12 @@
     {
         return;
     }
-    let ends = limits.longest_life.map(|life| Instant::now() + life);
+    let ends = limits.longest_life.map(|life| runtime.now() + life);
     let service = service_fn(move |request| {
         let answer = handler(request);
         async move {
             let mut answer = answer.await;
-            if ends.is_some_and(|ends| Instant::now() >= ends) {
+            if ends.is_some_and(|ends| runtime.now() >= ends) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer)
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -9,6 +9,7 @@
 
 use crate::runtime::Runtime;
 use derive_more::{Display, Error};
+use mastbay_types::Timestamp;
 use smol::future::FutureExt;
 use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use smol::net::TcpStream;
@@ -18,7 +19,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Length of a greeting, in bytes.
 pub const GREETING_LENGTH: usize = 9;
@@ -123,8 +124,13 @@
         // one shared buffer and fewer prompt reads this raised what a router of 0.12 core hands on from 430 to 820
         // connections a second, counted by the router.
         let progress = Progress::default();
-        let requests =
-            copy_requests(caller.clone(), self.0.clone(), progress.clone(), handed_on.clone());
+        let requests = copy_requests(
+            runtime,
+            caller.clone(),
+            self.0.clone(),
+            progress.clone(),
+            handed_on.clone(),
+        );
         let requests = runtime.spawn(requests);
         let answers = async {
             match copy_answers(runtime, self.0, caller.clone(), interval, &progress).await {
@@ -155,11 +161,11 @@
         runtime.sleep(SILENCE_PERIOD).await;
         while let Some(asked) = progress.asked() {
             let due = asked + handed_on.limit(&progress.0.start.borrow());
-            let now = Instant::now();
+            let now = runtime.now();
             if now >= due {
                 return;
             }
-            runtime.sleep(SILENCE_PERIOD.min(due - now)).await;
+            runtime.sleep(SILENCE_PERIOD.min(due.since(now))).await;
         }
     }
 }
@@ -198,7 +204,7 @@
 #[derive(Debug, Default)]
 struct ProgressCells {
     /// When the first bytes of a request were copied of whose answer no byte has come.
-    asked: Cell<Option<Instant>>,
+    asked: Cell<Option<Timestamp>>,
     /// How the bytes of the last request begin.
     start: RefCell<Vec<u8>>,
     /// The last answer ends the connection: what the caller sends after it is not read.
@@ -209,13 +215,13 @@
 const ENDS_CONNECTION: &[u8] = b"\r\nconnection: close\r\n";
 
 impl Progress {
-    fn asked(&self) -> Option<Instant> {
+    fn asked(&self) -> Option<Timestamp> {
         self.0.asked.get()
     }
 
-    fn on_request(&self, bytes: &[u8]) {
+    fn on_request(&self, now: Timestamp, bytes: &[u8]) {
         if self.asked().is_none() {
-            self.0.asked.set(Some(Instant::now()));
+            self.0.asked.set(Some(now));
             let mut start = self.0.start.borrow_mut();
             start.clear();
             start.extend_from_slice(&bytes[..bytes.len().min(START_KEPT)]);
@@ -248,6 +254,7 @@
 /// Copies requests until the caller closes, or a further one comes when another configuration is in force; then the peer learns of
 /// it. That request stays unread.
 async fn copy_requests(
+    runtime: Runtime,
     mut caller: TcpStream,
     mut peer: TcpStream,
     progress: Progress,
@@ -255,7 +262,7 @@
 ) {
     let mut copied = Ok(Requests::GoOn);
     while let Ok(Requests::GoOn) = copied {
-        copied = copy_requests_once(&mut caller, &mut peer, &progress, &*handed_on).await;
+        copied = copy_requests_once(runtime, &mut caller, &mut peer, &progress, &*handed_on).await;
     }
     if let Ok(Requests::CallerClosed) = copied {
         progress.on_caller_closed();
@@ -323,6 +330,7 @@
 /// The same for requests. A caller that has closed by the time its request is read wants no answer, so its request
 /// goes nowhere: a late router would send on requests of callers that left long ago.
 async fn copy_requests_once(
+    runtime: Runtime,
     caller: &mut TcpStream,
     peer: &mut TcpStream,
     progress: &Progress,
@@ -345,7 +353,7 @@
             if length == 0 {
                 return Poll::Ready(std::io::Result::Ok((Requests::CallerClosed, Vec::new())));
             }
-            progress.on_request(&buffer[..length]);
+            progress.on_request(runtime.now(), &buffer[..length]);
             let unwritten = write_some(peer, context, &buffer[..length])?;
             Poll::Ready(Ok((Requests::GoOn, unwritten)))
         })
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -90,6 +90,7 @@
         };
         // A datagram that is no message is not from a peer of ours.
         if let Ok(message) = rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
+            router.note_heard();
             take_message(&router, &socket, sender, message).await;
         }
     }
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use mastbay_routing::{BackEnd, BackEndId, BackEndList, ConnectionBounds};
+use mastbay_types::Timestamp;
 use mastbay_web::{Counted, WriteCount};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -18,7 +19,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time for a connection to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(350);
@@ -99,7 +100,7 @@
 
 struct Idle {
     connection: BackEndConnection,
-    until: Instant,
+    until: Timestamp,
 }
 
 #[derive(Default)]
@@ -155,14 +156,14 @@
         let connections = back_ends.get_mut(id);
         let with_room = connections.filter(|kept| kept.idle.len() < kept.most_resting as usize);
         if let Some(connections) = with_room {
-            let until = Instant::now() + connection.keep;
+            let until = self.runtime.now() + connection.keep;
             connections.idle.push(Idle { connection, until });
         }
     }
 
     /// Closes connections that have rested for too long.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.runtime.now();
         for connections in self.back_ends.borrow_mut().values_mut() {
             connections.idle.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         }
@@ -175,7 +176,7 @@
     }
 
     fn take_idle(&self, id: &BackEndId) -> Option<BackEndConnection> {
-        let now = Instant::now();
+        let now = self.runtime.now();
         let mut back_ends = self.back_ends.borrow_mut();
         let idle = &mut back_ends.get_mut(id)?.idle;
         while let Some(candidate) = idle.pop() {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -17,14 +17,14 @@
 use mastbay_routing::{
     BackEndList, Dispatcher, DispatcherLimits, EvacuatedZones, Newcomer, OutageWatch,
     OverloadGuard, PeerId, Placement, Quarantine, Refusal, RouteTable, RoutingConfiguration,
-    SourceContact, Standing, TicketId, Turn, watch_wait,
+    SourceContact, Standing, StandstillWatch, TicketId, Turn, watch_wait,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What callers and back ends speak.
 pub struct Seams {
@@ -70,7 +70,8 @@
     pub(crate) news: News,
     pub(crate) stop: StopSignal,
     pub(crate) open: OpenConnections,
-    origin: Instant,
+    standstill: Cell<StandstillWatch>,
+    origin: Timestamp,
 }
 
 impl Router {
@@ -122,14 +123,45 @@
             news: News::default(),
             stop: StopSignal::default(),
             open: OpenConnections::default(),
-            origin: Instant::now(),
+            standstill: Cell::default(),
+            origin: runtime.now(),
         })
     }
 
-    /// Time since the router started, on a clock that never goes back.
+    /// Time since the router started, suspensions included.
     pub fn now(&self) -> Timestamp {
-        let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
-        Timestamp::from_micros(micros)
+        Timestamp::ZERO + self.runtime.now().since(self.origin)
+    }
+
+    /// When a request that is read now came at the earliest. Without this a request that had lain unread for as long as the machine was
+    /// suspended was given its whole time anew.
+    pub(crate) fn earliest_arrival(&self) -> Timestamp {
+        self.standstill.get().earliest_arrival(self.now())
+    }
+
+    /// Waits after a standstill until a peer or a source has told what changed meanwhile, and that is in force, for some tenths of a
+    /// second at most: keys may have been taken away.
+    pub(crate) async fn until_news(&self) {
+        while self.awaits_news() {
+            self.runtime.sleep(COMMON_TURN).await;
+        }
+    }
+
+    fn awaits_news(&self) -> bool {
+        let now = self.now();
+        let standstill = self.standstill.get();
+        if !standstill.may_be_outdated(now, self.settings.propagation) {
+            return false;
+        }
+        let is_behind = self.dispatcher.borrow().newer_elsewhere(now, 0.0).is_some();
+        is_behind || !standstill.has_heard_since(now)
+    }
+
+    /// A peer or a source was heard.
+    pub(crate) fn note_heard(&self) {
+        let mut standstill = self.standstill.get();
+        standstill.on_heard(self.now());
+        self.standstill.set(standstill);
     }
 
     /// Takes a configuration from a source; an older one changes nothing.
@@ -164,6 +196,14 @@
         self.poll_waiting();
     }
 
+    fn watch_standstill(&self, now: Timestamp) {
+        let mut standstill = self.standstill.get();
+        if let Some(lasted) = standstill.on_turn(now) {
+            events::stood_still(lasted);
+        }
+        self.standstill.set(standstill);
+    }
+
     fn watch_outage(&self, now: Timestamp) {
         if self.dispatcher.borrow().is_source_answering(now) {
             self.outage.borrow_mut().on_answer(now);
@@ -231,9 +271,17 @@
 
     /// A call to a source was answered, or failed.
     pub fn on_source_contact(&self, contact: SourceContact) {
+        if contact == SourceContact::Answered {
+            self.note_heard();
+        }
         self.dispatcher.borrow_mut().on_source_contact(contact);
     }
 
+    /// Routers of the fleet, as many as any router knows.
+    pub fn fleet_size(&self) -> usize {
+        self.dispatcher.borrow().fleet_size()
+    }
+
     /// Whether any request is sent to no back end, since several ended under it.
     pub fn has_quarantined_any(&self) -> bool {
         !self.quarantine.borrow().quarantined(self.now()).is_empty()
@@ -374,6 +422,7 @@
     }
 
     fn take_turn(&self, now: Timestamp, period: Duration, lag: Duration) {
+        self.watch_standstill(now);
         self.watch_outage(now);
         let expired = self.catalogue.borrow_mut().expire_lapsed(now);
         if let Some(usable) = expired {
--- a/crates/router/src/runtime.rs
+++ b/crates/router/src/runtime.rs
@@ -6,6 +6,8 @@
 //! sleeps on common turns, so that a router with little to do is seldom woken: hundreds of them share a machine room,
 //! and each wake-up costs processor time.
 
+use crate::clock::Clock;
+use mastbay_types::Timestamp;
 use mastbay_web::TimedOut;
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
@@ -59,14 +61,24 @@
         self.executor.spawn(future)
     }
 
+    /// Time since the machine started, suspensions included.
+    pub fn now(self) -> Timestamp {
+        self.limits.clock.now()
+    }
+
+    /// Goes on as if the machine had just been suspended for `span`. For tests.
+    pub fn go_ahead(self, span: Duration) {
+        self.limits.clock.go_ahead(span);
+    }
+
     /// Waits for `span`, rounded to the turns.
     pub fn sleep(self, span: Duration) -> Sleep {
-        Sleep::new(self.limits, Instant::now() + span)
+        Sleep::new(self.limits, self.now() + span)
     }
 
     /// Time until the common turn that is nearest to `span` from now, the next one at least.
     pub fn until_turn(self, span: Duration) -> Duration {
-        let now = self.limits.origin.elapsed();
+        let now = self.now().since(Timestamp::ZERO);
         let turn = COMMON_TURN.as_secs_f64();
         let nearest = ((now + span).as_secs_f64() / turn).round();
         let next = (now.as_secs_f64() / turn).floor() + 1.0;
@@ -102,29 +114,29 @@
 
 impl hyper::rt::Timer for HttpTimer {
     fn sleep(&self, span: Duration) -> Pin<Box<dyn hyper::rt::Sleep>> {
-        self.sleep_until(Instant::now() + span)
+        Box::pin(Sleep::new(self.0, self.0.clock.now() + span))
     }
 
     fn sleep_until(&self, due: Instant) -> Pin<Box<dyn hyper::rt::Sleep>> {
-        Box::pin(Sleep::new(self.0, due))
+        self.sleep(due.saturating_duration_since(Instant::now()))
     }
 }
 
 /// The place of a limit in the list: when it ends, and a number that tells it from others.
-type Entry = (Instant, u64);
+type Entry = (Timestamp, u64);
 
 #[derive(Debug)]
 struct Waiting {
     wakers: BTreeMap<Entry, Waker>,
     next: u64,
     /// When the next turn is taken, if anything waits.
-    next_turn: Option<Instant>,
+    next_turn: Option<Timestamp>,
 }
 
 /// All limits of a thread, in the order in which they end. Locked only by that thread.
 #[derive(Debug)]
 struct LimitList {
-    origin: Instant,
+    clock: Clock,
     waiting: Mutex<Waiting>,
     /// Told when a limit is added that ends before the next turn.
     earlier: (Sender<()>, Receiver<()>),
@@ -134,7 +146,7 @@
     fn default() -> Self {
         let waiting = Waiting { wakers: BTreeMap::new(), next: 0, next_turn: None };
         Self {
-            origin: Instant::now(),
+            clock: Clock::default(),
             waiting: Mutex::new(waiting),
             earlier: smol::channel::bounded(1),
         }
@@ -143,21 +155,24 @@
 
 impl LimitList {
     async fn keep(&self) {
-        let mut last_turn = Instant::now();
+        let mut last_turn = self.clock.now();
         loop {
             self.until_turn(last_turn + TURN_PERIOD).await;
-            last_turn = Instant::now();
+            last_turn = self.clock.now();
             self.wake_ended(last_turn);
         }
     }
 
     /// Waits until the first limit ends, and until `earliest` at least.
-    async fn until_turn(&self, earliest: Instant) {
+    async fn until_turn(&self, earliest: Timestamp) {
         loop {
             let next_turn = self.plan_turn(earliest);
             let is_due = async {
                 match next_turn {
-                    Some(next_turn) => drop(smol::Timer::at(next_turn).await),
+                    Some(next_turn) => {
+                        let span = next_turn.since(self.clock.now());
+                        smol::Timer::after(span).await;
+                    }
                     None => std::future::pending().await,
                 }
                 true
@@ -170,14 +185,14 @@
         }
     }
 
-    fn plan_turn(&self, earliest: Instant) -> Option<Instant> {
+    fn plan_turn(&self, earliest: Timestamp) -> Option<Timestamp> {
         let mut waiting = self.lock();
         let first = waiting.wakers.first_key_value().map(|((due, _), _)| *due);
         waiting.next_turn = first.map(|due| due.max(earliest));
         waiting.next_turn
     }
 
-    fn wake_ended(&self, now: Instant) {
+    fn wake_ended(&self, now: Timestamp) {
         let mut waiting = self.lock();
         let still = waiting.wakers.split_off(&(now + SLACK, 0));
         let ended = std::mem::replace(&mut waiting.wakers, still);
@@ -185,7 +200,7 @@
         ended.into_values().for_each(Waker::wake);
     }
 
-    fn add(&self, due: Instant, waker: Waker) -> Entry {
+    fn add(&self, due: Timestamp, waker: Waker) -> Entry {
         let mut waiting = self.lock();
         waiting.next += 1;
         let entry = (due, waiting.next);
@@ -206,19 +221,19 @@
 #[derive(Debug)]
 pub struct Sleep {
     limits: &'static LimitList,
-    due: Instant,
+    due: Timestamp,
     entry: Option<Entry>,
 }
 
 impl Sleep {
-    fn new(limits: &'static LimitList, due: Instant) -> Self {
+    fn new(limits: &'static LimitList, due: Timestamp) -> Self {
         Self { limits, due, entry: None }
     }
 
     fn is_over(&self) -> bool {
         match self.entry {
             Some(entry) => !self.limits.lock().wakers.contains_key(&entry),
-            None => Instant::now() >= self.due,
+            None => self.limits.clock.now() >= self.due,
         }
     }
 }
@@ -229,7 +244,7 @@
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
         if self.is_over() {
             self.entry = None;
-            self.due = Instant::now();
+            self.due = self.limits.clock.now();
             return Poll::Ready(());
         }
         match self.entry {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -63,7 +63,8 @@
     way: Way,
     request: Request<Incoming>,
 ) -> Response<LocalBody> {
-    let arrival = Arrival { at: router.now(), way };
+    let arrival = Arrival { at: router.earliest_arrival(), way };
+    router.until_news().await;
     let (parts, body) = request.into_parts();
     let mut response = match accept(&router, arrival, parts, body).await {
         Ok(call) => Exchange::run(&router, Rc::new(call)).await,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod service_level;
 mod shares;
+mod standstill;
 mod table;
 mod waiting;
 mod warmup;
@@ -65,6 +66,7 @@
 };
 pub use service_level::{ACCEPTED_MISSES, LevelCounts, ServiceLevel};
 pub use shares::{Usage, water_level};
+pub use standstill::StandstillWatch;
 pub use table::{RouteTable, TableEntry};
 pub use warmup::{Holders, Warmup, WarmupLimits};
 pub use watching::{Candidate, Newcomer, SourceContact, follows_source, watch_wait};
