Standstills count from a second on and shorten only a request's deadline; a resume waits for a verdict within its time

A router short of processor is late by up to 1.4 s: with standstills of 0.3 s its requests would have counted as out of their objective and been refused, though their callers may just have come. The order of suspects is a function beside its use.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -281,9 +281,11 @@
         if !may_resume {
             return false;
         }
-        let standing = quarantine::standing(&self.router, &self.call).await;
-        if matches!(standing, RequestStanding::Quarantined { .. }) {
-            return false;
+        let left = self.call.time_left(self.router.now());
+        let standing = quarantine::standing(&self.router, &self.call);
+        match self.router.runtime.within(left, standing).await {
+            Ok(RequestStanding::Clear | RequestStanding::Suspect) => {}
+            Ok(RequestStanding::Quarantined { .. }) | Err(_) => return false,
         }
         self.resumes += 1;
         let left = self.call.time_left(self.router.now());
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -63,7 +63,7 @@
     way: Way,
     request: Request<Incoming>,
 ) -> Response<LocalBody> {
-    let arrival = Arrival { at: router.earliest_arrival(), way };
+    let arrival = Arrival { at: router.now(), earliest: router.earliest_arrival(), way };
     router.until_news().await;
     let (parts, body) = request.into_parts();
     let mut response = match accept(&router, arrival, parts, body).await {
@@ -81,6 +81,8 @@
 struct Arrival {
     /// When its head was read.
     at: Timestamp,
+    /// When it came at the earliest: it may have lain unread.
+    earliest: Timestamp,
     way: Way,
 }
 
@@ -153,7 +155,7 @@
     let Some(service) = entry.service(rand::random()).map(str::to_owned) else {
         return Err((head.request_id, unknown_yet));
     };
-    let deadline = arrival.at + time_allowed(&head, &entry.route);
+    let deadline = arrival.earliest + time_allowed(&head, &entry.route);
     Ok(Call {
         tenant: tenant.map(|tenant| Arc::from(tenant.name.as_str())),
         head,
--- a/crates/routing/src/dispatch/suspects.rs
+++ b/crates/routing/src/dispatch/suspects.rs
@@ -7,8 +7,10 @@
 use super::placement::{Terms, Weighed};
 use super::{Demand, Dispatcher};
 use crate::engine::Engine;
+use crate::figures::EngineKey;
 use crate::fingerprint::RequestFingerprint;
-use mastbay_types::Timestamp;
+use mastbay_types::{Timestamp, stable_hash};
+use std::cmp::Reverse;
 
 impl Dispatcher {
     /// The first back end with room in a suspect's own order.
@@ -22,10 +24,15 @@
         let candidates =
             self.engines.values().filter(|engine| self.is_candidate(now, engine, demand));
         let mut candidates: Vec<&Engine> = candidates.collect();
-        candidates.sort_by_cached_key(|engine| std::cmp::Reverse(suspect.order_at(engine.key)));
+        candidates.sort_by_cached_key(|engine| Reverse(order_at(suspect, engine.key)));
         candidates.into_iter().find_map(|engine| match &demand.prompt {
             Some(prompt) => self.weigh_if_fit(now, engine, demand, prompt, terms),
             None => self.weigh_if_plain_room(now, engine),
         })
     }
 }
+
+/// Where a suspect stands in the order of a back end: the same at every router, and another for each request.
+fn order_at(suspect: RequestFingerprint, back_end: EngineKey) -> u64 {
+    stable_hash(&[&suspect.short().to_be_bytes(), &back_end.to_bytes()])
+}
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use crate::figures::EngineKey;
 use crate::fingerprint::RequestFingerprint;
-use mastbay_types::{Timestamp, stable_hash};
+use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
@@ -346,10 +346,3 @@
         }
     }
 }
-
-impl RequestFingerprint {
-    /// Where a suspect stands in the order of a back end: the same at every router, and another for each request.
-    pub fn order_at(self, back_end: EngineKey) -> u64 {
-        stable_hash(&[&self.short().to_be_bytes(), &back_end.to_bytes()])
-    }
-}
--- a/crates/routing/src/standstill.rs
+++ b/crates/routing/src/standstill.rs
@@ -3,8 +3,8 @@
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
-/// Time without a turn that counts as a standstill. Turns are 20 ms apart, and a router with too much to do is late by less.
-const SHORTEST: Duration = Duration::from_millis(300);
+/// Time without a turn that counts as a standstill. Turns are 20 ms apart; a router with too much to do is late by less as a rule.
+const SHORTEST: Duration = Duration::from_secs(1);
 /// Time after a standstill in which what is read may have come during it.
 const AFTERMATH: Duration = Duration::from_millis(150);
 /// Longest time for which requests wait after a standstill for news of what changed meanwhile: a failed call and another.
