After a further end a quarantined request is probed again, 30 s later; callers are told when that may be

And a Retry-After of an hour kept an innocent caller from coming when it could have been let through. Pauses of 30 s, 5 min and 50 min after each further end; a fatal request costs as many more ends. Test: routers_probe_a_quarantined_request_in_turn_and_pause_after_a_further_end.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -88,8 +88,8 @@
             let mut demand = self.call.demand();
             demand.tried = self.tried.clone();
             match quarantine::standing(&self.router, &self.call).await {
-                RequestStanding::Quarantined { left } if !self.is_probe() => {
-                    return self.quarantined(left);
+                RequestStanding::Quarantined { retry_after, .. } if !self.is_probe() => {
+                    return self.quarantined(retry_after);
                 }
                 RequestStanding::Quarantined { .. } => {
                     demand.suspect = Some(self.call.fingerprint());
@@ -104,9 +104,9 @@
             };
             // A request that waited for its place may be quarantined meanwhile.
             if !self.is_probe
-                && let Some(left) = quarantine::time_left(&self.router, &self.call)
+                && let Some(retry_after) = quarantine::retry_after(&self.router, &self.call)
             {
-                return self.quarantined(left);
+                return self.quarantined(retry_after);
             }
             if self.arrivals > 0 && !self.router.take_retry(&self.call.service) {
                 return self.give_up("retry_budget");
@@ -216,10 +216,10 @@
         self.is_probe
     }
 
-    fn quarantined(&self, left: Duration) -> Ended {
-        self.call.trace.borrow_mut().retry_after = Some(left);
+    fn quarantined(&self, retry_after: Duration) -> Ended {
+        self.call.trace.borrow_mut().retry_after = Some(retry_after);
         self.router.metrics.on_quarantined_call();
-        self.told(left, "quarantined")
+        self.told(retry_after, "quarantined")
     }
 
     fn give_up(&self, reason: &'static str) -> Ended {
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -68,10 +68,10 @@
     current_standing(router, call) == RequestStanding::Suspect
 }
 
-/// For how long a request is sent to no back end, if it is quarantined.
-pub fn time_left(router: &Router, call: &Call) -> Option<Duration> {
+/// When the caller of a request may come back, if it is quarantined.
+pub fn retry_after(router: &Router, call: &Call) -> Option<Duration> {
     match current_standing(router, call) {
-        RequestStanding::Quarantined { left } => Some(left),
+        RequestStanding::Quarantined { retry_after, .. } => Some(retry_after),
         RequestStanding::Clear | RequestStanding::Suspect => None,
     }
 }
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -34,6 +34,9 @@
 /// Time in which one router of the fleet may probe a quarantined request, one after the other in an order that all know. It is long
 /// enough for all to hear what came of the probe before.
 const PROBE_WINDOW: Duration = Duration::from_millis(1_200);
+/// Time after the first end beyond those that quarantine a request in which it isn't probed; ten times as long after each further one. A probe may be
+/// where a back end ends by another's doing: without a further one an innocent request stayed out for the whole period (soak, two of 17 seeds).
+const PROBE_PAUSE: Duration = Duration::from_secs(30);
 /// Part of the window in which a probe may begin: routers learn of a quarantine some tenths of a second apart.
 const PROBE_OPEN: Range<Duration> = Duration::from_millis(300)..Duration::from_millis(700);
 /// Rounds in which a report is told. With three targets a round and as many rounds, one router of a large fleet misses a report once in
@@ -68,8 +71,10 @@
     Suspect,
     /// It is sent to no back end.
     Quarantined {
-        /// For how long.
+        /// For how long, unless it is served before.
         left: Duration,
+        /// When its caller may come back: it may be let through then, to see whether it is served.
+        retry_after: Duration,
     },
 }
 
@@ -94,7 +99,7 @@
 #[derive(Debug, Default)]
 struct Suspicion {
     ends: BTreeMap<EngineKey, End>,
-    /// When this router quarantined it last.
+    /// When this router learned of the last end that quarantines it, or came on top.
     since: Option<Timestamp>,
     /// The window in which this router probed it last.
     probed: Option<u64>,
@@ -121,6 +126,13 @@
         until.get(limits.ends.max(1) - 1).copied()
     }
 
+    /// Time until it may be probed, one window at least.
+    fn until_probes(&self, now: Timestamp, limits: &QuarantineLimits) -> Duration {
+        let further_ends = self.counted(now).count().saturating_sub(limits.ends);
+        let waited = self.since.map(|since| now.since(since)).unwrap_or_default();
+        probe_pause(further_ends).saturating_sub(waited).max(PROBE_WINDOW)
+    }
+
     fn latest(&self) -> Timestamp {
         self.ends.values().map(|end| end.until).max().unwrap_or_default()
     }
@@ -168,7 +180,9 @@
     pub fn standing(&self, now: Timestamp, request: RequestFingerprint) -> RequestStanding {
         let Some(suspicion) = self.requests.get(&request) else { return RequestStanding::Clear };
         if let Some(until) = suspicion.quarantined_until(now, &self.limits) {
-            return RequestStanding::Quarantined { left: until.since(now) };
+            let left = until.since(now);
+            let retry_after = suspicion.until_probes(now, &self.limits).min(left);
+            return RequestStanding::Quarantined { left, retry_after };
         }
         match suspicion.counted(now).next() {
             Some(_) => RequestStanding::Suspect,
@@ -176,21 +190,21 @@
         }
     }
 
-    /// Lets a quarantined request through once in this router's turn, while no more ends count than quarantined it. One that only happened to
-    /// be where back ends ended is served and cleared by that; one that ends a further back end is probed no more.
+    /// Lets a quarantined request through once in this router's turn. One that only happened to be where back ends ended is served and
+    /// cleared by that; one that ends a further back end is probed again after a long pause only.
     pub fn take_probe(
         &mut self,
         now: Timestamp,
         request: RequestFingerprint,
         turn: ProbeTurn,
     ) -> bool {
-        let most_ends = self.limits.ends;
+        let ends = self.limits.ends;
         let Some(suspicion) = self.requests.get_mut(&request) else { return false };
         let Some(since) = suspicion.since else { return false };
-        if suspicion.counted(now).count() > most_ends {
+        let further_ends = suspicion.counted(now).count().saturating_sub(ends);
+        let Some(waited) = now.since(since).checked_sub(probe_pause(further_ends)) else {
             return false;
-        }
-        let waited = now.since(since);
+        };
         let window = (waited.as_micros() / PROBE_WINDOW.as_micros()) as u64;
         let into_window = waited - PROBE_WINDOW * u32::try_from(window).unwrap_or(u32::MAX);
         let is_turn = window % turn.routers.max(1) == turn.place;
@@ -360,14 +374,12 @@
         if tellings > 0 {
             self.news.push_back(News { request, back_end, tellings_left: tellings });
         }
-        if was_quarantined {
-            return None;
-        }
         let quarantined = self.as_quarantined(now, request, self.requests.get(&request)?)?;
-        if let Some(suspicion) = self.requests.get_mut(&request) {
+        if let Some(suspicion) = self.requests.get_mut(&request).filter(|_| !end.is_cleared) {
             suspicion.since = Some(now);
+            suspicion.probed = None;
         }
-        Some(quarantined)
+        Some(quarantined).filter(|_| !was_quarantined)
     }
 
     fn as_quarantined(
@@ -396,3 +408,12 @@
         }
     }
 }
+
+/// Time without a probe after so many ends beyond those that quarantine a request.
+fn probe_pause(further_ends: usize) -> Duration {
+    match u32::try_from(further_ends) {
+        Ok(0) => Duration::ZERO,
+        Ok(further) => PROBE_PAUSE.saturating_mul(10_u32.saturating_pow(further - 1)),
+        Err(_) => Duration::MAX,
+    }
+}
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use mastbay_routing::{
-    BackEndId, EndReport, EngineKey, Placement, Quarantine, QuarantineLimits, ROUND_PERIOD,
-    Relaying, RequestFingerprint, RequestIdentity, RequestStanding,
+    BackEndId, EndReport, EngineKey, Placement, ProbeTurn, Quarantine, QuarantineLimits,
+    ROUND_PERIOD, Relaying, RequestFingerprint, RequestIdentity, RequestStanding,
 };
 use mastbay_types::Timestamp;
 use quickcheck::{TestResult, quickcheck};
@@ -79,10 +79,9 @@
     let mut second = Quarantine::new(LIMITS);
     // Its own clock began later.
     assert_eq!(second.on_reports(at(0), &reports, Relaying::Nothing).len(), 1);
-    assert_eq!(
-        second.standing(at(0), request(1)),
-        RequestStanding::Quarantined { left: Duration::from_secs(301) }
-    );
+    let standing = second.standing(at(0), request(1));
+    let left = Duration::from_secs(301);
+    assert!(matches!(standing, RequestStanding::Quarantined { left: told, .. } if told == left));
     assert!(!is_quarantined(&second, at(302), 1));
     // What no longer counts is not told again, so it does not come back.
     first.expire(at(604));
@@ -104,6 +103,37 @@
     assert_eq!(quarantine.standing(at(6), request(1)), RequestStanding::Clear);
 }
 
+/// Moments, in tenths of a second from the last end, in which one of two routers probes a request that nobody serves.
+fn probes(quarantine: &mut Quarantine, place: u64, until: u64) -> Vec<u64> {
+    let turn = ProbeTurn { place, routers: 2 };
+    let mut probed = Vec::new();
+    for tenth in 0..until {
+        let now = at(1) + Duration::from_millis(100 * tenth);
+        if quarantine.take_probe(now, request(1), turn) {
+            probed.push(tenth);
+        }
+    }
+    probed
+}
+
+#[test]
+fn routers_probe_a_quarantined_request_in_turn_and_pause_after_a_further_end() {
+    let mut quarantine = Quarantine::new(LIMITS);
+    for number in 1..=3 {
+        quarantine.on_end(at(1), life(number), request(1));
+    }
+    assert_eq!(probes(&mut quarantine, 0, 24), [3]);
+    let mut other = Quarantine::new(LIMITS);
+    for number in 1..=3 {
+        other.on_end(at(1), life(number), request(1));
+    }
+    assert_eq!(probes(&mut other, 1, 24), [15]);
+    other.on_end(at(1), life(4), request(1));
+    assert_eq!(probes(&mut other, 1, 340), [315, 339]);
+    other.on_end(at(1), life(5), request(1));
+    assert_eq!(probes(&mut other, 1, 2_900), []);
+}
+
 /// What the tests know of a report: request, life and whether it was cleared, from small numbers so that they meet.
 fn reports_from(numbers: &[(u8, u8, bool)]) -> Vec<EndReport> {
     let report = |(asked, ended, is_cleared): &(u8, u8, bool)| EndReport {
