When a quarantined request may be probed is reckoned in one place; a stand-in no longer names the platform

The pause after further ends was worked out twice, for the probe and for what a caller is told. Two arms did the same; a method that takes a probe read as a question. The stand-in that ends back ends sent a header of the platform that nobody reads.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -88,13 +88,12 @@
             let mut demand = self.call.demand();
             demand.tried = self.tried.clone();
             match quarantine::standing(&self.router, &self.call).await {
-                RequestStanding::Quarantined { retry_after, .. } if !self.is_probe() => {
+                RequestStanding::Quarantined { retry_after, .. } if !self.takes_probe() => {
                     return self.quarantined(retry_after);
                 }
-                RequestStanding::Quarantined { .. } => {
+                RequestStanding::Quarantined { .. } | RequestStanding::Suspect => {
                     demand.suspect = Some(self.call.fingerprint());
                 }
-                RequestStanding::Suspect => demand.suspect = Some(self.call.fingerprint()),
                 RequestStanding::Clear => {}
             }
             let obtained = Ticket::obtain(&self.router, demand).await;
@@ -210,7 +209,7 @@
     }
 
     /// Whether a quarantined request is let through here: before its first send, and once.
-    fn is_probe(&mut self) -> bool {
+    fn takes_probe(&mut self) -> bool {
         let is_new = self.arrivals == 0 && self.rejections == 0;
         self.is_probe = is_new && quarantine::take_probe(&self.router, &self.call);
         self.is_probe
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -126,11 +126,16 @@
         until.get(limits.ends.max(1) - 1).copied()
     }
 
+    /// When it may be probed from, if it is quarantined.
+    fn probed_from(&self, now: Timestamp, limits: &QuarantineLimits) -> Option<Timestamp> {
+        let further_ends = self.counted(now).count().saturating_sub(limits.ends);
+        Some(self.since? + probe_pause(further_ends))
+    }
+
     /// Time until it may be probed, one window at least.
     fn until_probes(&self, now: Timestamp, limits: &QuarantineLimits) -> Duration {
-        let further_ends = self.counted(now).count().saturating_sub(limits.ends);
-        let waited = self.since.map(|since| now.since(since)).unwrap_or_default();
-        probe_pause(further_ends).saturating_sub(waited).max(PROBE_WINDOW)
+        let from = self.probed_from(now, limits).unwrap_or(now);
+        from.since(now).max(PROBE_WINDOW)
     }
 
     fn latest(&self) -> Timestamp {
@@ -198,13 +203,10 @@
         request: RequestFingerprint,
         turn: ProbeTurn,
     ) -> bool {
-        let ends = self.limits.ends;
         let Some(suspicion) = self.requests.get_mut(&request) else { return false };
-        let Some(since) = suspicion.since else { return false };
-        let further_ends = suspicion.counted(now).count().saturating_sub(ends);
-        let Some(waited) = now.since(since).checked_sub(probe_pause(further_ends)) else {
-            return false;
-        };
+        let from = suspicion.probed_from(now, &self.limits);
+        let Some(from) = from.filter(|from| *from <= now) else { return false };
+        let waited = now.since(from);
         let window = (waited.as_micros() / PROBE_WINDOW.as_micros()) as u64;
         let into_window = waited - PROBE_WINDOW * u32::try_from(window).unwrap_or(u32::MAX);
         let is_turn = window % turn.routers.max(1) == turn.place;
@@ -414,6 +416,7 @@
     match u32::try_from(further_ends) {
         Ok(0) => Duration::ZERO,
         Ok(further) => PROBE_PAUSE.saturating_mul(10_u32.saturating_pow(further - 1)),
-        Err(_) => Duration::MAX,
+        // More ends than any period holds.
+        Err(_) => PROBE_PAUSE.saturating_mul(u32::MAX),
     }
 }
--- a/crates/testbed/src/ending_back_ends.rs
+++ b/crates/testbed/src/ending_back_ends.rs
@@ -149,10 +149,7 @@
     }
 
     fn head(&self, id: &str) -> String {
-        format!(
-            "HTTP/1.1 200 OK\r\n{}: {id}\r\nUpstream-Signature: s\r\n",
-            self.behaviour.id_header
-        )
+        format!("HTTP/1.1 200 OK\r\n{}: {id}\r\n", self.behaviour.id_header)
     }
 
     /// Streams begin before the end.
