--- a/crates/router/src/catalogue.rs
+++ b/crates/router/src/catalogue.rs
@@ -2,7 +2,8 @@
 //! ever goes forward within its life.
 
 use mastbay_routing::{
-    BackEndList, EvacuatedZones, LapsedBackEnds, LatestLives, RouteTable, RoutingConfiguration,
+    BackEndList, DepartedBackEnds, EvacuatedZones, Evacuations, LapsedBackEnds, LatestLives,
+    Revision, RouteTable, RoutingConfiguration,
 };
 use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -19,15 +20,15 @@
     pub evacuations: Option<EvacuatedZones>,
 }
 
-/// The versions of what a router has in force; 0 for what it does not know.
+/// The versions of what a router has in force; the least for what it does not know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Versions {
     /// Version of the configuration.
     pub configuration: u64,
     /// Revision of the back ends.
-    pub back_ends: u64,
+    pub back_ends: Revision,
     /// Revision of the evacuated zones.
-    pub evacuations: u64,
+    pub evacuations: Revision,
 }
 
 /// What is in force.
@@ -35,8 +36,9 @@
 pub struct Catalogue {
     table: Option<Rc<RouteTable>>,
     back_ends: Option<Rc<BackEndList>>,
-    evacuations: Option<EvacuatedZones>,
+    evacuations: Evacuations,
     lapsed: LapsedBackEnds,
+    departed: DepartedBackEnds,
     lives: LatestLives,
 }
 
@@ -64,29 +66,46 @@
         }
         let offered = self.lives.of(self.back_ends.as_deref(), offered);
         if let Some(old) = &self.back_ends {
-            self.lapsed.on_list(now, recovering, old, &offered);
+            let is_restored = old.revision.era < offered.revision.era;
+            if is_restored {
+                self.departed.on_restored(now, old);
+            } else if !recovering {
+                self.departed.on_list(now, old, &offered);
+            }
+            self.lapsed.on_list(now, recovering || is_restored, old, &offered);
         }
-        let usable = self.lapsed.with_kept(&offered);
+        let usable = self.usable(&offered);
         self.back_ends = Some(Rc::new(offered));
         Some(usable)
     }
 
-    /// Takes evacuated zones if they are newer than those known. Gives whether it did.
-    pub fn offer_evacuations(&mut self, offered: &EvacuatedZones) -> bool {
-        let is_newer =
-            self.evacuations.as_ref().is_none_or(|known| known.revision < offered.revision);
-        if is_newer {
-            self.evacuations = Some(offered.clone());
-        }
-        is_newer
+    fn usable(&self, list: &BackEndList) -> BackEndList {
+        self.departed.without_doubted(self.lapsed.with_kept(list))
+    }
+
+    /// Takes evacuated zones if they are newer than those known. Gives the zones to spare from now on.
+    pub fn offer_evacuations(
+        &mut self,
+        now: Timestamp,
+        offered: &EvacuatedZones,
+    ) -> Option<EvacuatedZones> {
+        let is_newer = self.evacuations.offer(now, offered);
+        self.evacuations.in_force().filter(|_| is_newer)
+    }
+
+    /// Takes back ends as gone that have been missing for too long, and believes a restored source after a while. Gives those to use
+    /// from now on, if there is any change.
+    pub fn expire_back_ends(&mut self, now: Timestamp) -> Option<BackEndList> {
+        let is_gone = self.lapsed.expire(now);
+        let is_believed = self.departed.expire(now);
+        let list = self.back_ends.as_ref().filter(|_| is_gone || is_believed)?;
+        Some(self.usable(list))
     }
 
-    /// Takes back ends as gone that have been missing for too long. Gives those to use from now on, if
-    /// there were any.
-    pub fn expire_lapsed(&mut self, now: Timestamp) -> Option<BackEndList> {
-        let has_expired = self.lapsed.expire(now);
-        let list = self.back_ends.as_ref().filter(|_| has_expired)?;
-        Some(self.lapsed.with_kept(list))
+    /// Believes a restored source after a while. Gives the zones to spare from now on, if there is any change.
+    pub fn expire_evacuations(&mut self, now: Timestamp) -> Option<EvacuatedZones> {
+        let is_believed = self.evacuations.expire(now);
+        self.evacuations.in_force().filter(|_| is_believed)
     }
 
     /// The configuration in force.
@@ -101,15 +120,15 @@
 
     /// Whether requests can be served. A router that knows no evacuations might send to a zone that is to get nothing.
     pub fn is_complete(&self) -> bool {
-        self.table.is_some() && self.back_ends.is_some() && self.evacuations.is_some()
+        self.table.is_some() && self.back_ends.is_some() && self.evacuations.known().is_some()
     }
 
     /// The versions in force.
     pub fn versions(&self) -> Versions {
         Versions {
             configuration: self.table.as_ref().map_or(0, |table| table.version()),
-            back_ends: self.back_ends.as_ref().map_or(0, |list| list.revision),
-            evacuations: self.evacuations.as_ref().map_or(0, |zones| zones.revision),
+            back_ends: self.back_ends.as_ref().map(|list| list.revision).unwrap_or_default(),
+            evacuations: self.evacuations.known().map(|zones| zones.revision).unwrap_or_default(),
         }
     }
 
@@ -117,7 +136,7 @@
     pub fn snapshot(&self, known: Versions) -> Snapshot {
         let table = self.table.as_ref().filter(|table| table.version() > known.configuration);
         let list = self.back_ends.as_ref().filter(|list| list.revision > known.back_ends);
-        let evacuations = self.evacuations.as_ref();
+        let evacuations = self.evacuations.known();
         let evacuations = evacuations.filter(|zones| zones.revision > known.evacuations);
         Snapshot {
             configuration: table.map(|table| table.configuration().clone()),
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use mastbay_web::read_limited;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -38,6 +38,8 @@
 pub struct Reply {
     /// Its status.
     pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
 }
@@ -79,11 +81,11 @@
             None => self.open().await?,
         };
         let answer = open.sender.send_request(request).await.map_err(|_| CallError::Broken)?;
-        let status = answer.status();
-        let body = read_limited(answer.into_body(), REPLY_LIMIT).await;
+        let (head, body) = answer.into_parts();
+        let body = read_limited(body, REPLY_LIMIT).await;
         let body = body.map_err(|_| CallError::Broken)?;
         *self.kept.borrow_mut() = Some(open);
-        Ok(Reply { status, body })
+        Ok(Reply { status: head.status, headers: head.headers, body })
     }
 
     async fn open(&self) -> Result<Open, CallError> {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -9,7 +9,7 @@
 use crate::overflow::OverflowCounts;
 use mastbay_routing::{
     BackEnd, BackEndId, BackEndList, BackEndState, Considered, EngineKey, EvacuatedZones, Fault,
-    Placement, QuarantinedRequest, RequestFingerprint, Role, RouteTable, Turn,
+    Placement, QuarantinedRequest, RequestFingerprint, Revision, Role, RouteTable, Turn,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -94,7 +94,7 @@
 pub fn turned_away(
     request_id: Option<&str>,
     answer: OwnAnswer,
-    versions: (u64, u64),
+    versions: (u64, Revision),
     handed_on_by: Option<IpAddr>,
 ) {
     tracing::info!(
@@ -103,7 +103,7 @@
         answer = %answer,
         status = answer.status().as_u16(),
         configuration = versions.0,
-        back_ends = versions.1,
+        back_ends = %versions.1,
         handed_on_by = handed_on_by.map(|router| router.to_string()),
     );
 }
@@ -199,7 +199,7 @@
     let ready = list.back_ends.iter().filter(|one| one.state == BackEndState::Ready).count();
     tracing::info!(
         event = "back_ends_known",
-        revision = list.revision,
+        revision = %list.revision,
         back_ends = list.back_ends.len(),
         ready,
         source = %origin,
@@ -211,7 +211,7 @@
     let zones: Vec<&str> = evacuated.zones.iter().map(String::as_str).collect();
     tracing::info!(
         event = "evacuations_known",
-        revision = evacuated.revision,
+        revision = %evacuated.revision,
         zones = zones.join(","),
         source = %origin,
     );
--- a/crates/router/src/quarantine_archive.rs
+++ b/crates/router/src/quarantine_archive.rs
@@ -7,7 +7,7 @@
 use crate::events;
 use crate::quarantine;
 use crate::router::Router;
-use mastbay_routing::{QuarantinedRequest, RequestFingerprint};
+use mastbay_routing::{QuarantinedRequest, RequestFingerprint, Revision};
 use mastbay_types::Timestamp;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,7 +32,7 @@
     /// The entries that can be read.
     pub entries: Vec<QuarantinedRequest>,
     /// Where changes go on from.
-    pub cursor: u64,
+    pub cursor: Revision,
 }
 
 /// Changes of an archive.
@@ -43,7 +43,7 @@
     /// Entries that were removed.
     pub removed: Vec<RequestFingerprint>,
     /// Where changes go on from.
-    pub cursor: u64,
+    pub cursor: Revision,
 }
 
 /// The seam to where quarantined requests are kept.
@@ -55,10 +55,11 @@
     /// All entries.
     async fn list(&self) -> Result<Archived, Self::Error>;
 
-    /// The changes after `cursor`, waited for up to `wait`; nothing if the archive no longer has them.
+    /// The changes after `cursor`, waited for up to `wait`; nothing if the archive no longer has them, or was restored
+    /// from an older copy since.
     async fn changes(
         &self,
-        cursor: u64,
+        cursor: Revision,
         wait: Duration,
     ) -> Result<Option<ArchiveChanges>, Self::Error>;
 
@@ -110,8 +111,8 @@
     router: &Router,
     archive: &A,
     known: &Known,
-    cursor: Option<u64>,
-) -> Result<Option<u64>, A::Error> {
+    cursor: Option<Revision>,
+) -> Result<Option<Revision>, A::Error> {
     let Some(cursor) = cursor else {
         let listed = archive.list().await?;
         known.replace(Some(BTreeMap::new()));
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -16,8 +16,8 @@
 use crate::snapshots::EncodedSnapshots;
 use mastbay_routing::{
     BackEndList, Dispatcher, DispatcherLimits, EvacuatedZones, Newcomer, OutageWatch,
-    OverloadGuard, PeerId, Placement, Quarantine, Refusal, RouteTable, RoutingConfiguration,
-    SourceContact, Standing, StandstillWatch, TicketId, Turn, watch_wait,
+    OverloadGuard, PeerId, Placement, Quarantine, Refusal, Revision, RouteTable,
+    RoutingConfiguration, SourceContact, Standing, StandstillWatch, TicketId, Turn, watch_wait,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
@@ -42,6 +42,9 @@
 const FIRST_WAIT: Duration = Duration::from_millis(1);
 /// Time between two looks at whether this router follows the source.
 const DUTY_PERIOD: Duration = Duration::from_millis(100);
+/// Time after its start for which a router waits for its peers where its source was restored: routers of a large fleet tell
+/// of themselves to each other once in about a second.
+const PEERS_PATIENCE: Duration = Duration::from_millis(1_200);
 /// The verdict on a request that waits.
 pub(crate) type VerdictSender = Sender<Result<Placement, Refusal>>;
 
@@ -62,6 +65,8 @@
     overload: RefCell<OverloadGuard>,
     overflow: RefCell<OverflowAccount>,
     outage: RefCell<OutageWatch>,
+    /// The first list of back ends came from a source that was restored from an older copy at some time.
+    began_restored: Cell<bool>,
     pub(crate) broken: BrokenConnections,
     pub(crate) quarantine: RefCell<Quarantine>,
     /// A peer has something newer but could not be asked for it.
@@ -117,6 +122,7 @@
             overload: RefCell::default(),
             overflow: RefCell::default(),
             outage: RefCell::default(),
+            began_restored: Cell::default(),
             broken: BrokenConnections::default(),
             quarantine: RefCell::new(quarantine),
             peers_fail: Cell::new(false),
@@ -178,6 +184,10 @@
     pub fn offer_back_ends(&self, offered: BackEndList, origin: Origin) {
         let now = self.now();
         let recovering = self.outage.borrow().is_recovering(now);
+        let is_first = self.catalogue.borrow().back_ends().is_none();
+        if is_first && origin == Origin::Source {
+            self.began_restored.set(offered.revision.era > 0);
+        }
         let taken = self.catalogue.borrow_mut().offer_back_ends(now, recovering, offered);
         if let Some(usable) = taken {
             self.use_back_ends(&usable, origin);
@@ -187,12 +197,16 @@
 
     /// Takes the evacuated zones from a source; older ones change nothing.
     pub fn offer_evacuations(&self, offered: EvacuatedZones, origin: Origin) {
-        if !self.catalogue.borrow_mut().offer_evacuations(&offered) {
-            return;
+        let taken = self.catalogue.borrow_mut().offer_evacuations(self.now(), &offered);
+        if let Some(spared) = taken {
+            self.spare_zones(&spared, origin);
+            self.tell_peers(origin);
         }
-        self.dispatcher.borrow_mut().on_evacuations(&offered);
-        events::evacuations_known(&offered, origin);
-        self.tell_peers(origin);
+    }
+
+    fn spare_zones(&self, spared: &EvacuatedZones, origin: Origin) {
+        self.dispatcher.borrow_mut().on_evacuations(spared);
+        events::evacuations_known(spared, origin);
         self.poll_waiting();
     }
 
@@ -289,7 +303,20 @@
 
     /// Whether it takes work.
     pub fn is_ready(&self) -> bool {
-        self.standing() == Standing::Serving && self.catalogue.borrow().is_complete()
+        self.standing() == Standing::Serving
+            && self.catalogue.borrow().is_complete()
+            && !self.awaits_peers()
+    }
+
+    /// Whether it has just started and knows the configuration only from a source that was restored once, which may hold an older one
+    /// than its peers: they are heard first.
+    fn awaits_peers(&self) -> bool {
+        let now = self.now();
+        if now.since(Timestamp::ZERO) >= PEERS_PATIENCE || !self.began_restored.get() {
+            return false;
+        }
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.routers() == 1 || dispatcher.newer_elsewhere(now, 0.0).is_some()
     }
 
     /// Whether it takes new callers.
@@ -355,14 +382,15 @@
             || self.open.count() > self.settings.crowded_connections()
     }
 
-    /// The version of the configuration in force and the revision of the back ends, 0 if unknown.
-    pub fn versions(&self) -> (u64, u64) {
+    /// The version of the configuration in force and the revision of the back ends, the least if unknown.
+    pub fn versions(&self) -> (u64, Revision) {
         let versions = self.catalogue.borrow().versions();
         (versions.configuration, versions.back_ends)
     }
 
     pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
-        self.catalogue.borrow().table()
+        let table = self.catalogue.borrow().table();
+        table.filter(|_| !self.awaits_peers())
     }
 
     /// Whether the budget of a service holds a further send.
@@ -424,10 +452,14 @@
     fn take_turn(&self, now: Timestamp, period: Duration, lag: Duration) {
         self.watch_standstill(now);
         self.watch_outage(now);
-        let expired = self.catalogue.borrow_mut().expire_lapsed(now);
+        let expired = self.catalogue.borrow_mut().expire_back_ends(now);
         if let Some(usable) = expired {
             self.use_back_ends(&usable, Origin::Source);
         }
+        let expired = self.catalogue.borrow_mut().expire_evacuations(now);
+        if let Some(spared) = expired {
+            self.spare_zones(&spared, Origin::Source);
+        }
         self.dispatcher.borrow_mut().on_lag(now, lag);
         let most = self.settings.most_connections() as f64;
         let turn = Turn {
--- a/crates/router/src/snapshots.rs
+++ b/crates/router/src/snapshots.rs
@@ -22,11 +22,10 @@
     for (name, value) in
         query.unwrap_or_default().split('&').filter_map(|part| part.split_once('='))
     {
-        let version = value.parse().unwrap_or(0);
         match name {
-            "configuration" => known.configuration = version,
-            "back-ends" => known.back_ends = version,
-            "evacuations" => known.evacuations = version,
+            "configuration" => known.configuration = value.parse().unwrap_or_default(),
+            "back-ends" => known.back_ends = value.parse().unwrap_or_default(),
+            "evacuations" => known.evacuations = value.parse().unwrap_or_default(),
             _ => {}
         }
     }
--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -47,7 +47,7 @@
     let mut beds: Vec<Bed> = Vec::new();
     for _ in 0..count {
         let bed = Bed::start(runtime, &[]).await;
-        let list = BackEndList { revision: 2, back_ends: listed(back_ends) };
+        let list = BackEndList { revision: 2.into(), back_ends: listed(back_ends) };
         bed.router.offer_back_ends(list, Origin::Source);
         beds.push(bed);
     }
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -54,8 +54,8 @@
         processor: 0.5,
         contact: SourceContact::Answered,
         configuration: 1_000,
-        back_ends: 100_000,
-        evacuations: 100_000,
+        back_ends: 100_000.into(),
+        evacuations: 100_000.into(),
         routers: 295,
     };
     let included = (0..63).map(|life| Included { life: u64::MAX - life, sequence: 100_000 });
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -226,7 +226,7 @@
         let bed = Self::start_unconfigured(runtime).await;
         bed.router.offer_configuration(configuration(1), Origin::Source);
         bed.router.offer_evacuations(
-            EvacuatedZones { revision: 1, ..EvacuatedZones::default() },
+            EvacuatedZones { revision: 1.into(), ..EvacuatedZones::default() },
             Origin::Source,
         );
         bed.list(1, back_ends);
@@ -252,7 +252,8 @@
 
     pub fn list(&self, revision: u64, back_ends: &[&ScriptedBackEnd]) {
         let back_ends = back_ends.iter().map(|back_end| back_end.listed("plain")).collect();
-        self.router.offer_back_ends(BackEndList { revision, back_ends }, Origin::Source);
+        self.router
+            .offer_back_ends(BackEndList { revision: revision.into(), back_ends }, Origin::Source);
     }
 
     /// Tells the router of another one with version 1 in force.
@@ -266,8 +267,8 @@
             processor: 1.0,
             contact: SourceContact::Idle,
             configuration: 1,
-            back_ends: 1,
-            evacuations: 1,
+            back_ends: 1.into(),
+            evacuations: 1.into(),
             routers: 2,
         };
         let digest = Digest { router, figures: None, is_member: false, peers: Vec::new() };
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -282,7 +282,7 @@
         let bed = Bed::start(runtime, &[&leaving, &staying]).await;
         let mut listed = vec![leaving.listed("plain"), staying.listed("plain")];
         listed[0].state = BackEndState::Draining;
-        let list = mastbay_routing::BackEndList { revision: 2, back_ends: listed };
+        let list = mastbay_routing::BackEndList { revision: 2.into(), back_ends: listed };
         bed.router.offer_back_ends(list, Origin::Source);
         for _ in 0..10 {
             assert_eq!(bed.call(&Request::new("/safe/x")).await.body, "2");
@@ -339,8 +339,8 @@
             contact: mastbay_routing::SourceContact::Answered,
             processor: 1.0,
             configuration: 0,
-            back_ends: 0,
-            evacuations: 0,
+            back_ends: 0.into(),
+            evacuations: 0.into(),
             routers: 1,
         };
         let message = mastbay_routing::PeerMessage::Digest(mastbay_routing::Digest {
@@ -352,7 +352,7 @@
         let socket = smol::net::UdpSocket::bind(("127.0.0.1", 0)).await.expect("bound");
         let datagram = rmp_serde::to_vec(&message).expect("encoded");
         socket.send_to(&datagram, first.settings.digests).await.expect("sent");
-        until(async || second.router.versions() == (9, 7)).await;
+        until(async || second.router.versions() == (9, 7.into())).await;
     });
 }
 
--- a/crates/routing/src/back_end.rs
+++ b/crates/routing/src/back_end.rs
@@ -1,5 +1,6 @@
 //! Back ends as their source tells them.
 
+use crate::revision::Revision;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
@@ -70,7 +71,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct BackEndList {
     /// The source's revision; rises.
-    pub revision: u64,
+    pub revision: Revision,
     /// The back ends.
     pub back_ends: Vec<BackEnd>,
 }
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -2,6 +2,7 @@
 
 use crate::figures::Figures;
 use crate::quarantine::EndReport;
+use crate::revision::Revision;
 use crate::watching::SourceContact;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -46,10 +47,10 @@
     pub contact: SourceContact,
     /// Version of the configuration that it has in force, 0 if none.
     pub configuration: u64,
-    /// Revision of the back ends that it knows, 0 if none.
-    pub back_ends: u64,
-    /// Revision of the evacuated zones that it knows, 0 if none.
-    pub evacuations: u64,
+    /// Revision of the back ends that it knows, the least if none.
+    pub back_ends: Revision,
+    /// Revision of the evacuated zones that it knows, the least if none.
+    pub evacuations: Revision,
     /// Routers that it knows of, itself included.
     pub routers: u32,
 }
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -11,6 +11,7 @@
 use crate::digest::{Digest, Included, PeerId, RouterState, Standing, Sum, SumScope};
 use crate::figures::{EngineLoad, Figures};
 use crate::overload::Others;
+use crate::revision::Revision;
 use crate::watching::SourceContact;
 use mastbay_types::Timestamp;
 use roster::RosterEntry;
@@ -48,10 +49,10 @@
     pub contact: SourceContact,
     /// Version of its configuration, 0 if none.
     pub configuration: u64,
-    /// Revision of its back ends, 0 if none.
-    pub back_ends: u64,
-    /// Revision of its evacuated zones, 0 if none.
-    pub evacuations: u64,
+    /// Revision of its back ends, the least if none.
+    pub back_ends: Revision,
+    /// Revision of its evacuated zones, the least if none.
+    pub evacuations: Revision,
     /// Number of its back ends.
     pub engines: usize,
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -28,6 +28,7 @@
 use crate::first_event::{FirstEventEstimator, PrefillWork};
 use crate::health::Fault;
 use crate::quarantine::{ProbeTurn, Relaying};
+use crate::revision::Revision;
 use crate::shares::Usage;
 use crate::waiting::WaitingQueue;
 use crate::watching::SourceContact;
@@ -93,7 +94,7 @@
     next_ticket: u64,
     contact: SourceContact,
     configuration: u64,
-    back_ends: u64,
+    back_ends: Revision,
     evacuated: EvacuatedZones,
     held_cold: HeldColdEngines,
 }
@@ -122,7 +123,7 @@
             next_ticket: 1,
             contact: SourceContact::default(),
             configuration: 0,
-            back_ends: 0,
+            back_ends: Revision::default(),
             evacuated: EvacuatedZones::default(),
             held_cold: HeldColdEngines::default(),
         }
--- a/crates/routing/src/evacuation.rs
+++ b/crates/routing/src/evacuation.rs
@@ -1,5 +1,6 @@
 //! Zones whose back ends are to get nothing new until the operator takes that back.
 
+use crate::revision::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -7,7 +8,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EvacuatedZones {
     /// The source's revision; rises.
-    pub revision: u64,
+    pub revision: Revision,
     /// The zones' names.
     pub zones: BTreeSet<String>,
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,8 @@
 mod policy;
 mod prompt;
 mod quarantine;
+mod restored;
+mod revision;
 mod service_level;
 mod shares;
 mod standstill;
@@ -65,6 +67,8 @@
     EndReport, ProbeTurn, Quarantine, QuarantineLimits, QuarantinedRequest, Relaying,
     RequestStanding,
 };
+pub use restored::{DepartedBackEnds, Evacuations};
+pub use revision::{ParseRevisionError, Revision};
 pub use service_level::{ACCEPTED_MISSES, LevelCounts, ServiceLevel};
 pub use shares::{Usage, water_level};
 pub use standstill::StandstillWatch;
--- /dev/null
+++ b/crates/routing/src/restored.rs
@@ -0,0 +1,112 @@
+//! What a source that was restored from an older copy tells, and what of it is not to be believed yet.
+//!
+//! The copy holds back ends that have left since and lacks evacuations that were ordered since. Back ends that live write themselves
+//! again within moments, entries of the others lapse, and the operator writes again what was lost. Until then what is known from before
+//! the restore counts where it keeps requests away from a back end.
+
+use crate::back_end::{BackEndId, BackEndList, BackEndState};
+use crate::evacuation::EvacuatedZones;
+use mastbay_types::Timestamp;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::time::Duration;
+
+/// Time for which a restored source is not believed where it makes usable again what was not: back ends write themselves each 1.2 s, and
+/// the entry of one that is gone lapses after three of these; the rest is for the way here.
+const DOUBT: Duration = Duration::from_secs(6);
+/// Time for which it is remembered that a back end left. A copy is some seconds old, ten at most.
+const REMEMBERED: Duration = Duration::from_secs(30);
+
+/// Back ends that left: they said so, or their entries went.
+#[derive(Debug, Default)]
+pub struct DepartedBackEnds {
+    departed: BTreeMap<BackEndId, Timestamp>,
+    doubted: BTreeSet<BackEndId>,
+    doubted_until: Option<Timestamp>,
+}
+
+impl DepartedBackEnds {
+    /// A list replaces another of the same era.
+    pub fn on_list(&mut self, now: Timestamp, old: &BackEndList, new: &BackEndList) {
+        let still_ready: HashSet<&BackEndId> = ready(new).collect();
+        let departed = ready(old).filter(|id| !still_ready.contains(id));
+        self.departed.extend(departed.map(|id| (id.clone(), now)));
+        self.departed.retain(|_, left| now.since(*left) < REMEMBERED);
+    }
+
+    /// A list of a restored source replaces one from before.
+    pub fn on_restored(&mut self, now: Timestamp, old: &BackEndList) {
+        self.departed.retain(|_, left| now.since(*left) < REMEMBERED);
+        self.doubted = self.departed.keys().cloned().collect();
+        let draining = old.back_ends.iter().filter(|one| one.state == BackEndState::Draining);
+        self.doubted.extend(draining.map(|one| one.id.clone()));
+        self.doubted_until = Some(now + DOUBT);
+    }
+
+    /// Ends the doubt when its time is over. Gives whether it did.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let is_over = self.doubted_until.is_some_and(|until| now >= until);
+        if is_over {
+            self.doubted.clear();
+            self.doubted_until = None;
+        }
+        is_over
+    }
+
+    /// A list in which those that left before the restore get nothing new.
+    pub fn without_doubted(&self, mut list: BackEndList) -> BackEndList {
+        let doubted = list.back_ends.iter_mut().filter(|one| self.doubted.contains(&one.id));
+        doubted.for_each(|one| one.state = BackEndState::Draining);
+        list
+    }
+}
+
+fn ready(list: &BackEndList) -> impl Iterator<Item = &BackEndId> {
+    let ready = list.back_ends.iter().filter(|one| one.state == BackEndState::Ready);
+    ready.map(|one| &one.id)
+}
+
+/// The evacuated zones, with those that a restored source has lost.
+#[derive(Debug, Default)]
+pub struct Evacuations {
+    known: Option<EvacuatedZones>,
+    kept: BTreeSet<String>,
+    kept_until: Option<Timestamp>,
+}
+
+impl Evacuations {
+    /// Takes evacuated zones if they are newer than those known. Gives whether it did.
+    pub fn offer(&mut self, now: Timestamp, offered: &EvacuatedZones) -> bool {
+        let known = self.known.as_ref().map(|known| known.revision);
+        if known.is_some_and(|known| known >= offered.revision) {
+            return false;
+        }
+        if known.is_some_and(|known| known.era < offered.revision.era) {
+            self.kept = self.in_force().map(|known| known.zones).unwrap_or_default();
+            self.kept_until = Some(now + DOUBT);
+        }
+        self.known = Some(offered.clone());
+        true
+    }
+
+    /// Lets go of zones that were kept, when their time is over. Gives whether there were any.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let is_over = self.kept_until.is_some_and(|until| now >= until);
+        if is_over {
+            self.kept.clear();
+            self.kept_until = None;
+        }
+        is_over
+    }
+
+    /// The zones as the source tells them.
+    pub fn known(&self) -> Option<&EvacuatedZones> {
+        self.known.as_ref()
+    }
+
+    /// The zones whose back ends get nothing new.
+    pub fn in_force(&self) -> Option<EvacuatedZones> {
+        let mut zones = self.known.clone()?;
+        zones.zones.extend(self.kept.iter().cloned());
+        Some(zones)
+    }
+}
--- a/crates/routing/tests/evacuation.rs
+++ b/crates/routing/tests/evacuation.rs
@@ -14,7 +14,7 @@
 
 /// Eight engines in each of three zones.
 fn engines() -> BackEndList {
-    let mut list = BackEndList { revision: 2, back_ends: Vec::new() };
+    let mut list = BackEndList { revision: 2.into(), back_ends: Vec::new() };
     for zone in ZONES {
         for index in 0..8 {
             let mut engine = back_end(&format!("{zone}{index}"), support::MODEL, 32);
@@ -27,7 +27,7 @@
 
 fn evacuated(revision: u64, zones: &[&str]) -> EvacuatedZones {
     let zones = zones.iter().map(|zone| (*zone).to_owned());
-    EvacuatedZones { revision, zones: zones.collect() }
+    EvacuatedZones { revision: revision.into(), zones: zones.collect() }
 }
 
 fn router() -> Dispatcher {
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -144,7 +144,7 @@
         let mut latest = [0_u64; 3];
         for (revision, entries) in (1..).zip(&lists) {
             let back_ends = entries.iter().map(|(name, life)| entry(*name, *life)).collect();
-            let list = lives.of(known.as_ref(), BackEndList { revision, back_ends });
+            let list = lives.of(known.as_ref(), BackEndList { revision: revision.into(), back_ends });
             for back_end in &list.back_ends {
                 let name: usize = back_end.id.name[1..].parse().expect("a number");
                 if back_end.id.life < latest[name] {
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -55,7 +55,7 @@
 
 pub fn list(revision: u64, engines: usize, slots: u32) -> BackEndList {
     let back_ends = (0..engines).map(|index| back_end(&format!("e{index}"), MODEL, slots));
-    BackEndList { revision, back_ends: back_ends.collect() }
+    BackEndList { revision: revision.into(), back_ends: back_ends.collect() }
 }
 
 pub fn configuration(capacity: Option<u64>) -> RoutingConfiguration {
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -156,7 +156,7 @@
     fn new(scenario: RouterFleet) -> Self {
         let names = (0..scenario.engines).map(|index| format!("engine-{index}"));
         let back_ends: Vec<BackEnd> = names.map(|name| back_end(&name, scenario.slots)).collect();
-        let list = BackEndList { revision: 1, back_ends };
+        let list = BackEndList { revision: 1.into(), back_ends };
         let dispatchers = (0..scenario.routers).map(|index| dispatcher(index, &list)).collect();
         let engines = list.back_ends.iter();
         let engines = engines.map(|one| (one.id.clone(), SimulatedEngine::default())).collect();
