Allowed regions of routes and tenants: requests, retries and resumes stay in them; without one a refusal at once

Cause: nothing read allowedRegions. Region of each zone comes from the settings; a back end whose region is not known serves only unrestricted requests. A restricted request has an order of preferred engines of its own, since the first six of all may lie elsewhere. A route that another type is given for the list makes the document unreadable, as before: what was in force stays.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,7 +6,8 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use mastbay_routing::{
-    Considered, Demand, Placement, Refusal, RequestFingerprint, RequestIdentity, TableEntry,
+    AllowedRegions, Considered, Demand, Placement, Refusal, RequestFingerprint, RequestIdentity,
+    TableEntry,
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
@@ -34,6 +35,8 @@
     pub tenant: Option<Arc<str>>,
     /// Its rank.
     pub priority: u32,
+    /// Regions in which it may be served.
+    pub regions: AllowedRegions,
     /// The router that handed its connection on, if it did not come from its caller.
     pub handed_on_by: Option<IpAddr>,
     /// When its head came.
@@ -84,6 +87,7 @@
             objective: self.entry.route.objective,
             priority: self.priority,
             tenant: self.tenant.clone(),
+            regions: self.regions.clone(),
             tried: Vec::new(),
             suspect: None,
         }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -200,6 +200,7 @@
         self.call.note_refusal(&refusal);
         let reason = match refusal.reason {
             RefusalReason::NoBackEnd => "no_back_end",
+            RefusalReason::NoBackEndInRegion => "no_back_end_in_region",
             RefusalReason::NoRoom => "no_room",
             RefusalReason::OverShare => "over_share",
             RefusalReason::Stopping => "stopping",
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -95,6 +95,7 @@
         };
         let limits = DispatcherLimits {
             zone: settings.zone.clone(),
+            regions: settings.regions.clone(),
             share_window: settings.share_window,
             budget: settings.budget,
             burst_from,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -151,6 +151,10 @@
     if tenant.is_none() && table.has_tenants() && !entry.route.public {
         return Err((head.request_id, OwnAnswer::UnknownKey));
     }
+    let regions = match tenant {
+        Some(tenant) => entry.route.regions.and(&tenant.regions),
+        None => entry.route.regions.clone(),
+    };
     let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(entry.route.priority);
     let Some(service) = entry.service(rand::random()).map(str::to_owned) else {
         return Err((head.request_id, unknown_yet));
@@ -166,6 +170,7 @@
         entry,
         service,
         priority,
+        regions,
         handed_on_by: arrival.way.handed_on_by(),
         arrived: arrival.at,
         deadline,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,6 +2,7 @@
 
 use mastbay_routing::{
     BudgetLimits, ConcurrencyPolicy, FairCapacity, Policy, QuarantineLimits, WarmupLimits,
+    ZoneRegions,
 };
 use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
 use std::net::SocketAddr;
@@ -18,6 +19,8 @@
     pub name: String,
     /// `[router] zone`: its zone.
     pub zone: String,
+    /// `[router] regions`: the region of each zone, as `ZONE:REGION` with commas between.
+    pub regions: ZoneRegions,
     /// `[router] callers`: where callers connect.
     pub callers: SocketAddr,
     /// `[router] readiness`: where the balancer asks whether it takes work.
@@ -73,6 +76,23 @@
     }
 }
 
+/// A zone and its region.
+#[derive(Debug, Clone, PartialEq)]
+struct ZoneRegion(String, String);
+
+impl Value for ZoneRegion {
+    const EXPECTED: &'static str = "a zone and its region, such as north-a:north";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text.split_once(':') {
+            Some((zone, region)) if !zone.is_empty() && !region.is_empty() => {
+                Ok(Self(zone.to_owned(), region.to_owned()))
+            }
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
 const DEFAULT_DESCRIPTORS: u64 = 4_096;
 const DEFAULT_MEMORY: u64 = 256;
 /// Descriptors kept for files, listeners, sources and peers.
@@ -125,6 +145,7 @@
     let mut section = document.section("router", faults);
     let name: Option<String> = section.required("name");
     let zone: Option<String> = section.required("zone");
+    let regions: Vec<ZoneRegion> = section.list("regions");
     let callers: Option<SocketAddr> = section.required("callers");
     let readiness: Option<SocketAddr> = section.required("readiness");
     let operations: Option<SocketAddr> = section.required("operations");
@@ -156,6 +177,7 @@
     Some(RouterSettings {
         name: name?,
         zone: zone?,
+        regions: regions.into_iter().map(|ZoneRegion(zone, region)| (zone, region)).collect(),
         callers: callers?,
         readiness: readiness?,
         operations: operations?,
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -4,9 +4,10 @@
 use mastbay_router::own_dialect::OwnDialect;
 use mastbay_router::{Origin, Router, RouterMetrics, RouterSettings, Runtime, Seams};
 use mastbay_routing::{
-    BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Digest, EngineLimits,
-    EvacuatedZones, Limits, PeerId, PeerMessage, QuarantineLimits, Route, RouteKind, RouterState,
-    RoutingConfiguration, Service, SourceContact, Standing, Target, Tenant, WarmupLimits,
+    AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Digest,
+    EngineLimits, EvacuatedZones, Limits, PeerId, PeerMessage, QuarantineLimits, Route, RouteKind,
+    RouterState, RoutingConfiguration, Service, SourceContact, Standing, Target, Tenant,
+    WarmupLimits, ZoneRegions,
 };
 pub use mastbay_testbed::header;
 use mastbay_testbed::{PortBlock, read_request};
@@ -149,6 +150,7 @@
         most_attempts: 2,
         public: prefix != "/keyed/",
         resumable,
+        regions: AllowedRegions::default(),
     }
 }
 
@@ -175,6 +177,7 @@
             name: "tenant-a".to_owned(),
             keys: vec!["key-a".to_owned()],
             priority: None,
+            regions: AllowedRegions::default(),
         }],
         limits: Limits { body_bytes: 10_000, ..Limits::default() },
     }
@@ -196,6 +199,7 @@
 
 pub fn settings(ports: &mut PortBlock) -> RouterSettings {
     RouterSettings {
+        regions: ZoneRegions::default(),
         name: "test".to_owned(),
         zone: "a".to_owned(),
         callers: ports.next_address(),
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The routing configuration as a router holds it, whatever source it came from.
 
+use crate::regions::AllowedRegions;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     pub public: bool,
     /// Whether a stream may be taken up at another back end.
     pub resumable: bool,
+    /// Regions in which its requests may be served.
+    pub regions: AllowedRegions,
 }
 
 impl Route {
@@ -96,6 +99,8 @@
     pub keys: Vec<String>,
     /// Rank before that of the route, if it has one; 0 is the highest.
     pub priority: Option<u32>,
+    /// Regions in which requests of its callers may be served.
+    pub regions: AllowedRegions,
 }
 
 /// Bounds on what callers send and on the capacity shared by tenants.
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -3,6 +3,7 @@
 use super::Dispatcher;
 use super::fair_level::ShareClass;
 use super::messages::{Admission, Considered, Demand, Refusal, RefusalReason, TicketId, Verdicts};
+use crate::engine::Engine;
 use crate::waiting::{Waiter, WaitingQueue};
 use mastbay_types::Timestamp;
 use std::time::Duration;
@@ -30,8 +31,8 @@
             return Admission::Placed(placement);
         }
         // Held and then refused would be worse: without a back end no time makes room.
-        if !self.has_back_end(&demand.service) {
-            return Admission::Refused(self.refusal(now, &demand, RefusalReason::NoBackEnd, draw));
+        if let Some(reason) = self.unservable(&demand) {
+            return Admission::Refused(self.refusal(now, &demand, reason, draw));
         }
         if !privileged && self.share_class(now, &demand) == ShareClass::AboveShare {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
@@ -96,11 +97,7 @@
                 Some(placement) => Ok(placement),
                 None => {
                     self.note_missed(now, &waiter.demand);
-                    let reason = if self.has_back_end(service) {
-                        RefusalReason::NoRoom
-                    } else {
-                        RefusalReason::NoBackEnd
-                    };
+                    let reason = self.unservable(&waiter.demand).unwrap_or(RefusalReason::NoRoom);
                     Err(self.refusal(now, &waiter.demand, reason, draw))
                 }
             };
@@ -140,9 +137,18 @@
         })
     }
 
-    fn has_back_end(&self, service: &str) -> bool {
-        let mut engines = self.engines.values();
-        engines.any(|engine| engine.back_end.service == service && engine.takes_work())
+    /// Why no time would make room for a request, if that is so.
+    fn unservable(&self, demand: &Demand) -> Option<RefusalReason> {
+        let mut engines = self
+            .engines
+            .values()
+            .filter(|engine| engine.back_end.service == demand.service && engine.takes_work());
+        let is_allowed = |engine: &Engine| demand.regions.allow(engine.region.as_deref());
+        match engines.next() {
+            None => Some(RefusalReason::NoBackEnd),
+            Some(first) if is_allowed(first) || engines.any(is_allowed) => None,
+            Some(_) => Some(RefusalReason::NoBackEndInRegion),
+        }
     }
 
     /// Until when a request waits: a part of its objective; one that was tried before, the whole.
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -7,6 +7,7 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::policy::Policy;
 use crate::prompt::Prompt;
+use crate::regions::{AllowedRegions, ZoneRegions};
 use crate::warmup::WarmupLimits;
 use mastbay_types::Timestamp;
 use std::sync::Arc;
@@ -17,6 +18,8 @@
 pub struct DispatcherLimits {
     /// The router's zone.
     pub zone: String,
+    /// The regions of the back ends' zones.
+    pub regions: ZoneRegions,
     /// Time over which tenants' shares are kept.
     pub share_window: Duration,
     /// The fleet's budget of second sends for each service.
@@ -54,6 +57,8 @@
     pub priority: u32,
     /// Its tenant.
     pub tenant: Option<Arc<str>>,
+    /// Regions in which it may be served.
+    pub regions: AllowedRegions,
     /// Back ends that it is not given again.
     pub tried: Vec<BackEndId>,
     /// Its fingerprint, if back ends ended under it.
@@ -136,6 +141,9 @@
     /// No back end of the service is known to take work.
     #[display("no_back_end")]
     NoBackEnd,
+    /// None takes work in the regions where the request may be served.
+    #[display("no_back_end_in_region")]
+    NoBackEndInRegion,
     /// No back end has room now, and the tenant has more than the fair level.
     #[display("over_share")]
     OverShare,
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -154,6 +154,7 @@
                 None => self.new_engine(now, back_end.clone()),
             };
             engine.is_evacuated = self.evacuated.zones.contains(&back_end.zone);
+            engine.region = self.limits.regions.of(&back_end.zone);
             self.engines.insert(back_end.id.clone(), engine);
         }
         let ids = self.engines.values().map(|engine| (engine.key, engine.back_end.id.clone()));
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -91,6 +91,7 @@
     pub(super) fn is_candidate(&self, now: Timestamp, engine: &Engine, demand: &Demand) -> bool {
         engine.back_end.service == demand.service
             && engine.takes_work()
+            && demand.regions.allow(engine.region.as_deref())
             && self.bears_more(now, engine)
             && !engine.health.is_paused(now)
             && !engine.is_ended(now)
@@ -153,7 +154,7 @@
     ) -> Vec<Weighed> {
         let policy = self.limits.policy;
         let prefix = prompt.prefix_key().unwrap_or_default();
-        let preferred = self.preferred.of(&self.engines, &demand.service, prefix);
+        let preferred = self.preferred.of(&self.engines, demand, prefix);
         let held_cold = self.held_cold_engines(now, &demand.service);
         let is_cheap = cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP;
         let waited = now.since(demand.arrived);
@@ -190,7 +191,7 @@
     pub(super) fn first_choice(&mut self, now: Timestamp, demand: &Demand) -> Option<Weighed> {
         let prompt = demand.prompt.as_ref()?;
         let prefix = prompt.prefix_key().unwrap_or_default();
-        let preferred = self.preferred.of(&self.engines, &demand.service, prefix);
+        let preferred = self.preferred.of(&self.engines, demand, prefix);
         let engine = self.engines.get(preferred.first()?)?;
         Some(self.weigh(now, engine, demand, prompt, 0))
     }
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -1,7 +1,9 @@
 //! The order in which back ends take requests with the same shared prefix, remembered for each prefix.
 
+use super::Demand;
 use crate::back_end::BackEndId;
 use crate::engine::Engine;
+use crate::regions::AllowedRegions;
 use mastbay_types::stable_hash;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -11,8 +13,15 @@
 /// Back ends kept in the order of a prefix.
 const RANKS_KEPT: usize = 6;
 
-/// A service and the shared prefix of a prompt.
-type Key = (Rc<str>, u64);
+/// Whose order it is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Key {
+    service: Rc<str>,
+    /// The shared prefix of a prompt.
+    prefix: u64,
+    /// Where the requests may be served.
+    regions: AllowedRegions,
+}
 
 /// Rankings made since the back ends changed last.
 #[derive(Debug, Default)]
@@ -27,26 +36,36 @@
         self.rankings.clear();
     }
 
-    /// The first back ends of a service for a prefix; the same at every router with the same list.
+    /// The first back ends for a demand with a prefix; the same at every router with the same list.
     pub fn of(
         &mut self,
         engines: &BTreeMap<BackEndId, Engine>,
-        service: &str,
+        demand: &Demand,
         prefix: u64,
     ) -> Rc<[BackEndId]> {
         if self.rankings.len() > MOST_REMEMBERED {
             self.rankings.clear();
         }
-        let name = self.services.entry(service.to_owned()).or_insert_with(|| Rc::from(service));
-        let ranking = self.rankings.entry((name.clone(), prefix));
-        ranking.or_insert_with(|| rank(engines, service, prefix)).clone()
+        let service = match self.services.get(&demand.service) {
+            Some(service) => service.clone(),
+            None => {
+                let service: Rc<str> = Rc::from(demand.service.as_str());
+                self.services.insert(demand.service.clone(), service.clone());
+                service
+            }
+        };
+        let ranking = self.rankings.entry(Key { service, prefix, regions: demand.regions.clone() });
+        ranking.or_insert_with(|| rank(engines, demand, prefix)).clone()
     }
 }
 
-fn rank(engines: &BTreeMap<BackEndId, Engine>, service: &str, prefix: u64) -> Rc<[BackEndId]> {
+fn rank(engines: &BTreeMap<BackEndId, Engine>, demand: &Demand, prefix: u64) -> Rc<[BackEndId]> {
     let key = prefix.to_be_bytes();
-    let ready =
-        engines.values().filter(|engine| engine.back_end.service == service && engine.takes_work());
+    let ready = engines.values().filter(|engine| {
+        engine.back_end.service == demand.service
+            && engine.takes_work()
+            && demand.regions.allow(engine.region.as_deref())
+    });
     let mut ranked: Vec<(u64, &BackEndId)> = ready
         .map(|engine| &engine.back_end.id)
         .map(|id| (stable_hash(&[&key, id.name.as_bytes()]), id))
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -12,6 +12,7 @@
 use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What is under way at a back end.
@@ -91,6 +92,8 @@
     pub warmup: Warmup,
     /// Whether its zone is evacuated.
     pub is_evacuated: bool,
+    /// Its region, if that of its zone is known.
+    pub region: Option<Arc<str>>,
     /// When an event or an answer of it came last.
     pub heard: Timestamp,
     /// When this router learned that this life of it ended.
@@ -103,6 +106,7 @@
         Self {
             warmup: Warmup::of_new(now, back_end.cold_for),
             is_evacuated: false,
+            region: None,
             heard: Timestamp::ZERO,
             ended: None,
             key: EngineKey::from(&back_end.id),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,7 @@
 mod policy;
 mod prompt;
 mod quarantine;
+mod regions;
 mod restored;
 mod revision;
 mod service_level;
@@ -67,6 +68,7 @@
     EndReport, ProbeTurn, Quarantine, QuarantineLimits, QuarantinedRequest, Relaying,
     RequestStanding,
 };
+pub use regions::{AllowedRegions, ZoneRegions};
 pub use restored::{DepartedBackEnds, Evacuations};
 pub use revision::{ParseRevisionError, Revision};
 pub use service_level::{ACCEPTED_MISSES, LevelCounts, ServiceLevel};
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -4,9 +4,9 @@
 pub mod fleet;
 
 use mastbay_routing::{
-    BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Digest, Dispatcher,
-    DispatcherLimits, EngineLimits, Limits, PeerId, Policy, Prompt, PromptPart,
-    RoutingConfiguration, Service, Standing, WarmupLimits,
+    AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Digest,
+    Dispatcher, DispatcherLimits, EngineLimits, Limits, PeerId, Policy, Prompt, PromptPart,
+    RoutingConfiguration, Service, Standing, WarmupLimits, ZoneRegions,
 };
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -31,6 +31,7 @@
 pub fn limits() -> DispatcherLimits {
     DispatcherLimits {
         zone: "a".to_owned(),
+        regions: ZoneRegions::default(),
         share_window: Duration::from_secs(4),
         budget: BudgetLimits::default(),
         burst_from: Timestamp::ZERO,
@@ -100,6 +101,7 @@
         objective: Duration::from_millis(400),
         priority: 1,
         tenant: Some(Arc::from(tenant)),
+        regions: AllowedRegions::default(),
         tried: Vec::new(),
         suspect: None,
     }
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -1,6 +1,8 @@
 //! Routes and keys are found in the configuration in force.
 
-use mastbay_routing::{Route, RouteKind, RouteTable, RoutingConfiguration, Target, Tenant};
+use mastbay_routing::{
+    AllowedRegions, Route, RouteKind, RouteTable, RoutingConfiguration, Target, Tenant,
+};
 use std::time::Duration;
 
 fn route(name: &str, host: &str, prefix: &str, targets: &[(&str, u32)]) -> Route {
@@ -20,6 +22,7 @@
         most_attempts: 2,
         public: false,
         resumable: false,
+        regions: AllowedRegions::default(),
     }
 }
 
@@ -35,6 +38,7 @@
             name: "t".to_owned(),
             keys: vec!["k1".to_owned(), "k2".to_owned()],
             priority: None,
+            regions: AllowedRegions::default(),
         }],
         ..RoutingConfiguration::default()
     })
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -3,9 +3,9 @@
 //! against.
 
 use mastbay_routing::{
-    Admission, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Dispatcher,
-    DispatcherLimits, EngineLimits, Limits, PeerId, Placement, Policy, Prompt, PromptPart,
-    RoutingConfiguration, Service, Standing, TicketId, WarmupLimits,
+    Admission, AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand,
+    Dispatcher, DispatcherLimits, EngineLimits, Limits, PeerId, Placement, Policy, Prompt,
+    PromptPart, RoutingConfiguration, Service, Standing, TicketId, WarmupLimits, ZoneRegions,
 };
 use mastbay_types::Timestamp;
 use rand::{Rng, RngExt, SeedableRng};
@@ -242,6 +242,7 @@
             priority: 1,
             tenant: Some(Arc::from(tenant)),
             tried: Vec::new(),
+            regions: AllowedRegions::default(),
             suspect: None,
         }
     }
@@ -309,6 +310,7 @@
 fn dispatcher(index: usize, list: &BackEndList) -> Dispatcher {
     let limits = DispatcherLimits {
         zone: String::new(),
+        regions: ZoneRegions::default(),
         share_window: Duration::from_secs(4),
         budget: BudgetLimits::default(),
         burst_from: Timestamp::ZERO,
