Roll-outs with canaries: exposure bounded without asking, verdict by route against the version beside it, recorded on a condition

Cause: nothing answered to rollouts/, so a new version got traffic as soon as its engines were listed, and no order ended. Pure state machine in routing/src/rollout. Counts of good and bad answers by route travel with the figures that routers tell already (nothing where no order is). Routers ask for orders, and for evacuations, only where settings say that they may come: that saves a watch elsewhere.

Ruled out: widening the share before the verdict (a version that turns bad late would exceed the bound).

--- a/crates/router/src/catalogue.rs
+++ b/crates/router/src/catalogue.rs
@@ -3,7 +3,7 @@
 
 use mastbay_routing::{
     BackEndList, DepartedBackEnds, EvacuatedZones, Evacuations, LapsedBackEnds, LatestLives,
-    Revision, RouteTable, RoutingConfiguration,
+    Revision, Rollouts, RouteTable, RoutingConfiguration,
 };
 use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,8 @@
     pub back_ends: Option<BackEndList>,
     /// The evacuated zones, if they are known.
     pub evacuations: Option<EvacuatedZones>,
+    /// The orders for roll-outs, if they are known.
+    pub rollouts: Option<Rollouts>,
 }
 
 /// The versions of what a router has in force; the least for what it does not know.
@@ -29,6 +31,17 @@
     pub back_ends: Revision,
     /// Revision of the evacuated zones.
     pub evacuations: Revision,
+    /// Revision of the orders for roll-outs.
+    pub rollouts: Revision,
+}
+
+/// What an operator may order, so that a router has to know the orders before it serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PossibleOrders {
+    /// Zones may be evacuated.
+    pub evacuations: bool,
+    /// Versions may be rolled out.
+    pub rollouts: bool,
 }
 
 /// What is in force.
@@ -37,12 +50,29 @@
     table: Option<Rc<RouteTable>>,
     back_ends: Option<Rc<BackEndList>>,
     evacuations: Evacuations,
+    rollouts: Option<Rollouts>,
+    possible: PossibleOrders,
     lapsed: LapsedBackEnds,
     departed: DepartedBackEnds,
     lives: LatestLives,
 }
 
 impl Catalogue {
+    /// A catalogue that knows nothing yet.
+    pub fn new(possible: PossibleOrders) -> Self {
+        Self { possible, ..Self::default() }
+    }
+
+    /// Takes orders for roll-outs if they are newer than those known. Gives whether it did.
+    pub fn offer_rollouts(&mut self, offered: &Rollouts) -> bool {
+        let known = self.rollouts.as_ref().map(|known| known.revision);
+        let is_newer = known.is_none_or(|known| known < offered.revision);
+        if is_newer {
+            self.rollouts = Some(offered.clone());
+        }
+        is_newer
+    }
+
     /// Takes a configuration if it is newer than the one in force.
     pub fn offer_configuration(&mut self, offered: RoutingConfiguration) -> Option<Rc<RouteTable>> {
         if self.table.as_ref().is_some_and(|table| table.version() >= offered.version) {
@@ -118,9 +148,12 @@
         self.back_ends.clone()
     }
 
-    /// Whether requests can be served. A router that knows no evacuations might send to a zone that is to get nothing.
+    /// Whether requests can be served. A router that knows no evacuations might send to a zone that is to get nothing, and one that
+    /// knows no roll-outs to a version that is not judged yet.
     pub fn is_complete(&self) -> bool {
-        self.table.is_some() && self.back_ends.is_some() && self.evacuations.known().is_some()
+        let knows_evacuations = !self.possible.evacuations || self.evacuations.known().is_some();
+        let knows_rollouts = !self.possible.rollouts || self.rollouts.is_some();
+        self.table.is_some() && self.back_ends.is_some() && knows_evacuations && knows_rollouts
     }
 
     /// The versions in force.
@@ -129,6 +162,7 @@
             configuration: self.table.as_ref().map_or(0, |table| table.version()),
             back_ends: self.back_ends.as_ref().map(|list| list.revision).unwrap_or_default(),
             evacuations: self.evacuations.known().map(|zones| zones.revision).unwrap_or_default(),
+            rollouts: self.rollouts.as_ref().map(|known| known.revision).unwrap_or_default(),
         }
     }
 
@@ -138,10 +172,13 @@
         let list = self.back_ends.as_ref().filter(|list| list.revision > known.back_ends);
         let evacuations = self.evacuations.known();
         let evacuations = evacuations.filter(|zones| zones.revision > known.evacuations);
+        let rollouts = self.rollouts.as_ref();
+        let rollouts = rollouts.filter(|rollouts| rollouts.revision > known.rollouts);
         Snapshot {
             configuration: table.map(|table| table.configuration().clone()),
             back_ends: list.map(|list| BackEndList::clone(list)),
             evacuations: evacuations.cloned(),
+            rollouts: rollouts.cloned(),
         }
     }
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -9,7 +9,8 @@
 use crate::overflow::OverflowCounts;
 use mastbay_routing::{
     BackEnd, BackEndId, BackEndList, BackEndState, Considered, EngineKey, EvacuatedZones, Fault,
-    Placement, QuarantinedRequest, RequestFingerprint, Revision, Role, RouteTable, Turn,
+    Placement, QuarantinedRequest, RequestFingerprint, Revision, Role, RolloutRecord, Rollouts,
+    RouteTable, Turn,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -217,6 +218,30 @@
     );
 }
 
+/// The orders for roll-outs are known.
+pub fn rollouts_known(rollouts: &Rollouts, origin: Origin) {
+    for order in &rollouts.orders {
+        tracing::info!(
+            event = "rollout_known",
+            service = order.service,
+            version = %order.version,
+            state = ?order.state,
+            revision = %rollouts.revision,
+            source = %origin,
+        );
+    }
+}
+
+/// A state of a roll-out was recorded where its order lies.
+pub fn rollout_recorded(record: &RolloutRecord) {
+    tracing::info!(
+        event = "rollout_recorded",
+        service = record.order.service,
+        version = %record.order.version,
+        state = ?record.state,
+    );
+}
+
 /// New connections of callers were not simply served since the last such line. `turned_away` and `full` were closed unread, so
 /// they are part of no tenant's rate.
 pub fn connections_overflowed(counts: OverflowCounts, lateness: f64) {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -46,6 +46,7 @@
         }
         messages
     };
+    router.judge_rollouts();
     for Outgoing { message, targets } in
         messages.into_iter().chain(quarantine::next_messages(router))
     {
@@ -172,5 +173,8 @@
     if let Some(evacuations) = snapshot.evacuations {
         router.offer_evacuations(evacuations, Origin::Peer(address));
     }
+    if let Some(rollouts) = snapshot.rollouts {
+        router.offer_rollouts(rollouts, Origin::Peer(address));
+    }
     true
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -16,8 +16,9 @@
 use crate::snapshots::EncodedSnapshots;
 use mastbay_routing::{
     BackEndList, Dispatcher, DispatcherLimits, EvacuatedZones, Newcomer, OutageWatch,
-    OverloadGuard, PeerId, Placement, Quarantine, Refusal, Revision, RouteTable,
-    RoutingConfiguration, SourceContact, Standing, StandstillWatch, TicketId, Turn, watch_wait,
+    OverloadGuard, PeerId, Placement, Quarantine, Refusal, Revision, RolloutRecord, Rollouts,
+    RouteTable, RoutingConfiguration, SourceContact, Standing, StandstillWatch, TicketId, Turn,
+    watch_wait,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
@@ -96,6 +97,7 @@
         let limits = DispatcherLimits {
             zone: settings.zone.clone(),
             regions: settings.regions.clone(),
+            exposure: settings.exposure.unwrap_or_default(),
             share_window: settings.share_window,
             budget: settings.budget,
             burst_from,
@@ -106,13 +108,14 @@
         };
         let dispatcher = Dispatcher::new(limits, me, settings.operations);
         let bodies = BodyBudget::new(settings.body_bytes());
+        let catalogue = Catalogue::new(settings.possible_orders());
         let quarantine = Quarantine::new(settings.quarantine);
         Rc::new(Self {
             bodies,
             settings,
             seams,
             runtime,
-            catalogue: RefCell::default(),
+            catalogue: RefCell::new(catalogue),
             snapshots: RefCell::default(),
             dispatcher: RefCell::new(dispatcher),
             waiting: RefCell::default(),
@@ -211,6 +214,22 @@
         self.poll_waiting();
     }
 
+    /// Takes orders for roll-outs from a source; older ones change nothing.
+    pub fn offer_rollouts(&self, offered: Rollouts, origin: Origin) {
+        if !self.catalogue.borrow_mut().offer_rollouts(&offered) {
+            return;
+        }
+        self.dispatcher.borrow_mut().on_rollouts(self.now(), &offered);
+        events::rollouts_known(&offered, origin);
+        self.tell_peers(origin);
+        self.poll_waiting();
+    }
+
+    /// Judges roll-outs by what the fleet has counted. Gives the states that are to be recorded at the source.
+    pub fn judge_rollouts(&self) -> Vec<RolloutRecord> {
+        self.dispatcher.borrow_mut().judge_rollouts(self.now())
+    }
+
     fn watch_standstill(&self, now: Timestamp) {
         let mut standstill = self.standstill.get();
         if let Some(lasted) = standstill.on_turn(now) {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,16 +1,17 @@
 //! Settings of a router, in INI form, checked whole.
 
+use crate::catalogue::PossibleOrders;
 use mastbay_routing::{
-    BudgetLimits, ConcurrencyPolicy, FairCapacity, Policy, QuarantineLimits, WarmupLimits,
-    ZoneRegions,
+    BudgetLimits, ConcurrencyPolicy, ExposureLimits, FairCapacity, Policy, QuarantineLimits,
+    WarmupLimits, ZoneRegions,
 };
 use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The sections that a router reads.
-pub const SECTIONS: [&str; 7] =
-    ["router", "peers", "retries", "quarantine", "warmup", "policy", "log"];
+pub const SECTIONS: [&str; 8] =
+    ["router", "peers", "retries", "quarantine", "warmup", "rollouts", "policy", "log"];
 
 /// Settings of a router.
 #[derive(Debug, Clone, PartialEq)]
@@ -53,6 +54,10 @@
     pub budget: BudgetLimits,
     /// `[quarantine]`: when a request is sent to no further back end.
     pub quarantine: QuarantineLimits,
+    /// `[router] evacuations`: whether an operator may evacuate zones.
+    pub evacuations: bool,
+    /// `[rollouts]`: what a version that is not judged yet may be sent; nothing if no versions are rolled out.
+    pub exposure: Option<ExposureLimits>,
     /// `[warmup]`: how far above a cold back end's rate the fleet may go.
     pub warmup: WarmupLimits,
     /// `[policy]`: how requests are placed, admitted and shared.
@@ -114,6 +119,11 @@
         self.seeds.contains(&self.operations)
     }
 
+    /// What an operator may order.
+    pub fn possible_orders(&self) -> PossibleOrders {
+        PossibleOrders { evacuations: self.evacuations, rollouts: self.exposure.is_some() }
+    }
+
     /// Callers' connections that may be open at a time.
     pub fn most_connections(&self) -> usize {
         let by_descriptors =
@@ -159,6 +169,7 @@
     let propagation: Span<100, 600_000> = section.or("propagation", Span(DEFAULT_PROPAGATION));
     let event_delay: Span<1, 600_000> = section.or("event-delay", Span(DEFAULT_EVENT_DELAY));
     let first_start = section.or("first-start", true);
+    let evacuations = section.or("evacuations", true);
     section.finish();
 
     let mut section = document.section("peers", faults);
@@ -169,6 +180,7 @@
     let budget = read_budget(document, faults);
     let quarantine = read_quarantine(document, faults);
     let warmup = read_warmup(document, faults);
+    let exposure = read_exposure(document, faults);
     let policy = read_policy(document, faults);
     let mut section = document.section("log", faults);
     let log = section.or("filter", "info".to_owned());
@@ -195,6 +207,8 @@
         budget,
         quarantine,
         warmup,
+        evacuations,
+        exposure,
         policy,
         log,
     })
@@ -219,6 +233,16 @@
     QuarantineLimits { ends: ends.0 as usize, period: period.0 }
 }
 
+fn read_exposure(document: &Document, faults: &mut Faults) -> Option<ExposureLimits> {
+    let default = ExposureLimits::default();
+    let mut section = document.section("rollouts", faults);
+    let is_possible = section.or("possible", false);
+    let share = section.or("share", Part(default.share));
+    let burst = section.or("burst", Amount(default.burst));
+    section.finish();
+    is_possible.then_some(ExposureLimits { share: share.0, burst: burst.0 })
+}
+
 fn read_warmup(document: &Document, faults: &mut Faults) -> WarmupLimits {
     let default = WarmupLimits::default();
     let mut section = document.section("warmup", faults);
--- a/crates/router/src/snapshots.rs
+++ b/crates/router/src/snapshots.rs
@@ -10,9 +10,10 @@
 
 /// The path and query that ask for what is newer than `known`.
 pub fn snapshot_target(known: Versions) -> String {
-    let Versions { configuration, back_ends, evacuations } = known;
+    let Versions { configuration, back_ends, evacuations, rollouts } = known;
     format!(
-        "{SNAPSHOT_PATH}?configuration={configuration}&back-ends={back_ends}&evacuations={evacuations}"
+        "{SNAPSHOT_PATH}?configuration={configuration}&back-ends={back_ends}&evacuations={evacuations}\
+         &rollouts={rollouts}"
     )
 }
 
@@ -26,6 +27,7 @@
             "configuration" => known.configuration = value.parse().unwrap_or_default(),
             "back-ends" => known.back_ends = value.parse().unwrap_or_default(),
             "evacuations" => known.evacuations = value.parse().unwrap_or_default(),
+            "rollouts" => known.rollouts = value.parse().unwrap_or_default(),
             _ => {}
         }
     }
@@ -39,6 +41,7 @@
     has_configuration: bool,
     has_back_ends: bool,
     has_evacuations: bool,
+    has_rollouts: bool,
 }
 
 /// Snapshots, encoded; the last one is kept.
@@ -63,6 +66,7 @@
             has_configuration: versions.configuration > known.configuration,
             has_back_ends: versions.back_ends > known.back_ends,
             has_evacuations: versions.evacuations > known.evacuations,
+            has_rollouts: versions.rollouts > known.rollouts,
         };
         if let Some((kept, encoded)) = &self.last
             && *kept == contents
--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -36,6 +36,7 @@
         service: "plain".to_owned(),
         address: *address,
         zone: "a".to_owned(),
+        version: "1".into(),
         slots: 8,
         state: BackEndState::Ready,
         cold_for: Duration::ZERO,
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -44,6 +44,7 @@
             (0..tenants.min(HEAVIEST_TENANTS)).map(tenant).collect()
         },
         paces: is_full.then(Vec::new),
+        releases: Vec::new(),
     };
     let router = RouterState {
         id: PeerId { address, life: u64::MAX },
@@ -56,6 +57,7 @@
         configuration: 1_000,
         back_ends: 100_000.into(),
         evacuations: 100_000.into(),
+        rollouts: 0.into(),
         routers: 295,
     };
     let included = (0..63).map(|life| Included { life: u64::MAX - life, sequence: 100_000 });
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -101,6 +101,7 @@
             service: service.to_owned(),
             address: self.address,
             zone: "a".to_owned(),
+            version: "1".into(),
             slots: 8,
             state: BackEndState::Ready,
             cold_for: Duration::ZERO,
@@ -200,6 +201,8 @@
 pub fn settings(ports: &mut PortBlock) -> RouterSettings {
     RouterSettings {
         regions: ZoneRegions::default(),
+        evacuations: true,
+        exposure: None,
         name: "test".to_owned(),
         zone: "a".to_owned(),
         callers: ports.next_address(),
@@ -273,6 +276,7 @@
             configuration: 1,
             back_ends: 1.into(),
             evacuations: 1.into(),
+            rollouts: 0.into(),
             routers: 2,
         };
         let digest = Digest { router, figures: None, is_member: false, peers: Vec::new() };
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -341,6 +341,7 @@
             configuration: 0,
             back_ends: 0.into(),
             evacuations: 0.into(),
+            rollouts: 0.into(),
             routers: 1,
         };
         let message = mastbay_routing::PeerMessage::Digest(mastbay_routing::Digest {
--- a/crates/routing/src/back_end.rs
+++ b/crates/routing/src/back_end.rs
@@ -59,6 +59,8 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: String,
+    /// The version of its software.
+    pub version: Arc<str>,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it takes new work.
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -51,6 +51,8 @@
     pub back_ends: Revision,
     /// Revision of the evacuated zones that it knows, the least if none.
     pub evacuations: Revision,
+    /// Revision of the orders for roll-outs that it knows, the least if none.
+    pub rollouts: Revision,
     /// Routers that it knows of, itself included.
     pub routers: u32,
 }
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -53,6 +53,8 @@
     pub back_ends: Revision,
     /// Revision of its evacuated zones, the least if none.
     pub evacuations: Revision,
+    /// Revision of the orders for roll-outs that it knows, the least if none.
+    pub rollouts: Revision,
     /// Number of its back ends.
     pub engines: usize,
 }
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -86,6 +86,7 @@
             configuration: own.configuration,
             back_ends: own.back_ends,
             evacuations: own.evacuations,
+            rollouts: own.rollouts,
             routers: self.routers() as u32,
         }
     }
@@ -184,6 +185,7 @@
         let with_slow_ones = self.is_full_round();
         let add = |sum: &mut FiguresSum, figures: &Figures| {
             sum.add_loads(figures);
+            sum.add_releases(figures);
             sum.add_rates(figures);
             if with_slow_ones {
                 sum.add_slow_ones(figures);
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -3,10 +3,11 @@
 use super::{FIGURES_LIFE, FiguresSource, Fleet, OwnState, STAND_IN_PATIENCE};
 use crate::digest::{RouterState, Standing};
 use crate::dispatch::aggregation::Role;
-use crate::figures::{EngineKey, EngineLevel, EngineLoad, Figures, TenantReport};
+use crate::figures::{EngineKey, EngineLevel, EngineLoad, Figures, FiguresSum, TenantReport};
 use crate::fingerprint::RequestFingerprint;
 use crate::overload::Others;
 use crate::quarantine::ProbeTurn;
+use crate::rollout::ReleaseReport;
 use crate::watching::{self, SourceContact};
 use mastbay_types::{Timestamp, stable_hash};
 use std::collections::HashMap;
@@ -206,6 +207,16 @@
         (asked, given)
     }
 
+    /// What all routers counted of roll-outs, this one's own counts among it.
+    pub fn release_reports(&self, own: &[ReleaseReport]) -> Vec<ReleaseReport> {
+        let mut sum = FiguresSum::default();
+        self.figures().for_each(|figures| sum.add_releases(figures));
+        if !self.held.values().any(|held| held.includes_me) {
+            own.iter().for_each(|report| sum.add_release(report));
+        }
+        sum.release_reports()
+    }
+
     /// Where a peer hands out something newer than what this router has, one of its own zone if there is any.
     pub fn newer_than(&self, now: Timestamp, own: &OwnState, draw: f64) -> Option<SocketAddr> {
         let newer: Vec<&RouterState> = self
@@ -214,6 +225,7 @@
                 peer.configuration > own.configuration
                     || peer.back_ends > own.back_ends
                     || peer.evacuations > own.evacuations
+                    || peer.rollouts > own.rollouts
             })
             .collect();
         let near: Vec<&RouterState> =
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -8,6 +8,7 @@
 use crate::policy::Policy;
 use crate::prompt::Prompt;
 use crate::regions::{AllowedRegions, ZoneRegions};
+use crate::rollout::ExposureLimits;
 use crate::warmup::WarmupLimits;
 use mastbay_types::Timestamp;
 use std::sync::Arc;
@@ -28,6 +29,8 @@
     pub burst_from: Timestamp,
     /// The router's part of a processor core.
     pub processor: f32,
+    /// What a version that is not judged yet may be sent.
+    pub exposure: ExposureLimits,
     /// How far above a cold back end's rate the fleet may go.
     pub warmup: WarmupLimits,
     /// Most requests that wait.
@@ -45,6 +48,8 @@
 pub struct Demand {
     /// The service.
     pub service: String,
+    /// A hash of its route's name.
+    pub route: u32,
     /// Its prompt, if it is for a model.
     pub prompt: Option<Prompt>,
     /// When it came.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod placement;
 mod preferred_engines;
+mod releases;
 mod sharing;
 mod source;
 mod suspects;
@@ -29,6 +30,7 @@
 use crate::health::Fault;
 use crate::quarantine::{ProbeTurn, Relaying};
 use crate::revision::Revision;
+use crate::rollout::RolloutBook;
 use crate::shares::Usage;
 use crate::waiting::WaitingQueue;
 use crate::watching::SourceContact;
@@ -38,6 +40,7 @@
 use mastbay_types::Timestamp;
 use placement::{Terms, Weighed};
 use preferred_engines::PreferredEngines;
+use releases::ReleasePart;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -64,6 +67,8 @@
     /// Events since the pace was observed last, and when that was.
     events: u32,
     observed: Timestamp,
+    /// Its part in a roll-out, if its service has one.
+    release: Option<ReleasePart>,
 }
 
 /// Lag of the router up to which the times that it sees are taken for those of back ends.
@@ -97,6 +102,8 @@
     back_ends: Revision,
     evacuated: EvacuatedZones,
     held_cold: HeldColdEngines,
+    rollouts: RolloutBook,
+    rollouts_revision: Revision,
 }
 
 impl Dispatcher {
@@ -126,6 +133,8 @@
             back_ends: Revision::default(),
             evacuated: EvacuatedZones::default(),
             held_cold: HeldColdEngines::default(),
+            rollouts: RolloutBook::default(),
+            rollouts_revision: Revision::default(),
         }
     }
 
@@ -274,6 +283,9 @@
         running.observed = now;
         let prefill = std::mem::take(&mut running.load.prefill);
         let taken = now.since(running.sent);
+        if let Some(part) = &mut running.release {
+            part.on_first_event(taken);
+        }
         let (predicted, work_ahead) = (running.predicted, running.work_ahead);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
         engine.heard = now;
@@ -305,6 +317,7 @@
             self.waiting.values_mut().any(|queue| queue.remove(ticket).is_some());
             return false;
         };
+        self.note_release_end(now, &running, outcome);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return false };
         engine.own.remove(running.load);
         match outcome {
@@ -339,7 +352,13 @@
         last_call: bool,
     ) -> Option<Placement> {
         let class = self.share_class(now, demand);
-        let weighed = self.best(now, demand, Terms { class, last_call })?;
+        let release = self.usual_release(now, &demand.service);
+        let terms = Terms { class, last_call, release };
+        let weighed = match self.best_of_canary(now, demand, &terms) {
+            Some(weighed) => weighed,
+            None => self.best(now, demand, &terms)?,
+        };
+        let release = self.note_release(demand, &weighed);
         let age = self.fleet.oldest_age(now);
         let accountable = self.accountable(demand, class, weighed.uncached);
         let Weighed { id, predicted, uncached, work_ahead, .. } = weighed;
@@ -366,6 +385,7 @@
             accountable,
             events: 0,
             observed: now,
+            release,
         };
         self.running.insert(ticket, entry);
         Some(Placement { ticket, back_end, predicted, running, limit, uncached, age })
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -65,6 +65,7 @@
             Figures {
                 loads: self.own_loads(now),
                 tenants: Some(self.usage.reports(now)),
+                releases: self.rollouts.reports(),
                 ..Figures::default()
             }
         };
@@ -86,6 +87,7 @@
             configuration: self.configuration,
             back_ends: self.back_ends,
             evacuations: self.evacuated.revision,
+            rollouts: self.rollouts_revision,
             engines: self.engines.len(),
         }
     }
@@ -103,6 +105,7 @@
             tenants: Some(self.usage.reports(now)),
             heaviest: Vec::new(),
             paces: Some(self.unloaded_paces()),
+            releases: self.rollouts.reports(),
         }
     }
 
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -7,6 +7,7 @@
 use crate::first_event::PrefillWork;
 use crate::policy::{ConcurrencyPolicy, Policy};
 use crate::prompt::Prompt;
+use crate::rollout::ReleaseChoice;
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
@@ -62,12 +63,14 @@
 }
 
 /// How a request is looked at.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Terms {
     /// How much of its share its tenant is given.
     pub class: ShareClass,
     /// Its time to wait is over.
     pub last_call: bool,
+    /// The versions that may serve it.
+    pub release: ReleaseChoice,
 }
 
 impl Dispatcher {
@@ -76,22 +79,29 @@
         &mut self,
         now: Timestamp,
         demand: &Demand,
-        terms: Terms,
+        terms: &Terms,
     ) -> Option<Weighed> {
         if let Some(suspect) = demand.suspect {
             return self.best_for_suspect(now, demand, suspect, terms);
         }
         let weighed = match &demand.prompt {
             Some(prompt) => self.weigh_engines(now, demand, prompt, terms),
-            None => self.weigh_plain(now, demand),
+            None => self.weigh_plain(now, demand, &terms.release),
         };
         weighed.into_iter().min_by(|left, right| left.cost.total_cmp(&right.cost))
     }
 
-    pub(super) fn is_candidate(&self, now: Timestamp, engine: &Engine, demand: &Demand) -> bool {
+    pub(super) fn is_candidate(
+        &self,
+        now: Timestamp,
+        engine: &Engine,
+        demand: &Demand,
+        release: &ReleaseChoice,
+    ) -> bool {
         engine.back_end.service == demand.service
             && engine.takes_work()
             && demand.regions.allow(engine.region.as_deref())
+            && release.allows(&engine.back_end.version)
             && self.bears_more(now, engine)
             && !engine.health.is_paused(now)
             && !engine.is_ended(now)
@@ -99,9 +109,14 @@
     }
 
     /// Plain back ends by their load.
-    fn weigh_plain(&self, now: Timestamp, demand: &Demand) -> Vec<Weighed> {
+    fn weigh_plain(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        release: &ReleaseChoice,
+    ) -> Vec<Weighed> {
         let candidates =
-            self.engines.values().filter(|engine| self.is_candidate(now, engine, demand));
+            self.engines.values().filter(|engine| self.is_candidate(now, engine, demand, release));
         candidates.filter_map(|engine| self.weigh_if_plain_room(now, engine)).collect()
     }
 
@@ -133,7 +148,7 @@
         engine: &Engine,
         demand: &Demand,
         prompt: &Prompt,
-        terms: Terms,
+        terms: &Terms,
     ) -> Option<Weighed> {
         if !self.has_room(now, engine, demand, prompt, terms) {
             return None;
@@ -150,11 +165,11 @@
         now: Timestamp,
         demand: &Demand,
         prompt: &Prompt,
-        terms: Terms,
+        terms: &Terms,
     ) -> Vec<Weighed> {
         let policy = self.limits.policy;
         let prefix = prompt.prefix_key().unwrap_or_default();
-        let preferred = self.preferred.of(&self.engines, demand, prefix);
+        let preferred = self.preferred.of(&self.engines, demand, &terms.release, prefix);
         let held_cold = self.held_cold_engines(now, &demand.service);
         let is_cheap = cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP;
         let waited = now.since(demand.arrived);
@@ -165,7 +180,7 @@
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
-            self.is_candidate(now, engine, demand).then_some(engine)
+            self.is_candidate(now, engine, demand, &terms.release).then_some(engine)
         };
         let ranked = preferred.iter().filter_map(candidate).take(ranks).enumerate();
         let elsewhere = held_cold.iter().filter(|id| is_cheap && !preferred.contains(id));
@@ -191,7 +206,8 @@
     pub(super) fn first_choice(&mut self, now: Timestamp, demand: &Demand) -> Option<Weighed> {
         let prompt = demand.prompt.as_ref()?;
         let prefix = prompt.prefix_key().unwrap_or_default();
-        let preferred = self.preferred.of(&self.engines, demand, prefix);
+        let release = self.usual_release(now, &demand.service);
+        let preferred = self.preferred.of(&self.engines, demand, &release, prefix);
         let engine = self.engines.get(preferred.first()?)?;
         Some(self.weigh(now, engine, demand, prompt, 0))
     }
@@ -202,7 +218,7 @@
         engine: &Engine,
         demand: &Demand,
         prompt: &Prompt,
-        terms: Terms,
+        terms: &Terms,
     ) -> bool {
         let load = engine.load();
         let policy = &self.limits.policy;
@@ -281,7 +297,7 @@
     now: Timestamp,
     weighed: &Weighed,
     demand: &Demand,
-    terms: Terms,
+    terms: &Terms,
     policy: &Policy,
 ) -> bool {
     let waited = now.since(demand.arrived);
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -4,7 +4,9 @@
 use crate::back_end::BackEndId;
 use crate::engine::Engine;
 use crate::regions::AllowedRegions;
+use crate::rollout::ReleaseChoice;
 use mastbay_types::stable_hash;
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
@@ -21,6 +23,8 @@
     prefix: u64,
     /// Where the requests may be served.
     regions: AllowedRegions,
+    /// The versions that may serve.
+    release: ReleaseChoice,
 }
 
 /// Rankings made since the back ends changed last.
@@ -41,6 +45,7 @@
         &mut self,
         engines: &BTreeMap<BackEndId, Engine>,
         demand: &Demand,
+        release: &ReleaseChoice,
         prefix: u64,
     ) -> Rc<[BackEndId]> {
         if self.rankings.len() > MOST_REMEMBERED {
@@ -54,17 +59,29 @@
                 service
             }
         };
-        let ranking = self.rankings.entry(Key { service, prefix, regions: demand.regions.clone() });
-        ranking.or_insert_with(|| rank(engines, demand, prefix)).clone()
+        let (regions, release) = (demand.regions.clone(), release.clone());
+        match self.rankings.entry(Key { service, prefix, regions, release }) {
+            Entry::Occupied(ranking) => ranking.get().clone(),
+            Entry::Vacant(place) => {
+                let ranking = rank(engines, demand, &place.key().release, prefix);
+                place.insert(ranking).clone()
+            }
+        }
     }
 }
 
-fn rank(engines: &BTreeMap<BackEndId, Engine>, demand: &Demand, prefix: u64) -> Rc<[BackEndId]> {
+fn rank(
+    engines: &BTreeMap<BackEndId, Engine>,
+    demand: &Demand,
+    release: &ReleaseChoice,
+    prefix: u64,
+) -> Rc<[BackEndId]> {
     let key = prefix.to_be_bytes();
     let ready = engines.values().filter(|engine| {
         engine.back_end.service == demand.service
             && engine.takes_work()
             && demand.regions.allow(engine.region.as_deref())
+            && release.allows(&engine.back_end.version)
     });
     let mut ranked: Vec<(u64, &BackEndId)> = ready
         .map(|engine| &engine.back_end.id)
--- /dev/null
+++ b/crates/routing/src/dispatch/releases.rs
@@ -0,0 +1,114 @@
+//! Which version of a service a request goes to while a roll-out is under way, and what its answer tells of that version.
+
+use super::placement::{Terms, Weighed};
+use super::{Demand, Dispatcher, Running};
+use crate::health::Fault;
+use crate::rollout::{AnswerQuality, ReleaseChoice, RolloutRecord, Rollouts, Side};
+use mastbay_types::Timestamp;
+use std::time::Duration;
+
+/// A request's part in a roll-out.
+#[derive(Debug, Clone, Copy)]
+pub struct ReleasePart {
+    side: Side,
+    route: u32,
+    /// Time to the first byte that such a request takes as a rule; a fixed time where nothing is known.
+    expected: Duration,
+    /// Time to the first byte that it took.
+    taken: Option<Duration>,
+}
+
+/// What times of plain requests are told in: they have no size that tells more.
+const PLAIN_UNIT: Duration = Duration::from_millis(1);
+
+impl Dispatcher {
+    /// Takes the operator's orders as they stand now.
+    pub fn on_rollouts(&mut self, now: Timestamp, rollouts: &Rollouts) {
+        self.rollouts_revision = rollouts.revision;
+        self.rollouts.on_orders(now, rollouts);
+    }
+
+    /// Judges roll-outs by what the fleet counted. Gives the states that are to be recorded.
+    pub fn judge_rollouts(&mut self, now: Timestamp) -> Vec<RolloutRecord> {
+        if self.rollouts.is_empty() {
+            return Vec::new();
+        }
+        let fleet = self.fleet.release_reports(&self.rollouts.reports());
+        self.rollouts.judge(now, &fleet)
+    }
+
+    /// Where requests of a service go that are no part of a canary.
+    pub(super) fn usual_release(&self, now: Timestamp, service: &str) -> ReleaseChoice {
+        self.rollouts.of(service).map(|rollout| rollout.usual_choice(now)).unwrap_or_default()
+    }
+
+    /// The best back end of the version that is rolled out, if the request may be part of the canary. One that was tried before may
+    /// not: its caller has met enough.
+    pub(super) fn best_of_canary(
+        &mut self,
+        now: Timestamp,
+        demand: &Demand,
+        terms: &Terms,
+    ) -> Option<Weighed> {
+        let rollout = self.rollouts.of(&demand.service)?;
+        let is_first_try = demand.tried.is_empty() && demand.suspect.is_none();
+        if !is_first_try || !rollout.may_expose(now, self.limits.exposure, self.fleet.size()) {
+            return None;
+        }
+        let ReleaseChoice::Except(version) = rollout.usual_choice(now) else { return None };
+        let terms = Terms { release: ReleaseChoice::Only(version), ..terms.clone() };
+        self.best(now, demand, &terms)
+    }
+
+    /// A request was placed. Gives its part in a roll-out, if its service has one.
+    pub(super) fn note_release(
+        &mut self,
+        demand: &Demand,
+        weighed: &Weighed,
+    ) -> Option<ReleasePart> {
+        let rollout = self.rollouts.of_mut(&demand.service)?;
+        let side = rollout.side(&self.engines.get(&weighed.id)?.back_end);
+        rollout.on_sent(side);
+        let expected = match &demand.prompt {
+            Some(_) => {
+                let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
+                Duration::from_secs_f64(estimator.estimate(weighed.work_ahead) / 1e3)
+            }
+            None => PLAIN_UNIT,
+        };
+        Some(ReleasePart { side, route: demand.route, expected, taken: None })
+    }
+
+    /// A request has ended.
+    pub(super) fn note_release_end(
+        &mut self,
+        now: Timestamp,
+        running: &Running,
+        outcome: Result<(), Option<Fault>>,
+    ) {
+        let Some(part) = running.release else { return };
+        let Some(engine) = self.engines.get(&running.back_end) else { return };
+        let Some(rollout) = self.rollouts.of_mut(&engine.back_end.service) else { return };
+        let answer = match (outcome, part.taken) {
+            (Err(Some(Fault::Full | Fault::Replaced | Fault::Unreachable)), _) => return,
+            (Err(Some(Fault::Broken | Fault::Failure)), _) => AnswerQuality::Failed,
+            // A caller that went away says as much as the time that it had waited.
+            (Ok(()) | Err(None), taken) => {
+                let taken = taken.unwrap_or_else(|| now.since(running.sent));
+                AnswerQuality::Came(part.in_expected_times(taken))
+            }
+        };
+        rollout.on_answer(part.route, part.side, answer);
+    }
+}
+
+impl ReleasePart {
+    /// The first byte has come.
+    pub fn on_first_event(&mut self, taken: Duration) {
+        self.taken.get_or_insert(taken);
+    }
+
+    fn in_expected_times(&self, taken: Duration) -> f64 {
+        taken.as_secs_f64() / self.expected.max(PLAIN_UNIT).as_secs_f64()
+    }
+}
--- a/crates/routing/src/dispatch/suspects.rs
+++ b/crates/routing/src/dispatch/suspects.rs
@@ -19,10 +19,12 @@
         now: Timestamp,
         demand: &Demand,
         suspect: RequestFingerprint,
-        terms: Terms,
+        terms: &Terms,
     ) -> Option<Weighed> {
-        let candidates =
-            self.engines.values().filter(|engine| self.is_candidate(now, engine, demand));
+        let candidates = self
+            .engines
+            .values()
+            .filter(|engine| self.is_candidate(now, engine, demand, &terms.release));
         let mut candidates: Vec<&Engine> = candidates.collect();
         candidates.sort_by_cached_key(|engine| Reverse(order_at(suspect, engine.key)));
         candidates.into_iter().find_map(|engine| match &demand.prompt {
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -7,6 +7,7 @@
 use crate::back_end::BackEndId;
 use crate::concurrency::LimitSum;
 use crate::engine::Load;
+use crate::rollout::{ReleaseReport, ReleaseTallies};
 use crate::service_level::LevelCounts;
 use derive_more::{Display, Error};
 use mastbay_types::stable_hash;
@@ -110,6 +111,8 @@
     pub heaviest: Vec<TenantReport>,
     /// The paces of services that they observed; left out where the last ones told hold on.
     pub paces: Option<Vec<ServicePace>>,
+    /// What they counted of roll-outs.
+    pub releases: Vec<ReleaseReport>,
 }
 
 impl Figures {
@@ -121,6 +124,7 @@
             tenants: take_newer(&mut self.tenants, newer.tenants),
             heaviest: Vec::new(),
             paces: take_newer(&mut self.paces, newer.paces),
+            releases: std::mem::replace(&mut self.releases, newer.releases),
         };
         self.update_tenants(newer.heaviest);
         replaced
@@ -171,6 +175,7 @@
             tenants: self.tenants.clone().filter(|_| part == 0),
             heaviest: if part == 0 { self.heaviest.clone() } else { Vec::new() },
             paces: self.paces.clone().filter(|_| part == 0),
+            releases: if part == 0 { self.releases.clone() } else { Vec::new() },
         };
         (0..parts).map(of_part).collect()
     }
@@ -202,6 +207,8 @@
     /// Rates asked and given.
     tenants: BTreeMap<String, (f32, f32)>,
     paces: BTreeMap<String, u32>,
+    /// Counts by order and route.
+    releases: BTreeMap<(u32, u32), ReleaseTallies>,
 }
 
 impl FiguresSum {
@@ -212,6 +219,23 @@
         }
     }
 
+    /// Adds what one more router, or several, counted of roll-outs.
+    pub fn add_releases(&mut self, figures: &Figures) {
+        figures.releases.iter().for_each(|report| self.add_release(report));
+    }
+
+    /// Adds one count.
+    pub fn add_release(&mut self, report: &ReleaseReport) {
+        self.releases.entry((report.order, report.route)).or_default().add(report.tallies);
+    }
+
+    /// The counts of roll-outs that were added.
+    pub fn release_reports(&self) -> Vec<ReleaseReport> {
+        let releases = self.releases.iter();
+        let report = |(&(order, route), &tallies)| ReleaseReport { order, route, tallies };
+        releases.map(report).collect()
+    }
+
     /// Adds what tenants ask of one more router, or of several.
     pub fn add_rates(&mut self, figures: &Figures) {
         for tenant in figures.tenants.iter().flatten() {
@@ -242,13 +266,14 @@
 
     /// The sums, all of them or only loads and rates.
     pub fn into_figures(self, with_slow_ones: bool) -> Figures {
+        let releases = self.release_reports();
         let loads = self.loads.into_iter().map(|(engine, load)| EngineLoad { engine, load });
         let loads = loads.collect();
         let tenants = self.tenants.into_iter();
         let tenants =
             tenants.map(|(name, (asked, given))| TenantReport { name, asked, given }).collect();
         if !with_slow_ones {
-            return Figures { loads, tenants: Some(tenants), ..Figures::default() };
+            return Figures { loads, tenants: Some(tenants), releases, ..Figures::default() };
         }
         let levels = self.levels.into_iter();
         let levels =
@@ -263,6 +288,7 @@
             tenants: Some(tenants),
             heaviest: Vec::new(),
             paces: Some(paces),
+            releases,
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,6 +27,7 @@
 mod regions;
 mod restored;
 mod revision;
+mod rollout;
 mod service_level;
 mod shares;
 mod standstill;
@@ -71,6 +72,10 @@
 pub use regions::{AllowedRegions, ZoneRegions};
 pub use restored::{DepartedBackEnds, Evacuations};
 pub use revision::{ParseRevisionError, Revision};
+pub use rollout::{
+    AnswerQuality, ExposureLimits, Judgement, ReleaseChoice, ReleaseReport, ReleaseTallies,
+    RolloutBook, RolloutOrder, RolloutRecord, RolloutState, Rollouts, Side, Tally,
+};
 pub use service_level::{ACCEPTED_MISSES, LevelCounts, ServiceLevel};
 pub use shares::{Usage, water_level};
 pub use standstill::StandstillWatch;
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -130,6 +130,7 @@
         service: "s".to_owned(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "a".to_owned(),
+        version: "1".into(),
         slots: 1,
         state: BackEndState::Ready,
         cold_for: Duration::ZERO,
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -5,8 +5,8 @@
 
 use mastbay_routing::{
     AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Digest,
-    Dispatcher, DispatcherLimits, EngineLimits, Limits, PeerId, Policy, Prompt, PromptPart,
-    RoutingConfiguration, Service, Standing, WarmupLimits, ZoneRegions,
+    Dispatcher, DispatcherLimits, EngineLimits, ExposureLimits, Limits, PeerId, Policy, Prompt,
+    PromptPart, RoutingConfiguration, Service, Standing, WarmupLimits, ZoneRegions,
 };
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -36,6 +36,7 @@
         budget: BudgetLimits::default(),
         burst_from: Timestamp::ZERO,
         processor: 1.0,
+        exposure: ExposureLimits::default(),
         warmup: WarmupLimits::default(),
         most_waiting: 50,
         policy: Policy::default(),
@@ -48,6 +49,7 @@
         service: service.to_owned(),
         address: address(200),
         zone: "a".to_owned(),
+        version: "1".into(),
         slots,
         state: BackEndState::Ready,
         cold_for: Duration::ZERO,
@@ -102,6 +104,7 @@
         priority: 1,
         tenant: Some(Arc::from(tenant)),
         regions: AllowedRegions::default(),
+        route: 1,
         tried: Vec::new(),
         suspect: None,
     }
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -4,8 +4,9 @@
 
 use mastbay_routing::{
     Admission, AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand,
-    Dispatcher, DispatcherLimits, EngineLimits, Limits, PeerId, Placement, Policy, Prompt,
-    PromptPart, RoutingConfiguration, Service, Standing, TicketId, WarmupLimits, ZoneRegions,
+    Dispatcher, DispatcherLimits, EngineLimits, ExposureLimits, Limits, PeerId, Placement, Policy,
+    Prompt, PromptPart, RoutingConfiguration, Service, Standing, TicketId, WarmupLimits,
+    ZoneRegions,
 };
 use mastbay_types::Timestamp;
 use rand::{Rng, RngExt, SeedableRng};
@@ -243,6 +244,7 @@
             tenant: Some(Arc::from(tenant)),
             tried: Vec::new(),
             regions: AllowedRegions::default(),
+            route: 1,
             suspect: None,
         }
     }
@@ -301,6 +303,7 @@
         service: SERVICE.to_owned(),
         address: address(0),
         zone: String::new(),
+        version: "1".into(),
         slots,
         state: BackEndState::Ready,
         cold_for: Duration::ZERO,
@@ -315,6 +318,7 @@
         budget: BudgetLimits::default(),
         burst_from: Timestamp::ZERO,
         processor: 1.0,
+        exposure: ExposureLimits::default(),
         warmup: WarmupLimits::default(),
         most_waiting: 400,
         policy: Policy::default(),
