Changes of back ends travel as changes, with the revision after which they hold

What grows faster than the fleet is changes times back ends times routers. A directory keeps what is known by name with the revision at which it changed; peers ask with what they have and get the rest, the whole list only after a restore or a lost history. What was bounded by constants that hold only in small fleets goes: latest lives were searched through on each list from 8,192 names on, they are remembered for names that went only. Orders of preferred engines are forgotten where a change touches them, not all at each change. Lapsed, departed and earlier lives are decided entry by entry in the same place; their tests play the same cases through it.

--- a/crates/router/src/catalogue.rs
+++ b/crates/router/src/catalogue.rs
@@ -2,8 +2,8 @@
 //! ever goes forward within its life.
 
 use mastbay_routing::{
-    BackEndList, DepartedBackEnds, EvacuatedZones, Evacuations, LapsedBackEnds, LatestLives,
-    Revision, Rollouts, RouteTable, RoutingConfiguration,
+    BackEndDirectory, BackEndUpdate, EvacuatedZones, Evacuations, Revision, Rollouts, RouteTable,
+    RoutingConfiguration, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -14,8 +14,8 @@
 pub struct Snapshot {
     /// The configuration, if one is known.
     pub configuration: Option<RoutingConfiguration>,
-    /// The back ends, if they are known.
-    pub back_ends: Option<BackEndList>,
+    /// What changed among the back ends, or all of them, if they are known.
+    pub back_ends: Option<BackEndUpdate>,
     /// The evacuated zones, if they are known.
     pub evacuations: Option<EvacuatedZones>,
     /// The orders for roll-outs, if they are known.
@@ -48,13 +48,10 @@
 #[derive(Debug, Default)]
 pub struct Catalogue {
     table: Option<Rc<RouteTable>>,
-    back_ends: Option<Rc<BackEndList>>,
+    back_ends: BackEndDirectory,
     evacuations: Evacuations,
     rollouts: Option<Rollouts>,
     possible: PossibleOrders,
-    lapsed: LapsedBackEnds,
-    departed: DepartedBackEnds,
-    lives: LatestLives,
 }
 
 impl Catalogue {
@@ -83,34 +80,15 @@
         Some(table)
     }
 
-    /// Takes a list of back ends if it is newer than the one known; right after an outage of the source it
-    /// may lack living ones (`recovering`). Gives those to use from now on.
+    /// Takes what changed among the back ends if it is newer than what is known; right after an outage of the source it
+    /// may lack living ones (`recovering`). Gives what changes for those that use them.
     pub fn offer_back_ends(
         &mut self,
         now: Timestamp,
         recovering: bool,
-        offered: BackEndList,
-    ) -> Option<BackEndList> {
-        if self.back_ends.as_ref().is_some_and(|list| list.revision >= offered.revision) {
-            return None;
-        }
-        let offered = self.lives.of(self.back_ends.as_deref(), offered);
-        if let Some(old) = &self.back_ends {
-            let is_restored = old.revision.era < offered.revision.era;
-            if is_restored {
-                self.departed.on_restored(now, old);
-            } else if !recovering {
-                self.departed.on_list(now, old, &offered);
-            }
-            self.lapsed.on_list(now, recovering || is_restored, old, &offered);
-        }
-        let usable = self.usable(&offered);
-        self.back_ends = Some(Rc::new(offered));
-        Some(usable)
-    }
-
-    fn usable(&self, list: &BackEndList) -> BackEndList {
-        self.departed.without_doubted(self.lapsed.with_kept(list))
+        offered: BackEndUpdate,
+    ) -> Option<UsableChanges> {
+        self.back_ends.apply(now, recovering, offered)
     }
 
     /// Takes evacuated zones if they are newer than those known. Gives the zones to spare from now on.
@@ -123,13 +101,10 @@
         self.evacuations.in_force().filter(|_| is_newer)
     }
 
-    /// Takes back ends as gone that have been missing for too long, and believes a restored source after a while. Gives those to use
-    /// from now on, if there is any change.
-    pub fn expire_back_ends(&mut self, now: Timestamp) -> Option<BackEndList> {
-        let is_gone = self.lapsed.expire(now);
-        let is_believed = self.departed.expire(now);
-        let list = self.back_ends.as_ref().filter(|_| is_gone || is_believed)?;
-        Some(self.usable(list))
+    /// Takes back ends as gone that have been missing for too long, and believes a restored source after a while. Gives what changes
+    /// for those that use them, if anything does.
+    pub fn expire_back_ends(&mut self, now: Timestamp) -> Option<UsableChanges> {
+        self.back_ends.expire(now)
     }
 
     /// Believes a restored source after a while. Gives the zones to spare from now on, if there is any change.
@@ -144,8 +119,8 @@
     }
 
     /// The back ends known.
-    pub fn back_ends(&self) -> Option<Rc<BackEndList>> {
-        self.back_ends.clone()
+    pub fn back_ends(&self) -> &BackEndDirectory {
+        &self.back_ends
     }
 
     /// Whether requests can be served. A router that knows no evacuations might send to a zone that is to get nothing, and one that
@@ -153,14 +128,17 @@
     pub fn is_complete(&self) -> bool {
         let knows_evacuations = !self.possible.evacuations || self.evacuations.known().is_some();
         let knows_rollouts = !self.possible.rollouts || self.rollouts.is_some();
-        self.table.is_some() && self.back_ends.is_some() && knows_evacuations && knows_rollouts
+        self.table.is_some()
+            && self.back_ends.revision().is_some()
+            && knows_evacuations
+            && knows_rollouts
     }
 
     /// The versions in force.
     pub fn versions(&self) -> Versions {
         Versions {
             configuration: self.table.as_ref().map_or(0, |table| table.version()),
-            back_ends: self.back_ends.as_ref().map(|list| list.revision).unwrap_or_default(),
+            back_ends: self.back_ends.revision().unwrap_or_default(),
             evacuations: self.evacuations.known().map(|zones| zones.revision).unwrap_or_default(),
             rollouts: self.rollouts.as_ref().map(|known| known.revision).unwrap_or_default(),
         }
@@ -169,14 +147,15 @@
     /// What is passed on to a router that has `known` in force: only what is newer.
     pub fn snapshot(&self, known: Versions) -> Snapshot {
         let table = self.table.as_ref().filter(|table| table.version() > known.configuration);
-        let list = self.back_ends.as_ref().filter(|list| list.revision > known.back_ends);
+        let revision = self.back_ends.revision();
+        let has_back_ends = revision.is_some_and(|revision| revision > known.back_ends);
         let evacuations = self.evacuations.known();
         let evacuations = evacuations.filter(|zones| zones.revision > known.evacuations);
         let rollouts = self.rollouts.as_ref();
         let rollouts = rollouts.filter(|rollouts| rollouts.revision > known.rollouts);
         Snapshot {
             configuration: table.map(|table| table.configuration().clone()),
-            back_ends: list.map(|list| BackEndList::clone(list)),
+            back_ends: has_back_ends.then(|| self.back_ends.update_since(known.back_ends)),
             evacuations: evacuations.cloned(),
             rollouts: rollouts.cloned(),
         }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -9,9 +9,9 @@
 use crate::overflow::OverflowCounts;
 use crate::unread::UNREAD_LIMIT;
 use mastbay_routing::{
-    BackEnd, BackEndId, BackEndList, BackEndState, Considered, EngineKey, EvacuatedZones, Fault,
-    Placement, QuarantinedRequest, RequestFingerprint, Revision, Role, RolloutRecord, Rollouts,
-    RouteTable, Turn,
+    BackEnd, BackEndDirectory, BackEndId, Considered, EngineKey, EvacuatedZones, Fault, Placement,
+    QuarantinedRequest, RequestFingerprint, Revision, Role, RolloutRecord, Rollouts, RouteTable,
+    Turn, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -196,14 +196,15 @@
     );
 }
 
-/// A list of back ends is known.
-pub fn back_ends_known(list: &BackEndList, origin: Origin) {
-    let ready = list.back_ends.iter().filter(|one| one.state == BackEndState::Ready).count();
+/// Changes of back ends are known.
+pub fn back_ends_known(known: &BackEndDirectory, changes: &UsableChanges, origin: Origin) {
     tracing::info!(
         event = "back_ends_known",
-        revision = %list.revision,
-        back_ends = list.back_ends.len(),
-        ready,
+        revision = %changes.revision,
+        back_ends = known.len(),
+        ready = known.ready(),
+        set = changes.set.len(),
+        gone = changes.gone.len(),
         source = %origin,
     );
 }
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
-use mastbay_routing::{BackEnd, BackEndId, BackEndList, ConnectionBounds};
+use mastbay_routing::{BackEnd, BackEndId, ConnectionBounds};
 use mastbay_types::Timestamp;
 use mastbay_web::{Counted, WriteCount};
 use smol::net::TcpStream;
@@ -170,9 +170,11 @@
     }
 
     /// Closes idle connections to back ends that are no longer listed.
-    pub fn retain(&self, list: &BackEndList) {
+    pub fn forget(&self, gone: &[BackEndId]) {
         let mut back_ends = self.back_ends.borrow_mut();
-        back_ends.retain(|id, _| list.back_ends.iter().any(|back_end| back_end.id == *id));
+        gone.iter().for_each(|id| {
+            back_ends.remove(id);
+        });
     }
 
     fn take_idle(&self, id: &BackEndId) -> Option<BackEndConnection> {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,10 +15,10 @@
 use crate::settings::RouterSettings;
 use crate::snapshots::EncodedSnapshots;
 use mastbay_routing::{
-    BackEndList, Dispatcher, DispatcherLimits, EvacuatedZones, Newcomer, OutageWatch,
+    BackEndUpdate, Dispatcher, DispatcherLimits, EvacuatedZones, Newcomer, OutageWatch,
     OverloadGuard, PeerId, Placement, Quarantine, Refusal, Revision, RolloutRecord, Rollouts,
     RouteTable, RoutingConfiguration, SourceContact, Standing, StandstillWatch, TicketId, Turn,
-    watch_wait,
+    UsableChanges, watch_wait,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
@@ -184,17 +184,18 @@
         }
     }
 
-    /// Takes a list of back ends from a source; an older one changes nothing.
-    pub fn offer_back_ends(&self, offered: BackEndList, origin: Origin) {
+    /// Takes back ends from a source, all of them or what changed; older ones change nothing.
+    pub fn offer_back_ends(&self, offered: impl Into<BackEndUpdate>, origin: Origin) {
+        let offered: BackEndUpdate = offered.into();
         let now = self.now();
         let recovering = self.outage.borrow().is_recovering(now);
-        let is_first = self.catalogue.borrow().back_ends().is_none();
+        let is_first = self.catalogue.borrow().back_ends().revision().is_none();
         if is_first && origin == Origin::Source {
             self.began_restored.set(offered.revision.era > 0);
         }
         let taken = self.catalogue.borrow_mut().offer_back_ends(now, recovering, offered);
-        if let Some(usable) = taken {
-            self.use_back_ends(&usable, origin);
+        if let Some(changes) = taken {
+            self.use_back_ends(&changes, origin);
             self.tell_peers(origin);
         }
     }
@@ -246,10 +247,10 @@
         }
     }
 
-    fn use_back_ends(&self, usable: &BackEndList, origin: Origin) {
-        self.dispatcher.borrow_mut().on_back_ends(self.now(), usable);
-        self.pool.retain(usable);
-        events::back_ends_known(usable, origin);
+    fn use_back_ends(&self, changes: &UsableChanges, origin: Origin) {
+        self.dispatcher.borrow_mut().on_back_end_changes(self.now(), changes);
+        self.pool.forget(&changes.gone);
+        events::back_ends_known(self.catalogue.borrow().back_ends(), changes, origin);
         self.poll_waiting();
     }
 
@@ -474,8 +475,8 @@
         self.watch_standstill(now);
         self.watch_outage(now);
         let expired = self.catalogue.borrow_mut().expire_back_ends(now);
-        if let Some(usable) = expired {
-            self.use_back_ends(&usable, Origin::Source);
+        if let Some(changes) = expired {
+            self.use_back_ends(&changes, Origin::Source);
         }
         let expired = self.catalogue.borrow_mut().expire_evacuations(now);
         if let Some(spared) = expired {
--- a/crates/router/src/snapshots.rs
+++ b/crates/router/src/snapshots.rs
@@ -4,6 +4,7 @@
 
 use crate::catalogue::{Catalogue, Versions};
 use bytes::Bytes;
+use mastbay_routing::Revision;
 
 /// Where peers fetch configuration and back ends.
 pub const SNAPSHOT_PATH: &str = "/snapshot";
@@ -39,7 +40,8 @@
 struct Contents {
     versions: Versions,
     has_configuration: bool,
-    has_back_ends: bool,
+    /// The revision after which changes of back ends are told, if any are.
+    back_ends_since: Option<Revision>,
     has_evacuations: bool,
     has_rollouts: bool,
 }
@@ -64,7 +66,7 @@
         let contents = Contents {
             versions,
             has_configuration: versions.configuration > known.configuration,
-            has_back_ends: versions.back_ends > known.back_ends,
+            back_ends_since: (versions.back_ends > known.back_ends).then_some(known.back_ends),
             has_evacuations: versions.evacuations > known.evacuations,
             has_rollouts: versions.rollouts > known.rollouts,
         };
--- a/crates/routing/src/dispatch/engines.rs
+++ b/crates/routing/src/dispatch/engines.rs
@@ -164,7 +164,8 @@
 }
 
 impl ReadyEngine {
-    fn of(engine: &Engine) -> Self {
+    /// How a back end stands in the index.
+    pub fn of(engine: &Engine) -> Self {
         let id = engine.back_end.id.clone();
         Self { name_hash: stable_hash(&[id.name.as_bytes()]), id }
     }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 use crate::concurrency::UnloadedPace;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
 use crate::digest::PeerId;
+use crate::directory::UsableChanges;
 use crate::engine::{Engine, Load};
 use crate::evacuation::EvacuatedZones;
 use crate::figures::EngineKey;
@@ -152,7 +153,20 @@
             .collect();
     }
 
-    /// Takes a newer list of back ends.
+    /// Takes what has changed among the back ends.
+    pub fn on_back_end_changes(&mut self, now: Timestamp, changes: &UsableChanges) {
+        self.back_ends = changes.revision;
+        for id in &changes.gone {
+            self.engines.remove(id);
+            self.preferred.on_lost(id);
+        }
+        for back_end in &changes.set {
+            self.set_engine(now, back_end);
+            self.preferred.on_set(&self.engines, back_end);
+        }
+    }
+
+    /// Takes a whole list of back ends.
     pub fn on_back_ends(&mut self, now: Timestamp, list: &BackEndList) {
         self.back_ends = list.revision;
         self.preferred.clear();
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -2,7 +2,7 @@
 
 use super::Demand;
 use super::engines::{Engines, ReadyEngine};
-use crate::back_end::BackEndId;
+use crate::back_end::{BackEnd, BackEndId};
 use crate::regions::AllowedRegions;
 use crate::rollout::ReleaseChoice;
 use mastbay_types::mixed_hash;
@@ -40,6 +40,31 @@
         self.rankings.clear();
     }
 
+    /// A back end is gone: orders that hold it are made anew when they are asked for.
+    pub fn on_lost(&mut self, id: &BackEndId) {
+        self.rankings.retain(|_, ranking| !ranking.contains(id));
+    }
+
+    /// A back end is new, or its state has changed. Orders in which it stands, or would stand, are made anew.
+    pub fn on_set(&mut self, engines: &Engines, back_end: &BackEnd) {
+        let Some(engine) = engines.get(&back_end.id) else { return };
+        if !engine.takes_work() {
+            return self.on_lost(&back_end.id);
+        }
+        let name_hash = ReadyEngine::of(engine).name_hash;
+        self.rankings.retain(|key, ranking| {
+            if *key.service != *back_end.service || ranking.contains(&back_end.id) {
+                return true;
+            }
+            let last = ranking.last().filter(|_| ranking.len() == RANKS_KEPT);
+            let last = last.and_then(|last| engines.get(last));
+            let score = mixed_hash(key.prefix, name_hash);
+            last.is_some_and(|last| {
+                mixed_hash(key.prefix, ReadyEngine::of(last).name_hash) >= score
+            })
+        });
+    }
+
     /// The first back ends for a demand with a prefix; the same at every router with the same list.
     pub fn of(
         &mut self,
--- a/crates/routing/src/lapsed.rs
+++ b/crates/routing/src/lapsed.rs
@@ -4,9 +4,10 @@
 //! though the back end lives. Once the source is back, living ones are listed again within moments. So
 //! what is missing right after an outage is kept for a while, and taken as gone if it stays missing.
 
-use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
+use crate::back_end::{BackEnd, BackEndId};
 use mastbay_types::Timestamp;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time for which a back end is kept that is missing after an outage. Living ones are back within two
@@ -49,45 +50,34 @@
     }
 }
 
-/// The back ends that are missing from the newest list and kept for a while.
+/// The back ends that are missing from the source and kept for a while.
 #[derive(Debug, Default)]
 pub struct LapsedBackEnds {
-    kept: BTreeMap<BackEndId, (BackEnd, Timestamp)>,
+    kept: BTreeMap<Arc<str>, (BackEndId, Timestamp)>,
 }
 
 impl LapsedBackEnds {
-    /// A list replaces another: those that took work and are missing are kept, if the source is just
-    /// `recovering` from an outage. Those that are listed are kept no longer.
-    pub fn on_list(
-        &mut self,
-        now: Timestamp,
-        recovering: bool,
-        old: &BackEndList,
-        new: &BackEndList,
-    ) {
-        // A back end that is listed with a later life has no earlier one that could be missing.
-        let listed: BTreeSet<&str> = new.back_ends.iter().map(|listed| &*listed.id.name).collect();
-        self.kept.retain(|id, _| !listed.contains(&*id.name));
-        if !recovering {
-            return;
-        }
-        let missing = old.back_ends.iter().filter(|known| !listed.contains(&*known.id.name));
-        for back_end in missing.filter(|known| known.state == BackEndState::Ready) {
-            self.kept.insert(back_end.id.clone(), (back_end.clone(), now + KEPT));
-        }
+    /// A back end that took work is missing, while the source is just recovering from an outage.
+    pub fn keep(&mut self, now: Timestamp, back_end: BackEnd) {
+        self.kept.insert(back_end.id.name.clone(), (back_end.id, now + KEPT));
     }
 
-    /// Takes those whose time is over as gone. Gives whether there were any.
-    pub fn expire(&mut self, now: Timestamp) -> bool {
-        let before = self.kept.len();
-        self.kept.retain(|_, (_, until)| now < *until);
-        self.kept.len() < before
+    /// A name is listed again, with whatever life. Gives the one that was kept under it.
+    pub fn take(&mut self, name: &Arc<str>) -> Option<BackEndId> {
+        self.kept.remove(name).map(|(id, _)| id)
     }
 
-    /// A list with those that are kept.
-    pub fn with_kept(&self, list: &BackEndList) -> BackEndList {
-        let mut list = list.clone();
-        list.back_ends.extend(self.kept.values().map(|(back_end, _)| back_end.clone()));
-        list
+    /// Gives those whose time is over, which are gone.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<BackEndId> {
+        let gone: Vec<BackEndId> = self
+            .kept
+            .values()
+            .filter(|(_, until)| now >= *until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        gone.iter().for_each(|id| {
+            self.kept.remove(&id.name);
+        });
+        gone
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod connections;
 mod digest;
+mod directory;
 mod dispatch;
 mod engine;
 mod evacuation;
@@ -47,6 +48,7 @@
 pub use digest::{
     Digest, Included, Outgoing, PeerId, PeerMessage, RouterState, Standing, Sum, SumScope,
 };
+pub use directory::{BackEndDirectory, BackEndUpdate, UsableChanges};
 pub use dispatch::{
     Admission, Considered, Demand, Dispatcher, DispatcherLimits, HEAVIEST_TENANTS, NewPeer,
     Placement, ROUND_PERIOD, Refusal, RefusalReason, Role, TicketId, Verdicts,
@@ -60,8 +62,7 @@
 pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
-pub use lapsed::{LapsedBackEnds, OutageWatch};
-pub use lives::LatestLives;
+pub use lapsed::OutageWatch;
 pub use overload::{Others, OverloadGuard, Turn};
 pub use policy::{ConcurrencyPolicy, FairCapacity, Policy};
 pub use prompt::{Prompt, PromptPart};
@@ -70,7 +71,7 @@
     RequestStanding,
 };
 pub use regions::{AllowedRegions, ZoneRegions};
-pub use restored::{DepartedBackEnds, Evacuations};
+pub use restored::Evacuations;
 pub use revision::{ParseRevisionError, Revision};
 pub use rollout::{
     AnswerQuality, ExposureLimits, Judgement, ReleaseChoice, ReleaseReport, ReleaseTallies,
--- a/crates/routing/src/lives.rs
+++ b/crates/routing/src/lives.rs
@@ -1,47 +1,37 @@
-//! Which life of a back end is the latest.
+//! Which life of a back end was the latest, of those that are listed no more.
 //!
 //! A back end may start again under its name. What an earlier life wrote may come later than what the new one did.
 
-use crate::back_end::{BackEnd, BackEndId, BackEndList};
-use std::collections::{HashMap, HashSet};
+use crate::back_end::BackEndId;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Names that are remembered after they are listed no more; past this, those are forgotten.
+/// Names that are remembered after they went; past this, they are forgotten. It is the names that come and go that count here, not
+/// those that are listed.
 const MOST_REMEMBERED: usize = 8_192;
 
-/// The latest lives that any list named.
+/// The latest lives of names that went.
 #[derive(Debug, Default)]
-pub struct LatestLives(HashMap<Arc<str>, u64>);
+pub struct LatestLives(BTreeMap<Arc<str>, u64>);
 
 impl LatestLives {
-    /// A newer list without entries of lives that are over: in place of one stands what was `known` of the latest life, if that was
-    /// listed.
-    pub fn of(&mut self, known: Option<&BackEndList>, offered: BackEndList) -> BackEndList {
-        let revision = offered.revision;
-        let offered = offered.back_ends.into_iter();
-        let back_ends: Vec<BackEnd> =
-            offered.filter_map(|back_end| self.latest_of(known, back_end)).collect();
-        self.make_room(&back_ends);
-        BackEndList { revision, back_ends }
+    /// A back end is listed no more.
+    pub fn on_gone(&mut self, id: &BackEndId) {
+        if self.0.len() >= MOST_REMEMBERED {
+            self.0.clear();
+        }
+        if id.life > 0 {
+            self.0.insert(id.name.clone(), id.life);
+        }
     }
 
-    fn latest_of(&mut self, known: Option<&BackEndList>, offered: BackEnd) -> Option<BackEnd> {
-        let BackEndId { name, life } = &offered.id;
-        let latest = self.0.entry(name.clone()).or_default();
-        if *life >= *latest {
-            *latest = *life;
-            return Some(offered);
-        }
-        let latest = BackEndId { name: name.clone(), life: *latest };
-        let known = known?.back_ends.iter();
-        known.into_iter().find(|back_end| back_end.id == latest).cloned()
+    /// A name is listed, which tells its latest life from now on.
+    pub fn on_listed(&mut self, name: &Arc<str>) {
+        self.0.remove(name);
     }
 
-    fn make_room(&mut self, listed: &[BackEnd]) {
-        if self.0.len() > MOST_REMEMBERED {
-            let listed: HashSet<&Arc<str>> =
-                listed.iter().map(|back_end| &back_end.id.name).collect();
-            self.0.retain(|name, _| listed.contains(name));
-        }
+    /// The latest life of a name that went, if it is remembered.
+    pub fn latest_gone(&self, name: &Arc<str>) -> Option<u64> {
+        self.0.get(name).copied()
     }
 }
--- a/crates/routing/src/restored.rs
+++ b/crates/routing/src/restored.rs
@@ -4,10 +4,10 @@
 //! again within moments, entries of the others lapse, and the operator writes again what was lost. Until then what is known from before
 //! the restore counts where it keeps requests away from a back end.
 
-use crate::back_end::{BackEndId, BackEndList, BackEndState};
+use crate::back_end::{BackEnd, BackEndId, BackEndState};
 use crate::evacuation::EvacuatedZones;
 use mastbay_types::Timestamp;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time for which a restored source is not believed where it makes usable again what was not: back ends write themselves each 1.2 s, and
@@ -25,46 +25,39 @@
 }
 
 impl DepartedBackEnds {
-    /// A list replaces another of the same era.
-    pub fn on_list(&mut self, now: Timestamp, old: &BackEndList, new: &BackEndList) {
-        let still_ready: HashSet<&BackEndId> = ready(new).collect();
-        let departed = ready(old).filter(|id| !still_ready.contains(id));
-        self.departed.extend(departed.map(|id| (id.clone(), now)));
+    /// A back end that took work said that it leaves, or its entry went.
+    pub fn note(&mut self, now: Timestamp, id: &BackEndId) {
         self.departed.retain(|_, left| now.since(*left) < REMEMBERED);
+        self.departed.insert(id.clone(), now);
     }
 
-    /// A list of a restored source replaces one from before.
-    pub fn on_restored(&mut self, now: Timestamp, old: &BackEndList) {
+    /// The source was restored. `known` are the back ends from before.
+    pub fn on_restored<'a>(&mut self, now: Timestamp, known: impl Iterator<Item = &'a BackEnd>) {
         self.departed.retain(|_, left| now.since(*left) < REMEMBERED);
         self.doubted = self.departed.keys().cloned().collect();
-        let draining = old.back_ends.iter().filter(|one| one.state == BackEndState::Draining);
+        let draining = known.filter(|one| one.state == BackEndState::Draining);
         self.doubted.extend(draining.map(|one| one.id.clone()));
         self.doubted_until = Some(now + DOUBT);
     }
 
-    /// Ends the doubt when its time is over. Gives whether it did.
-    pub fn expire(&mut self, now: Timestamp) -> bool {
-        let is_over = self.doubted_until.is_some_and(|until| now >= until);
-        if is_over {
-            self.doubted.clear();
-            self.doubted_until = None;
+    /// Ends the doubt when its time is over. Gives those that were in doubt.
+    pub fn expire(&mut self, now: Timestamp) -> BTreeSet<BackEndId> {
+        if self.doubted_until.is_none_or(|until| now < until) {
+            return BTreeSet::new();
         }
-        is_over
+        self.doubted_until = None;
+        std::mem::take(&mut self.doubted)
     }
 
-    /// A list in which those that left before the restore get nothing new.
-    pub fn without_doubted(&self, mut list: BackEndList) -> BackEndList {
-        let doubted = list.back_ends.iter_mut().filter(|one| self.doubted.contains(&one.id));
-        doubted.for_each(|one| one.state = BackEndState::Draining);
-        list
+    /// A back end as it may be used: one that left before the restore gets nothing new.
+    pub fn as_usable(&self, back_end: BackEnd) -> BackEnd {
+        if !self.doubted.contains(&back_end.id) {
+            return back_end;
+        }
+        BackEnd { state: BackEndState::Draining, ..back_end }
     }
 }
 
-fn ready(list: &BackEndList) -> impl Iterator<Item = &BackEndId> {
-    let ready = list.back_ends.iter().filter(|one| one.state == BackEndState::Ready);
-    ready.map(|one| &one.id)
-}
-
 /// The evacuated zones, with those that a restored source has lost.
 #[derive(Debug, Default)]
 pub struct Evacuations {
--- a/crates/routing/tests/lapsed.rs
+++ b/crates/routing/tests/lapsed.rs
@@ -2,51 +2,45 @@
 
 mod support;
 
-use mastbay_routing::{BackEndList, BackEndState, LapsedBackEnds, OutageWatch, SourceContact};
+use mastbay_routing::{BackEndList, BackEndState, OutageWatch, SourceContact};
+use support::usable::Usable;
 use support::{at, list};
 
-fn known(list: &BackEndList) -> usize {
-    list.back_ends.len()
+/// What is used after one list and then another, right after an outage or not.
+fn after(recovering: bool, first: BackEndList, second: &BackEndList) -> Usable {
+    let mut usable = Usable::default();
+    assert!(usable.offer(at(0), recovering, first));
+    assert!(usable.offer(at(0), recovering, second.clone()));
+    usable
 }
 
 #[test]
 fn a_back_end_whose_entry_lapsed_in_an_outage_is_kept_until_it_is_back() {
-    let mut lapsed = LapsedBackEnds::default();
-    let (all, some) = (list(1, 4, 8), list(2, 1, 8));
-    lapsed.on_list(at(0), true, &all, &some);
-    assert_eq!(known(&lapsed.with_kept(&some)), 4);
-    let back = list(3, 4, 8);
-    lapsed.on_list(at(500), true, &some, &back);
-    assert_eq!(known(&lapsed.with_kept(&back)), 4);
-    assert!(!lapsed.expire(at(5_000)));
+    let mut usable = after(true, list(1, 4, 8), &list(2, 1, 8));
+    assert_eq!(usable.held.len(), 4);
+    assert!(usable.offer(at(500), true, list(3, 4, 8)));
+    assert_eq!(usable.held.len(), 4);
+    assert!(!usable.expire(at(5_000)));
 }
 
 #[test]
 fn one_that_stays_missing_is_taken_as_gone() {
-    let mut lapsed = LapsedBackEnds::default();
-    let some = list(2, 1, 8);
-    lapsed.on_list(at(0), true, &list(1, 4, 8), &some);
-    assert!(!lapsed.expire(at(1_900)));
-    assert!(lapsed.expire(at(2_100)));
-    assert_eq!(known(&lapsed.with_kept(&some)), 1);
+    let mut usable = after(true, list(1, 4, 8), &list(2, 1, 8));
+    assert!(!usable.expire(at(1_900)));
+    assert!(usable.expire(at(2_100)));
+    assert_eq!(usable.held.len(), 1);
 }
 
 #[test]
 fn one_that_said_it_would_leave_is_not_kept() {
-    let mut lapsed = LapsedBackEnds::default();
     let mut all = list(1, 2, 8);
     all.back_ends[1].state = BackEndState::Draining;
-    let some = list(2, 1, 8);
-    lapsed.on_list(at(0), true, &all, &some);
-    assert_eq!(known(&lapsed.with_kept(&some)), 1);
+    assert_eq!(after(true, all, &list(2, 1, 8)).held.len(), 1);
 }
 
 #[test]
 fn without_an_outage_what_is_missing_is_gone() {
-    let mut lapsed = LapsedBackEnds::default();
-    let some = list(2, 1, 8);
-    lapsed.on_list(at(0), false, &list(1, 4, 8), &some);
-    assert_eq!(known(&lapsed.with_kept(&some)), 1);
+    assert_eq!(after(false, list(1, 4, 8), &list(2, 1, 8)).held.len(), 1);
 }
 
 #[test]
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -4,11 +4,12 @@
 
 use mastbay_routing::{
     Admission, BackEnd, BackEndId, BackEndList, BackEndState, Dispatcher, EngineKey, Fault,
-    LapsedBackEnds, LatestLives, Placement,
+    Placement,
 };
 use mastbay_types::Timestamp;
 use quickcheck::{TestResult, quickcheck};
 use std::time::Duration;
+use support::usable::Usable;
 use support::{demand, dispatcher, exchange_digests, list, prompt};
 
 const ENGINES: usize = 1;
@@ -117,11 +118,13 @@
 
 #[test]
 fn a_later_life_takes_the_place_of_one_whose_entry_lapsed() {
-    let mut lapsed = LapsedBackEnds::default();
-    lapsed.on_list(at(0), true, &list_of_life(1, 1_000), &list_of_life(2, 2_000));
-    let usable = lapsed.with_kept(&list_of_life(2, 2_000));
-    assert!(usable.back_ends.iter().all(|back_end| back_end.id.life == 2_000));
-    assert_eq!(usable.back_ends.len(), ENGINES);
+    let mut usable = Usable::default();
+    assert!(usable.offer(at(0), true, list_of_life(1, 1_000)));
+    assert!(usable.offer(at(0), true, BackEndList { revision: 2.into(), back_ends: Vec::new() }));
+    assert_eq!(usable.held.len(), ENGINES);
+    assert!(usable.offer(at(0), true, list_of_life(3, 2_000)));
+    assert!(usable.held.keys().all(|id| id.life == 2_000));
+    assert_eq!(usable.held.len(), ENGINES);
 }
 
 fn entry(name: u8, life: u8) -> BackEnd {
@@ -140,20 +143,19 @@
 quickcheck! {
     /// Whatever lists come, none names a life earlier than one that any list before it named.
     fn no_list_goes_back_to_an_earlier_life(lists: Vec<Vec<(u8, u8)>>) -> TestResult {
-        let mut lives = LatestLives::default();
-        let mut known: Option<BackEndList> = None;
+        let mut usable = Usable::default();
         let mut latest = [0_u64; 3];
-        for (revision, entries) in (1..).zip(&lists) {
+        for (revision, entries) in (1_u64..).zip(&lists) {
             let back_ends = entries.iter().map(|(name, life)| entry(*name, *life)).collect();
-            let list = lives.of(known.as_ref(), BackEndList { revision: revision.into(), back_ends });
-            for back_end in &list.back_ends {
-                let name: usize = back_end.id.name[1..].parse().expect("a number");
-                if back_end.id.life < latest[name] {
+            let list = BackEndList { revision: revision.into(), back_ends };
+            usable.offer(at(revision), false, list);
+            for id in usable.held.keys() {
+                let name: usize = id.name[1..].parse().expect("a number");
+                if id.life < latest[name] {
                     return TestResult::failed();
                 }
-                latest[name] = back_end.id.life;
+                latest[name] = id.life;
             }
-            known = Some(list);
         }
         TestResult::passed()
     }
--- a/crates/routing/tests/restored.rs
+++ b/crates/routing/tests/restored.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use mastbay_routing::{
-    BackEnd, BackEndList, BackEndState, DepartedBackEnds, EvacuatedZones, Evacuations, Revision,
+    BackEnd, BackEndList, BackEndState, BackEndUpdate, EvacuatedZones, Evacuations, Revision,
     SourceContact, Standing,
 };
 use quickcheck::quickcheck;
+use support::usable::Usable;
 use support::{MODEL, at, back_end, dispatcher};
 
 /// When the source is back.
@@ -21,11 +22,6 @@
     BackEndList { revision, back_ends: back_ends.map(entry).collect() }
 }
 
-fn ready(list: BackEndList) -> Vec<String> {
-    let ready = list.back_ends.into_iter().filter(|one| one.state == BackEndState::Ready);
-    ready.map(|one| one.id.to_string()).collect()
-}
-
 quickcheck! {
     fn whatever_a_later_era_tells_is_newer(eras: (u8, u8), numbers: (u64, u64)) -> bool {
         let (left, right) = (
@@ -48,17 +44,32 @@
 #[test]
 fn back_ends_that_left_before_the_restore_get_nothing_for_a_while() {
     use BackEndState::{Draining, Ready};
-    let mut departed = DepartedBackEnds::default();
+    let mut usable = Usable::default();
     let all = [("gone", Ready), ("leaving", Ready), ("staying", Ready)];
-    let first = of(Revision::new(0, 50), &all);
-    let second = of(Revision::new(0, 60), &[("leaving", Draining), ("staying", Ready)]);
-    departed.on_list(at(8_000), &first, &second);
-    let restored = of(Revision::new(1, 50), &all);
-    departed.on_restored(at(RESTORED), &second);
-    assert_eq!(ready(departed.without_doubted(restored.clone())), ["staying"]);
-    assert!(!departed.expire(at(RESTORED + 5_900)));
-    assert!(departed.expire(at(RESTORED + 6_000)));
-    assert_eq!(ready(departed.without_doubted(restored)).len(), 3);
+    usable.offer(at(0), false, of(Revision::new(0, 50), &all));
+    let left = [("leaving", Draining), ("staying", Ready)];
+    usable.offer(at(8_000), false, of(Revision::new(0, 60), &left));
+    usable.offer(at(RESTORED), false, of(Revision::new(1, 50), &all));
+    assert_eq!(usable.ready(), ["staying"]);
+    assert!(!usable.expire(at(RESTORED + 5_900)));
+    assert!(usable.expire(at(RESTORED + 6_000)));
+    assert_eq!(usable.ready().len(), 3);
+}
+
+/// One that is younger than the copy is kept until it has written itself again.
+#[test]
+fn back_ends_that_the_copy_lacks_are_kept_for_a_moment() {
+    use BackEndState::Ready;
+    let mut usable = Usable::default();
+    usable.offer(at(0), false, of(Revision::new(0, 50), &[("old", Ready), ("young", Ready)]));
+    usable.offer(at(RESTORED), false, of(Revision::new(1, 20), &[("old", Ready)]));
+    assert_eq!(usable.ready().len(), 2);
+    let base = Some(Revision::new(1, 20));
+    let listed = of(Revision::default(), &[("young", Ready)]).back_ends;
+    let update = BackEndUpdate { base, revision: Revision::new(1, 21), listed, gone: Vec::new() };
+    usable.offer(at(RESTORED + 1_200), false, update);
+    usable.expire(at(RESTORED + 20_000));
+    assert_eq!(usable.ready().len(), 2);
 }
 
 /// Two restores in a row: the second keeps what the first had kept.
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod fleet;
+pub mod usable;
 
 use mastbay_routing::{
     AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Digest,
