--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -3,7 +3,7 @@
 use super::{FIGURES_LIFE, FiguresSource, Fleet, OwnState, STAND_IN_PATIENCE};
 use crate::digest::{RouterState, Standing};
 use crate::dispatch::aggregation::Role;
-use crate::figures::{EngineKey, EngineLevel, EngineLoad, Figures, FiguresSum, TenantReport};
+use crate::figures::{EngineLevel, EngineLoad, Figures, FiguresSum, TenantReport};
 use crate::fingerprint::RequestFingerprint;
 use crate::overload::Others;
 use crate::quarantine::ProbeTurn;
@@ -175,16 +175,14 @@
         self.held.values().map(|held| &held.figures)
     }
 
-    /// What the others have at one engine.
-    pub fn loads_of(&self, engine: EngineKey) -> impl Iterator<Item = EngineLoad> {
-        let loads = self.figures().flat_map(|figures| &figures.loads).copied();
-        loads.filter(move |entry| entry.engine == engine)
+    /// What the others have at engines.
+    pub fn loads(&self) -> impl Iterator<Item = &EngineLoad> {
+        self.figures().flat_map(|figures| &figures.loads)
     }
 
-    /// How well the others are served at one engine.
-    pub fn levels_of(&self, engine: EngineKey) -> impl Iterator<Item = EngineLevel> {
-        let levels = self.figures().filter_map(|figures| figures.levels.as_ref()).flatten();
-        levels.copied().filter(move |entry| entry.engine == engine)
+    /// How well the others are served at engines.
+    pub fn levels(&self) -> impl Iterator<Item = &EngineLevel> {
+        self.figures().filter_map(|figures| figures.levels.as_ref()).flatten()
     }
 
     /// The least time between events of a service's engines that any peer observed.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -160,8 +160,8 @@
             self.engines.remove(id);
             self.preferred.on_lost(id);
         }
+        self.set_engines(now, &changes.set);
         for back_end in &changes.set {
-            self.set_engine(now, back_end);
             self.preferred.on_set(&self.engines, back_end);
         }
     }
@@ -176,22 +176,29 @@
         for id in gone.cloned().collect::<Vec<BackEndId>>() {
             self.engines.remove(&id);
         }
-        for back_end in &list.back_ends {
-            self.set_engine(now, back_end);
-        }
+        self.set_engines(now, &list.back_ends);
     }
 
-    fn set_engine(&mut self, now: Timestamp, back_end: &BackEnd) {
-        let is_evacuated = self.evacuated.zones.contains(&back_end.zone);
-        let region = self.limits.regions.of(&back_end.zone);
-        let fleet = &self.fleet;
-        self.engines.set(now, back_end.clone(), |known| {
-            let new = || peers::new_engine(fleet, now, back_end.clone());
-            let mut engine = known.unwrap_or_else(new);
-            engine.is_evacuated = is_evacuated;
-            engine.region = region;
-            engine
-        });
+    /// Sets back ends. What other routers have at those that are new is found in one pass over what they told.
+    fn set_engines(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
+        let mut new = HashSet::new();
+        for back_end in back_ends {
+            let is_evacuated = self.evacuated.zones.contains(&back_end.zone);
+            let region = self.limits.regions.of(&back_end.zone);
+            self.engines.set(now, back_end.clone(), |known| {
+                let mut engine = known.unwrap_or_else(|| {
+                    let engine = Engine::new(now, back_end.clone());
+                    new.insert(engine.key);
+                    engine
+                });
+                engine.is_evacuated = is_evacuated;
+                engine.region = region;
+                engine
+            });
+        }
+        if !new.is_empty() {
+            self.add_told(&new);
+        }
     }
 
     /// Takes newer evacuations: the back ends of those zones get nothing new.
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -1,12 +1,12 @@
 //! What a dispatcher tells other routers and takes from them.
 
 use super::Dispatcher;
-use super::fleet::{FiguresChange, Fleet, NewPeer, OwnState};
-use crate::back_end::BackEnd;
+use super::fleet::{FiguresChange, NewPeer, OwnState};
 use crate::digest::{Digest, Outgoing, PeerMessage, Standing, Sum};
 use crate::engine::{Engine, Load};
-use crate::figures::{EngineLevel, EngineLoad, Figures};
+use crate::figures::{EngineKey, EngineLevel, EngineLoad, Figures};
 use mastbay_types::Timestamp;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 impl Dispatcher {
@@ -127,6 +127,20 @@
         }
     }
 
+    /// Adds what others told of back ends that this router did not know.
+    pub(super) fn add_told(&mut self, new: &HashSet<EngineKey>) {
+        for entry in self.fleet.loads().filter(|entry| new.contains(&entry.engine)) {
+            if let Some(engine) = self.engines.by_key(entry.engine) {
+                engine.add_load(entry.load);
+            }
+        }
+        for entry in self.fleet.levels().filter(|entry| new.contains(&entry.engine)) {
+            if let Some(engine) = self.engines.by_key(entry.engine) {
+                engine.add_level(entry);
+            }
+        }
+    }
+
     /// Changes what others have at engines by each of the figures.
     fn change_others(
         &mut self,
@@ -158,11 +172,3 @@
     });
     right.extend(others);
 }
-
-/// A back end that this router did not know, with what the others told of it.
-pub(super) fn new_engine(fleet: &Fleet, now: Timestamp, back_end: BackEnd) -> Engine {
-    let mut engine = Engine::new(now, back_end);
-    fleet.loads_of(engine.key).for_each(|entry| engine.add_load(entry.load));
-    fleet.levels_of(engine.key).for_each(|entry| engine.add_level(&entry));
-    engine
-}
