--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -61,7 +61,7 @@
 
     /// Second sends left now. A router's part is no whole number: with 985 routers and a burst of 1,040 each had 0.74 of one and used none,
     /// and 500s that another back end would have mended went to callers. So each rounds its part of the burst up or down by its draw, and all together
-    /// have as many as they should: in the mean, and within 16 of 728 in two fleets of three.
+    /// have as many as they should: in the mean, and within 14 of 728 in two fleets of three.
     pub fn left(&mut self, now: Timestamp, routers: usize) -> u32 {
         self.forget(now);
         let burst = if now < self.burst_from { 0.0 } else { self.limits.burst };
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -35,7 +35,7 @@
 const REPORTS_KEPT: usize = 16;
 
 /// Into how many messages sums are split. It follows from the engines that are told of, which are those in use, and not from all that
-/// are known: before 9,998 engines of which 1,100 were in use each member took in twelve messages a round in place of two.
+/// are known: 9,998 known ones made twelve messages a round for each member, however few were in use.
 #[derive(Debug, Clone, Copy)]
 pub struct SumParts {
     parts: u32,
