--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -45,7 +45,7 @@
         self.rankings.retain(|_, ranking| !ranking.contains(id));
     }
 
-    /// A back end is new, or its state has changed. Orders in which it stands, or would stand, are made anew.
+    /// A back end is new, or its state has changed. Orders in which it would stand and doesn't are made anew.
     pub fn on_set(&mut self, engines: &Engines, back_end: &BackEnd) {
         let Some(engine) = engines.get(&back_end.id) else { return };
         if !engine.takes_work() {
