Second reading: what stood twice or was done too often

- A whole list of back ends goes the way of changes in the dispatcher (it had its own loop beside it).
- What a restored source is doubted in, back ends and zones, is one type; it was written twice.
- Reasons of refusals are named once; the exchange repeated the names that their Display had.
- An order of preferred engines keeps the score below which nothing changes it, in place of a look-up and two hashes an order at each change.
- A router's draw for its retry budget is made with the budget, not at each request; the key of a route with the table, not with each demand; the clock is read for the wait for peers only by a router that waits.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -9,7 +9,7 @@
     AllowedRegions, Considered, Demand, Placement, Refusal, RequestFingerprint, RequestIdentity,
     TableEntry,
 };
-use mastbay_types::{Timestamp, stable_hash};
+use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -81,7 +81,7 @@
     pub fn demand(&self) -> Demand {
         Demand {
             service: self.service.clone(),
-            route: (stable_hash(&[self.entry.route.name.as_bytes()]) >> 32) as u32,
+            route: self.entry.key,
             prompt: self.head.prompt.clone(),
             arrived: self.arrived,
             deadline: self.deadline,
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -18,8 +18,7 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
-    Attempt, BackEndId, Fault, Placement, Refusal, RefusalReason, RequestStanding, RouteKind,
-    Verdict,
+    Attempt, BackEndId, Fault, Placement, Refusal, RequestStanding, RouteKind, Verdict,
 };
 use mastbay_web::read_limited;
 use std::cell::RefCell;
@@ -198,15 +197,7 @@
 
     fn refused(&self, refusal: Refusal) -> Ended {
         self.call.note_refusal(&refusal);
-        let reason = match refusal.reason {
-            RefusalReason::NoBackEnd => "no_back_end",
-            RefusalReason::NoBackEndInRegion => "no_back_end_in_region",
-            RefusalReason::NoRoom => "no_room",
-            RefusalReason::OverShare => "over_share",
-            RefusalReason::Stopping => "stopping",
-            RefusalReason::QueueFull => "queue_full",
-        };
-        self.told(refusal.retry_after, reason)
+        self.told(refusal.retry_after, refusal.reason.name())
     }
 
     /// Whether a quarantined request is let through here: before its first send, and once.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -332,8 +332,12 @@
     /// Whether it has just started and knows the configuration only from a source that was restored once, which may hold an older one
     /// than its peers: they are heard first.
     fn awaits_peers(&self) -> bool {
+        // Asked for each request; seldom so, and then only for a moment.
+        if !self.began_restored.get() {
+            return false;
+        }
         let now = self.now();
-        if now.since(Timestamp::ZERO) >= PEERS_PATIENCE || !self.began_restored.get() {
+        if now.since(Timestamp::ZERO) >= PEERS_PATIENCE {
             return false;
         }
         let dispatcher = self.dispatcher.borrow();
--- a/crates/router/src/unread.rs
+++ b/crates/router/src/unread.rs
@@ -31,7 +31,11 @@
     }
 
     /// What becomes of a write that its stream polled.
-    fn bound<T>(&mut self, context: &mut Context<'_>, written: Poll<Result<T>>) -> Poll<Result<T>> {
+    fn bound(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<Result<usize>>,
+    ) -> Poll<Result<usize>> {
         if written.is_ready() {
             self.blocked = None;
             return written;
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -142,27 +142,36 @@
 
 /// Why a request is not served now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[display("{}", self.name())]
 pub enum RefusalReason {
     /// No back end of the service is known to take work.
-    #[display("no_back_end")]
     NoBackEnd,
     /// None takes work in the regions where the request may be served.
-    #[display("no_back_end_in_region")]
     NoBackEndInRegion,
     /// No back end has room now, and the tenant has more than the fair level.
-    #[display("over_share")]
     OverShare,
     /// No back end has room in time.
-    #[display("no_room")]
     NoRoom,
     /// The router stops.
-    #[display("stopping")]
     Stopping,
     /// Too many requests wait.
-    #[display("queue_full")]
     QueueFull,
 }
 
+impl RefusalReason {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoBackEnd => "no_back_end",
+            Self::NoBackEndInRegion => "no_back_end_in_region",
+            Self::OverShare => "over_share",
+            Self::NoRoom => "no_room",
+            Self::Stopping => "stopping",
+            Self::QueueFull => "queue_full",
+        }
+    }
+}
+
 /// Decisions on requests that waited.
 pub type Verdicts = Vec<(TicketId, Result<Placement, Refusal>)>;
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -168,15 +168,11 @@
 
     /// Takes a whole list of back ends.
     pub fn on_back_ends(&mut self, now: Timestamp, list: &BackEndList) {
-        self.back_ends = list.revision;
-        self.preferred.clear();
         let listed: HashSet<&BackEndId> =
             list.back_ends.iter().map(|back_end| &back_end.id).collect();
-        let gone = self.engines.ids().filter(|id| !listed.contains(id));
-        for id in gone.cloned().collect::<Vec<BackEndId>>() {
-            self.engines.remove(&id);
-        }
-        self.set_engines(now, &list.back_ends);
+        let gone = self.engines.ids().filter(|id| !listed.contains(id)).cloned().collect();
+        let set = list.back_ends.clone();
+        self.on_back_end_changes(now, &UsableChanges { revision: list.revision, set, gone });
     }
 
     /// Sets back ends. What other routers have at those that are new is found in one pass over what they told.
@@ -232,11 +228,6 @@
         }
     }
 
-    /// Addresses of all listed back ends.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.engines.all().map(|engine| engine.back_end.address).collect()
-    }
-
     /// How many back ends were looked at until now, for requests and for messages.
     pub fn engines_looked_at(&self) -> u64 {
         self.engines.looked_at()
@@ -374,9 +365,9 @@
 
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         let (limits, burst_from) = (self.limits.budget, self.limits.burst_from);
-        let rounding = self.fleet.draw(service);
+        let fleet = &self.fleet;
         let budgets = self.budgets.entry(service.to_owned());
-        budgets.or_insert_with(|| RetryBudget::new(limits, burst_from, rounding))
+        budgets.or_insert_with(|| RetryBudget::new(limits, burst_from, fleet.draw(service)))
     }
 
     /// Reserves room for a request at the best back end, if one has it. A request whose time to wait
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -31,7 +31,15 @@
 #[derive(Debug, Default)]
 pub struct PreferredEngines {
     services: HashMap<String, Rc<str>>,
-    rankings: HashMap<Key, Rc<[BackEndId]>>,
+    rankings: HashMap<Key, Ranking>,
+}
+
+/// The first back ends for one prefix.
+#[derive(Debug)]
+struct Ranking {
+    back_ends: Rc<[BackEndId]>,
+    /// The score of the last of them, if there are as many as are kept; one with a lower score does not stand among them.
+    least_score: Option<u64>,
 }
 
 impl PreferredEngines {
@@ -42,7 +50,7 @@
 
     /// A back end is gone: orders that hold it are made anew when they are asked for.
     pub fn on_lost(&mut self, id: &BackEndId) {
-        self.rankings.retain(|_, ranking| !ranking.contains(id));
+        self.rankings.retain(|_, ranking| !ranking.back_ends.contains(id));
     }
 
     /// A back end is new, or its state has changed. Orders in which it would stand and doesn't are made anew.
@@ -53,15 +61,10 @@
         }
         let name_hash = ReadyEngine::of(engine).name_hash;
         self.rankings.retain(|key, ranking| {
-            if *key.service != *back_end.service || ranking.contains(&back_end.id) {
-                return true;
-            }
-            let last = ranking.last().filter(|_| ranking.len() == RANKS_KEPT);
-            let last = last.and_then(|last| engines.get(last));
             let score = mixed_hash(key.prefix, name_hash);
-            last.is_some_and(|last| {
-                mixed_hash(key.prefix, ReadyEngine::of(last).name_hash) >= score
-            })
+            *key.service != *back_end.service
+                || ranking.back_ends.contains(&back_end.id)
+                || ranking.least_score.is_some_and(|least| least >= score)
         });
     }
 
@@ -86,21 +89,16 @@
         };
         let (regions, release) = (demand.regions.clone(), release.clone());
         match self.rankings.entry(Key { service, prefix, regions, release }) {
-            Entry::Occupied(ranking) => ranking.get().clone(),
+            Entry::Occupied(ranking) => ranking.get().back_ends.clone(),
             Entry::Vacant(place) => {
                 let ranking = rank(engines, demand, &place.key().release, prefix);
-                place.insert(ranking).clone()
+                place.insert(ranking).back_ends.clone()
             }
         }
     }
 }
 
-fn rank(
-    engines: &Engines,
-    demand: &Demand,
-    release: &ReleaseChoice,
-    prefix: u64,
-) -> Rc<[BackEndId]> {
+fn rank(engines: &Engines, demand: &Demand, release: &ReleaseChoice, prefix: u64) -> Ranking {
     let is_free = demand.regions.are_all() && *release == ReleaseChoice::Any;
     let may_serve = |ready: &&ReadyEngine| {
         is_free
@@ -119,5 +117,6 @@
         first.insert(place, (score, &ready.id));
         first.truncate(RANKS_KEPT);
     }
-    first.into_iter().map(|(_, id)| id.clone()).collect()
+    let least_score = first.get(RANKS_KEPT - 1).map(|(score, _)| *score);
+    Ranking { back_ends: first.into_iter().map(|(_, id)| id.clone()).collect(), least_score }
 }
--- a/crates/routing/src/figures.rs
+++ b/crates/routing/src/figures.rs
@@ -10,7 +10,7 @@
 use crate::rollout::{ReleaseReport, ReleaseTallies};
 use crate::service_level::LevelCounts;
 use derive_more::{Display, Error};
-use mastbay_types::stable_hash;
+use mastbay_types::short_hash;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::str::FromStr;
@@ -38,11 +38,10 @@
 
 impl From<&BackEndId> for EngineKey {
     fn from(id: &BackEndId) -> Self {
-        let hash = match id.life {
-            0 => stable_hash(&[id.name.as_bytes()]),
-            life => stable_hash(&[id.name.as_bytes(), &life.to_be_bytes()]),
-        };
-        Self((hash >> 32) as u32)
+        Self(match id.life {
+            0 => short_hash(&[id.name.as_bytes()]),
+            life => short_hash(&[id.name.as_bytes(), &life.to_be_bytes()]),
+        })
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -74,8 +74,8 @@
 pub use restored::Evacuations;
 pub use revision::{ParseRevisionError, Revision};
 pub use rollout::{
-    AnswerQuality, ExposureLimits, Judgement, ReleaseChoice, ReleaseReport, ReleaseTallies,
-    RolloutBook, RolloutOrder, RolloutRecord, RolloutState, Rollouts, Side, Tally,
+    ExposureLimits, ReleaseReport, ReleaseTallies, RolloutOrder, RolloutRecord, RolloutState,
+    Rollouts, Tally,
 };
 pub use service_level::{ACCEPTED_MISSES, LevelCounts, ServiceLevel};
 pub use shares::{Usage, water_level};
--- a/crates/routing/src/restored.rs
+++ b/crates/routing/src/restored.rs
@@ -16,12 +16,36 @@
 /// Time for which it is remembered that a back end left. A copy is some seconds old, ten at most.
 const REMEMBERED: Duration = Duration::from_secs(30);
 
+/// What is held against a restored source for as long as it is not believed.
+#[derive(Debug)]
+struct Doubt<T> {
+    held: BTreeSet<T>,
+    until: Option<Timestamp>,
+}
+
+impl<T> Default for Doubt<T> {
+    fn default() -> Self {
+        Self { held: BTreeSet::new(), until: None }
+    }
+}
+
+impl<T: Ord> Doubt<T> {
+    fn new(now: Timestamp, held: BTreeSet<T>) -> Self {
+        Self { held, until: Some(now + DOUBT) }
+    }
+
+    /// Ends it when its time is over, and gives what it held.
+    fn expire(&mut self, now: Timestamp) -> Option<BTreeSet<T>> {
+        self.until.take_if(|until| now >= *until)?;
+        Some(std::mem::take(&mut self.held))
+    }
+}
+
 /// Back ends that left: they said so, or their entries went.
 #[derive(Debug, Default)]
 pub struct DepartedBackEnds {
     departed: BTreeMap<BackEndId, Timestamp>,
-    doubted: BTreeSet<BackEndId>,
-    doubted_until: Option<Timestamp>,
+    doubt: Doubt<BackEndId>,
 }
 
 impl DepartedBackEnds {
@@ -34,24 +58,19 @@
     /// The source was restored. `known` are the back ends from before.
     pub fn on_restored<'a>(&mut self, now: Timestamp, known: impl Iterator<Item = &'a BackEnd>) {
         self.departed.retain(|_, left| now.since(*left) < REMEMBERED);
-        self.doubted = self.departed.keys().cloned().collect();
         let draining = known.filter(|one| one.state == BackEndState::Draining);
-        self.doubted.extend(draining.map(|one| one.id.clone()));
-        self.doubted_until = Some(now + DOUBT);
+        let left = self.departed.keys().chain(draining.map(|one| &one.id));
+        self.doubt = Doubt::new(now, left.cloned().collect());
     }
 
     /// Ends the doubt when its time is over. Gives those that were in doubt.
     pub fn expire(&mut self, now: Timestamp) -> BTreeSet<BackEndId> {
-        if self.doubted_until.is_none_or(|until| now < until) {
-            return BTreeSet::new();
-        }
-        self.doubted_until = None;
-        std::mem::take(&mut self.doubted)
+        self.doubt.expire(now).unwrap_or_default()
     }
 
     /// A back end as it may be used: one that left before the restore gets nothing new.
     pub fn as_usable(&self, back_end: BackEnd) -> BackEnd {
-        if !self.doubted.contains(&back_end.id) {
+        if !self.doubt.held.contains(&back_end.id) {
             return back_end;
         }
         BackEnd { state: BackEndState::Draining, ..back_end }
@@ -62,8 +81,7 @@
 #[derive(Debug, Default)]
 pub struct Evacuations {
     known: Option<EvacuatedZones>,
-    kept: BTreeSet<String>,
-    kept_until: Option<Timestamp>,
+    kept: Doubt<String>,
 }
 
 impl Evacuations {
@@ -74,21 +92,16 @@
             return false;
         }
         if known.is_some_and(|known| known.era < offered.revision.era) {
-            self.kept = self.in_force().map(|known| known.zones).unwrap_or_default();
-            self.kept_until = Some(now + DOUBT);
+            let zones = self.in_force().map(|known| known.zones).unwrap_or_default();
+            self.kept = Doubt::new(now, zones);
         }
         self.known = Some(offered.clone());
         true
     }
 
-    /// Lets go of zones that were kept, when their time is over. Gives whether there were any.
+    /// Lets go of zones that were kept, when their time is over. Gives whether that is now.
     pub fn expire(&mut self, now: Timestamp) -> bool {
-        let is_over = self.kept_until.is_some_and(|until| now >= until);
-        if is_over {
-            self.kept.clear();
-            self.kept_until = None;
-        }
-        is_over
+        self.kept.expire(now).is_some()
     }
 
     /// The zones as the source tells them.
@@ -99,7 +112,7 @@
     /// The zones whose back ends get nothing new.
     pub fn in_force(&self) -> Option<EvacuatedZones> {
         let mut zones = self.known.clone()?;
-        zones.zones.extend(self.kept.iter().cloned());
+        zones.zones.extend(self.kept.held.iter().cloned());
         Some(zones)
     }
 }
--- a/crates/routing/src/rollout/order.rs
+++ b/crates/routing/src/rollout/order.rs
@@ -1,7 +1,7 @@
 //! The operator's orders.
 
 use crate::revision::Revision;
-use mastbay_types::stable_hash;
+use mastbay_types::short_hash;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,7 +54,7 @@
             &self.number.to_be_bytes(),
             &self.duration.as_millis().to_be_bytes(),
         ];
-        (stable_hash(&parts) >> 32) as u32
+        short_hash(&parts)
     }
 
     /// Whether another entry is of the same order, at whatever state.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,6 +1,7 @@
 //! Looking up the route of a request and the tenant of a key.
 
 use crate::configuration::{Route, RoutingConfiguration, Service, Tenant};
+use mastbay_types::short_hash;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -9,6 +10,8 @@
 pub struct RouteTable {
     configuration: RoutingConfiguration,
     routes: Vec<Arc<Route>>,
+    /// Hashes of the routes' names.
+    keys: Vec<u32>,
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<String, usize>,
     by_service: HashMap<String, usize>,
@@ -19,6 +22,8 @@
 pub struct TableEntry {
     /// The route.
     pub route: Arc<Route>,
+    /// A hash of its name.
+    pub key: u32,
     /// The configuration's version.
     pub version: u64,
 }
@@ -40,7 +45,8 @@
         }
         let services = configuration.services.iter().enumerate();
         let by_service = services.map(|(index, service)| (service.name.clone(), index)).collect();
-        Self { configuration, routes, by_host, by_key, by_service }
+        let keys = routes.iter().map(|route| short_hash(&[route.name.as_bytes()])).collect();
+        Self { configuration, routes, keys, by_host, by_key, by_service }
     }
 
     /// The configuration's version.
@@ -59,7 +65,8 @@
         let indexes = self.by_host.get(&host)?;
         let found =
             indexes.iter().find(|index| path.starts_with(&self.routes[**index].path_prefix))?;
-        Some(TableEntry { route: self.routes[*found].clone(), version: self.version() })
+        let (route, key) = (self.routes[*found].clone(), self.keys[*found]);
+        Some(TableEntry { route, key, version: self.version() })
     }
 
     /// The tenant that holds a key.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,7 @@
     BackendName, CellId, Incarnation, ParseRequestIdError, ProcessId, RequestId, ServiceName,
     TenantName,
 };
-pub use rendezvous::{by_rendezvous, mixed_hash, ranks_before, stable_hash};
+pub use rendezvous::{by_rendezvous, mixed_hash, ranks_before, short_hash, stable_hash};
 pub use time::Timestamp;
 
 #[cfg(test)]
--- a/crates/types/src/rendezvous.rs
+++ b/crates/types/src/rendezvous.rs
@@ -33,6 +33,11 @@
     hasher.finish()
 }
 
+/// The same in fewer bytes, for names in messages.
+pub fn short_hash(parts: &[&[u8]]) -> u32 {
+    (stable_hash(parts) >> 32) as u32
+}
+
 /// A hash of two hashes that is the same in every process and build, where many pairs are compared.
 pub fn mixed_hash(left: u64, right: u64) -> u64 {
     mix(left.wrapping_mul(FNV_PRIME) ^ right)
