--- a/crates/testbed/tests/scheduling.rs
+++ b/crates/testbed/tests/scheduling.rs
@@ -1,6 +1,6 @@
 //! Schedulers lost, frozen and stopped under load; back ends that die or leave; planned stops.
 
-use mastbay_testbed::{Bed, BedOptions, Load, LoadOptions, Observed, Told, wait_until};
+use mastbay_testbed::{Bed, BedOptions, Load, LoadOptions, Machine, Observed, Told, wait_until};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -15,8 +15,13 @@
 }
 
 fn chat_load(bed: &Bed) -> Load {
+    chat_load_at(&bed.machines)
+}
+
+/// Callers that go from one gateway of `machines` to the next.
+fn chat_load_at(machines: &[Machine]) -> Load {
     Load::start(&LoadOptions {
-        gateways: bed.machines.iter().map(|machine| machine.callers).collect(),
+        gateways: machines.iter().map(|machine| machine.callers).collect(),
         callers: vec![("office".to_owned(), 4), ("summaries".to_owned(), 12)],
         tokens: Some(20),
         path: String::new(),
@@ -107,9 +112,11 @@
         more_calls(&load, 150).await;
         bed.scheduler_relays[index].heal();
         bed.wait_ready().await;
-        // A gateway that hears nobody serves no new request; its callers wait until it hears again.
+        // A gateway that hears nobody serves no new request; its callers wait until it hears again, and so do all that
+        // go from one gateway to the next: they end two calls elsewhere at most. Those of the others are served on.
+        let elsewhere = chat_load_at(&bed.machines[1..]);
         bed.gateway_relays[0].cut();
-        more_calls(&load, 20).await;
+        more_calls(&elsewhere, 100).await;
         wait_until(LIMIT, "the others hold it for dead", || async {
             let status = bed.get(bed.machines[1].scheduler_admin, "/status").await;
             let members = status["members"].as_array().cloned().unwrap_or_default();
@@ -120,6 +127,7 @@
         bed.wait_ready().await;
         more_calls(&load, 50).await;
         assert_all_answered(&load.stop().await);
+        assert_all_answered(&elsewhere.stop().await);
     });
 }
 
