Connections that would be closed unread go to a router of another zone of the region

Ruled out: the shares themselves (nearly all requests that were read were served), rates of tenants that are old.

Only within a region, since round trips between regions are long, and last of all, since bytes between zones cost.

--- a/crates/router/src/handing_on.rs
+++ b/crates/router/src/handing_on.rs
@@ -6,7 +6,7 @@
 use crate::events;
 use crate::line_budget::LineKind;
 use crate::listener::Overflowed;
-use crate::offload::{self, Copied, HandedOn, Loss, OffloadError};
+use crate::offload::{self, Copied, HandedOn, Loss, OffloadError, Offloaded};
 use crate::overflow::OverflowOutcome;
 use crate::request_head::{host, parse_head};
 use crate::router::Router;
@@ -22,34 +22,56 @@
 /// Time beyond a request's own for its answer to come back from a peer, which ends it in its time.
 const WAY_BACK: Duration = Duration::from_millis(250);
 
-/// Hands a connection to a peer, or closes it unread, or leaves it to be served here.
+/// Hands a connection to a peer of the zone, or else serves it here as far as there is room, or else hands it to a peer of another
+/// zone, or else closes it unread.
 pub(crate) async fn hand_on(router: Rc<Router>, caller: TcpStream) -> Overflowed {
     let Some(table) = router.table() else { return Overflowed::ServeHere(caller) };
     let draws = (rand::random(), rand::random());
-    let peers = router.dispatcher.borrow().offload_targets(draws);
-    for peer in peers {
-        match offload::ask(router.runtime, peer, table.version()).await {
-            Ok(offloaded) => {
-                router.note_overflow(OverflowOutcome::HandedOn);
-                let interval = router.offload_interval();
-                let handed_on = Rc::new(Agreed { router: router.clone(), table });
-                let began = router.now();
-                let copied = offloaded.copy(router.runtime, caller, interval, handed_on).await;
-                if let Copied::Unanswered { caller, loss, start } = copied {
-                    note_unanswered(&router, peer, loss, router.now().since(began));
-                    tell(&router, caller, &start, loss).await;
-                }
-                return Overflowed::Done;
-            }
-            Err(error) => note_not_taken(&router, peer, &error),
+    let in_zone = router.dispatcher.borrow().offload_targets(draws);
+    for peer in in_zone {
+        if let Some(offloaded) = ask_peer(&router, &table, peer).await {
+            return copy_to(&router, table, peer, offloaded, caller).await;
         }
     }
-    if rand::random::<f64>() < router.turned_away_part() {
-        router.note_overflow(OverflowOutcome::TurnedAway);
-        return Overflowed::Done;
+    if rand::random::<f64>() >= router.turned_away_part() {
+        router.note_overflow(OverflowOutcome::KeptHere);
+        return Overflowed::ServeHere(caller);
     }
-    router.note_overflow(OverflowOutcome::KeptHere);
-    Overflowed::ServeHere(caller)
+    // Connections are closed unread whoever's they are, so the tenant that connects most would get most before its share is weighed.
+    let elsewhere = router.dispatcher.borrow().offload_target_elsewhere(rand::random());
+    if let Some(peer) = elsewhere
+        && let Some(offloaded) = ask_peer(&router, &table, peer).await
+    {
+        return copy_to(&router, table, peer, offloaded, caller).await;
+    }
+    router.note_overflow(OverflowOutcome::TurnedAway);
+    Overflowed::Done
+}
+
+/// Asks a peer to take a connection.
+async fn ask_peer(router: &Router, table: &RouteTable, peer: SocketAddr) -> Option<Offloaded> {
+    let asked = offload::ask(router.runtime, peer, table.version()).await;
+    asked.map_err(|error| note_not_taken(router, peer, &error)).ok()
+}
+
+/// Copies a connection to the peer that has taken it, until it ends.
+async fn copy_to(
+    router: &Rc<Router>,
+    table: Rc<RouteTable>,
+    peer: SocketAddr,
+    offloaded: Offloaded,
+    caller: TcpStream,
+) -> Overflowed {
+    router.note_overflow(OverflowOutcome::HandedOn);
+    let interval = router.offload_interval();
+    let handed_on = Rc::new(Agreed { router: router.clone(), table });
+    let began = router.now();
+    let copied = offloaded.copy(router.runtime, caller, interval, handed_on).await;
+    if let Copied::Unanswered { caller, loss, start } = copied {
+        note_unanswered(router, peer, loss, router.now().since(began));
+        tell(router, caller, &start, loss).await;
+    }
+    Overflowed::Done
 }
 
 /// The configuration that both routers had in force when a connection was handed on.
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -154,18 +154,33 @@
     /// then one among all, each by its processor. `draws` are uniform in 0..1. A peer known to have a newer configuration would
     /// take none; one that was last heard with an older one may have this router's by now.
     pub fn offload_targets(&self, own: &OwnState, draws: (f64, f64)) -> Vec<SocketAddr> {
-        let in_zone = || {
-            let peers = self.peers.values().map(|peer| &peer.state);
-            let serving =
-                peers.filter(|state| state.zone == own.zone && state.standing == Standing::Serving);
-            serving.filter(|state| state.configuration <= own.configuration)
-        };
+        let in_zone = || self.takers(own).filter(|state| state.zone == own.zone);
         let larger = in_zone().filter(|state| state.processor > own.processor * MUCH_MORE);
         let first = draw_by_processor(larger, draws.0);
         let second = draw_by_processor(in_zone(), draws.1).filter(|second| Some(*second) != first);
         first.into_iter().chain(second).collect()
     }
 
+    /// A peer of another zone that may take a connection off this router: one drawn by processor among those whose zone
+    /// `is_near`.
+    pub fn offload_target_elsewhere(
+        &self,
+        own: &OwnState,
+        is_near: impl Fn(&str) -> bool,
+        draw: f64,
+    ) -> Option<SocketAddr> {
+        let peers = self.takers(own).filter(|state| state.zone != own.zone);
+        draw_by_processor(peers.filter(|state| is_near(&state.zone)), draw)
+    }
+
+    /// Peers that take callers and may have this router's configuration in force.
+    fn takers(&self, own: &OwnState) -> impl Iterator<Item = &RouterState> {
+        let configuration = own.configuration;
+        let peers = self.peers.values().map(|peer| &peer.state);
+        let serving = peers.filter(|state| state.standing == Standing::Serving);
+        serving.filter(move |state| state.configuration <= configuration)
+    }
+
     /// Age of the oldest figures that count.
     pub fn oldest_age(&self, now: Timestamp) -> Duration {
         self.held.values().map(|held| now.since(held.heard)).max().unwrap_or_default()
--- a/crates/routing/src/dispatch/source.rs
+++ b/crates/routing/src/dispatch/source.rs
@@ -44,6 +44,19 @@
         self.fleet.offload_targets(&self.own_state(Standing::Serving), draws)
     }
 
+    /// A peer of another zone, by its digest address, that may take a connection that would else be closed unread: what passes
+    /// between zones costs. It is of the same region, where round trips are short, and its zone is not evacuated. `draw`, uniform
+    /// in 0..1, spreads the choice.
+    pub fn offload_target_elsewhere(&self, draw: f64) -> Option<SocketAddr> {
+        let own = self.own_state(Standing::Serving);
+        let region = self.limits.regions.of(&own.zone)?;
+        let is_near = |zone: &str| {
+            let is_in_region = self.limits.regions.of(zone).as_ref() == Some(&region);
+            is_in_region && !self.evacuated.zones.contains(zone)
+        };
+        self.fleet.offload_target_elsewhere(&own, is_near, draw)
+    }
+
     /// A peer that has told of a newer configuration or newer back ends, and where it hands them out.
     ///
     /// `draw`, uniform in 0..1, picks one, so that not all ask the same.
