A known body is given to the HTTP library in pieces, so that a list handed to many is held once

Cause: the HTTP library copies what a body gives before it writes any of it, since the stream under it tells no vectored writes. A list of 10,000 back ends that 64 routers fetch at once was held 64 times: 40.8 MB beside the one encoded list of 0.6 MB (test, heap in use as dhat counts it).

Ruled out: what is kept for each back end, 1.29 kB, 13 MB for 10,000 (scratch test on directory and dispatcher).

Now under 128 kB for each that asks (8.4 MB for 64). dhat counts the heap in tests only.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -49,4 +49,5 @@
 pub use router::{Router, Seams};
 pub use runtime::Runtime;
 pub use settings::{RouterSettings, SECTIONS, read_router_settings};
+pub use snapshots::SNAPSHOT_PATH;
 pub use stop::{RunError, run};
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -1,7 +1,6 @@
 //! Accepting connections, and ending them when the router stops.
 
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Bytes, Incoming};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,6 +18,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use crate::events;
@@ -31,7 +31,41 @@
 
 /// A body known in full.
 pub fn full(bytes: impl Into<Bytes>) -> LocalBody {
-    Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
+    Box::pin(WholeBody { left: bytes.into() })
+}
+
+/// Bytes of a known body that are given away at a time. The HTTP library copies what it is given before it writes any of it: given whole, a
+/// list of 1.4 MB that 64 routers fetch at once took 90 MB in place of 1.4.
+const PIECE: usize = 32 << 10;
+
+/// A body known in full, in pieces.
+struct WholeBody {
+    left: Bytes,
+}
+
+impl Body for WholeBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.left.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.left.len().min(PIECE);
+        let piece = self.left.split_to(length);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left.len() as u64)
+    }
 }
 
 /// Bounds on connections.
