A list is handed to a few routers at a time, and goes from zone to zone once

Cause: when all 985 routers start, those that have the list of back ends hand it to all that ask at once. Each of several hundred gets it at the rate of one link divided by their number, and nobody has it, and can hand it on, before the last one: of 103 routers with logs the first had it 0.86 s after its seed, the median 1.65 s and the last 2.0 s after they started.

Ruled out: reading it from the store, 0.37 s (200 pages were feared; they hold more); starting the processes, 0.05 to 0.2 s.

Now four at a time get a list, others are told at once and come back within 40 ms; changes of up to 64 kB are handed to anyone. A member whose zone has nothing newer waits 0.4 s for it before it asks in another zone.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod events;
 mod exchange;
 mod handing_on;
+mod handing_out;
 mod headers;
 mod line_budget;
 mod listener;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -31,7 +31,12 @@
 
 /// A body known in full.
 pub fn full(bytes: impl Into<Bytes>) -> LocalBody {
-    Box::pin(WholeBody { left: bytes.into() })
+    held_with((), bytes)
+}
+
+/// A body known in full that keeps `holder` until its last byte is given away.
+pub fn held_with<T: Unpin + 'static>(holder: T, bytes: impl Into<Bytes>) -> LocalBody {
+    Box::pin(WholeBody { left: bytes.into(), _holder: holder })
 }
 
 /// Bytes of a known body that are given away at a time. The HTTP library copies what it is given before it writes any of it: given whole, a
@@ -39,11 +44,12 @@
 const PIECE: usize = 32 << 10;
 
 /// A body known in full, in pieces.
-struct WholeBody {
+struct WholeBody<T> {
     left: Bytes,
+    _holder: T,
 }
 
-impl Body for WholeBody {
+impl<T: Unpin> Body for WholeBody<T> {
     type Data = Bytes;
     type Error = BodyError;
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::catalogue::Snapshot;
 use crate::client::LocalClient;
 use crate::events;
+use crate::handing_out::LONGEST_HANDING;
 use crate::news::Origin;
 use crate::quarantine;
 use crate::router::Router;
@@ -21,8 +22,8 @@
 const LARGEST_DATAGRAM: usize = 60 << 10;
 /// Time between two looks for newer versions at peers.
 const NEWER_PERIOD: Duration = Duration::from_millis(80);
-/// Time for a snapshot.
-const SNAPSHOT_LIMIT: Duration = Duration::from_millis(900);
+/// Longest pause after a peer that was handing out as many lists as it may; a list takes it some 50 ms.
+const BUSY_PAUSE: Duration = Duration::from_millis(40);
 
 /// Tells other routers of this one for as long as it runs.
 pub async fn send_rounds(router: Rc<Router>, socket: Rc<UdpSocket>) {
@@ -123,10 +124,28 @@
     }
 }
 
+/// What came of asking a peer for its snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fetched {
+    /// It came.
+    Taken,
+    /// The peer hands out as many as it may.
+    Busy,
+    /// None came.
+    Failed,
+}
+
 /// Fetches what peers know and this router misses, for as long as it runs.
 pub async fn fetch_newer(router: Rc<Router>) {
+    let mut is_busy = false;
     loop {
-        router.runtime.sleep(router.runtime.until_turn(NEWER_PERIOD)).await;
+        let pause = if is_busy {
+            BUSY_PAUSE.mul_f64(rand::random())
+        } else {
+            router.runtime.until_turn(NEWER_PERIOD)
+        };
+        router.runtime.sleep(pause).await;
+        is_busy = false;
         let hears_nobody = router.dispatcher.borrow().routers() == 1;
         if hears_nobody && !router.catalogue.borrow().is_complete() {
             ask_seeds(&router).await;
@@ -138,9 +157,13 @@
             router.runtime.sleep(NEWER_PERIOD).await;
         }
         let still = router.dispatcher.borrow().newer_elsewhere(router.now(), rand::random());
-        if still.is_some() {
-            let fetched = fetch_snapshot(&router, address).await;
-            router.peers_fail.set(!fetched);
+        if still.is_none() {
+            continue;
+        }
+        match fetch_snapshot(&router, address).await {
+            Fetched::Taken => router.peers_fail.set(false),
+            Fetched::Busy => is_busy = true,
+            Fetched::Failed => router.peers_fail.set(true),
         }
     }
 }
@@ -155,19 +178,23 @@
     }
 }
 
-/// Fetches a snapshot from one peer. Gives whether one came.
-pub async fn fetch_snapshot(router: &Rc<Router>, address: SocketAddr) -> bool {
+/// Fetches a snapshot from one peer.
+async fn fetch_snapshot(router: &Rc<Router>, address: SocketAddr) -> Fetched {
     let request = Request::builder()
         .uri(snapshot_target(router.catalogue.borrow().versions()))
         .header(HOST, address.to_string())
         .body(Full::<Bytes>::default());
-    let Ok(request) = request else { return false };
+    let Ok(request) = request else { return Fetched::Failed };
     let client = LocalClient::new(router.runtime.control(), address);
-    let Ok(reply) = client.call(request, SNAPSHOT_LIMIT).await else { return false };
-    if reply.status != StatusCode::OK {
-        return false;
-    }
-    let Ok(snapshot) = rmp_serde::from_slice::<Snapshot>(&reply.body) else { return false };
+    let Ok(reply) = client.call(request, LONGEST_HANDING).await else { return Fetched::Failed };
+    match reply.status {
+        StatusCode::OK => {}
+        StatusCode::SERVICE_UNAVAILABLE => return Fetched::Busy,
+        _ => return Fetched::Failed,
+    }
+    let Ok(snapshot) = rmp_serde::from_slice::<Snapshot>(&reply.body) else {
+        return Fetched::Failed;
+    };
     if let Some(configuration) = snapshot.configuration {
         router.offer_configuration(configuration, Origin::Peer(address));
     }
@@ -180,5 +207,5 @@
     if let Some(rollouts) = snapshot.rollouts {
         router.offer_rollouts(rollouts, Origin::Peer(address));
     }
-    true
+    Fetched::Taken
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -5,6 +5,7 @@
 use crate::catalogue::Catalogue;
 use crate::dialect::{BackEndDialect, CallerDialect};
 use crate::events;
+use crate::handing_out::HandingOut;
 use crate::line_budget::{LineBudget, LineKind};
 use crate::listener::{OpenConnections, StopSignal};
 use crate::metrics::RouterMetrics;
@@ -56,6 +57,7 @@
     pub(crate) runtime: Runtime,
     pub(crate) catalogue: RefCell<Catalogue>,
     pub(crate) snapshots: RefCell<EncodedSnapshots>,
+    pub(crate) handing_out: HandingOut,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) waiting: RefCell<HashMap<TicketId, VerdictSender>>,
     pub(crate) pool: Pool,
@@ -117,6 +119,7 @@
             runtime,
             catalogue: RefCell::new(catalogue),
             snapshots: RefCell::default(),
+            handing_out: HandingOut::default(),
             dispatcher: RefCell::new(dispatcher),
             waiting: RefCell::default(),
             pool: Pool::new(runtime),
@@ -163,7 +166,7 @@
         if !standstill.may_be_outdated(now, self.settings.propagation) {
             return false;
         }
-        let is_behind = self.dispatcher.borrow().newer_elsewhere(now, 0.0).is_some();
+        let is_behind = self.dispatcher.borrow().is_behind(now);
         is_behind || !standstill.has_heard_since(now)
     }
 
@@ -341,7 +344,7 @@
             return false;
         }
         let dispatcher = self.dispatcher.borrow();
-        dispatcher.routers() == 1 || dispatcher.newer_elsewhere(now, 0.0).is_some()
+        dispatcher.routers() == 1 || dispatcher.is_behind(now)
     }
 
     /// Whether it takes new callers.
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A router on loopback with scripted back ends and plain callers, all on the test's own thread.
 #![allow(dead_code, missing_docs)]
 
+pub mod lists;
+
 use mastbay_router::own_dialect::OwnDialect;
 use mastbay_router::{Origin, Router, RouterMetrics, RouterSettings, Runtime, Seams};
 use mastbay_routing::{
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -149,6 +149,8 @@
     source_lost: Option<Timestamp>,
     /// Since when this router reaches the source when no other did.
     stands_in_since: Option<Timestamp>,
+    /// Since when peers have something newer.
+    behind_since: Option<Timestamp>,
     reports: VecDeque<(u64, Vec<EngineLoad>)>,
     /// Messages of one round of its sums.
     parts_of_members: SumParts,
@@ -179,6 +181,7 @@
             is_isolated: false,
             source_lost: None,
             stands_in_since: None,
+            behind_since: None,
             reports: VecDeque::new(),
             parts_of_members: SumParts::default(),
             parts_of_fleet: SumParts::default(),
--- a/crates/routing/src/dispatch/fleet/role.rs
+++ b/crates/routing/src/dispatch/fleet/role.rs
@@ -26,6 +26,7 @@
         self.is_isolated = is_member && now.since(self.sums_heard) > ISOLATION;
         self.others = self.count_others(now, own);
         self.follow_contact(now, own.contact);
+        self.watch_news(now, own);
         change
     }
 
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -21,6 +21,10 @@
 /// Peers of a large fleet that are told of ends in a round. All of 295 routers know after 0.64 s what three of them saw, with a tenth of
 /// the datagrams lost, and after 0.72 s with three tenths lost (virtual time, `tests/quarantine.rs`).
 const GOSSIP_TARGETS: u8 = 3;
+/// Time for which a member that is behind waits for a router of its zone to have what it lacks: its aggregator asks in other zones within
+/// a round or two. When 985 routers started, nearly all fetched a list of 1.4 MB from a few in one zone, and each start moved 0.75 GB
+/// between zones.
+const ZONE_PATIENCE: Duration = Duration::from_millis(400);
 /// How many times the processor of another a much larger router has.
 const MUCH_MORE: f32 = 1.5;
 
@@ -241,23 +245,45 @@
         sum.release_reports()
     }
 
-    /// Where a peer hands out something newer than what this router has, one of its own zone if there is any.
+    /// Whether any peer has something newer than this router.
+    pub fn is_behind(&self, now: Timestamp, own: &OwnState) -> bool {
+        self.newer_peers(now, own).next().is_some()
+    }
+
+    /// Where a peer hands out something newer than what this router has, one of its own zone if there is any. A member waits a while
+    /// for one in its zone.
     pub fn newer_than(&self, now: Timestamp, own: &OwnState, draw: f64) -> Option<SocketAddr> {
-        let newer: Vec<&RouterState> = self
-            .fresh_peers(now)
-            .filter(|peer| {
-                peer.configuration > own.configuration
-                    || peer.back_ends > own.back_ends
-                    || peer.evacuations > own.evacuations
-                    || peer.rollouts > own.rollouts
-            })
-            .collect();
-        let near: Vec<&RouterState> =
-            newer.iter().copied().filter(|peer| peer.zone == own.zone).collect();
-        let asked = if near.is_empty() { newer } else { near };
+        let near = self.newer_peers(now, own).filter(|peer| peer.zone == own.zone);
+        let mut asked: Vec<&RouterState> = near.collect();
+        if asked.is_empty() && self.may_ask_other_zones(now) {
+            asked = self.newer_peers(now, own).collect();
+        }
         let picked = (draw * asked.len() as f64) as usize;
         asked.get(picked).map(|peer| peer.snapshots)
     }
+
+    fn newer_peers(&self, now: Timestamp, own: &OwnState) -> impl Iterator<Item = &RouterState> {
+        self.fresh_peers(now).filter(move |peer| {
+            peer.configuration > own.configuration
+                || peer.back_ends > own.back_ends
+                || peer.evacuations > own.evacuations
+                || peer.rollouts > own.rollouts
+        })
+    }
+
+    fn may_ask_other_zones(&self, now: Timestamp) -> bool {
+        let is_member = matches!(self.role, Role::Member(_));
+        !is_member || self.behind_since.is_some_and(|since| now.since(since) >= ZONE_PATIENCE)
+    }
+
+    /// Notes since when this router is behind others.
+    pub(super) fn watch_news(&mut self, now: Timestamp, own: &OwnState) {
+        if self.is_behind(now, own) {
+            self.behind_since.get_or_insert(now);
+        } else {
+            self.behind_since = None;
+        }
+    }
 }
 
 /// One of some routers, drawn with their processor as weights.
--- a/crates/routing/src/dispatch/source.rs
+++ b/crates/routing/src/dispatch/source.rs
@@ -57,7 +57,13 @@
         self.fleet.offload_target_elsewhere(&own, is_near, draw)
     }
 
-    /// A peer that has told of a newer configuration or newer back ends, and where it hands them out.
+    /// Whether any peer has told of a newer configuration or newer back ends.
+    pub fn is_behind(&self, now: Timestamp) -> bool {
+        self.fleet.is_behind(now, &self.own_state(Standing::Serving))
+    }
+
+    /// Where a peer that has told of a newer configuration or newer back ends hands them out, if this router should ask one now: a
+    /// member waits a while for one of its zone.
     ///
     /// `draw`, uniform in 0..1, picks one, so that not all ask the same.
     pub fn newer_elsewhere(&self, now: Timestamp, draw: f64) -> Option<SocketAddr> {
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -9,8 +9,8 @@
 use mastbay_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use support::fleet::{Fleet, ZONES, address, router, zone};
-use support::{demand, prompt};
+use support::fleet::{ENGINES, Fleet, SLOTS, ZONES, address, router, zone};
+use support::{demand, list, prompt};
 
 #[test]
 fn all_routers_of_a_large_fleet_know_each_other_soon_after_their_start() {
@@ -486,3 +486,24 @@
         assert!((58..=63).contains(&median), "{median} at {:?}", fleet.now);
     }
 }
+
+/// When a fleet starts, each zone gets the lists once or twice, and not once for each of its routers.
+#[test]
+fn members_wait_a_while_for_a_router_of_their_zone_to_have_what_is_new() {
+    let mut fleet = Fleet::new(300);
+    fleet.rounds(40);
+    let now = fleet.now;
+    let aggregators = fleet.aggregators();
+    let informed = fleet.routers.get_mut(&aggregators[0]).expect("known");
+    informed.on_back_ends(now, &list(2, ENGINES, SLOTS));
+    // A quarter of a second.
+    for _ in 0..3 {
+        fleet.round();
+        let asking = fleet.asking_other_zones();
+        assert!(asking.iter().all(|router| aggregators.contains(router)), "{asking:?}");
+    }
+    assert_eq!(fleet.asking_other_zones().len(), aggregators.len() - 1);
+    // No aggregator gets it.
+    fleet.rounds(6);
+    assert!(fleet.asking_other_zones().len() > aggregators.len());
+}
--- a/crates/routing/tests/support/fleet.rs
+++ b/crates/routing/tests/support/fleet.rs
@@ -197,6 +197,15 @@
         beliefs
     }
 
+    /// Routers that would ask one of another zone for what is new.
+    pub fn asking_other_zones(&self) -> Vec<SocketAddr> {
+        let asks = |(address, router): (&SocketAddr, &Dispatcher)| {
+            let asked = router.newer_elsewhere(self.now, 0.5)?;
+            (zone(asked) != zone(*address)).then_some(*address)
+        };
+        self.routers.iter().filter_map(asks).collect()
+    }
+
     /// Routers that send sums to members.
     pub fn aggregators(&mut self) -> Vec<SocketAddr> {
         let now = self.now;
