Whole answers count against the memory for bodies until their callers have them

One that tells no length waits for none, since several that are held in part would wait for each other; without room its caller is told that the outcome is unknown. An answer is now read into one buffer of its length, where it was held twice.

--- a/crates/router/src/body_budget.rs
+++ b/crates/router/src/body_budget.rs
@@ -37,6 +37,11 @@
         Some(BodyShare { bytes, used: self.used.clone() })
     }
 
+    /// Bytes that bodies may take together.
+    pub fn most(&self) -> u64 {
+        self.most
+    }
+
     /// Bytes in use.
     pub fn used(&self) -> u64 {
         self.used.get()
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::ending::{note_end, own_answer};
 use crate::events;
 use crate::headers::{is_delimited, keep_end_to_end};
-use crate::listener::{LocalBody, full};
+use crate::listener::{LocalBody, held_with};
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::pool::BackEndConnection;
 use crate::quarantine;
@@ -14,19 +14,16 @@
 use crate::router::Router;
 use crate::send::{Sender, Try};
 use crate::ticket::Ticket;
-use bytes::Bytes;
+use crate::whole_answer::{WholeAnswer, WholeAnswerError, read_whole};
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
     Attempt, BackEndId, Fault, Placement, Refusal, RequestStanding, RouteKind, Verdict,
 };
-use mastbay_web::read_limited;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Largest answer that is not a stream, in bytes.
-const ANSWER_LIMIT: usize = 16 << 20;
 /// Back ends that are tried in vain, without a byte sent or with their word that it did not run.
 const MOST_REJECTIONS: u32 = 3;
 /// A request on its way.
@@ -45,7 +42,7 @@
 /// What came of all tries.
 pub enum Ended {
     /// A whole answer of a back end.
-    Answer(http::response::Parts, Bytes, BackEndId),
+    Answer(http::response::Parts, WholeAnswer, BackEndId),
     /// A stream has begun.
     Stream(http::response::Parts, Box<Relay>),
     /// The router gives up.
@@ -166,12 +163,24 @@
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(Ended::Stream(head, Box::new(relay)));
         }
-        let Ok(body) = read_limited(body, ANSWER_LIMIT).await else {
-            broken_connections::note(&self.router, &self.call, &id);
-            self.attempt.borrow_mut().on_lost();
-            ticket.fail(Fault::Broken);
-            let again = self.attempt.borrow().may_send();
-            return if again { None } else { Some(self.give_up("answer_broke_off")) };
+        let body = match read_whole(self.router.runtime, &self.router.bodies, body).await {
+            Ok(body) => body,
+            Err(WholeAnswerError::NoMemory) => {
+                // Another back end's answer would find none either.
+                self.attempt.borrow_mut().on_lost();
+                return Some(self.give_up(WholeAnswerError::NoMemory.reason()));
+            }
+            Err(WholeAnswerError::Broken) => {
+                broken_connections::note(&self.router, &self.call, &id);
+                self.attempt.borrow_mut().on_lost();
+                ticket.fail(Fault::Broken);
+                let again = self.attempt.borrow().may_send();
+                return if again {
+                    None
+                } else {
+                    Some(self.give_up(WholeAnswerError::Broken.reason()))
+                };
+            }
         };
         self.router.pool.keep(&id, connection);
         ticket.on_first_event();
@@ -268,7 +277,7 @@
             let status = head.status.as_u16();
             note_end(router, call, &Outcome::new(OutcomeKind::Answered).status(status).at(&id));
             keep_end_to_end(&mut head.headers);
-            let mut response = Response::new(full(body));
+            let mut response = Response::new(held_with(body.share, body.bytes));
             *response.status_mut() = head.status;
             *response.headers_mut() = head.headers;
             response
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -43,6 +43,7 @@
 mod stop;
 mod ticket;
 mod unread;
+mod whole_answer;
 
 pub use listener::{ListenerLimits, StopSignal};
 pub use metrics::RouterMetrics;
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -379,3 +379,16 @@
         assert_eq!(back_end.arrivals(), 1);
     });
 }
+
+#[test]
+fn a_large_answer_that_tells_no_length_is_delivered_whole() {
+    run(async |runtime| {
+        let body = "x".repeat(2 << 20);
+        let steps = [STREAM_HEAD.to_owned() + &chunk(&body) + STREAM_END];
+        let steps = steps.map(Step::Write).to_vec();
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![steps]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
+        let answer = bed.call(&Request::new("/safe/x")).await;
+        assert_eq!((answer.status, answer.body.len(), answer.whole), (200, body.len(), true));
+    });
+}
