--- a/crates/router/src/handing_out.rs
+++ b/crates/router/src/handing_out.rs
@@ -8,11 +8,12 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-/// Lists handed out at a time. Each then takes some 50 ms on a link of 1,000 Mbit/s at 1.4 MB, and 100 ms at twice the back ends.
+/// Lists handed out at a time. Each then takes some 50 ms on a link of 1,000 Mbit/s at 1.4 MB, and 100 ms at twice the back ends. Of 985 routers
+/// that start at once half have the list after 1.0 s; handed to any number at once, after 1.65 s (by the logs of 203 and 103 of them).
 const MOST_HANDED_OUT: usize = 4;
 /// Bytes up to which a snapshot is handed to anyone: changes are small, and all are to have them at once.
 const SMALL: usize = 64 << 10;
-/// Time after which one no longer counts: who asked has given up by then.
+/// Time that a list may take; who asks gives up then, so it no longer counts.
 pub const LONGEST_HANDING: Duration = Duration::from_millis(900);
 
 /// Goes with a list that is being handed out.
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -40,7 +40,7 @@
 }
 
 /// Bytes of a known body that are given away at a time. The HTTP library copies what it is given before it writes any of it: given whole, a
-/// list of 1.4 MB that 64 routers fetch at once took 90 MB in place of 1.4.
+/// list of 0.6 MB that 64 routers fetch at once took 40.8 MB more of the heap.
 const PIECE: usize = 32 << 10;
 
 /// A body known in full, in pieces.
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -117,7 +117,7 @@
     Digest(Digest),
     /// Sums of an aggregator.
     Sum(Sum),
-    /// Sums of an aggregator of another zone, which the receiver passes on to the other aggregators of its own as [`Self::Sum`].
+    /// Sums of an aggregator of another zone, which the receiver passes on as [`Self::Sum`] to the other aggregators of its own zone.
     SumForZone(Sum),
     /// Back ends that ended under requests.
     Ends(Vec<EndReport>),
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -22,8 +22,7 @@
 /// the datagrams lost, and after 0.72 s with three tenths lost (virtual time, `tests/quarantine.rs`).
 const GOSSIP_TARGETS: u8 = 3;
 /// Time for which a member that is behind waits for a router of its zone to have what it lacks: its aggregator asks in other zones within
-/// a round or two. When 985 routers started, nearly all fetched a list of 1.4 MB from a few in one zone, and each start moved 0.75 GB
-/// between zones.
+/// a round or two. Without it all routers that start fetch the whole list, 1.4 MB, from the few that have it, wherever these are.
 const ZONE_PATIENCE: Duration = Duration::from_millis(400);
 /// How many times the processor of another a much larger router has.
 const MUCH_MORE: f32 = 1.5;
