--- a/crates/router/src/body_budget.rs
+++ b/crates/router/src/body_budget.rs
@@ -3,6 +3,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Bytes of an answer up to which it counts as part of its connection, whose memory is bounded by itself.
+pub const SMALL_ANSWER: u64 = 16 << 10;
+/// Why an answer is given up for which no memory is left. Another back end would not help.
+pub const NO_MEMORY: &str = "no_memory";
 /// Bytes taken for a body whose length its caller does not tell, before it is read.
 const UNTOLD_LENGTH: u64 = 64 << 10;
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -165,22 +165,7 @@
         }
         let body = match read_whole(self.router.runtime, &self.router.bodies, body).await {
             Ok(body) => body,
-            Err(WholeAnswerError::NoMemory) => {
-                // Another back end's answer would find none either.
-                self.attempt.borrow_mut().on_lost();
-                return Some(self.give_up(WholeAnswerError::NoMemory.reason()));
-            }
-            Err(WholeAnswerError::Broken) => {
-                broken_connections::note(&self.router, &self.call, &id);
-                self.attempt.borrow_mut().on_lost();
-                ticket.fail(Fault::Broken);
-                let again = self.attempt.borrow().may_send();
-                return if again {
-                    None
-                } else {
-                    Some(self.give_up(WholeAnswerError::Broken.reason()))
-                };
-            }
+            Err(error) => return self.without_answer(error, ticket, &id),
         };
         self.router.pool.keep(&id, connection);
         ticket.on_first_event();
@@ -199,6 +184,24 @@
         Some(Ended::Answer(head, body, id))
     }
 
+    /// Ends the exchange whose answer did not come whole, or gives nothing if the request goes to a further back end.
+    fn without_answer(
+        &self,
+        error: WholeAnswerError,
+        ticket: Ticket,
+        back_end: &BackEndId,
+    ) -> Option<Ended> {
+        self.attempt.borrow_mut().on_lost();
+        if error == WholeAnswerError::Broken {
+            broken_connections::note(&self.router, &self.call, back_end);
+            ticket.fail(Fault::Broken);
+            if self.attempt.borrow().may_send() {
+                return None;
+            }
+        }
+        Some(self.give_up(error.reason()))
+    }
+
     async fn try_once(&self, placement: &Placement) -> Try {
         let sender = Sender { router: &self.router, call: &self.call, attempt: &self.attempt };
         sender.send(placement, self.call.head.last_event, true).await
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -151,15 +151,15 @@
             ask_seeds(&router).await;
         }
         let newer = router.dispatcher.borrow().newer_elsewhere(router.now(), rand::random());
-        let Some(address) = newer else { continue };
+        if newer.is_none() {
+            continue;
+        }
         if router.dispatcher.borrow().follows_source(router.now()) {
             // The own source is usually about to tell the same.
             router.runtime.sleep(NEWER_PERIOD).await;
         }
         let still = router.dispatcher.borrow().newer_elsewhere(router.now(), rand::random());
-        if still.is_none() {
-            continue;
-        }
+        let Some(address) = still else { continue };
         match fetch_snapshot(&router, address).await {
             Fetched::Taken => router.peers_fail.set(false),
             Fetched::Busy => is_busy = true,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,6 +1,6 @@
 //! A stream on its way to its caller: whole events only, taken up at another back end if that is allowed.
 
-use crate::body_budget::BodyShare;
+use crate::body_budget::{BodyShare, NO_MEMORY, SMALL_ANSWER};
 use crate::broken_connections;
 use crate::call::Call;
 use crate::ending::note_end;
@@ -27,10 +27,6 @@
 
 /// Largest event, in bytes.
 const LARGEST_EVENT: usize = 1 << 20;
-/// Why a stream is broken off whose events are larger than the memory that is left. Another back end would not help.
-const NO_MEMORY: &str = "no_memory";
-/// Bytes of events up to which they count as part of their connection, whose memory is bounded by itself.
-const SMALL_EVENT: u64 = 16 << 10;
 /// Times that a large event is in memory: as it comes in, with room for its rest, whole, and as it goes out. With 300 callers that did
 /// not read events of 64 KB the process grew by 267 KB for each.
 const COPIES_OF_EVENT: u64 = 4;
@@ -247,7 +243,7 @@
         let held = (whole + self.splitter.held()) as u64;
         let needed = held * COPIES_OF_EVENT;
         let taken = self.large_event.as_ref().map_or(0, BodyShare::bytes);
-        if held <= SMALL_EVENT || needed <= taken {
+        if held <= SMALL_ANSWER || needed <= taken {
             return true;
         }
         self.large_event = None;
--- a/crates/router/src/whole_answer.rs
+++ b/crates/router/src/whole_answer.rs
@@ -2,7 +2,7 @@
 //!
 //! An answer that is ready waits at its back end until there is room for it, and is held until its caller has read it.
 
-use crate::body_budget::{BodyBudget, BodyShare};
+use crate::body_budget::{BodyBudget, BodyShare, NO_MEMORY, SMALL_ANSWER};
 use crate::runtime::Runtime;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -11,8 +11,6 @@
 
 /// Largest answer that is not a stream, in bytes.
 const LARGEST: usize = 16 << 20;
-/// Bytes up to which an answer counts as part of its connection, whose memory is bounded by itself.
-const SMALL: usize = 16 << 10;
 /// Time between two looks for room.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
 
@@ -39,7 +37,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             Self::Broken => "answer_broke_off",
-            Self::NoMemory => "no_memory",
+            Self::NoMemory => NO_MEMORY,
         }
     }
 }
@@ -56,7 +54,7 @@
 ) -> Result<WholeAnswer, WholeAnswerError> {
     match body.size_hint().exact() {
         Some(length) if length > LARGEST as u64 => Err(WholeAnswerError::Broken),
-        Some(length) if length > SMALL as u64 => {
+        Some(length) if length > SMALL_ANSWER => {
             let share = room(runtime, budget, length).await?;
             let reading =
                 Reading { held: BytesMut::with_capacity(length as usize), share: Some(share) };
@@ -110,7 +108,7 @@
         if length > LARGEST {
             return Err(WholeAnswerError::Broken);
         }
-        let allowed = self.share.as_ref().map_or(SMALL as u64, BodyShare::bytes);
+        let allowed = self.share.as_ref().map_or(SMALL_ANSWER, BodyShare::bytes);
         if length as u64 > allowed {
             // Twice as much each time, as the buffer grows.
             let larger = (2 * length).min(LARGEST) as u64;
--- a/crates/router/tests/handing_on.rs
+++ b/crates/router/tests/handing_on.rs
@@ -17,6 +17,8 @@
 const LONG_TURN: Duration = Duration::from_millis(130);
 /// Such turns after which a router hands on nearly all new connections.
 const TURNS: u32 = 4;
+/// What the back end of the other router answers.
+const PEER: &str = "peer";
 /// Connections tried: not each is handed on.
 const TRIES: u64 = 8;
 
@@ -52,8 +54,8 @@
         let thread = std::thread::spawn(move || {
             run(async |runtime| {
                 let silent = vec![Step::UntilClosed];
-                let reaction = if standstill.is_some() { silent } else { answer("peer") };
-                let back_end = ScriptedBackEnd::start(runtime, "peer", vec![reaction]).await;
+                let reaction = if standstill.is_some() { silent } else { answer(PEER) };
+                let back_end = ScriptedBackEnd::start(runtime, PEER, vec![reaction]).await;
                 let bed = Bed::start_in(zone, runtime, &[&back_end]).await;
                 let addresses = (bed.settings.digests, bed.settings.operations);
                 told.send(addresses).await.expect("awaited");
@@ -71,11 +73,6 @@
         Self { digests, operations, commands, done: is_done, thread: Some(thread) }
     }
 
-    /// What its back end answers.
-    fn name(&self) -> &'static str {
-        "peer"
-    }
-
     /// Has it put a version in force, while this thread stands still.
     fn take(&self, version: u64) {
         self.commands.send_blocking(Command::Take(version)).expect("it runs");
@@ -130,11 +127,11 @@
 }
 
 /// Whether any of some callers of a router with much too much to do is answered by the only other router.
-async fn does_any_reach(other: &OtherRouter, bed: &Bed) -> bool {
+async fn does_any_reach_peer(bed: &Bed) -> bool {
     for _ in 0..TRIES {
         press().await;
         let answer = bed.call(&Request::new("/safe/x")).await;
-        if answer.body == other.name() {
+        if answer.body == PEER {
             return true;
         }
         // Closed unread, or served here.
@@ -157,7 +154,7 @@
             press().await;
             let answer = bed.call(&Request::new("/safe/x")).await;
             assert_eq!(answer.status, 200);
-            if answer.body == "peer" {
+            if answer.body == PEER {
                 return;
             }
         }
@@ -174,7 +171,7 @@
     run(async |runtime| {
         let other = OtherRouter::start_in("b", None);
         let bed = router_beside_one_in("b", runtime, &other).await;
-        assert!(does_any_reach(&other, &bed).await, "nothing was handed on");
+        assert!(does_any_reach_peer(&bed).await, "nothing was handed on");
     });
 }
 
@@ -184,7 +181,7 @@
     run(async |runtime| {
         let other = OtherRouter::start_in("c", None);
         let bed = router_beside_one_in("c", runtime, &other).await;
-        assert!(!does_any_reach(&other, &bed).await);
+        assert!(!does_any_reach_peer(&bed).await);
     });
 }
 
@@ -195,7 +192,7 @@
         let bed = router_beside_one_in("b", runtime, &other).await;
         let zones = ["b".to_owned()].into();
         bed.router.offer_evacuations(EvacuatedZones { revision: 2.into(), zones }, Origin::Source);
-        assert!(!does_any_reach(&other, &bed).await);
+        assert!(!does_any_reach_peer(&bed).await);
     });
 }
 
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -244,8 +244,11 @@
         let reporting: Vec<SocketAddr> = self.members().map(|(member, _)| member).collect();
         let mut messages = Vec::new();
         for sum in of_members {
-            let for_zones = PeerMessage::SumForZone(sum.clone());
-            messages.push(self.outgoing(for_zones, aggregators.pass_on.clone()));
+            // Zones have one aggregator each up to 64 routers: then nothing is copied to be passed on.
+            if !aggregators.pass_on.is_empty() {
+                let for_zones = PeerMessage::SumForZone(sum.clone());
+                messages.push(self.outgoing(for_zones, aggregators.pass_on.clone()));
+            }
             messages.push(self.outgoing(PeerMessage::Sum(sum), aggregators.direct.clone()));
         }
         let to_members =
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -34,9 +34,7 @@
 fn figures_of_a_large_fleet_hold_from_one_message_to_the_next() {
     let mut fleet = Fleet::new(300);
     fleet.rounds(30);
-    for index in 0..60 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(0..60);
     fleet.rounds(6);
     for _ in 0..40 {
         fleet.round();
@@ -87,9 +85,7 @@
 fn members_turn_to_another_aggregator_when_theirs_falls_silent() {
     let mut fleet = Fleet::new(300);
     fleet.rounds(40);
-    for index in 100..140 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(100..140);
     fleet.rounds(5);
     let killed = fleet.aggregators();
     fleet.silent.extend(killed.iter().copied());
@@ -110,9 +106,7 @@
     fleet.rounds(40);
     let cut = fleet.aggregators();
     fleet.deaf_to.extend(cut.iter().copied());
-    for index in 100..140 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(100..140);
     fleet.rounds(30);
     let median = fleet.beliefs()[150];
     assert!((38..=44).contains(&median), "{median}");
@@ -144,9 +138,7 @@
 fn a_fleet_that_starts_anew_forgets_the_earlier_lives() {
     let mut fleet = Fleet::new(300);
     fleet.rounds(40);
-    for index in 0..100 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(0..100);
     fleet.rounds(5);
     for index in 0..300 {
         *fleet.router(index) = router(index, 2);
@@ -247,9 +239,7 @@
 fn a_lost_datagram_in_twenty_does_little_harm() {
     let mut fleet = Fleet::new(120);
     fleet.rounds(40);
-    for index in 0..60 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(0..60);
     fleet.rounds(6);
     // Prime, so that it is not the same target's datagram each round.
     fleet.lost_one_in = 19;
@@ -266,9 +256,7 @@
     let mut fleet = Fleet::new(120);
     fleet.repeats = true;
     fleet.rounds(40);
-    for index in 0..60 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(0..60);
     fleet.rounds(6);
     assert_eq!(fleet.beliefs(), vec![60; 120]);
 }
@@ -278,9 +266,7 @@
 fn a_fleet_that_grows_and_shrinks_changes_the_way_it_tells_figures() {
     let mut fleet = Fleet::new(24);
     fleet.rounds(30);
-    for index in 0..24 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(0..24);
     fleet.rounds(4);
     assert_eq!(fleet.beliefs(), vec![24; 24]);
     for index in 24..40 {
@@ -300,9 +286,7 @@
 fn when_all_large_routers_of_a_zone_fall_silent_small_ones_aggregate() {
     let mut fleet = Fleet::new(300);
     fleet.rounds(40);
-    for index in 100..140 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(100..140);
     fleet.rounds(5);
     fleet.silent = (0..3 * ZONES).map(address).collect();
     fleet.rounds(35);
@@ -439,9 +423,7 @@
 fn what_other_zones_have_is_known_at_every_aggregator_of_a_zone() {
     let mut fleet = Fleet::new(350);
     fleet.rounds(70);
-    for index in 0..60 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(0..60);
     fleet.rounds(6);
     for _ in 0..20 {
         fleet.round();
@@ -454,9 +436,7 @@
 fn an_aggregator_that_dies_takes_no_zone_the_figures_of_others() {
     let mut fleet = Fleet::new(700);
     fleet.rounds(70);
-    for index in 300..340 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(300..340);
     fleet.rounds(6);
     let mut dying = BTreeMap::new();
     dying.extend(fleet.aggregators().into_iter().map(|aggregator| (zone(aggregator), aggregator)));
@@ -475,9 +455,7 @@
 fn a_lost_datagram_in_twenty_does_little_harm_between_zones() {
     let mut fleet = Fleet::new(350);
     fleet.rounds(70);
-    for index in 0..60 {
-        assert_eq!(fleet.start(index, 1).len(), 1);
-    }
+    fleet.start_one_at_each(0..60);
     fleet.rounds(6);
     fleet.lost_one_in = 19;
     for _ in 0..50 {
--- a/crates/routing/tests/support/fleet.rs
+++ b/crates/routing/tests/support/fleet.rs
@@ -9,6 +9,7 @@
 use mastbay_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
+use std::ops::Range;
 use std::time::Duration;
 
 pub const ZONES: usize = 5;
@@ -187,6 +188,13 @@
         (0..count).map(|own| own + 1_000 * index as u64).filter_map(place).collect()
     }
 
+    /// Starts one request at each of some routers; all must be placed.
+    pub fn start_one_at_each(&mut self, routers: Range<usize>) {
+        for index in routers {
+            assert_eq!(self.start(index, 1).len(), 1);
+        }
+    }
+
     /// What the routers that are not silent believe, from the least to the most.
     pub fn beliefs(&mut self) -> Vec<u32> {
         let silent = self.silent.clone();
