Sight: what back ends say of themselves in their answers is read, logged and counted

Now the head of an answer is read for both, by a typed parse (seconds, fractions, bounded by an hour; dates, negative and non-finite values are malformed and logged), and only where it is surely the back end's answer to this request. One line when a back end first says either (back_end_draining, back_end_backoff), two counters and a gauge. Nothing is decided by it yet.

--- /dev/null
+++ b/crates/router/src/back_end_notices.rs
@@ -0,0 +1,33 @@
+//! What back ends say of themselves in their answers: that they end soon, or that they want no requests for a while.
+
+use crate::call::Call;
+use crate::dialect::{BackEndNotice, RetryAfter};
+use crate::events;
+use crate::router::Router;
+use hyper::http;
+use mastbay_routing::BackEndId;
+
+/// Takes what the head of an answer says of the back end that gave it.
+pub fn take(router: &Router, call: &Call, id: &BackEndId, head: &http::response::Parts) {
+    let notice = router.seams.back_ends.notice(&call.head.request_id, head);
+    if notice == BackEndNotice::default() {
+        return;
+    }
+    let now = router.now();
+    if notice.is_draining && router.dispatcher.borrow_mut().on_draining(now, id) {
+        events::back_end_draining(id, &call.head.request_id);
+        router.metrics.on_back_end_draining();
+    }
+    match notice.retry_after {
+        RetryAfter::Absent => {}
+        RetryAfter::After(backoff) => {
+            router.metrics.on_backoff_asked();
+            if router.dispatcher.borrow_mut().on_backoff(now, id, backoff) {
+                events::back_end_backoff(id, backoff, head.status, &call.head.request_id);
+            }
+        }
+        RetryAfter::Malformed(error) => {
+            events::retry_after_malformed(id, &error, &call.head.request_id);
+        }
+    }
+}
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -6,6 +6,8 @@
 use mastbay_routing::Prompt;
 use std::time::Duration;
 
+pub use crate::retry_after::{RetryAfter, RetryAfterError, read_retry_after};
+
 /// What a caller's request says beside its method, path and body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerHead {
@@ -118,6 +120,15 @@
     Foreign,
 }
 
+/// What the head of an answer says of the back end that gave it, whatever became of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct BackEndNotice {
+    /// It ends soon and takes nothing new.
+    pub is_draining: bool,
+    /// Time for which it asks this router for no further requests; absent unless it turned the request away.
+    pub retry_after: RetryAfter,
+}
+
 /// What back ends speak.
 pub trait BackEndDialect {
     /// The end-to-end headers of a request to a back end, from those that the caller sent.
@@ -126,6 +137,10 @@
     /// What the head of an answer to the request `request_id` says.
     fn classify(&self, request_id: &str, head: &http::response::Parts) -> AnswerKind;
 
+    /// What the head of an answer to the request `request_id` says of its back end; nothing unless it is surely the back end's answer to
+    /// this request.
+    fn notice(&self, request_id: &str, head: &http::response::Parts) -> BackEndNotice;
+
     /// The number of an event of a stream, if it has one.
     fn event_number(&self, event: &[u8]) -> Option<u64>;
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -1,13 +1,14 @@
 //! The events that a router logs, one key=value line each; docs/OPERATIONS.md lists them.
 
 use crate::call::Call;
-use crate::dialect::OwnAnswer;
+use crate::dialect::{OwnAnswer, RetryAfterError};
 use crate::line_budget::LeftOut;
 use crate::news::Origin;
 use crate::offload::{Loss, OffloadError};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use crate::unread::UNREAD_LIMIT;
+use hyper::StatusCode;
 use mastbay_routing::{
     BackEnd, BackEndDirectory, BackEndId, Considered, EngineKey, EvacuatedZones, Fault, Placement,
     QuarantinedRequest, RequestFingerprint, Revision, Role, RolloutRecord, Rollouts, RouteTable,
@@ -154,6 +155,42 @@
     );
 }
 
+/// A back end said for the first time, in its answer to a request, that it ends soon.
+pub fn back_end_draining(back_end: &BackEndId, request_id: &str) {
+    tracing::info!(
+        event = "back_end_draining",
+        back_end = %back_end,
+        name = %EngineKey::from(back_end),
+        request = request_id,
+    );
+}
+
+/// A back end turned a request away and asked this router for no more of them for a while.
+pub fn back_end_backoff(
+    back_end: &BackEndId,
+    backoff: Duration,
+    status: StatusCode,
+    request_id: &str,
+) {
+    tracing::info!(
+        event = "back_end_backoff",
+        back_end = %back_end,
+        for_ms = milliseconds(backoff),
+        status = status.as_u16(),
+        request = request_id,
+    );
+}
+
+/// A back end turned a request away with a time that can't be followed.
+pub fn retry_after_malformed(back_end: &BackEndId, error: &RetryAfterError, request_id: &str) {
+    tracing::warn!(
+        event = "retry_after_malformed",
+        back_end = %back_end,
+        error = %error,
+        request = request_id,
+    );
+}
+
 /// A request is sent to no back end from now on. `back_ends` are the names, in messages between routers, of the lives that ended under
 /// it; `source` is who told the last of them.
 pub fn request_quarantined(quarantined: &QuarantinedRequest, source: &str) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 //! What callers and back ends speak, and where configuration and back ends come from, plugs in at the
 //! seams in [`dialect`], [`catalogue`] and [`quarantine_archive`]. Everything runs on one thread.
 
+mod back_end_notices;
 pub mod body_budget;
 mod broken_connections;
 mod call;
@@ -34,6 +35,7 @@
 pub mod quarantine_archive;
 mod relay;
 pub mod request_head;
+mod retry_after;
 mod router;
 mod runtime;
 mod send;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -33,6 +33,9 @@
     offloaded: Counter,
     closed_unread: Counter,
     back_ends_ended: Counter,
+    draining_answers: Counter,
+    backoffs_asked: Counter,
+    backing_off: Gauge,
     quarantined: Gauge,
     quarantined_calls: Counter,
     unread: Counter,
@@ -49,6 +52,9 @@
             offloaded: Counter::default(),
             closed_unread: Counter::default(),
             back_ends_ended: Counter::default(),
+            draining_answers: Counter::default(),
+            backoffs_asked: Counter::default(),
+            backing_off: Gauge::default(),
             quarantined: Gauge::default(),
             quarantined_calls: Counter::default(),
             unread: Counter::default(),
@@ -67,6 +73,15 @@
         let name = "mastbay_router_back_ends_ended";
         let help = "back ends that ended with requests of this router under way";
         registry.register(name, help, metrics.back_ends_ended.clone());
+        let name = "mastbay_router_back_ends_draining";
+        let help = "back ends that said in an answer to this router that they end soon";
+        registry.register(name, help, metrics.draining_answers.clone());
+        let name = "mastbay_router_backoffs_asked";
+        let help = "requests that back ends turned away with a time for which they want no more";
+        registry.register(name, help, metrics.backoffs_asked.clone());
+        let name = "mastbay_router_back_ends_backing_off";
+        let help = "back ends that want no requests of this router now";
+        registry.register(name, help, metrics.backing_off.clone());
         let name = "mastbay_router_quarantined_requests";
         let help = "requests that are sent to no back end, since several ended under them";
         registry.register(name, help, metrics.quarantined.clone());
@@ -115,6 +130,21 @@
         self.back_ends_ended.inc();
     }
 
+    /// A back end said for the first time that it ends soon.
+    pub fn on_back_end_draining(&self) {
+        self.draining_answers.inc();
+    }
+
+    /// A back end turned a request away and asked for no more for a while.
+    pub fn on_backoff_asked(&self) {
+        self.backoffs_asked.inc();
+    }
+
+    /// So many back ends want no requests now.
+    pub fn set_backing_off(&self, back_ends: usize) {
+        self.backing_off.set(i64::try_from(back_ends).unwrap_or(i64::MAX));
+    }
+
     /// So many requests are quarantined.
     pub fn set_quarantined(&self, requests: usize) {
         self.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
--- a/crates/router/src/own_dialect.rs
+++ b/crates/router/src/own_dialect.rs
@@ -1,11 +1,11 @@
 //! The product's own dialect: what its callers and back ends speak where no platform prescribes another.
 
 use crate::dialect::{
-    AnswerKind, BackEndDialect, CallerDialect, CallerHead, MalformedRequest, OutgoingCall,
-    OwnAnswer,
+    AnswerKind, BackEndDialect, BackEndNotice, CallerDialect, CallerHead, MalformedRequest,
+    OutgoingCall, OwnAnswer, read_retry_after,
 };
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
-use hyper::http;
+use hyper::{StatusCode, http};
 use mastbay_routing::{Prompt, PromptPart};
 use std::time::Duration;
 
@@ -25,6 +25,8 @@
 pub const BACK_END: HeaderName = HeaderName::from_static("mastbay-back-end");
 /// What became of a request.
 pub const OUTCOME: HeaderName = HeaderName::from_static("mastbay-outcome");
+/// `1` in the answers of a back end that ends soon.
+pub const DRAINING: HeaderName = HeaderName::from_static("mastbay-draining");
 
 /// The outcome of a request that did not run.
 pub const NOT_RUN: &str = "not-run";
@@ -104,6 +106,23 @@
         }
     }
 
+    fn notice(&self, request_id: &str, head: &http::response::Parts) -> BackEndNotice {
+        let is_own = text(&head.headers, &REQUEST_ID) == Some(request_id);
+        if !is_own || text(&head.headers, &OUTCOME) == Some(REPLACED) {
+            return BackEndNotice::default();
+        }
+        let turns_away =
+            [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&head.status);
+        BackEndNotice {
+            is_draining: text(&head.headers, &DRAINING) == Some("1"),
+            retry_after: if turns_away {
+                read_retry_after(&head.headers)
+            } else {
+                Default::default()
+            },
+        }
+    }
+
     fn event_number(&self, event: &[u8]) -> Option<u64> {
         let mut lines = event.split(|byte| *byte == b'\n');
         let number = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -490,6 +490,7 @@
             self.spare_zones(&spared, Origin::Source);
         }
         self.dispatcher.borrow_mut().on_lag(now, lag);
+        self.metrics.set_backing_off(self.dispatcher.borrow().backing_off(now));
         let most = self.settings.most_connections() as f64;
         let turn = Turn {
             period,
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -1,5 +1,6 @@
 //! One try at one back end: connection, request, head of the answer.
 
+use crate::back_end_notices;
 use crate::broken_connections;
 use crate::call::Call;
 use crate::dialect::{AnswerKind, OutgoingCall};
@@ -69,7 +70,7 @@
         self.attempt.borrow_mut().on_send();
         let answered = self.wait_for_head(&mut connection, request, placement).await;
         match answered {
-            Some(Ok(answer)) => self.read_head(answer, connection),
+            Some(Ok(answer)) => self.read_head(answer, connection, back_end),
             Some(Err(error)) if !error.written && may_be_unsent => {
                 self.attempt.borrow_mut().on_nothing_written();
                 Try::NotSent(Fault::Full)
@@ -109,8 +110,14 @@
         as_lost.may_send() && self.router.has_retries(&self.call.service)
     }
 
-    fn read_head(&self, answer: Response<Incoming>, connection: BackEndConnection) -> Try {
+    fn read_head(
+        &self,
+        answer: Response<Incoming>,
+        connection: BackEndConnection,
+        back_end: &BackEnd,
+    ) -> Try {
         let (head, body) = answer.into_parts();
+        back_end_notices::take(self.router, self.call, &back_end.id, &head);
         match self.router.seams.back_ends.classify(&self.call.head.request_id, &head) {
             AnswerKind::Answer => Try::Answered(head, body, Box::new(connection)),
             AnswerKind::NotRunFull => Try::NotRun(Fault::Full),
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod aggregation;
+mod announced;
 mod cold_engines;
 mod engines;
 mod fair_level;
@@ -18,6 +19,7 @@
 mod source;
 mod suspects;
 
+use crate::announcements::Announcements;
 use crate::back_end::{BackEnd, BackEndId, BackEndList};
 use crate::budget::RetryBudget;
 use crate::concurrency::UnloadedPace;
@@ -84,6 +86,7 @@
 pub struct Dispatcher {
     limits: DispatcherLimits,
     engines: Engines,
+    announcements: Announcements,
     engine_limits: HashMap<String, EngineLimits>,
     capacity: Option<u64>,
     /// Requests a second that a cold back end of a service bears, where that is bounded.
@@ -115,6 +118,7 @@
         Self {
             limits,
             engines: Engines::default(),
+            announcements: Announcements::default(),
             engine_limits: HashMap::new(),
             capacity: None,
             cold_rates: HashMap::new(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything here is a pure state machine: time and random draws are arguments, nothing does I/O.
 
 mod address_list;
+mod announcements;
 mod attempt;
 mod back_end;
 mod budget;
