A back end that says in an answer that it ends soon gets nothing more in this life (DRAIN)

Callers saw nothing of it until the back end ended; then requests that were still sent there failed. Cause: that a back end leaves was known from the source and from peers alone; what its own answers say was read by nothing, so while the source was silent seven routers sent 119 requests to one that had said so. Evidence: the line back_end_draining stood in the log before 30 of 60 requests of the red test reached it; no list came in between.

The word is kept for one life (name and life) beside the engines, and all that sets an engine goes through one place, which takes a life that said so as draining: a list made before, an entry that lapsed and is listed again, a restored store, a newer revision of the same. A later life under the name takes work.

--- a/crates/routing/src/announcements.rs
+++ b/crates/routing/src/announcements.rs
@@ -2,7 +2,7 @@
 //!
 //! Either holds for one life of a back end, whatever lists and peers tell of it before or after.
 
-use crate::back_end::BackEndId;
+use crate::back_end::{BackEnd, BackEndId, BackEndState};
 use mastbay_types::Timestamp;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,6 +41,15 @@
         true
     }
 
+    /// A back end as it may be used: one that said that it ends soon takes nothing new in this life, whatever a list says that was made
+    /// before its source knew.
+    pub fn as_usable(&self, back_end: BackEnd) -> BackEnd {
+        if !self.draining.contains_key(&back_end.id) {
+            return back_end;
+        }
+        BackEnd { state: BackEndState::Draining, ..back_end }
+    }
+
     /// A back end wants no requests for a while. Gives whether it did not already.
     pub fn on_backoff(&mut self, now: Timestamp, id: &BackEndId, backoff: Duration) -> bool {
         self.backoffs.retain(|_, known| now.since(known.until) < BACKOFF_REMEMBERED);
--- a/crates/routing/src/dispatch/announced.rs
+++ b/crates/routing/src/dispatch/announced.rs
@@ -8,7 +8,11 @@
 impl Dispatcher {
     /// A back end said in an answer that it ends soon. Gives whether that is new.
     pub fn on_draining(&mut self, now: Timestamp, id: &BackEndId) -> bool {
-        self.announcements.on_draining(now, id)
+        let is_new = self.announcements.on_draining(now, id);
+        if let Some(back_end) = self.back_end(id).filter(|_| is_new).cloned() {
+            self.set_back_ends(now, &[back_end]);
+        }
+        is_new
     }
 
     /// A back end turned a request away and wants no more of this router for a while. Gives whether it did not already.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -164,8 +164,15 @@
             self.engines.remove(id);
             self.preferred.on_lost(id);
         }
-        self.set_engines(now, &changes.set);
-        for back_end in &changes.set {
+        self.set_back_ends(now, &changes.set);
+    }
+
+    /// Sets back ends as they may be used: an answer of theirs may have told more than their source knew.
+    fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
+        let usable = back_ends.iter().map(|told| self.announcements.as_usable(told.clone()));
+        let usable: Vec<BackEnd> = usable.collect();
+        self.set_engines(now, &usable);
+        for back_end in &usable {
             self.preferred.on_set(&self.engines, back_end);
         }
     }
