--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -60,9 +60,9 @@
             Err(PoolError::Exhausted) => return Try::NotSent(Fault::Full),
             Err(_) => return Try::NotSent(Fault::Unreachable),
         };
-        // The back end may have begun to leave while the connection came up.
-        if !self.router.dispatcher.borrow().is_usable(&back_end.id) {
-            return Try::NotSent(Fault::Replaced);
+        let now = self.router.now();
+        if let Some(fault) = self.router.dispatcher.borrow().fault_before_send(now, &back_end.id) {
+            return Try::NotSent(fault);
         }
         let Some(request) = self.request(placement, last_event) else {
             return Try::NotSent(Fault::Broken);
--- a/crates/routing/src/dispatch/announced.rs
+++ b/crates/routing/src/dispatch/announced.rs
@@ -2,6 +2,8 @@
 
 use super::Dispatcher;
 use crate::back_end::BackEndId;
+use crate::engine::Engine;
+use crate::health::Fault;
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
@@ -22,6 +24,15 @@
 
     /// How many back ends want no requests of this router now.
     pub fn backing_off(&self, now: Timestamp) -> usize {
-        self.announcements.backing_off(now)
+        self.announcements.backing_off(now).count()
+    }
+
+    /// What speaks against a request that was placed at a back end and is about to be sent there. Since it was placed, the back end may
+    /// have begun to leave, or have asked for a backoff.
+    pub fn fault_before_send(&self, now: Timestamp, id: &BackEndId) -> Option<Fault> {
+        if !self.engines.get(id).is_some_and(Engine::takes_work) {
+            return Some(Fault::Replaced);
+        }
+        self.announcements.backs_off_until(now, id).map(|_| Fault::Full)
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -217,11 +217,6 @@
         });
     }
 
-    /// Whether a back end may be given a request now: it is listed and takes work.
-    pub fn is_usable(&self, id: &BackEndId) -> bool {
-        self.engines.get(id).is_some_and(Engine::takes_work)
-    }
-
     /// A back end as it is listed.
     pub fn back_end(&self, id: &BackEndId) -> Option<&BackEnd> {
         self.engines.get(id).map(|engine| &engine.back_end)
@@ -325,6 +320,7 @@
             part.on_first_event(taken);
         }
         let (predicted, work_ahead) = (running.predicted, running.work_ahead);
+        self.announcements.on_served(&running.back_end, running.sent);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
         engine.heard = now;
         engine.own.prefill.remove(prefill);
@@ -356,6 +352,10 @@
             return false;
         };
         self.note_release_end(now, &running, outcome);
+        match outcome {
+            Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
+            Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
+        }
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return false };
         engine.own.remove(running.load);
         match outcome {
@@ -407,6 +407,7 @@
         let running = engine.load().running;
         engine.own.add(load);
         engine.warmup.on_sent(now);
+        self.announcements.on_sent(now, &id);
         if let Some(prompt) = &demand.prompt {
             engine.remember(prompt, now);
         }
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -15,11 +15,11 @@
 const MEMORY_PART: f64 = 0.92;
 /// Requests that a plain back end may have beyond its slots.
 const PLAIN_QUEUE: u32 = 2;
-/// Plain back ends with room among which a request's is chosen. The best of two drawn ones is nearly as good as the best of all where
+/// Drawn back ends with room among which a request's is chosen. The best of two drawn ones is nearly as good as the best of all where
 /// loads are known late; of this many of five zones, one is in the router's own zone 97 times in a hundred.
-const ENOUGH_PLAIN: usize = 16;
-/// Plain back ends looked at for one request. If one in six may serve it, none of this many does so once in a hundred thousand times.
-const MOST_PLAIN_LOOKS: usize = 64;
+const ENOUGH_DRAWN: usize = 16;
+/// Drawn back ends looked at for one request. If one in six may serve it, none of this many does so once in a hundred thousand times.
+const MOST_DRAWN_LOOKS: usize = 64;
 /// Cost up to which a prefix is cheap to prefill again.
 const CHEAP: f64 = 0.5;
 /// Tokens prefilled again for each token generated that cost as much as a back end whose slots are all taken. What
@@ -109,6 +109,7 @@
             && release.allows(&engine.back_end.version)
             && self.bears_more(now, engine)
             && !engine.health.is_paused(now)
+            && self.announcements.admits(now, &engine.back_end.id)
             && !engine.is_ended(now)
             && !demand.tried.contains(&engine.back_end.id)
     }
@@ -125,23 +126,47 @@
         engines.filter(move |engine| self.is_candidate(now, engine, demand, release))
     }
 
-    /// Plain back ends by their load. Of many, some are drawn, others each time: looking at all cost 0.24 ms a request before 643 of
-    /// them, and all routers met at the first one that they took for idle.
-    fn weigh_plain(
+    /// Engines drawn from all, for a prompt whose preferred engines all want no requests.
+    fn weigh_drawn(
         &self,
         now: Timestamp,
         demand: &Demand,
-        release: &ReleaseChoice,
+        prompt: &Prompt,
+        terms: &Terms,
     ) -> Vec<Weighed> {
+        let candidates = self.drawn_candidates(now, demand, &terms.release);
+        let fit =
+            candidates.filter_map(|engine| self.weigh_if_fit(now, engine, demand, prompt, terms));
+        fit.take(ENOUGH_DRAWN).collect()
+    }
+
+    /// Back ends that may serve a demand, from a drawn one on, as many as are looked at for one request.
+    fn drawn_candidates(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        release: &ReleaseChoice,
+    ) -> impl Iterator<Item = &Engine> {
         let ready = self.engines.ready(&demand.service);
         let first =
             mixed_hash(now.as_micros(), self.fleet.tiebreak()) as usize % ready.len().max(1);
         let (earlier, later) = ready.split_at(first);
-        let drawn = later.iter().chain(earlier).take(MOST_PLAIN_LOOKS);
+        let drawn = later.iter().chain(earlier).take(MOST_DRAWN_LOOKS);
         let engines = drawn.filter_map(|ready| self.engines.get(&ready.id));
-        let candidates = engines.filter(|engine| self.is_candidate(now, engine, demand, release));
+        engines.filter(move |engine| self.is_candidate(now, engine, demand, release))
+    }
+
+    /// Plain back ends by their load. Of many, some are drawn, others each time: looking at all cost 0.24 ms a request before 643 of
+    /// them, and all routers met at the first one that they took for idle.
+    fn weigh_plain(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        release: &ReleaseChoice,
+    ) -> Vec<Weighed> {
+        let candidates = self.drawn_candidates(now, demand, release);
         let with_room = candidates.filter_map(|engine| self.weigh_if_plain_room(now, engine));
-        with_room.take(ENOUGH_PLAIN).collect()
+        with_room.take(ENOUGH_DRAWN).collect()
     }
 
     /// A plain back end, if it has room.
@@ -197,8 +222,10 @@
         let held_cold = self.held_cold_engines(now, &demand.service);
         let is_cheap = cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP;
         let waited = now.since(demand.arrived);
+        let backs_off = |id| self.announcements.backs_off_until(now, id).is_some();
         let waits_for_locality = !is_cheap
             && demand.tried.is_empty()
+            && !preferred.iter().any(backs_off)
             && waited < demand.objective.mul_f64(policy.locality_wait);
         let ranks =
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
@@ -207,6 +234,9 @@
             self.is_candidate(now, engine, demand, &terms.release).then_some(engine)
         };
         let ranked = preferred.iter().filter_map(candidate).take(ranks).enumerate();
+        if !preferred.is_empty() && preferred.iter().all(backs_off) {
+            return self.weigh_drawn(now, demand, prompt, terms);
+        }
         let elsewhere = held_cold.iter().filter(|id| is_cheap && !preferred.contains(id));
         let cold = elsewhere.filter_map(candidate).map(|engine| (ranks, engine));
         let mut weighed = Vec::new();
--- a/crates/routing/tests/announcements.rs
+++ b/crates/routing/tests/announcements.rs
@@ -4,13 +4,13 @@
 
 use mastbay_routing::{
     Admission, BackEnd, BackEndDirectory, BackEndId, BackEndList, BackEndState, Dispatcher,
-    EvacuatedZones, Revision, UsableChanges,
+    EvacuatedZones, Fault, Placement, Revision, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use support::{PLAIN, at, back_end, demand, dispatcher};
+use support::{PLAIN, at, back_end, demand, dispatcher, prompt};
 
 const NAMES: [&str; 4] = ["e0", "e1", "e2", "e3"];
 const LIVES: u8 = 3;
@@ -24,6 +24,8 @@
     List { entries: Vec<(u8, u8, bool)>, is_later_era: bool, is_recovering: bool },
     /// An answer of a life says that it ends soon.
     Draining { name: u8, life: u8 },
+    /// A life turns a request away and wants no more for some tenths of a second.
+    Backoff { name: u8, life: u8, tenths: u8 },
     /// The zone of all back ends is evacuated, or no longer.
     Evacuation { is_evacuated: bool },
     /// Time passes.
@@ -32,14 +34,19 @@
 
 impl Arbitrary for Heard {
     fn arbitrary(random: &mut Gen) -> Self {
-        match u8::arbitrary(random) % 8 {
+        match u8::arbitrary(random) % 9 {
             0..=3 => Heard::List {
                 entries: Vec::arbitrary(random),
                 is_later_era: u8::arbitrary(random).is_multiple_of(4),
                 is_recovering: bool::arbitrary(random),
             },
             4 | 5 => Heard::Draining { name: u8::arbitrary(random), life: u8::arbitrary(random) },
-            6 => Heard::Evacuation { is_evacuated: bool::arbitrary(random) },
+            6 => Heard::Backoff {
+                name: u8::arbitrary(random),
+                life: u8::arbitrary(random),
+                tenths: u8::arbitrary(random) % 40,
+            },
+            7 => Heard::Evacuation { is_evacuated: bool::arbitrary(random) },
             _ => Heard::Silence,
         }
     }
@@ -84,6 +91,10 @@
             Heard::Draining { name, life } => {
                 self.dispatcher.on_draining(now, &id(*name, *life));
             }
+            Heard::Backoff { name, life, tenths } => {
+                let backoff = Duration::from_millis(u64::from(*tenths) * 100);
+                self.dispatcher.on_backoff(now, &id(*name, *life), backoff);
+            }
             Heard::Evacuation { is_evacuated } => {
                 let zones = if *is_evacuated { vec!["a".to_owned()] } else { Vec::new() };
                 let revision = self.revision;
@@ -117,6 +128,28 @@
 }
 
 quickcheck! {
+    /// No list, lapsed and listed entry, restored source or evacuation shortens a backoff.
+    fn a_life_that_wants_no_requests_is_not_chosen(heard: Vec<Heard>) -> TestResult {
+        let mut router = Router::new();
+        let mut until = BTreeMap::new();
+        let mut now = at(0);
+        for one in &heard {
+            now = now + STEP;
+            router.hear(now, one);
+            if let Heard::Backoff { name, life, tenths } = one {
+                let over = now + Duration::from_millis(u64::from(*tenths) * 100);
+                let known = until.entry(id(*name, *life)).or_insert(over);
+                *known = over.max(*known);
+            }
+            let chosen = router.choices(now, 6);
+            let is_early = |id: &BackEndId| until.get(id).is_some_and(|until| now < *until);
+            if chosen.iter().any(is_early) {
+                return TestResult::error(format!("{chosen:?} at {now:?} of {until:?}"));
+            }
+        }
+        TestResult::passed()
+    }
+
     /// No list, lapsed and listed entry, restored source or evacuation brings a life back into use that said that it ends.
     fn a_life_that_said_it_drains_is_never_chosen_again(heard: Vec<Heard>) -> TestResult {
         let mut router = Router::new();
@@ -152,3 +185,92 @@
     router.hear(at(300), &list(1));
     assert_eq!(router.choices(at(400), 1), [id(0, 1)]);
 }
+
+/// The time that a back end asked for.
+const BACKOFF: Duration = Duration::from_secs(3);
+
+/// A router before engines that hold a prompt, of which the first asks for a backoff.
+fn after_backoff_of_first(engines: usize) -> Dispatcher {
+    let mut router = dispatcher(1, engines, 8);
+    assert!(router.on_backoff(at(0), &BackEndId::from("e0"), BACKOFF));
+    router
+}
+
+fn place(router: &mut Dispatcher, now: Timestamp, own: u64) -> Option<Placement> {
+    match router.admit(now, demand(now, Some(prompt(1, own, 10)), "t"), 0.5) {
+        Admission::Placed(placement) => Some(placement),
+        Admission::Waiting(ticket) => {
+            router.on_end(now, ticket, Err(None));
+            None
+        }
+        Admission::Refused(_) => None,
+    }
+}
+
+#[test]
+fn after_a_backoff_one_request_is_sent_until_it_is_answered() {
+    let mut router = after_backoff_of_first(1);
+    assert!(place(&mut router, at(2_999), 1).is_none());
+    let probe = place(&mut router, at(3_000), 2).expect("the first one");
+    assert!(place(&mut router, at(3_001), 3).is_none());
+    router.on_end(at(3_050), probe.ticket, Err(Some(Fault::Full)));
+    let probe = place(&mut router, at(3_200), 4).expect("the next one");
+    assert!(place(&mut router, at(3_201), 5).is_none());
+    router.on_first_event(at(3_250), probe.ticket);
+    let served = (6..12).filter_map(|own| place(&mut router, at(3_251), own)).count();
+    assert_eq!(served, 6);
+}
+
+#[test]
+fn a_request_without_an_answer_holds_the_others_up_for_a_second() {
+    let mut router = after_backoff_of_first(1);
+    assert!(place(&mut router, at(3_000), 1).is_some());
+    assert!(place(&mut router, at(3_999), 2).is_none());
+    assert!(place(&mut router, at(4_000), 3).is_some());
+}
+
+/// What was answered had been sent before the back end asked for the time.
+#[test]
+fn an_earlier_request_that_is_answered_does_not_end_a_backoff() {
+    let mut router = dispatcher(1, 1, 8);
+    let earlier = place(&mut router, at(0), 1).expect("placed");
+    router.on_backoff(at(10), &BackEndId::from("e0"), BACKOFF);
+    router.on_first_event(at(500), earlier.ticket);
+    router.on_end(at(900), earlier.ticket, Ok(()));
+    assert!(place(&mut router, at(1_000), 2).is_none());
+}
+
+#[test]
+fn a_shorter_backoff_does_not_end_a_longer_one() {
+    let mut router = after_backoff_of_first(1);
+    assert!(!router.on_backoff(at(100), &BackEndId::from("e0"), Duration::from_millis(50)));
+    assert!(place(&mut router, at(2_900), 1).is_none());
+    assert_eq!(router.fault_before_send(at(2_900), &BackEndId::from("e0")), Some(Fault::Full));
+    assert_eq!(router.fault_before_send(at(3_000), &BackEndId::from("e0")), None);
+}
+
+/// Twelve routers were all told the same second by one engine, and have callers that wait.
+#[test]
+fn routers_do_not_rush_to_an_engine_after_its_backoff() {
+    let sent: usize = (1..=12)
+        .map(|host| {
+            let mut router = dispatcher(host, 1, 8);
+            router.on_backoff(at(0), &BackEndId::from("e0"), BACKOFF);
+            (0..8).filter_map(|own| place(&mut router, at(3_000), own)).count()
+        })
+        .sum();
+    assert_eq!(sent, 12);
+}
+
+/// The engines that come first for a prompt's prefix all want none: it is read again elsewhere, at once.
+#[test]
+fn a_prompt_is_served_where_none_of_its_preferred_engines_wants_requests() {
+    let mut router = dispatcher(1, 12, 8);
+    let mut asked = BTreeSet::new();
+    for own in 0..11 {
+        let placed = place(&mut router, at(100 * own), own).expect("others serve");
+        assert!(asked.insert(placed.back_end.id.clone()), "{:?} again", placed.back_end.id);
+        router.on_backoff(at(100 * own), &placed.back_end.id, Duration::from_secs(60));
+        router.on_end(at(100 * own), placed.ticket, Err(Some(Fault::Full)));
+    }
+}
--- a/crates/routing/tests/dispatcher.rs
+++ b/crates/routing/tests/dispatcher.rs
@@ -113,7 +113,8 @@
         assert_eq!(placement.back_end.id, BackEndId::from("e1"));
     }
     assert!(place(&mut dispatcher, at(0), 9, 9).is_none());
-    assert!(!dispatcher.is_usable(&BackEndId::from("e0")));
+    let fault = dispatcher.fault_before_send(at(0), &BackEndId::from("e0"));
+    assert_eq!(fault, Some(Fault::Replaced));
 }
 
 #[test]
--- a/crates/routing/tests/evacuation.rs
+++ b/crates/routing/tests/evacuation.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, BackEndId, BackEndList, Dispatcher, EvacuatedZones, RefusalReason,
+    Admission, BackEndId, BackEndList, Dispatcher, EvacuatedZones, Fault, RefusalReason,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -66,7 +66,8 @@
     assert_eq!(zones_of(&during), BTreeSet::from(["a", "c"]));
     let moved = before.iter().zip(&during).filter(|(before, during)| before != during);
     assert!(moved.clone().all(|(before, _)| before.name.starts_with('b')), "only what must moves");
-    assert!(!router.is_usable(&BackEndId::from("b0")));
+    let fault = router.fault_before_send(at(2_000), &BackEndId::from("b0"));
+    assert_eq!(fault, Some(Fault::Replaced));
     router.on_evacuations(&evacuated(6, &[]));
     assert_eq!(places(&mut router, 3_000), before);
 }
