A caller whom no back end may serve is told when the first of them takes requests again, and at once

Cause: the time told after refusals is fixed, and a request waits for room whatever is known of when there may be some. Now the first end of a backoff among the back ends that may serve it decides: beyond the hold time the request is refused at once (reason=backing_off), and the time told is the one that is left and up to a quarter of it more (0.1 to 1 s), drawn, so that callers don't come together. Tests: announcements.rs of router (red before) and routing.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -226,7 +226,10 @@
     }
 
     fn give_up(&self, reason: &'static str) -> Ended {
-        self.told(REJECTED_PAUSE, reason)
+        let now = self.router.now();
+        let dispatcher = self.router.dispatcher.borrow();
+        let until = dispatcher.until_backoff_ends(now, &self.call.demand(), rand::random());
+        self.told(until.unwrap_or(REJECTED_PAUSE), reason)
     }
 
     /// What the caller is told of a request that goes to no further back end.
--- a/crates/router/tests/announcements.rs
+++ b/crates/router/tests/announcements.rs
@@ -116,3 +116,26 @@
         });
     }
 }
+
+/// Where all that may serve a request want none, its caller is told when the first of them takes requests again, also the one whose request
+/// met the refusal.
+#[test]
+fn a_caller_whom_nobody_may_serve_is_told_when_to_come_back() {
+    run(async |runtime| {
+        let refusal = || vec![backoff_refusal(NOT_RUN)];
+        let first = ScriptedBackEnd::start(runtime, "b1", refusal()).await;
+        let second = ScriptedBackEnd::start(runtime, "b2", refusal()).await;
+        let third = ScriptedBackEnd::start(runtime, "b3", refusal()).await;
+        let bed = Bed::start(runtime, &[&first, &second, &third]).await;
+        let mut answers = vec![bed.call(&Request::new("/safe/x")).await];
+        let said = Instant::now();
+        answers.push(bed.call(&Request::new("/safe/x")).await);
+        let left = BACKOFF.saturating_sub(said.elapsed()).as_secs_f64();
+        assert_eq!(first.arrivals() + second.arrivals() + third.arrivals(), 3);
+        for answer in answers {
+            assert_eq!(answer.header("mastbay-outcome").as_deref(), Some("not-run"));
+            let told = answer.header("retry-after").and_then(|told| told.parse::<f64>().ok());
+            assert!(told.is_some_and(|told| told >= left), "{told:?} of {left}");
+        }
+    });
+}
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -12,6 +12,12 @@
 const MOST_FAILED_PLACEMENTS: usize = 64;
 /// Longest time that a refused caller is told to stay away.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_millis(2_500);
+/// Time over which callers come back after a backoff, as a part of what was left of it.
+const RETURN_SPREAD: f64 = 0.25;
+/// Least such time.
+const LEAST_SPREAD: Duration = Duration::from_millis(100);
+/// Longest such time.
+const LONGEST_SPREAD: Duration = Duration::from_secs(1);
 /// Callers follow the time to come back only up to this part of the time that they have left.
 const RETRY_AFTER_PART: f64 = 0.3;
 
@@ -31,7 +37,7 @@
             return Admission::Placed(placement);
         }
         // Held and then refused would be worse: without a back end no time makes room.
-        if let Some(reason) = self.unservable(&demand) {
+        if let Some(reason) = self.unservable(now, &demand) {
             return Admission::Refused(self.refusal(now, &demand, reason, draw));
         }
         if !privileged && self.share_class(now, &demand) == ShareClass::AboveShare {
@@ -97,7 +103,8 @@
                 Some(placement) => Ok(placement),
                 None => {
                     self.note_missed(now, &waiter.demand);
-                    let reason = self.unservable(&waiter.demand).unwrap_or(RefusalReason::NoRoom);
+                    let reason = self.unservable(now, &waiter.demand);
+                    let reason = reason.unwrap_or(RefusalReason::NoRoom);
                     Err(self.refusal(now, &waiter.demand, reason, draw))
                 }
             };
@@ -113,10 +120,24 @@
         draw: f64,
     ) -> Refusal {
         let left = demand.deadline.since(now).mul_f64(RETRY_AFTER_PART);
-        let retry_after = left.min(LONGEST_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw);
+        let usual = left.min(LONGEST_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw);
+        let retry_after = self.until_backoff_ends(now, demand, draw).unwrap_or(usual);
         Refusal { reason, retry_after, considered: self.consider(now, demand) }
     }
 
+    /// Time until a back end that may serve a demand takes requests again, if all of them want none now: the first moment for callers to
+    /// come back, and some time after it, so that they don't come together. `draw` is uniform in 0..1.
+    pub fn until_backoff_ends(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        draw: f64,
+    ) -> Option<Duration> {
+        let left = self.first_after_backoff(now, demand)?.since(now);
+        let spread = left.mul_f64(RETURN_SPREAD).clamp(LEAST_SPREAD, LONGEST_SPREAD);
+        Some(left + spread.mul_f64(draw))
+    }
+
     fn consider(&mut self, now: Timestamp, demand: &Demand) -> Option<Considered> {
         let shares = self.shares(now);
         let tenant = demand.tenant.as_deref().unwrap_or_default();
@@ -137,16 +158,37 @@
         })
     }
 
-    /// Why no time would make room for a request, if that is so.
-    fn unservable(&self, demand: &Demand) -> Option<RefusalReason> {
-        let ready = self.engines.ready(&demand.service);
-        if ready.is_empty() {
+    /// Why no time for which a request may wait would make room for it, if that is so.
+    fn unservable(&self, now: Timestamp, demand: &Demand) -> Option<RefusalReason> {
+        if self.engines.ready(&demand.service).is_empty() {
             return Some(RefusalReason::NoBackEnd);
         }
-        let mut engines = ready.iter().filter_map(|ready| self.engines.get(&ready.id));
-        let is_allowed = |engine: &Engine| demand.regions.allow(engine.region.as_deref());
-        let is_servable = demand.regions.are_all() || engines.any(is_allowed);
-        (!is_servable).then_some(RefusalReason::NoBackEndInRegion)
+        let is_servable = demand.regions.are_all() || self.allowed(demand).next().is_some();
+        if !is_servable {
+            return Some(RefusalReason::NoBackEndInRegion);
+        }
+        let first = self.first_after_backoff(now, demand)?;
+        (first > self.hold_until(demand)).then_some(RefusalReason::BackingOff)
+    }
+
+    /// The back ends that take work and may serve a demand where they are.
+    fn allowed(&self, demand: &Demand) -> impl Iterator<Item = &Engine> {
+        let ready = self.engines.ready(&demand.service).iter();
+        let engines = ready.filter_map(|ready| self.engines.get(&ready.id));
+        engines.filter(|engine| demand.regions.allow(engine.region.as_deref()))
+    }
+
+    /// When the first back end that may serve a demand takes requests again, if all of them want none now.
+    fn first_after_backoff(&self, now: Timestamp, demand: &Demand) -> Option<Timestamp> {
+        if self.backing_off(now) == 0 {
+            return None;
+        }
+        let mut first = None;
+        for engine in self.allowed(demand) {
+            let until = self.announcements.backs_off_until(now, &engine.back_end.id)?;
+            first = Some(first.map_or(until, |first: Timestamp| first.min(until)));
+        }
+        first
     }
 
     /// Until when a request waits: a part of its objective; one that was tried before, the whole.
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -148,6 +148,8 @@
     NoBackEnd,
     /// None takes work in the regions where the request may be served.
     NoBackEndInRegion,
+    /// All back ends that may serve it want no requests, for longer than it may wait.
+    BackingOff,
     /// No back end has room now, and the tenant has more than the fair level.
     OverShare,
     /// No back end has room in time.
@@ -164,6 +166,7 @@
         match self {
             Self::NoBackEnd => "no_back_end",
             Self::NoBackEndInRegion => "no_back_end_in_region",
+            Self::BackingOff => "backing_off",
             Self::OverShare => "over_share",
             Self::NoRoom => "no_room",
             Self::Stopping => "stopping",
--- a/crates/routing/tests/announcements.rs
+++ b/crates/routing/tests/announcements.rs
@@ -4,7 +4,7 @@
 
 use mastbay_routing::{
     Admission, BackEnd, BackEndDirectory, BackEndId, BackEndList, BackEndState, Dispatcher,
-    EvacuatedZones, Fault, Placement, Revision, UsableChanges,
+    EvacuatedZones, Fault, Placement, Refusal, RefusalReason, Revision, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
@@ -274,3 +274,42 @@
         router.on_end(at(100 * own), placed.ticket, Err(Some(Fault::Full)));
     }
 }
+
+fn refusal(router: &mut Dispatcher, now: Timestamp, draw: f64) -> Option<Refusal> {
+    match router.admit(now, demand(now, Some(prompt(1, 1, 10)), "t"), draw) {
+        Admission::Refused(refusal) => Some(refusal),
+        Admission::Waiting(ticket) => {
+            router.on_end(now, ticket, Err(None));
+            None
+        }
+        Admission::Placed(placement) => panic!("placed: {placement:?}"),
+    }
+}
+
+/// All want no requests for longer than one may wait: it is refused at once, and told when the first of them takes requests again, some
+/// callers a little later than others.
+#[test]
+fn a_request_that_none_takes_in_time_is_refused_at_once() {
+    let mut router = after_backoff_of_first(2);
+    router.on_backoff(at(0), &BackEndId::from("e1"), BACKOFF * 2);
+    let mut told = BTreeSet::new();
+    for draw in [0.0, 0.3, 0.6, 0.99] {
+        let refusal = refusal(&mut router, at(1_000), draw).expect("refused");
+        assert_eq!(refusal.reason, RefusalReason::BackingOff);
+        assert!(refusal.retry_after >= Duration::from_secs(2), "{refusal:?}");
+        assert!(refusal.retry_after <= BACKOFF, "{refusal:?}");
+        told.insert(refusal.retry_after);
+    }
+    assert_eq!(told.len(), 4);
+    // A tenth of a second before the first is back, it is worth the wait.
+    assert_eq!(refusal(&mut router, at(2_950), 0.5), None);
+}
+
+/// One that takes requests and has no room now may have some soon.
+#[test]
+fn a_request_waits_where_one_back_end_takes_requests() {
+    let mut router = after_backoff_of_first(2);
+    while place(&mut router, at(1_000), 1).is_some() {}
+    let waits = refusal(&mut router, at(1_000), 0.5);
+    assert!(waits.is_none_or(|refusal| refusal.reason != RefusalReason::BackingOff));
+}
