--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod figures;
 mod fingerprint;
 mod first_event;
+mod gossip;
 mod health;
 mod lapsed;
 mod lives;
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -13,11 +13,11 @@
 
 use crate::figures::EngineKey;
 use crate::fingerprint::RequestFingerprint;
+use crate::gossip::{GossipQueue, TELLINGS};
 use mastbay_types::Timestamp;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 use suspicion::{End, Suspicion};
-use telling::{News, TELLINGS};
 
 /// Settings of a [`Quarantine`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,7 +42,8 @@
 pub struct Quarantine {
     limits: QuarantineLimits,
     requests: HashMap<RequestFingerprint, Suspicion>,
-    news: VecDeque<News>,
+    /// Ends that are still to be told to others.
+    news: GossipQueue<(RequestFingerprint, EngineKey)>,
     round: u64,
     reminded: usize,
 }
@@ -106,7 +107,7 @@
         let news = &mut self.news;
         for (back_end, end) in suspicion.ends.iter_mut().filter(|(_, end)| !end.is_cleared) {
             end.is_cleared = true;
-            news.push_back(News { request, back_end: *back_end, tellings_left: TELLINGS });
+            news.push((request, *back_end), TELLINGS);
         }
     }
 
@@ -175,7 +176,7 @@
         let known = suspicion.ends.get(&back_end).copied();
         if known.is_some_and(|known| known.is_cleared && !end.is_cleared) {
             // Whoever tells this has missed that it was cleared.
-            self.news.push_back(News { request, back_end, tellings_left: 1 });
+            self.news.push((request, back_end), 1);
             return None;
         }
         if known.is_some_and(|known| known.is_cleared == end.is_cleared) {
@@ -183,9 +184,7 @@
         }
         let until = known.map_or(end.until, |known| known.until);
         suspicion.ends.insert(back_end, End { until, ..end });
-        if tellings > 0 {
-            self.news.push_back(News { request, back_end, tellings_left: tellings });
-        }
+        self.news.push((request, back_end), tellings);
         let quarantined = self.as_quarantined(now, request, self.requests.get(&request)?)?;
         if let Some(suspicion) = self.requests.get_mut(&request).filter(|_| !end.is_cleared) {
             suspicion.since = Some(now);
--- a/crates/routing/src/quarantine/telling.rs
+++ b/crates/routing/src/quarantine/telling.rs
@@ -5,9 +5,6 @@
 use crate::fingerprint::RequestFingerprint;
 use mastbay_types::Timestamp;
 
-/// Rounds in which a report is told. With three targets a round and as many rounds, one router of a large fleet misses a report once in
-/// 8,000 times, and hears the next end's all the same.
-pub const TELLINGS: u32 = 3;
 /// Reports in one message; each takes some 40 bytes.
 const REPORTS_PER_MESSAGE: usize = 128;
 /// Rounds between two messages that tell of quarantined requests again, to whoever missed them or started since.
@@ -15,32 +12,14 @@
 /// Quarantined requests in one such message.
 const REQUESTS_PER_REMINDER: usize = 24;
 
-/// A report that is still to be told.
-#[derive(Debug)]
-pub struct News {
-    /// The request.
-    pub request: RequestFingerprint,
-    /// The life that ended.
-    pub back_end: EngineKey,
-    /// Rounds in which it is told on.
-    pub tellings_left: u32,
-}
-
 impl Quarantine {
     /// What this router tells others in one round; often nothing.
     pub fn next_reports(&mut self, now: Timestamp) -> Vec<EndReport> {
         self.round += 1;
-        let mut reports = Vec::new();
-        let due = self.news.len().min(REPORTS_PER_MESSAGE);
-        for _ in 0..due {
-            let Some(mut news) = self.news.pop_front() else { break };
-            reports.extend(self.report(now, news.request, news.back_end));
-            news.tellings_left -= 1;
-            if news.tellings_left > 0 {
-                self.news.push_back(news);
-            }
-        }
-        reports
+        let due = self.news.next_round(REPORTS_PER_MESSAGE);
+        due.into_iter()
+            .filter_map(|(request, back_end)| self.report(now, request, back_end))
+            .collect()
     }
 
     /// What reminds others of requests that are quarantined; nothing in most rounds.
