Routers tell each other of back ends that said in an answer that they end soon

While the source is silent each router found out by an answer of its own: at size most send on until the back end ends, and what is under way there then breaks. It is true for all, so it is news: told for three rounds, to all of a small fleet, to three drawn peers of a large one that tell on, and to routers that come later. A backoff is asked of one router and is not told.

--- a/crates/router/src/back_end_notices.rs
+++ b/crates/router/src/back_end_notices.rs
@@ -6,6 +6,7 @@
 use crate::router::Router;
 use hyper::http;
 use mastbay_routing::BackEndId;
+use std::net::SocketAddr;
 
 /// Takes what the head of an answer says of the back end that gave it.
 pub fn take(router: &Router, call: &Call, id: &BackEndId, head: &http::response::Parts) {
@@ -15,8 +16,9 @@
     }
     let now = router.now();
     if notice.is_draining && router.dispatcher.borrow_mut().on_draining(now, id) {
-        events::back_end_draining(id, &call.head.request_id);
+        events::back_end_draining(id, Some(&call.head.request_id), "own");
         router.metrics.on_back_end_draining();
+        router.news.give();
     }
     match notice.retry_after {
         RetryAfter::Absent => {}
@@ -31,3 +33,13 @@
         }
     }
 }
+
+/// Another router tells of back ends that said that they end soon.
+pub fn take_told(router: &Router, told: &[BackEndId], sender: SocketAddr) {
+    let now = router.now();
+    for id in told {
+        if router.dispatcher.borrow_mut().on_draining_told(now, id) {
+            events::back_end_draining(id, None, &sender.to_string());
+        }
+    }
+}
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -155,13 +155,14 @@
     );
 }
 
-/// A back end said for the first time, in its answer to a request, that it ends soon.
-pub fn back_end_draining(back_end: &BackEndId, request_id: &str) {
+/// A back end said in its answer to a request that it ends soon; `source` is who was told so (`own`, or another router).
+pub fn back_end_draining(back_end: &BackEndId, request_id: Option<&str>, source: &str) {
     tracing::info!(
         event = "back_end_draining",
         back_end = %back_end,
         name = %EngineKey::from(back_end),
         request = request_id,
+        source,
     );
 }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,5 +1,6 @@
 //! Messages to and from peers, by datagrams, and snapshots fetched from a peer that knows more.
 
+use crate::back_end_notices;
 use crate::catalogue::Snapshot;
 use crate::client::LocalClient;
 use crate::events;
@@ -108,6 +109,9 @@
     if let PeerMessage::Ends(reports) = &message {
         return quarantine::take_reports(router, reports, sender);
     }
+    if let PeerMessage::Draining(told) = &message {
+        return back_end_notices::take_told(router, told, sender);
+    }
     let passed_on = router.dispatcher.borrow().passed_on(&message);
     if let Some(Outgoing { message, targets }) = passed_on {
         send(socket, &message, &targets).await;
@@ -119,7 +123,8 @@
         let greeting = router.dispatcher.borrow_mut().greeting(router.standing());
         send(socket, &PeerMessage::Digest(greeting), &[new_peer.address]).await;
     }
-    if let Some(message) = quarantine::message_for_newcomer(router) {
+    let draining = router.dispatcher.borrow().draining_for_newcomer();
+    for message in quarantine::message_for_newcomer(router).into_iter().chain(draining) {
         send(socket, &message, &[new_peer.address]).await;
     }
 }
--- a/crates/routing/src/announcements.rs
+++ b/crates/routing/src/announcements.rs
@@ -1,4 +1,4 @@
-//! What back ends said of themselves in their answers to this router: that they end soon, or that they want no requests for a while.
+//! What back ends said of themselves in their answers: that they end soon, or that they want no requests for a while.
 //!
 //! Either holds for one life of a back end, whatever lists and peers tell of it before or after.
 
@@ -62,6 +62,11 @@
         BackEnd { state: BackEndState::Draining, ..back_end }
     }
 
+    /// The back ends that said that they end soon, also those that have ended since.
+    pub fn draining(&self) -> impl Iterator<Item = &BackEndId> {
+        self.draining.keys()
+    }
+
     /// A back end wants no requests for a while. Gives whether it did not already.
     pub fn on_backoff(&mut self, now: Timestamp, id: &BackEndId, backoff: Duration) -> bool {
         self.backoffs.retain(|_, known| now.since(known.until) < BACKOFF_REMEMBERED);
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -1,5 +1,6 @@
 //! What routers tell each other.
 
+use crate::back_end::BackEndId;
 use crate::figures::Figures;
 use crate::quarantine::EndReport;
 use crate::revision::Revision;
@@ -121,6 +122,8 @@
     SumForZone(Sum),
     /// Back ends that ended under requests.
     Ends(Vec<EndReport>),
+    /// Back ends that said in answers that they end soon.
+    Draining(Vec<BackEndId>),
 }
 
 /// A message and who it goes to.
--- a/crates/routing/src/dispatch/announced.rs
+++ b/crates/routing/src/dispatch/announced.rs
@@ -2,18 +2,56 @@
 
 use super::Dispatcher;
 use crate::back_end::BackEndId;
+use crate::digest::{Outgoing, PeerMessage};
 use crate::engine::Engine;
+use crate::gossip::TELLINGS;
 use crate::health::Fault;
-use mastbay_types::Timestamp;
+use crate::quarantine::Relaying;
+use mastbay_types::{Timestamp, mixed_hash};
 use std::time::Duration;
 
+/// Back ends named in one message; each takes some 30 bytes.
+const MOST_PER_MESSAGE: usize = 128;
+
 impl Dispatcher {
-    /// A back end said in an answer that it ends soon. Gives whether that is new.
+    /// A back end said in an answer to this router that it ends soon. Gives whether that is new. The other routers are told.
     pub fn on_draining(&mut self, now: Timestamp, id: &BackEndId) -> bool {
+        self.take_draining(now, id, TELLINGS)
+    }
+
+    /// Another router tells of a back end that said so. Gives whether that is new.
+    pub fn on_draining_told(&mut self, now: Timestamp, id: &BackEndId) -> bool {
+        let tellings = if self.relaying() == Relaying::All { TELLINGS } else { 0 };
+        self.take_draining(now, id, tellings)
+    }
+
+    /// What a router must know that has just come: the listed back ends that said that they end soon, as many as one message holds.
+    pub fn draining_for_newcomer(&self) -> Option<PeerMessage> {
+        let draining = self.announcements.draining();
+        let listed = draining.filter(|id| self.engines.get(id).is_some());
+        let told: Vec<BackEndId> = listed.take(MOST_PER_MESSAGE).cloned().collect();
+        (!told.is_empty()).then_some(PeerMessage::Draining(told))
+    }
+
+    /// What this router tells others in one round of back ends that said that they end soon; as a rule nothing.
+    pub(super) fn next_draining(&mut self, now: Timestamp) -> Option<Outgoing> {
+        let told = self.draining_news.next_round(MOST_PER_MESSAGE);
+        if told.is_empty() {
+            return None;
+        }
+        let draw = mixed_hash(now.as_micros(), self.fleet.tiebreak());
+        let targets = self.gossip_targets(draw);
+        Some(Outgoing { message: PeerMessage::Draining(told), targets })
+    }
+
+    fn take_draining(&mut self, now: Timestamp, id: &BackEndId, tellings: u32) -> bool {
         let is_new = self.announcements.on_draining(now, id);
         if let Some(back_end) = self.back_end(id).filter(|_| is_new).cloned() {
             self.set_back_ends(now, &[back_end]);
         }
+        if is_new {
+            self.draining_news.push(id.clone(), tellings);
+        }
         is_new
     }
 
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -18,7 +18,7 @@
 const STAND_IN_TURN: Duration = Duration::from_millis(200);
 /// Time for which a member that is answered follows the source before it looks whether others do.
 const STAND_IN: Duration = Duration::from_secs(5);
-/// Peers of a large fleet that are told of ends in a round. All of 295 routers know after 0.64 s what three of them saw, with a tenth of
+/// Peers of a large fleet that are told of ends, and of back ends that drain, in a round. All of 295 routers know after 0.64 s what three of them saw, with a tenth of
 /// the datagrams lost, and after 0.72 s with three tenths lost (virtual time, `tests/quarantine.rs`).
 const GOSSIP_TARGETS: u8 = 3;
 /// Time for which a member that is behind waits for a router of its zone to have what it lacks: its aggregator asks in other zones within
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -31,6 +31,7 @@
 use crate::figures::EngineKey;
 use crate::fingerprint::RequestFingerprint;
 use crate::first_event::{FirstEventEstimator, PrefillWork};
+use crate::gossip::GossipQueue;
 use crate::health::Fault;
 use crate::quarantine::{ProbeTurn, Relaying};
 use crate::revision::Revision;
@@ -87,6 +88,8 @@
     limits: DispatcherLimits,
     engines: Engines,
     announcements: Announcements,
+    /// Back ends that said that they end soon, of which others are still to be told.
+    draining_news: GossipQueue<BackEndId>,
     engine_limits: HashMap<String, EngineLimits>,
     capacity: Option<u64>,
     /// Requests a second that a cold back end of a service bears, where that is bounded.
@@ -119,6 +122,7 @@
             limits,
             engines: Engines::default(),
             announcements: Announcements::default(),
+            draining_news: GossipQueue::default(),
             engine_limits: HashMap::new(),
             capacity: None,
             cold_rates: HashMap::new(),
@@ -254,7 +258,7 @@
         self.fleet.role()
     }
 
-    /// Who is told of ends in a round: all peers of a small fleet, a few of a large one. `draw` is uniform.
+    /// Who is told of ends, and of back ends that drain, in a round: all peers of a small fleet, a few of a large one. `draw` is uniform.
     pub fn gossip_targets(&self, draw: u64) -> Vec<SocketAddr> {
         self.fleet.gossip_targets(draw)
     }
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -15,6 +15,12 @@
         match message {
             PeerMessage::Digest(digest) => self.on_digest(now, digest),
             PeerMessage::Sum(sum) | PeerMessage::SumForZone(sum) => self.on_sum(now, sum),
+            PeerMessage::Draining(told) => {
+                for id in &told {
+                    self.on_draining_told(now, id);
+                }
+                None
+            }
             PeerMessage::Ends(_) => None,
         }
     }
@@ -26,7 +32,10 @@
                 .fleet
                 .passed_on(&self.limits.zone, sum)
                 .filter(|passed_on| !passed_on.targets.is_empty()),
-            PeerMessage::Digest(_) | PeerMessage::Sum(_) | PeerMessage::Ends(_) => None,
+            PeerMessage::Digest(_)
+            | PeerMessage::Sum(_)
+            | PeerMessage::Ends(_)
+            | PeerMessage::Draining(_) => None,
         }
     }
 
@@ -78,7 +87,9 @@
                 ..Figures::default()
             }
         };
-        self.fleet.next_round(now, &own, figures, seeds)
+        let mut messages = self.fleet.next_round(now, &own, figures, seeds);
+        messages.extend(self.next_draining(now));
+        messages
     }
 
     /// The answer to a router that was not known before.
--- a/crates/routing/tests/announcements.rs
+++ b/crates/routing/tests/announcements.rs
@@ -10,6 +10,7 @@
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use support::fleet::{Fleet, address};
 use support::{PLAIN, at, back_end, demand, dispatcher, prompt};
 
 const NAMES: [&str; 4] = ["e0", "e1", "e2", "e3"];
@@ -22,7 +23,7 @@
 enum Heard {
     /// A list of the source: a life for each name that it holds, and whether it is ready. `later` begins an era.
     List { entries: Vec<(u8, u8, bool)>, is_later_era: bool, is_recovering: bool },
-    /// An answer of a life says that it ends soon.
+    /// A life says that it ends soon, in an answer or, if its name is odd, by another router.
     Draining { name: u8, life: u8 },
     /// A life turns a request away and wants no more for some tenths of a second.
     Backoff { name: u8, life: u8, tenths: u8 },
@@ -88,9 +89,12 @@
                 let changes = self.directory.apply(now, *is_recovering, list.into());
                 self.take(now, changes);
             }
-            Heard::Draining { name, life } => {
+            Heard::Draining { name, life } if name % 2 == 0 => {
                 self.dispatcher.on_draining(now, &id(*name, *life));
             }
+            Heard::Draining { name, life } => {
+                self.dispatcher.on_draining_told(now, &id(*name, *life));
+            }
             Heard::Backoff { name, life, tenths } => {
                 let backoff = Duration::from_millis(u64::from(*tenths) * 100);
                 self.dispatcher.on_backoff(now, &id(*name, *life), backoff);
@@ -313,3 +317,41 @@
     let waits = refusal(&mut router, at(1_000), 0.5);
     assert!(waits.is_none_or(|refusal| refusal.reason != RefusalReason::BackingOff));
 }
+
+/// Routers of a fleet that leave an engine alone.
+fn leave_alone(fleet: &Fleet, engine: &BackEndId) -> usize {
+    let now = fleet.now;
+    let routers = fleet.routers.values();
+    routers.filter(|router| router.fault_before_send(now, engine).is_some()).count()
+}
+
+/// One router's answer says that the engine ends; the others are spared requests that would break with it. Small fleets tell all, large
+/// ones a few that tell on; one datagram in 19 is lost.
+#[test]
+fn what_one_router_hears_of_an_engine_that_drains_all_know_within_a_second() {
+    for size in [2, 7, 62, 120] {
+        let mut fleet = Fleet::new(size);
+        fleet.rounds(40);
+        fleet.lost_one_in = 19;
+        let now = fleet.now;
+        let engine = BackEndId::from("e3");
+        let first = fleet.routers.get_mut(&address(size / 2)).expect("known");
+        assert!(first.on_draining(now, &engine));
+        assert!(!first.on_draining(now, &engine));
+        fleet.rounds(12);
+        assert_eq!(leave_alone(&fleet, &engine), size);
+    }
+}
+
+/// That an engine wants no requests for a while is asked of one router alone.
+#[test]
+fn a_backoff_is_not_told() {
+    let mut fleet = Fleet::new(7);
+    fleet.rounds(10);
+    let now = fleet.now;
+    let engine = BackEndId::from("e3");
+    let first = fleet.routers.get_mut(&address(1)).expect("known");
+    first.on_backoff(now, &engine, Duration::from_secs(60));
+    fleet.rounds(12);
+    assert_eq!(leave_alone(&fleet, &engine), 1);
+}
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -227,7 +227,10 @@
         let messages = router.next_round(now, Standing::Serving, &[address(1)]);
         let figures = messages.into_iter().find_map(|outgoing| match outgoing.message {
             PeerMessage::Digest(digest) => digest.figures,
-            PeerMessage::Sum(_) | PeerMessage::SumForZone(_) | PeerMessage::Ends(_) => None,
+            PeerMessage::Sum(_)
+            | PeerMessage::SumForZone(_)
+            | PeerMessage::Ends(_)
+            | PeerMessage::Draining(_) => None,
         });
         figures.is_some_and(|figures| figures.levels.is_some() && figures.tenants.is_some())
     };
--- a/crates/routing/tests/support/fleet.rs
+++ b/crates/routing/tests/support/fleet.rs
@@ -227,7 +227,10 @@
                 PeerMessage::Sum(sum) => {
                     sum.scope == SumScope::Fleet && !outgoing.targets.is_empty()
                 }
-                PeerMessage::Digest(_) | PeerMessage::SumForZone(_) | PeerMessage::Ends(_) => false,
+                PeerMessage::Digest(_)
+                | PeerMessage::SumForZone(_)
+                | PeerMessage::Ends(_)
+                | PeerMessage::Draining(_) => false,
             });
             found.extend(serves.then_some(*address));
         }
