A choice's line tells how many back ends were left out for what they said of themselves; a backoff of no time is none

Sight: request_ended tells draining and backing_off, for the operator who sees refusals and wonders where the capacity is. The count of those that drain is made when one says so or a list changes, not for each request.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,8 +6,8 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use mastbay_routing::{
-    AllowedRegions, Considered, Demand, Placement, Refusal, RequestFingerprint, RequestIdentity,
-    TableEntry,
+    AllowedRegions, Considered, Demand, LeftOutBackEnds, Placement, Refusal, RequestFingerprint,
+    RequestIdentity, TableEntry,
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
@@ -72,6 +72,8 @@
     pub sends: u32,
     /// What decided against it, if it was refused.
     pub considered: Option<Considered>,
+    /// Back ends that were not chosen from when it was placed last or refused.
+    pub left_out: LeftOutBackEnds,
     /// When its caller was told to come back.
     pub retry_after: Option<Duration>,
 }
@@ -103,6 +105,7 @@
         trace.limit = placement.limit;
         trace.uncached = placement.uncached;
         trace.age = placement.age;
+        trace.left_out = placement.left_out;
         trace.sends += 1;
     }
 
@@ -110,6 +113,7 @@
     pub fn note_refusal(&self, refusal: &Refusal) {
         let mut trace = self.trace.borrow_mut();
         trace.considered = refusal.considered.clone();
+        trace.left_out = refusal.left_out;
         trace.retry_after = Some(refusal.retry_after);
     }
 
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -54,6 +54,8 @@
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         uncached = trace.uncached,
         age_ms = milliseconds(trace.age),
+        draining = trace.left_out.draining,
+        backing_off = trace.left_out.backing_off,
         sends = trace.sends,
         fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
     );
@@ -85,6 +87,8 @@
         fair_level = considered.level.map(|level| level as u64),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         retry_after_ms = trace.retry_after.map_or(0, milliseconds),
+        draining = trace.left_out.draining,
+        backing_off = trace.left_out.backing_off,
         sends = trace.sends,
     );
 }
--- a/crates/routing/src/announcements.rs
+++ b/crates/routing/src/announcements.rs
@@ -69,12 +69,15 @@
 
     /// A back end wants no requests for a while. Gives whether it did not already.
     pub fn on_backoff(&mut self, now: Timestamp, id: &BackEndId, backoff: Duration) -> bool {
+        if backoff.is_zero() {
+            return false;
+        }
         self.backoffs.retain(|_, known| now.since(known.until) < BACKOFF_REMEMBERED);
         let until = now + backoff;
         let known = self.backoffs.get(id).map(|known| known.until);
         let until = known.map_or(until, |known| known.max(until));
         self.backoffs.insert(id.clone(), Backoff { until, probe: None });
-        known.is_none_or(|known| known <= now) && until > now
+        known.is_none_or(|known| known <= now)
     }
 
     /// Whether a back end may be chosen for a request now.
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -122,7 +122,8 @@
         let left = demand.deadline.since(now).mul_f64(RETRY_AFTER_PART);
         let usual = left.min(LONGEST_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw);
         let retry_after = self.until_backoff_ends(now, demand, draw).unwrap_or(usual);
-        Refusal { reason, retry_after, considered: self.consider(now, demand) }
+        let left_out = self.left_out(now, &demand.service);
+        Refusal { reason, retry_after, considered: self.consider(now, demand), left_out }
     }
 
     /// Time until a back end that may serve a demand takes requests again, if all of them want none now: the first moment for callers to
--- a/crates/routing/src/dispatch/announced.rs
+++ b/crates/routing/src/dispatch/announced.rs
@@ -1,6 +1,7 @@
 //! What back ends said of themselves in their answers.
 
 use super::Dispatcher;
+use super::messages::LeftOutBackEnds;
 use crate::back_end::BackEndId;
 use crate::digest::{Outgoing, PeerMessage};
 use crate::engine::Engine;
@@ -55,6 +56,27 @@
         is_new
     }
 
+    /// Counts the listed back ends of each service that said that they end soon. Done when one says so or lists change, not for each
+    /// request.
+    pub(super) fn count_draining(&mut self) {
+        self.draining_listed.clear();
+        for id in self.announcements.draining() {
+            let Some(engine) = self.engines.get(id) else { continue };
+            *self.draining_listed.entry(engine.back_end.service.clone()).or_default() += 1;
+        }
+    }
+
+    /// The back ends of a service that are in no choice now for what they said of themselves.
+    pub(super) fn left_out(&self, now: Timestamp, service: &str) -> LeftOutBackEnds {
+        let backing_off = self.announcements.backing_off(now);
+        let engines = backing_off.filter_map(|id| self.engines.get(id));
+        let of_service = engines.filter(|engine| engine.back_end.service == service);
+        LeftOutBackEnds {
+            draining: self.draining_listed.get(service).copied().unwrap_or_default(),
+            backing_off: of_service.count() as u32,
+        }
+    }
+
     /// A back end turned a request away and wants no more of this router for a while. Gives whether it did not already.
     pub fn on_backoff(&mut self, now: Timestamp, id: &BackEndId, backoff: Duration) -> bool {
         self.announcements.on_backoff(now, id, backoff)
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -80,6 +80,15 @@
     }
 }
 
+/// How many back ends of a service were in no choice for what they said of themselves in answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LeftOutBackEnds {
+    /// They end soon.
+    pub draining: u32,
+    /// They want no requests of this router for a while.
+    pub backing_off: u32,
+}
+
 /// A back end chosen for a request.
 #[derive(Debug, Clone)]
 pub struct Placement {
@@ -97,6 +106,8 @@
     pub uncached: u64,
     /// Age of the oldest figure that was used, zero if there are no peers.
     pub age: Duration,
+    /// Back ends of the service that were not chosen from.
+    pub left_out: LeftOutBackEnds,
 }
 
 /// A request that is not served now.
@@ -108,6 +119,8 @@
     pub retry_after: Duration,
     /// What was known, if any back end came into question.
     pub considered: Option<Considered>,
+    /// Back ends of the service that were not chosen from.
+    pub left_out: LeftOutBackEnds,
 }
 
 /// What decided against a request: its first back end as it was known, and its tenant's share.
@@ -136,7 +149,12 @@
 impl Refusal {
     /// The router stops before the request had its turn.
     pub fn stopping() -> Self {
-        Self { reason: RefusalReason::Stopping, retry_after: Duration::ZERO, considered: None }
+        Self {
+            reason: RefusalReason::Stopping,
+            retry_after: Duration::ZERO,
+            considered: None,
+            left_out: LeftOutBackEnds::default(),
+        }
     }
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -55,8 +55,8 @@
 pub use aggregation::Role;
 pub use fleet::{HEAVIEST_TENANTS, NewPeer, ROUND_PERIOD};
 pub use messages::{
-    Admission, Considered, Demand, DispatcherLimits, Placement, Refusal, RefusalReason, TicketId,
-    Verdicts,
+    Admission, Considered, Demand, DispatcherLimits, LeftOutBackEnds, Placement, Refusal,
+    RefusalReason, TicketId, Verdicts,
 };
 
 /// A request that a back end works on.
@@ -90,6 +90,8 @@
     announcements: Announcements,
     /// Back ends that said that they end soon, of which others are still to be told.
     draining_news: GossipQueue<BackEndId>,
+    /// How many listed back ends of each service said so.
+    draining_listed: HashMap<String, u32>,
     engine_limits: HashMap<String, EngineLimits>,
     capacity: Option<u64>,
     /// Requests a second that a cold back end of a service bears, where that is bounded.
@@ -123,6 +125,7 @@
             engines: Engines::default(),
             announcements: Announcements::default(),
             draining_news: GossipQueue::default(),
+            draining_listed: HashMap::new(),
             engine_limits: HashMap::new(),
             capacity: None,
             cold_rates: HashMap::new(),
@@ -179,6 +182,7 @@
         for back_end in &usable {
             self.preferred.on_set(&self.engines, back_end);
         }
+        self.count_draining();
     }
 
     /// Takes a whole list of back ends.
@@ -432,6 +436,7 @@
             release,
         };
         self.running.insert(ticket, entry);
-        Some(Placement { ticket, back_end, predicted, running, limit, uncached, age })
+        let left_out = self.left_out(now, &demand.service);
+        Some(Placement { ticket, back_end, predicted, running, limit, uncached, age, left_out })
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -53,8 +53,8 @@
 };
 pub use directory::{BackEndDirectory, BackEndUpdate, UsableChanges};
 pub use dispatch::{
-    Admission, Considered, Demand, Dispatcher, DispatcherLimits, HEAVIEST_TENANTS, NewPeer,
-    Placement, ROUND_PERIOD, Refusal, RefusalReason, Role, TicketId, Verdicts,
+    Admission, Considered, Demand, Dispatcher, DispatcherLimits, HEAVIEST_TENANTS, LeftOutBackEnds,
+    NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalReason, Role, TicketId, Verdicts,
 };
 pub use engine::Load;
 pub use evacuation::EvacuatedZones;
--- a/crates/routing/tests/announcements.rs
+++ b/crates/routing/tests/announcements.rs
@@ -4,14 +4,15 @@
 
 use mastbay_routing::{
     Admission, BackEnd, BackEndDirectory, BackEndId, BackEndList, BackEndState, Dispatcher,
-    EvacuatedZones, Fault, Placement, Refusal, RefusalReason, Revision, UsableChanges,
+    EvacuatedZones, Fault, LeftOutBackEnds, Placement, Refusal, RefusalReason, Revision,
+    UsableChanges,
 };
 use mastbay_types::Timestamp;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use support::fleet::{Fleet, address};
-use support::{PLAIN, at, back_end, demand, dispatcher, prompt};
+use support::{PLAIN, at, back_end, demand, dispatcher, list, prompt};
 
 const NAMES: [&str; 4] = ["e0", "e1", "e2", "e3"];
 const LIVES: u8 = 3;
@@ -355,3 +356,26 @@
     fleet.rounds(12);
     assert_eq!(leave_alone(&fleet, &engine), 1);
 }
+
+#[test]
+fn a_backoff_of_no_time_is_none() {
+    let mut router = dispatcher(1, 1, 8);
+    assert!(!router.on_backoff(at(0), &BackEndId::from("e0"), Duration::ZERO));
+    let placed = (0..4).filter_map(|own| place(&mut router, at(0), own)).count();
+    assert_eq!(placed, 4);
+}
+
+/// A choice tells how many engines it left out for what they said, as long as they are listed and it lasts.
+#[test]
+fn a_choice_tells_what_it_left_out() {
+    let mut router = after_backoff_of_first(4);
+    router.on_draining(at(0), &BackEndId::from("e1"));
+    router.on_draining(at(0), &BackEndId::from("e2"));
+    let left_out = place(&mut router, at(100), 1).expect("the last one serves").left_out;
+    assert_eq!(left_out, LeftOutBackEnds { draining: 2, backing_off: 1 });
+    let mut listed = list(2, 4, 8);
+    listed.back_ends.remove(1);
+    router.on_back_ends(at(3_500), &listed);
+    let left_out = place(&mut router, at(3_500), 2).expect("served").left_out;
+    assert_eq!(left_out, LeftOutBackEnds { draining: 1, backing_off: 0 });
+}
