The time for which a back end keeps a connection is read from the answer to a resumed stream too

A connection that a resumed stream left was taken for usable for 4 s, whatever its back end told, and the next request on it could break (one that may not run twice is then told as unknown). Now the head of each answer is read in one place (send.rs) for what it says of connection and back end. Red before: one connection where a second one is due.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -150,11 +150,10 @@
         &mut self,
         head: http::response::Parts,
         body: Incoming,
-        mut connection: BackEndConnection,
+        connection: BackEndConnection,
         ticket: Ticket,
         placement: &Placement,
     ) -> Option<Ended> {
-        connection.note_headers(&head.headers);
         let id = placement.back_end.id.clone();
         let is_delimited = is_delimited(&head.headers);
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -113,10 +113,11 @@
     fn read_head(
         &self,
         answer: Response<Incoming>,
-        connection: BackEndConnection,
+        mut connection: BackEndConnection,
         back_end: &BackEnd,
     ) -> Try {
         let (head, body) = answer.into_parts();
+        connection.note_headers(&head.headers);
         back_end_notices::take(self.router, self.call, &back_end.id, &head);
         match self.router.seams.back_ends.classify(&self.call.head.request_id, &head) {
             AnswerKind::Answer => Try::Answered(head, body, Box::new(connection)),
--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -6,6 +6,7 @@
 use mastbay_routing::BackEndState;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use std::io::Write as _;
+use std::time::Duration;
 use support::{
     Bed, Request, STREAM_END, STREAM_HEAD, ScriptedBackEnd, Step, answer, chunk, configuration,
     events, header, not_run, run, until,
@@ -392,3 +393,30 @@
         assert_eq!((answer.status, answer.body.len(), answer.whole), (200, body.len(), true));
     });
 }
+
+/// A back end that goes on with a stream tells in its answer for how long it keeps the connection. What it told there was not read, so the
+/// connection was taken for usable four times as long as it told, and the next request on it broke.
+#[test]
+fn a_connection_that_a_resumed_stream_leaves_is_kept_for_the_time_told() {
+    run(async |runtime| {
+        let broken = vec![stream(&[&events(1, 2)], &[Step::Close])];
+        let first = ScriptedBackEnd::start(runtime, "b1", broken).await;
+        let head = STREAM_HEAD.replace("\r\n\r\n", "\r\nkeep-alive: timeout=1\r\n\r\n");
+        let rest = Step::Write(head + &events(3, 4) + STREAM_END);
+        let second = ScriptedBackEnd::start(runtime, "b2", vec![vec![rest], answer("x")]).await;
+        let bed = Bed::start(runtime, &[&first]).await;
+        let (answered, ()) = smol::future::zip(bed.call(&Request::new("/resumable/x")), async {
+            until(async || first.arrivals() == 1).await;
+            bed.list(2, &[&second]);
+        })
+        .await;
+        assert!(answered.whole, "{answered:?}");
+        assert_eq!((second.arrivals(), second.connections.get()), (1, 1));
+        smol::Timer::after(TOLD_KEEP).await;
+        assert_eq!(bed.call(&Request::new("/safe/x")).await.status, 200);
+        assert_eq!(second.connections.get(), 2);
+    });
+}
+
+/// Time after which a connection for which a second was told is used no more.
+const TOLD_KEEP: Duration = Duration::from_millis(1_000);
