--- a/crates/router/src/back_end_notices.rs
+++ b/crates/router/src/back_end_notices.rs
@@ -3,6 +3,7 @@
 use crate::call::Call;
 use crate::dialect::{BackEndNotice, RetryAfter};
 use crate::events;
+use crate::line_budget::LineKind;
 use crate::router::Router;
 use hyper::http;
 use mastbay_routing::BackEndId;
@@ -28,9 +29,11 @@
                 events::back_end_backoff(id, backoff, head.status, &call.head.request_id);
             }
         }
-        RetryAfter::Malformed(error) => {
+        RetryAfter::Malformed(error) if router.may_write_line(LineKind::Failure) => {
             events::retry_after_malformed(id, &error, &call.head.request_id);
         }
+        // The line is left out and counted.
+        RetryAfter::Malformed(_) => {}
     }
 }
 
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -6,7 +6,7 @@
 use mastbay_routing::Prompt;
 use std::time::Duration;
 
-pub use crate::retry_after::{RetryAfter, RetryAfterError, read_retry_after};
+pub use crate::retry_after::{RetryAfter, RetryAfterError, read_retry_after, retry_after_of};
 
 /// What a caller's request says beside its method, path and body.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/router/src/own_dialect.rs
+++ b/crates/router/src/own_dialect.rs
@@ -2,10 +2,10 @@
 
 use crate::dialect::{
     AnswerKind, BackEndDialect, BackEndNotice, CallerDialect, CallerHead, MalformedRequest,
-    OutgoingCall, OwnAnswer, read_retry_after,
+    OutgoingCall, OwnAnswer, retry_after_of,
 };
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
-use hyper::{StatusCode, http};
+use hyper::http;
 use mastbay_routing::{Prompt, PromptPart};
 use std::time::Duration;
 
@@ -111,15 +111,9 @@
         if !is_own || text(&head.headers, &OUTCOME) == Some(REPLACED) {
             return BackEndNotice::default();
         }
-        let turns_away =
-            [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&head.status);
         BackEndNotice {
             is_draining: text(&head.headers, &DRAINING) == Some("1"),
-            retry_after: if turns_away {
-                read_retry_after(&head.headers)
-            } else {
-                Default::default()
-            },
+            retry_after: retry_after_of(head),
         }
     }
 
--- a/crates/router/src/retry_after.rs
+++ b/crates/router/src/retry_after.rs
@@ -4,10 +4,11 @@
 
 use derive_more::{Display, Error};
 use hyper::header::{HeaderMap, RETRY_AFTER};
+use hyper::{StatusCode, http};
 use std::time::Duration;
 
 /// Longest time that is followed; a back end that wants more says so again.
-pub const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(3_600);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(3_600);
 
 /// What an answer says about when the next request may come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -32,6 +33,16 @@
     OutOfRange,
 }
 
+/// Reads the header of a refusal. In other answers it says nothing about when the next request may come.
+pub fn retry_after_of(head: &http::response::Parts) -> RetryAfter {
+    match head.status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            read_retry_after(&head.headers)
+        }
+        _ => RetryAfter::Absent,
+    }
+}
+
 /// Reads the header. Of several values the longest time counts, and one that can be followed before those that can't.
 pub fn read_retry_after(headers: &HeaderMap) -> RetryAfter {
     let mut read = RetryAfter::Absent;
@@ -52,5 +63,5 @@
     if !seconds.is_finite() || seconds < 0.0 {
         return Err(RetryAfterError::OutOfRange);
     }
-    Ok(Duration::from_secs_f64(seconds.min(LONGEST_RETRY_AFTER.as_secs_f64())))
+    Ok(Duration::from_secs_f64(seconds.min(LONGEST_BACKOFF.as_secs_f64())))
 }
