Logs and metrics tell which back ends a router gives up, and whether it takes the source for lost

The users' record could not tell three hypotheses apart: back_ends_known gave counts and no names, and belief in an outage left no line. Now back_ends_known names those that get nothing more (set_draining, removed), those that are used though their entries are gone (kept), those that were draining and are listed as ready again (undrained), the peer that told, and source=expiry where the time for which one was kept is over; source_condition tells when a router takes the source for lost, recovering, or answering again, and what its own calls gave. Two metrics: back ends kept, outages seen. No decision is changed.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -10,9 +10,9 @@
 use crate::write_timeout::WRITE_TIMEOUT;
 use hyper::StatusCode;
 use mastbay_routing::{
-    BackEnd, BackEndDirectory, BackEndId, EngineKey, EvacuatedZones, Fault, Placement,
-    QuarantinedRequest, RefusalDetails, RequestFingerprint, Revision, Role, RolloutRecord,
-    Rollouts, RouteTable, Tick, UsableChanges,
+    BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Fault,
+    Placement, QuarantinedRequest, RefusalDetails, RequestFingerprint, Revision, Role,
+    RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -241,8 +241,13 @@
     );
 }
 
-/// Logs a change of the known back ends.
+/// Maximum number of back ends named in one line of a change.
+const MAX_NAMED_BACK_ENDS: usize = 12;
+
+/// Logs a change of the known back ends. Names some of those that get no more requests, or whose
+/// entries are gone while they still get some.
 pub fn back_ends_known(known: &BackEndDirectory, changes: &UsableChanges, origin: Origin) {
+    let draining = changes.updated.iter().filter(|one| one.state == BackEndState::Draining);
     tracing::info!(
         event = "back_ends_known",
         revision = %changes.revision,
@@ -251,9 +256,27 @@
         set = changes.updated.len(),
         gone = changes.removed.len(),
         source = %origin,
+        peer = origin.peer().map(|peer| peer.to_string()),
+        set_draining = names(draining.map(|one| &one.id)),
+        removed = names(changes.removed.iter()),
+        kept = names(changes.kept.iter()),
+        undrained = names(changes.undrained.iter()),
     );
 }
 
+/// Returns the first names, joined by commas; `None` if there are none.
+fn names<'a>(back_ends: impl Iterator<Item = &'a BackEndId>) -> Option<String> {
+    let names: Vec<String> =
+        back_ends.take(MAX_NAMED_BACK_ENDS).map(BackEndId::to_string).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
+
+/// Logs that an outage of the source began or ended, as this router sees it. `contact` is the
+/// result of its own calls.
+pub fn source_condition(condition: SourceCondition, contact: SourceContact) {
+    tracing::info!(event = "source_condition", condition = %condition, own_contact = ?contact);
+}
+
 /// Logs a change of the evacuated zones.
 pub fn evacuations_known(evacuated: &EvacuatedZones, origin: Origin) {
     let zones: Vec<&str> = evacuated.zones.iter().map(String::as_str).collect();
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::dialect::OwnAnswer;
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
+use mastbay_routing::SourceCondition;
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -36,6 +37,8 @@
     draining_answers: Counter,
     backoffs_requested: Counter,
     backing_off: Gauge,
+    back_ends_kept: Gauge,
+    source_outages: Counter,
     quarantined: Gauge,
     quarantined_calls: Counter,
     write_timeouts: Counter,
@@ -55,6 +58,8 @@
             draining_answers: Counter::default(),
             backoffs_requested: Counter::default(),
             backing_off: Gauge::default(),
+            back_ends_kept: Gauge::default(),
+            source_outages: Counter::default(),
             quarantined: Gauge::default(),
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
@@ -82,6 +87,12 @@
         let name = "mastbay_router_back_ends_backing_off";
         let help = "back ends that want no requests of this router now";
         registry.register(name, help, metrics.backing_off.clone());
+        let name = "mastbay_router_back_ends_kept";
+        let help = "back ends that are used though their entries are gone, after an outage";
+        registry.register(name, help, metrics.back_ends_kept.clone());
+        let name = "mastbay_router_source_outages";
+        let help = "times for which the source answered no router that this one knows of";
+        registry.register(name, help, metrics.source_outages.clone());
         let name = "mastbay_router_quarantined_requests";
         let help = "requests that are sent to no back end, since several ended under them";
         registry.register(name, help, metrics.quarantined.clone());
@@ -145,6 +156,18 @@
         self.backing_off.set(i64::try_from(back_ends).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of back ends that are missing from the source and kept.
+    pub fn set_back_ends_kept(&self, back_ends: usize) {
+        self.back_ends_kept.set(i64::try_from(back_ends).unwrap_or(i64::MAX));
+    }
+
+    /// Counts an outage of the source when it begins.
+    pub fn on_source_condition(&self, condition: SourceCondition) {
+        if condition == SourceCondition::Outage {
+            self.source_outages.inc();
+        }
+    }
+
     /// Sets the number of quarantined requests.
     pub fn set_quarantined(&self, requests: usize) {
         self.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,8 +18,8 @@
 use mastbay_routing::{
     BackEndUpdate, Dispatcher, DispatcherLimits, EvacuatedZones, OutageDetector, OverloadGuard,
     PeerId, Placement, Quarantine, Refusal, Revision, RolloutRecord, Rollouts, RouteTable,
-    RouterPhase, RoutingConfiguration, SourceContact, StallDetector, StartingRouter, Tick,
-    TicketId, UsableChanges, watch_timeout,
+    RouterPhase, RoutingConfiguration, SourceCondition, SourceContact, StallDetector,
+    StartingRouter, Tick, TicketId, UsableChanges, watch_timeout,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
@@ -68,6 +68,8 @@
     overload: RefCell<OverloadGuard>,
     overflow: RefCell<OverflowRecorder>,
     outage: RefCell<OutageDetector>,
+    /// The last logged condition of the source.
+    source_condition: Cell<SourceCondition>,
     /// The first list of back ends came from a source that was once restored from an older copy.
     started_from_restored: Cell<bool>,
     pub(crate) broken: BrokenConnections,
@@ -129,6 +131,7 @@
             overload: RefCell::default(),
             overflow: RefCell::default(),
             outage: RefCell::default(),
+            source_condition: Cell::default(),
             started_from_restored: Cell::default(),
             broken: BrokenConnections::default(),
             quarantine: RefCell::new(quarantine),
@@ -243,16 +246,24 @@
     }
 
     fn check_outage(&self, now: Timestamp) {
+        let mut outage = self.outage.borrow_mut();
         if self.dispatcher.borrow().is_source_answering(now) {
-            self.outage.borrow_mut().on_answer(now);
+            outage.on_answer(now);
         } else {
-            self.outage.borrow_mut().on_lost(now);
+            outage.on_lost(now);
+        }
+        let condition = outage.condition(now);
+        if self.source_condition.replace(condition) != condition {
+            let contact = self.dispatcher.borrow().source_contact();
+            events::source_condition(condition, contact);
+            self.metrics.on_source_condition(condition);
         }
     }
 
     fn apply_back_ends(&self, changes: &UsableChanges, origin: Origin) {
         self.dispatcher.borrow_mut().on_back_end_changes(self.now(), changes);
         self.pool.remove(&changes.removed);
+        self.metrics.set_back_ends_kept(self.catalogue.borrow().back_ends().kept());
         events::back_ends_known(self.catalogue.borrow().back_ends(), changes, origin);
         self.poll_waiting();
     }
@@ -490,11 +501,11 @@
         self.check_outage(now);
         let expired = self.catalogue.borrow_mut().expire_back_ends(now);
         if let Some(changes) = expired {
-            self.apply_back_ends(&changes, Origin::Source);
+            self.apply_back_ends(&changes, Origin::Expiry);
         }
         let expired = self.catalogue.borrow_mut().expire_evacuations(now);
         if let Some(evacuated) = expired {
-            self.apply_evacuations(&evacuated, Origin::Source);
+            self.apply_evacuations(&evacuated, Origin::Expiry);
         }
         self.dispatcher.borrow_mut().on_lag(now, lag);
         self.metrics.set_backing_off(self.dispatcher.borrow().backing_off(now));
--- a/crates/router/src/update_signal.rs
+++ b/crates/router/src/update_signal.rs
@@ -13,13 +13,16 @@
     /// Another router, by the address where it serves snapshots.
     #[display("peer")]
     Peer(SocketAddr),
+    /// The end of the time for which this router kept earlier knowledge.
+    #[display("expiry")]
+    Expiry,
 }
 
 impl Origin {
-    /// Returns the address of the other router; `None` for the router's own source.
+    /// Returns the address of the other router; `None` for an update of the router's own.
     pub fn peer(self) -> Option<SocketAddr> {
         match self {
-            Self::Source => None,
+            Self::Source | Self::Expiry => None,
             Self::Peer(address) => Some(address),
         }
     }
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -45,6 +45,10 @@
     pub updated: Vec<BackEnd>,
     /// Incarnations that are no longer to be used.
     pub removed: Vec<BackEndId>,
+    /// Incarnations that are missing from the source and still to be used for a grace period.
+    pub kept: Vec<BackEndId>,
+    /// Incarnations that were draining and are listed as ready again.
+    pub undrained: Vec<BackEndId>,
 }
 
 #[derive(Debug)]
@@ -143,6 +147,7 @@
         }
         self.ready -= 1;
         if recovering {
+            changes.kept.push(back_end.id.clone());
             self.expired.keep(now, back_end);
         } else {
             self.departed.record(now, &back_end.id);
@@ -175,6 +180,11 @@
                 self.departed.record(now, &back_end.id);
             }
         }
+        let was_draining = known
+            .is_some_and(|known| known.id == back_end.id && known.state == BackEndState::Draining);
+        if was_draining && back_end.state == BackEndState::Ready {
+            changes.undrained.push(back_end.id.clone());
+        }
         self.ready += usize::from(back_end.state == BackEndState::Ready);
         self.removed.remove(&name);
         self.incarnations.on_listed(&name);
@@ -191,7 +201,12 @@
         let updated: Vec<BackEnd> = updated.map(|entry| entry.back_end.clone()).collect();
         let has_changes = !removed.is_empty() || !updated.is_empty();
         let revision = self.revision?;
-        has_changes.then_some(UsableChanges { revision, updated, removed })
+        has_changes.then_some(UsableChanges {
+            revision,
+            updated,
+            removed,
+            ..UsableChanges::default()
+        })
     }
 
     /// Returns the changes since a revision, or the whole list if the history does not reach back.
@@ -227,6 +242,11 @@
         self.ready
     }
 
+    /// Returns the number of back ends that are missing from the source and kept.
+    pub fn kept(&self) -> usize {
+        self.expired.len()
+    }
+
     fn trim_history(&mut self) {
         if self.removed.len() > MAX_REMOVED_NAMES {
             self.removed.clear();
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -196,7 +196,9 @@
             list.back_ends.iter().map(|back_end| &back_end.id).collect();
         let removed = self.engines.ids().filter(|id| !listed.contains(id)).cloned().collect();
         let updated = list.back_ends.clone();
-        self.on_back_end_changes(now, &UsableChanges { revision: list.revision, updated, removed });
+        let revision = list.revision;
+        let changes = UsableChanges { revision, updated, removed, ..UsableChanges::default() };
+        self.on_back_end_changes(now, &changes);
     }
 
     /// Adds or updates back ends. The peers' load at new ones is added in a single pass over the
--- a/crates/routing/src/expired.rs
+++ b/crates/routing/src/expired.rs
@@ -5,6 +5,7 @@
 //! kept for a grace period, in which living ones register again.
 
 use crate::back_end::{BackEnd, BackEndId};
+use derive_more::Display;
 use mastbay_types::Timestamp;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,6 +19,21 @@
 /// Minimum duration of an outage; entries survive shorter interruptions.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_000);
 
+/// Whether the source answers the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Display)]
+pub enum SourceCondition {
+    /// It answers, or has failed for a short time only.
+    #[default]
+    #[display("answering")]
+    Answering,
+    /// It has answered no router for a while.
+    #[display("outage")]
+    Outage,
+    /// It answers again after an outage; its lists may lack living back ends.
+    #[display("recovering")]
+    Recovering,
+}
+
 /// Detects outages of the source: times when no router of the fleet reaches it. A single router
 /// that is cut off does not count, as the back ends still reach the source to renew their entries.
 #[derive(Debug, Clone, Copy, Default)]
@@ -42,7 +58,18 @@
 
     /// Returns whether a list read now may lack living back ends.
     pub fn is_recovering(&self, now: Timestamp) -> bool {
-        self.is_outage(now) || self.recovering_until.is_some_and(|until| now < until)
+        self.condition(now) != SourceCondition::Answering
+    }
+
+    /// Returns whether the source answers the fleet.
+    pub fn condition(&self, now: Timestamp) -> SourceCondition {
+        if self.is_outage(now) {
+            SourceCondition::Outage
+        } else if self.recovering_until.is_some_and(|until| now < until) {
+            SourceCondition::Recovering
+        } else {
+            SourceCondition::Answering
+        }
     }
 
     fn is_outage(&self, now: Timestamp) -> bool {
@@ -67,6 +94,11 @@
         self.kept.remove(name).map(|(id, _)| id)
     }
 
+    /// Returns the number of kept back ends.
+    pub fn len(&self) -> usize {
+        self.kept.len()
+    }
+
     /// Removes and returns the back ends whose grace period is over.
     pub fn expire(&mut self, now: Timestamp) -> Vec<BackEndId> {
         let expired: Vec<BackEndId> = self
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -59,7 +59,7 @@
 };
 pub use engine::Load;
 pub use evacuation::EvacuatedZones;
-pub use expired::OutageDetector;
+pub use expired::{OutageDetector, SourceCondition};
 pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
