Tell peers every removal and every rewritten entry that an update covers

Callers saw nothing by themselves; back ends that had left got requests, until a whole list came.

Cause: a router passes on what changed since a peer's revision, but noted only what changed by its own view. Where it read an entry's creation and removal in one answer (after a change of aggregators, or at its start), it had nothing to remove and noted no removal; an entry that was changed and changed back counted as unchanged. A peer that knew the state in between was told the new revision without them.

Now removals are noted for all names that an update removes, and an entry's revision is that of the last update that contained it, so a difference covers its whole range whatever its sender knew. Class: a difference made from what changed here, and not from what the range covers.

--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 struct Entry {
     back_end: BackEnd,
-    /// Revision at which this router learned of the last change.
+    /// Revision of the last update that contained the entry.
     changed: Revision,
 }
 
@@ -65,7 +65,8 @@
     listed: BTreeMap<Arc<str>, Entry>,
     /// Number of listed back ends that are ready.
     ready: usize,
-    /// Removed names with the revision of their removal.
+    /// Removed names with the revision of the last update that removed them. Includes names that
+    /// this router never listed.
     removed: BTreeMap<Arc<str>, Revision>,
     /// Oldest revision from which incremental updates can be served.
     history_start: Revision,
@@ -96,6 +97,8 @@
             Some(_) => {
                 for name in &update.removed {
                     self.remove(now, recovering, name, &mut changes);
+                    // Peers may know an entry that was added and removed since the base.
+                    self.removed.insert(name.clone(), update.revision);
                 }
             }
             None => {
@@ -139,7 +142,6 @@
         changes: &mut UsableChanges,
     ) {
         let Some(Entry { back_end, .. }) = self.listed.remove(name) else { return };
-        self.removed.insert(name.clone(), changes.revision);
         self.incarnations.on_removed(&back_end.id);
         if back_end.state != BackEndState::Ready {
             changes.removed.push(back_end.id);
@@ -158,14 +160,16 @@
     /// Adds or changes a back end, unless the entry is of an earlier incarnation.
     fn set(&mut self, now: Timestamp, back_end: BackEnd, changes: &mut UsableChanges) {
         let name = back_end.id.name.clone();
-        let known = self.listed.get(&name).map(|entry| &entry.back_end);
-        let latest =
-            known.map(|known| known.id.incarnation).max(self.incarnations.latest_removed(&name));
+        let known = self.listed.get_mut(&name);
+        let latest = known.as_ref().map(|known| known.back_end.id.incarnation);
+        let latest = latest.max(self.incarnations.latest_removed(&name));
         if latest.is_some_and(|latest| back_end.id.incarnation < latest) {
             return;
         }
         let kept = self.expired.take(&name);
-        if known == Some(&back_end) {
+        if let Some(known) = known.filter(|known| known.back_end == back_end) {
+            // Peers may know another state that the entry had since the base.
+            known.changed = changes.revision;
             return;
         }
         let known = self.listed.remove(&name).map(|entry| entry.back_end);
