Keep draining as final for one incarnation, whatever entry is written later

Callers saw nothing; a back end that had said that it drains got requests again when an entry of it as ready was written after that: its own earlier write that the store does late.

Cause: only what a back end says in its answers was kept for its life; what its entry says was overwritten by any newer revision.

Now the directory keeps it for the incarnation, by the type that the answers' announcements use (draining.rs, in place of two maps), uses such a back end as draining and tells peers so. A restored source is trusted again after its window, as before (restored.rs, unchanged test).

Test: a_draining_back_end_that_is_listed_as_ready_again_gets_no_requests, red before.

--- a/crates/routing/src/announcements.rs
+++ b/crates/routing/src/announcements.rs
@@ -3,13 +3,12 @@
 //!
 //! An announcement applies to one incarnation and takes precedence over lists and peers.
 
-use crate::back_end::{BackEnd, BackEndId, BackEndState};
+use crate::back_end::{BackEnd, BackEndId};
+use crate::draining::DrainingBackEnds;
 use mastbay_types::Timestamp;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Maximum number of draining incarnations kept; beyond it the earliest announced one is evicted.
-const MAX_DRAINING: usize = 8_192;
 /// Time after the end of a backoff for which it is kept if no request is sent to the back end.
 const BACKOFF_RETENTION: Duration = Duration::from_secs(60);
 
@@ -35,38 +34,25 @@
 /// Announcements received from back ends.
 #[derive(Debug, Default)]
 pub struct Announcements {
-    draining: BTreeMap<BackEndId, Timestamp>,
+    draining: DrainingBackEnds,
     backoffs: BTreeMap<BackEndId, Backoff>,
 }
 
 impl Announcements {
     /// Records that a back end is draining. Returns whether that was not known.
     pub fn on_draining(&mut self, now: Timestamp, id: &BackEndId) -> bool {
-        if self.draining.contains_key(id) {
-            return false;
-        }
-        if self.draining.len() >= MAX_DRAINING {
-            let first = self.draining.iter().min_by_key(|(_, since)| **since);
-            if let Some(first) = first.map(|(first, _)| first.clone()) {
-                self.draining.remove(&first);
-            }
-        }
-        self.draining.insert(id.clone(), now);
-        true
+        self.draining.record(now, id)
     }
 
     /// Returns a listed back end as it may be used: as draining if it announced so, even if the
     /// list still has it as ready.
     pub fn as_usable(&self, back_end: BackEnd) -> BackEnd {
-        if !self.draining.contains_key(&back_end.id) {
-            return back_end;
-        }
-        BackEnd { state: BackEndState::Draining, ..back_end }
+        self.draining.as_usable(back_end)
     }
 
     /// Returns the back ends that announced to be draining, including terminated ones.
     pub fn draining(&self) -> impl Iterator<Item = &BackEndId> {
-        self.draining.keys()
+        self.draining.iter()
     }
 
     /// Records a backoff requested by a back end. Returns whether none was in effect.
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -47,7 +47,8 @@
     pub removed: Vec<BackEndId>,
     /// Incarnations that are missing from the source and still to be used for a grace period.
     pub kept: Vec<BackEndId>,
-    /// Incarnations that were draining and are listed as ready again.
+    /// Incarnations that were draining and are listed as ready again. They remain draining, as the
+    /// entry was written earlier.
     pub undrained: Vec<BackEndId>,
 }
 
@@ -178,15 +179,16 @@
             changes.updated.retain(|one| one.id != *earlier);
             changes.removed.push(earlier.clone());
         }
+        if back_end.state == BackEndState::Draining {
+            self.departed.record_draining(now, &back_end.id);
+        }
         if known.as_ref().is_some_and(|known| known.state == BackEndState::Ready) {
             self.ready -= 1;
             if back_end.state == BackEndState::Draining {
                 self.departed.record(now, &back_end.id);
             }
         }
-        let was_draining = known
-            .is_some_and(|known| known.id == back_end.id && known.state == BackEndState::Draining);
-        if was_draining && back_end.state == BackEndState::Ready {
+        if back_end.state == BackEndState::Ready && self.departed.is_draining(&back_end.id) {
             changes.undrained.push(back_end.id.clone());
         }
         self.ready += usize::from(back_end.state == BackEndState::Ready);
@@ -220,7 +222,8 @@
         let base = (has_history && known != Revision::default()).then_some(known);
         let is_newer = |changed: Revision| base.is_none_or(|base| changed > base);
         let listed = self.listed.values().filter(|entry| is_newer(entry.changed));
-        let listed = listed.map(|entry| entry.back_end.clone()).collect();
+        let listed = listed.map(|entry| self.departed.as_reported(entry.back_end.clone()));
+        let listed = listed.collect();
         let removed = self.removed.iter().filter(|(_, at)| base.is_some() && is_newer(**at));
         let removed = removed.map(|(name, _)| name.clone()).collect();
         BackEndUpdate { base, revision, listed, removed }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod digest;
 mod directory;
 mod dispatch;
+mod draining;
 mod engine;
 mod evacuation;
 mod expired;
