Take the source for lost only when calls to it fail

Callers saw nothing by themselves; a back end whose entry went was used for 2 s more than the news took, by routers that believed in an outage of the source.

Cause: an outage was 'nobody is known to be answered for a second'. That is also so at a start of the whole fleet, when the routers that call the source have just ended, and in a router that was stalled. Class: the lack of news taken for news of a failure.

Now an outage is a second of observed failures of the routers that call, with no answer known; silence proves nothing, and failures seen before a gap of a second don't count. A change of callers within an outage does not hide it.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -247,11 +247,7 @@
 
     fn check_outage(&self, now: Timestamp) {
         let mut outage = self.outage.borrow_mut();
-        if self.dispatcher.borrow().is_source_answering(now) {
-            outage.on_answer(now);
-        } else {
-            outage.on_lost(now);
-        }
+        outage.observe(now, self.dispatcher.borrow().source_availability(now));
         let condition = outage.condition(now);
         if self.source_condition.replace(condition) != condition {
             let contact = self.dispatcher.borrow().source_contact();
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -105,6 +105,11 @@
             || self.fresh_peers(now).any(|peer| peer.contact == SourceContact::Answered)
     }
 
+    /// Returns whether the last call of any recently seen peer to the source failed.
+    pub fn any_peer_lost_source(&self, now: Timestamp) -> bool {
+        self.fresh_peers(now).any(|peer| peer.contact == SourceContact::Lost)
+    }
+
     /// Returns whether this router follows the source. In a large fleet, aggregators, isolated
     /// members and fallback members do.
     pub fn watches_source(&self, now: Timestamp, contact: SourceContact) -> bool {
--- a/crates/routing/src/dispatch/source.rs
+++ b/crates/routing/src/dispatch/source.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatcher;
 use crate::digest::RouterPhase;
+use crate::expired::SourceAvailability;
 use crate::overload::PeerCapacity;
 use crate::source_watchers::SourceContact;
 use mastbay_types::Timestamp;
@@ -24,6 +25,17 @@
         self.contact == SourceContact::Answered || self.fleet.is_source_answering(now)
     }
 
+    /// Returns what the routers that call the source report, by this router's view of the fleet.
+    pub fn source_availability(&self, now: Timestamp) -> SourceAvailability {
+        if self.is_source_answering(now) {
+            SourceAvailability::Answering
+        } else if self.contact == SourceContact::Lost || self.fleet.any_peer_lost_source(now) {
+            SourceAvailability::Failing
+        } else {
+            SourceAvailability::Unknown
+        }
+    }
+
     /// Returns whether the last call of any peer to the source was answered, by this router's view
     /// of the fleet.
     pub fn others_reach_source(&self, now: Timestamp) -> bool {
--- a/crates/routing/src/expired.rs
+++ b/crates/routing/src/expired.rs
@@ -16,8 +16,12 @@
 const GRACE_PERIOD: Duration = Duration::from_millis(2_000);
 /// Time after an outage in which lists may lack living back ends.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(2_500);
-/// Minimum duration of an outage; entries survive shorter interruptions.
+/// Minimum time between the first and the last failure of an outage; entries survive shorter
+/// interruptions.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_000);
+/// Maximum time between two observations of the same outage. After a longer one, for example when
+/// the router was stalled, earlier failures say nothing about the time between.
+const MAX_FAILURE_GAP: Duration = Duration::from_millis(1_000);
 
 /// Whether the source answers the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Display)]
@@ -34,26 +38,54 @@
     Recovering,
 }
 
-/// Detects outages of the source: times when no router of the fleet reaches it. A single router
-/// that is cut off does not count, as the back ends still reach the source to renew their entries.
+/// What the routers that call the source report, by one router's view of the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceAvailability {
+    /// The last call of some router was answered.
+    Answering,
+    /// Calls fail, and no router is known whose last call was answered.
+    Failing,
+    /// No router is known that calls the source.
+    Unknown,
+}
+
+/// Consecutive observations of failing calls.
+#[derive(Debug, Clone, Copy)]
+struct Failures {
+    first: Timestamp,
+    last: Timestamp,
+}
+
+/// Detects outages of the source: times when the calls of all routers fail. Neither a single router
+/// that is cut off counts, as the back ends still reach the source to renew their entries, nor a
+/// time in which no router is known to call the source.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct OutageDetector {
-    lost: Option<Timestamp>,
+    failures: Option<Failures>,
     recovering_until: Option<Timestamp>,
 }
 
 impl OutageDetector {
-    /// Records that the last call of every router failed.
-    pub fn on_lost(&mut self, now: Timestamp) {
-        self.lost.get_or_insert(now);
+    /// Records what is known of the routers' calls now.
+    pub fn observe(&mut self, now: Timestamp, availability: SourceAvailability) {
+        match availability {
+            SourceAvailability::Answering => self.on_answer(now),
+            SourceAvailability::Failing => self.on_failure(now),
+            SourceAvailability::Unknown => {}
+        }
     }
 
-    /// Records that the last call of some router was answered.
-    pub fn on_answer(&mut self, now: Timestamp) {
-        if self.is_outage(now) {
+    fn on_answer(&mut self, now: Timestamp) {
+        if self.is_outage() {
             self.recovering_until = Some(now + RECOVERY_PERIOD);
         }
-        self.lost = None;
+        self.failures = None;
+    }
+
+    fn on_failure(&mut self, now: Timestamp) {
+        let earlier = self.failures.filter(|known| now.since(known.last) <= MAX_FAILURE_GAP);
+        let first = earlier.map_or(now, |known| known.first);
+        self.failures = Some(Failures { first, last: now });
     }
 
     /// Returns whether a list read now may lack living back ends.
@@ -63,7 +95,7 @@
 
     /// Returns whether the source answers the fleet.
     pub fn condition(&self, now: Timestamp) -> SourceCondition {
-        if self.is_outage(now) {
+        if self.is_outage() {
             SourceCondition::Outage
         } else if self.recovering_until.is_some_and(|until| now < until) {
             SourceCondition::Recovering
@@ -72,8 +104,8 @@
         }
     }
 
-    fn is_outage(&self, now: Timestamp) -> bool {
-        self.lost.is_some_and(|lost| now.since(lost) >= MIN_OUTAGE)
+    fn is_outage(&self) -> bool {
+        self.failures.is_some_and(|known| known.last.since(known.first) >= MIN_OUTAGE)
     }
 }
 
