Draining is final in what a router lists and hands on, across restores too

Now the directory lists the final state. And a restored source does not undo it after six seconds: a back end that drains ends, its older entry is renewed as draining within a heartbeat or lapses.

--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -4,6 +4,7 @@
 //! receiver has no revision, the source was restored since, or the history no longer reaches back.
 
 use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
+use crate::draining::DrainingBackEnds;
 use crate::expired::ExpiredBackEnds;
 use crate::incarnations::LatestIncarnations;
 use crate::restored::DepartedBackEnds;
@@ -73,6 +74,8 @@
     history_start: Revision,
     expired: ExpiredBackEnds,
     incarnations: LatestIncarnations,
+    /// Incarnations that any entry had as draining.
+    draining: DrainingBackEnds,
     departed: DepartedBackEnds,
 }
 
@@ -105,8 +108,7 @@
             None => {
                 let is_restored = self.revision.is_some() && known.era < update.revision.era;
                 if is_restored {
-                    let listed = self.listed.values().map(|entry| &entry.back_end);
-                    self.departed.on_restored(now, listed);
+                    self.departed.on_restored(now);
                 }
                 self.remove_missing(now, recovering || is_restored, &update, &mut changes);
                 self.history_start = update.revision;
@@ -144,12 +146,9 @@
     ) {
         let Some(Entry { back_end, .. }) = self.listed.remove(name) else { return };
         self.incarnations.on_removed(&back_end.id);
-        if back_end.state != BackEndState::Ready {
-            changes.removed.push(back_end.id);
-            return;
-        }
-        self.ready -= 1;
-        if recovering {
+        let is_usable = back_end.state == BackEndState::Ready;
+        self.ready -= usize::from(is_usable);
+        if recovering && is_usable {
             changes.kept.push(back_end.id.clone());
             self.expired.keep(now, back_end);
         } else {
@@ -159,15 +158,20 @@
     }
 
     /// Adds or changes a back end, unless the entry is of an earlier incarnation.
-    fn set(&mut self, now: Timestamp, back_end: BackEnd, changes: &mut UsableChanges) {
-        let name = back_end.id.name.clone();
-        let known = self.listed.get_mut(&name);
-        let latest = known.as_ref().map(|known| known.back_end.id.incarnation);
-        let latest = latest.max(self.incarnations.latest_removed(&name));
-        if latest.is_some_and(|latest| back_end.id.incarnation < latest) {
+    fn set(&mut self, now: Timestamp, listed: BackEnd, changes: &mut UsableChanges) {
+        if self.is_outdated(&listed.id) {
             return;
         }
+        let name = listed.id.name.clone();
+        let back_end = self.draining.as_usable(listed.clone());
+        if back_end != listed {
+            changes.undrained.push(listed.id);
+        }
+        if back_end.state == BackEndState::Draining {
+            self.draining.record(now, &back_end.id);
+        }
         let kept = self.expired.take(&name);
+        let known = self.listed.get_mut(&name);
         if let Some(known) = known.filter(|known| known.back_end == back_end) {
             // Peers may know another state that the entry had since the base.
             known.changed = changes.revision;
@@ -179,18 +183,7 @@
             changes.updated.retain(|one| one.id != *earlier);
             changes.removed.push(earlier.clone());
         }
-        if back_end.state == BackEndState::Draining {
-            self.departed.record_draining(now, &back_end.id);
-        }
-        if known.as_ref().is_some_and(|known| known.state == BackEndState::Ready) {
-            self.ready -= 1;
-            if back_end.state == BackEndState::Draining {
-                self.departed.record(now, &back_end.id);
-            }
-        }
-        if back_end.state == BackEndState::Ready && self.departed.is_draining(&back_end.id) {
-            changes.undrained.push(back_end.id.clone());
-        }
+        self.ready -= usize::from(known.is_some_and(|known| known.state == BackEndState::Ready));
         self.ready += usize::from(back_end.state == BackEndState::Ready);
         self.removed.remove(&name);
         self.incarnations.on_listed(&name);
@@ -198,6 +191,12 @@
         self.listed.insert(name, Entry { back_end, changed: changes.revision });
     }
 
+    /// Returns whether a later incarnation under the same name is listed or was removed.
+    fn is_outdated(&self, id: &BackEndId) -> bool {
+        let listed = self.listed.get(&id.name).map(|known| known.back_end.id.incarnation);
+        listed.max(self.incarnations.latest_removed(&id.name)) > Some(id.incarnation)
+    }
+
     /// Removes back ends that stayed missing for too long after an outage, and accepts the entries
     /// of a restored source once its uncertainty window has passed. Returns the resulting changes.
     pub fn expire(&mut self, now: Timestamp) -> Option<UsableChanges> {
@@ -222,8 +221,7 @@
         let base = (has_history && known != Revision::default()).then_some(known);
         let is_newer = |changed: Revision| base.is_none_or(|base| changed > base);
         let listed = self.listed.values().filter(|entry| is_newer(entry.changed));
-        let listed = listed.map(|entry| self.departed.as_reported(entry.back_end.clone()));
-        let listed = listed.collect();
+        let listed = listed.map(|entry| entry.back_end.clone()).collect();
         let removed = self.removed.iter().filter(|(_, at)| base.is_some() && is_newer(**at));
         let removed = removed.map(|(name, _)| name.clone()).collect();
         BackEndUpdate { base, revision, listed, removed }
--- a/crates/routing/src/draining.rs
+++ b/crates/routing/src/draining.rs
@@ -36,11 +36,6 @@
         }
     }
 
-    /// Drops an incarnation.
-    pub fn remove(&mut self, id: &BackEndId) {
-        self.since.remove(id);
-    }
-
     /// Returns whether a back end is known to be draining.
     pub fn contains(&self, id: &BackEndId) -> bool {
         self.since.contains_key(id)
--- a/crates/routing/src/restored.rs
+++ b/crates/routing/src/restored.rs
@@ -6,7 +6,6 @@
 //! stays in effect.
 
 use crate::back_end::{BackEnd, BackEndId, BackEndState};
-use crate::draining::DrainingBackEnds;
 use crate::evacuation::EvacuatedZones;
 use mastbay_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,63 +42,38 @@
     }
 }
 
-/// Back ends that announced to be draining or whose entries were removed.
+/// Back ends whose entries were removed.
 #[derive(Debug, Default)]
 pub struct DepartedBackEnds {
     departed: BTreeMap<BackEndId, Timestamp>,
-    draining: DrainingBackEnds,
     uncertain: UncertaintyWindow<BackEndId>,
 }
 
 impl DepartedBackEnds {
-    /// Records that a ready back end started draining or that its entry was removed.
+    /// Records that the entry of a back end was removed.
     pub fn record(&mut self, now: Timestamp, id: &BackEndId) {
         self.departed.retain(|_, left| now.since(*left) < DEPARTED_TTL);
         self.departed.insert(id.clone(), now);
     }
 
-    /// Records that an entry has a back end as draining.
-    pub fn record_draining(&mut self, now: Timestamp, id: &BackEndId) {
-        self.draining.record(now, id);
-    }
-
-    /// Returns whether an entry ever had a back end as draining.
-    pub fn is_draining(&self, id: &BackEndId) -> bool {
-        self.draining.contains(id)
-    }
-
-    /// Records that the source was restored. `known` are the back ends known before.
-    pub fn on_restored<'a>(&mut self, now: Timestamp, known: impl Iterator<Item = &'a BackEnd>) {
+    /// Records that the source was restored.
+    pub fn on_restored(&mut self, now: Timestamp) {
         self.departed.retain(|_, left| now.since(*left) < DEPARTED_TTL);
-        let draining = known.filter(|one| one.state == BackEndState::Draining);
-        let left = self.departed.keys().chain(draining.map(|one| &one.id));
-        self.uncertain = UncertaintyWindow::new(now, left.cloned().collect());
+        let left = self.departed.keys().cloned().collect();
+        self.uncertain = UncertaintyWindow::new(now, left);
     }
 
-    /// Ends the uncertainty window if it is over: the source is trusted again. Returns the back
-    /// ends that the window contained.
+    /// Ends the uncertainty window if it is over. Returns the back ends that it contained.
     pub fn expire(&mut self, now: Timestamp) -> BTreeSet<BackEndId> {
-        let accepted = self.uncertain.expire(now).unwrap_or_default();
-        accepted.iter().for_each(|id| self.draining.remove(id));
-        accepted
+        self.uncertain.expire(now).unwrap_or_default()
     }
 
-    /// Returns a listed back end as it may be used: as draining if it left before a restore or was
-    /// draining before.
+    /// Returns a listed back end as it may be used: as draining if it left before the restore.
     pub fn as_usable(&self, back_end: BackEnd) -> BackEnd {
-        if self.uncertain.items.contains(&back_end.id) {
-            return BackEnd { state: BackEndState::Draining, ..back_end };
-        }
-        self.draining.as_usable(back_end)
-    }
-
-    /// Returns a listed back end as peers are told of it: as draining if it was draining before.
-    /// After a restore, each router judges by itself until it trusts the source again.
-    pub fn as_reported(&self, back_end: BackEnd) -> BackEnd {
-        if self.uncertain.until.is_some() {
+        if !self.uncertain.items.contains(&back_end.id) {
             return back_end;
         }
-        self.draining.as_usable(back_end)
+        BackEnd { state: BackEndState::Draining, ..back_end }
     }
 }
 
--- a/crates/routing/tests/restored.rs
+++ b/crates/routing/tests/restored.rs
@@ -40,8 +40,8 @@
     }
 }
 
-/// Back ends that were removed or draining before the restore are excluded until the uncertainty
-/// window ends.
+/// Back ends that were removed before the restore are excluded until the uncertainty window ends,
+/// those that were draining for good.
 #[test]
 fn back_ends_that_left_before_the_restore_are_excluded_for_a_while() {
     use BackEndState::{Draining, Ready};
@@ -54,7 +54,7 @@
     assert_eq!(view.ready(), ["staying"]);
     assert!(!view.expire(at(RESTORED + 5_900)));
     assert!(view.expire(at(RESTORED + 6_000)));
-    assert_eq!(view.ready().len(), 3);
+    assert_eq!(view.ready(), ["gone", "staying"]);
 }
 
 /// A back end that registered after the backup is kept until it registers again.
