Give up a missing back end at one time, set by the router that read the source

Callers saw requests sent to back ends that had left, up to 2 s later than the news of it came.

Cause: a back end that is missing after an outage was kept for 2 s from when each router heard of it. With news that take 1.5 s that is 4.4 s after the return of the source. Class: time limits that are right one by one add up on one path, and nothing holds the sum.

Now the router that reads the source decides what is kept and until when, a fixed time (2.5 s) after the outage; updates between routers carry the kept back ends with the time that is left, so a late router takes less, and one that starts uses what the others use. Only a restored source still makes each router keep for itself.

--- a/crates/router/src/catalogue.rs
+++ b/crates/router/src/catalogue.rs
@@ -81,15 +81,16 @@
         Some(table)
     }
 
-    /// Applies a back-end update if it is newer. `recovering` is set shortly after an outage of the
-    /// source, when the update may lack live back ends. Returns the changes to usable back ends.
+    /// Applies a back-end update if it is newer. `grace_ends` is set if it was read from a source
+    /// that may lack living back ends, which are kept until then. Returns the changes to usable
+    /// back ends.
     pub fn offer_back_ends(
         &mut self,
         now: Timestamp,
-        recovering: bool,
+        grace_ends: Option<Timestamp>,
         offered: BackEndUpdate,
     ) -> Option<UsableChanges> {
-        self.back_ends.apply(now, recovering, offered)
+        self.back_ends.apply(now, grace_ends, offered)
     }
 
     /// Replaces the evacuated zones if `offered` is newer. Returns the zones to avoid if so.
@@ -147,7 +148,7 @@
     }
 
     /// Returns what is newer than `known`, the versions that the receiving router has in force.
-    pub fn snapshot(&self, known: Versions) -> Snapshot {
+    pub fn snapshot(&self, now: Timestamp, known: Versions) -> Snapshot {
         let table = self.table.as_ref().filter(|table| table.version() > known.configuration);
         let revision = self.back_ends.revision();
         let has_back_ends = revision.is_some_and(|revision| revision > known.back_ends);
@@ -157,7 +158,7 @@
         let rollouts = rollouts.filter(|rollouts| rollouts.revision > known.rollouts);
         Snapshot {
             configuration: table.map(|table| table.configuration().clone()),
-            back_ends: has_back_ends.then(|| self.back_ends.update_since(known.back_ends)),
+            back_ends: has_back_ends.then(|| self.back_ends.update_since(now, known.back_ends)),
             evacuations: evacuations.cloned(),
             rollouts: rollouts.cloned(),
         }
--- a/crates/router/src/operations.rs
+++ b/crates/router/src/operations.rs
@@ -35,9 +35,10 @@
 
 fn snapshot(router: &Router, query: Option<&str>) -> Response<LocalBody> {
     let known = known_versions(query);
+    let now = router.now();
     let mut encoded = router.snapshots.borrow_mut();
-    match encoded.get(&router.catalogue.borrow(), known) {
-        Ok(body) => match router.snapshot_transfers.try_acquire(router.now(), body.len()) {
+    match encoded.get(&router.catalogue.borrow(), now, known) {
+        Ok(body) => match router.snapshot_transfers.try_acquire(now, body.len()) {
             Some(permit) => Response::new(full_with_guard(permit, body)),
             // The peer asks another router or retries soon.
             None => plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -194,12 +194,15 @@
     pub fn offer_back_ends(&self, offered: impl Into<BackEndUpdate>, origin: Origin) {
         let offered: BackEndUpdate = offered.into();
         let now = self.now();
-        let recovering = self.outage.borrow().is_recovering(now);
+        let grace_ends = match origin {
+            Origin::Source => self.outage.borrow().grace_ends(now),
+            Origin::Peer(_) | Origin::Expiry => None,
+        };
         let is_first = self.catalogue.borrow().back_ends().revision().is_none();
         if is_first && origin == Origin::Source {
             self.started_from_restored.set(offered.revision.era > 0);
         }
-        let applied = self.catalogue.borrow_mut().offer_back_ends(now, recovering, offered);
+        let applied = self.catalogue.borrow_mut().offer_back_ends(now, grace_ends, offered);
         if let Some(changes) = applied {
             self.apply_back_ends(&changes, origin);
             self.notify_peers(origin);
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -5,7 +5,7 @@
 
 use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 use crate::draining::DrainingBackEnds;
-use crate::expired::ExpiredBackEnds;
+use crate::expired::{ExpiredBackEnds, Grace, KeptBackEnd};
 use crate::incarnations::LatestIncarnations;
 use crate::restored::DepartedBackEnds;
 use crate::revision::Revision;
@@ -29,11 +29,21 @@
     pub listed: Vec<BackEnd>,
     /// Names of removed back ends.
     pub removed: Vec<Arc<str>>,
+    /// Back ends that are missing from the source and still used by the sender. Empty in updates
+    /// from a source.
+    #[serde(default)]
+    pub kept: Vec<KeptBackEnd>,
 }
 
 impl From<BackEndList> for BackEndUpdate {
     fn from(list: BackEndList) -> Self {
-        Self { base: None, revision: list.revision, listed: list.back_ends, removed: Vec::new() }
+        Self {
+            base: None,
+            revision: list.revision,
+            listed: list.back_ends,
+            removed: Vec::new(),
+            kept: Vec::new(),
+        }
     }
 }
 
@@ -81,12 +91,12 @@
 
 impl BackEndDirectory {
     /// Applies an update and returns the resulting changes. Returns `None` if the update is not
-    /// newer than the known revision or its base is unknown. While the source recovers from an
-    /// outage (`recovering`), living back ends may be missing from the update and are kept.
+    /// newer than the known revision or its base is unknown. `grace_ends` is set if the update was
+    /// read from a source that may lack living back ends: missing ones are kept until then.
     pub fn apply(
         &mut self,
         now: Timestamp,
-        recovering: bool,
+        grace_ends: Option<Timestamp>,
         update: BackEndUpdate,
     ) -> Option<UsableChanges> {
         let known = self.revision.unwrap_or_default();
@@ -94,23 +104,24 @@
             return None;
         }
         let mut changes = UsableChanges { revision: update.revision, ..UsableChanges::default() };
+        let mut grace = Grace::new(now, grace_ends, &update.kept);
         match update.base {
             Some(base) if self.revision.is_none() || base > known || base.era != known.era => {
                 return None;
             }
             Some(_) => {
                 for name in &update.removed {
-                    self.remove(now, recovering, name, &mut changes);
+                    self.remove(now, &grace, name, &mut changes);
                     // Peers may know an entry that was added and removed since the base.
                     self.removed.insert(name.clone(), update.revision);
                 }
             }
             None => {
-                let is_restored = self.revision.is_some() && known.era < update.revision.era;
-                if is_restored {
+                if self.revision.is_some() && known.era < update.revision.era {
                     self.departed.on_restored(now);
+                    grace.on_restored(now);
                 }
-                self.remove_missing(now, recovering || is_restored, &update, &mut changes);
+                self.remove_missing(now, &grace, &update, &mut changes);
                 self.history_start = update.revision;
                 self.removed.clear();
             }
@@ -118,6 +129,9 @@
         for back_end in update.listed {
             self.set(now, back_end, &mut changes);
         }
+        for kept in update.kept {
+            self.adopt(now, kept, &mut changes);
+        }
         self.revision = Some(update.revision);
         self.trim_history();
         Some(changes)
@@ -126,35 +140,52 @@
     fn remove_missing(
         &mut self,
         now: Timestamp,
-        recovering: bool,
+        grace: &Grace,
         update: &BackEndUpdate,
         changes: &mut UsableChanges,
     ) {
         let present: BTreeSet<&str> = update.listed.iter().map(|one| &*one.id.name).collect();
         let missing = self.listed.keys().filter(|name| !present.contains(&***name));
         for name in missing.cloned().collect::<Vec<Arc<str>>>() {
-            self.remove(now, recovering, &name, changes);
+            self.remove(now, grace, &name, changes);
         }
     }
 
     fn remove(
         &mut self,
         now: Timestamp,
-        recovering: bool,
+        grace: &Grace,
         name: &Arc<str>,
         changes: &mut UsableChanges,
     ) {
         let Some(Entry { back_end, .. }) = self.listed.remove(name) else { return };
         self.incarnations.on_removed(&back_end.id);
-        let is_usable = back_end.state == BackEndState::Ready;
-        self.ready -= usize::from(is_usable);
-        if recovering && is_usable {
-            changes.kept.push(back_end.id.clone());
-            self.expired.keep(now, back_end);
-        } else {
-            self.departed.record(now, &back_end.id);
-            changes.removed.push(back_end.id);
+        let is_usable = !self.draining.contains(&back_end.id);
+        self.ready -= usize::from(back_end.state == BackEndState::Ready);
+        match grace.ends(&back_end.id).filter(|_| is_usable) {
+            Some(until) => {
+                changes.kept.push(back_end.id.clone());
+                self.expired.keep(back_end, changes.revision, until);
+            }
+            None => {
+                self.departed.record(now, &back_end.id);
+                changes.removed.push(back_end.id);
+            }
+        }
+    }
+
+    /// Uses a back end that is missing from the source as long as the sender of an update does.
+    fn adopt(&mut self, now: Timestamp, kept: KeptBackEnd, changes: &mut UsableChanges) {
+        let KeptBackEnd { back_end, remaining } = kept;
+        let name = &back_end.id.name;
+        let is_known = self.listed.contains_key(name) || self.expired.contains(name);
+        let has_left = self.is_outdated(&back_end.id) || self.draining.contains(&back_end.id);
+        if is_known || has_left || remaining.is_zero() {
+            return;
         }
+        changes.kept.push(back_end.id.clone());
+        changes.updated.push(back_end.clone());
+        self.expired.keep(back_end, changes.revision, now + remaining);
     }
 
     /// Adds or changes a back end, unless the entry is of an earlier incarnation.
@@ -215,7 +246,7 @@
     }
 
     /// Returns the changes since a revision, or the whole list if the history does not reach back.
-    pub fn update_since(&self, known: Revision) -> BackEndUpdate {
+    pub fn update_since(&self, now: Timestamp, known: Revision) -> BackEndUpdate {
         let revision = self.revision.unwrap_or_default();
         let has_history = known >= self.history_start && known.era == revision.era;
         let base = (has_history && known != Revision::default()).then_some(known);
@@ -224,7 +255,8 @@
         let listed = listed.map(|entry| entry.back_end.clone()).collect();
         let removed = self.removed.iter().filter(|(_, at)| base.is_some() && is_newer(**at));
         let removed = removed.map(|(name, _)| name.clone()).collect();
-        BackEndUpdate { base, revision, listed, removed }
+        let kept = self.expired.report(now, base);
+        BackEndUpdate { base, revision, listed, removed, kept }
     }
 
     /// Returns the known revision, or `None` before the first update.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -60,7 +60,7 @@
 };
 pub use engine::Load;
 pub use evacuation::EvacuatedZones;
-pub use expired::{OutageDetector, SourceAvailability, SourceCondition};
+pub use expired::{KeptBackEnd, OutageDetector, SourceAvailability, SourceCondition};
 pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
