Wait for updates after a stall of more than half of the propagation bound

After a stall of its process a router let requests wait for first news only if the stall was longer than the whole bound. One of 2.9 s with a bound of 3 s, and news on their way for 0.5 s, break it: the same class as the grace period, limits that are right one by one and whose sum nothing holds.

Half of the bound is left for the way of the updates now. The wait itself (0.6 s at most, until a peer or the source was heard) is as it was. Test: requests_wait_for_updates_after_a_stall_longer_than_half_of_the_bound, red before; it took the place of the one for the whole bound, whose case of no wait holds for a bound twice as long.

--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -52,11 +52,12 @@
         }
     }
 
-    /// Returns whether a stall of more than `bound` ended so recently that the known versions may
-    /// be outdated.
+    /// Returns whether a stall ended so recently that the known versions may be outdated: one of
+    /// more than half of `bound`, the time within which updates must be in force. The other half is
+    /// left for the way of the updates.
     pub fn may_be_outdated(&self, now: Timestamp, bound: Duration) -> bool {
         self.current(now).is_some_and(|stall| {
-            stall.ended.since(stall.began) > bound && now.since(stall.ended) < MAX_UPDATE_WAIT
+            stall.ended.since(stall.began) > bound / 2 && now.since(stall.ended) < MAX_UPDATE_WAIT
         })
     }
 
--- a/crates/routing/tests/stall.rs
+++ b/crates/routing/tests/stall.rs
@@ -40,11 +40,13 @@
     assert_eq!(detector.earliest_arrival(at(1_910)), at(1_910));
 }
 
+/// Guards against a stall that takes up the whole bound and leaves none for the way of the updates.
 #[test]
-fn requests_wait_for_updates_after_a_stall_longer_than_the_bound() {
+fn requests_wait_for_updates_after_a_stall_longer_than_half_of_the_bound() {
     let mut short = running_until(1_000);
     short.on_tick(at(2_500));
-    assert!(!short.may_be_outdated(at(2_510), BOUND));
+    assert!(!short.may_be_outdated(at(2_510), BOUND * 2));
+    assert!(short.may_be_outdated(at(2_510), BOUND));
     let mut long = running_until(1_000);
     assert!(long.may_be_outdated(at(6_000), BOUND), "before any tick");
     long.on_tick(at(6_000));
