Let a member ask the source as soon as the sums that it knows have expired

When many routers terminate at once, a member whose aggregator is among them tries the next by rank for 240 ms, and the next, and asked the source itself only after 1.5 s.

Test: a_back_end_that_leaves_as_many_routers_terminate_is_unused_within_half_of_the_limit, red before (1.76 s of 1.5).

--- a/crates/routing/src/dispatch/fleet/role.rs
+++ b/crates/routing/src/dispatch/fleet/role.rs
@@ -1,6 +1,6 @@
 //! How a router reports its stats: to all peers, to an aggregator, or as an aggregator.
 
-use super::{FALLBACK_TIMEOUT, Fleet, LoadStatsChange, OwnState, StatsSource};
+use super::{FALLBACK_TIMEOUT, Fleet, LoadStatsChange, OwnState, STATS_TTL, StatsSource};
 use crate::dispatch::aggregation::{Aggregators, Candidate, MAX_MESH_PEERS, Role};
 use crate::source_watchers::SourceContact;
 use mastbay_types::Timestamp;
@@ -8,8 +8,9 @@
 
 /// Silence after which an expected aggregator is suspected: three lost rounds.
 const AGGREGATOR_TIMEOUT: Duration = Duration::from_millis(240);
-/// Time without a fleet sum after which a member counts as isolated.
-const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a fleet sum after which a member counts as isolated: what it knows of the others
+/// has expired, whichever aggregators it has tried meanwhile.
+const ISOLATION_TIMEOUT: Duration = STATS_TTL;
 
 impl Fleet {
     /// Updates this router's role and everything that depends on it.
--- a/crates/routing/tests/departures.rs
+++ b/crates/routing/tests/departures.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use mastbay_routing::BackEndState;
+use mastbay_types::stable_hash;
 use std::time::Duration;
 use support::fleet::address;
 use support::sourced_fleet::SourcedFleet;
@@ -133,3 +134,29 @@
         assert_eq!(fleet.using("e0").len(), 0);
     }
 }
+
+/// Returns whether a router terminates, for a fraction in hundredths.
+fn terminates(seed: u64, router: usize, hundredths: u64) -> bool {
+    let draw = stable_hash(&[&seed.to_be_bytes(), &(router as u64).to_be_bytes()]);
+    draw % 100 < hundredths
+}
+
+/// Guards against routers that wait for one terminated aggregator after the other. The other half
+/// of the limit is left for routers that are short of processor time.
+#[test]
+fn a_back_end_that_leaves_as_many_routers_terminate_is_unused_within_half_of_the_limit() {
+    for (size, hundredths) in [(62, 60), (62, 80), (85, 30), (85, 60), (85, 80), (300, 60)] {
+        for (seed, rounds) in [(0, 0), (1, 2), (2, 4), (3, 6)] {
+            let mut fleet = running_fleet(size);
+            fleet.first_watch_time = Duration::from_millis(80);
+            let terminated = (0..size).filter(|router| terminates(seed, *router, hundredths));
+            fleet.fleet.silent = terminated.map(address).collect();
+            fleet.rounds(rounds);
+            fleet.remove(&["e0"]);
+            let silent = fleet.fleet.silent.clone();
+            let is_unused = |fleet: &SourcedFleet| fleet.using("e0").is_subset(&silent);
+            let took = fleet.rounds_until(TEST_LIMIT, is_unused);
+            assert!(took <= drain_limit(size) / 2, "{size}, {hundredths}, {seed}: {took:?}");
+        }
+    }
+}
