--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -3,14 +3,14 @@
 //! Sources and peers send the changes since a known revision. The whole list is sent only when the
 //! receiver has no revision, the source was restored since, or the history no longer reaches back.
 
-use crate::back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
+use crate::back_end::{BackEnd, BackEndId, BackEndState};
+use crate::back_end_update::{BackEndUpdate, UsableChanges};
 use crate::draining::DrainingBackEnds;
 use crate::expired::{ExpiredBackEnds, Grace, KeptBackEnd};
 use crate::incarnations::LatestIncarnations;
 use crate::restored::DepartedBackEnds;
 use crate::revision::Revision;
 use mastbay_types::Timestamp;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -18,51 +18,6 @@
 /// and peers receive the whole list.
 const MAX_REMOVED_NAMES: usize = 4_096;
 
-/// An update of the back ends from a source or a peer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BackEndUpdate {
-    /// Revision that the changes are relative to; `None` for a whole list.
-    pub base: Option<Revision>,
-    /// Revision after the update.
-    pub revision: Revision,
-    /// Added and changed back ends; all back ends in a whole list.
-    pub listed: Vec<BackEnd>,
-    /// Names of removed back ends.
-    pub removed: Vec<Arc<str>>,
-    /// Back ends that are missing from the source and still used by the sender. Empty in updates
-    /// from a source.
-    #[serde(default)]
-    pub kept: Vec<KeptBackEnd>,
-}
-
-impl From<BackEndList> for BackEndUpdate {
-    fn from(list: BackEndList) -> Self {
-        Self {
-            base: None,
-            revision: list.revision,
-            listed: list.back_ends,
-            removed: Vec::new(),
-            kept: Vec::new(),
-        }
-    }
-}
-
-/// Changes of the back ends that may receive requests, as the result of an update.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct UsableChanges {
-    /// Revision after the update.
-    pub revision: Revision,
-    /// Added and changed back ends, in the state in which they are to be used.
-    pub updated: Vec<BackEnd>,
-    /// Incarnations that are no longer to be used.
-    pub removed: Vec<BackEndId>,
-    /// Incarnations that are missing from the source and still to be used for a grace period.
-    pub kept: Vec<BackEndId>,
-    /// Incarnations that were draining and are listed as ready again. They remain draining, as the
-    /// entry was written earlier.
-    pub undrained: Vec<BackEndId>,
-}
-
 #[derive(Debug)]
 struct Entry {
     back_end: BackEnd,
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -22,11 +22,11 @@
 
 use crate::announcements::Announcements;
 use crate::back_end::{BackEnd, BackEndId, BackEndList};
+use crate::back_end_update::UsableChanges;
 use crate::budget::RetryBudget;
 use crate::concurrency::UnloadedEventInterval;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
 use crate::digest::PeerId;
-use crate::directory::UsableChanges;
 use crate::engine::{Engine, Load};
 use crate::evacuation::EvacuatedZones;
 use crate::fingerprint::RequestFingerprint;
--- a/crates/routing/src/dispatch/source.rs
+++ b/crates/routing/src/dispatch/source.rs
@@ -2,8 +2,8 @@
 
 use super::Dispatcher;
 use crate::digest::RouterPhase;
-use crate::expired::SourceAvailability;
 use crate::overload::PeerCapacity;
+use crate::source_outage::SourceAvailability;
 use crate::source_watchers::SourceContact;
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod announcements;
 mod attempt;
 mod back_end;
+mod back_end_update;
 mod budget;
 mod concurrency;
 mod configuration;
@@ -35,6 +36,7 @@
 mod rollout;
 mod service_level;
 mod shares;
+mod source_outage;
 mod source_watchers;
 mod stall;
 mod table;
@@ -43,6 +45,7 @@
 
 pub use attempt::{Attempt, AttemptState, ExecutionStatus};
 pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
+pub use back_end_update::{BackEndUpdate, UsableChanges};
 pub use budget::{BudgetLimits, RetryBudget};
 pub use concurrency::{ConcurrencyLimit, EVENTS_PER_OBSERVATION, LimitSum, UnloadedEventInterval};
 pub use configuration::{
@@ -52,7 +55,7 @@
 pub use digest::{
     Digest, IncludedDigest, Outgoing, PeerId, PeerMessage, RouterPhase, RouterState, Sum, SumScope,
 };
-pub use directory::{BackEndDirectory, BackEndUpdate, UsableChanges};
+pub use directory::BackEndDirectory;
 pub use dispatch::{
     Admission, AdmissionResults, Demand, Dispatcher, DispatcherLimits, ExcludedBackEnds,
     HEAVIEST_TENANTS, NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason,
@@ -60,7 +63,7 @@
 };
 pub use engine::Load;
 pub use evacuation::EvacuatedZones;
-pub use expired::{KeptBackEnd, OutageDetector, SourceAvailability, SourceCondition};
+pub use expired::KeptBackEnd;
 pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
@@ -84,6 +87,7 @@
 };
 pub use service_level::{ACCEPTED_MISSES, ServiceLevel, ServiceLevelCounts};
 pub use shares::{Usage, water_level};
+pub use source_outage::{OutageDetector, SourceAvailability, SourceCondition};
 pub use source_watchers::{
     Candidate, SourceContact, StartingRouter, watch_timeout, watches_source,
 };
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -106,7 +106,7 @@
             revision: self.revision,
             listed,
             removed,
-            kept: Vec::new(),
+            ..BackEndUpdate::default()
         }
     }
 }
@@ -296,8 +296,7 @@
         base: Some(base.into()),
         revision: revision.into(),
         listed: vec![entry(state)],
-        removed: Vec::new(),
-        kept: Vec::new(),
+        ..BackEndUpdate::default()
     };
     let (mut peer, mut router) = (DirectoryView::default(), DirectoryView::default());
     for view in [&mut peer, &mut router] {
@@ -325,7 +324,7 @@
             revision: 11.into(),
             listed: vec![changed],
             removed,
-            kept: Vec::new(),
+            ..BackEndUpdate::default()
         };
         assert!(view.apply(at(10), None, update));
         let update = view.directory.update_since(at(0), 10.into());
@@ -344,8 +343,7 @@
         base: Some(base.into()),
         revision: revision.into(),
         listed: vec![back_end("e1", MODEL, 8)],
-        removed: Vec::new(),
-        kept: Vec::new(),
+        ..BackEndUpdate::default()
     };
     assert!(!view.apply(at(0), None, update(5, 6)));
     assert!(view.apply(at(0), None, list(5, 1, 8)));
--- a/crates/routing/tests/restored.rs
+++ b/crates/routing/tests/restored.rs
@@ -71,13 +71,8 @@
     assert_eq!(view.ready().len(), 2);
     let base = Some(Revision::new(1, 20));
     let listed = back_end_list(Revision::default(), &[("young", Ready)]).back_ends;
-    let update = BackEndUpdate {
-        base,
-        revision: Revision::new(1, 21),
-        listed,
-        removed: Vec::new(),
-        kept: Vec::new(),
-    };
+    let update =
+        BackEndUpdate { base, revision: Revision::new(1, 21), listed, ..BackEndUpdate::default() };
     view.apply(at(RESTORED + 1_200), None, update);
     view.expire(at(RESTORED + 20_000));
     assert_eq!(view.ready().len(), 2);
--- a/crates/routing/tests/support/sourced_fleet.rs
+++ b/crates/routing/tests/support/sourced_fleet.rs
@@ -102,8 +102,8 @@
         let known = self.source.revision().expect("entries");
         let mut revision = known;
         revision.number += 1;
-        let kept = Vec::new();
-        let update = BackEndUpdate { base: Some(known), revision, listed, removed, kept };
+        let base = Some(known);
+        let update = BackEndUpdate { base, revision, listed, removed, ..BackEndUpdate::default() };
         self.source.apply(self.fleet.now, None, update);
     }
 
