Drop the answer of a caller that left before it was handed over

A caller of the product's gateway that disconnects just as the head of its stream arrives kept a slot of the back end until the request's deadline.

Cause: the task of a request kept its end of the channel by which the answer goes to the caller's connection.

The end is consumed by the answer now (reply.rs), so what is not taken is dropped, the body closes, and the next chunk finds that the caller is gone. Test: a_stream_whose_caller_disconnects_as_it_begins_is_closed; red with an end that is kept.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -16,6 +16,7 @@
 mod journal;
 mod metrics;
 mod relay;
+mod reply;
 mod request;
 mod run;
 mod settings;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,6 +8,7 @@
 use crate::event_stream::reported_usage;
 use crate::journal::RequestEvent;
 use crate::relay::{ChunkSender, Relay};
+use crate::reply::{Reply, reply_channel};
 use crate::request::{AcceptedRequest, RequestIdentity, TRACEPARENT};
 use crate::ticket::Ticket;
 use hyper::body::Incoming;
@@ -19,7 +20,7 @@
 use mastbay_telemetry::{HopSpan, TraceContext};
 use mastbay_types::{Cost, RequestId};
 use mastbay_web::{Body, ReadBodyError, read_limited, streamed, within};
-use smol::channel::{Receiver, Sender};
+use smol::channel::Receiver;
 use smol::future::FutureExt;
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -39,13 +40,13 @@
         Err(reason) => return refuse(&duty, &identity, reason),
     };
     duty.begin_journal_entry(&accepted);
-    let (reply, answer) = smol::channel::bounded(1);
+    let (reply, answer) = reply_channel();
     let (guard, caller) = smol::channel::bounded::<Infallible>(1);
     smol::spawn(RequestTask::new(duty, accepted, reply, caller).run()).detach();
-    let answer = answer.recv().await;
+    let answer = answer.receive().await;
     // If the caller disconnects, this future is dropped with the guard, which closes the channel.
     drop(guard);
-    answer.unwrap_or_else(|_| {
+    answer.unwrap_or_else(|| {
         let outcome = Outcome::Unknown(mastbay_attempts::UnknownReason::BackendFailed);
         error_answer(&identity, outcome)
     })
@@ -88,7 +89,8 @@
     exchange: Exchange,
     ticket: Option<Ticket>,
     assignment: Option<Assignment>,
-    reply: Sender<Response<Body>>,
+    /// `None` once the response was sent.
+    reply: Option<Reply>,
     caller: Receiver<Infallible>,
     span: HopSpan,
     answer: Option<BufferedAnswer>,
@@ -101,7 +103,7 @@
     fn new(
         duty: Arc<GatewayDuty>,
         request: AcceptedRequest,
-        reply: Sender<Response<Body>>,
+        reply: Reply,
         caller: Receiver<Infallible>,
     ) -> Self {
         let policy = RequestPolicy {
@@ -118,7 +120,7 @@
             exchange: Exchange::new(policy),
             ticket: None,
             assignment: None,
-            reply,
+            reply: Some(reply),
             caller,
             span,
             answer: None,
@@ -299,7 +301,7 @@
         let response =
             build_answer(&self.request.identity, StatusCode::OK, headers, streamed(chunks));
         // If the caller has disconnected, sending the first chunk fails.
-        let _ = self.reply.send(response).await;
+        self.send_response(response);
         self.stream = Some(sender.clone());
         let Some(ticket) = &mut self.ticket else {
             return Err(Failure::Stopping);
@@ -310,6 +312,12 @@
         result
     }
 
+    fn send_response(&mut self, response: Response<Body>) {
+        if let Some(reply) = self.reply.take() {
+            reply.send(response);
+        }
+    }
+
     async fn conclude(mut self, outcome: Outcome) {
         // The slot is released before the caller gets its answer, so its next request can use it.
         drop(self.ticket.take());
@@ -331,12 +339,12 @@
         match (self.answer.take(), &self.stream) {
             (Some(answer), _) => {
                 let BufferedAnswer { status, headers, body } = answer;
-                let _ = self.reply.send(buffered_answer(&identity, status, headers, body)).await;
+                self.send_response(buffered_answer(&identity, status, headers, body));
             }
             (None, Some(_)) if outcome == Outcome::Answered => {}
             (None, Some(caller)) => Relay::abort(caller, &self.request, outcome).await,
             (None, None) => {
-                let _ = self.reply.send(error_answer(&identity, outcome)).await;
+                self.send_response(error_answer(&identity, outcome));
             }
         }
         self.span.finish(&identity.id.to_string(), outcome.code());
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -1,7 +1,10 @@
-//! Tests of the event stream parser with chunks cut at any position.
+//! Tests of the event stream parser with chunks cut at any position, and of replies.
 
 use crate::event_stream::StreamMeter;
+use crate::reply::reply_channel;
+use hyper::Response;
 use mastbay_types::Cost;
+use mastbay_web::streamed;
 
 const STREAM: &str = "data: {\"a\":1}\n\ndata: {\"b\":\"\\n\"}\n\n: comment\n\n\
                       data: {\"usage\":{\"total_tokens\":42}}\n\ndata: [DONE]\n\n";
@@ -34,3 +37,14 @@
     assert_eq!(meter.events(), 2);
     assert!(!meter.is_complete());
 }
+
+// Guards against a stream that keeps its slot until its deadline because its caller disconnected
+// between the head of the answer and its delivery.
+#[test]
+fn a_stream_whose_caller_disconnects_as_it_begins_is_closed() {
+    let (reply, pending) = reply_channel();
+    let (events, chunks) = smol::channel::bounded(1);
+    reply.send(Response::new(streamed(chunks)));
+    drop(pending);
+    assert!(events.is_closed());
+}
