Ground for the hard-load parts: modules without circles, switches, report fields

Change: Demand, TicketId, ShareClass, Load, EngineKey, ScoredBackEnd, SelectionCriteria, Running and RolloutRequest stand in modules below those that use them. LoadStats carries engine performance, prefix rates and the backlog, all empty so far. Switches in [policy]: engine-performance, ranking, ranks, prefix-transfer, waiting-order, retry-after, concurrency = spare; all off. Demand carries the route's pause objective.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -88,6 +88,7 @@
             arrived: self.arrived,
             deadline: self.deadline,
             objective: self.entry.route.objective,
+            pause_objective: self.entry.route.pause_objective,
             priority: self.priority,
             tenant: self.tenant.clone(),
             regions: self.regions.clone(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,8 +2,9 @@
 
 use crate::catalogue::EnabledOrders;
 use mastbay_routing::{
-    BudgetLimits, ConcurrencyPolicy, ExposureLimits, FairCapacity, Policy, QuarantineLimits,
-    WarmupLimits, ZoneRegions,
+    BudgetLimits, ConcurrencyPolicy, ExposureLimits, FairCapacity, PerformanceSource, Policy,
+    QuarantineLimits, RankCount, RankingPolicy, RetryAfterPolicy, WaitingScope, WarmupLimits,
+    ZoneRegions,
 };
 use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
 use std::net::SocketAddr;
@@ -286,6 +287,12 @@
         fair_share: section.or("fair-share", default.fair_share),
         fair_capacity: section.or("fair-capacity", Capacity(default.fair_capacity)).0,
         latency_ratio: section.or("latency-ratio", default.latency_ratio),
+        performance: section.or("engine-performance", Performance(default.performance)).0,
+        ranking: section.or("ranking", Ranking(default.ranking)).0,
+        rank_count: section.or("ranks", Ranks(default.rank_count)).0,
+        prefix_transfer: section.or("prefix-transfer", default.prefix_transfer),
+        waiting_scope: section.or("waiting-order", Waiting(default.waiting_scope)).0,
+        retry_after: section.or("retry-after", RetryDelay(default.retry_after)).0,
     };
     section.finish();
     policy
@@ -342,14 +349,95 @@
 struct Concurrency(ConcurrencyPolicy);
 
 impl Value for Concurrency {
-    const EXPECTED: &'static str = "'adaptive', 'slots' or a number from 1 to 100000";
+    const EXPECTED: &'static str = "'adaptive', 'spare', 'slots' or a number from 1 to 100000";
 
     fn read(text: &str) -> Result<Self, Expected> {
         match (text, text.parse::<u32>()) {
             ("adaptive", _) => Ok(Concurrency(ConcurrencyPolicy::Adaptive)),
+            ("spare", _) => Ok(Concurrency(ConcurrencyPolicy::Spare)),
             ("slots", _) => Ok(Concurrency(ConcurrencyPolicy::Slots)),
             (_, Ok(limit @ 1..=100_000)) => Ok(Concurrency(ConcurrencyPolicy::Fixed(limit))),
             _ => Err(Self::EXPECTED.into()),
         }
     }
 }
+
+/// Whose observations predict the performance of engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Performance(PerformanceSource);
+
+impl Value for Performance {
+    const EXPECTED: &'static str = "'own' or 'fleet'";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text {
+            "own" => Ok(Performance(PerformanceSource::Own)),
+            "fleet" => Ok(Performance(PerformanceSource::Fleet)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// The ranking of engines for a shared prefix.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Ranking(RankingPolicy);
+
+impl Value for Ranking {
+    const EXPECTED: &'static str = "'plain' or 'weighted'";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text {
+            "plain" => Ok(Ranking(RankingPolicy::Plain)),
+            "weighted" => Ok(Ranking(RankingPolicy::Weighted)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// The number of engines for a shared prefix.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Ranks(RankCount);
+
+impl Value for Ranks {
+    const EXPECTED: &'static str = "'fixed' or 'demand'";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text {
+            "fixed" => Ok(Ranks(RankCount::Fixed)),
+            "demand" => Ok(Ranks(RankCount::Demand)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// The scope of the order of waiting requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Waiting(WaitingScope);
+
+impl Value for Waiting {
+    const EXPECTED: &'static str = "'router' or 'fleet'";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text {
+            "router" => Ok(Waiting(WaitingScope::Router)),
+            "fleet" => Ok(Waiting(WaitingScope::Fleet)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
+
+/// How retry delays are determined.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct RetryDelay(RetryAfterPolicy);
+
+impl Value for RetryDelay {
+    const EXPECTED: &'static str = "'deadline' or 'backlog'";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text {
+            "deadline" => Ok(RetryDelay(RetryAfterPolicy::Deadline)),
+            "backlog" => Ok(RetryDelay(RetryAfterPolicy::Backlog)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -65,6 +65,7 @@
         },
         event_intervals: is_full.then(Vec::new),
         releases: Vec::new(),
+        ..LoadStats::default()
     };
     let router = router_state(address);
     let included = (0..63).map(|incarnation| IncludedDigest {
--- /dev/null
+++ b/crates/routing/src/admission/mod.rs
@@ -0,0 +1,5 @@
+//! Admission under load: waiting requests over the whole fleet.
+
+mod backlog;
+
+pub use backlog::BacklogReport;
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -1,11 +1,10 @@
 //! Admission control: places a request, queues it, or refuses it with a retry delay.
 
 use super::Dispatcher;
-use super::fair_level::ShareClass;
-use super::messages::{
-    Admission, AdmissionResults, Demand, Refusal, RefusalDetails, RefusalReason, TicketId,
-};
+use super::messages::{Admission, AdmissionResults, Refusal, RefusalDetails, RefusalReason};
+use crate::demand::{Demand, TicketId};
 use crate::engine::Engine;
+use crate::share_class::ShareClass;
 use crate::waiting::{Waiter, WaitingQueue};
 use mastbay_types::Timestamp;
 use std::time::Duration;
--- a/crates/routing/src/dispatch/engines.rs
+++ b/crates/routing/src/dispatch/engines.rs
@@ -5,7 +5,7 @@
 
 use crate::back_end::{BackEnd, BackEndId};
 use crate::engine::Engine;
-use crate::load_stats::EngineKey;
+use crate::engine_key::EngineKey;
 use mastbay_types::{Timestamp, stable_hash};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/crates/routing/src/dispatch/event_intervals.rs
+++ b/crates/routing/src/dispatch/event_intervals.rs
@@ -1,8 +1,9 @@
 //! Event intervals observed on streams, and the concurrency limits derived from them.
 
-use super::{Dispatcher, TicketId};
+use super::Dispatcher;
 use crate::back_end::BackEndId;
 use crate::concurrency::{EVENTS_PER_OBSERVATION, UnloadedEventInterval};
+use crate::demand::TicketId;
 use crate::engine::Engine;
 use crate::load_stats::ServiceEventInterval;
 use mastbay_types::Timestamp;
--- a/crates/routing/src/dispatch/fair_level.rs
+++ b/crates/routing/src/dispatch/fair_level.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 use crate::policy::FairCapacity;
+use crate::share_class::ShareClass;
 use crate::shares::water_level;
 use crate::waiting::{Waiter, WaitingOrder};
 use std::collections::HashMap;
@@ -9,17 +10,6 @@
 /// Fraction of the fair level up to which a tenant has precedence.
 const PRECEDENCE_FRACTION: f64 = 0.5;
 
-/// A tenant's usage relative to its max-min fair share of the capacity.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ShareClass {
-    /// Up to half of the fair share.
-    BelowHalf,
-    /// Above half of the fair share, up to all of it.
-    BelowShare,
-    /// Above the fair share.
-    AboveShare,
-}
-
 /// Tenant rates over the fleet and the resulting fair level.
 #[derive(Debug)]
 pub struct Shares {
--- a/crates/routing/src/dispatch/fleet/roster.rs
+++ b/crates/routing/src/dispatch/fleet/roster.rs
@@ -5,7 +5,7 @@
 
 use super::{Fleet, STATS_TTL};
 use crate::digest::{RouterPhase, RouterState};
-use crate::load_stats::EngineKey;
+use crate::engine_key::EngineKey;
 use mastbay_types::{Timestamp, stable_hash};
 use std::time::Duration;
 
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -224,6 +224,7 @@
         let add = |sum: &mut LoadStatsSum, stats: &LoadStats| {
             sum.add_loads(stats);
             sum.add_releases(stats);
+            sum.add_backlog(stats);
             sum.add_rates(stats);
             if is_full_round {
                 sum.add_slow_changing(stats);
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod aggregation;
 mod announced;
+mod candidate;
 mod cold_engines;
 mod engines;
 mod event_intervals;
@@ -16,6 +17,8 @@
 mod placement;
 mod preferred_engines;
 mod releases;
+mod rollout_request;
+mod running;
 mod sharing;
 mod source;
 mod suspects;
@@ -26,28 +29,30 @@
 use crate::budget::RetryBudget;
 use crate::concurrency::UnloadedEventInterval;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
+use crate::demand::{Demand, TicketId};
 use crate::digest::PeerId;
-use crate::engine::{Engine, Load};
+use crate::engine::Engine;
+use crate::engine_key::EngineKey;
 use crate::evacuation::EvacuatedZones;
 use crate::fingerprint::RequestFingerprint;
-use crate::first_event::{FirstEventEstimator, PrefillWork};
+use crate::first_event::FirstEventEstimator;
 use crate::gossip::GossipQueue;
 use crate::health::Fault;
-use crate::load_stats::EngineKey;
+use crate::load::Load;
 use crate::quarantine::{ProbeSlot, Relaying};
 use crate::revision::Revision;
 use crate::rollout::RolloutRegistry;
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
 use crate::waiting::WaitingQueue;
+use candidate::{ScoredBackEnd, SelectionCriteria};
 use cold_engines::HeldColdEngines;
 use engines::Engines;
 use fair_level::Shares;
 use fleet::Fleet;
 use mastbay_types::Timestamp;
-use placement::{ScoredBackEnd, SelectionCriteria};
 use preferred_engines::PreferredEngines;
-use releases::RolloutRequest;
+use running::Running;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -56,29 +61,10 @@
 pub use aggregation::Role;
 pub use fleet::{HEAVIEST_TENANTS, NewPeer, ROUND_PERIOD};
 pub use messages::{
-    Admission, AdmissionResults, Demand, DispatcherLimits, ExcludedBackEnds, Placement, Refusal,
-    RefusalDetails, RefusalReason, TicketId,
+    Admission, AdmissionResults, DispatcherLimits, ExcludedBackEnds, Placement, Refusal,
+    RefusalDetails, RefusalReason,
 };
 
-/// A request in progress at a back end.
-#[derive(Debug)]
-struct Running {
-    back_end: BackEndId,
-    load: Load,
-    sent: Timestamp,
-    predicted: Duration,
-    work_ahead: PrefillWork,
-    has_first_event: bool,
-    /// Latest time for the first event to count as in time. `None` if the request does not count
-    /// for the service level.
-    service_level_due: Option<Timestamp>,
-    /// Events received since `observed`, when the event interval was last sampled.
-    events: u32,
-    observed: Timestamp,
-    /// Set if the service has a roll-out.
-    rollout_request: Option<RolloutRequest>,
-}
-
 /// Event-loop lag up to which measured times are attributed to the back ends.
 const TOLERATED_LAG: Duration = Duration::from_millis(15);
 /// Time after a larger lag during which measured times are ignored.
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -3,8 +3,10 @@
 use super::Dispatcher;
 use super::fleet::{LoadStatsChange, NewPeer, OwnState};
 use crate::digest::{Digest, Outgoing, PeerMessage, RouterPhase, Sum};
-use crate::engine::{Engine, Load};
-use crate::load_stats::{EngineKey, EngineLoad, EngineServiceLevel, LoadStats};
+use crate::engine::Engine;
+use crate::engine_key::EngineKey;
+use crate::load::Load;
+use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats};
 use mastbay_types::Timestamp;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -131,6 +133,9 @@
             heaviest: Vec::new(),
             event_intervals: Some(self.unloaded_event_intervals()),
             releases: self.rollouts.reports(),
+            performance: None,
+            prefixes: None,
+            backlog: Vec::new(),
         }
     }
 
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -1,14 +1,15 @@
 //! Back-end selection: prefers the engine that caches the prompt's shared prefix while it can
 //! respond in time.
 
-use super::fair_level::ShareClass;
-use super::{Demand, Dispatcher};
-use crate::back_end::BackEndId;
+use super::Dispatcher;
+use super::candidate::{ScoredBackEnd, SelectionCriteria};
+use crate::demand::Demand;
 use crate::engine::Engine;
 use crate::first_event::PrefillWork;
-use crate::policy::{ConcurrencyPolicy, Policy};
+use crate::policy::{ConcurrencyPolicy, PerformanceSource, Policy};
 use crate::prompt::Prompt;
 use crate::rollout::VersionFilter;
+use crate::share_class::ShareClass;
 use mastbay_types::{Timestamp, mixed_hash};
 use std::time::Duration;
 
@@ -48,32 +49,6 @@
     ratio + LATENCY_RATIO_WEIGHT * (observed - ratio)
 }
 
-/// A back end with its cost for a request.
-#[derive(Debug, Clone)]
-pub struct ScoredBackEnd {
-    pub id: BackEndId,
-    /// Predicted time to the first event.
-    pub predicted: Duration,
-    /// Predicted time to the first event if no other prefill were pending.
-    pub predicted_idle: Duration,
-    /// Prompt tokens that are not in its prefix cache.
-    pub uncached: u64,
-    /// Prefill to be done before the request's first event, including the request's own.
-    pub work_ahead: PrefillWork,
-    /// Selection cost; the lowest wins.
-    cost: f64,
-}
-
-/// Request-dependent conditions for the selection of a back end.
-#[derive(Debug, Clone)]
-pub struct SelectionCriteria {
-    pub class: ShareClass,
-    /// Whether the request's waiting time is over, so that its first event may be late.
-    pub is_final_attempt: bool,
-    /// The versions that may serve the request.
-    pub release: VersionFilter,
-}
-
 impl Dispatcher {
     /// Returns the back end with the lowest cost that has free capacity for the request.
     pub(super) fn best(
@@ -306,11 +281,23 @@
         let slots = f64::from(engine.back_end.slots.max(1));
         match self.limits.policy.concurrency {
             ConcurrencyPolicy::Slots => slots,
-            ConcurrencyPolicy::Adaptive => engine.agreed_limit(now).min(slots),
+            ConcurrencyPolicy::Adaptive | ConcurrencyPolicy::Spare => {
+                engine.agreed_limit(now).min(slots)
+            }
             ConcurrencyPolicy::Fixed(max) => slots.min(f64::from(max.max(1))),
         }
     }
 
+    /// Returns the observed over the predicted time to the first event of an engine.
+    fn latency_ratio(&self, now: Timestamp, engine: &Engine) -> f64 {
+        let policy = &self.limits.policy;
+        match policy.performance {
+            _ if !policy.latency_ratio => 1.0,
+            PerformanceSource::Own => engine.latency_ratio,
+            PerformanceSource::Fleet => engine.performance(now).latency_ratio,
+        }
+    }
+
     fn score(
         &self,
         now: Timestamp,
@@ -326,7 +313,7 @@
         }
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.prefill.plus(prompt.prefill(uncached));
-        let ratio = if self.limits.policy.latency_ratio { engine.latency_ratio } else { 1.0 };
+        let ratio = self.latency_ratio(now, engine);
         let predicted = estimator.estimate(work_ahead) * ratio;
         let predicted_idle = estimator.estimate(prompt.prefill(uncached)) * ratio;
         let predicted_idle = Duration::from_secs_f64(predicted_idle / 1e3);
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -1,8 +1,8 @@
 //! Cached rendezvous order of back ends for each shared prompt prefix.
 
-use super::Demand;
 use super::engines::{Engines, ReadyEngine};
 use crate::back_end::{BackEnd, BackEndId};
+use crate::demand::Demand;
 use crate::regions::AllowedRegions;
 use crate::rollout::VersionFilter;
 use mastbay_types::mixed_hash;
--- a/crates/routing/src/dispatch/releases.rs
+++ b/crates/routing/src/dispatch/releases.rs
@@ -1,26 +1,15 @@
 //! Selects the version of a service during a roll-out and records the responses of each version.
 
-use super::placement::{ScoredBackEnd, SelectionCriteria};
-use super::{Demand, Dispatcher, Running};
+use super::Dispatcher;
+use super::candidate::{ScoredBackEnd, SelectionCriteria};
+use super::rollout_request::{PLAIN_EXPECTED_TIME, RolloutRequest};
+use super::running::Running;
+use crate::demand::Demand;
 use crate::health::Fault;
-use crate::rollout::{AnswerOutcome, RolloutRecord, Rollouts, Side, VersionFilter};
+use crate::rollout::{AnswerOutcome, RolloutRecord, Rollouts, VersionFilter};
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
-/// A request that counts in a roll-out.
-#[derive(Debug, Clone, Copy)]
-pub struct RolloutRequest {
-    side: Side,
-    route: u32,
-    /// Expected time to the first byte; a constant for plain requests.
-    expected: Duration,
-    /// Measured time to the first byte.
-    taken: Option<Duration>,
-}
-
-/// Expected time for plain requests, which have no size to predict one from.
-const PLAIN_EXPECTED_TIME: Duration = Duration::from_millis(1);
-
 impl Dispatcher {
     /// Applies the current roll-out orders.
     pub fn on_rollouts(&mut self, now: Timestamp, rollouts: &Rollouts) {
@@ -102,13 +91,3 @@
         rollout.on_answer(request.route, request.side, answer);
     }
 }
-
-impl RolloutRequest {
-    pub fn on_first_event(&mut self, taken: Duration) {
-        self.taken.get_or_insert(taken);
-    }
-
-    fn relative_to_expected(&self, taken: Duration) -> f64 {
-        taken.as_secs_f64() / self.expected.max(PLAIN_EXPECTED_TIME).as_secs_f64()
-    }
-}
--- a/crates/routing/src/dispatch/sharing.rs
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -1,8 +1,10 @@
 //! Fair shares of tenants, and the effect of unplaced and refused requests on capacity and service
 //! level.
 
-use super::fair_level::{ShareClass, Shares};
-use super::{Demand, Dispatcher};
+use super::Dispatcher;
+use super::fair_level::Shares;
+use crate::demand::Demand;
+use crate::share_class::ShareClass;
 use mastbay_types::Timestamp;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/routing/src/dispatch/suspects.rs
+++ b/crates/routing/src/dispatch/suspects.rs
@@ -5,11 +5,12 @@
 //! the cause. The order is the same at every router, so that copies of a request affect the same
 //! back end.
 
-use super::placement::{ScoredBackEnd, SelectionCriteria};
-use super::{Demand, Dispatcher};
+use super::Dispatcher;
+use super::candidate::{ScoredBackEnd, SelectionCriteria};
+use crate::demand::Demand;
 use crate::engine::Engine;
+use crate::engine_key::EngineKey;
 use crate::fingerprint::RequestFingerprint;
-use crate::load_stats::EngineKey;
 use mastbay_types::{Timestamp, stable_hash};
 use std::cmp::Reverse;
 
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -4,54 +4,19 @@
 use crate::back_end::{BackEnd, BackEndState};
 use crate::concurrency::{ConcurrencyLimit, LimitSum};
 use crate::decaying_counter::DecayingCounter;
-use crate::first_event::PrefillWork;
+use crate::engine_key::EngineKey;
 use crate::health::Health;
-use crate::load_stats::{EngineKey, EngineLoad, EngineServiceLevel};
+use crate::load::Load;
+use crate::load_stats::{EngineLoad, EngineServiceLevel};
+use crate::performance::PerformanceEstimate;
 use crate::prompt::Prompt;
 use crate::service_level::{ServiceLevel, ServiceLevelCounts};
 use crate::warmup::Warmup;
 use mastbay_types::Timestamp;
-use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Requests in flight at a back end and the resources they take.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct Load {
-    /// Number of requests.
-    pub running: u32,
-    /// Number of requests whose tenants were above their fair share at placement.
-    pub above_share: u32,
-    /// Prefill work that is still pending.
-    pub prefill: PrefillWork,
-    /// Memory taken by the requests, in tokens.
-    pub memory: u64,
-    /// Decaying count of requests that could not be placed here although their tenants were below
-    /// half of their fair share. Slots are reserved for them.
-    pub unplaced: u32,
-}
-
-impl Load {
-    /// Adds another load.
-    pub fn add(&mut self, other: Load) {
-        self.running += other.running;
-        self.above_share += other.above_share;
-        self.prefill.add(other.prefill);
-        self.memory += other.memory;
-        self.unplaced += other.unplaced;
-    }
-
-    /// Subtracts another load, saturating at zero.
-    pub fn remove(&mut self, other: Load) {
-        self.running = self.running.saturating_sub(other.running);
-        self.above_share = self.above_share.saturating_sub(other.above_share);
-        self.prefill.remove(other.prefill);
-        self.memory = self.memory.saturating_sub(other.memory);
-        self.unplaced = self.unplaced.saturating_sub(other.unplaced);
-    }
-}
-
 /// Time constant with which the count of unplaced requests decays.
 const UNPLACED_TIME_CONSTANT: Duration = Duration::from_millis(700);
 
@@ -185,6 +150,11 @@
         agreed.unwrap_or_else(|| ConcurrencyLimit::initial(slots))
     }
 
+    /// Returns the estimated performance at `_now`, from the observations of all routers.
+    pub fn performance(&self, _now: Timestamp) -> PerformanceEstimate {
+        PerformanceEstimate::default()
+    }
+
     /// Returns the number of prompt tokens after the longest prefix assumed to be cached.
     pub fn uncached(&self, prompt: &Prompt) -> u64 {
         let held = prompt.parts.iter().take_while(|part| self.prompt_parts.contains_key(&part.id));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything here is a pure state machine: time and random draws are arguments, nothing does I/O.
 
 mod address_list;
+mod admission;
 mod announcements;
 mod attempt;
 mod back_end;
@@ -13,11 +14,13 @@
 mod configuration;
 mod connections;
 mod decaying_counter;
+mod demand;
 mod digest;
 mod directory;
 mod dispatch;
 mod draining;
 mod engine;
+mod engine_key;
 mod evacuation;
 mod expired;
 mod fingerprint;
@@ -25,9 +28,12 @@
 mod gossip;
 mod health;
 mod incarnations;
+mod load;
 mod load_stats;
 mod overload;
+mod performance;
 mod policy;
+mod prefix_demand;
 mod prompt;
 mod quarantine;
 mod regions;
@@ -35,6 +41,7 @@
 mod revision;
 mod rollout;
 mod service_level;
+mod share_class;
 mod shares;
 mod source_outage;
 mod source_watchers;
@@ -43,6 +50,7 @@
 mod waiting;
 mod warmup;
 
+pub use admission::BacklogReport;
 pub use attempt::{Attempt, AttemptState, ExecutionStatus};
 pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 pub use back_end_update::{BackEndUpdate, UsableChanges};
@@ -52,27 +60,32 @@
     EngineLimits, Limits, Route, RouteKind, RoutingConfiguration, Service, Target, Tenant,
 };
 pub use connections::ConnectionBounds;
+pub use demand::{Demand, TicketId};
 pub use digest::{
     Digest, IncludedDigest, Outgoing, PeerId, PeerMessage, RouterPhase, RouterState, Sum, SumScope,
 };
 pub use directory::BackEndDirectory;
 pub use dispatch::{
-    Admission, AdmissionResults, Demand, Dispatcher, DispatcherLimits, ExcludedBackEnds,
-    HEAVIEST_TENANTS, NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason,
-    Role, TicketId,
+    Admission, AdmissionResults, Dispatcher, DispatcherLimits, ExcludedBackEnds, HEAVIEST_TENANTS,
+    NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason, Role,
 };
-pub use engine::Load;
+pub use engine_key::{EngineKey, ParseEngineKeyError};
 pub use evacuation::EvacuatedZones;
 pub use expired::KeptBackEnd;
 pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestIdentity};
 pub use first_event::{FirstEventEstimator, PrefillWork};
 pub use health::{Fault, Health};
+pub use load::Load;
 pub use load_stats::{
-    EngineKey, EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, ParseEngineKeyError,
-    ServiceEventInterval, TenantReport,
+    EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, ServiceEventInterval, TenantReport,
 };
 pub use overload::{OverloadGuard, PeerCapacity, Tick};
-pub use policy::{ConcurrencyPolicy, FairCapacity, Policy};
+pub use performance::{EnginePerformanceReport, PerformanceCounts, PerformanceEstimate};
+pub use policy::{
+    ConcurrencyPolicy, FairCapacity, PerformanceSource, Policy, RankCount, RankingPolicy,
+    RetryAfterPolicy, WaitingScope,
+};
+pub use prefix_demand::PrefixRate;
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{
     ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus, QuarantinedRequest, Relaying,
--- a/crates/routing/src/load_stats.rs
+++ b/crates/routing/src/load_stats.rs
@@ -4,58 +4,16 @@
 //! All values are absolute, which makes lost and repeated messages harmless. Slowly changing values
 //! are omitted from most messages; the last reported ones stay in effect.
 
-use crate::back_end::BackEndId;
+use crate::admission::BacklogReport;
 use crate::concurrency::LimitSum;
-use crate::engine::Load;
+use crate::engine_key::EngineKey;
+use crate::load::Load;
+use crate::performance::{EnginePerformanceReport, PerformanceCounts};
+use crate::prefix_demand::PrefixRate;
 use crate::rollout::{ReleaseCounts, ReleaseReport};
 use crate::service_level::ServiceLevelCounts;
-use derive_more::{Display, Error};
-use mastbay_types::short_hash;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
-use std::str::FromStr;
-
-/// Identifies an incarnation of an engine in messages between routers: a 32-bit hash of its id,
-/// which is smaller and faster to compare. The loads of engines with colliding hashes are added up.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display,
-)]
-#[display("{_0:08x}")]
-pub struct EngineKey(u32);
-
-/// Error for a string that is not a number of up to eight hexadecimal digits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-#[display("an engine key is a number of up to eight hexadecimal digits")]
-pub struct ParseEngineKeyError;
-
-impl FromStr for EngineKey {
-    type Err = ParseEngineKeyError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        u32::from_str_radix(text, 16).map(Self).map_err(|_| ParseEngineKeyError)
-    }
-}
-
-impl From<&BackEndId> for EngineKey {
-    fn from(id: &BackEndId) -> Self {
-        Self(match id.incarnation {
-            0 => short_hash(&[id.name.as_bytes()]),
-            incarnation => short_hash(&[id.name.as_bytes(), &incarnation.to_be_bytes()]),
-        })
-    }
-}
-
-impl EngineKey {
-    /// Returns the hash in big-endian order, as input to further hashing.
-    pub fn to_bytes(self) -> [u8; 4] {
-        self.0.to_be_bytes()
-    }
-
-    /// Returns the partition that the engine belongs to when engines are split into `parts`.
-    pub fn part(self, parts: u32) -> u32 {
-        self.0 % parts.max(1)
-    }
-}
 
 /// Load that one or several routers have at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -112,6 +70,15 @@
     pub event_intervals: Option<Vec<ServiceEventInterval>>,
     /// Answer counts of roll-outs.
     pub releases: Vec<ReleaseReport>,
+    /// Performance of engines; `None` if the last reported one still applies.
+    #[serde(default)]
+    pub performance: Option<Vec<EnginePerformanceReport>>,
+    /// Rates of the most requested prefixes; `None` if the last reported ones still apply.
+    #[serde(default)]
+    pub prefixes: Option<Vec<PrefixRate>>,
+    /// Waiting requests.
+    #[serde(default)]
+    pub backlog: Vec<BacklogReport>,
 }
 
 impl LoadStats {
@@ -124,6 +91,9 @@
             heaviest: Vec::new(),
             event_intervals: replace_if_some(&mut self.event_intervals, newer.event_intervals),
             releases: std::mem::replace(&mut self.releases, newer.releases),
+            performance: replace_if_some(&mut self.performance, newer.performance),
+            prefixes: replace_if_some(&mut self.prefixes, newer.prefixes),
+            backlog: std::mem::replace(&mut self.backlog, newer.backlog),
         };
         self.update_tenants(newer.heaviest);
         replaced
@@ -180,6 +150,11 @@
             heaviest: if part == 0 { self.heaviest.clone() } else { Vec::new() },
             event_intervals: self.event_intervals.clone().filter(|_| part == 0),
             releases: if part == 0 { self.releases.clone() } else { Vec::new() },
+            performance: self.performance.as_ref().map(|reports| {
+                reports.iter().copied().filter(|entry| entry.engine.part(parts) == part).collect()
+            }),
+            prefixes: self.prefixes.clone().filter(|_| part == 0),
+            backlog: if part == 0 { self.backlog.clone() } else { Vec::new() },
         };
         (0..parts).map(of_part).collect()
     }
@@ -213,6 +188,10 @@
     event_intervals: BTreeMap<String, u32>,
     /// Answer counts by order and route.
     releases: BTreeMap<(u32, u32), ReleaseCounts>,
+    performance: BTreeMap<EngineKey, PerformanceCounts>,
+    /// Rates by prefix.
+    prefixes: BTreeMap<u64, f32>,
+    backlog: Vec<BacklogReport>,
 }
 
 impl LoadStatsSum {
@@ -255,7 +234,18 @@
         }
     }
 
-    /// Adds the slowly changing values: service levels and event intervals.
+    /// Adds the numbers of waiting requests.
+    pub fn add_backlog(&mut self, stats: &LoadStats) {
+        for report in &stats.backlog {
+            match self.backlog.iter_mut().find(|known| known.has_key_of(report)) {
+                Some(known) => known.add(report),
+                None => self.backlog.push(*report),
+            }
+        }
+    }
+
+    /// Adds the slowly changing values: service levels, event intervals, engine performance and
+    /// rates of prefixes.
     pub fn add_slow_changing(&mut self, stats: &LoadStats) {
         for entry in stats.service_levels.iter().flatten() {
             let (limits, level) = self.service_levels.entry(entry.engine).or_default();
@@ -266,9 +256,15 @@
             let shortest = self.event_intervals.entry(interval.service.clone()).or_insert(u32::MAX);
             *shortest = interval.unloaded_micros.min(*shortest);
         }
+        for report in stats.performance.iter().flatten() {
+            self.performance.entry(report.engine).or_default().add(report.counts);
+        }
+        for report in stats.prefixes.iter().flatten() {
+            *self.prefixes.entry(report.prefix).or_default() += report.rate;
+        }
     }
 
-    /// Returns the sums, with or without service levels and event intervals.
+    /// Returns the sums, with or without the slowly changing values.
     pub fn into_stats(self, with_slow_changing: bool) -> LoadStats {
         let releases = self.release_reports();
         let loads = self.loads.into_iter().map(|(engine, load)| EngineLoad { engine, load });
@@ -277,7 +273,13 @@
         let tenants =
             tenants.map(|(name, (asked, given))| TenantReport { name, asked, given }).collect();
         if !with_slow_changing {
-            return LoadStats { loads, tenants: Some(tenants), releases, ..LoadStats::default() };
+            return LoadStats {
+                loads,
+                tenants: Some(tenants),
+                releases,
+                backlog: self.backlog,
+                ..LoadStats::default()
+            };
         }
         let levels = self.service_levels.into_iter();
         let service_levels = levels
@@ -287,6 +289,12 @@
         let event_intervals = intervals
             .map(|(service, unloaded_micros)| ServiceEventInterval { service, unloaded_micros })
             .collect();
+        let performance = self.performance.into_iter();
+        let performance = performance
+            .map(|(engine, counts)| EnginePerformanceReport { engine, counts })
+            .collect();
+        let prefixes = self.prefixes.into_iter();
+        let prefixes = prefixes.map(|(prefix, rate)| PrefixRate { prefix, rate }).collect();
         LoadStats {
             loads,
             service_levels: Some(service_levels),
@@ -294,6 +302,9 @@
             heaviest: Vec::new(),
             event_intervals: Some(event_intervals),
             releases,
+            performance: Some(performance),
+            prefixes: Some(prefixes),
+            backlog: self.backlog,
         }
     }
 }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -12,6 +12,53 @@
     Adaptive,
     /// A fixed number, at most the number of slots.
     Fixed(u32),
+    /// The slots that tenants within their share do not need.
+    Spare,
+}
+
+/// Whose observations of an engine predict its performance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PerformanceSource {
+    /// Those of this router.
+    Own,
+    /// Those of all routers.
+    Fleet,
+}
+
+/// How the engines are ranked for a shared prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RankingPolicy {
+    /// All engines get an equal share of the prefixes.
+    Plain,
+    /// Faster engines get more prefixes.
+    Weighted,
+}
+
+/// How many engines serve a shared prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RankCount {
+    /// A fixed number.
+    Fixed,
+    /// More for prefixes that are requested more often.
+    Demand,
+}
+
+/// The waiting requests among which the order of placement holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitingScope {
+    /// Those of this router.
+    Router,
+    /// Those of all routers.
+    Fleet,
+}
+
+/// How the retry delay of a refused request is determined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryAfterPolicy {
+    /// From the time left to its deadline.
+    Deadline,
+    /// From the time until the requests ahead of it are served.
+    Backlog,
 }
 
 /// The capacity that is shared fairly among tenants.
@@ -63,6 +110,18 @@
     pub fair_capacity: FairCapacity,
     /// Whether predictions are scaled by each engine's ratio of observed to predicted time.
     pub latency_ratio: bool,
+    /// Whose observations these and the event intervals are.
+    pub performance: PerformanceSource,
+    /// Ranking of engines for a shared prefix.
+    pub ranking: RankingPolicy,
+    /// Number of engines for a shared prefix.
+    pub rank_count: RankCount,
+    /// Whether an engine may fetch a cached prefix from another one.
+    pub prefix_transfer: bool,
+    /// Scope of the waiting order.
+    pub waiting_scope: WaitingScope,
+    /// Retry delay of refused requests.
+    pub retry_after: RetryAfterPolicy,
 }
 
 impl Default for Policy {
@@ -83,6 +142,12 @@
             fair_share: true,
             fair_capacity: FairCapacity::Served,
             latency_ratio: true,
+            performance: PerformanceSource::Own,
+            ranking: RankingPolicy::Plain,
+            rank_count: RankCount::Fixed,
+            prefix_transfer: false,
+            waiting_scope: WaitingScope::Router,
+            retry_after: RetryAfterPolicy::Deadline,
         }
     }
 }
--- a/crates/routing/src/quarantine/messages.rs
+++ b/crates/routing/src/quarantine/messages.rs
@@ -1,7 +1,7 @@
 //! Reports of back-end terminations between routers, and the quarantine status of a request.
 
+use crate::engine_key::EngineKey;
 use crate::fingerprint::RequestFingerprint;
-use crate::load_stats::EngineKey;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -11,9 +11,9 @@
 
 pub use messages::{ProbeSlot, QuarantineStatus, QuarantinedRequest, Relaying, TerminationReport};
 
+use crate::engine_key::EngineKey;
 use crate::fingerprint::RequestFingerprint;
 use crate::gossip::{GossipQueue, TRANSMISSIONS};
-use crate::load_stats::EngineKey;
 use mastbay_types::Timestamp;
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/routing/src/quarantine/reporting.rs
+++ b/crates/routing/src/quarantine/reporting.rs
@@ -1,8 +1,8 @@
 //! Reports of terminations to peers.
 
 use super::{Quarantine, QuarantinedRequest, TerminationReport};
+use crate::engine_key::EngineKey;
 use crate::fingerprint::RequestFingerprint;
-use crate::load_stats::EngineKey;
 use mastbay_types::Timestamp;
 
 /// Maximum number of reports per message, at about 40 bytes each.
--- a/crates/routing/src/quarantine/suspicion.rs
+++ b/crates/routing/src/quarantine/suspicion.rs
@@ -1,7 +1,7 @@
 //! Terminations under one request, and when the request may be probed.
 
 use super::{ProbeSlot, QuarantineLimits};
-use crate::load_stats::EngineKey;
+use crate::engine_key::EngineKey;
 use mastbay_types::Timestamp;
 use std::collections::BTreeMap;
 use std::ops::Range;
--- a/crates/routing/src/waiting.rs
+++ b/crates/routing/src/waiting.rs
@@ -1,6 +1,6 @@
 //! Queues of requests that wait until a back end has capacity.
 
-use crate::dispatch::{Demand, TicketId};
+use crate::demand::{Demand, TicketId};
 use mastbay_types::Timestamp;
 
 /// A waiting request.
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -113,6 +113,7 @@
         arrived: now,
         deadline: now + Duration::from_secs(10),
         objective: Duration::from_millis(400),
+        pause_objective: None,
         priority: 1,
         tenant: Some(Arc::from(tenant)),
         regions: AllowedRegions::default(),
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -241,6 +241,7 @@
             arrived: self.now,
             deadline: self.now + Duration::from_secs(10),
             objective: OBJECTIVE,
+            pause_objective: None,
             priority: 1,
             tenant: Some(Arc::from(tenant)),
             tried: Vec::new(),
