Share observations of engine performance among the routers of a fleet

A router and an engine meet once in 6 s at 91 routers before 112 engines, so no router alone learns how fast an engine is. Routers now add up first events, event intervals and pauses of each incarnation, report the sums in one round of four, and derive the latency ratio, the event interval, the pause rate and the speed in steps of 1.25 from the sums of all. [policy] engine-performance = own decides as before and reports nothing.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -12,7 +12,8 @@
 use mastbay_routing::{
     BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Fault,
     Placement, QuarantinedRequest, RefusalDetails, RequestFingerprint, Revision, Role,
-    RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, Tick, UsableChanges,
+    RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, SpeedChange, Tick,
+    UsableChanges,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -370,6 +371,20 @@
     tracing::info!(event = "role_changed", role = role.name(), aggregator, routers);
 }
 
+/// Logs the performance of an engine whose speed changed, as observed by all routers.
+pub fn engine_performance(change: &SpeedChange) {
+    let SpeedChange { back_end, estimate, counts } = change;
+    tracing::info!(
+        event = "engine_performance",
+        engine = %back_end,
+        speed = estimate.speed,
+        latency_ratio = estimate.latency_ratio,
+        event_ms = estimate.event_interval.map(|interval| interval.as_millis() as u64),
+        pause_rate = estimate.pause_rate,
+        observations = counts.first_events / 100,
+    );
+}
+
 /// Logs that a message to other routers could not be encoded.
 pub fn message_not_encoded(error: &rmp_serde::encode::Error) {
     tracing::error!(event = "message_not_encoded", error = %error);
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -178,6 +178,9 @@
             Err(error) => return self.handle_incomplete_answer(error, ticket, &id),
         };
         self.router.pool.release(&id, connection);
+        if !head.status.is_success() {
+            ticket.on_error_answer();
+        }
         ticket.on_first_event();
         self.call.record_first_event(self.router.now());
         if head.status.is_server_error() {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use std::collections::BTreeMap;
 
 /// Labels of ended requests. The configuration bounds the number of their values.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -26,6 +27,12 @@
     status: u16,
 }
 
+/// Labels of engines of one speed. There are 17 steps.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SpeedLabels {
+    step: i32,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug, Clone)]
 pub struct RouterMetrics {
@@ -42,6 +49,7 @@
     quarantined: Gauge,
     quarantined_calls: Counter,
     write_timeouts: Counter,
+    engines_by_speed: Family<SpeedLabels, Gauge>,
     first_event: Histogram,
     duration: Histogram,
 }
@@ -63,6 +71,7 @@
             quarantined: Gauge::default(),
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
+            engines_by_speed: Family::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
             duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
         };
@@ -102,6 +111,9 @@
         let name = "mastbay_router_unread_answers";
         let help = "Connections ended since their callers did not read their answers";
         registry.register(name, help, metrics.write_timeouts.clone());
+        let name = "mastbay_router_engines_by_speed";
+        let help = "engines by speed, in steps of a factor 1.25 from the mean of the service";
+        registry.register(name, help, metrics.engines_by_speed.clone());
         let name = "mastbay_router_first_event_seconds";
         registry.register(name, "time to a stream's first event", metrics.first_event.clone());
         let name = "mastbay_router_request_seconds";
@@ -178,6 +190,15 @@
         self.write_timeouts.inc_by(u64::from(connections));
     }
 
+    /// Sets the number of engines at each step of speed.
+    pub fn set_engines_by_speed(&self, engines: &BTreeMap<i8, u32>) {
+        self.engines_by_speed.clear();
+        for (step, count) in engines {
+            let labels = SpeedLabels { step: i32::from(*step) };
+            self.engines_by_speed.get_or_create(&labels).set(i64::from(*count));
+        }
+    }
+
     /// Counts an arrival of a quarantined request.
     pub fn on_quarantined_call(&self) {
         self.quarantined_calls.inc();
--- a/crates/router/src/ticket.rs
+++ b/crates/router/src/ticket.rs
@@ -46,6 +46,11 @@
         self.router.dispatcher.borrow_mut().on_first_event(now, self.id);
     }
 
+    /// Reports that the answer is an error, before its receipt is reported.
+    pub fn on_error_answer(&self) {
+        self.router.dispatcher.borrow_mut().on_error_answer(self.id);
+    }
+
     /// Reports that `count` events of the request's stream were received.
     pub fn on_events(&self, count: u32) {
         let now = self.router.now();
--- a/crates/routing/src/dispatch/event_intervals.rs
+++ b/crates/routing/src/dispatch/event_intervals.rs
@@ -11,6 +11,7 @@
 impl Dispatcher {
     /// Records `count` events of a request's stream.
     pub fn on_events(&mut self, now: Timestamp, ticket: TicketId, count: u32) {
+        self.observe_stream(now, ticket, count);
         let Some(running) = self.running.get_mut(&ticket) else { return };
         running.events += count;
         if let Some(engine) = self.engines.get_mut(&running.back_end) {
@@ -57,17 +58,19 @@
         let policy = &self.limits.policy;
         let misses = engine.miss_rate(now) / policy.accepted_misses;
         let accepted = if misses > 1.0 { policy.strained_slowdown } else { policy.slowdown };
-        self.slowdown(engine).map_or(misses, |slowdown| slowdown / accepted)
+        self.slowdown(now, engine).map_or(misses, |slowdown| slowdown / accepted)
     }
 
     /// Returns the ratio of an engine's event interval to the lowest one that any router observed
-    /// for the service. `None` if its streams are too short to measure.
-    fn slowdown(&self, engine: &Engine) -> Option<f64> {
-        let interval = engine.limit.event_interval()?;
+    /// for the service, or to what that one would be at the engine's speed. `None` if its streams are
+    /// too short to measure.
+    fn slowdown(&self, now: Timestamp, engine: &Engine) -> Option<f64> {
+        let interval = self.event_interval(now, engine)?;
         let service = &engine.back_end.service;
         let own = self.unloaded_intervals.get(service).and_then(UnloadedEventInterval::minimum);
         let minimum = own.into_iter().chain(self.fleet.unloaded_event_interval(service)).min()?;
-        Some(interval.as_secs_f64() / minimum.as_secs_f64().max(f64::MIN_POSITIVE))
+        let unloaded = minimum.as_secs_f64() * self.unloaded_interval_factor(now, engine);
+        Some(interval.as_secs_f64() / unloaded.max(f64::MIN_POSITIVE))
     }
 
     /// Returns the lowest event interval that this router observed for each service.
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -22,6 +22,11 @@
 const FULL_DIGEST_INTERVAL: u64 = 4;
 /// Interval, in rounds of a large fleet, between those with slowly changing stats.
 const FULL_ROUND_INTERVAL: u64 = 8;
+/// Interval, in rounds of a large fleet, between those with the performance of engines. They pass
+/// three senders to the last router, which takes up to three intervals.
+const PERFORMANCE_ROUND_INTERVAL: u64 = 4;
+/// First round with the performance of engines. Not a full round, as both do not fit a datagram.
+const FIRST_PERFORMANCE_ROUND: u64 = 2;
 /// Tenants whose rates are sent in rounds without the slowly changing stats. With outdated rates,
 /// the shares of the heaviest tenants would oscillate. The bound limits the message size.
 pub const HEAVIEST_TENANTS: usize = 48;
@@ -74,6 +79,17 @@
         self.round.is_multiple_of(FULL_ROUND_INTERVAL)
     }
 
+    /// Returns whether the next round of a large fleet includes the performance of engines.
+    fn is_performance_round(&self) -> bool {
+        self.round % PERFORMANCE_ROUND_INTERVAL == FIRST_PERFORMANCE_ROUND
+    }
+
+    /// Returns whether the next round includes the performance of engines. In a mesh, digests omit
+    /// it themselves.
+    pub fn includes_performance(&self) -> bool {
+        self.role == Role::Mesh || self.is_performance_round()
+    }
+
     /// Reduces stats to those sent in the next round of a large fleet.
     fn stats_for_round(&self, stats: LoadStats) -> LoadStats {
         if self.is_full_round() { stats } else { stats.with_heaviest_tenants(HEAVIEST_TENANTS) }
@@ -91,6 +107,7 @@
         if !is_full {
             stats.tenants = None;
             stats.event_intervals = None;
+            stats.performance = None;
         }
         let count = if is_full { PEERS_PER_DIGEST } else { 0 };
         self.digest_with(own, Some(stats), count)
@@ -221,6 +238,7 @@
 
     fn aggregator_round(&mut self, own: &OwnState, stats: &LoadStats) -> Vec<Outgoing> {
         let is_full_round = self.is_full_round();
+        let is_performance_round = self.is_performance_round();
         let add = |sum: &mut LoadStatsSum, stats: &LoadStats| {
             sum.add_loads(stats);
             sum.add_releases(stats);
@@ -229,6 +247,9 @@
             if is_full_round {
                 sum.add_slow_changing(stats);
             }
+            if is_performance_round {
+                sum.add_performance(stats);
+            }
         };
         let mut members = LoadStatsSum::default();
         add(&mut members, stats);
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -6,6 +6,7 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, TenantReport};
 use crate::overload::PeerCapacity;
+use crate::performance::EnginePerformanceReport;
 use crate::quarantine::ProbeSlot;
 use crate::rollout::ReleaseReport;
 use crate::source_watchers::{self, SourceContact};
@@ -233,6 +234,16 @@
         self.stats().filter_map(|stats| stats.service_levels.as_ref()).flatten()
     }
 
+    /// Returns the performance of engines as observed by peers.
+    pub fn performance(&self) -> impl Iterator<Item = &EnginePerformanceReport> {
+        self.stats().filter_map(|stats| stats.performance.as_ref()).flatten()
+    }
+
+    /// Returns whether the peers' stats include this router's own.
+    pub fn includes_own_stats(&self) -> bool {
+        self.held.values().any(|held| held.includes_self)
+    }
+
     /// Returns the lowest event interval that any peer observed for a service.
     pub fn unloaded_event_interval(&self, service: &str) -> Option<Duration> {
         let reported = self.stats().filter_map(|stats| stats.event_intervals.as_ref()).flatten();
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod messages;
 mod peers;
+mod performance;
 mod placement;
 mod preferred_engines;
 mod releases;
@@ -39,6 +40,7 @@
 use crate::gossip::GossipQueue;
 use crate::health::Fault;
 use crate::load::Load;
+use crate::performance::StreamProgress;
 use crate::quarantine::{ProbeSlot, Relaying};
 use crate::revision::Revision;
 use crate::rollout::RolloutRegistry;
@@ -51,6 +53,7 @@
 use fair_level::Shares;
 use fleet::Fleet;
 use mastbay_types::Timestamp;
+use performance::FleetPerformance;
 use preferred_engines::PreferredEngines;
 use running::Running;
 use std::collections::{HashMap, HashSet};
@@ -64,6 +67,7 @@
     Admission, AdmissionResults, DispatcherLimits, ExcludedBackEnds, Placement, Refusal,
     RefusalDetails, RefusalReason,
 };
+pub use performance::SpeedChange;
 
 /// Event-loop lag up to which measured times are attributed to the back ends.
 const TOLERATED_LAG: Duration = Duration::from_millis(15);
@@ -103,6 +107,7 @@
     held_cold: HeldColdEngines,
     rollouts: RolloutRegistry,
     rollouts_revision: Revision,
+    performance: FleetPerformance,
 }
 
 impl Dispatcher {
@@ -137,6 +142,7 @@
             held_cold: HeldColdEngines::default(),
             rollouts: RolloutRegistry::default(),
             rollouts_revision: Revision::default(),
+            performance: FleetPerformance::default(),
         }
     }
 
@@ -319,6 +325,7 @@
             return;
         }
         running.observed = now;
+        let is_measured = self.limits.policy.performance.is_fleet() && running.is_measured();
         let prefill = std::mem::take(&mut running.load.prefill);
         let taken = now.since(running.sent);
         if let Some(rollout_request) = &mut running.rollout_request {
@@ -338,6 +345,10 @@
         engine.latency_ratio =
             placement::next_latency_ratio(engine.latency_ratio, predicted, taken);
         let estimator = self.first_events.entry(engine.back_end.service.clone()).or_default();
+        if is_measured {
+            let alone = Duration::from_secs_f64(estimator.estimate(work_ahead) / 1e3);
+            engine.performance.observe_first_event(now, alone, taken);
+        }
         estimator.observe(work_ahead, taken);
         engine.limit.observe_first_event(now);
         let back_end = running.back_end.clone();
@@ -358,6 +369,7 @@
             return false;
         };
         self.record_release_end(now, &running, outcome);
+        self.observe_end(now, &running, outcome);
         match outcome {
             Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
             Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
@@ -431,6 +443,8 @@
             service_level_due,
             events: 0,
             observed: now,
+            progress: StreamProgress::new(demand.pause_objective),
+            is_error: false,
             rollout_request,
         };
         self.running.insert(ticket, entry);
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -7,6 +7,7 @@
 use crate::engine_key::EngineKey;
 use crate::load::Load;
 use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats};
+use crate::performance::EnginePerformance;
 use mastbay_types::Timestamp;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -77,6 +78,7 @@
         seeds: &[SocketAddr],
     ) -> Vec<Outgoing> {
         self.expire_peers(now);
+        self.refresh_performance(now);
         self.engines.retain_busy(|engine| engine.has_own_stats(now));
         let own = self.own_state(phase);
         let change = self.fleet.choose_role(now, &own);
@@ -88,6 +90,7 @@
                 loads: self.own_loads(now),
                 tenants: Some(self.usage.reports(now)),
                 releases: self.rollouts.reports(),
+                performance: self.own_performance(now),
                 ..LoadStats::default()
             }
         };
@@ -133,7 +136,7 @@
             heaviest: Vec::new(),
             event_intervals: Some(self.unloaded_event_intervals()),
             releases: self.rollouts.reports(),
-            performance: None,
+            performance: self.own_performance(now),
             prefixes: None,
             backlog: Vec::new(),
         }
@@ -148,9 +151,11 @@
         }
         for removed in &change.removed {
             self.update_peer_stats(removed, Engine::remove_load, Engine::remove_service_level);
+            self.update_peer_performance(removed, EnginePerformance::remove_reported);
         }
         if let Some(added) = &change.added {
             self.update_peer_stats(added, Engine::add_load, Engine::add_service_level);
+            self.update_peer_performance(added, EnginePerformance::add_reported);
         }
     }
 
@@ -166,6 +171,11 @@
                 engine.add_service_level(entry);
             }
         }
+        for entry in self.fleet.performance().filter(|entry| new.contains(&entry.engine)) {
+            if let Some(engine) = self.engines.by_key(entry.engine) {
+                engine.performance.add_reported(entry.counts);
+            }
+        }
     }
 
     /// Applies a change to the peers' load and service level of each engine in `stats`.
--- a/crates/routing/src/dispatch/running.rs
+++ b/crates/routing/src/dispatch/running.rs
@@ -4,6 +4,7 @@
 use crate::back_end::BackEndId;
 use crate::first_event::PrefillWork;
 use crate::load::Load;
+use crate::performance::StreamProgress;
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
@@ -22,6 +23,10 @@
     /// Events received since `observed`, when the event interval was last sampled.
     pub events: u32,
     pub observed: Timestamp,
+    /// Progress of the stream, for the performance of the back end.
+    pub progress: StreamProgress,
+    /// Whether the answer is an error, which is no observation of performance.
+    pub is_error: bool,
     /// Set if the service has a roll-out.
     pub rollout_request: Option<RolloutRequest>,
 }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::health::Health;
 use crate::load::Load;
 use crate::load_stats::{EngineLoad, EngineServiceLevel};
-use crate::performance::PerformanceEstimate;
+use crate::performance::{EnginePerformance, EnginePerformanceReport, PerformanceEstimate};
 use crate::prompt::Prompt;
 use crate::service_level::{ServiceLevel, ServiceLevelCounts};
 use crate::warmup::Warmup;
@@ -52,6 +52,8 @@
     service_level: ServiceLevel,
     /// Outcomes for tenants within their fair share, over the other routers.
     peer_service_level: ServiceLevelCounts,
+    /// Speed and pauses as observed by all routers.
+    pub performance: EnginePerformance,
     unplaced: DecayingCounter,
     /// Prompt parts sent here and the time of their last use.
     prompt_parts: HashMap<u64, Timestamp>,
@@ -86,6 +88,7 @@
             peer_limits: LimitSum::default(),
             service_level: ServiceLevel::default(),
             peer_service_level: ServiceLevelCounts::default(),
+            performance: EnginePerformance::default(),
             unplaced: DecayingCounter::new(UNPLACED_TIME_CONSTANT),
             prompt_parts: HashMap::new(),
         }
@@ -150,9 +153,15 @@
         agreed.unwrap_or_else(|| ConcurrencyLimit::initial(slots))
     }
 
-    /// Returns the estimated performance at `_now`, from the observations of all routers.
-    pub fn performance(&self, _now: Timestamp) -> PerformanceEstimate {
-        PerformanceEstimate::default()
+    /// Returns the estimated performance at `now`, from the observations of all routers.
+    pub fn performance(&self, now: Timestamp) -> PerformanceEstimate {
+        self.performance.estimate(now)
+    }
+
+    /// Returns the performance observed by this router, or `None` without recent observations.
+    pub fn own_performance(&self, now: Timestamp) -> Option<EnginePerformanceReport> {
+        let counts = self.performance.own_report(now)?;
+        Some(EnginePerformanceReport { engine: self.key, counts })
     }
 
     /// Returns the number of prompt tokens after the longest prefix assumed to be cached.
@@ -206,9 +215,11 @@
         has_observations.then_some(EngineServiceLevel { engine: self.key, limits, level })
     }
 
-    /// Returns whether this router has a load or service level to report.
+    /// Returns whether this router has a load, service level or performance to report.
     pub fn has_own_stats(&self, now: Timestamp) -> bool {
-        self.own_load(now).load != Load::default() || self.own_service_level(now).is_some()
+        self.own_load(now).load != Load::default()
+            || self.own_service_level(now).is_some()
+            || self.own_performance(now).is_some()
     }
 
     /// Forgets the cached prompt parts, after the back end has lost its memory.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -67,7 +67,7 @@
 pub use directory::BackEndDirectory;
 pub use dispatch::{
     Admission, AdmissionResults, Dispatcher, DispatcherLimits, ExcludedBackEnds, HEAVIEST_TENANTS,
-    NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason, Role,
+    NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason, Role, SpeedChange,
 };
 pub use engine_key::{EngineKey, ParseEngineKeyError};
 pub use evacuation::EvacuatedZones;
@@ -80,7 +80,10 @@
     EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, ServiceEventInterval, TenantReport,
 };
 pub use overload::{OverloadGuard, PeerCapacity, Tick};
-pub use performance::{EnginePerformanceReport, PerformanceCounts, PerformanceEstimate};
+pub use performance::{
+    EnginePerformance, EnginePerformanceReport, PerformanceCounts, PerformanceEstimate,
+    ServiceMeans, SpeedStep, StreamProgress,
+};
 pub use policy::{
     ConcurrencyPolicy, FairCapacity, PerformanceSource, Policy, RankCount, RankingPolicy,
     RetryAfterPolicy, WaitingScope,
--- a/crates/routing/src/load_stats.rs
+++ b/crates/routing/src/load_stats.rs
@@ -128,7 +128,8 @@
 
     /// Returns the number of engine entries, for sizing messages.
     pub fn engine_count(&self) -> usize {
-        self.loads.len().max(self.service_levels.as_ref().map_or(0, Vec::len))
+        let performance = self.performance.as_ref().map_or(0, Vec::len);
+        self.loads.len().max(self.service_levels.as_ref().map_or(0, Vec::len)).max(performance)
     }
 
     /// Partitions the statistics by engine; those of tenants and services are in the first part.
@@ -188,7 +189,8 @@
     event_intervals: BTreeMap<String, u32>,
     /// Answer counts by order and route.
     releases: BTreeMap<(u32, u32), ReleaseCounts>,
-    performance: BTreeMap<EngineKey, PerformanceCounts>,
+    /// `None` if no added statistics include any.
+    performance: Option<BTreeMap<EngineKey, PerformanceCounts>>,
     /// Rates by prefix.
     prefixes: BTreeMap<u64, f32>,
     backlog: Vec<BacklogReport>,
@@ -244,8 +246,16 @@
         }
     }
 
-    /// Adds the slowly changing values: service levels, event intervals, engine performance and
-    /// rates of prefixes.
+    /// Adds the performance of engines.
+    pub fn add_performance(&mut self, stats: &LoadStats) {
+        let Some(reports) = &stats.performance else { return };
+        let performance = self.performance.get_or_insert_default();
+        for report in reports {
+            performance.entry(report.engine).or_default().add(report.counts);
+        }
+    }
+
+    /// Adds the slowly changing values: service levels, event intervals and rates of prefixes.
     pub fn add_slow_changing(&mut self, stats: &LoadStats) {
         for entry in stats.service_levels.iter().flatten() {
             let (limits, level) = self.service_levels.entry(entry.engine).or_default();
@@ -256,9 +266,6 @@
             let shortest = self.event_intervals.entry(interval.service.clone()).or_insert(u32::MAX);
             *shortest = interval.unloaded_micros.min(*shortest);
         }
-        for report in stats.performance.iter().flatten() {
-            self.performance.entry(report.engine).or_default().add(report.counts);
-        }
         for report in stats.prefixes.iter().flatten() {
             *self.prefixes.entry(report.prefix).or_default() += report.rate;
         }
@@ -269,6 +276,9 @@
         let releases = self.release_reports();
         let loads = self.loads.into_iter().map(|(engine, load)| EngineLoad { engine, load });
         let loads = loads.collect();
+        let report = |(engine, counts)| EnginePerformanceReport { engine, counts };
+        let performance =
+            self.performance.map(|performance| performance.into_iter().map(report).collect());
         let tenants = self.tenants.into_iter();
         let tenants =
             tenants.map(|(name, (asked, given))| TenantReport { name, asked, given }).collect();
@@ -277,6 +287,7 @@
                 loads,
                 tenants: Some(tenants),
                 releases,
+                performance,
                 backlog: self.backlog,
                 ..LoadStats::default()
             };
@@ -289,10 +300,6 @@
         let event_intervals = intervals
             .map(|(service, unloaded_micros)| ServiceEventInterval { service, unloaded_micros })
             .collect();
-        let performance = self.performance.into_iter();
-        let performance = performance
-            .map(|(engine, counts)| EnginePerformanceReport { engine, counts })
-            .collect();
         let prefixes = self.prefixes.into_iter();
         let prefixes = prefixes.map(|(prefix, rate)| PrefixRate { prefix, rate }).collect();
         LoadStats {
@@ -302,7 +309,7 @@
             heaviest: Vec::new(),
             event_intervals: Some(event_intervals),
             releases,
-            performance: Some(performance),
+            performance,
             prefixes: Some(prefixes),
             backlog: self.backlog,
         }
--- a/crates/routing/src/performance/mod.rs
+++ b/crates/routing/src/performance/mod.rs
@@ -4,7 +4,16 @@
 //! speed alone, so routers add up what they observe.
 
 mod counts;
+mod engine;
 mod estimate;
+mod own;
+mod service;
+mod speed;
+mod stream;
 
 pub use counts::{EnginePerformanceReport, PerformanceCounts};
+pub use engine::EnginePerformance;
 pub use estimate::PerformanceEstimate;
+pub use service::ServiceMeans;
+pub use speed::SpeedStep;
+pub use stream::StreamProgress;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -25,6 +25,13 @@
     Fleet,
 }
 
+impl PerformanceSource {
+    /// Returns whether performance is observed, reported and used over all routers.
+    pub fn is_fleet(self) -> bool {
+        self == Self::Fleet
+    }
+}
+
 /// How the engines are ranked for a shared prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RankingPolicy {
--- a/crates/routing/tests/support/fleet.rs
+++ b/crates/routing/tests/support/fleet.rs
@@ -3,7 +3,7 @@
 
 use super::{configuration, demand, limits, list, prompt};
 use mastbay_routing::{
-    Admission, Dispatcher, DispatcherLimits, Outgoing, PeerId, PeerMessage, ROUND_PERIOD,
+    Admission, Dispatcher, DispatcherLimits, Outgoing, PeerId, PeerMessage, Policy, ROUND_PERIOD,
     RouterPhase, SumScope, TicketId,
 };
 use mastbay_types::Timestamp;
@@ -59,17 +59,31 @@
 }
 
 pub fn router_with_engines(index: usize, incarnation: u64, engines: usize) -> Dispatcher {
-    let mut dispatcher = router_without_engines(index, incarnation);
+    router_with_policy(index, incarnation, engines, Policy::default())
+}
+
+pub fn router_with_policy(
+    index: usize,
+    incarnation: u64,
+    engines: usize,
+    policy: Policy,
+) -> Dispatcher {
+    let mut dispatcher = empty_router(index, incarnation, policy);
     dispatcher.on_back_ends(Timestamp::ZERO, &list(1, engines, SLOTS));
     dispatcher
 }
 
 /// Returns a router that has just started and knows no engine.
 pub fn router_without_engines(index: usize, incarnation: u64) -> Dispatcher {
+    empty_router(index, incarnation, Policy::default())
+}
+
+fn empty_router(index: usize, incarnation: u64, policy: Policy) -> Dispatcher {
     let is_large = index / ZONES < 3;
     let limits = DispatcherLimits {
         zone: format!("z{}", index % ZONES),
         processor: if is_large { 0.5 } else { 0.12 },
+        policy,
         ..limits()
     };
     // Incarnations are unique across routers, as the random ones of real routers are.
@@ -86,7 +100,11 @@
     }
 
     pub fn with_engines(size: usize, engines: usize) -> Self {
-        let router = |index| (address(index), router_with_engines(index, 1, engines));
+        Self::with_policy(size, engines, Policy::default())
+    }
+
+    pub fn with_policy(size: usize, engines: usize, policy: Policy) -> Self {
+        let router = |index| (address(index), router_with_policy(index, 1, engines, policy));
         Self {
             now: Timestamp::ZERO,
             routers: (0..size).map(router).collect(),
