--- a/crates/routing/src/dispatch/performance.rs
+++ b/crates/routing/src/dispatch/performance.rs
@@ -200,7 +200,7 @@
         for (key, counts) in &counts {
             let Some(engine) = self.engines.by_key(*key) else { continue };
             let service = &engine.back_end.service;
-            if engine.performance.update(counts, &means[service]) {
+            if engine.performance.update(now, counts, &means[service]) {
                 let estimate = engine.performance(now);
                 let back_end = engine.back_end.id.clone();
                 self.performance.changes.push(SpeedChange { back_end, estimate, counts: *counts });
--- a/crates/routing/src/performance/engine.rs
+++ b/crates/routing/src/performance/engine.rs
@@ -5,7 +5,7 @@
 use super::estimate::PerformanceEstimate;
 use super::own::OwnSums;
 use super::service::ServiceMeans;
-use super::speed::SpeedStep;
+use super::speed::{SpeedStep, SpeedTracker};
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 pub struct EnginePerformance {
     own: OwnSums,
     reported: PerformanceCounts,
-    step: SpeedStep,
+    speed: SpeedTracker,
     estimate: PerformanceEstimate,
 }
 
@@ -87,16 +87,21 @@
 
     /// Computes the estimate from the counts of all routers and the means of the service. Returns
     /// whether the speed changed. Without enough observations the speed remains.
-    pub fn update(&mut self, counts: &PerformanceCounts, means: &ServiceMeans) -> bool {
-        let log_speed = means.log_speed(counts);
-        let step = log_speed.map_or(self.step, |log_speed| self.step.after(log_speed));
-        self.estimate = PerformanceEstimate::of(counts, means.pause_rate(), step.speed());
-        std::mem::replace(&mut self.step, step) != step
+    pub fn update(
+        &mut self,
+        now: Timestamp,
+        counts: &PerformanceCounts,
+        means: &ServiceMeans,
+    ) -> bool {
+        let is_changed = self.speed.update(now, means.log_speed(counts));
+        let speed = self.step().speed();
+        self.estimate = PerformanceEstimate::of(counts, means.pause_rate(), speed);
+        is_changed
     }
 
     /// Returns the speed in steps above the mean engine of the service.
     pub fn step(&self) -> SpeedStep {
-        self.step
+        self.speed.step()
     }
 
     /// Returns the estimate of the last update. It is no older than the last reports, so there is
