--- a/crates/routing/src/performance/engine.rs
+++ b/crates/routing/src/performance/engine.rs
@@ -15,9 +15,16 @@
 /// Longest time between two events that is taken for the engine's. In a longer one the caller may
 /// not have read.
 const MAX_INTERVAL: Duration = Duration::from_secs(2);
-/// Counts of fewer first events and events than this, in hundredths, are not reported: they are of
-/// an observation over 16 seconds ago.
-const MIN_REPORTED: u32 = 20;
+/// Counts below all of these are not reported, to keep reports short: one first event 16 seconds
+/// ago, and twenty events.
+const MIN_REPORTED: PerformanceCounts = PerformanceCounts {
+    first_events: 20,
+    predicted_ms: 0,
+    observed_ms: 0,
+    events: 2_000,
+    interval_ms: 0,
+    pauses: 20,
+};
 
 /// Observations of an engine and the estimate derived from them.
 #[derive(Debug, Clone, Copy, Default)]
@@ -62,7 +69,10 @@
     /// Returns this router's counts for its peers, or `None` without recent observations.
     pub fn own_report(&self, now: Timestamp) -> Option<PerformanceCounts> {
         let counts = self.own.counts(now);
-        (counts.first_events.max(counts.events) >= MIN_REPORTED).then_some(counts)
+        let is_reported = counts.first_events >= MIN_REPORTED.first_events
+            || counts.events >= MIN_REPORTED.events
+            || counts.pauses >= MIN_REPORTED.pauses;
+        is_reported.then_some(counts)
     }
 
     /// Adds counts that other routers reported.
