--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -30,19 +30,6 @@
     EngineServiceLevel { engine: key(engine), limits, level }
 }
 
-/// Sums over all routers at an engine with twelve streams of an event in 50 ms.
-fn performance(engine: usize) -> EnginePerformanceReport {
-    let counts = PerformanceCounts {
-        first_events: 6_000,
-        predicted_ms: 18_000,
-        observed_ms: 21_000,
-        events: 240_000,
-        interval_ms: 120_000,
-        pauses: 700,
-    };
-    EnginePerformanceReport { engine: key(engine), counts }
-}
-
 fn tenant(index: usize) -> TenantReport {
     TenantReport { name: format!("tenant-{index}"), asked: 81_234.5, given: 71_234.5 }
 }
@@ -67,10 +54,6 @@
 /// Encoded length of the sum that an aggregator sends to its 63 members when all engines are busy.
 /// A full sum, with all load statistics, goes out in one round of eight.
 fn encoded_sum(engines: usize, tenants: usize, is_full: bool) -> usize {
-    encoded_sum_with(engines, tenants, is_full, false)
-}
-
-fn encoded_sum_with(engines: usize, tenants: usize, is_full: bool, has_performance: bool) -> usize {
     let address = SocketAddr::from(([10, 3, 0, 17], 7_500));
     let stats = LoadStats {
         loads: (0..engines).map(load).collect(),
@@ -83,7 +66,6 @@
         },
         event_intervals: is_full.then(Vec::new),
         releases: Vec::new(),
-        performance: has_performance.then(|| (0..engines).map(performance).collect()),
         ..LoadStats::default()
     };
     let router = router_state(address);
@@ -118,13 +100,25 @@
     assert!(full <= MAX_DATAGRAM, "{full} bytes");
 }
 
-/// The performance of engines is sent in other rounds than service levels and all tenants, since
-/// all of them do not fit a datagram. Above 900 engines sums are split.
+/// The performance of engines is sent in other rounds than service levels and all tenants, as both
+/// do not fit a datagram.
 #[test]
 fn sums_with_the_performance_of_engines_fit_a_datagram() {
-    let at_112 = encoded_sum_with(112, 30, false, true) - encoded_sum(112, 30, false);
-    assert!(at_112 <= 112 * 32 + 8, "{at_112} bytes");
-    let largest = encoded_sum_with(900, 400, false, true);
+    let encoded = |engines: usize| {
+        // Twelve streams of an event in 50 ms.
+        let counts = PerformanceCounts {
+            first_events: 6_000,
+            predicted_ms: 18_000,
+            observed_ms: 21_000,
+            events: 240_000,
+            interval_ms: 120_000,
+            pauses: 700,
+        };
+        let report = |engine| EnginePerformanceReport { engine: key(engine), counts };
+        rmp_serde::to_vec(&(0..engines).map(report).collect::<Vec<_>>()).expect("encoded").len()
+    };
+    assert!(encoded(112) <= 112 * 32, "{} bytes", encoded(112));
+    let largest = encoded_sum(900, 400, false) + encoded(900);
     assert!(largest <= MAX_DATAGRAM, "{largest} bytes");
 }
 
--- a/crates/routing/src/dispatch/performance.rs
+++ b/crates/routing/src/dispatch/performance.rs
@@ -34,6 +34,9 @@
     pub counts: PerformanceCounts,
 }
 
+/// The observations of all routers by engine.
+type FleetCounts = Vec<(EngineKey, PerformanceCounts)>;
+
 /// What the estimates of the engines have in common.
 #[derive(Debug, Default)]
 pub struct FleetPerformance {
@@ -185,44 +188,62 @@
         }
         self.performance.updated_at = now;
         self.observe_pauses_under_way(now);
-        let counts = self.fleet_counts(now);
-        let mut means: HashMap<String, ServiceMeans> = HashMap::new();
-        for (key, counts) in &counts {
-            if let Some(engine) = self.engines.by_key(*key) {
-                means.entry(engine.back_end.service.clone()).or_default().add(counts);
-            }
-        }
+        let (counts, means) = self.fleet_counts(now);
         self.performance.fastest.clear();
         self.performance.by_step.clear();
-        for (key, counts) in &counts {
-            let Some(engine) = self.engines.by_key(*key) else { continue };
-            let service = &engine.back_end.service;
-            if engine.performance.update(now, counts, &means[service]) {
-                let estimate = engine.performance(now);
-                let back_end = engine.back_end.id.clone();
-                self.performance.changes.push(SpeedChange { back_end, estimate, counts: *counts });
-            }
-            let step = engine.performance.step();
-            let fastest = self.performance.fastest.entry(service.clone()).or_insert(step);
-            *fastest = step.max(*fastest);
-            if *counts != PerformanceCounts::default() {
-                *self.performance.by_step.entry(step.index()).or_default() += 1;
-            }
+        self.performance.measured.clear();
+        for (key, counts) in counts {
+            self.update_estimate(now, key, &counts, &means);
         }
-        let counts = counts.into_iter().filter(|(_, each)| *each != PerformanceCounts::default());
-        self.performance.measured = counts.map(|(key, _)| key).collect();
     }
 
     /// Returns the observations of all routers of each engine that has any or had some at the last
-    /// update.
-    fn fleet_counts(&mut self, now: Timestamp) -> BTreeMap<EngineKey, PerformanceCounts> {
+    /// update, and the means of their services.
+    fn fleet_counts(&mut self, now: Timestamp) -> (FleetCounts, HashMap<String, ServiceMeans>) {
         let mut keys = self.performance.measured.clone();
         keys.extend(self.fleet.performance().map(|report| report.engine));
         keys.extend(self.engines.busy().map(|engine| engine.key));
         let includes_own = self.fleet.includes_own_stats();
-        let engines = &mut self.engines;
-        let counts = |key| Some((key, engines.by_key(key)?.performance.counts(now, includes_own)));
-        keys.into_iter().filter_map(counts).collect()
+        let mut all = Vec::with_capacity(keys.len());
+        let mut means: HashMap<String, ServiceMeans> = HashMap::new();
+        for key in keys {
+            let Some(engine) = self.engines.by_key(key) else { continue };
+            let counts = engine.performance.counts(now, includes_own);
+            let service = &engine.back_end.service;
+            match means.get_mut(service) {
+                Some(means) => means.add(&counts),
+                None => means.entry(service.clone()).or_default().add(&counts),
+            }
+            all.push((key, counts));
+        }
+        (all, means)
+    }
+
+    fn update_estimate(
+        &mut self,
+        now: Timestamp,
+        key: EngineKey,
+        counts: &PerformanceCounts,
+        means: &HashMap<String, ServiceMeans>,
+    ) {
+        let Some(engine) = self.engines.by_key(key) else { return };
+        let service = &engine.back_end.service;
+        let Some(means) = means.get(service) else { return };
+        if engine.performance.update(now, counts, means) {
+            let (back_end, estimate) = (engine.back_end.id.clone(), engine.performance(now));
+            self.performance.changes.push(SpeedChange { back_end, estimate, counts: *counts });
+        }
+        let step = engine.performance.step();
+        match self.performance.fastest.get_mut(service) {
+            Some(fastest) => *fastest = step.max(*fastest),
+            None => {
+                self.performance.fastest.insert(service.clone(), step);
+            }
+        }
+        if *counts != PerformanceCounts::default() {
+            self.performance.measured.insert(key);
+            *self.performance.by_step.entry(step.index()).or_default() += 1;
+        }
     }
 
     /// Returns the time between events of an engine, as observed by all routers if the policy says
--- a/crates/routing/tests/performance.rs
+++ b/crates/routing/tests/performance.rs
@@ -26,6 +26,11 @@
 const UNEQUAL: [f64; 4] = [0.6, 1.0, 1.0, 1.37];
 const EQUAL: [f64; 4] = [1.0; 4];
 
+fn slowness_of(engines: &[f64; 4], id: &BackEndId) -> f64 {
+    let index: usize = id.name[1..].parse().expect("named e0, e1 and so on");
+    engines[index % 4]
+}
+
 /// A fleet before unequal engines in virtual time. Each request is served as soon as it is placed,
 /// with the times of its engine.
 struct Load {
@@ -43,11 +48,6 @@
         Self { fleet, requests: 0, slowness, ratios: Vec::new() }
     }
 
-    fn slowness(&self, engine: &BackEndId) -> f64 {
-        let index: usize = engine.name[1..].parse().expect("named e0, e1 and so on");
-        self.slowness[index % 4]
-    }
-
     fn run(&mut self, rounds: usize) {
         for _ in 0..rounds {
             (0..REQUESTS_PER_ROUND).for_each(|_| {
@@ -64,8 +64,7 @@
         let draw = mixed_hash(self.requests, 1);
         let now = self.fleet.now;
         let prompt = prompt(draw >> 8 & 0x3ff, self.requests, (draw >> 20) as u32 % 1_500);
-        let router = address((draw % ROUTERS as u64) as usize);
-        let router = self.fleet.routers.get_mut(&router).expect("known");
+        let router = self.fleet.router((draw % ROUTERS as u64) as usize);
         let admission = router.admit(now, demand(now, Some(prompt), "t"), 0.5);
         let Admission::Placed(Placement { ticket, back_end, predicted, uncached, .. }) = admission
         else {
@@ -76,14 +75,12 @@
             router.on_end(now, ticket, Err(None));
             return false;
         }
-        let slowness = self.slowness(&id);
+        let slowness = slowness_of(&self.slowness, &id);
         // Times vary by two fifths around the mean of the engine.
         let noise = 0.6 + 0.8 * (draw >> 40 & 0xff) as f64 / 255.0;
         let millis = |millis: f64| Duration::from_secs_f64(millis * slowness / 1e3);
         let first_event = millis((40.0 + uncached as f64 / 83.0) * noise);
         self.ratios.push((id, first_event.as_secs_f64() / predicted.as_secs_f64()));
-        let router = self.fleet.routers.get_mut(&address((draw % ROUTERS as u64) as usize));
-        let router = router.expect("known");
         router.on_first_event(now + first_event, ticket);
         router.on_events(now + first_event, ticket, 1);
         router.on_events(now + first_event + millis(400.0), ticket, 8);
@@ -91,14 +88,6 @@
         true
     }
 
-    /// Returns the median of observed over predicted times at engines of one slowness.
-    fn median_ratio(&self, of: f64) -> f64 {
-        let ratios = self.ratios.iter().filter(|(id, _)| self.slowness(id) == of);
-        let mut ratios: Vec<f64> = ratios.map(|(_, ratio)| *ratio).collect();
-        ratios.sort_by(f64::total_cmp);
-        ratios[ratios.len() / 2]
-    }
-
     /// Returns the speed of an engine as each router knows it, in ascending order.
     fn speeds(&self, id: &BackEndId) -> Vec<f64> {
         let routers = self.fleet.routers.values();
@@ -123,12 +112,18 @@
     load.run(STEADY_ROUNDS);
     load.ratios.clear();
     load.run(50);
-    let medians = [0.6, 1.0, 1.37].map(|slowness| load.median_ratio(slowness));
+    let medians = [0.6, 1.0, 1.37].map(|slowness| {
+        let of_slowness =
+            load.ratios.iter().filter(|(id, _)| slowness_of(&UNEQUAL, id) == slowness);
+        let mut ratios: Vec<f64> = of_slowness.map(|(_, ratio)| *ratio).collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios[ratios.len() / 2]
+    });
     assert!(medians.iter().all(|median| (0.9..=1.1).contains(median)), "{medians:?}");
     let mut disagreeing = 0;
     for (id, speeds) in load.all_speeds() {
         let (min, max) = (speeds[0], speeds[ROUTERS - 1]);
-        let expected = match load.slowness(&id) {
+        let expected = match slowness_of(&UNEQUAL, &id) {
             0.6 => 1.25..=2.5,
             1.0 => 0.8..=1.25,
             _ => 0.4..=0.8,
@@ -211,11 +206,7 @@
 
 /// Starts a request whose route allows pauses of 300 ms.
 fn start(router: &mut Dispatcher, now: Timestamp, request: u64) -> Placement {
-    start_with(router, now, 1, request)
-}
-
-fn start_with(router: &mut Dispatcher, now: Timestamp, prefix: u64, request: u64) -> Placement {
-    let mut demand = demand(now, Some(prompt(prefix, request, 50)), "t");
+    let mut demand = demand(now, Some(prompt(request % 16, request, 50)), "t");
     demand.pause_objective = Some(Duration::from_millis(300));
     match router.admit(now, demand, 0.5) {
         Admission::Placed(placement) => placement,
@@ -256,12 +247,10 @@
 #[test]
 fn requests_without_a_first_event_count_only_if_the_engine_is_late() {
     let mut router = router(PerformanceSource::Fleet, 1);
-    let mut end = |after: u64, outcome: Result<(), Option<Fault>>| {
+    for (after, outcome) in [(1, None), (2_000, Some(Fault::Failure))] {
         let ticket = start(&mut router, at(1_000), after).ticket;
-        router.on_end(at(1_000 + after), ticket, outcome);
-    };
-    end(1, Err(None));
-    end(2_000, Err(Some(Fault::Failure)));
+        router.on_end(at(1_000 + after), ticket, Err(outcome));
+    }
     let ticket = start(&mut router, at(3_000), 3).ticket;
     router.on_error_answer(ticket);
     router.on_first_event(at(3_001), ticket);
@@ -274,27 +263,22 @@
     assert!(ratio > 2.0, "{ratio}");
 }
 
-/// Returns the concurrency limit of the slowest of four engines. Each of its streams takes four
-/// times as long as at the others, with two requests running.
+/// Returns the limit of an engine whose streams take four times as long as at three others, with two
+/// requests running.
 fn limit_of_a_slow_engine(performance: PerformanceSource) -> u32 {
     let mut router = router(performance, 4);
     let mut limit = 0;
     for request in 0..800 {
         let sent = at(1_000 + request * 10);
-        let Placement { ticket, back_end, limit: current, .. } =
-            start_with(&mut router, sent, request % 16, request);
-        let is_slow = &*back_end.id.name == "e0";
-        limit = if is_slow { current } else { limit };
-        let slowness = if is_slow { 4 } else { 1 };
-        let first_event = sent + Duration::from_millis(50 * slowness);
-        router.on_first_event(first_event, ticket);
-        router.on_events(first_event, ticket, 1);
-        let end = first_event + Duration::from_millis(80 * slowness);
-        router.on_events(end, ticket, 8);
-        router.on_end(end, ticket, Ok(()));
-        if request % 8 == 0 {
-            router.next_round(sent, RouterPhase::Serving, &[]);
-        }
+        let placement = start(&mut router, sent, request);
+        let is_slow = &*placement.back_end.id.name == "e0";
+        limit = if is_slow { placement.limit } else { limit };
+        let millis = |millis: u64| Duration::from_millis(millis * if is_slow { 4 } else { 1 });
+        router.on_first_event(sent + millis(50), placement.ticket);
+        router.on_events(sent + millis(50), placement.ticket, 1);
+        router.on_events(sent + millis(130), placement.ticket, 8);
+        router.on_end(sent + millis(130), placement.ticket, Ok(()));
+        router.next_round(sent, RouterPhase::Serving, &[]);
     }
     limit
 }
@@ -302,7 +286,6 @@
 /// A slow engine without load is not an overloaded one.
 #[test]
 fn the_limit_of_a_slow_engine_does_not_fall_without_load() {
-    let initial = 32;
     let limits = [PerformanceSource::Own, PerformanceSource::Fleet].map(limit_of_a_slow_engine);
-    assert!(limits[0] < initial && limits[1] >= initial, "{limits:?}");
+    assert!(limits[0] < 32 && limits[1] >= 32, "32 is the initial limit: {limits:?}");
 }
