--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -1,9 +1,10 @@
 //! Encoded sizes of the messages between routers.
 
 use mastbay_routing::{
-    BackEndId, Digest, EngineKey, EngineLoad, EngineServiceLevel, HEAVIEST_TENANTS, IncludedDigest,
-    LimitSum, Load, LoadStats, PeerId, PeerMessage, PrefillWork, RouterPhase, RouterState,
-    ServiceLevelCounts, SourceContact, Sum, SumScope, TenantReport,
+    BackEndId, Digest, EngineKey, EngineLoad, EnginePerformanceReport, EngineServiceLevel,
+    HEAVIEST_TENANTS, IncludedDigest, LimitSum, Load, LoadStats, PeerId, PeerMessage,
+    PerformanceCounts, PrefillWork, RouterPhase, RouterState, ServiceLevelCounts, SourceContact,
+    Sum, SumScope, TenantReport,
 };
 use quickcheck::quickcheck;
 use std::collections::BTreeSet;
@@ -99,6 +100,28 @@
     assert!(full <= MAX_DATAGRAM, "{full} bytes");
 }
 
+/// The performance of engines is sent in other rounds than service levels and all tenants, as both
+/// do not fit a datagram.
+#[test]
+fn sums_with_the_performance_of_engines_fit_a_datagram() {
+    let encoded = |engines: usize| {
+        // Twelve streams of an event in 50 ms.
+        let counts = PerformanceCounts {
+            first_events: 6_000,
+            predicted_ms: 18_000,
+            observed_ms: 21_000,
+            events: 240_000,
+            interval_ms: 120_000,
+            pauses: 700,
+        };
+        let report = |engine| EnginePerformanceReport { engine: key(engine), counts };
+        rmp_serde::to_vec(&(0..engines).map(report).collect::<Vec<_>>()).expect("encoded").len()
+    };
+    assert!(encoded(112) <= 112 * 32, "{} bytes", encoded(112));
+    let largest = encoded_sum(900, 400, false) + encoded(900);
+    assert!(largest <= MAX_DATAGRAM, "{largest} bytes");
+}
+
 /// Hello to a new peer, with the addresses of other routers.
 fn hello(peers: Vec<SocketAddr>) -> PeerMessage {
     let router = router_state(SocketAddr::from(([10, 3, 0, 17], 7_500)));
