Rank engines by speed and choose among them by pauses and delays

Cause: each engine got an equal share of the prefixes, whether fast or slow, and the choice among ranked engines did not count what their speed means for the request and for the streams that run there.

Change: with `[policy] ranking = weighted`, the rendezvous order is weighted by speed to the power of 1.5. Speeds are compared in each round of messages, 64 engines in turn, and a changed one drops only the rankings that it affects. The cost of a candidate includes a pause that makes the stream late, the delay that its prefill imposes on other streams, and, for tenants above their share, the slots of engines faster than the mean. All ranked engines are candidates where their speeds differ; without capacity at any of them a request goes to the rest of the ranking, then to an engine of a sample of 24. The line of an ended request has `rank` and `speed`; placements are counted by rank.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,7 +6,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use mastbay_routing::{
-    AllowedRegions, Demand, ExcludedBackEnds, Placement, Refusal, RefusalDetails,
+    AllowedRegions, Demand, EngineChoice, ExcludedBackEnds, Placement, Refusal, RefusalDetails,
     RequestFingerprint, RequestIdentity, TableEntry,
 };
 use mastbay_types::Timestamp;
@@ -64,6 +64,10 @@
     pub running: u32,
     /// The back end's concurrency limit, in requests.
     pub limit: u32,
+    /// How the back end was found; `None` without a placement.
+    pub choice: Option<EngineChoice>,
+    /// The back end's speed relative to the mean of its service.
+    pub speed: f64,
     /// Prompt tokens estimated not to be in the back end's cache.
     pub uncached: u64,
     /// Age of the oldest load statistics used for the placement.
@@ -104,6 +108,8 @@
         trace.predicted = placement.predicted;
         trace.running = placement.running;
         trace.limit = placement.limit;
+        trace.choice = Some(placement.choice);
+        trace.speed = placement.speed;
         trace.uncached = placement.uncached;
         trace.stats_age = placement.stats_age;
         trace.excluded = placement.excluded;
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -51,6 +51,8 @@
         predicted_ms = milliseconds(trace.predicted),
         running = trace.running,
         limit = trace.limit,
+        rank = trace.choice.map(|choice| choice.to_string()),
+        speed = trace.choice.map(|_| trace.speed),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         uncached = trace.uncached,
         age_ms = milliseconds(trace.stats_age),
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -111,6 +111,7 @@
                 return self.give_up("retry_budget");
             }
             self.call.record_placement(&placement, self.router.now());
+            self.router.metrics.on_placement(placement.choice);
             let sent = self.send(&placement).await;
             if !matches!(sent, SendOutcome::NotSent(_)) {
                 self.deliveries += 1;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -4,7 +4,7 @@
 use crate::dialect::OwnAnswer;
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
-use mastbay_routing::SourceCondition;
+use mastbay_routing::{EngineChoice, SourceCondition};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -26,11 +26,18 @@
     status: u16,
 }
 
+/// Labels of placements.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PlacementLabels {
+    rank: String,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug, Clone)]
 pub struct RouterMetrics {
     ended: Family<EndLabels, Counter>,
     own_answers: Family<AnswerLabels, Counter>,
+    placements: Family<PlacementLabels, Counter>,
     offloaded: Counter,
     closed_unread: Counter,
     back_ends_ended: Counter,
@@ -52,6 +59,7 @@
         let metrics = Self {
             ended: Family::default(),
             own_answers: Family::default(),
+            placements: Family::default(),
             offloaded: Counter::default(),
             closed_unread: Counter::default(),
             back_ends_ended: Counter::default(),
@@ -70,6 +78,9 @@
         registry.register(name, "requests ended, by route and outcome", metrics.ended.clone());
         let name = "mastbay_router_own_answers";
         registry.register(name, "answers of the router's own", metrics.own_answers.clone());
+        let name = "mastbay_router_placements";
+        let help = "placements at back ends, by rank for the shared prefix; overflow beyond ranks";
+        registry.register(name, help, metrics.placements.clone());
         let name = "mastbay_router_offloaded_connections";
         registry.register(name, "connections handed to peers", metrics.offloaded.clone());
         let name = "mastbay_router_connections_closed_unread";
@@ -117,6 +128,12 @@
         self.duration.observe(now.since(call.arrived).as_secs_f64());
     }
 
+    /// Counts a placement at a back end.
+    pub fn on_placement(&self, choice: EngineChoice) {
+        let labels = PlacementLabels { rank: choice.to_string() };
+        self.placements.get_or_create(&labels).inc();
+    }
+
     /// Observes the time to the first event of a stream.
     pub fn on_first_event(&self, call: &Call, now: Timestamp) {
         self.first_event.observe(now.since(call.arrived).as_secs_f64());
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -339,6 +339,7 @@
             return None;
         }
         self.call.record_placement(&placement, self.router.now());
+        self.router.metrics.on_placement(placement.choice);
         let sender =
             RequestSender { router: &self.router, call: &self.call, attempt: &self.attempt };
         match sender.send(&placement, self.last_event, false).await {
--- a/crates/routing/src/dispatch/candidate.rs
+++ b/crates/routing/src/dispatch/candidate.rs
@@ -2,6 +2,7 @@
 
 use crate::back_end::BackEndId;
 use crate::first_event::PrefillWork;
+use crate::ranking::EngineChoice;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
 use std::time::Duration;
@@ -18,6 +19,8 @@
     pub uncached: u64,
     /// Prefill to be done before the request's first event, including the request's own.
     pub work_ahead: PrefillWork,
+    /// How it was found.
+    pub choice: EngineChoice,
     /// Selection cost; the lowest wins.
     pub cost: f64,
 }
--- a/crates/routing/src/dispatch/engines.rs
+++ b/crates/routing/src/dispatch/engines.rs
@@ -9,6 +9,7 @@
 use mastbay_types::{Timestamp, stable_hash};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 
 /// A back end that accepts requests.
 #[derive(Debug, Clone)]
@@ -16,6 +17,8 @@
     pub id: BackEndId,
     /// Hash of the name, the same for all incarnations.
     pub name_hash: u64,
+    /// Speed by which it is ranked.
+    pub speed: f64,
 }
 
 /// All known back ends and their indexes.
@@ -103,6 +106,26 @@
         self.all.insert(id, engine);
     }
 
+    /// Returns up to `count` back ends in the order of their IDs, from the first one after `last` on.
+    pub fn after(&self, last: Option<&BackEndId>, count: usize) -> impl Iterator<Item = &Engine> {
+        self.count_examined(count.min(self.all.len()));
+        let start = last.map_or(Bound::Unbounded, Bound::Excluded);
+        self.all
+            .range::<BackEndId, _>((start, Bound::Unbounded))
+            .take(count)
+            .map(|(_, engine)| engine)
+    }
+
+    /// Sets the speed by which a back end is ranked.
+    pub fn set_ranked_speed(&mut self, id: &BackEndId, speed: f64) {
+        let Some(engine) = self.all.get_mut(id) else { return };
+        engine.ranked_speed = speed;
+        let Some(ready) = self.ready.get_mut(&engine.back_end.service) else { return };
+        if let Ok(index) = ready.binary_search_by(|ready| ready.id.cmp(id)) {
+            ready[index].speed = speed;
+        }
+    }
+
     pub fn remove(&mut self, id: &BackEndId) {
         let Some(engine) = self.all.remove(id) else { return };
         if self.ids.get(&engine.key) == Some(id) {
@@ -157,6 +180,6 @@
     /// Creates the index entry of a back end.
     pub fn of(engine: &Engine) -> Self {
         let id = engine.back_end.id.clone();
-        Self { name_hash: stable_hash(&[id.name.as_bytes()]), id }
+        Self { name_hash: stable_hash(&[id.name.as_bytes()]), speed: engine.ranked_speed, id }
     }
 }
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -4,6 +4,7 @@
 use crate::budget::BudgetLimits;
 use crate::demand::TicketId;
 use crate::policy::Policy;
+use crate::ranking::EngineChoice;
 use crate::regions::ZoneRegions;
 use crate::rollout::ExposureLimits;
 use crate::warmup::WarmupLimits;
@@ -60,6 +61,10 @@
     pub limit: u32,
     /// Prompt tokens that are not in its prefix cache.
     pub uncached: u64,
+    /// How it was found.
+    pub choice: EngineChoice,
+    /// Its speed relative to the mean back end of the service.
+    pub speed: f64,
     /// Age of the oldest peer stats that were used; zero without peers.
     pub stats_age: Duration,
     /// Back ends of the service that were excluded from selection.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -13,9 +13,12 @@
 mod fair_level;
 mod fleet;
 mod messages;
+mod overflow;
 mod peers;
 mod placement;
 mod preferred_engines;
+mod ranked_speeds;
+mod ranking_cost;
 mod releases;
 mod rollout_request;
 mod running;
@@ -52,6 +55,7 @@
 use fleet::Fleet;
 use mastbay_types::Timestamp;
 use preferred_engines::PreferredEngines;
+use ranked_speeds::RankedSpeeds;
 use running::Running;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -88,6 +92,7 @@
     first_events: HashMap<String, FirstEventEstimator>,
     unloaded_intervals: HashMap<String, UnloadedEventInterval>,
     preferred: PreferredEngines,
+    ranked_speeds: RankedSpeeds,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
@@ -110,6 +115,7 @@
     /// at which this router serves its snapshots.
     pub fn new(limits: DispatcherLimits, me: PeerId, snapshots: SocketAddr) -> Self {
         let usage = Usage::new(limits.share_window);
+        let preferred = PreferredEngines::new(limits.policy.ranking);
         Self {
             limits,
             engines: Engines::default(),
@@ -121,7 +127,8 @@
             cold_rates: HashMap::new(),
             first_events: HashMap::new(),
             unloaded_intervals: HashMap::new(),
-            preferred: PreferredEngines::default(),
+            preferred,
+            ranked_speeds: RankedSpeeds::default(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
@@ -406,7 +413,8 @@
         let rollout_request = self.record_release(demand, &scored);
         let stats_age = self.fleet.oldest_stats_age(now);
         let service_level_due = self.service_level_due(demand, class, scored.uncached);
-        let ScoredBackEnd { id, predicted, uncached, work_ahead, .. } = scored;
+        let ScoredBackEnd { id, predicted, uncached, work_ahead, choice, .. } = scored;
+        let speed = self.performance(now, self.engines.get(&id)?).speed;
         let load = demand.load(uncached, class);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
         let engine = self.engines.get_mut_busy(&id)?;
@@ -442,6 +450,8 @@
             running,
             limit,
             uncached,
+            choice,
+            speed,
             stats_age,
             excluded,
         })
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -77,6 +77,7 @@
         seeds: &[SocketAddr],
     ) -> Vec<Outgoing> {
         self.expire_peers(now);
+        self.refresh_ranked_speeds(now);
         self.engines.retain_busy(|engine| engine.has_own_stats(now));
         let own = self.own_state(phase);
         let change = self.fleet.choose_role(now, &own);
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -8,6 +8,7 @@
 use crate::first_event::PrefillWork;
 use crate::policy::{ConcurrencyPolicy, PerformanceSource, Policy};
 use crate::prompt::Prompt;
+use crate::ranking::EngineChoice;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
 use mastbay_types::{Timestamp, mixed_hash};
@@ -162,6 +163,7 @@
             predicted_idle: Duration::ZERO,
             uncached: 0,
             work_ahead: PrefillWork::default(),
+            choice: EngineChoice::Unranked,
             cost,
         })
     }
@@ -180,6 +182,7 @@
             return None;
         }
         let scored = self.score(now, engine, demand, prompt, 1);
+        let scored = self.with_ranking_cost(now, engine, demand, criteria, scored);
         let is_eligible =
             is_idle(engine) || is_in_time(now, &scored, demand, criteria, &self.limits.policy);
         is_eligible.then_some(scored)
@@ -208,6 +211,7 @@
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
         let ranks =
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
+        let ranks = self.candidate_ranks(&preferred, ranks);
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
@@ -223,15 +227,20 @@
             if !self.has_capacity(now, engine, demand, prompt, criteria) {
                 continue;
             }
-            let candidate = self.score(now, engine, demand, prompt, rank);
+            let mut candidate = self.score(now, engine, demand, prompt, rank);
             let recomputes = candidate.uncached > prompt.own_tokens();
-            if recomputes && waits_for_locality {
+            if recomputes && waits_for_locality && !self.is_spare(engine, criteria) {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
-                scored.push(candidate);
+                candidate.choice = EngineChoice::of(&preferred, &candidate.id);
+                scored.push(self.with_ranking_cost(now, engine, demand, criteria, candidate));
             }
         }
+        let may_overflow = !waits_for_locality || criteria.class == ShareClass::AboveShare;
+        if scored.is_empty() && may_overflow {
+            return self.score_overflow(now, demand, prompt, criteria, (&preferred, ranks));
+        }
         scored
     }
 
@@ -330,6 +339,7 @@
             predicted_idle,
             uncached,
             work_ahead,
+            choice: EngineChoice::Unranked,
             cost,
         }
     }
@@ -343,7 +353,7 @@
 
 /// Returns whether an engine has so little load that predictions are ignored. Otherwise a wrong
 /// prediction could exclude every engine and never be corrected by new observations.
-fn is_idle(engine: &Engine) -> bool {
+pub(super) fn is_idle(engine: &Engine) -> bool {
     let load = engine.load();
     let slots = f64::from(engine.back_end.slots.max(1));
     load.prefill.tokens <= IDLE_PREFILL_TOKENS
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -3,6 +3,8 @@
 use super::engines::{Engines, ReadyEngine};
 use crate::back_end::{BackEnd, BackEndId};
 use crate::demand::Demand;
+use crate::policy::RankingPolicy;
+use crate::ranking::{RankScore, rank_weight};
 use crate::regions::AllowedRegions;
 use crate::rollout::VersionFilter;
 use mastbay_types::mixed_hash;
@@ -27,8 +29,9 @@
 }
 
 /// Rankings by service, prefix, regions and versions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PreferredEngines {
+    policy: RankingPolicy,
     services: HashMap<String, Rc<str>>,
     rankings: HashMap<RankingKey, Ranking>,
 }
@@ -37,12 +40,17 @@
 #[derive(Debug)]
 struct Ranking {
     back_ends: Rc<[BackEndId]>,
-    /// Lowest score in a full ranking, below which a back end is not ranked. `None` if the ranking
-    /// is not full.
-    min_score: Option<u64>,
+    /// Score of the last one in a full ranking, after which a back end is not ranked. `None` if the
+    /// ranking is not full.
+    last_score: Option<RankScore>,
 }
 
 impl PreferredEngines {
+    /// Creates an empty cache of rankings by `policy`.
+    pub fn new(policy: RankingPolicy) -> Self {
+        Self { policy, services: HashMap::new(), rankings: HashMap::new() }
+    }
+
     /// Drops all rankings.
     pub fn clear(&mut self) {
         self.rankings.clear();
@@ -59,12 +67,23 @@
         if !engine.accepts_work() {
             return self.on_removed(&back_end.id);
         }
-        let name_hash = ReadyEngine::of(engine).name_hash;
+        let (ready, policy) = (ReadyEngine::of(engine), self.policy);
         self.rankings.retain(|key, ranking| {
-            let score = mixed_hash(key.prefix, name_hash);
             *key.service != *back_end.service
                 || ranking.back_ends.contains(&back_end.id)
-                || ranking.min_score.is_some_and(|min| min >= score)
+                || ranking.excludes(score(policy, key.prefix, &ready))
+        });
+    }
+
+    /// Drops the rankings that a changed speed of a back end affects: those that contain it and
+    /// those that it now enters.
+    pub fn on_speed(&mut self, engines: &Engines, id: &BackEndId) {
+        let Some(engine) = engines.get(id).filter(|engine| engine.accepts_work()) else { return };
+        let (ready, policy) = (ReadyEngine::of(engine), self.policy);
+        self.rankings.retain(|key, ranking| {
+            *key.service != *engine.back_end.service
+                || (!ranking.back_ends.contains(id)
+                    && ranking.excludes(score(policy, key.prefix, &ready)))
         });
     }
 
@@ -92,14 +111,36 @@
         match self.rankings.entry(RankingKey { service, prefix, regions, release }) {
             Entry::Occupied(entry) => entry.get().back_ends.clone(),
             Entry::Vacant(entry) => {
-                let ranking = rank(engines, demand, &entry.key().release, prefix);
+                let ranking = rank(self.policy, engines, demand, &entry.key().release, prefix);
                 entry.insert(ranking).back_ends.clone()
             }
         }
     }
 }
 
-fn rank(engines: &Engines, demand: &Demand, release: &VersionFilter, prefix: u64) -> Ranking {
+impl Ranking {
+    /// Returns whether a back end with this score that is not in the ranking does not enter it.
+    fn excludes(&self, score: RankScore) -> bool {
+        self.last_score.is_some_and(|last| last <= score)
+    }
+}
+
+/// Returns the position of a back end in the order of a prefix.
+fn score(policy: RankingPolicy, prefix: u64, ready: &ReadyEngine) -> RankScore {
+    let hash = mixed_hash(prefix, ready.name_hash);
+    match policy {
+        RankingPolicy::Plain => RankScore::plain(hash),
+        RankingPolicy::Weighted => RankScore::weighted(hash, rank_weight(ready.speed)),
+    }
+}
+
+fn rank(
+    policy: RankingPolicy,
+    engines: &Engines,
+    demand: &Demand,
+    release: &VersionFilter,
+    prefix: u64,
+) -> Ranking {
     let is_unrestricted = demand.regions.is_unrestricted() && *release == VersionFilter::Any;
     let may_serve = |ready: &&ReadyEngine| {
         is_unrestricted
@@ -108,16 +149,16 @@
                     && release.allows(&engine.back_end.version)
             })
     };
-    let mut ranked: Vec<(u64, &BackEndId)> = Vec::with_capacity(MAX_RANKED + 1);
+    let mut ranked: Vec<(RankScore, &BackEndId)> = Vec::with_capacity(MAX_RANKED + 1);
     for ready in engines.ready(&demand.service).iter().filter(may_serve) {
-        let score = mixed_hash(prefix, ready.name_hash);
-        if ranked.len() == MAX_RANKED && ranked.last().is_some_and(|(last, _)| *last >= score) {
+        let score = score(policy, prefix, ready);
+        if ranked.len() == MAX_RANKED && ranked.last().is_some_and(|(last, _)| *last <= score) {
             continue;
         }
-        let index = ranked.partition_point(|(earlier, _)| *earlier >= score);
+        let index = ranked.partition_point(|(earlier, _)| *earlier <= score);
         ranked.insert(index, (score, &ready.id));
         ranked.truncate(MAX_RANKED);
     }
-    let min_score = ranked.get(MAX_RANKED - 1).map(|(score, _)| *score);
-    Ranking { back_ends: ranked.into_iter().map(|(_, id)| id.clone()).collect(), min_score }
+    let last_score = ranked.get(MAX_RANKED - 1).map(|(score, _)| *score);
+    Ranking { back_ends: ranked.into_iter().map(|(_, id)| id.clone()).collect(), last_score }
 }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -44,6 +44,8 @@
     pub health: Health,
     /// Moving average of observed over predicted time to the first event.
     pub latency_ratio: f64,
+    /// Speed by which this router ranks the back end, see [`crate::rank_weight`].
+    pub ranked_speed: f64,
     /// Concurrency limit estimated by this router.
     pub limit: ConcurrencyLimit,
     /// Concurrency limits estimated by other routers.
@@ -82,6 +84,7 @@
             others: Load::default(),
             health: Health::default(),
             latency_ratio: 1.0,
+            ranked_speed: 1.0,
             limit: ConcurrencyLimit::default(),
             peer_limits: LimitSum::default(),
             service_level: ServiceLevel::default(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -36,6 +36,7 @@
 mod prefix_demand;
 mod prompt;
 mod quarantine;
+mod ranking;
 mod regions;
 mod restored;
 mod revision;
@@ -91,6 +92,10 @@
     ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus, QuarantinedRequest, Relaying,
     TerminationReport,
 };
+pub use ranking::{
+    EngineChoice, ImposedDelay, RankScore, fast_engine_cost, imposed_delay_cost, pause_cost,
+    rank_weight,
+};
 pub use regions::{AllowedRegions, ZoneRegions};
 pub use restored::Evacuations;
 pub use revision::{ParseRevisionError, Revision};
--- /dev/null
+++ b/crates/routing/src/ranking/cost.rs
@@ -0,0 +1,52 @@
+//! Costs of serving a request at an engine. The unit is the cost of a back end whose slots are all
+//! taken.
+
+use std::time::Duration;
+
+/// Cost of a stream that certainly pauses too long. It is lost for its caller, while a fully
+/// occupied engine only delays it.
+const CERTAIN_PAUSE_COST: f64 = 2.0;
+/// Delay of all slots of an engine that costs as much as a fully occupied back end: the shortest
+/// pause objective of the deployments.
+const FULL_COST_DELAY: Duration = Duration::from_millis(300);
+/// Maximum cost of the delay of other streams. Very long prompts delay streams at every engine, so
+/// a larger cost would only outweigh all others.
+const MAX_DELAY_COST: f64 = 2.0;
+/// Cost of the last slot of an engine that is twice as fast as the mean one, for tenants above
+/// their share. More than prefilling a shared prefix of 5,000 tokens again for 200 output tokens
+/// (2.5).
+const LAST_FAST_SLOT_COST: f64 = 3.0;
+/// Speed above that of the mean engine from which the cost of fast engines no longer rises.
+const MAX_EXCESS_SPEED: f64 = 1.0;
+
+/// The delay that the prefill of a request imposes on the streams of an engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ImposedDelay {
+    /// Time that the mean engine takes for the prefill, in milliseconds.
+    pub prefill_ms: f64,
+    /// Speed of the engine relative to the mean one.
+    pub speed: f64,
+    /// Number of streams that run there.
+    pub streams: u32,
+    /// Slots of the engine.
+    pub slots: u32,
+}
+
+/// Returns the cost of the probability (0 to 1) that a stream pauses longer than its route allows.
+pub fn pause_cost(probability: f64) -> f64 {
+    probability.clamp(0.0, 1.0) * CERTAIN_PAUSE_COST
+}
+
+/// Returns the cost of delaying the streams of an engine.
+pub fn imposed_delay_cost(delay: ImposedDelay) -> f64 {
+    let each = delay.prefill_ms.max(0.0) / delay.speed.max(f64::MIN_POSITIVE);
+    let occupied = f64::from(delay.streams) / f64::from(delay.slots.max(1));
+    (each * occupied / (FULL_COST_DELAY.as_secs_f64() * 1e3)).min(MAX_DELAY_COST)
+}
+
+/// Returns the cost that a request of a tenant above its share has at an engine faster than the
+/// mean one, where `occupancy` (0 to 1) is the fraction of its slots that are taken. It rises with
+/// the occupancy: requests within their share need the last slots, not those of an empty engine.
+pub fn fast_engine_cost(speed: f64, occupancy: f64) -> f64 {
+    (speed - 1.0).clamp(0.0, MAX_EXCESS_SPEED) * occupancy.clamp(0.0, 1.0) * LAST_FAST_SLOT_COST
+}
