Let unequal engines compete for requests whose prefix another one holds

Cause: a request whose first-ranked engine had capacity went there without regard to the others, since only engines that hold the prefix were candidates while it could wait.

Change: where ranked engines differ in speed, those that would prefill the prefix again compete by cost as soon as one that holds it has capacity. A certain pause costs 4 fully occupied back ends, and occupancy counts in proportion to the time until a slot is free. Requests of tenants above their share, which are refused instead of waiting, may prefill a prefix again where under three quarters of the slots are taken and no request within its share could not be placed. After 8 overflow samples without capacity within 10 ms no more are taken. Weights are stored, and most engines are ranked without a logarithm.

--- a/crates/routing/src/dispatch/engines.rs
+++ b/crates/routing/src/dispatch/engines.rs
@@ -6,6 +6,7 @@
 use crate::back_end::{BackEnd, BackEndId};
 use crate::engine::Engine;
 use crate::engine_key::EngineKey;
+use crate::ranking::rank_weight;
 use mastbay_types::{Timestamp, stable_hash};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -17,8 +18,8 @@
     pub id: BackEndId,
     /// Hash of the name, the same for all incarnations.
     pub name_hash: u64,
-    /// Speed by which it is ranked.
-    pub speed: f64,
+    /// Weight in rankings, see [`rank_weight`].
+    pub weight: f64,
 }
 
 /// All known back ends and their indexes.
@@ -122,7 +123,7 @@
         engine.ranked_speed = speed;
         let Some(ready) = self.ready.get_mut(&engine.back_end.service) else { return };
         if let Ok(index) = ready.binary_search_by(|ready| ready.id.cmp(id)) {
-            ready[index].speed = speed;
+            ready[index].weight = rank_weight(speed);
         }
     }
 
@@ -180,6 +181,10 @@
     /// Creates the index entry of a back end.
     pub fn of(engine: &Engine) -> Self {
         let id = engine.back_end.id.clone();
-        Self { name_hash: stable_hash(&[id.name.as_bytes()]), speed: engine.ranked_speed, id }
+        Self {
+            name_hash: stable_hash(&[id.name.as_bytes()]),
+            weight: rank_weight(engine.ranked_speed),
+            id,
+        }
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -54,6 +54,7 @@
 use fair_level::Shares;
 use fleet::Fleet;
 use mastbay_types::Timestamp;
+use overflow::FailedSamples;
 use preferred_engines::PreferredEngines;
 use ranked_speeds::RankedSpeeds;
 use running::Running;
@@ -93,6 +94,7 @@
     unloaded_intervals: HashMap<String, UnloadedEventInterval>,
     preferred: PreferredEngines,
     ranked_speeds: RankedSpeeds,
+    failed_samples: FailedSamples,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
@@ -129,6 +131,7 @@
             unloaded_intervals: HashMap::new(),
             preferred,
             ranked_speeds: RankedSpeeds::default(),
+            failed_samples: FailedSamples::default(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
--- a/crates/routing/src/dispatch/overflow.rs
+++ b/crates/routing/src/dispatch/overflow.rs
@@ -2,7 +2,6 @@
 
 use super::Dispatcher;
 use super::candidate::{ScoredBackEnd, SelectionCriteria};
-use super::placement::is_idle;
 use crate::back_end::BackEndId;
 use crate::demand::Demand;
 use crate::engine::Engine;
@@ -11,40 +10,66 @@
 use crate::ranking::{EngineChoice, are_unequal};
 use crate::share_class::ShareClass;
 use mastbay_types::{Timestamp, mixed_hash};
+use std::time::Duration;
 
 /// Engines examined for one request beyond its ranked ones. A request that waits is tried again
 /// with each free slot, so this is smaller than the sample for plain requests.
 const MAX_OVERFLOW_SAMPLED: usize = 24;
 /// Engines with capacity that are scored of these.
 const MAX_OVERFLOW_SCORED: usize = 8;
+/// Fraction of an engine's slots below which it has spare capacity for tenants above their share.
+/// The rest is for requests within their share that arrive before a slot is free again.
+const SPARE_SLOT_FRACTION: f64 = 0.75;
+/// Samples without capacity after which no more are taken until [`FAILED_SAMPLES_PERIOD`] is over.
+/// Otherwise a full queue takes one for each waiting request whenever a slot becomes free.
+const MAX_FAILED_SAMPLES: u32 = 8;
+const FAILED_SAMPLES_PERIOD: Duration = Duration::from_millis(10);
 
-impl Dispatcher {
-    /// Returns how many engines of a ranking are candidates, where `base` is the number if they are
-    /// equally fast: all of them if their speeds differ.
-    pub(super) fn candidate_ranks(&self, preferred: &[BackEndId], base: usize) -> usize {
-        if self.limits.policy.ranking == RankingPolicy::Plain {
-            return base;
+/// Samples in which no engine had capacity for a request within its tenant's share. Those for other
+/// requests are not counted: these are refused instead of tried again.
+#[derive(Debug, Default)]
+pub struct FailedSamples {
+    since: Timestamp,
+    count: u32,
+}
+
+impl FailedSamples {
+    fn allow_another(&self, now: Timestamp) -> bool {
+        self.count < MAX_FAILED_SAMPLES || now.since(self.since) >= FAILED_SAMPLES_PERIOD
+    }
+
+    fn add(&mut self, now: Timestamp) {
+        if now.since(self.since) >= FAILED_SAMPLES_PERIOD {
+            *self = Self { since: now, count: 0 };
         }
+        self.count += 1;
+    }
+}
+
+impl Dispatcher {
+    /// Returns whether ranked engines differ in speed, so that all of them are candidates.
+    pub(super) fn has_unequal_speeds(&self, preferred: &[BackEndId]) -> bool {
         let engines = preferred.iter().filter_map(|id| self.engines.get(id));
-        let differ = are_unequal(engines.map(|engine| engine.ranked_speed));
-        if differ { base.max(preferred.len()) } else { base }
+        self.limits.policy.ranking == RankingPolicy::Weighted
+            && are_unequal(engines.map(|engine| engine.ranked_speed))
     }
 
     /// Returns whether a request that would wait for the engine that holds its prefix may be placed
     /// at `engine` at once. Requests of tenants above their share are refused instead of waiting;
     /// they may use an engine with spare capacity that no request within its share needs.
     pub(super) fn is_spare(&self, engine: &Engine, criteria: &SelectionCriteria) -> bool {
+        let slots = f64::from(engine.back_end.slots.max(1));
         self.limits.policy.ranking == RankingPolicy::Weighted
             && criteria.class == ShareClass::AboveShare
-            && is_idle(engine)
             && engine.load().unplaced == 0
+            && f64::from(engine.load().running) < slots * SPARE_SLOT_FRACTION
     }
 
     /// Scores engines beyond the candidates among the ranked ones, of which none has capacity: the
     /// rest of the ranking, from position `ranks` on, and if none of these has capacity either, a
     /// sample of the service's engines.
     pub(super) fn score_overflow(
-        &self,
+        &mut self,
         now: Timestamp,
         demand: &Demand,
         prompt: &Prompt,
@@ -54,26 +79,39 @@
         if self.limits.policy.ranking == RankingPolicy::Plain {
             return Vec::new();
         }
-        let is_allowed = |engine: &&Engine| {
-            criteria.class != ShareClass::AboveShare || self.is_spare(engine, criteria)
-        };
-        let score = |engine| self.score_if_eligible(now, engine, demand, prompt, criteria);
-        let is_candidate =
-            |engine: &&Engine| self.is_candidate(now, engine, demand, &criteria.release);
-        let remaining = preferred.iter().enumerate().skip(ranks);
-        let ranked: Vec<ScoredBackEnd> = remaining
-            .filter_map(|(rank, id)| {
-                let engine = self.engines.get(id).filter(is_candidate).filter(is_allowed)?;
-                score(engine)
-                    .map(|scored| ScoredBackEnd { choice: EngineChoice::Rank(rank), ..scored })
-            })
-            .collect();
-        if !ranked.is_empty() {
-            return ranked;
+        let score = |engine| self.score_overflow_engine(now, engine, demand, prompt, criteria);
+        let remaining = preferred.iter().enumerate().skip(ranks).filter_map(|(rank, id)| {
+            let scored = score(self.engines.get(id)?)?;
+            Some(ScoredBackEnd { choice: EngineChoice::Rank(rank), ..scored })
+        });
+        let mut scored: Vec<ScoredBackEnd> = remaining.collect();
+        if scored.is_empty() && self.failed_samples.allow_another(now) {
+            let sampled = self.overflow_sample(now, demand).filter_map(score);
+            let sampled = sampled.take(MAX_OVERFLOW_SCORED);
+            let choice = EngineChoice::Overflow;
+            scored = sampled.map(|sampled| ScoredBackEnd { choice, ..sampled }).collect();
+            if scored.is_empty() && criteria.class != ShareClass::AboveShare {
+                self.failed_samples.add(now);
+            }
+        }
+        scored
+    }
+
+    /// Scores an engine that is not among the candidates, if the request may be placed there.
+    fn score_overflow_engine(
+        &self,
+        now: Timestamp,
+        engine: &Engine,
+        demand: &Demand,
+        prompt: &Prompt,
+        criteria: &SelectionCriteria,
+    ) -> Option<ScoredBackEnd> {
+        let is_allowed =
+            criteria.class != ShareClass::AboveShare || self.is_spare(engine, criteria);
+        if !is_allowed || !self.is_candidate(now, engine, demand, &criteria.release) {
+            return None;
         }
-        let sampled = self.overflow_sample(now, demand).filter(is_candidate).filter(is_allowed);
-        let scored = sampled.filter_map(score).take(MAX_OVERFLOW_SCORED);
-        scored.map(|scored| ScoredBackEnd { choice: EngineChoice::Overflow, ..scored }).collect()
+        self.score_if_eligible(now, engine, demand, prompt, criteria)
     }
 
     /// Returns a bounded sample of the service's engines, evenly spaced from a pseudorandom position
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -211,7 +211,8 @@
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
         let ranks =
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
-        let ranks = self.candidate_ranks(&preferred, ranks);
+        let is_unequal = self.has_unequal_speeds(&preferred);
+        let ranks = if is_unequal { ranks.max(preferred.len()) } else { ranks };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
@@ -223,20 +224,28 @@
         let cold_only = held_cold.iter().filter(|id| is_cheap && !preferred.contains(id));
         let cold = cold_only.filter_map(candidate).map(|engine| (ranks, engine));
         let mut scored = Vec::new();
+        // Engines of another speed that would prefill the prefix again, although the request may
+        // wait for one that holds it. They are considered only if that one has capacity.
+        let mut recomputing = Vec::new();
         for (rank, engine) in ranked.chain(cold) {
             if !self.has_capacity(now, engine, demand, prompt, criteria) {
                 continue;
             }
             let mut candidate = self.score(now, engine, demand, prompt, rank);
             let recomputes = candidate.uncached > prompt.own_tokens();
-            if recomputes && waits_for_locality && !self.is_spare(engine, criteria) {
+            let waits = recomputes && waits_for_locality && !self.is_spare(engine, criteria);
+            if waits && !is_unequal {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
                 candidate.choice = EngineChoice::of(&preferred, &candidate.id);
-                scored.push(self.with_ranking_cost(now, engine, demand, criteria, candidate));
+                let candidate = self.with_ranking_cost(now, engine, demand, criteria, candidate);
+                if waits { &mut recomputing } else { &mut scored }.push(candidate);
             }
         }
+        if !scored.is_empty() {
+            scored.append(&mut recomputing);
+        }
         let may_overflow = !waits_for_locality || criteria.class == ShareClass::AboveShare;
         if scored.is_empty() && may_overflow {
             return self.score_overflow(now, demand, prompt, criteria, (&preferred, ranks));
@@ -353,7 +362,7 @@
 
 /// Returns whether an engine has so little load that predictions are ignored. Otherwise a wrong
 /// prediction could exclude every engine and never be corrected by new observations.
-pub(super) fn is_idle(engine: &Engine) -> bool {
+fn is_idle(engine: &Engine) -> bool {
     let load = engine.load();
     let slots = f64::from(engine.back_end.slots.max(1));
     load.prefill.tokens <= IDLE_PREFILL_TOKENS
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -4,7 +4,7 @@
 use crate::back_end::{BackEnd, BackEndId};
 use crate::demand::Demand;
 use crate::policy::RankingPolicy;
-use crate::ranking::{RankScore, rank_weight};
+use crate::ranking::RankScore;
 use crate::regions::AllowedRegions;
 use crate::rollout::VersionFilter;
 use mastbay_types::mixed_hash;
@@ -71,7 +71,7 @@
         self.rankings.retain(|key, ranking| {
             *key.service != *back_end.service
                 || ranking.back_ends.contains(&back_end.id)
-                || ranking.excludes(score(policy, key.prefix, &ready))
+                || ranking.excludes(policy, key.prefix, &ready)
         });
     }
 
@@ -82,8 +82,7 @@
         let (ready, policy) = (ReadyEngine::of(engine), self.policy);
         self.rankings.retain(|key, ranking| {
             *key.service != *engine.back_end.service
-                || (!ranking.back_ends.contains(id)
-                    && ranking.excludes(score(policy, key.prefix, &ready)))
+                || (!ranking.back_ends.contains(id) && ranking.excludes(policy, key.prefix, &ready))
         });
     }
 
@@ -119,9 +118,9 @@
 }
 
 impl Ranking {
-    /// Returns whether a back end with this score that is not in the ranking does not enter it.
-    fn excludes(&self, score: RankScore) -> bool {
-        self.last_score.is_some_and(|last| last <= score)
+    /// Returns whether a back end that is not in the ranking does not enter it.
+    fn excludes(&self, policy: RankingPolicy, prefix: u64, ready: &ReadyEngine) -> bool {
+        self.last_score.is_some_and(|last| score_before(policy, prefix, ready, last).is_none())
     }
 }
 
@@ -130,10 +129,24 @@
     let hash = mixed_hash(prefix, ready.name_hash);
     match policy {
         RankingPolicy::Plain => RankScore::plain(hash),
-        RankingPolicy::Weighted => RankScore::weighted(hash, rank_weight(ready.speed)),
+        RankingPolicy::Weighted => RankScore::weighted(hash, ready.weight),
     }
 }
 
+/// Returns the position of a back end if it precedes `last`.
+fn score_before(
+    policy: RankingPolicy,
+    prefix: u64,
+    ready: &ReadyEngine,
+    last: RankScore,
+) -> Option<RankScore> {
+    let hash = mixed_hash(prefix, ready.name_hash);
+    if policy == RankingPolicy::Weighted && last.certainly_precedes(hash, ready.weight) {
+        return None;
+    }
+    Some(score(policy, prefix, ready)).filter(|score| *score < last)
+}
+
 fn rank(
     policy: RankingPolicy,
     engines: &Engines,
@@ -151,10 +164,12 @@
     };
     let mut ranked: Vec<(RankScore, &BackEndId)> = Vec::with_capacity(MAX_RANKED + 1);
     for ready in engines.ready(&demand.service).iter().filter(may_serve) {
-        let score = score(policy, prefix, ready);
-        if ranked.len() == MAX_RANKED && ranked.last().is_some_and(|(last, _)| *last <= score) {
-            continue;
-        }
+        let last = ranked.get(MAX_RANKED - 1).map(|(last, _)| *last);
+        let score = match last {
+            Some(last) => score_before(policy, prefix, ready, last),
+            None => Some(score(policy, prefix, ready)),
+        };
+        let Some(score) = score else { continue };
         let index = ranked.partition_point(|(earlier, _)| *earlier <= score);
         ranked.insert(index, (score, &ready.id));
         ranked.truncate(MAX_RANKED);
--- a/crates/routing/src/dispatch/ranking_cost.rs
+++ b/crates/routing/src/dispatch/ranking_cost.rs
@@ -6,7 +6,9 @@
 use crate::engine::Engine;
 use crate::first_event::PrefillWork;
 use crate::policy::RankingPolicy;
-use crate::ranking::{ImposedDelay, fast_engine_cost, imposed_delay_cost, pause_cost};
+use crate::ranking::{
+    ImposedDelay, fast_engine_cost, imposed_delay_cost, occupancy_cost_difference, pause_cost,
+};
 use crate::share_class::ShareClass;
 use mastbay_types::Timestamp;
 
@@ -31,9 +33,10 @@
             streams: load.running,
             slots,
         };
+        let occupancy = f64::from(load.running) / f64::from(slots);
+        scored.cost += occupancy_cost_difference(estimate.speed, occupancy);
         scored.cost += imposed_delay_cost(delay);
         if criteria.class == ShareClass::AboveShare {
-            let occupancy = f64::from(load.running + 1) / f64::from(slots);
             scored.cost += fast_engine_cost(estimate.speed, occupancy);
         } else if demand.pause_objective.is_some() {
             let events = self.expected_events(demand);
--- a/crates/routing/src/ranking/cost.rs
+++ b/crates/routing/src/ranking/cost.rs
@@ -1,11 +1,13 @@
 //! Costs of serving a request at an engine. The unit is the cost of a back end whose slots are all
 //! taken.
 
+use super::score::SPEED_BOUNDS;
 use std::time::Duration;
 
-/// Cost of a stream that certainly pauses too long. It is lost for its caller, while a fully
-/// occupied engine only delays it.
-const CERTAIN_PAUSE_COST: f64 = 2.0;
+/// Cost of a stream that certainly pauses too long. All of its service is lost, while a fully
+/// occupied engine only delays it; and a prefix that is prefilled again to avoid the pause serves
+/// later requests too.
+const CERTAIN_PAUSE_COST: f64 = 4.0;
 /// Delay of all slots of an engine that costs as much as a fully occupied back end: the shortest
 /// pause objective of the deployments.
 const FULL_COST_DELAY: Duration = Duration::from_millis(300);
@@ -37,9 +39,15 @@
     probability.clamp(0.0, 1.0) * CERTAIN_PAUSE_COST
 }
 
+/// Returns by how much the cost of an engine's occupancy (0 to 1) differs from that of the mean
+/// engine, whose cost is the occupancy itself. Slots of a faster engine are free again sooner.
+pub fn occupancy_cost_difference(speed: f64, occupancy: f64) -> f64 {
+    occupancy / speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1) - occupancy
+}
+
 /// Returns the cost of delaying the streams of an engine.
 pub fn imposed_delay_cost(delay: ImposedDelay) -> f64 {
-    let each = delay.prefill_ms.max(0.0) / delay.speed.max(f64::MIN_POSITIVE);
+    let each = delay.prefill_ms.max(0.0) / delay.speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
     let occupied = f64::from(delay.streams) / f64::from(delay.slots.max(1));
     (each * occupied / (FULL_COST_DELAY.as_secs_f64() * 1e3)).min(MAX_DELAY_COST)
 }
--- a/crates/routing/src/ranking/mod.rs
+++ b/crates/routing/src/ranking/mod.rs
@@ -8,5 +8,7 @@
 mod score;
 
 pub use choice::{EngineChoice, are_unequal};
-pub use cost::{ImposedDelay, fast_engine_cost, imposed_delay_cost, pause_cost};
+pub use cost::{
+    ImposedDelay, fast_engine_cost, imposed_delay_cost, occupancy_cost_difference, pause_cost,
+};
 pub use score::{RankScore, rank_weight};
--- a/crates/routing/src/ranking/score.rs
+++ b/crates/routing/src/ranking/score.rs
@@ -6,9 +6,9 @@
 /// Exponent of the speed in an engine's weight. Above 1, since a long prompt that is prefilled at a
 /// slow engine also delays the streams there.
 const SPEED_EXPONENT: f64 = 1.5;
-/// Bounds on the speed in a weight, so that a wrong estimate neither idles an engine nor gives it
-/// all prefixes.
-const SPEED_BOUNDS: (f64, f64) = (0.25, 4.0);
+/// Bounds on the speed in weights and costs, so that a wrong estimate neither idles an engine nor
+/// gives it all prefixes.
+pub const SPEED_BOUNDS: (f64, f64) = (0.25, 4.0);
 /// Number of 64-bit hashes, as a float.
 const HASHES: f64 = 18_446_744_073_709_551_616.0;
 
@@ -33,10 +33,20 @@
 
     /// Returns the score of an engine of positive weight. Equal weights give the plain order.
     pub fn weighted(hash: u64, weight: f64) -> Self {
-        // Computed from 1 - u, which keeps the precision of the largest hashes.
-        let complement = ((!hash) as f64 + 0.5) / HASHES;
-        Self { distance: -(-complement).ln_1p() / weight, hash }
+        Self { distance: -(-complement(hash)).ln_1p() / weight, hash }
     }
+
+    /// Returns whether this score certainly precedes that of `hash` and `weight`. Cheaper than
+    /// computing the latter, and true for most engines of a large service.
+    pub fn certainly_precedes(self, hash: u64, weight: f64) -> bool {
+        // -ln(1 - x) is at least x.
+        self.distance < complement(hash) / weight
+    }
+}
+
+/// Returns 1 - u, which is more precise than u for the largest hashes.
+fn complement(hash: u64) -> f64 {
+    ((!hash) as f64 + 0.5) / HASHES
 }
 
 impl Ord for RankScore {
