--- a/crates/router/tests/whole_path.rs
+++ b/crates/router/tests/whole_path.rs
@@ -5,6 +5,7 @@
 use mastbay_router::Origin;
 use mastbay_routing::BackEndState;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
 use std::io::Write as _;
 use std::time::Duration;
 use support::{
@@ -424,3 +425,19 @@
 
 /// Idle time after which a connection with a keep-alive time-out of one second is not reused.
 const KEEP_ALIVE_EXPIRY: Duration = Duration::from_millis(1_000);
+
+/// Guards against placements that the metrics miss.
+#[test]
+fn placements_are_counted_by_rank() {
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
+        bed.call(&Request::new("/safe/x")).await;
+        let mut stream = TcpStream::connect(bed.settings.operations).await.expect("listens");
+        let request = b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        stream.write_all(request).await.expect("sent");
+        let mut metrics = String::new();
+        stream.read_to_string(&mut metrics).await.expect("answered");
+        assert!(metrics.contains("mastbay_router_placements_total{rank=\"none\"} 1"), "{metrics}");
+    });
+}
