--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -13,10 +13,13 @@
 mod fair_level;
 mod fleet;
 mod messages;
+mod overflow;
 mod peers;
 mod performance;
 mod placement;
 mod preferred_engines;
+mod ranked_speeds;
+mod ranking_cost;
 mod releases;
 mod rollout_request;
 mod running;
@@ -53,8 +56,10 @@
 use fair_level::Shares;
 use fleet::Fleet;
 use mastbay_types::Timestamp;
+use overflow::FailedSamples;
 use performance::FleetPerformance;
 use preferred_engines::PreferredEngines;
+use ranked_speeds::RankedSpeeds;
 use running::Running;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -92,6 +97,8 @@
     first_events: HashMap<String, FirstEventEstimator>,
     unloaded_intervals: HashMap<String, UnloadedEventInterval>,
     preferred: PreferredEngines,
+    ranked_speeds: RankedSpeeds,
+    failed_samples: FailedSamples,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
@@ -115,6 +122,7 @@
     /// at which this router serves its snapshots.
     pub fn new(limits: DispatcherLimits, me: PeerId, snapshots: SocketAddr) -> Self {
         let usage = Usage::new(limits.share_window);
+        let preferred = PreferredEngines::new(limits.policy.ranking);
         Self {
             limits,
             engines: Engines::default(),
@@ -126,7 +134,9 @@
             cold_rates: HashMap::new(),
             first_events: HashMap::new(),
             unloaded_intervals: HashMap::new(),
-            preferred: PreferredEngines::default(),
+            preferred,
+            ranked_speeds: RankedSpeeds::default(),
+            failed_samples: FailedSamples::default(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
@@ -418,7 +428,8 @@
         let rollout_request = self.record_release(demand, &scored);
         let stats_age = self.fleet.oldest_stats_age(now);
         let service_level_due = self.service_level_due(demand, class, scored.uncached);
-        let ScoredBackEnd { id, predicted, uncached, work_ahead, .. } = scored;
+        let ScoredBackEnd { id, predicted, uncached, work_ahead, choice, .. } = scored;
+        let speed = self.estimate(now, self.engines.get(&id)?).speed;
         let load = demand.load(uncached, class);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
         let engine = self.engines.get_mut_busy(&id)?;
@@ -456,6 +467,8 @@
             running,
             limit,
             uncached,
+            choice,
+            speed,
             stats_age,
             excluded,
         })
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -8,6 +8,7 @@
 use crate::first_event::PrefillWork;
 use crate::policy::{ConcurrencyPolicy, PerformanceSource, Policy};
 use crate::prompt::Prompt;
+use crate::ranking::EngineChoice;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
 use mastbay_types::{Timestamp, mixed_hash};
@@ -162,6 +163,7 @@
             predicted_idle: Duration::ZERO,
             uncached: 0,
             work_ahead: PrefillWork::default(),
+            choice: EngineChoice::Unranked,
             cost,
         })
     }
@@ -180,6 +182,7 @@
             return None;
         }
         let scored = self.score(now, engine, demand, prompt, 1);
+        let scored = self.with_ranking_cost(now, engine, demand, criteria, scored);
         let is_eligible =
             is_idle(engine) || is_in_time(now, &scored, demand, criteria, &self.limits.policy);
         is_eligible.then_some(scored)
@@ -208,6 +211,8 @@
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
         let ranks =
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
+        let is_unequal = self.has_unequal_speeds(&preferred);
+        let ranks = if is_unequal { ranks.max(preferred.len()) } else { ranks };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
@@ -219,19 +224,32 @@
         let cold_only = held_cold.iter().filter(|id| is_cheap && !preferred.contains(id));
         let cold = cold_only.filter_map(candidate).map(|engine| (ranks, engine));
         let mut scored = Vec::new();
+        // Engines of another speed that would prefill the prefix again, although the request may
+        // wait for one that holds it. They are considered only if that one has capacity.
+        let mut recomputing = Vec::new();
         for (rank, engine) in ranked.chain(cold) {
             if !self.has_capacity(now, engine, demand, prompt, criteria) {
                 continue;
             }
-            let candidate = self.score(now, engine, demand, prompt, rank);
+            let mut candidate = self.score(now, engine, demand, prompt, rank);
             let recomputes = candidate.uncached > prompt.own_tokens();
-            if recomputes && waits_for_locality {
+            let waits = recomputes && waits_for_locality && !self.is_spare(engine, criteria);
+            if waits && !is_unequal {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
-                scored.push(candidate);
+                candidate.choice = EngineChoice::of(&preferred, &candidate.id);
+                let candidate = self.with_ranking_cost(now, engine, demand, criteria, candidate);
+                if waits { &mut recomputing } else { &mut scored }.push(candidate);
             }
         }
+        if !scored.is_empty() {
+            scored.append(&mut recomputing);
+        }
+        let may_overflow = !waits_for_locality || criteria.class == ShareClass::AboveShare;
+        if scored.is_empty() && may_overflow {
+            return self.score_overflow(now, demand, prompt, criteria, (&preferred, ranks));
+        }
         scored
     }
 
@@ -330,6 +348,7 @@
             predicted_idle,
             uncached,
             work_ahead,
+            choice: EngineChoice::Unranked,
             cost,
         }
     }
