Transfer of prompt prefixes between engines: core

Change: crates/routing/src/transfer chooses the source, compares the transfer with the prefill, counts transfers in progress and backs off from sources that save no time.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -11,7 +11,7 @@
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -66,6 +66,8 @@
     pub limit: u32,
     /// Prompt tokens estimated not to be in the back end's cache.
     pub uncached: u64,
+    /// Address from which the back end could fetch the beginning of the prompt.
+    pub prefix_source: Option<SocketAddr>,
     /// Age of the oldest load statistics used for the placement.
     pub stats_age: Duration,
     /// Number of placements at back ends.
@@ -105,6 +107,7 @@
         trace.running = placement.running;
         trace.limit = placement.limit;
         trace.uncached = placement.uncached;
+        trace.prefix_source = placement.prefix_source;
         trace.stats_age = placement.stats_age;
         trace.excluded = placement.excluded;
         trace.sends += 1;
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -5,6 +5,7 @@
 use hyper::header::HeaderMap;
 use hyper::{StatusCode, http};
 use mastbay_routing::Prompt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 pub use crate::retry_after::{RetryAfter, RetryAfterError, read_retry_after, retry_after_of};
@@ -108,6 +109,8 @@
     pub tenant: Option<&'a str>,
     /// The number of the last event that the caller received, if a stream is resumed.
     pub last_event: Option<u64>,
+    /// Address of another back end from which it can fetch the beginning of the prompt.
+    pub prefix_source: Option<SocketAddr>,
 }
 
 /// The classes of answers from back ends.
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -53,6 +53,7 @@
         limit = trace.limit,
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         uncached = trace.uncached,
+        prefix_source = trace.prefix_source.map(|source| source.to_string()),
         age_ms = milliseconds(trace.stats_age),
         draining = trace.excluded.draining,
         backing_off = trace.excluded.backing_off,
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -4,7 +4,7 @@
 use crate::dialect::OwnAnswer;
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
-use mastbay_routing::SourceCondition;
+use mastbay_routing::{Placement, SourceCondition};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -42,6 +42,8 @@
     quarantined: Gauge,
     quarantined_calls: Counter,
     write_timeouts: Counter,
+    prefix_sources: Counter,
+    transferred_tokens: Counter,
     first_event: Histogram,
     duration: Histogram,
 }
@@ -63,6 +65,8 @@
             quarantined: Gauge::default(),
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
+            prefix_sources: Counter::default(),
+            transferred_tokens: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
             duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
         };
@@ -102,6 +106,12 @@
         let name = "mastbay_router_unread_answers";
         let help = "Connections ended since their callers did not read their answers";
         registry.register(name, help, metrics.write_timeouts.clone());
+        let name = "mastbay_router_requests_with_prefix_source";
+        let help = "requests sent with the address of a back end that holds the prompt's beginning";
+        registry.register(name, help, metrics.prefix_sources.clone());
+        let name = "mastbay_router_transferred_tokens";
+        let help = "prompt tokens that back ends were expected to fetch from each other";
+        registry.register(name, help, metrics.transferred_tokens.clone());
         let name = "mastbay_router_first_event_seconds";
         registry.register(name, "time to a stream's first event", metrics.first_event.clone());
         let name = "mastbay_router_request_seconds";
@@ -178,6 +188,15 @@
         self.write_timeouts.inc_by(u64::from(connections));
     }
 
+    /// Counts a request that is sent with the address of a back end that holds the beginning of its
+    /// prompt.
+    pub fn on_send(&self, placement: &Placement) {
+        if placement.prefix_source.is_some() {
+            self.prefix_sources.inc();
+            self.transferred_tokens.inc_by(placement.transferred);
+        }
+    }
+
     /// Counts an arrival of a quarantined request.
     pub fn on_quarantined_call(&self) {
         self.quarantined_calls.inc();
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -72,6 +72,7 @@
             return SendOutcome::NotSent(Fault::Broken);
         };
         self.attempt.borrow_mut().on_send();
+        self.router.metrics.on_send(placement);
         let answered = self.wait_for_head(&mut connection, request, placement).await;
         match answered {
             Some(Ok(answer)) => self.read_head(answer, connection, back_end),
@@ -148,6 +149,7 @@
             time_left: call.time_left(self.router.now()),
             tenant: call.tenant.as_deref(),
             last_event,
+            prefix_source: placement.prefix_source,
         };
         let mut headers = self.router.dialects.back_ends.outgoing(&call.headers, &outgoing);
         remove_hop_by_hop(&mut headers);
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -163,7 +163,8 @@
 }
 
 pub fn configuration(version: u64) -> RoutingConfiguration {
-    let engine = EngineLimits { batch: 8, memory_tokens: 1_000_000, tokens_per_event: 1 };
+    let engine =
+        EngineLimits { batch: 8, memory_tokens: 1_000_000, tokens_per_event: 1, transfer: None };
     let service = |name: &str, engine| Service {
         name: name.to_owned(),
         max_connections: 100,
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The routing configuration, independent of the source that it comes from.
 
 use crate::regions::AllowedRegions;
+use crate::transfer::TransferLimits;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -75,6 +76,9 @@
     pub memory_tokens: u64,
     /// Number of tokens per streamed event.
     pub tokens_per_event: u32,
+    /// Properties of prefix transfers; `None` if the engines have no transfers.
+    #[serde(default)]
+    pub transfer: Option<TransferLimits>,
 }
 
 /// A service: a set of equivalent back ends.
--- a/crates/routing/src/dispatch/candidate.rs
+++ b/crates/routing/src/dispatch/candidate.rs
@@ -4,6 +4,7 @@
 use crate::first_event::PrefillWork;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
+use crate::transfer::PlannedTransfer;
 use std::time::Duration;
 
 /// A back end with its cost for a request.
@@ -18,6 +19,9 @@
     pub uncached: u64,
     /// Prefill to be done before the request's first event, including the request's own.
     pub work_ahead: PrefillWork,
+    /// Transfer of the prompt's beginning from another engine. Its time is part of the prediction,
+    /// of the uncached tokens and of the cost.
+    pub transfer: Option<PlannedTransfer>,
     /// Selection cost; the lowest wins.
     pub cost: f64,
 }
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -8,6 +8,7 @@
 use crate::rollout::ExposureLimits;
 use crate::warmup::WarmupLimits;
 use mastbay_types::Timestamp;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Settings of a [`Dispatcher`](super::Dispatcher).
@@ -60,6 +61,11 @@
     pub limit: u32,
     /// Prompt tokens that are not in its prefix cache.
     pub uncached: u64,
+    /// Address of an engine that is assumed to hold the prompt's beginning, from which the back end
+    /// can fetch it.
+    pub prefix_source: Option<SocketAddr>,
+    /// Prompt tokens that are expected to be fetched from there.
+    pub transferred: u64,
     /// Age of the oldest peer stats that were used; zero without peers.
     pub stats_age: Duration,
     /// Back ends of the service that were excluded from selection.
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -22,6 +22,7 @@
 mod sharing;
 mod source;
 mod suspects;
+mod transfers;
 
 use crate::announcements::Announcements;
 use crate::back_end::{BackEnd, BackEndId, BackEndList};
@@ -44,6 +45,7 @@
 use crate::rollout::RolloutRegistry;
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
+use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
 use candidate::{ScoredBackEnd, SelectionCriteria};
 use cold_engines::HeldColdEngines;
@@ -101,6 +103,8 @@
     back_ends: Revision,
     evacuated: EvacuatedZones,
     held_cold: HeldColdEngines,
+    prefix_holders: PrefixHolders,
+    transfers: TransferSources,
     rollouts: RolloutRegistry,
     rollouts_revision: Revision,
 }
@@ -135,6 +139,8 @@
             back_ends: Revision::default(),
             evacuated: EvacuatedZones::default(),
             held_cold: HeldColdEngines::default(),
+            prefix_holders: PrefixHolders::default(),
+            transfers: TransferSources::default(),
             rollouts: RolloutRegistry::default(),
             rollouts_revision: Revision::default(),
         }
@@ -324,7 +330,7 @@
         if let Some(rollout_request) = &mut running.rollout_request {
             rollout_request.on_first_event(taken);
         }
-        let (predicted, work_ahead) = (running.predicted, running.work_ahead);
+        let (predicted, work_ahead) = running.applicable_prediction(taken);
         self.announcements.on_served(&running.back_end, running.sent);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
         engine.last_response = now;
@@ -332,6 +338,10 @@
         if now < self.lagging_until || engine.warmup.is_cold(now) {
             return;
         }
+        if let Some(transfer) = running.transfer {
+            let saved_time = transfer.has_saved_time(taken);
+            self.transfers.on_result(now, transfer.source, saved_time);
+        }
         if let Some(due) = running.service_level_due {
             engine.on_service(now, now <= due);
         }
@@ -404,9 +414,10 @@
             None => self.best(now, demand, &criteria)?,
         };
         let rollout_request = self.record_release(demand, &scored);
+        let expected_transfer = self.record_transfer(now, demand, &scored);
         let stats_age = self.fleet.oldest_stats_age(now);
         let service_level_due = self.service_level_due(demand, class, scored.uncached);
-        let ScoredBackEnd { id, predicted, uncached, work_ahead, .. } = scored;
+        let ScoredBackEnd { id, predicted, uncached, work_ahead, transfer, .. } = scored;
         let load = demand.load(uncached, class);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
         let engine = self.engines.get_mut_busy(&id)?;
@@ -432,6 +443,7 @@
             events: 0,
             observed: now,
             rollout_request,
+            transfer: expected_transfer,
         };
         self.running.insert(ticket, entry);
         let excluded = self.excluded(now, &demand.service);
@@ -442,6 +454,8 @@
             running,
             limit,
             uncached,
+            prefix_source: transfer.map(|transfer| transfer.address),
+            transferred: transfer.map_or(0, |transfer| transfer.tokens),
             stats_age,
             excluded,
         })
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -10,6 +10,7 @@
 use crate::prompt::Prompt;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
+use crate::transfer::Source;
 use mastbay_types::{Timestamp, mixed_hash};
 use std::time::Duration;
 
@@ -106,8 +107,10 @@
         criteria: &SelectionCriteria,
     ) -> Vec<ScoredBackEnd> {
         let candidates = self.sampled_candidates(now, demand, &criteria.release);
-        let eligible = candidates
-            .filter_map(|engine| self.score_if_eligible(now, engine, demand, prompt, criteria));
+        let sources = self.transfer_sources(now, demand, prompt, None);
+        let eligible = candidates.filter_map(|engine| {
+            self.score_if_eligible(now, engine, demand, prompt, criteria, &sources)
+        });
         eligible.take(MAX_SCORED_SAMPLES).collect()
     }
 
@@ -162,6 +165,7 @@
             predicted_idle: Duration::ZERO,
             uncached: 0,
             work_ahead: PrefillWork::default(),
+            transfer: None,
             cost,
         })
     }
@@ -175,11 +179,12 @@
         demand: &Demand,
         prompt: &Prompt,
         criteria: &SelectionCriteria,
+        sources: &[Source<'_>],
     ) -> Option<ScoredBackEnd> {
         if !self.has_capacity(now, engine, demand, prompt, criteria) {
             return None;
         }
-        let scored = self.score(now, engine, demand, prompt, 1);
+        let scored = self.score(now, engine, demand, prompt, 1, sources);
         let is_eligible =
             is_idle(engine) || is_in_time(now, &scored, demand, criteria, &self.limits.policy);
         is_eligible.then_some(scored)
@@ -208,11 +213,13 @@
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
         let ranks =
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
+        let sources = self.transfer_sources(now, demand, prompt, preferred.first());
+        let considered = if sources.is_empty() { ranks } else { preferred.len().max(ranks) };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
         };
-        let ranked = preferred.iter().filter_map(candidate).take(ranks).enumerate();
+        let ranked = preferred.iter().filter_map(candidate).take(considered).enumerate();
         if !preferred.is_empty() && preferred.iter().all(backs_off) {
             return self.score_sampled(now, demand, prompt, criteria);
         }
@@ -223,9 +230,12 @@
             if !self.has_capacity(now, engine, demand, prompt, criteria) {
                 continue;
             }
-            let candidate = self.score(now, engine, demand, prompt, rank);
-            let recomputes = candidate.uncached > prompt.own_tokens();
-            if recomputes && waits_for_locality {
+            let candidate = self.score(now, engine, demand, prompt, rank, &sources);
+            let is_transferred = candidate.transfer.is_some();
+            let recomputes = candidate.uncached > prompt.own_tokens() && !is_transferred;
+            let is_outside_ranks =
+                rank >= ranks && !is_transferred && preferred.contains(&candidate.id);
+            if is_outside_ranks || recomputes && waits_for_locality {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
@@ -247,7 +257,7 @@
         let release = self.default_release(now, &demand.service);
         let preferred = self.preferred.of(&self.engines, demand, &release, prefix);
         let engine = self.engines.get(preferred.first()?)?;
-        Some(self.score(now, engine, demand, prompt, 0))
+        Some(self.score(now, engine, demand, prompt, 0, &[]))
     }
 
     fn has_capacity(
@@ -289,7 +299,7 @@
     }
 
     /// Returns the observed over the predicted time to the first event of an engine.
-    fn latency_ratio(&self, now: Timestamp, engine: &Engine) -> f64 {
+    pub(super) fn latency_ratio(&self, now: Timestamp, engine: &Engine) -> f64 {
         let policy = &self.limits.policy;
         match policy.performance {
             _ if !policy.latency_ratio => 1.0,
@@ -305,12 +315,15 @@
         demand: &Demand,
         prompt: &Prompt,
         rank: usize,
+        sources: &[Source<'_>],
     ) -> ScoredBackEnd {
         let load = engine.load();
         let mut uncached = engine.uncached(prompt);
         if rank == 0 {
             uncached = uncached.min(prompt.own_tokens());
         }
+        let transfer = self.plan_transfer(now, engine, prompt, uncached, sources);
+        uncached = transfer.map_or(uncached, |transfer| transfer.uncached);
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.prefill.plus(prompt.prefill(uncached));
         let ratio = self.latency_ratio(now, engine);
@@ -330,6 +343,7 @@
             predicted_idle,
             uncached,
             work_ahead,
+            transfer,
             cost,
         }
     }
--- a/crates/routing/src/dispatch/suspects.rs
+++ b/crates/routing/src/dispatch/suspects.rs
@@ -27,7 +27,7 @@
         let mut candidates: Vec<&Engine> = candidates.collect();
         candidates.sort_by_cached_key(|engine| Reverse(rendezvous_score(suspect, engine.key)));
         candidates.into_iter().find_map(|engine| match &demand.prompt {
-            Some(prompt) => self.score_if_eligible(now, engine, demand, prompt, criteria),
+            Some(prompt) => self.score_if_eligible(now, engine, demand, prompt, criteria, &[]),
             None => self.score_plain_if_free(now, engine),
         })
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -47,6 +47,7 @@
 mod source_watchers;
 mod stall;
 mod table;
+mod transfer;
 mod waiting;
 mod warmup;
 
@@ -106,4 +107,5 @@
 };
 pub use stall::StallDetector;
 pub use table::{RouteTable, TableEntry};
+pub use transfer::TransferLimits;
 pub use warmup::{Holders, Warmup, WarmupLimits};
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -67,7 +67,8 @@
 }
 
 pub fn configuration(capacity: Option<u64>) -> RoutingConfiguration {
-    let engine = EngineLimits { batch: 8, memory_tokens: 1_000_000, tokens_per_event: 4 };
+    let engine =
+        EngineLimits { batch: 8, memory_tokens: 1_000_000, tokens_per_event: 4, transfer: None };
     let service = |name: &str, engine| Service {
         name: name.to_owned(),
         max_connections: 100,
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -326,7 +326,8 @@
         policy: Policy::default(),
     };
     let me = PeerId { address: address(index), incarnation: 1 };
-    let engine = EngineLimits { batch: 48, memory_tokens: 1_000_000, tokens_per_event: 1 };
+    let engine =
+        EngineLimits { batch: 48, memory_tokens: 1_000_000, tokens_per_event: 1, transfer: None };
     let service = Service {
         name: SERVICE.to_owned(),
         max_connections: 100,
