--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -231,11 +231,10 @@
                 continue;
             }
             let candidate = self.score(now, engine, demand, prompt, rank, &sources);
-            let is_transferred = candidate.transfer.is_some();
-            let recomputes = candidate.uncached > prompt.own_tokens() && !is_transferred;
-            let is_outside_ranks =
-                rank >= ranks && !is_transferred && preferred.contains(&candidate.id);
-            if is_outside_ranks || recomputes && waits_for_locality {
+            let recomputes = candidate.uncached > prompt.own_tokens();
+            let recomputes = recomputes && candidate.transfer.is_none();
+            let is_outside_ranks = rank >= ranks && preferred.contains(&candidate.id);
+            if recomputes && (waits_for_locality || is_outside_ranks) {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
@@ -319,11 +318,11 @@
     ) -> ScoredBackEnd {
         let load = engine.load();
         let mut uncached = engine.uncached(prompt);
+        let transfer = self.plan_transfer(now, engine, prompt, uncached, sources);
         if rank == 0 {
             uncached = uncached.min(prompt.own_tokens());
         }
-        let transfer = self.plan_transfer(now, engine, prompt, uncached, sources);
-        uncached = transfer.map_or(uncached, |transfer| transfer.uncached);
+        uncached = transfer.map_or(uncached, |transfer| transfer.uncached.min(uncached));
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.prefill.plus(prompt.prefill(uncached));
         let ratio = self.latency_ratio(now, engine);
--- a/crates/routing/src/transfer/holders.rs
+++ b/crates/routing/src/transfer/holders.rs
@@ -25,8 +25,8 @@
         }
         let holders = self.0.entry(prefix).or_default();
         holders.retain(|(known, _)| known != id);
+        holders.truncate(MAX_HOLDERS - 1);
         holders.insert(0, (id.clone(), now));
-        holders.truncate(MAX_HOLDERS);
     }
 
     /// Returns the engines to which `prefix` was sent recently.
--- a/crates/routing/tests/prefix_transfer.rs
+++ b/crates/routing/tests/prefix_transfer.rs
@@ -4,9 +4,8 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, Demand, Dispatcher,
-    EngineKey, EvacuatedZones, Fault, Placement, Prompt, PromptPart, RequestFingerprint,
-    TransferLimits,
+    Admission, AllowedRegions, BackEnd, BackEndList, BackEndState, Demand, Dispatcher, EngineKey,
+    EvacuatedZones, Fault, Placement, Prompt, PromptPart, RequestFingerprint, TransferLimits,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -14,27 +13,37 @@
 use std::time::Duration;
 use support::{MODEL, at, back_end, configuration, demand, limits, peer};
 
-const ENGINES: u8 = 8;
+const ENGINES: u16 = 8;
 const SLOTS: u32 = 4;
 /// The engines of the deployment G.
 const LIMITS: TransferLimits = TransferLimits { bytes_per_token: 18_432, bandwidth_mbps: 370_000 };
 
 fn engines(revision: u64) -> BackEndList {
-    let engine = |index: u8| BackEnd {
-        address: SocketAddr::from(([10, 0, 1, index], 7000)),
+    list_of(revision, ENGINES)
+}
+
+fn list_of(revision: u64, count: u16) -> BackEndList {
+    let engine = |index: u16| BackEnd {
+        address: SocketAddr::from(([10, 0, 1, 1], 7000 + index)),
+        zone: format!("z{}", index % 2),
         ..back_end(&format!("e{index}"), MODEL, SLOTS)
     };
-    BackEndList { revision: revision.into(), back_ends: (0..ENGINES).map(engine).collect() }
+    BackEndList { revision: revision.into(), back_ends: (0..count).map(engine).collect() }
 }
 
 fn router(prefix_transfer: bool, transfer: Option<TransferLimits>) -> Dispatcher {
+    router_of(1, prefix_transfer, transfer)
+}
+
+fn router_of(host: u8, prefix_transfer: bool, transfer: Option<TransferLimits>) -> Dispatcher {
     let mut limits = limits();
     limits.policy.prefix_transfer = prefix_transfer;
+    limits.regions = (0..2).map(|zone| (format!("z{zone}"), format!("r{zone}"))).collect();
     let mut configuration = configuration(None);
     for engine in configuration.services.iter_mut().filter_map(|service| service.engine.as_mut()) {
         engine.transfer = transfer;
     }
-    let mut router = Dispatcher::new(limits, peer(1), support::address(1));
+    let mut router = Dispatcher::new(limits, peer(host), support::address(host));
     router.on_configuration(&configuration);
     router.on_back_ends(Timestamp::ZERO, &engines(1));
     router
@@ -60,13 +69,14 @@
     }
 }
 
-/// Sends requests with one prefix until its first engine is full. Returns that engine.
-fn fill_first(router: &mut Dispatcher, now: Timestamp) -> BackEnd {
+/// Sends requests with one prefix until its first engine is full. Returns the last placement there.
+fn fill_first(router: &mut Dispatcher, now: Timestamp) -> Placement {
     let placed =
         (0..u64::from(SLOTS)).filter_map(|number| admit(router, now, request(now, 1, number)));
-    let placed: Vec<BackEnd> = placed.map(|placement| placement.back_end).collect();
-    assert!(placed.len() == SLOTS as usize && placed.iter().all(|one| one.id == placed[0].id));
-    placed[0].clone()
+    let mut placed: Vec<Placement> = placed.collect();
+    assert_eq!(placed.len(), SLOTS as usize);
+    assert!(placed.iter().all(|one| one.back_end.id == placed[0].back_end.id));
+    placed.remove(0)
 }
 
 /// Guards against leaving engines empty while requests of a hot prefix wait for the two engines
@@ -128,68 +138,74 @@
 /// draining ones.
 #[test]
 fn only_engines_that_are_alive_and_reachable_are_sources() {
-    let now = at(10);
-    let source_after = |change: fn(&mut Dispatcher, &BackEnd)| {
+    let is_used_after = |change: fn(&mut Dispatcher, &Placement)| {
         let mut router = router(true, Some(LIMITS));
         let first = fill_first(&mut router, at(1));
         change(&mut router, &first);
-        let placement = admit(&mut router, now, request(now, 1, 99));
-        (placement.and_then(|placement| placement.prefix_source), first.address)
-    };
-    let is_used = |change| {
-        let (source, first) = source_after(change);
-        source == Some(first)
+        let placement = admit(&mut router, at(10), request(at(10), 1, 99)).expect("placed");
+        assert_ne!(placement.back_end.id, first.back_end.id);
+        placement.prefix_source == Some(first.back_end.address)
     };
-    let change_state = |router: &mut Dispatcher, first: &BackEnd| {
+    assert!(is_used_after(|_, _| ()));
+    assert!(is_used_after(|router, first| {
         let mut list = engines(2);
-        let changed = list.back_ends.iter_mut().find(|one| one.id == first.id);
+        let changed = list.back_ends.iter_mut().find(|one| one.id == first.back_end.id);
         changed.expect("listed").state = BackEndState::Draining;
         router.on_back_ends(at(5), &list);
-    };
-    assert!(is_used(|_, _| ()));
-    assert!(is_used(change_state));
-    assert!(!is_used(|router, first| {
-        router.on_back_end_ended(at(5), EngineKey::from(&first.id));
     }));
-    assert!(!is_used(|router, first| {
-        router.on_backoff(at(5), &first.id, Duration::from_secs(1));
+    assert!(!is_used_after(|router, first| {
+        router.on_back_end_ended(at(5), EngineKey::from(&first.back_end.id));
+    }));
+    assert!(!is_used_after(|router, first| {
+        router.on_backoff(at(5), &first.back_end.id, Duration::from_secs(1));
     }));
-    assert!(!is_used(|router, _| {
-        let placed = admit(router, at(5), request(at(5), 1, 50)).expect("placed");
-        router.on_end(at(6), placed.ticket, Err(Some(Fault::Unreachable)));
-        let zones = BTreeSet::from(["a".to_owned()]);
+    assert!(!is_used_after(|router, first| {
+        router.on_end(at(5), first.ticket, Err(Some(Fault::Unreachable)));
+    }));
+    assert!(!is_used_after(|router, first| {
+        let zones = BTreeSet::from([first.back_end.zone.clone()]);
         router.on_evacuations(&EvacuatedZones { zones, ..EvacuatedZones::default() });
     }));
-    assert!(!is_used(|router, first| {
-        let list = engines(2);
-        let back_ends = list.back_ends.into_iter().filter(|one| one.id != first.id).collect();
-        router.on_back_ends(at(5), &BackEndList { revision: 2.into(), back_ends });
+    assert!(!is_used_after(|router, first| {
+        let mut list = engines(2);
+        list.back_ends.retain(|one| one.id != first.back_end.id);
+        router.on_back_ends(at(5), &list);
     }));
 }
 
-/// Guards against passing a request's data through a region or an engine that must not see it.
+/// Guards against sources that must not receive the request's data, or that already failed it.
 #[test]
-fn suspects_and_requests_of_other_regions_get_no_source() {
-    let now = at(10);
-    let restrict = |demand: &mut Demand| demand.regions = AllowedRegions::only(["r".to_owned()]);
-    let suspect = |demand: &mut Demand| {
+fn regions_suspects_and_earlier_attempts_exclude_sources() {
+    let restrict = |demand: &mut Demand, first: &BackEnd| {
+        let other = if first.zone == "z0" { "r1" } else { "r0" };
+        demand.regions = AllowedRegions::only([other.to_owned()]);
+    };
+    let suspect = |demand: &mut Demand, _: &BackEnd| {
         demand.suspect = "0123456789abcdef0123456789abcdef".parse::<RequestFingerprint>().ok();
         assert!(demand.suspect.is_some());
     };
-    let retry = |demand: &mut Demand| demand.tried = (0..ENGINES).map(name).collect();
-    let changes: [&dyn Fn(&mut Demand); 3] = [&restrict, &suspect, &retry];
+    let retry = |demand: &mut Demand, first: &BackEnd| demand.tried = vec![first.id.clone()];
+    let changes: [&dyn Fn(&mut Demand, &BackEnd); 3] = [&restrict, &suspect, &retry];
     for change in changes {
         let mut router = router(true, Some(LIMITS));
-        fill_first(&mut router, at(1));
-        let mut demand = request(now, 1, 99);
-        change(&mut demand);
-        let source = admit(&mut router, now, demand).and_then(|placed| placed.prefix_source);
-        assert_eq!(source, None);
+        let first = fill_first(&mut router, at(1));
+        let mut demand = request(at(10), 1, 99);
+        change(&mut demand, &first.back_end);
+        let placement = admit(&mut router, at(10), demand).expect("placed");
+        assert_eq!(placement.prefix_source, None);
     }
 }
 
-fn name(index: u8) -> BackEndId {
-    BackEndId::from(format!("e{index}").as_str())
+/// Guards against prefilling again at a router that has not sent the prefix itself. The first engine
+/// in the prefix's order is the same at all routers.
+#[test]
+fn the_first_engine_of_a_prefix_is_a_source_for_routers_that_never_sent_it() {
+    let mut fleet = [router(true, Some(LIMITS)), router_of(2, true, Some(LIMITS))];
+    let first = fill_first(&mut fleet[0], at(1));
+    support::exchange_digests(at(2), &mut fleet);
+    let placement = admit(&mut fleet[1], at(10), request(at(10), 1, 99)).expect("placed");
+    assert_ne!(placement.back_end.id, first.back_end.id);
+    assert_eq!(placement.prefix_source, Some(first.back_end.address));
 }
 
 /// Guards against repeated attempts to fetch from an engine that has evicted the prefix.
@@ -201,8 +217,10 @@
     for number in 0..5 {
         let now = at(100 + number * 300);
         let demand = request(now, 1, 100 + number);
+        // A request that still waits would make all later ones wait.
+        router.poll(now, 0.5);
         let Some(placement) = admit(&mut router, now, demand) else { continue };
-        sources.push(placement.prefix_source == Some(first.address));
+        sources.push(placement.prefix_source == Some(first.back_end.address));
         router.on_first_event(now + Duration::from_millis(250), placement.ticket);
         // Forgets that the target holds the prefix.
         router.on_end(
@@ -214,8 +232,9 @@
     assert_eq!(sources[..3], [true; 3]);
     assert!(sources[3..].iter().all(|is_first| !is_first), "{sources:?}");
     let now = at(8_000);
+    router.poll(now, 0.5);
     let later = admit(&mut router, now, request(now, 1, 999));
-    assert_eq!(later.and_then(|placed| placed.prefix_source), Some(first.address));
+    assert_eq!(later.and_then(|placed| placed.prefix_source), Some(first.back_end.address));
 }
 
 /// Guards against an estimate that ignores the size, the zones or the queue at the source.
@@ -232,3 +251,18 @@
         assert_eq!(TransferLimits::from_numbers(Some(1.0), nonsense), None);
     }
 }
+
+/// Guards against work per request that grows with the number of engines.
+#[test]
+fn requests_with_transfers_examine_as_many_engines_in_a_fleet_of_any_size() {
+    let examined = [250, 2_000].map(|count| {
+        let mut router = router(true, Some(LIMITS));
+        router.on_back_ends(Timestamp::ZERO, &list_of(2, count));
+        let before = router.engines_examined();
+        let requests = (0..20).map(|number| (at(number), request(at(number), 1, number)));
+        let placed = requests.filter_map(|(now, demand)| admit(&mut router, now, demand));
+        assert!(placed.filter(|placement| placement.prefix_source.is_some()).count() > 0);
+        router.engines_examined() - before
+    });
+    assert!(examined[1] <= examined[0] + 20, "{examined:?}");
+}
