Test of prefix sources: plain function pointers, as clippy asks

Cause: clippy refuses the type of the test's list of changes. Change: an array of function pointers in place of trait objects. Result: clippy clean with -D warnings; tests of routing (8 of this part) and router pass.

--- a/crates/routing/tests/prefix_transfer.rs
+++ b/crates/routing/tests/prefix_transfer.rs
@@ -185,7 +185,7 @@
         assert!(demand.suspect.is_some());
     };
     let retry = |demand: &mut Demand, first: &BackEnd| demand.tried = vec![first.id.clone()];
-    let changes: [&dyn Fn(&mut Demand, &BackEnd); 3] = [&restrict, &suspect, &retry];
+    let changes: [fn(&mut Demand, &BackEnd); 3] = [restrict, suspect, retry];
     for change in changes {
         let mut router = router(true, Some(LIMITS));
         let first = fill_first(&mut router, at(1));
