--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -11,7 +11,7 @@
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -70,6 +70,8 @@
     pub speed: f64,
     /// Prompt tokens estimated not to be in the back end's cache.
     pub uncached: u64,
+    /// Address from which the back end could fetch the beginning of the prompt.
+    pub prefix_source: Option<SocketAddr>,
     /// Age of the oldest load statistics used for the placement.
     pub stats_age: Duration,
     /// Number of placements at back ends.
@@ -111,6 +113,7 @@
         trace.choice = Some(placement.choice);
         trace.speed = placement.speed;
         trace.uncached = placement.uncached;
+        trace.prefix_source = placement.prefix_source;
         trace.stats_age = placement.stats_age;
         trace.excluded = placement.excluded;
         trace.sends += 1;
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod sharing;
 mod source;
 mod suspects;
+mod transfers;
 
 use crate::announcements::Announcements;
 use crate::back_end::{BackEnd, BackEndId, BackEndList};
@@ -49,6 +50,7 @@
 use crate::rollout::RolloutRegistry;
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
+use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
 use candidate::{ScoredBackEnd, SelectionCriteria};
 use cold_engines::HeldColdEngines;
@@ -112,6 +114,8 @@
     back_ends: Revision,
     evacuated: EvacuatedZones,
     held_cold: HeldColdEngines,
+    prefix_holders: PrefixHolders,
+    transfers: TransferSources,
     rollouts: RolloutRegistry,
     rollouts_revision: Revision,
     performance: FleetPerformance,
@@ -150,6 +154,8 @@
             back_ends: Revision::default(),
             evacuated: EvacuatedZones::default(),
             held_cold: HeldColdEngines::default(),
+            prefix_holders: PrefixHolders::default(),
+            transfers: TransferSources::default(),
             rollouts: RolloutRegistry::default(),
             rollouts_revision: Revision::default(),
             performance: FleetPerformance::default(),
@@ -341,7 +347,7 @@
         if let Some(rollout_request) = &mut running.rollout_request {
             rollout_request.on_first_event(taken);
         }
-        let (predicted, work_ahead) = (running.predicted, running.work_ahead);
+        let (predicted, work_ahead) = running.applicable_prediction(taken);
         self.announcements.on_served(&running.back_end, running.sent);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
         engine.last_response = now;
@@ -349,6 +355,10 @@
         if now < self.lagging_until || engine.warmup.is_cold(now) {
             return;
         }
+        if let Some(transfer) = running.transfer {
+            let saved_time = transfer.has_saved_time(taken);
+            self.transfers.on_result(now, transfer.source, saved_time);
+        }
         if let Some(due) = running.service_level_due {
             engine.on_service(now, now <= due);
         }
@@ -426,9 +436,10 @@
             None => self.best(now, demand, &criteria)?,
         };
         let rollout_request = self.record_release(demand, &scored);
+        let expected_transfer = self.record_transfer(now, demand, &scored);
         let stats_age = self.fleet.oldest_stats_age(now);
         let service_level_due = self.service_level_due(demand, class, scored.uncached);
-        let ScoredBackEnd { id, predicted, uncached, work_ahead, choice, .. } = scored;
+        let ScoredBackEnd { id, predicted, uncached, work_ahead, choice, transfer, .. } = scored;
         let speed = self.estimate(now, self.engines.get(&id)?).speed;
         let load = demand.load(uncached, class);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
@@ -457,6 +468,7 @@
             progress: StreamProgress::new(demand.pause_objective),
             is_error: false,
             rollout_request,
+            transfer: expected_transfer,
         };
         self.running.insert(ticket, entry);
         let excluded = self.excluded(now, &demand.service);
@@ -469,6 +481,8 @@
             uncached,
             choice,
             speed,
+            prefix_source: transfer.map(|transfer| transfer.address),
+            transferred: transfer.map_or(0, |transfer| transfer.tokens),
             stats_age,
             excluded,
         })
--- a/crates/routing/src/dispatch/overflow.rs
+++ b/crates/routing/src/dispatch/overflow.rs
@@ -9,6 +9,7 @@
 use crate::prompt::Prompt;
 use crate::ranking::{EngineChoice, are_unequal};
 use crate::share_class::ShareClass;
+use crate::transfer::Source;
 use mastbay_types::{Timestamp, mixed_hash};
 use std::time::Duration;
 
@@ -79,7 +80,9 @@
         if self.limits.policy.ranking == RankingPolicy::Plain {
             return Vec::new();
         }
-        let score = |engine| self.score_overflow_engine(now, engine, demand, prompt, criteria);
+        let sources = self.transfer_sources(now, demand, prompt, preferred.first());
+        let score =
+            |engine| self.score_overflow_engine(now, engine, demand, prompt, criteria, &sources);
         let remaining = preferred.iter().enumerate().skip(ranks).filter_map(|(rank, id)| {
             let scored = score(self.engines.get(id)?)?;
             Some(ScoredBackEnd { choice: EngineChoice::Rank(rank), ..scored })
@@ -105,13 +108,14 @@
         demand: &Demand,
         prompt: &Prompt,
         criteria: &SelectionCriteria,
+        sources: &[Source<'_>],
     ) -> Option<ScoredBackEnd> {
         let is_allowed =
             criteria.class != ShareClass::AboveShare || self.is_spare(engine, criteria);
         if !is_allowed || !self.is_candidate(now, engine, demand, &criteria.release) {
             return None;
         }
-        self.score_if_eligible(now, engine, demand, prompt, criteria)
+        self.score_if_eligible(now, engine, demand, prompt, criteria, sources)
     }
 
     /// Returns a bounded sample of the service's engines, evenly spaced from a pseudorandom position
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -11,6 +11,7 @@
 use crate::ranking::EngineChoice;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
+use crate::transfer::Source;
 use mastbay_types::{Timestamp, mixed_hash};
 use std::time::Duration;
 
@@ -107,8 +108,10 @@
         criteria: &SelectionCriteria,
     ) -> Vec<ScoredBackEnd> {
         let candidates = self.sampled_candidates(now, demand, &criteria.release);
-        let eligible = candidates
-            .filter_map(|engine| self.score_if_eligible(now, engine, demand, prompt, criteria));
+        let sources = self.transfer_sources(now, demand, prompt, None);
+        let eligible = candidates.filter_map(|engine| {
+            self.score_if_eligible(now, engine, demand, prompt, criteria, &sources)
+        });
         eligible.take(MAX_SCORED_SAMPLES).collect()
     }
 
@@ -164,6 +167,7 @@
             uncached: 0,
             work_ahead: PrefillWork::default(),
             choice: EngineChoice::Unranked,
+            transfer: None,
             cost,
         })
     }
@@ -177,11 +181,12 @@
         demand: &Demand,
         prompt: &Prompt,
         criteria: &SelectionCriteria,
+        sources: &[Source<'_>],
     ) -> Option<ScoredBackEnd> {
         if !self.has_capacity(now, engine, demand, prompt, criteria) {
             return None;
         }
-        let scored = self.score(now, engine, demand, prompt, 1);
+        let scored = self.score(now, engine, demand, prompt, 1, sources);
         let scored = self.with_ranking_cost(now, engine, demand, criteria, scored);
         let is_eligible =
             is_idle(engine) || is_in_time(now, &scored, demand, criteria, &self.limits.policy);
@@ -213,11 +218,13 @@
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
         let is_unequal = self.has_unequal_speeds(&preferred);
         let ranks = if is_unequal { ranks.max(preferred.len()) } else { ranks };
+        let sources = self.transfer_sources(now, demand, prompt, preferred.first());
+        let considered = if sources.is_empty() { ranks } else { preferred.len().max(ranks) };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
         };
-        let ranked = preferred.iter().filter_map(candidate).take(ranks).enumerate();
+        let ranked = preferred.iter().filter_map(candidate).take(considered).enumerate();
         if !preferred.is_empty() && preferred.iter().all(backs_off) {
             return self.score_sampled(now, demand, prompt, criteria);
         }
@@ -231,10 +238,12 @@
             if !self.has_capacity(now, engine, demand, prompt, criteria) {
                 continue;
             }
-            let mut candidate = self.score(now, engine, demand, prompt, rank);
+            let mut candidate = self.score(now, engine, demand, prompt, rank, &sources);
             let recomputes = candidate.uncached > prompt.own_tokens();
+            let recomputes = recomputes && candidate.transfer.is_none();
+            let is_outside_ranks = rank >= ranks && preferred.contains(&candidate.id);
             let waits = recomputes && waits_for_locality && !self.is_spare(engine, criteria);
-            if waits && !is_unequal {
+            if (waits && !is_unequal) || (recomputes && is_outside_ranks) {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
@@ -265,7 +274,7 @@
         let release = self.default_release(now, &demand.service);
         let preferred = self.preferred.of(&self.engines, demand, &release, prefix);
         let engine = self.engines.get(preferred.first()?)?;
-        Some(self.score(now, engine, demand, prompt, 0))
+        Some(self.score(now, engine, demand, prompt, 0, &[]))
     }
 
     fn has_capacity(
@@ -307,7 +316,7 @@
     }
 
     /// Returns the observed over the predicted time to the first event of an engine.
-    fn latency_ratio(&self, now: Timestamp, engine: &Engine) -> f64 {
+    pub(super) fn latency_ratio(&self, now: Timestamp, engine: &Engine) -> f64 {
         let policy = &self.limits.policy;
         match policy.performance {
             _ if !policy.latency_ratio => 1.0,
@@ -323,12 +332,15 @@
         demand: &Demand,
         prompt: &Prompt,
         rank: usize,
+        sources: &[Source<'_>],
     ) -> ScoredBackEnd {
         let load = engine.load();
         let mut uncached = engine.uncached(prompt);
+        let transfer = self.plan_transfer(now, engine, prompt, uncached, sources);
         if rank == 0 {
             uncached = uncached.min(prompt.own_tokens());
         }
+        uncached = transfer.map_or(uncached, |transfer| transfer.uncached.min(uncached));
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.prefill.plus(prompt.prefill(uncached));
         let ratio = self.latency_ratio(now, engine);
@@ -349,6 +361,7 @@
             uncached,
             work_ahead,
             choice: EngineChoice::Unranked,
+            transfer,
             cost,
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,6 +48,7 @@
 mod source_watchers;
 mod stall;
 mod table;
+mod transfer;
 mod waiting;
 mod warmup;
 
@@ -114,4 +115,5 @@
 };
 pub use stall::StallDetector;
 pub use table::{RouteTable, TableEntry};
+pub use transfer::TransferLimits;
 pub use warmup::{Holders, Warmup, WarmupLimits};
