Serve a shared prefix by as many engines as its demand over the fleet needs

Cause: each shared prefix has the same number of engines, however often it is requested. A prefix with a third of all requests fills the slots of its two engines, and its requests are refused while other engines have empty slots.

Change: with [policy] ranks = demand, routers count requests by prefix in a space-saving table of 256 decaying counts and observe for how long they hold a slot. Each reports its 64 most demanding prefixes in full rounds (in a mesh in one digest of eight); the sum over the fleet, divided by half of the slots of one engine, is the number of engines, at most 6. It rises at once and falls after 3 s of lower demand. With 'fixed' nothing is counted or reported.

--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -20,6 +20,8 @@
 /// Interval, in digests of a mesh, between those with tenant rates, event intervals and peer
 /// addresses.
 const FULL_DIGEST_INTERVAL: u64 = 4;
+/// Interval, in digests of a mesh, between those with the demand for prefixes.
+const PREFIX_DIGEST_INTERVAL: u64 = 8;
 /// Interval, in rounds of a large fleet, between those with slowly changing stats.
 const FULL_ROUND_INTERVAL: u64 = 8;
 /// Tenants whose rates are sent in rounds without the slowly changing stats. With outdated rates,
@@ -92,6 +94,9 @@
             stats.tenants = None;
             stats.event_intervals = None;
         }
+        if (self.sequence + 1) % PREFIX_DIGEST_INTERVAL != 1 {
+            stats.prefixes = None;
+        }
         let count = if is_full { PEERS_PER_DIGEST } else { 0 };
         self.digest_with(own, Some(stats), count)
     }
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -6,6 +6,7 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, TenantReport};
 use crate::overload::PeerCapacity;
+use crate::prefix_demand::PrefixRate;
 use crate::quarantine::ProbeSlot;
 use crate::rollout::ReleaseReport;
 use crate::source_watchers::{self, SourceContact};
@@ -260,6 +261,13 @@
         (asked, given)
     }
 
+    /// Returns the demand by prefix over the whole fleet, in entries that have to be summed.
+    pub fn prefix_rates(&self, own: Vec<PrefixRate>) -> impl Iterator<Item = PrefixRate> {
+        let reported = self.stats().filter_map(|stats| stats.prefixes.as_ref()).flatten();
+        let includes_self = self.held.values().any(|held| held.includes_self);
+        reported.copied().chain(own.into_iter().filter(move |_| !includes_self))
+    }
+
     /// Returns the roll-out counts of the whole fleet.
     pub fn release_reports(&self, own: &[ReleaseReport]) -> Vec<ReleaseReport> {
         let mut sum = LoadStatsSum::default();
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod placement;
 mod preferred_engines;
+mod prefix_ranks;
 mod releases;
 mod rollout_request;
 mod running;
@@ -39,6 +40,8 @@
 use crate::gossip::GossipQueue;
 use crate::health::Fault;
 use crate::load::Load;
+use crate::prefix_demand::PrefixDemand;
+use crate::prompt::Prompt;
 use crate::quarantine::{ProbeSlot, Relaying};
 use crate::revision::Revision;
 use crate::rollout::RolloutRegistry;
@@ -88,6 +91,7 @@
     first_events: HashMap<String, FirstEventEstimator>,
     unloaded_intervals: HashMap<String, UnloadedEventInterval>,
     preferred: PreferredEngines,
+    prefix_demand: PrefixDemand,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
@@ -122,6 +126,7 @@
             first_events: HashMap::new(),
             unloaded_intervals: HashMap::new(),
             preferred: PreferredEngines::default(),
+            prefix_demand: PrefixDemand::default(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
@@ -287,6 +292,7 @@
     /// tenant's demand.
     pub fn on_request(&mut self, now: Timestamp, demand: &Demand) {
         self.budget(&demand.service).on_request(now);
+        self.count_prefix(now, demand);
         if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
             self.usage.on_asked(now, tenant, prompt.cost());
         }
@@ -358,6 +364,9 @@
             return false;
         };
         self.record_release_end(now, &running, outcome);
+        if outcome.is_ok() {
+            self.observe_slot_time(now, &running);
+        }
         match outcome {
             Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
             Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
@@ -423,6 +432,7 @@
         }
         let entry = Running {
             back_end: id,
+            prefix: demand.prompt.as_ref().and_then(Prompt::prefix_key),
             load,
             sent: now,
             predicted,
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -134,7 +134,7 @@
             event_intervals: Some(self.unloaded_event_intervals()),
             releases: self.rollouts.reports(),
             performance: None,
-            prefixes: None,
+            prefixes: self.prefix_report(now),
             backlog: Vec::new(),
         }
     }
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -200,14 +200,15 @@
         let held_cold = self.held_cold_engines(now, &demand.service);
         let is_cheap =
             cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP_RECOMPUTATION_COST;
+        let ranks =
+            if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
+        let ranks = self.rank_count(now, prefix, ranks, &preferred);
         let waited = now.since(demand.arrived);
         let backs_off = |id| self.announcements.backs_off_until(now, id).is_some();
         let waits_for_locality = !is_cheap
             && demand.tried.is_empty()
             && !preferred.iter().any(backs_off)
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
-        let ranks =
-            if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
--- a/crates/routing/src/dispatch/running.rs
+++ b/crates/routing/src/dispatch/running.rs
@@ -11,6 +11,8 @@
 #[derive(Debug)]
 pub struct Running {
     pub back_end: BackEndId,
+    /// The shared prefix of its prompt.
+    pub prefix: Option<u64>,
     pub load: Load,
     pub sent: Timestamp,
     pub predicted: Duration,
--- a/crates/routing/src/load_stats.rs
+++ b/crates/routing/src/load_stats.rs
@@ -9,7 +9,7 @@
 use crate::engine_key::EngineKey;
 use crate::load::Load;
 use crate::performance::{EnginePerformanceReport, PerformanceCounts};
-use crate::prefix_demand::PrefixRate;
+use crate::prefix_demand::{PrefixRate, most_demanding};
 use crate::rollout::{ReleaseCounts, ReleaseReport};
 use crate::service_level::ServiceLevelCounts;
 use serde::{Deserialize, Serialize};
@@ -189,8 +189,8 @@
     /// Answer counts by order and route.
     releases: BTreeMap<(u32, u32), ReleaseCounts>,
     performance: BTreeMap<EngineKey, PerformanceCounts>,
-    /// Rates by prefix.
-    prefixes: BTreeMap<u64, f32>,
+    /// Demand by prefix.
+    prefixes: BTreeMap<u64, PrefixRate>,
     backlog: Vec<BacklogReport>,
 }
 
@@ -260,7 +260,8 @@
             self.performance.entry(report.engine).or_default().add(report.counts);
         }
         for report in stats.prefixes.iter().flatten() {
-            *self.prefixes.entry(report.prefix).or_default() += report.rate;
+            let none = PrefixRate { rate: 0.0, slots: 0.0, ..*report };
+            self.prefixes.entry(report.prefix).or_insert(none).add(report);
         }
     }
 
@@ -293,8 +294,7 @@
         let performance = performance
             .map(|(engine, counts)| EnginePerformanceReport { engine, counts })
             .collect();
-        let prefixes = self.prefixes.into_iter();
-        let prefixes = prefixes.map(|(prefix, rate)| PrefixRate { prefix, rate }).collect();
+        let prefixes = most_demanding(self.prefixes.into_values().collect());
         LoadStats {
             loads,
             service_levels: Some(service_levels),
--- a/crates/routing/src/prefix_demand/mod.rs
+++ b/crates/routing/src/prefix_demand/mod.rs
@@ -1,12 +1,122 @@
-//! Request rates of shared prompt prefixes over the fleet.
+//! Request rates of shared prompt prefixes over the fleet, and the number of engines that serve
+//! each prefix.
+//!
+//! A router counts the requests that it receives and reports the most demanding prefixes to its
+//! peers. The sum over the fleet determines how many engines a prefix needs, so that routers agree
+//! without further messages.
 
+mod frequent_prefixes;
+mod rank_hysteresis;
+mod slot_time;
+
+use frequent_prefixes::FrequentPrefixes;
+use mastbay_types::Timestamp;
+use rank_hysteresis::RankHysteresis;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::time::Duration;
+
+pub use rank_hysteresis::RankChange;
+
+/// Prefixes in one report. Only prefixes that need more than one engine matter, and a fleet has few
+/// of them.
+pub const MAX_REPORTED: usize = 64;
+/// Maximum number of engines for one prefix: the number that rankings contain.
+pub const MAX_RANKS: usize = 6;
+/// Fraction of the slots of an engine that one prefix is meant to take. The rest is for the other
+/// prefixes of the engine and for bursts.
+const SLOT_FRACTION: f64 = 0.5;
+/// Time for which the sums over the fleet are reused. Reports arrive at most every 640 ms.
+const SUMS_TTL: Duration = Duration::from_millis(250);
 
-/// Request rate of one shared prefix.
+/// Demand for one shared prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct PrefixRate {
     /// Key of the prefix, see [`crate::Prompt::prefix_key`].
     pub prefix: u64,
     /// Requests a second.
     pub rate: f32,
+    /// Slots that these requests take on average: their rate times the mean time for which one
+    /// holds a slot.
+    pub slots: f32,
+}
+
+impl PrefixRate {
+    /// Adds the demand for the same prefix at another router.
+    pub fn add(&mut self, other: &PrefixRate) {
+        self.rate += other.rate;
+        self.slots += other.slots;
+    }
+}
+
+/// Returns the [`MAX_REPORTED`] prefixes that take the most slots, in descending order.
+pub fn most_demanding(mut rates: Vec<PrefixRate>) -> Vec<PrefixRate> {
+    rates.sort_unstable_by(|left, right| {
+        let by_slots = right.slots.total_cmp(&left.slots);
+        by_slots.then(right.rate.total_cmp(&left.rate)).then(left.prefix.cmp(&right.prefix))
+    });
+    rates.truncate(MAX_REPORTED);
+    rates
+}
+
+/// Counts the requests of this router by prefix and determines the number of engines for each.
+#[derive(Debug, Default)]
+pub struct PrefixDemand {
+    frequent: FrequentPrefixes,
+    /// Demand over the fleet and when it was summed.
+    sums: HashMap<u64, PrefixRate>,
+    summed: Option<Timestamp>,
+    ranks: RankHysteresis,
+}
+
+impl PrefixDemand {
+    /// Records a request.
+    pub fn on_request(&mut self, now: Timestamp, prefix: u64) {
+        self.frequent.on_request(now, prefix);
+    }
+
+    /// Records a complete response, during which a request held a slot for `held`.
+    pub fn on_slot_released(&mut self, now: Timestamp, prefix: u64, held: Duration) {
+        self.frequent.on_slot_released(now, prefix, held);
+    }
+
+    /// Returns the demand at this router.
+    pub fn report(&self, now: Timestamp) -> Vec<PrefixRate> {
+        most_demanding(self.frequent.rates(now))
+    }
+
+    /// Returns whether the sums over the fleet have to be updated.
+    pub fn needs_sums(&self, now: Timestamp) -> bool {
+        self.summed.is_none_or(|summed| now.since(summed) >= SUMS_TTL)
+    }
+
+    /// Replaces the sums over the fleet by those of `rates`, which may contain a prefix repeatedly.
+    pub fn set_sums(&mut self, now: Timestamp, rates: impl Iterator<Item = PrefixRate>) {
+        self.sums.clear();
+        for rate in rates.filter(|rate| rate.rate.is_finite() && rate.slots.is_finite()) {
+            let none = PrefixRate { rate: 0.0, slots: 0.0, ..rate };
+            self.sums.entry(rate.prefix).or_insert(none).add(&rate);
+        }
+        self.summed = Some(now);
+        self.ranks.remove_unneeded(now);
+    }
+
+    /// Returns the number of engines for a prefix: at least `base`, which is also that of unknown
+    /// prefixes. `slots` is the number of slots of one of its engines.
+    pub fn ranks(&mut self, now: Timestamp, prefix: u64, base: usize, slots: u32) -> usize {
+        let none = PrefixRate { prefix, rate: 0.0, slots: 0.0 };
+        let demand = self.sums.get(&prefix).copied().unwrap_or(none);
+        let needed = f64::from(demand.slots) / (f64::from(slots.max(1)) * SLOT_FRACTION);
+        self.ranks.update(now, demand, needed, base)
+    }
+
+    /// Returns the number of prefixes that have more engines than without demand.
+    pub fn raised(&self) -> usize {
+        self.ranks.raised()
+    }
+
+    /// Returns the changes of numbers of engines since the last call.
+    pub fn take_changes(&mut self) -> Vec<RankChange> {
+        self.ranks.take_changes()
+    }
 }
