--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use mastbay_routing::{
     BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Fault,
-    Placement, QuarantinedRequest, RefusalDetails, RequestFingerprint, Revision, Role,
+    Placement, QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint, Revision, Role,
     RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
@@ -361,6 +361,17 @@
     tracing::info!(event = "peer_heard", peer = %peer, routers);
 }
 
+/// Logs a changed number of engines for a shared prefix.
+pub fn prefix_ranks_changed(change: &RankChange) {
+    tracing::info!(
+        event = "prefix_ranks",
+        prefix = format_args!("{:016x}", change.demand.prefix),
+        ranks = change.ranks,
+        rate = f64::from(change.demand.rate),
+        slots = f64::from(change.demand.slots),
+    );
+}
+
 /// Logs a change of the router's role in the exchange of load reports.
 pub fn role_changed(role: Role, routers: usize) {
     let aggregator = match role {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -40,6 +40,7 @@
     back_ends_kept: Gauge,
     source_outages: Counter,
     quarantined: Gauge,
+    raised_prefixes: Gauge,
     quarantined_calls: Counter,
     write_timeouts: Counter,
     first_event: Histogram,
@@ -61,6 +62,7 @@
             back_ends_kept: Gauge::default(),
             source_outages: Counter::default(),
             quarantined: Gauge::default(),
+            raised_prefixes: Gauge::default(),
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
@@ -96,6 +98,9 @@
         let name = "mastbay_router_quarantined_requests";
         let help = "requests that are sent to no back end, since several ended under them";
         registry.register(name, help, metrics.quarantined.clone());
+        let name = "mastbay_router_prefixes_with_more_ranks";
+        let help = "shared prefixes that more engines serve because of their demand";
+        registry.register(name, help, metrics.raised_prefixes.clone());
         let name = "mastbay_router_quarantined_calls";
         let help = "arrivals of quarantined requests";
         registry.register(name, help, metrics.quarantined_calls.clone());
@@ -173,6 +178,11 @@
         self.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of shared prefixes that more engines serve because of their demand.
+    pub fn set_raised_prefixes(&self, prefixes: usize) {
+        self.raised_prefixes.set(i64::try_from(prefixes).unwrap_or(i64::MAX));
+    }
+
     /// Counts connections closed because their callers did not read their answers.
     pub fn on_write_timeouts(&self, connections: u32) {
         self.write_timeouts.inc_by(u64::from(connections));
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -48,6 +48,7 @@
         }
         messages
     };
+    report_prefix_ranks(router);
     router.evaluate_rollouts();
     for Outgoing { message, targets } in
         messages.into_iter().chain(quarantine::next_messages(router))
@@ -56,6 +57,13 @@
     }
 }
 
+/// Logs changed numbers of engines for shared prefixes.
+fn report_prefix_ranks(router: &Router) {
+    let mut dispatcher = router.dispatcher.borrow_mut();
+    dispatcher.take_rank_changes().iter().for_each(events::prefix_ranks_changed);
+    router.metrics.set_raised_prefixes(dispatcher.raised_prefixes());
+}
+
 /// Sends a message. Datagrams may be lost at any time and the next one repeats their content, so
 /// failures are only logged, with one line per message.
 async fn send(socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -2,8 +2,8 @@
 
 use mastbay_routing::{
     BackEndId, Digest, EngineKey, EngineLoad, EngineServiceLevel, HEAVIEST_TENANTS, IncludedDigest,
-    LimitSum, Load, LoadStats, PeerId, PeerMessage, PrefillWork, RouterPhase, RouterState,
-    ServiceLevelCounts, SourceContact, Sum, SumScope, TenantReport,
+    LimitSum, Load, LoadStats, MAX_REPORTED_PREFIXES, PeerId, PeerMessage, PrefillWork, PrefixRate,
+    RouterPhase, RouterState, ServiceLevelCounts, SourceContact, Sum, SumScope, TenantReport,
 };
 use quickcheck::quickcheck;
 use std::collections::BTreeSet;
@@ -50,6 +50,10 @@
     }
 }
 
+fn prefix(index: usize) -> PrefixRate {
+    PrefixRate { prefix: u64::MAX - index as u64, rate: 1_234.5, slots: 1_234.5 }
+}
+
 /// Encoded length of the sum that an aggregator sends to its 63 members when all engines are busy.
 /// A full sum, with all load statistics, goes out in one round of eight.
 fn encoded_sum(engines: usize, tenants: usize, is_full: bool) -> usize {
@@ -65,6 +69,7 @@
         },
         event_intervals: is_full.then(Vec::new),
         releases: Vec::new(),
+        prefixes: is_full.then(|| (0..MAX_REPORTED_PREFIXES).map(prefix).collect()),
         ..LoadStats::default()
     };
     let router = router_state(address);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -85,7 +85,7 @@
     ConcurrencyPolicy, FairCapacity, PerformanceSource, Policy, RankCount, RankingPolicy,
     RetryAfterPolicy, WaitingScope,
 };
-pub use prefix_demand::{PrefixDemand, PrefixRate, RankChange};
+pub use prefix_demand::{MAX_REPORTED_PREFIXES, PrefixDemand, PrefixRate, RankChange};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{
     ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus, QuarantinedRequest, Relaying,
--- a/crates/routing/src/prefix_demand/mod.rs
+++ b/crates/routing/src/prefix_demand/mod.rs
@@ -20,7 +20,7 @@
 
 /// Prefixes in one report. Only prefixes that need more than one engine matter, and a fleet has few
 /// of them.
-pub const MAX_REPORTED: usize = 64;
+pub const MAX_REPORTED_PREFIXES: usize = 64;
 /// Maximum number of engines for one prefix: the number that rankings contain.
 pub const MAX_RANKS: usize = 6;
 /// Fraction of the slots of an engine that one prefix is meant to take. The rest is for the other
@@ -49,13 +49,13 @@
     }
 }
 
-/// Returns the [`MAX_REPORTED`] prefixes that take the most slots, in descending order.
+/// Returns the [`MAX_REPORTED_PREFIXES`] prefixes that take the most slots, in descending order.
 pub fn most_demanding(mut rates: Vec<PrefixRate>) -> Vec<PrefixRate> {
     rates.sort_unstable_by(|left, right| {
         let by_slots = right.slots.total_cmp(&left.slots);
         by_slots.then(right.rate.total_cmp(&left.rate)).then(left.prefix.cmp(&right.prefix))
     });
-    rates.truncate(MAX_REPORTED);
+    rates.truncate(MAX_REPORTED_PREFIXES);
     rates
 }
 
--- a/crates/routing/tests/prefix_demand.rs
+++ b/crates/routing/tests/prefix_demand.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, Dispatcher, DispatcherLimits, PeerId, Policy, ROUND_PERIOD, RankCount, TicketId,
+    Admission, Dispatcher, DispatcherLimits, MAX_REPORTED_PREFIXES, PeerId, Policy, PrefixDemand,
+    PrefixRate, ROUND_PERIOD, RankCount, RouterPhase, TicketId,
 };
 use mastbay_types::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -11,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use support::fleet::{Fleet, address};
-use support::{configuration, demand, limits, list, prompt};
+use support::{at, configuration, demand, limits, list, prompt};
 
 const ENGINES: usize = 20;
 const SLOTS: u32 = 12;
@@ -179,3 +180,65 @@
         assert!(other_refused * 50 < other, "{routers} routers: {by_demand:?}");
     }
 }
+
+/// Rates of requests that hold a slot for a second, of one prefix.
+fn demand_for(slots: f32) -> impl Iterator<Item = PrefixRate> {
+    [PrefixRate { prefix: HOT_PREFIX, rate: slots, slots }].into_iter()
+}
+
+/// Guards against engines that prefill a prefix for a moment: demand near a threshold, or a report
+/// that is missing while an aggregator is replaced, must not change the number of engines.
+#[test]
+fn the_number_of_engines_rises_at_once_and_falls_after_seconds() {
+    let mut prefixes = PrefixDemand::default();
+    let mut ranks = |millis, slots| {
+        prefixes.set_sums(at(millis), demand_for(slots));
+        prefixes.ranks(at(millis), HOT_PREFIX, 2, SLOTS)
+    };
+    assert_eq!(ranks(0, 11.0), 2);
+    assert_eq!(ranks(300, 18.5), 4);
+    for millis in (600..9_000).step_by(300) {
+        let near_threshold = if millis % 600 == 0 { 17.5 } else { 18.5 };
+        assert_eq!(ranks(millis, near_threshold), 4, "near a threshold, at {millis}");
+    }
+    assert_eq!(ranks(9_000, 0.0), 4);
+    assert_eq!(ranks(10_400, 0.0), 4);
+    assert_eq!(ranks(10_700, 18.5), 4);
+    assert_eq!(ranks(11_000, 500.0), 6);
+    assert_eq!(ranks(13_900, 5.0), 6);
+    assert_eq!(ranks(14_200, 5.0), 2);
+}
+
+/// Guards against memory that grows with the number of prefixes, and against frequent prefixes that
+/// are displaced by prefixes requested once.
+#[test]
+fn a_frequent_prefix_is_counted_among_many_rare_ones() {
+    let mut prefixes = PrefixDemand::default();
+    for request in 0..40_000 {
+        let now = at(request);
+        let is_frequent = request % 10 == 0;
+        let prefix = if is_frequent { HOT_PREFIX } else { 1 + request };
+        prefixes.on_request(now, prefix);
+        prefixes.on_slot_released(now, prefix, MEAN_SLOT_TIME * if is_frequent { 2 } else { 1 });
+    }
+    let report = prefixes.report(at(40_000));
+    assert!(report.len() <= MAX_REPORTED_PREFIXES, "{} prefixes", report.len());
+    let PrefixRate { prefix, rate, slots } = report[0];
+    assert_eq!(prefix, HOT_PREFIX);
+    assert!((90.0..110.0).contains(&rate) && (180.0..220.0).contains(&slots), "{report:?}");
+    let others: f32 = report[1..].iter().map(|other| other.rate).sum();
+    assert!(others < 900.0, "{others} requests a second of the others");
+}
+
+/// With `ranks = fixed`, requests are neither counted nor reported.
+#[test]
+fn without_the_switch_nothing_is_reported() {
+    for (rank_count, is_reported) in [(RankCount::Fixed, false), (RankCount::Demand, true)] {
+        let mut router = router(1, rank_count);
+        let demand = demand(at(1), Some(prompt(HOT_PREFIX, 1, 100)), "t");
+        (0..100).for_each(|_| router.on_request(at(1), &demand));
+        let stats = router.digest(at(2), RouterPhase::Serving).stats.expect("stats");
+        let reported = stats.prefixes.map_or(0, |prefixes| prefixes.len());
+        assert_eq!(reported == 1, is_reported, "{rank_count:?}");
+    }
+}
