--- a/crates/routing/src/dispatch/prefix_ranks.rs
+++ b/crates/routing/src/dispatch/prefix_ranks.rs
@@ -31,10 +31,7 @@
         if !self.counts_prefixes() {
             return base;
         }
-        if self.prefix_demand.needs_sums(now) {
-            let own = self.prefix_demand.report(now);
-            self.prefix_demand.set_sums(now, self.fleet.prefix_rates(own));
-        }
+        self.update_prefix_sums(now);
         let first = preferred.first().and_then(|id| self.engines.get(id));
         let slots = first.map_or(1, |engine| engine.back_end.slots);
         self.prefix_demand.ranks(now, prefix, base, slots)
@@ -56,9 +53,21 @@
         }
     }
 
-    /// Returns this router's demand by prefix, or `None` if it is not counted.
-    pub(super) fn prefix_report(&self, now: Timestamp) -> Option<Vec<PrefixRate>> {
-        self.counts_prefixes().then(|| self.prefix_demand.report(now))
+    /// Returns this router's demand by prefix, or `None` if it is not counted. Also updates the sums
+    /// over the fleet, so that a router with few requests notices what is not needed any more.
+    pub(super) fn prefix_report(&mut self, now: Timestamp) -> Option<Vec<PrefixRate>> {
+        if !self.counts_prefixes() {
+            return None;
+        }
+        self.update_prefix_sums(now);
+        Some(self.prefix_demand.report(now))
+    }
+
+    fn update_prefix_sums(&mut self, now: Timestamp) {
+        if self.prefix_demand.needs_sums(now) {
+            let own = self.prefix_demand.report(now);
+            self.prefix_demand.set_sums(now, self.fleet.prefix_rates(own));
+        }
     }
 
     fn counts_prefixes(&self) -> bool {
--- a/crates/routing/src/prefix_demand/mod.rs
+++ b/crates/routing/src/prefix_demand/mod.rs
@@ -23,9 +23,6 @@
 pub const MAX_REPORTED_PREFIXES: usize = 64;
 /// Maximum number of engines for one prefix: the number that rankings contain.
 pub const MAX_RANKS: usize = 6;
-/// Fraction of the slots of an engine that one prefix is meant to take. The rest is for the other
-/// prefixes of the engine and for bursts.
-const SLOT_FRACTION: f64 = 0.5;
 /// Time for which the sums over the fleet are reused. Reports arrive at most every 640 ms.
 const SUMS_TTL: Duration = Duration::from_millis(250);
 
@@ -98,16 +95,14 @@
             self.sums.entry(rate.prefix).or_insert(none).add(&rate);
         }
         self.summed = Some(now);
-        self.ranks.remove_unneeded(now);
+        let sums = &self.sums;
+        self.ranks.lower_unneeded(now, |prefix| demand_for(sums, prefix));
     }
 
     /// Returns the number of engines for a prefix: at least `base`, which is also that of unknown
-    /// prefixes. `slots` is the number of slots of one of its engines.
-    pub fn ranks(&mut self, now: Timestamp, prefix: u64, base: usize, slots: u32) -> usize {
-        let none = PrefixRate { prefix, rate: 0.0, slots: 0.0 };
-        let demand = self.sums.get(&prefix).copied().unwrap_or(none);
-        let needed = f64::from(demand.slots) / (f64::from(slots.max(1)) * SLOT_FRACTION);
-        self.ranks.update(now, demand, needed, base)
+    /// prefixes. `engine_slots` is the number of slots of one of its engines.
+    pub fn ranks(&mut self, now: Timestamp, prefix: u64, base: usize, engine_slots: u32) -> usize {
+        self.ranks.raise(now, demand_for(&self.sums, prefix), engine_slots, base)
     }
 
     /// Returns the number of prefixes that have more engines than without demand.
@@ -120,3 +115,7 @@
         self.ranks.take_changes()
     }
 }
+
+fn demand_for(sums: &HashMap<u64, PrefixRate>, prefix: u64) -> PrefixRate {
+    sums.get(&prefix).copied().unwrap_or(PrefixRate { prefix, rate: 0.0, slots: 0.0 })
+}
--- a/crates/routing/src/prefix_demand/rank_hysteresis.rs
+++ b/crates/routing/src/prefix_demand/rank_hysteresis.rs
@@ -9,13 +9,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Time for which a prefix must need fewer engines before their number is lowered. Longer than the
-/// time in which a router gets new reports after its aggregator has ended (about 1.4 s).
+/// Time for which a prefix must need fewer engines before their number is lowered. Longer than
+/// reports are missing after an aggregator has ended: they expire after 0.7 s, and the next full one
+/// takes up to 0.64 s once another aggregator has taken over.
 const LOWERING_DELAY: Duration = Duration::from_secs(3);
+/// Fraction of the slots of an engine that one prefix is meant to take. The rest is for the other
+/// prefixes of the engine and for bursts.
+const SLOT_FRACTION: f64 = 0.5;
 /// How far, in engines, the need must be below the next lower number.
 const LOWERING_MARGIN: f64 = 0.25;
-/// Time after which an unneeded number is forgotten, even if the prefix is not requested any more.
-const RETENTION: Duration = Duration::from_secs(10);
 /// Changes kept until they are taken.
 const MAX_CHANGES: usize = 32;
 
@@ -33,6 +35,10 @@
     ranks: usize,
     /// When the demand last required this number.
     needed: Timestamp,
+    /// Number of slots of one engine.
+    engine_slots: u32,
+    /// Number of engines without demand.
+    base: usize,
 }
 
 /// Numbers of engines by prefix.
@@ -43,40 +49,43 @@
 }
 
 impl RankHysteresis {
-    /// Returns the number of engines for a prefix that needs `needed` engines: at least `base`.
-    pub fn update(
+    /// Returns the number of engines for a prefix: at least `base`. Raises it if the demand requires
+    /// more. `engine_slots` is the number of slots of one engine.
+    pub fn raise(
         &mut self,
         now: Timestamp,
         demand: PrefixRate,
-        needed: f64,
+        engine_slots: u32,
         base: usize,
     ) -> usize {
-        let required = (needed.ceil() as usize).min(MAX_RANKS);
-        let Some(held) = self.held.get_mut(&demand.prefix) else {
-            if required > base {
-                self.held.insert(demand.prefix, HeldRanks { ranks: required, needed: now });
-                self.record(demand, required);
-            }
-            return required.max(base);
-        };
-        if needed > held.ranks as f64 - 1.0 - LOWERING_MARGIN {
-            held.needed = now;
-        }
-        let is_lowered = required < held.ranks && now.since(held.needed) >= LOWERING_DELAY;
-        if required > held.ranks || is_lowered {
-            *held = HeldRanks { ranks: required, needed: now };
+        let required = required_ranks(needed_engines(&demand, engine_slots));
+        let held = self.held.get(&demand.prefix).map_or(base, |held| held.ranks);
+        if required > held {
+            let held = HeldRanks { ranks: required, needed: now, engine_slots, base };
+            self.held.insert(demand.prefix, held);
             self.record(demand, required);
-            if is_lowered && required <= base {
-                self.held.remove(&demand.prefix);
-            }
-            return required.max(base);
         }
-        held.ranks.max(base)
+        required.max(held).max(base)
     }
 
-    /// Forgets the numbers of prefixes that have not needed them for a long time.
-    pub fn remove_unneeded(&mut self, now: Timestamp) {
-        self.held.retain(|_, held| now.since(held.needed) < RETENTION);
+    /// Lowers the numbers that have not been needed for some time. `demand` returns the demand for
+    /// a prefix.
+    pub fn lower_unneeded(&mut self, now: Timestamp, demand: impl Fn(u64) -> PrefixRate) {
+        let mut lowered = Vec::new();
+        self.held.retain(|prefix, held| {
+            let demand = demand(*prefix);
+            let needed = needed_engines(&demand, held.engine_slots);
+            if needed > held.ranks as f64 - 1.0 - LOWERING_MARGIN {
+                held.needed = now;
+            }
+            if now.since(held.needed) >= LOWERING_DELAY {
+                held.ranks = required_ranks(needed);
+                held.needed = now;
+                lowered.push((demand, held.ranks));
+            }
+            held.ranks > held.base
+        });
+        lowered.into_iter().for_each(|(demand, ranks)| self.record(demand, ranks));
     }
 
     /// Returns the number of prefixes with a number of their own.
@@ -95,3 +104,12 @@
         }
     }
 }
+
+/// Returns how many engines carry the demand for a prefix.
+fn needed_engines(demand: &PrefixRate, engine_slots: u32) -> f64 {
+    f64::from(demand.slots) / (f64::from(engine_slots.max(1)) * SLOT_FRACTION)
+}
+
+fn required_ranks(needed: f64) -> usize {
+    (needed.ceil() as usize).min(MAX_RANKS)
+}
--- a/crates/routing/tests/prefix_demand.rs
+++ b/crates/routing/tests/prefix_demand.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 use support::fleet::{Fleet, address};
 use support::{at, configuration, demand, limits, list, prompt};
@@ -58,6 +59,9 @@
     /// Waiting requests; `true` for those of the hot prefix.
     waiting: BTreeMap<(usize, TicketId), bool>,
     sequence: u64,
+    /// Time since the start of the replay.
+    elapsed: Duration,
+    next_round: Duration,
     is_counted: bool,
     counts: Counts,
 }
@@ -74,31 +78,36 @@
             scheduled: BTreeMap::new(),
             waiting: BTreeMap::new(),
             sequence: 0,
+            elapsed: Duration::ZERO,
+            next_round: Duration::ZERO,
             is_counted: false,
             counts: Counts::default(),
         }
     }
 
     fn run(mut self) -> Counts {
-        let begin = self.fleet.now;
-        let (mut elapsed, mut next_round) = (Duration::ZERO, Duration::ZERO);
-        while elapsed < END {
-            if elapsed >= next_round {
+        self.run_until(self.fleet.now, END);
+        self.counts
+    }
+
+    /// Continues the replay that began at `begin` until `end` after that.
+    fn run_until(&mut self, begin: Timestamp, end: Duration) {
+        while self.elapsed < end {
+            if self.elapsed >= self.next_round {
                 // A round advances the fleet's clock.
-                self.fleet.now = begin + next_round;
+                self.fleet.now = begin + self.next_round;
                 self.fleet.round();
-                next_round += ROUND_PERIOD;
+                self.next_round += ROUND_PERIOD;
             }
-            elapsed += STEP;
-            self.fleet.now = begin + elapsed;
-            self.is_counted = elapsed >= START;
+            self.elapsed += STEP;
+            self.fleet.now = begin + self.elapsed;
+            self.is_counted = self.elapsed >= START;
             self.process_scheduled();
             if self.random.random::<f64>() < REQUEST_RATE * STEP.as_secs_f64() {
                 self.send_request();
             }
             self.poll();
         }
-        self.counts
     }
 
     fn process_scheduled(&mut self) {
@@ -242,3 +251,25 @@
         assert_eq!(reported == 1, is_reported, "{rank_count:?}");
     }
 }
+
+/// Guards against prefixes that lose their engines while the reports come through no aggregator.
+#[test]
+fn numbers_of_engines_stay_when_aggregators_end() {
+    let mut replay = Replay::new(60, RankCount::Demand);
+    let begin = replay.fleet.now;
+    replay.run_until(begin, Duration::from_secs(8));
+    let raised = |replay: &Replay| -> BTreeSet<SocketAddr> {
+        let routers = replay.fleet.routers.iter();
+        let raised = routers.filter(|(_, router)| router.raised_prefixes() == 1);
+        raised.map(|(address, _)| *address).collect()
+    };
+    let aggregators = replay.fleet.aggregators();
+    replay.fleet.silent.extend(aggregators.iter().copied());
+    let mut before = raised(&replay);
+    before.retain(|address| !aggregators.contains(address));
+    assert!(before.len() > 40, "{} of 60 routers", before.len());
+    for millis in (8_080..14_000).step_by(80) {
+        replay.run_until(begin, Duration::from_millis(millis));
+        assert!(raised(&replay).is_superset(&before), "after {millis} ms");
+    }
+}
