Prefer back ends of nearly equal cost to which this router has an idle connection

Cause: opening connections is expensive for some engines, and a router that holds idle connections to some of several equally good back ends chose among them without regard to that.

Change: with [policy] reuse-connections = yes (default no), the pool tells the dispatcher which back ends have an idle connection; among candidates within 0.05 of the lowest cost it prefers these. Counter mastbay_router_connections_opened.

The number of connections saved under load was not measured.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -178,6 +178,7 @@
             Err(error) => return self.handle_incomplete_answer(error, ticket, &id),
         };
         self.router.pool.release(&id, connection);
+        self.router.update_idle_connection(&id);
         ticket.on_first_event();
         self.call.record_first_event(self.router.now());
         if head.status.is_server_error() {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -41,6 +41,7 @@
     source_outages: Counter,
     quarantined: Gauge,
     raised_prefixes: Gauge,
+    opened_connections: Counter,
     quarantined_calls: Counter,
     write_timeouts: Counter,
     first_event: Histogram,
@@ -63,6 +64,7 @@
             source_outages: Counter::default(),
             quarantined: Gauge::default(),
             raised_prefixes: Gauge::default(),
+            opened_connections: Counter::default(),
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
@@ -101,6 +103,9 @@
         let name = "mastbay_router_prefixes_with_more_ranks";
         let help = "shared prefixes that more engines serve because of their demand";
         registry.register(name, help, metrics.raised_prefixes.clone());
+        let name = "mastbay_router_connections_opened";
+        let help = "connections opened to back ends";
+        registry.register(name, help, metrics.opened_connections.clone());
         let name = "mastbay_router_quarantined_calls";
         let help = "arrivals of quarantined requests";
         registry.register(name, help, metrics.quarantined_calls.clone());
@@ -183,6 +188,11 @@
         self.raised_prefixes.set(i64::try_from(prefixes).unwrap_or(i64::MAX));
     }
 
+    /// Returns the counter of connections opened to back ends.
+    pub fn opened_connections(&self) -> Counter {
+        self.opened_connections.clone()
+    }
+
     /// Counts connections closed because their callers did not read their answers.
     pub fn on_write_timeouts(&self, connections: u32) {
         self.write_timeouts.inc_by(u64::from(connections));
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -13,6 +13,7 @@
 use mastbay_routing::{BackEnd, BackEndId, ConnectionBounds};
 use mastbay_types::Timestamp;
 use mastbay_web::{Counted, WriteCount};
+use prometheus_client::metrics::counter::Counter;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use std::cell::{Cell, RefCell};
@@ -123,13 +124,15 @@
 /// The connections to all back ends.
 pub struct Pool {
     runtime: Runtime,
+    /// Number of connections opened.
+    opened: Counter,
     back_ends: RefCell<HashMap<BackEndId, BackEndConnections>>,
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(runtime: Runtime) -> Self {
-        Self { runtime, back_ends: RefCell::default() }
+    /// Creates an empty pool that counts the connections it opens.
+    pub fn new(runtime: Runtime, opened: Counter) -> Self {
+        Self { runtime, opened, back_ends: RefCell::default() }
     }
 
     /// Returns a connection that is ready for an exchange: the most recently used idle one, or a
@@ -167,14 +170,26 @@
         }
     }
 
-    /// Closes idle connections that have expired or that the back end has closed.
-    pub fn sweep(&self) {
+    /// Returns whether there is an idle connection to a back end.
+    pub fn has_idle(&self, id: &BackEndId) -> bool {
+        self.back_ends.borrow().get(id).is_some_and(|connections| !connections.idle.is_empty())
+    }
+
+    /// Closes idle connections that have expired or that the back end has closed. Returns the back
+    /// ends to which none is left.
+    pub fn sweep(&self) -> Vec<BackEndId> {
         let now = self.runtime.now();
-        for connections in self.back_ends.borrow_mut().values_mut() {
+        let mut without_idle = Vec::new();
+        for (id, connections) in self.back_ends.borrow_mut().iter_mut() {
+            let had_idle = !connections.idle.is_empty();
             connections
                 .idle
                 .retain(|idle| idle.expires > now && !idle.connection.sender.is_closed());
+            if had_idle && connections.idle.is_empty() {
+                without_idle.push(id.clone());
+            }
         }
+        without_idle
     }
 
     /// Removes back ends and closes their idle connections.
@@ -223,6 +238,7 @@
             self.runtime.within(CONNECT_TIMEOUT, TcpStream::connect(back_end.address)).await;
         let stream = connected.map_err(|_| PoolError::TimedOut)?;
         let stream = stream.map_err(|_| PoolError::Unreachable)?;
+        self.opened.inc();
         // The connection works without the option.
         let _ = stream.set_nodelay(true);
         let written = WriteCount::default();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -278,6 +278,7 @@
                 quarantine::on_served(&self.router, &self.call);
             }
             self.router.pool.release(&source.back_end, source.connection);
+            self.router.update_idle_connection(&source.back_end);
             self.record_outcome(OutcomeKind::Streamed, None, Some(&source.back_end));
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -16,9 +16,9 @@
 use crate::snapshots::EncodedSnapshots;
 use crate::update_signal::{Origin, UpdateSignal};
 use mastbay_routing::{
-    BackEndUpdate, Dispatcher, DispatcherLimits, EvacuatedZones, OutageDetector, OverloadGuard,
-    PeerId, Placement, Quarantine, Refusal, Revision, RolloutRecord, Rollouts, RouteTable,
-    RouterPhase, RoutingConfiguration, SourceCondition, SourceContact, StallDetector,
+    BackEndId, BackEndUpdate, Dispatcher, DispatcherLimits, EvacuatedZones, OutageDetector,
+    OverloadGuard, PeerId, Placement, Quarantine, Refusal, Revision, RolloutRecord, Rollouts,
+    RouteTable, RouterPhase, RoutingConfiguration, SourceCondition, SourceContact, StallDetector,
     StartingRouter, Tick, TicketId, UsableChanges, watch_timeout,
 };
 use mastbay_types::Timestamp;
@@ -124,7 +124,7 @@
             snapshot_transfers: TransferLimiter::default(),
             dispatcher: RefCell::new(dispatcher),
             waiting: RefCell::default(),
-            pool: Pool::new(runtime),
+            pool: Pool::new(runtime, metrics.opened_connections()),
             metrics,
             log_limiter: RefCell::default(),
             stopping: Cell::new(false),
@@ -259,6 +259,12 @@
         }
     }
 
+    /// Tells the dispatcher whether there is an idle connection to a back end.
+    pub(crate) fn update_idle_connection(&self, id: &BackEndId) {
+        let has_idle = self.pool.has_idle(id);
+        self.dispatcher.borrow_mut().set_idle_connection(id, has_idle);
+    }
+
     fn apply_back_ends(&self, changes: &UsableChanges, origin: Origin) {
         self.dispatcher.borrow_mut().on_back_end_changes(self.now(), changes);
         self.pool.remove(&changes.removed);
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -59,6 +59,7 @@
     ) -> SendOutcome {
         let back_end = &placement.back_end;
         let acquired = self.router.pool.acquire(back_end, self.connection_bounds(back_end)).await;
+        self.router.update_idle_connection(&back_end.id);
         let mut connection = match acquired {
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => return SendOutcome::NotSent(Fault::Full),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -291,6 +291,7 @@
         ranking: section.or("ranking", Ranking(default.ranking)).0,
         rank_count: section.or("ranks", Ranks(default.rank_count)).0,
         prefix_transfer: section.or("prefix-transfer", default.prefix_transfer),
+        reuse_connections: section.or("reuse-connections", default.reuse_connections),
         waiting_scope: section.or("waiting-order", Waiting(default.waiting_scope)).0,
         retry_after: section.or("retry-after", RetryDelay(default.retry_after)).0,
     };
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -97,7 +97,7 @@
     let sweep = async move {
         loop {
             sweeping.runtime.sleep(sweeping.runtime.until_aligned_tick(SWEEP_INTERVAL)).await;
-            sweeping.pool.sweep();
+            sweeping.pool.sweep().iter().for_each(|id| sweeping.update_idle_connection(id));
             quarantine::expire(&sweeping);
         }
     };
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod preferred_engines;
 mod prefix_ranks;
 mod releases;
+mod reuse;
 mod rollout_request;
 mod running;
 mod sharing;
@@ -92,6 +93,8 @@
     unloaded_intervals: HashMap<String, UnloadedEventInterval>,
     preferred: PreferredEngines,
     prefix_demand: PrefixDemand,
+    /// Back ends to which this router has an idle connection.
+    idle_connections: HashSet<BackEndId>,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
@@ -127,6 +130,7 @@
             unloaded_intervals: HashMap::new(),
             preferred: PreferredEngines::default(),
             prefix_demand: PrefixDemand::default(),
+            idle_connections: HashSet::new(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
@@ -165,6 +169,7 @@
         for id in &changes.removed {
             self.engines.remove(id);
             self.preferred.on_removed(id);
+            self.idle_connections.remove(id);
         }
         self.set_back_ends(now, &changes.updated);
     }
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -64,7 +64,7 @@
             Some(prompt) => self.score_engines(now, demand, prompt, criteria),
             None => self.score_plain(now, demand, &criteria.release),
         };
-        scored.into_iter().min_by(|left, right| left.cost.total_cmp(&right.cost))
+        self.cheapest(scored)
     }
 
     pub(super) fn is_candidate(
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -118,6 +118,8 @@
     pub rank_count: RankCount,
     /// Whether an engine may fetch a cached prefix from another one.
     pub prefix_transfer: bool,
+    /// Whether engines to which this router has an idle connection are preferred at nearly equal cost.
+    pub reuse_connections: bool,
     /// Scope of the waiting order.
     pub waiting_scope: WaitingScope,
     /// Retry delay of refused requests.
@@ -146,6 +148,7 @@
             ranking: RankingPolicy::Plain,
             rank_count: RankCount::Fixed,
             prefix_transfer: false,
+            reuse_connections: false,
             waiting_scope: WaitingScope::Router,
             retry_after: RetryAfterPolicy::Deadline,
         }
