--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -182,6 +182,7 @@
         if !head.status.is_success() {
             ticket.on_error_answer();
         }
+        self.router.update_idle_connection(&id);
         ticket.on_first_event();
         self.call.record_first_event(self.router.now());
         if head.status.is_server_error() {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -18,9 +18,11 @@
 mod performance;
 mod placement;
 mod preferred_engines;
+mod prefix_ranks;
 mod ranked_speeds;
 mod ranking_cost;
 mod releases;
+mod reuse;
 mod rollout_request;
 mod running;
 mod sharing;
@@ -45,6 +47,8 @@
 use crate::health::Fault;
 use crate::load::Load;
 use crate::performance::StreamProgress;
+use crate::prefix_demand::PrefixDemand;
+use crate::prompt::Prompt;
 use crate::quarantine::{ProbeSlot, Relaying};
 use crate::revision::Revision;
 use crate::rollout::RolloutRegistry;
@@ -101,6 +105,9 @@
     preferred: PreferredEngines,
     ranked_speeds: RankedSpeeds,
     failed_samples: FailedSamples,
+    prefix_demand: PrefixDemand,
+    /// Back ends to which this router has an idle connection.
+    idle_connections: HashSet<BackEndId>,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
@@ -141,6 +148,8 @@
             preferred,
             ranked_speeds: RankedSpeeds::default(),
             failed_samples: FailedSamples::default(),
+            prefix_demand: PrefixDemand::default(),
+            idle_connections: HashSet::new(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
@@ -182,6 +191,7 @@
         for id in &changes.removed {
             self.engines.remove(id);
             self.preferred.on_removed(id);
+            self.idle_connections.remove(id);
         }
         self.set_back_ends(now, &changes.updated);
     }
@@ -309,6 +319,7 @@
     /// tenant's demand.
     pub fn on_request(&mut self, now: Timestamp, demand: &Demand) {
         self.budget(&demand.service).on_request(now);
+        self.count_prefix(now, demand);
         if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
             self.usage.on_asked(now, tenant, prompt.cost());
         }
@@ -390,6 +401,9 @@
         };
         self.record_release_end(now, &running, outcome);
         self.observe_end(now, &running, outcome);
+        if outcome.is_ok() {
+            self.observe_slot_time(now, &running);
+        }
         match outcome {
             Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
             Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
@@ -457,6 +471,7 @@
         }
         let entry = Running {
             back_end: id,
+            prefix: demand.prompt.as_ref().and_then(Prompt::prefix_key),
             load,
             sent: now,
             predicted,
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -138,7 +138,7 @@
             event_intervals: Some(self.unloaded_event_intervals()),
             releases: self.rollouts.reports(),
             performance: self.own_performance(now),
-            prefixes: None,
+            prefixes: self.prefix_report(now),
             backlog: Vec::new(),
         }
     }
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -66,7 +66,7 @@
             Some(prompt) => self.score_engines(now, demand, prompt, criteria),
             None => self.score_plain(now, demand, &criteria.release),
         };
-        scored.into_iter().min_by(|left, right| left.cost.total_cmp(&right.cost))
+        self.cheapest(scored)
     }
 
     pub(super) fn is_candidate(
@@ -208,14 +208,15 @@
         let held_cold = self.held_cold_engines(now, &demand.service);
         let is_cheap =
             cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP_RECOMPUTATION_COST;
+        let ranks =
+            if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
+        let ranks = self.rank_count(now, prefix, ranks, &preferred);
         let waited = now.since(demand.arrived);
         let backs_off = |id| self.announcements.backs_off_until(now, id).is_some();
         let waits_for_locality = !is_cheap
             && demand.tried.is_empty()
             && !preferred.iter().any(backs_off)
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
-        let ranks =
-            if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
         let is_unequal = self.has_unequal_speeds(&preferred);
         let ranks = if is_unequal { ranks.max(preferred.len()) } else { ranks };
         let sources = self.transfer_sources(now, demand, prompt, preferred.first());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -90,7 +90,7 @@
     ConcurrencyPolicy, FairCapacity, PerformanceSource, Policy, RankCount, RankingPolicy,
     RetryAfterPolicy, WaitingScope,
 };
-pub use prefix_demand::PrefixRate;
+pub use prefix_demand::{MAX_REPORTED_PREFIXES, PrefixDemand, PrefixRate, RankChange};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{
     ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus, QuarantinedRequest, Relaying,
--- a/crates/routing/src/load_stats.rs
+++ b/crates/routing/src/load_stats.rs
@@ -9,7 +9,7 @@
 use crate::engine_key::EngineKey;
 use crate::load::Load;
 use crate::performance::{EnginePerformanceReport, PerformanceCounts};
-use crate::prefix_demand::PrefixRate;
+use crate::prefix_demand::{PrefixRate, most_demanding};
 use crate::rollout::{ReleaseCounts, ReleaseReport};
 use crate::service_level::ServiceLevelCounts;
 use serde::{Deserialize, Serialize};
@@ -191,8 +191,8 @@
     releases: BTreeMap<(u32, u32), ReleaseCounts>,
     /// `None` if no added statistics include any.
     performance: Option<BTreeMap<EngineKey, PerformanceCounts>>,
-    /// Rates by prefix.
-    prefixes: BTreeMap<u64, f32>,
+    /// Demand by prefix.
+    prefixes: BTreeMap<u64, PrefixRate>,
     backlog: Vec<BacklogReport>,
 }
 
@@ -267,7 +267,8 @@
             *shortest = interval.unloaded_micros.min(*shortest);
         }
         for report in stats.prefixes.iter().flatten() {
-            *self.prefixes.entry(report.prefix).or_default() += report.rate;
+            let none = PrefixRate { rate: 0.0, slots: 0.0, ..*report };
+            self.prefixes.entry(report.prefix).or_insert(none).add(report);
         }
     }
 
@@ -300,8 +301,7 @@
         let event_intervals = intervals
             .map(|(service, unloaded_micros)| ServiceEventInterval { service, unloaded_micros })
             .collect();
-        let prefixes = self.prefixes.into_iter();
-        let prefixes = prefixes.map(|(prefix, rate)| PrefixRate { prefix, rate }).collect();
+        let prefixes = most_demanding(self.prefixes.into_values().collect());
         LoadStats {
             loads,
             service_levels: Some(service_levels),
