Admission by figures of the whole fleet: spare capacity, backlog, retry delays

Cause: at 91 routers a router and an engine meet about once in 6 s, so a limit that each router adjusts by its own observations stays at its initial value, and callers that are told to retry return without regard to the requests ahead.

Change: SpareCapacity computes the limit for tenants above their share from the load and service level that all routers know, and the prefill ahead of such a request is bounded where streams of tenants within their share run. Backlog reports waiting requests, returning callers and placements a second by service and order class; RetryDelay tells refused callers to return when those ahead have been placed. Requests that would wait too long are refused on arrival, and requests leave free slots to preceding ones at other routers for two rounds. All of it is off by default.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -85,6 +85,8 @@
         tenant_given = details.given as u64,
         rates_age_ms = milliseconds(details.rates_age),
         fair_level = details.fair_level.map(|level| level as u64),
+        backlog_ahead = details.backlog_ahead,
+        drain_rate = details.drain_rate,
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         retry_after_ms = trace.retry_after.map_or(0, milliseconds),
         draining = trace.excluded.draining,
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -37,6 +37,7 @@
     draining_answers: Counter,
     backoffs_requested: Counter,
     backing_off: Gauge,
+    fleet_backlog: Gauge,
     back_ends_kept: Gauge,
     source_outages: Counter,
     quarantined: Gauge,
@@ -58,6 +59,7 @@
             draining_answers: Counter::default(),
             backoffs_requested: Counter::default(),
             backing_off: Gauge::default(),
+            fleet_backlog: Gauge::default(),
             back_ends_kept: Gauge::default(),
             source_outages: Counter::default(),
             quarantined: Gauge::default(),
@@ -87,6 +89,9 @@
         let name = "mastbay_router_back_ends_backing_off";
         let help = "back ends that want no requests of this router now";
         registry.register(name, help, metrics.backing_off.clone());
+        let name = "mastbay_router_fleet_backlog";
+        let help = "requests that wait at any router, as far as this one knows";
+        registry.register(name, help, metrics.fleet_backlog.clone());
         let name = "mastbay_router_back_ends_kept";
         let help = "back ends that are used though their entries are gone, after an outage";
         registry.register(name, help, metrics.back_ends_kept.clone());
@@ -156,6 +161,11 @@
         self.backing_off.set(i64::try_from(back_ends).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of waiting requests of the fleet.
+    pub fn set_fleet_backlog(&self, requests: u64) {
+        self.fleet_backlog.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of back ends that are missing from the source and kept.
     pub fn set_back_ends_kept(&self, back_ends: usize) {
         self.back_ends_kept.set(i64::try_from(back_ends).unwrap_or(i64::MAX));
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -508,6 +508,7 @@
         }
         self.dispatcher.borrow_mut().on_lag(now, lag);
         self.metrics.set_backing_off(self.dispatcher.borrow().backing_off(now));
+        self.metrics.set_fleet_backlog(self.dispatcher.borrow_mut().fleet_backlog(now));
         let max = self.settings.max_connections() as f64;
         let tick = Tick {
             period,
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -43,6 +43,11 @@
         if !is_retry && self.share_class(now, &demand) == ShareClass::AboveShare {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
         }
+        if let Some(reason) = self.early_refusal(now, &demand) {
+            self.record_unplaced(now, &demand);
+            self.record_missed(now, &demand);
+            return Admission::Refused(self.refusal(now, &demand, reason, draw));
+        }
         let waiting = self.waiting.get(&demand.service).map_or(0, WaitingQueue::len);
         if waiting >= self.limits.most_waiting {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::QueueFull, draw));
@@ -128,7 +133,10 @@
     ) -> Refusal {
         let remaining = demand.deadline.since(now).mul_f64(RETRY_AFTER_FRACTION);
         let default_delay = remaining.min(MAX_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw);
-        let retry_after = self.until_backoff_ends(now, demand, draw).unwrap_or(default_delay);
+        let backoff_delay = self.until_backoff_ends(now, demand, draw);
+        let retry_after = backoff_delay
+            .or_else(|| self.backlog_delay(now, demand, reason, draw))
+            .unwrap_or(default_delay);
         let excluded = self.excluded(now, &demand.service);
         Refusal { reason, retry_after, details: self.refusal_details(now, demand), excluded }
     }
@@ -152,6 +160,7 @@
         let shares = self.shares(now);
         let tenant = demand.tenant.as_deref().unwrap_or_default();
         let rates_age = self.fleet.rates_age(now);
+        let backlog = self.class_backlog(now, demand);
         let scored = self.first_choice(now, demand)?;
         let engine = self.engines.get(&scored.id)?;
         let load = engine.load();
@@ -165,6 +174,8 @@
             given: shares.given(tenant),
             rates_age,
             fair_level: shares.fair_level.is_finite().then_some(shares.fair_level),
+            backlog_ahead: backlog.ahead,
+            drain_rate: backlog.drain_rate,
         })
     }
 
@@ -203,7 +214,7 @@
     }
 
     /// Returns the end of the waiting time: a fraction of the objective, or all of it for a retry.
-    fn wait_deadline(&self, demand: &Demand) -> Timestamp {
+    pub(super) fn wait_deadline(&self, demand: &Demand) -> Timestamp {
         let fraction = if demand.tried.is_empty() { self.limits.policy.wait_fraction } else { 1.0 };
         (demand.arrived + demand.objective.mul_f64(fraction)).min(demand.deadline)
     }
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub use rounds::HEAVIEST_TENANTS;
 
 use super::aggregation::{Role, tiebreak};
+use crate::admission::BacklogReport;
 use crate::digest::{Digest, IncludedDigest, PeerId, RouterPhase, RouterState, Sum, SumScope};
 use crate::load_stats::{EngineLoad, LoadStats};
 use crate::overload::PeerCapacity;
@@ -100,6 +101,13 @@
     Fleet(u32),
 }
 
+/// The part of this router's report that is subtracted from sums.
+#[derive(Debug)]
+struct OwnReport {
+    loads: Vec<EngineLoad>,
+    backlog: Vec<BacklogReport>,
+}
+
 #[derive(Debug)]
 struct HeldStats {
     received: Timestamp,
@@ -146,7 +154,7 @@
     fallback_since: Option<Timestamp>,
     /// Since when peers have newer state.
     behind_since: Option<Timestamp>,
-    reports: VecDeque<(u64, Vec<EngineLoad>)>,
+    reports: VecDeque<(u64, OwnReport)>,
     /// Number of messages that the sums of a round are split into.
     member_sum_parts: SumParts,
     fleet_sum_parts: SumParts,
@@ -251,7 +259,7 @@
         }
         let mine = sum.included.iter().find(|included| included.incarnation == self.me.incarnation);
         let stats = match mine.and_then(|mine| self.report(mine.sequence)) {
-            Some(loads) => sum.stats.without_loads(loads),
+            Some(own) => sum.stats.without_loads(&own.loads).without_backlog(&own.backlog),
             None => sum.stats,
         };
         let held = HeldStats {
@@ -337,10 +345,10 @@
         change.removed.extend(dropped.map(|held| held.stats));
     }
 
-    /// Returns the loads of this router's report with a sequence number, or of the next one kept.
-    fn report(&self, sequence: u64) -> Option<&[EngineLoad]> {
+    /// Returns this router's report with a sequence number, or of the next one kept.
+    fn report(&self, sequence: u64) -> Option<&OwnReport> {
         let kept = self.reports.iter().find(|(kept, _)| *kept >= sequence);
-        kept.map(|(_, loads)| loads.as_slice())
+        kept.map(|(_, report)| report)
     }
 
     /// Removes silent peers and expired stats.
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -1,6 +1,6 @@
 //! The messages that a router sends in each round.
 
-use super::{Fleet, HEARTBEATS_PER_ROUND, HeldStats, OwnState, Peer, StatsSource};
+use super::{Fleet, HEARTBEATS_PER_ROUND, HeldStats, OwnReport, OwnState, Peer, StatsSource};
 use crate::digest::{Digest, Outgoing, PeerMessage, RouterPhase, RouterState, Sum, SumScope};
 use crate::dispatch::aggregation::{MAX_MESH_PEERS, Role};
 use crate::load_stats::{LoadStats, LoadStatsSum};
@@ -208,9 +208,9 @@
     }
 
     fn member_report(&mut self, own: &OwnState, stats: LoadStats, to: SocketAddr) -> Outgoing {
-        let loads = stats.loads.clone();
+        let report = OwnReport { loads: stats.loads.clone(), backlog: stats.backlog.clone() };
         let router = self.next_state(own.clone());
-        self.reports.push_back((router.sequence, loads));
+        self.reports.push_back((router.sequence, report));
         if self.reports.len() > MAX_REPORTS {
             self.reports.pop_front();
         }
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -1,6 +1,7 @@
 //! Queries over the peers' state and stats.
 
 use super::{FALLBACK_TIMEOUT, Fleet, OwnState, STATS_TTL, StatsSource};
+use crate::admission::BacklogReport;
 use crate::digest::{RouterPhase, RouterState};
 use crate::dispatch::aggregation::Role;
 use crate::fingerprint::RequestFingerprint;
@@ -270,6 +271,13 @@
         sum.release_reports()
     }
 
+    /// Returns the summed backlog of the peers.
+    pub fn backlog(&self) -> Vec<BacklogReport> {
+        let mut sum = LoadStatsSum::default();
+        self.stats().for_each(|stats| sum.add_backlog(stats));
+        sum.into_stats(false).backlog
+    }
+
     /// Returns whether any peer has newer state than this router.
     pub fn is_behind(&self, now: Timestamp, own: &OwnState) -> bool {
         self.newer_peers(now, own).next().is_some()
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -100,6 +100,10 @@
     pub rates_age: Duration,
     /// The fair level, in tokens per second; `None` if all demand can be met.
     pub fair_level: Option<f64>,
+    /// Waiting requests and returning callers ahead of it, over all routers.
+    pub backlog_ahead: u32,
+    /// Placements a second over all routers that requests preceding it leave.
+    pub drain_rate: f64,
 }
 
 impl Refusal {
@@ -132,6 +136,10 @@
     Stopping,
     /// The service's waiting queue is full.
     QueueFull,
+    /// The requests ahead of it will not be placed within the time for which it may wait.
+    Backlog,
+    /// Even without other load, its first event would arrive after the deadline.
+    PastDeadline,
 }
 
 impl RefusalReason {
@@ -145,6 +153,8 @@
             Self::NoRoom => "no_room",
             Self::Stopping => "stopping",
             Self::QueueFull => "queue_full",
+            Self::Backlog => "backlog",
+            Self::PastDeadline => "past_deadline",
         }
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod event_intervals;
 mod fair_level;
 mod fleet;
+mod fleet_admission;
 mod messages;
 mod peers;
 mod placement;
@@ -50,6 +51,7 @@
 use engines::Engines;
 use fair_level::Shares;
 use fleet::Fleet;
+use fleet_admission::FleetAdmission;
 use mastbay_types::Timestamp;
 use preferred_engines::PreferredEngines;
 use running::Running;
@@ -94,6 +96,7 @@
     usage: Usage,
     fleet: Fleet,
     shares: Option<(Timestamp, Rc<Shares>)>,
+    fleet_admission: FleetAdmission,
     lagging_until: Timestamp,
     next_ticket: u64,
     contact: SourceContact,
@@ -128,6 +131,7 @@
             usage,
             fleet: Fleet::new(me, snapshots),
             shares: None,
+            fleet_admission: FleetAdmission::default(),
             lagging_until: Timestamp::ZERO,
             next_ticket: 1,
             contact: SourceContact::default(),
@@ -144,6 +148,7 @@
     pub fn on_configuration(&mut self, configuration: &RoutingConfiguration) {
         self.configuration = configuration.version;
         self.capacity = configuration.limits.tokens_per_second;
+        self.fleet_admission.on_configuration(configuration);
         let services = configuration.services.iter();
         self.engine_limits = services
             .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
@@ -403,6 +408,9 @@
             Some(scored) => scored,
             None => self.best(now, demand, &criteria)?,
         };
+        if !is_final_attempt && self.yields_to_peers(now, demand, &scored.id) {
+            return None;
+        }
         let rollout_request = self.record_release(demand, &scored);
         let stats_age = self.fleet.oldest_stats_age(now);
         let service_level_due = self.service_level_due(demand, class, scored.uncached);
@@ -413,6 +421,7 @@
         let running = engine.load().running;
         engine.own.add(load);
         engine.warmup.on_sent(now);
+        engine.observe_fleet_interval(now);
         self.announcements.on_sent(now, &id);
         if let Some(prompt) = &demand.prompt {
             engine.record_prompt(prompt, now);
@@ -434,6 +443,7 @@
             rollout_request,
         };
         self.running.insert(ticket, entry);
+        self.record_class_placement(now, demand, class);
         let excluded = self.excluded(now, &demand.service);
         Some(Placement {
             ticket,
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -88,6 +88,7 @@
                 loads: self.own_loads(now),
                 tenants: Some(self.usage.reports(now)),
                 releases: self.rollouts.reports(),
+                backlog: self.own_backlog(now),
                 ..LoadStats::default()
             }
         };
@@ -124,6 +125,7 @@
     }
 
     fn own_stats(&mut self, now: Timestamp) -> LoadStats {
+        let backlog = self.own_backlog(now);
         let service_levels =
             self.engines.busy().filter_map(|engine| engine.own_service_level(now)).collect();
         LoadStats {
@@ -135,7 +137,7 @@
             releases: self.rollouts.reports(),
             performance: None,
             prefixes: None,
-            backlog: Vec::new(),
+            backlog,
         }
     }
 
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -182,6 +182,8 @@
         let scored = self.score(now, engine, demand, prompt, 1);
         let is_eligible =
             is_idle(engine) || is_in_time(now, &scored, demand, criteria, &self.limits.policy);
+        let is_eligible =
+            is_eligible && !self.delays_streams(engine, demand, &scored, criteria.class);
         is_eligible.then_some(scored)
     }
 
@@ -228,6 +230,9 @@
             if recomputes && waits_for_locality {
                 continue;
             }
+            if self.delays_streams(engine, demand, &candidate, criteria.class) {
+                continue;
+            }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
                 scored.push(candidate);
             }
@@ -281,9 +286,8 @@
         let slots = f64::from(engine.back_end.slots.max(1));
         match self.limits.policy.concurrency {
             ConcurrencyPolicy::Slots => slots,
-            ConcurrencyPolicy::Adaptive | ConcurrencyPolicy::Spare => {
-                engine.agreed_limit(now).min(slots)
-            }
+            ConcurrencyPolicy::Adaptive => engine.agreed_limit(now).min(slots),
+            ConcurrencyPolicy::Spare => self.spare_limit(now, engine),
             ConcurrencyPolicy::Fixed(max) => slots.min(f64::from(max.max(1))),
         }
     }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -2,7 +2,7 @@
 //! prefixes it is assumed to have cached.
 
 use crate::back_end::{BackEnd, BackEndState};
-use crate::concurrency::{ConcurrencyLimit, LimitSum};
+use crate::concurrency::{ConcurrencyLimit, LimitSum, UnloadedEventInterval};
 use crate::decaying_counter::DecayingCounter;
 use crate::engine_key::EngineKey;
 use crate::health::Health;
@@ -52,6 +52,8 @@
     service_level: ServiceLevel,
     /// Outcomes for tenants within their fair share, over the other routers.
     peer_service_level: ServiceLevelCounts,
+    /// Event interval without load, from the fleet's estimates.
+    unloaded_interval: UnloadedEventInterval,
     unplaced: DecayingCounter,
     /// Prompt parts sent here and the time of their last use.
     prompt_parts: HashMap<u64, Timestamp>,
@@ -86,6 +88,7 @@
             peer_limits: LimitSum::default(),
             service_level: ServiceLevel::default(),
             peer_service_level: ServiceLevelCounts::default(),
+            unloaded_interval: UnloadedEventInterval::default(),
             unplaced: DecayingCounter::new(UNPLACED_TIME_CONSTANT),
             prompt_parts: HashMap::new(),
         }
@@ -155,6 +158,20 @@
         PerformanceEstimate::default()
     }
 
+    /// Records the fleet's estimate of the event interval, whose minimum is that without load.
+    pub fn observe_fleet_interval(&mut self, now: Timestamp) {
+        if let Some(interval) = self.performance(now).event_interval {
+            self.unloaded_interval.observe(now, interval);
+        }
+    }
+
+    /// Returns the ratio of the fleet's estimate of the event interval to that without load.
+    pub fn fleet_slowdown(&self, now: Timestamp) -> Option<f64> {
+        let interval = self.performance(now).event_interval?;
+        let minimum = self.unloaded_interval.minimum()?;
+        Some(interval.as_secs_f64() / minimum.as_secs_f64().max(f64::MIN_POSITIVE))
+    }
+
     /// Returns the number of prompt tokens after the longest prefix assumed to be cached.
     pub fn uncached(&self, prompt: &Prompt) -> u64 {
         let held = prompt.parts.iter().take_while(|part| self.prompt_parts.contains_key(&part.id));
@@ -182,9 +199,14 @@
 
     /// Returns the fraction of such requests that missed their objective, over all routers.
     pub fn miss_rate(&self, now: Timestamp) -> f64 {
+        self.fleet_service_level(now).miss_rate()
+    }
+
+    /// Returns the recent outcomes for tenants within their fair share, over all routers.
+    pub fn fleet_service_level(&self, now: Timestamp) -> ServiceLevelCounts {
         let mut counts = self.service_level.counts(now);
         counts.add(self.peer_service_level);
-        counts.miss_rate()
+        counts
     }
 
     /// Records that a request of a tenant below half of its fair share could not be placed here.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -50,7 +50,10 @@
 mod waiting;
 mod warmup;
 
-pub use admission::BacklogReport;
+pub use admission::{
+    BacklogReport, ClassBacklog, DelayFigures, MAX_DELAY_FRACTION, OrderClass, RetryDelay,
+    SpareCapacity,
+};
 pub use attempt::{Attempt, AttemptState, ExecutionStatus};
 pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 pub use back_end_update::{BackEndUpdate, UsableChanges};
--- a/crates/routing/src/load_stats.rs
+++ b/crates/routing/src/load_stats.rs
@@ -159,6 +159,17 @@
         (0..parts).map(of_part).collect()
     }
 
+    /// Subtracts `backlog`, which was previously added to these statistics.
+    pub fn without_backlog(mut self, backlog: &[BacklogReport]) -> Self {
+        for report in &mut self.backlog {
+            if let Some(own) = backlog.iter().find(|own| own.has_key_of(report)) {
+                report.remove(own);
+            }
+        }
+        self.backlog.retain(|report| !report.is_empty());
+        self
+    }
+
     /// Subtracts `loads`, which were previously added to these statistics.
     pub fn without_loads(mut self, loads: &[EngineLoad]) -> Self {
         let removed: HashMap<EngineKey, Load> =
--- a/crates/routing/src/service_level.rs
+++ b/crates/routing/src/service_level.rs
@@ -38,6 +38,12 @@
         self.missed = self.missed.saturating_sub(other.missed);
     }
 
+    /// Returns the rate of requests, from counts that decay with the time constant of
+    /// [`ServiceLevel`].
+    pub fn requests_per_second(&self) -> f64 {
+        f64::from(self.requests) / HUNDREDTHS / TIME_CONSTANT.as_secs_f64()
+    }
+
     /// Returns the fraction of requests that missed their objective, weighted toward the accepted
     /// fraction while there are few requests.
     pub fn miss_rate(&self) -> f64 {
--- a/crates/routing/src/waiting.rs
+++ b/crates/routing/src/waiting.rs
@@ -39,6 +39,11 @@
         self.waiters.len()
     }
 
+    /// Returns the waiters in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiter> {
+        self.waiters.iter()
+    }
+
     /// Adds a waiter.
     pub fn push(&mut self, waiter: Waiter) {
         self.waiters.push(waiter);
