--- a/crates/routing/src/admission/backlog.rs
+++ b/crates/routing/src/admission/backlog.rs
@@ -1,4 +1,4 @@
-//! The waiting requests of the fleet by service and order class, and the rate at which they are
+//! The waiting requests of the fleet by service and order class, and the rate at which they can be
 //! placed.
 
 use crate::decaying_counter::DecayingCounter;
@@ -7,13 +7,23 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Time constant of the rates of placements.
-const RATE_TIME_CONSTANT: Duration = Duration::from_secs(2);
+/// Time constant of the rates of arrivals. Longer than a burst, whose requests count as backlog and
+/// not as the rate of those that follow.
+const RATE_TIME_CONSTANT: Duration = Duration::from_secs(8);
 /// Minimum time that rates are computed over. Rates over shorter times are mostly noise.
 const MIN_ELAPSED: Duration = Duration::from_millis(300);
-/// Fraction of a service's placements that any class is assumed to get. Without it, a class whose
-/// requests arrive for the first time would have no rate and an endless delay.
-const MIN_RATE_FRACTION: f64 = 0.1;
+/// Fraction of the slots that free up that any class is assumed to get, which bounds the delay when
+/// new requests take all of them.
+const MIN_RATE_FRACTION: f64 = 0.05;
+/// Rate below which a class has nothing to report, in requests a second.
+const MIN_RATE: f32 = 0.01;
+/// Utilization up to which callers are told to return. Near full utilization, slots are free
+/// somewhere but seldom at the few engines that prefer a request's prefix.
+const MAX_UTILIZATION: f64 = 0.8;
+/// Weight of one request in the mean time at an engine.
+const SERVICE_TIME_WEIGHT: f64 = 0.05;
+/// Lower bound of the mean time at an engine, in seconds.
+const MIN_SERVICE_TIME: f64 = 0.001;
 
 /// Requests of a service that are equal in the order of placement across routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -52,8 +62,13 @@
     pub requests: u32,
     /// Their service, in tokens.
     pub tokens: u64,
-    /// Placed requests of this class a second.
-    pub placed: f32,
+    /// Rate at which running requests of this class end: the slots that free up in a second. The
+    /// rate of placements would follow a burst into free slots, which is no measure of the rate
+    /// once they are taken.
+    pub ending: f32,
+    /// New requests of this class a second that are not refused, without those of returning
+    /// callers.
+    pub arriving: f32,
     /// Refused requests whose callers were told to return and have not yet.
     #[serde(default)]
     pub returning: u32,
@@ -63,8 +78,16 @@
     /// Creates an empty report of a class.
     pub fn new(class: OrderClass) -> Self {
         let OrderClass { service, priority, above_share } = class;
-        let (requests, tokens, placed, returning) = (0, 0, 0.0, 0);
-        Self { service, priority, above_share, requests, tokens, placed, returning }
+        Self {
+            service,
+            priority,
+            above_share,
+            requests: 0,
+            tokens: 0,
+            ending: 0.0,
+            arriving: 0.0,
+            returning: 0,
+        }
     }
 
     /// Returns the class of the requests.
@@ -82,7 +105,8 @@
     pub fn add(&mut self, other: &Self) {
         self.requests = self.requests.saturating_add(other.requests);
         self.tokens = self.tokens.saturating_add(other.tokens);
-        self.placed += other.placed;
+        self.ending += other.ending;
+        self.arriving += other.arriving;
         self.returning = self.returning.saturating_add(other.returning);
     }
 
@@ -90,13 +114,17 @@
     pub fn remove(&mut self, other: &Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.tokens = self.tokens.saturating_sub(other.tokens);
-        self.placed = (self.placed - other.placed).max(0.0);
+        self.ending = (self.ending - other.ending).max(0.0);
+        self.arriving = (self.arriving - other.arriving).max(0.0);
         self.returning = self.returning.saturating_sub(other.returning);
     }
 
     /// Returns whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.requests == 0 && self.returning == 0 && self.placed < 0.01
+        self.requests == 0
+            && self.returning == 0
+            && self.ending < MIN_RATE
+            && self.arriving < MIN_RATE
     }
 }
 
@@ -105,9 +133,14 @@
 pub struct ClassBacklog {
     /// Waiting requests of classes that precede it.
     pub preceding: u32,
-    /// Waiting requests and returning callers of these classes and its own.
-    pub ahead: u32,
-    /// Placements a second that the preceding classes leave to its own and those that follow.
+    /// Waiting requests of these classes and its own.
+    pub waiting: u32,
+    /// Callers of these classes that were told to return.
+    pub returning: u32,
+    /// Slots that free up in a second, less the new requests of preceding classes that take them.
+    pub waiting_rate: f64,
+    /// The same, less the new requests of its own class too, which find a free slot before a caller
+    /// returns.
     pub drain_rate: f64,
 }
 
@@ -115,28 +148,39 @@
     /// Sums up reports of all routers for a request of `class`.
     pub fn of(class: OrderClass, reports: &[BacklogReport]) -> Self {
         let mut backlog = Self::default();
-        let mut total = 0.0;
+        let (mut ending, mut arriving, mut own) = (0.0, 0.0, 0.0);
         for report in reports.iter().filter(|report| report.service == class.service) {
-            let precedes = report.class().precedes(&class);
-            total += f64::from(report.placed);
-            if precedes {
+            ending += f64::from(report.ending);
+            if report.class().precedes(&class) {
                 backlog.preceding = backlog.preceding.saturating_add(report.requests);
+                arriving += f64::from(report.arriving);
+            } else if report.class() == class {
+                own += f64::from(report.arriving);
             } else {
-                backlog.drain_rate += f64::from(report.placed);
-            }
-            if precedes || report.class() == class {
-                let ahead = report.requests.saturating_add(report.returning);
-                backlog.ahead = backlog.ahead.saturating_add(ahead);
+                continue;
             }
+            backlog.waiting = backlog.waiting.saturating_add(report.requests);
+            backlog.returning = backlog.returning.saturating_add(report.returning);
         }
-        backlog.drain_rate = backlog.drain_rate.max(total * MIN_RATE_FRACTION);
+        let least = ending * MIN_RATE_FRACTION;
+        backlog.waiting_rate = (ending - arriving).max(least);
+        backlog.drain_rate = (ending * MAX_UTILIZATION - arriving - own).max(least);
         backlog
     }
 
-    /// Returns the time until the requests ahead are placed; `None` without placements.
+    /// Returns the number of requests that are to be placed before a caller that returns.
+    pub fn ahead(&self) -> u32 {
+        self.waiting.saturating_add(self.returning)
+    }
+
+    /// Returns the time until the waiting requests are placed; `None` without a rate.
+    pub fn waiting_time(&self) -> Option<Duration> {
+        time_for(self.waiting, self.waiting_rate)
+    }
+
+    /// Returns the time until all requests ahead are placed; `None` without a rate.
     pub fn drain_time(&self) -> Option<Duration> {
-        let seconds = f64::from(self.ahead) / self.drain_rate;
-        Duration::try_from_secs_f64(seconds).ok()
+        time_for(self.ahead(), self.drain_rate)
     }
 
     /// Returns whether the requests of preceding classes may need all `free` slots of an engine.
@@ -148,20 +192,54 @@
     }
 }
 
-/// The rates at which this router places requests, by class.
+fn time_for(requests: u32, rate: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(f64::from(requests) / rate).ok()
+}
+
+/// Running requests, arrivals and times at engines by which this router reports its backlog.
 #[derive(Debug, Default)]
 pub struct Backlog {
-    /// When the first request was placed.
+    /// When the first request arrived.
     began: Option<Timestamp>,
-    placed: HashMap<OrderClass, DecayingCounter>,
+    /// Arrivals less refusals and the expected returns of refused callers.
+    arrivals: HashMap<OrderClass, DecayingCounter>,
+    running: HashMap<OrderClass, u32>,
+    /// Mean time at an engine by service, in seconds.
+    service_times: HashMap<u32, f64>,
 }
 
 impl Backlog {
-    /// Records a placed request.
-    pub fn on_placed(&mut self, now: Timestamp, class: OrderClass) {
+    /// Records the arrival of a request.
+    pub fn on_arrival(&mut self, now: Timestamp, class: OrderClass) {
         self.began.get_or_insert(now);
-        let counter = self.placed.entry(class);
-        counter.or_insert_with(|| DecayingCounter::new(RATE_TIME_CONSTANT)).add(now, 1.0);
+        self.count_arrival(now, class, 1.0);
+    }
+
+    /// Records that an arrival takes no slot as a new request: it was refused, or its caller
+    /// returned as it was told to.
+    pub fn on_not_taken(&mut self, now: Timestamp, class: OrderClass) {
+        self.count_arrival(now, class, -1.0);
+    }
+
+    fn count_arrival(&mut self, now: Timestamp, class: OrderClass, count: f64) {
+        let counter = self.arrivals.entry(class);
+        counter.or_insert_with(|| DecayingCounter::new(RATE_TIME_CONSTANT)).add(now, count);
+    }
+
+    /// Records a placed request.
+    pub fn on_placed(&mut self, class: OrderClass) {
+        *self.running.entry(class).or_default() += 1;
+    }
+
+    /// Records the end of a request, after `taken` at its engine if it was served.
+    pub fn on_ended(&mut self, class: OrderClass, taken: Option<Duration>) {
+        if let Some(running) = self.running.get_mut(&class) {
+            *running = running.saturating_sub(1);
+        }
+        if let Some(taken) = taken.map(|taken| taken.as_secs_f64()) {
+            let mean = self.service_times.entry(class.service).or_insert(taken);
+            *mean += SERVICE_TIME_WEIGHT * (taken - *mean);
+        }
     }
 
     /// Returns this router's report for each class, given its waiting requests with their service
@@ -173,8 +251,12 @@
         returning: impl Iterator<Item = (OrderClass, u32)>,
     ) -> Vec<BacklogReport> {
         let mut reports = Vec::new();
-        for (class, placed) in self.rates(now) {
-            entry(&mut reports, class).placed = placed;
+        for (class, arrivals) in &self.arrivals {
+            let rate = arrivals.at(now) / self.observed_seconds(now);
+            entry(&mut reports, *class).arriving = rate.max(0.0) as f32;
+        }
+        for (class, running) in &self.running {
+            entry(&mut reports, *class).ending = self.ending(*class, *running);
         }
         for (class, tokens) in waiting {
             let report = entry(&mut reports, class);
@@ -188,13 +270,23 @@
         reports
     }
 
-    /// Returns the placements a second of each class, corrected for a time constant that has not
-    /// passed yet.
-    fn rates(&self, now: Timestamp) -> impl Iterator<Item = (OrderClass, f32)> {
+    /// Returns the mean time of a service's requests at an engine; zero if it is unknown.
+    pub fn service_time(&self, class: OrderClass) -> Duration {
+        let seconds = self.service_times.get(&class.service).copied().unwrap_or(0.0);
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Returns the rate at which running requests end; zero while their time is unknown.
+    fn ending(&self, class: OrderClass, running: u32) -> f32 {
+        let time = self.service_times.get(&class.service).copied().unwrap_or(f64::INFINITY);
+        (f64::from(running) / time.max(MIN_SERVICE_TIME)) as f32
+    }
+
+    /// Returns the time constant of the arrivals, corrected for the time since the first one.
+    fn observed_seconds(&self, now: Timestamp) -> f64 {
         let elapsed = self.began.map_or(Duration::ZERO, |began| now.since(began)).max(MIN_ELAPSED);
         let constant = RATE_TIME_CONSTANT.as_secs_f64();
-        let full = constant * (1.0 - (-elapsed.as_secs_f64() / constant).exp());
-        self.placed.iter().map(move |(class, count)| (*class, (count.at(now) / full) as f32))
+        constant * (1.0 - (-elapsed.as_secs_f64() / constant).exp())
     }
 }
 
--- a/crates/routing/src/admission/retry_delay.rs
+++ b/crates/routing/src/admission/retry_delay.rs
@@ -14,7 +14,9 @@
 /// Longest delay as a fraction of the time left to the deadline; callers do not honor longer ones.
 pub const MAX_DELAY_FRACTION: f64 = 0.3;
 /// Interval over which callers with the same delay return, as a fraction of the delay.
-const SPREAD_FRACTION: f64 = 0.25;
+const SPREAD_FRACTION: f64 = 0.5;
+/// Part of the longest delay over which callers return that cannot be placed by then.
+const MIN_SPREAD_FRACTION: f64 = 0.25;
 /// Shortest delay: a round of messages, before which the figures do not change.
 const MIN_DELAY: Duration = Duration::from_millis(80);
 /// Time in which refusals are not yet known to the other routers: two rounds.
@@ -27,6 +29,8 @@
 pub struct DelayFigures {
     /// Time until the requests ahead are placed.
     pub drain_time: Duration,
+    /// Time until a slot frees up at its preferred engine.
+    pub engine_time: Duration,
     /// Time until the rate of its tenant admits another request; zero for tenants within their
     /// share.
     pub tenant_time: Duration,
@@ -39,9 +43,10 @@
     /// callers honor.
     pub fn delay(&self, draw: f64) -> Duration {
         let longest = self.remaining.mul_f64(MAX_DELAY_FRACTION);
-        let wait = self.drain_time.max(self.tenant_time).max(MIN_DELAY);
-        let earliest = wait.min(longest.mul_f64(1.0 - SPREAD_FRACTION));
-        (earliest + earliest.mul_f64(SPREAD_FRACTION * draw)).min(longest)
+        let wait = (self.drain_time + self.engine_time).max(self.tenant_time).max(MIN_DELAY);
+        let earliest = wait.min(longest.mul_f64(1.0 - MIN_SPREAD_FRACTION));
+        let spread = earliest.mul_f64(SPREAD_FRACTION).min(longest.saturating_sub(earliest));
+        earliest + spread.mul_f64(draw)
     }
 }
 
@@ -75,7 +80,6 @@
         tenant: Option<Arc<str>>,
         tokens: u64,
     ) {
-        self.expire(now);
         if self.returning.len() >= MAX_RETURNING {
             return;
         }
@@ -89,12 +93,14 @@
         self.returning.insert((due, self.next), Returning { class, tenant, tokens });
     }
 
-    /// Forgets the callers whose time of return has come.
-    pub fn expire(&mut self, now: Timestamp) {
+    /// Forgets the callers whose time of return has come, and returns their classes.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<OrderClass> {
+        let mut returned = Vec::new();
         while let Some(first) = self.returning.first_entry()
             && first.key().0 <= now
         {
             let Returning { class, tenant, tokens } = first.remove();
+            returned.push(class);
             if let Some(callers) = self.callers.get_mut(&class) {
                 *callers = callers.saturating_sub(1);
             }
@@ -106,6 +112,7 @@
                 }
             }
         }
+        returned
     }
 
     /// Returns the number of returning callers of each class.
--- a/crates/routing/src/admission/spare_capacity.rs
+++ b/crates/routing/src/admission/spare_capacity.rs
@@ -29,12 +29,23 @@
 }
 
 impl SpareCapacity {
-    /// Returns the limit for requests of tenants above their share, in requests.
+    /// Returns the limit for requests of tenants above their share, in requests. It falls with the
+    /// slowdown of streams; while tenants within their share miss objectives too often, a lower
+    /// slowdown is accepted.
     pub fn limit(&self, policy: &Policy) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let spare = slots - self.within_share() - self.reserve();
-        let unstrained = spare.max(ConcurrencyLimit::initial(self.slots.max(1)));
-        let limit = unstrained / self.pressure(policy).max(1.0);
+        let initial = ConcurrencyLimit::initial(self.slots.max(1));
+        let misses = (self.level.miss_rate() / policy.accepted_misses).max(1.0);
+        let limit = match self.slowdown {
+            Some(slowdown) => {
+                let accepted =
+                    if misses > 1.0 { policy.strained_slowdown } else { policy.slowdown };
+                spare.max(initial) / (slowdown / accepted).max(1.0)
+            }
+            // Misses alone do not show that the load causes them.
+            None => (spare / misses).max(initial),
+        };
         limit.clamp(MIN_SLOTS.min(slots), slots)
     }
 
@@ -56,12 +67,4 @@
         let expected = self.within_share() / f64::from(self.load.running.max(1));
         expected + (expected + rate * FIGURES_AGE).sqrt()
     }
-
-    /// Returns the load on streams within share relative to the accepted one. While their tenants
-    /// miss objectives too often, a lower slowdown is accepted.
-    fn pressure(&self, policy: &Policy) -> f64 {
-        let misses = self.level.miss_rate() / policy.accepted_misses;
-        let accepted = if misses > 1.0 { policy.strained_slowdown } else { policy.slowdown };
-        self.slowdown.map_or(misses, |slowdown| slowdown / accepted)
-    }
 }
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -174,7 +174,7 @@
             given: shares.given(tenant),
             rates_age,
             fair_level: shares.fair_level.is_finite().then_some(shares.fair_level),
-            backlog_ahead: backlog.ahead,
+            backlog_ahead: backlog.ahead(),
             drain_rate: backlog.drain_rate,
         })
     }
--- a/crates/routing/src/dispatch/fleet_admission.rs
+++ b/crates/routing/src/dispatch/fleet_admission.rs
@@ -5,6 +5,7 @@
 use super::candidate::ScoredBackEnd;
 use super::fleet::ROUND_PERIOD;
 use super::messages::RefusalReason;
+use super::running::Running;
 use crate::admission::{
     Backlog, BacklogReport, ClassBacklog, DelayFigures, OrderClass, RetryDelay, SpareCapacity,
 };
@@ -57,16 +58,21 @@
         self.fleet_reports(now).iter().map(|report| u64::from(report.requests)).sum()
     }
 
+    fn uses_backlog(&self) -> bool {
+        let policy = &self.limits.policy;
+        policy.waiting_scope == WaitingScope::Fleet
+            || policy.retry_after == RetryAfterPolicy::Backlog
+    }
+
     /// Returns this router's backlog as reported to peers; empty while no policy uses it.
     pub(super) fn own_backlog(&mut self, now: Timestamp) -> Vec<BacklogReport> {
-        let policy = &self.limits.policy;
-        let is_used = policy.waiting_scope == WaitingScope::Fleet
-            || policy.retry_after == RetryAfterPolicy::Backlog;
-        if !is_used {
+        if !self.uses_backlog() {
             return Vec::new();
         }
         let shares = self.shares(now);
-        self.fleet_admission.retry_delay.expire(now);
+        for class in self.fleet_admission.retry_delay.expire(now) {
+            self.fleet_admission.backlog.on_not_taken(now, class);
+        }
         let waiters = self
             .waiting
             .iter()
@@ -110,20 +116,34 @@
         let mut backlog = ClassBacklog::of(class, &self.fleet_reports(now));
         let peers = self.fleet.size().saturating_sub(1) as f64;
         let unreported = self.fleet_admission.retry_delay.unreported(now, class) * peers;
-        backlog.ahead = backlog.ahead.saturating_add(unreported as u32);
+        backlog.returning = backlog.returning.saturating_add(unreported as u32);
         backlog
     }
 
-    /// Records a placement for the rate at which its class is placed.
+    /// Records the arrival of a request, if a policy uses the rate of arrivals.
+    pub(super) fn record_class_arrival(&mut self, now: Timestamp, demand: &Demand) {
+        if self.uses_backlog() {
+            let class = self.order_class(now, demand);
+            self.fleet_admission.backlog.on_arrival(now, class);
+        }
+    }
+
+    /// Records a placement. Returns the order class with which the request runs.
     pub(super) fn record_class_placement(
         &mut self,
-        now: Timestamp,
         demand: &Demand,
         class: ShareClass,
-    ) {
+    ) -> OrderClass {
         let is_above_share = class == ShareClass::AboveShare;
         let class = OrderClass::new(&demand.service, demand.priority, is_above_share);
-        self.fleet_admission.backlog.on_placed(now, class);
+        self.fleet_admission.backlog.on_placed(class);
+        class
+    }
+
+    /// Records the end of a request. Only the time of a served one counts.
+    pub(super) fn record_class_end(&mut self, now: Timestamp, running: &Running, is_served: bool) {
+        let taken = is_served.then(|| now.since(running.sent));
+        self.fleet_admission.backlog.on_ended(running.order_class, taken);
     }
 
     /// Returns whether a request leaves an engine's free slots to requests that precede it and wait
@@ -169,7 +189,7 @@
         }
         let backlog = self.class_backlog(now, demand);
         let may_wait = self.wait_deadline(demand).since(now);
-        let is_too_long = backlog.drain_time().is_some_and(|drain_time| drain_time > may_wait);
+        let is_too_long = backlog.waiting_time().is_some_and(|time| time > may_wait);
         is_too_long.then_some(RefusalReason::Backlog)
     }
 
@@ -196,14 +216,29 @@
         let class = self.order_class(now, demand);
         let tenant_time =
             if class.above_share { self.tenant_time(now, demand) } else { Duration::ZERO };
+        let engine_time = self.engine_time(now, demand, class);
         let remaining = demand.deadline.since(now);
-        let delay = DelayFigures { drain_time, tenant_time, remaining }.delay(draw);
+        let delay = DelayFigures { drain_time, engine_time, tenant_time, remaining }.delay(draw);
         let tokens = demand.prompt.as_ref().map_or(0, Prompt::cost);
         let tenant = demand.tenant.clone();
+        self.fleet_admission.backlog.on_not_taken(now, class);
         self.fleet_admission.retry_delay.on_refused(now, now + delay, class, tenant, tokens);
         Some(delay)
     }
 
+    /// Returns the time until a slot frees up at the preferred engine, which may have been given more
+    /// requests than it has slots by routers that did not know of each other's.
+    fn engine_time(&mut self, now: Timestamp, demand: &Demand, class: OrderClass) -> Duration {
+        let Some(first) = self.first_choice(now, demand) else { return Duration::ZERO };
+        let Some(engine) = self.engines.get(&first.id) else { return Duration::ZERO };
+        let slots = engine.back_end.slots.max(1);
+        let excess = (engine.load().running + 1).saturating_sub(slots);
+        self.fleet_admission
+            .backlog
+            .service_time(class)
+            .mul_f64(f64::from(excess) / f64::from(slots))
+    }
+
     /// Returns the time until this router's part of the service given to the request's tenant
     /// admits it after the tenant's other returning requests.
     fn tenant_time(&mut self, now: Timestamp, demand: &Demand) -> Duration {
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -102,7 +102,7 @@
     pub fair_level: Option<f64>,
     /// Waiting requests and returning callers ahead of it, over all routers.
     pub backlog_ahead: u32,
-    /// Placements a second over all routers that requests preceding it leave.
+    /// Slots that free up in a second for it and those ahead of it, over all routers.
     pub drain_rate: f64,
 }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -292,6 +292,7 @@
     /// tenant's demand.
     pub fn on_request(&mut self, now: Timestamp, demand: &Demand) {
         self.budget(&demand.service).on_request(now);
+        self.record_class_arrival(now, demand);
         if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
             self.usage.on_asked(now, tenant, prompt.cost());
         }
@@ -363,6 +364,7 @@
             return false;
         };
         self.record_release_end(now, &running, outcome);
+        self.record_class_end(now, &running, outcome.is_ok());
         match outcome {
             Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
             Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
@@ -433,6 +435,7 @@
         let entry = Running {
             back_end: id,
             load,
+            order_class: self.record_class_placement(demand, class),
             sent: now,
             predicted,
             work_ahead,
@@ -443,7 +446,6 @@
             rollout_request,
         };
         self.running.insert(ticket, entry);
-        self.record_class_placement(now, demand, class);
         let excluded = self.excluded(now, &demand.service);
         Some(Placement {
             ticket,
--- a/crates/routing/src/dispatch/running.rs
+++ b/crates/routing/src/dispatch/running.rs
@@ -1,6 +1,7 @@
 //! Requests in progress at back ends.
 
 use super::rollout_request::RolloutRequest;
+use crate::admission::OrderClass;
 use crate::back_end::BackEndId;
 use crate::first_event::PrefillWork;
 use crate::load::Load;
@@ -12,6 +13,7 @@
 pub struct Running {
     pub back_end: BackEndId,
     pub load: Load,
+    pub order_class: OrderClass,
     pub sent: Timestamp,
     pub predicted: Duration,
     pub work_ahead: PrefillWork,
