--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod event_intervals;
 mod fair_level;
 mod fleet;
+mod fleet_admission;
 mod messages;
 mod overflow;
 mod peers;
@@ -61,6 +62,7 @@
 use engines::Engines;
 use fair_level::Shares;
 use fleet::Fleet;
+use fleet_admission::FleetAdmission;
 use mastbay_types::Timestamp;
 use overflow::FailedSamples;
 use performance::FleetPerformance;
@@ -114,6 +116,7 @@
     usage: Usage,
     fleet: Fleet,
     shares: Option<(Timestamp, Rc<Shares>)>,
+    fleet_admission: FleetAdmission,
     lagging_until: Timestamp,
     next_ticket: u64,
     contact: SourceContact,
@@ -156,6 +159,7 @@
             usage,
             fleet: Fleet::new(me, snapshots),
             shares: None,
+            fleet_admission: FleetAdmission::default(),
             lagging_until: Timestamp::ZERO,
             next_ticket: 1,
             contact: SourceContact::default(),
@@ -175,6 +179,7 @@
     pub fn on_configuration(&mut self, configuration: &RoutingConfiguration) {
         self.configuration = configuration.version;
         self.capacity = configuration.limits.tokens_per_second;
+        self.fleet_admission.on_configuration(configuration);
         let services = configuration.services.iter();
         self.engine_limits = services
             .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
@@ -320,6 +325,7 @@
     pub fn on_request(&mut self, now: Timestamp, demand: &Demand) {
         self.budget(&demand.service).on_request(now);
         self.count_prefix(now, demand);
+        self.record_class_arrival(now, demand);
         if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
             self.usage.on_asked(now, tenant, prompt.cost());
         }
@@ -404,6 +410,7 @@
         if outcome.is_ok() {
             self.observe_slot_time(now, &running);
         }
+        self.record_class_end(now, &running, outcome.is_ok());
         match outcome {
             Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
             Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
@@ -449,6 +456,9 @@
             Some(scored) => scored,
             None => self.best(now, demand, &criteria)?,
         };
+        if !is_final_attempt && self.yields_to_peers(now, demand, &scored.id) {
+            return None;
+        }
         let rollout_request = self.record_release(demand, &scored);
         let expected_transfer = self.record_transfer(now, demand, &scored);
         let stats_age = self.fleet.oldest_stats_age(now);
@@ -461,6 +471,7 @@
         let running = engine.load().running;
         engine.own.add(load);
         engine.warmup.on_sent(now);
+        engine.observe_fleet_interval(now);
         self.announcements.on_sent(now, &id);
         if let Some(prompt) = &demand.prompt {
             engine.record_prompt(prompt, now);
@@ -473,6 +484,7 @@
             back_end: id,
             prefix: demand.prompt.as_ref().and_then(Prompt::prefix_key),
             load,
+            order_class: self.record_class_placement(demand, class),
             sent: now,
             predicted,
             work_ahead,
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -92,6 +92,7 @@
                 tenants: Some(self.usage.reports(now)),
                 releases: self.rollouts.reports(),
                 performance: self.own_performance(now),
+                backlog: self.own_backlog(now),
                 ..LoadStats::default()
             }
         };
@@ -128,6 +129,7 @@
     }
 
     fn own_stats(&mut self, now: Timestamp) -> LoadStats {
+        let backlog = self.own_backlog(now);
         let service_levels =
             self.engines.busy().filter_map(|engine| engine.own_service_level(now)).collect();
         LoadStats {
@@ -139,7 +141,7 @@
             releases: self.rollouts.reports(),
             performance: self.own_performance(now),
             prefixes: self.prefix_report(now),
-            backlog: Vec::new(),
+            backlog,
         }
     }
 
--- a/crates/routing/src/dispatch/running.rs
+++ b/crates/routing/src/dispatch/running.rs
@@ -1,6 +1,7 @@
 //! Requests in progress at back ends.
 
 use super::rollout_request::RolloutRequest;
+use crate::admission::OrderClass;
 use crate::back_end::BackEndId;
 use crate::engine_key::EngineKey;
 use crate::first_event::PrefillWork;
@@ -16,6 +17,7 @@
     /// The shared prefix of its prompt.
     pub prefix: Option<u64>,
     pub load: Load,
+    pub order_class: OrderClass,
     pub sent: Timestamp,
     pub predicted: Duration,
     pub work_ahead: PrefillWork,
