--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,12 +6,12 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use mastbay_routing::{
-    AllowedRegions, Demand, ExcludedBackEnds, Placement, Refusal, RefusalDetails,
+    AllowedRegions, Demand, EngineChoice, ExcludedBackEnds, Placement, Refusal, RefusalDetails,
     RequestFingerprint, RequestIdentity, TableEntry,
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,8 +64,14 @@
     pub running: u32,
     /// The back end's concurrency limit, in requests.
     pub limit: u32,
+    /// How the back end was found; `None` without a placement.
+    pub choice: Option<EngineChoice>,
+    /// The back end's speed relative to the mean of its service.
+    pub speed: f64,
     /// Prompt tokens estimated not to be in the back end's cache.
     pub uncached: u64,
+    /// Address from which the back end could fetch the beginning of the prompt.
+    pub prefix_source: Option<SocketAddr>,
     /// Age of the oldest load statistics used for the placement.
     pub stats_age: Duration,
     /// Number of placements at back ends.
@@ -104,7 +110,10 @@
         trace.predicted = placement.predicted;
         trace.running = placement.running;
         trace.limit = placement.limit;
+        trace.choice = Some(placement.choice);
+        trace.speed = placement.speed;
         trace.uncached = placement.uncached;
+        trace.prefix_source = placement.prefix_source;
         trace.stats_age = placement.stats_age;
         trace.excluded = placement.excluded;
         trace.sends += 1;
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -11,8 +11,9 @@
 use hyper::StatusCode;
 use mastbay_routing::{
     BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Fault,
-    Placement, QuarantinedRequest, RefusalDetails, RequestFingerprint, Revision, Role,
-    RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, Tick, UsableChanges,
+    Placement, QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint, Revision, Role,
+    RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, SpeedChange, Tick,
+    UsableChanges,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -51,8 +52,11 @@
         predicted_ms = milliseconds(trace.predicted),
         running = trace.running,
         limit = trace.limit,
+        rank = trace.choice.map(|choice| choice.to_string()),
+        speed = trace.choice.map(|_| trace.speed),
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         uncached = trace.uncached,
+        prefix_source = trace.prefix_source.map(|source| source.to_string()),
         age_ms = milliseconds(trace.stats_age),
         draining = trace.excluded.draining,
         backing_off = trace.excluded.backing_off,
@@ -85,6 +89,8 @@
         tenant_given = details.given as u64,
         rates_age_ms = milliseconds(details.rates_age),
         fair_level = details.fair_level.map(|level| level as u64),
+        backlog_ahead = details.backlog_ahead,
+        drain_rate = details.drain_rate,
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         retry_after_ms = trace.retry_after.map_or(0, milliseconds),
         draining = trace.excluded.draining,
@@ -361,6 +367,17 @@
     tracing::info!(event = "peer_heard", peer = %peer, routers);
 }
 
+/// Logs a changed number of engines for a shared prefix.
+pub fn prefix_ranks_changed(change: &RankChange) {
+    tracing::info!(
+        event = "prefix_ranks",
+        prefix = format_args!("{:016x}", change.demand.prefix),
+        ranks = change.ranks,
+        rate = f64::from(change.demand.rate),
+        slots = f64::from(change.demand.slots),
+    );
+}
+
 /// Logs a change of the router's role in the exchange of load reports.
 pub fn role_changed(role: Role, routers: usize) {
     let aggregator = match role {
@@ -370,6 +387,20 @@
     tracing::info!(event = "role_changed", role = role.name(), aggregator, routers);
 }
 
+/// Logs the performance of an engine whose speed changed, as observed by all routers.
+pub fn engine_performance(change: &SpeedChange) {
+    let SpeedChange { back_end, estimate, counts } = change;
+    tracing::info!(
+        event = "engine_performance",
+        engine = %back_end,
+        speed = estimate.speed,
+        latency_ratio = estimate.latency_ratio,
+        event_ms = estimate.event_interval.map(|interval| interval.as_millis() as u64),
+        pause_rate = estimate.pause_rate,
+        observations = counts.first_events / 100,
+    );
+}
+
 /// Logs that a message to other routers could not be encoded.
 pub fn message_not_encoded(error: &rmp_serde::encode::Error) {
     tracing::error!(event = "message_not_encoded", error = %error);
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -111,6 +111,7 @@
                 return self.give_up("retry_budget");
             }
             self.call.record_placement(&placement, self.router.now());
+            self.router.metrics.on_placement(placement.choice);
             let sent = self.send(&placement).await;
             if !matches!(sent, SendOutcome::NotSent(_)) {
                 self.deliveries += 1;
@@ -178,6 +179,10 @@
             Err(error) => return self.handle_incomplete_answer(error, ticket, &id),
         };
         self.router.pool.release(&id, connection);
+        if !head.status.is_success() {
+            ticket.on_error_answer();
+        }
+        self.router.update_idle_connection(&id);
         ticket.on_first_event();
         self.call.record_first_event(self.router.now());
         if head.status.is_server_error() {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -4,7 +4,7 @@
 use crate::dialect::OwnAnswer;
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
-use mastbay_routing::SourceCondition;
+use mastbay_routing::{EngineChoice, Placement, SourceCondition};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use std::collections::BTreeMap;
 
 /// Labels of ended requests. The configuration bounds the number of their values.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -26,22 +27,41 @@
     status: u16,
 }
 
+/// Labels of engines of one speed. There are 17 steps.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SpeedLabels {
+    step: i32,
+}
+
+/// Labels of placements.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PlacementLabels {
+    rank: String,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug, Clone)]
 pub struct RouterMetrics {
     ended: Family<EndLabels, Counter>,
     own_answers: Family<AnswerLabels, Counter>,
+    placements: Family<PlacementLabels, Counter>,
     offloaded: Counter,
     closed_unread: Counter,
     back_ends_ended: Counter,
     draining_answers: Counter,
     backoffs_requested: Counter,
     backing_off: Gauge,
+    fleet_backlog: Gauge,
     back_ends_kept: Gauge,
     source_outages: Counter,
     quarantined: Gauge,
+    raised_prefixes: Gauge,
+    opened_connections: Counter,
     quarantined_calls: Counter,
     write_timeouts: Counter,
+    engines_by_speed: Family<SpeedLabels, Gauge>,
+    prefix_sources: Counter,
+    transferred_tokens: Counter,
     first_event: Histogram,
     duration: Histogram,
 }
@@ -52,17 +72,24 @@
         let metrics = Self {
             ended: Family::default(),
             own_answers: Family::default(),
+            placements: Family::default(),
             offloaded: Counter::default(),
             closed_unread: Counter::default(),
             back_ends_ended: Counter::default(),
             draining_answers: Counter::default(),
             backoffs_requested: Counter::default(),
             backing_off: Gauge::default(),
+            fleet_backlog: Gauge::default(),
             back_ends_kept: Gauge::default(),
             source_outages: Counter::default(),
             quarantined: Gauge::default(),
+            raised_prefixes: Gauge::default(),
+            opened_connections: Counter::default(),
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
+            engines_by_speed: Family::default(),
+            prefix_sources: Counter::default(),
+            transferred_tokens: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
             duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
         };
@@ -70,6 +97,9 @@
         registry.register(name, "requests ended, by route and outcome", metrics.ended.clone());
         let name = "mastbay_router_own_answers";
         registry.register(name, "answers of the router's own", metrics.own_answers.clone());
+        let name = "mastbay_router_placements";
+        let help = "placements at back ends, by rank for the shared prefix; overflow beyond ranks";
+        registry.register(name, help, metrics.placements.clone());
         let name = "mastbay_router_offloaded_connections";
         registry.register(name, "connections handed to peers", metrics.offloaded.clone());
         let name = "mastbay_router_connections_closed_unread";
@@ -87,6 +117,9 @@
         let name = "mastbay_router_back_ends_backing_off";
         let help = "back ends that want no requests of this router now";
         registry.register(name, help, metrics.backing_off.clone());
+        let name = "mastbay_router_fleet_backlog";
+        let help = "requests that wait at any router, as far as this one knows";
+        registry.register(name, help, metrics.fleet_backlog.clone());
         let name = "mastbay_router_back_ends_kept";
         let help = "back ends that are used though their entries are gone, after an outage";
         registry.register(name, help, metrics.back_ends_kept.clone());
@@ -96,12 +129,27 @@
         let name = "mastbay_router_quarantined_requests";
         let help = "requests that are sent to no back end, since several ended under them";
         registry.register(name, help, metrics.quarantined.clone());
+        let name = "mastbay_router_prefixes_with_more_ranks";
+        let help = "shared prefixes that more engines serve because of their demand";
+        registry.register(name, help, metrics.raised_prefixes.clone());
+        let name = "mastbay_router_connections_opened";
+        let help = "connections opened to back ends";
+        registry.register(name, help, metrics.opened_connections.clone());
         let name = "mastbay_router_quarantined_calls";
         let help = "arrivals of quarantined requests";
         registry.register(name, help, metrics.quarantined_calls.clone());
         let name = "mastbay_router_unread_answers";
         let help = "Connections ended since their callers did not read their answers";
         registry.register(name, help, metrics.write_timeouts.clone());
+        let name = "mastbay_router_engines_by_speed";
+        let help = "engines by speed, in steps of a factor 1.25 from the mean of the service";
+        registry.register(name, help, metrics.engines_by_speed.clone());
+        let name = "mastbay_router_requests_with_prefix_source";
+        let help = "requests sent with the address of a back end that holds the prompt's beginning";
+        registry.register(name, help, metrics.prefix_sources.clone());
+        let name = "mastbay_router_transferred_tokens";
+        let help = "prompt tokens that back ends were expected to fetch from each other";
+        registry.register(name, help, metrics.transferred_tokens.clone());
         let name = "mastbay_router_first_event_seconds";
         registry.register(name, "time to a stream's first event", metrics.first_event.clone());
         let name = "mastbay_router_request_seconds";
@@ -117,6 +165,12 @@
         self.duration.observe(now.since(call.arrived).as_secs_f64());
     }
 
+    /// Counts a placement at a back end.
+    pub fn on_placement(&self, choice: EngineChoice) {
+        let labels = PlacementLabels { rank: choice.to_string() };
+        self.placements.get_or_create(&labels).inc();
+    }
+
     /// Observes the time to the first event of a stream.
     pub fn on_first_event(&self, call: &Call, now: Timestamp) {
         self.first_event.observe(now.since(call.arrived).as_secs_f64());
@@ -156,6 +210,11 @@
         self.backing_off.set(i64::try_from(back_ends).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of waiting requests of the fleet.
+    pub fn set_fleet_backlog(&self, requests: u64) {
+        self.fleet_backlog.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of back ends that are missing from the source and kept.
     pub fn set_back_ends_kept(&self, back_ends: usize) {
         self.back_ends_kept.set(i64::try_from(back_ends).unwrap_or(i64::MAX));
@@ -173,11 +232,39 @@
         self.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of shared prefixes that more engines serve because of their demand.
+    pub fn set_raised_prefixes(&self, prefixes: usize) {
+        self.raised_prefixes.set(i64::try_from(prefixes).unwrap_or(i64::MAX));
+    }
+
+    /// Returns the counter of connections opened to back ends.
+    pub fn opened_connections(&self) -> Counter {
+        self.opened_connections.clone()
+    }
+
     /// Counts connections closed because their callers did not read their answers.
     pub fn on_write_timeouts(&self, connections: u32) {
         self.write_timeouts.inc_by(u64::from(connections));
     }
 
+    /// Sets the number of engines at each step of speed.
+    pub fn set_engines_by_speed(&self, engines: &BTreeMap<i8, u32>) {
+        self.engines_by_speed.clear();
+        for (step, count) in engines {
+            let labels = SpeedLabels { step: i32::from(*step) };
+            self.engines_by_speed.get_or_create(&labels).set(i64::from(*count));
+        }
+    }
+
+    /// Counts a request that is sent with the address of a back end that holds the beginning of its
+    /// prompt.
+    pub fn on_send(&self, placement: &Placement) {
+        if placement.prefix_source.is_some() {
+            self.prefix_sources.inc();
+            self.transferred_tokens.inc_by(placement.transferred);
+        }
+    }
+
     /// Counts an arrival of a quarantined request.
     pub fn on_quarantined_call(&self) {
         self.quarantined_calls.inc();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -278,6 +278,7 @@
                 quarantine::on_served(&self.router, &self.call);
             }
             self.router.pool.release(&source.back_end, source.connection);
+            self.router.update_idle_connection(&source.back_end);
             self.record_outcome(OutcomeKind::Streamed, None, Some(&source.back_end));
         }
     }
@@ -339,6 +340,7 @@
             return None;
         }
         self.call.record_placement(&placement, self.router.now());
+        self.router.metrics.on_placement(placement.choice);
         let sender =
             RequestSender { router: &self.router, call: &self.call, attempt: &self.attempt };
         match sender.send(&placement, self.last_event, false).await {
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -59,6 +59,7 @@
     ) -> SendOutcome {
         let back_end = &placement.back_end;
         let acquired = self.router.pool.acquire(back_end, self.connection_bounds(back_end)).await;
+        self.router.update_idle_connection(&back_end.id);
         let mut connection = match acquired {
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => return SendOutcome::NotSent(Fault::Full),
@@ -72,6 +73,7 @@
             return SendOutcome::NotSent(Fault::Broken);
         };
         self.attempt.borrow_mut().on_send();
+        self.router.metrics.on_send(placement);
         let answered = self.wait_for_head(&mut connection, request, placement).await;
         match answered {
             Some(Ok(answer)) => self.read_head(answer, connection, back_end),
@@ -148,6 +150,7 @@
             time_left: call.time_left(self.router.now()),
             tenant: call.tenant.as_deref(),
             last_event,
+            prefix_source: placement.prefix_source,
         };
         let mut headers = self.router.dialects.back_ends.outgoing(&call.headers, &outgoing);
         remove_hop_by_hop(&mut headers);
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -1,8 +1,9 @@
 //! Encoded sizes of the messages between routers.
 
 use mastbay_routing::{
-    BackEndId, Digest, EngineKey, EngineLoad, EngineServiceLevel, HEAVIEST_TENANTS, IncludedDigest,
-    LimitSum, Load, LoadStats, PeerId, PeerMessage, PrefillWork, RouterPhase, RouterState,
+    BackEndId, Digest, EngineKey, EngineLoad, EnginePerformanceReport, EngineServiceLevel,
+    HEAVIEST_TENANTS, IncludedDigest, LimitSum, Load, LoadStats, MAX_REPORTED_PREFIXES, PeerId,
+    PeerMessage, PerformanceCounts, PrefillWork, PrefixRate, RouterPhase, RouterState,
     ServiceLevelCounts, SourceContact, Sum, SumScope, TenantReport,
 };
 use quickcheck::quickcheck;
@@ -50,6 +51,10 @@
     }
 }
 
+fn prefix(index: usize) -> PrefixRate {
+    PrefixRate { prefix: u64::MAX - index as u64, rate: 1_234.5, slots: 1_234.5 }
+}
+
 /// Encoded length of the sum that an aggregator sends to its 63 members when all engines are busy.
 /// A full sum, with all load statistics, goes out in one round of eight.
 fn encoded_sum(engines: usize, tenants: usize, is_full: bool) -> usize {
@@ -65,6 +70,7 @@
         },
         event_intervals: is_full.then(Vec::new),
         releases: Vec::new(),
+        prefixes: is_full.then(|| (0..MAX_REPORTED_PREFIXES).map(prefix).collect()),
         ..LoadStats::default()
     };
     let router = router_state(address);
@@ -99,6 +105,28 @@
     assert!(full <= MAX_DATAGRAM, "{full} bytes");
 }
 
+/// The performance of engines is sent in other rounds than service levels and all tenants, as both
+/// do not fit a datagram.
+#[test]
+fn sums_with_the_performance_of_engines_fit_a_datagram() {
+    let encoded = |engines: usize| {
+        // Twelve streams of an event in 50 ms.
+        let counts = PerformanceCounts {
+            first_events: 6_000,
+            predicted_ms: 18_000,
+            observed_ms: 21_000,
+            events: 240_000,
+            interval_ms: 120_000,
+            pauses: 700,
+        };
+        let report = |engine| EnginePerformanceReport { engine: key(engine), counts };
+        rmp_serde::to_vec(&(0..engines).map(report).collect::<Vec<_>>()).expect("encoded").len()
+    };
+    assert!(encoded(112) <= 112 * 32, "{} bytes", encoded(112));
+    let largest = encoded_sum(900, 400, false) + encoded(900);
+    assert!(largest <= MAX_DATAGRAM, "{largest} bytes");
+}
+
 /// Hello to a new peer, with the addresses of other routers.
 fn hello(peers: Vec<SocketAddr>) -> PeerMessage {
     let router = router_state(SocketAddr::from(([10, 3, 0, 17], 7_500)));
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -1,11 +1,14 @@
 //! Queries over the peers' state and stats.
 
 use super::{FALLBACK_TIMEOUT, Fleet, OwnState, STATS_TTL, StatsSource};
+use crate::admission::BacklogReport;
 use crate::digest::{RouterPhase, RouterState};
 use crate::dispatch::aggregation::Role;
 use crate::fingerprint::RequestFingerprint;
 use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, TenantReport};
 use crate::overload::PeerCapacity;
+use crate::performance::EnginePerformanceReport;
+use crate::prefix_demand::PrefixRate;
 use crate::quarantine::ProbeSlot;
 use crate::rollout::ReleaseReport;
 use crate::source_watchers::{self, SourceContact};
@@ -233,6 +236,16 @@
         self.stats().filter_map(|stats| stats.service_levels.as_ref()).flatten()
     }
 
+    /// Returns the performance of engines as observed by peers.
+    pub fn performance(&self) -> impl Iterator<Item = &EnginePerformanceReport> {
+        self.stats().filter_map(|stats| stats.performance.as_ref()).flatten()
+    }
+
+    /// Returns whether the peers' stats include this router's own.
+    pub fn includes_own_stats(&self) -> bool {
+        self.held.values().any(|held| held.includes_self)
+    }
+
     /// Returns the lowest event interval that any peer observed for a service.
     pub fn unloaded_event_interval(&self, service: &str) -> Option<Duration> {
         let reported = self.stats().filter_map(|stats| stats.event_intervals.as_ref()).flatten();
@@ -260,6 +273,13 @@
         (asked, given)
     }
 
+    /// Returns the demand by prefix over the whole fleet, in entries that have to be summed.
+    pub fn prefix_rates(&self, own: Vec<PrefixRate>) -> impl Iterator<Item = PrefixRate> {
+        let reported = self.stats().filter_map(|stats| stats.prefixes.as_ref()).flatten();
+        let includes_self = self.held.values().any(|held| held.includes_self);
+        reported.copied().chain(own.into_iter().filter(move |_| !includes_self))
+    }
+
     /// Returns the roll-out counts of the whole fleet.
     pub fn release_reports(&self, own: &[ReleaseReport]) -> Vec<ReleaseReport> {
         let mut sum = LoadStatsSum::default();
@@ -270,6 +290,13 @@
         sum.release_reports()
     }
 
+    /// Returns the summed backlog of the peers.
+    pub fn backlog(&self) -> Vec<BacklogReport> {
+        let mut sum = LoadStatsSum::default();
+        self.stats().for_each(|stats| sum.add_backlog(stats));
+        sum.into_stats(false).backlog
+    }
+
     /// Returns whether any peer has newer state than this router.
     pub fn is_behind(&self, now: Timestamp, own: &OwnState) -> bool {
         self.newer_peers(now, own).next().is_some()
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -4,10 +4,12 @@
 use crate::budget::BudgetLimits;
 use crate::demand::TicketId;
 use crate::policy::Policy;
+use crate::ranking::EngineChoice;
 use crate::regions::ZoneRegions;
 use crate::rollout::ExposureLimits;
 use crate::warmup::WarmupLimits;
 use mastbay_types::Timestamp;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Settings of a [`Dispatcher`](super::Dispatcher).
@@ -60,6 +62,15 @@
     pub limit: u32,
     /// Prompt tokens that are not in its prefix cache.
     pub uncached: u64,
+    /// How it was found.
+    pub choice: EngineChoice,
+    /// Its speed relative to the mean back end of the service.
+    pub speed: f64,
+    /// Address of an engine that is assumed to hold the prompt's beginning, from which the back end
+    /// can fetch it.
+    pub prefix_source: Option<SocketAddr>,
+    /// Prompt tokens that are expected to be fetched from there.
+    pub transferred: u64,
     /// Age of the oldest peer stats that were used; zero without peers.
     pub stats_age: Duration,
     /// Back ends of the service that were excluded from selection.
@@ -100,6 +111,10 @@
     pub rates_age: Duration,
     /// The fair level, in tokens per second; `None` if all demand can be met.
     pub fair_level: Option<f64>,
+    /// Waiting requests and returning callers ahead of it, over all routers.
+    pub backlog_ahead: u32,
+    /// Slots that free up in a second for it and those ahead of it, over all routers.
+    pub drain_rate: f64,
 }
 
 impl Refusal {
@@ -132,6 +147,10 @@
     Stopping,
     /// The service's waiting queue is full.
     QueueFull,
+    /// The requests ahead of it will not be placed within the time for which it may wait.
+    Backlog,
+    /// Even without other load, its first event would arrive after the deadline.
+    PastDeadline,
 }
 
 impl RefusalReason {
@@ -145,6 +164,8 @@
             Self::NoRoom => "no_room",
             Self::Stopping => "stopping",
             Self::QueueFull => "queue_full",
+            Self::Backlog => "backlog",
+            Self::PastDeadline => "past_deadline",
         }
     }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -12,16 +12,24 @@
 mod event_intervals;
 mod fair_level;
 mod fleet;
+mod fleet_admission;
 mod messages;
+mod overflow;
 mod peers;
+mod performance;
 mod placement;
 mod preferred_engines;
+mod prefix_ranks;
+mod ranked_speeds;
+mod ranking_cost;
 mod releases;
+mod reuse;
 mod rollout_request;
 mod running;
 mod sharing;
 mod source;
 mod suspects;
+mod transfers;
 
 use crate::announcements::Announcements;
 use crate::back_end::{BackEnd, BackEndId, BackEndList};
@@ -39,19 +47,27 @@
 use crate::gossip::GossipQueue;
 use crate::health::Fault;
 use crate::load::Load;
+use crate::performance::StreamProgress;
+use crate::prefix_demand::PrefixDemand;
+use crate::prompt::Prompt;
 use crate::quarantine::{ProbeSlot, Relaying};
 use crate::revision::Revision;
 use crate::rollout::RolloutRegistry;
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
+use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
 use candidate::{ScoredBackEnd, SelectionCriteria};
 use cold_engines::HeldColdEngines;
 use engines::Engines;
 use fair_level::Shares;
 use fleet::Fleet;
+use fleet_admission::FleetAdmission;
 use mastbay_types::Timestamp;
+use overflow::FailedSamples;
+use performance::FleetPerformance;
 use preferred_engines::PreferredEngines;
+use ranked_speeds::RankedSpeeds;
 use running::Running;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -64,6 +80,7 @@
     Admission, AdmissionResults, DispatcherLimits, ExcludedBackEnds, Placement, Refusal,
     RefusalDetails, RefusalReason,
 };
+pub use performance::SpeedChange;
 
 /// Event-loop lag up to which measured times are attributed to the back ends.
 const TOLERATED_LAG: Duration = Duration::from_millis(15);
@@ -88,12 +105,18 @@
     first_events: HashMap<String, FirstEventEstimator>,
     unloaded_intervals: HashMap<String, UnloadedEventInterval>,
     preferred: PreferredEngines,
+    ranked_speeds: RankedSpeeds,
+    failed_samples: FailedSamples,
+    prefix_demand: PrefixDemand,
+    /// Back ends to which this router has an idle connection.
+    idle_connections: HashSet<BackEndId>,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
     budgets: HashMap<String, RetryBudget>,
     usage: Usage,
     fleet: Fleet,
     shares: Option<(Timestamp, Rc<Shares>)>,
+    fleet_admission: FleetAdmission,
     lagging_until: Timestamp,
     next_ticket: u64,
     contact: SourceContact,
@@ -101,8 +124,11 @@
     back_ends: Revision,
     evacuated: EvacuatedZones,
     held_cold: HeldColdEngines,
+    prefix_holders: PrefixHolders,
+    transfers: TransferSources,
     rollouts: RolloutRegistry,
     rollouts_revision: Revision,
+    performance: FleetPerformance,
 }
 
 impl Dispatcher {
@@ -110,6 +136,7 @@
     /// at which this router serves its snapshots.
     pub fn new(limits: DispatcherLimits, me: PeerId, snapshots: SocketAddr) -> Self {
         let usage = Usage::new(limits.share_window);
+        let preferred = PreferredEngines::new(limits.policy.ranking);
         Self {
             limits,
             engines: Engines::default(),
@@ -121,13 +148,18 @@
             cold_rates: HashMap::new(),
             first_events: HashMap::new(),
             unloaded_intervals: HashMap::new(),
-            preferred: PreferredEngines::default(),
+            preferred,
+            ranked_speeds: RankedSpeeds::default(),
+            failed_samples: FailedSamples::default(),
+            prefix_demand: PrefixDemand::default(),
+            idle_connections: HashSet::new(),
             waiting: HashMap::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
             usage,
             fleet: Fleet::new(me, snapshots),
             shares: None,
+            fleet_admission: FleetAdmission::default(),
             lagging_until: Timestamp::ZERO,
             next_ticket: 1,
             contact: SourceContact::default(),
@@ -135,8 +167,11 @@
             back_ends: Revision::default(),
             evacuated: EvacuatedZones::default(),
             held_cold: HeldColdEngines::default(),
+            prefix_holders: PrefixHolders::default(),
+            transfers: TransferSources::default(),
             rollouts: RolloutRegistry::default(),
             rollouts_revision: Revision::default(),
+            performance: FleetPerformance::default(),
         }
     }
 
@@ -144,6 +179,7 @@
     pub fn on_configuration(&mut self, configuration: &RoutingConfiguration) {
         self.configuration = configuration.version;
         self.capacity = configuration.limits.tokens_per_second;
+        self.fleet_admission.on_configuration(configuration);
         let services = configuration.services.iter();
         self.engine_limits = services
             .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
@@ -160,6 +196,7 @@
         for id in &changes.removed {
             self.engines.remove(id);
             self.preferred.on_removed(id);
+            self.idle_connections.remove(id);
         }
         self.set_back_ends(now, &changes.updated);
     }
@@ -287,6 +324,8 @@
     /// tenant's demand.
     pub fn on_request(&mut self, now: Timestamp, demand: &Demand) {
         self.budget(&demand.service).on_request(now);
+        self.count_prefix(now, demand);
+        self.record_class_arrival(now, demand);
         if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
             self.usage.on_asked(now, tenant, prompt.cost());
         }
@@ -319,12 +358,13 @@
             return;
         }
         running.observed = now;
+        let is_measured = self.limits.policy.performance.is_fleet() && running.is_measured();
         let prefill = std::mem::take(&mut running.load.prefill);
         let taken = now.since(running.sent);
         if let Some(rollout_request) = &mut running.rollout_request {
             rollout_request.on_first_event(taken);
         }
-        let (predicted, work_ahead) = (running.predicted, running.work_ahead);
+        let (predicted, work_ahead) = running.applicable_prediction(taken);
         self.announcements.on_served(&running.back_end, running.sent);
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
         engine.last_response = now;
@@ -332,12 +372,20 @@
         if now < self.lagging_until || engine.warmup.is_cold(now) {
             return;
         }
+        if let Some(transfer) = running.transfer {
+            let saved_time = transfer.has_saved_time(taken);
+            self.transfers.on_result(now, transfer.source, saved_time);
+        }
         if let Some(due) = running.service_level_due {
             engine.on_service(now, now <= due);
         }
         engine.latency_ratio =
             placement::next_latency_ratio(engine.latency_ratio, predicted, taken);
         let estimator = self.first_events.entry(engine.back_end.service.clone()).or_default();
+        if is_measured {
+            let alone = Duration::from_secs_f64(estimator.estimate(work_ahead) / 1e3);
+            engine.performance.observe_first_event(now, alone, taken);
+        }
         estimator.observe(work_ahead, taken);
         engine.limit.observe_first_event(now);
         let back_end = running.back_end.clone();
@@ -358,6 +406,11 @@
             return false;
         };
         self.record_release_end(now, &running, outcome);
+        self.observe_end(now, &running, outcome);
+        if outcome.is_ok() {
+            self.observe_slot_time(now, &running);
+        }
+        self.record_class_end(now, &running, outcome.is_ok());
         match outcome {
             Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
             Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
@@ -403,16 +456,22 @@
             Some(scored) => scored,
             None => self.best(now, demand, &criteria)?,
         };
+        if !is_final_attempt && self.yields_to_peers(now, demand, &scored.id) {
+            return None;
+        }
         let rollout_request = self.record_release(demand, &scored);
+        let expected_transfer = self.record_transfer(now, demand, &scored);
         let stats_age = self.fleet.oldest_stats_age(now);
         let service_level_due = self.service_level_due(demand, class, scored.uncached);
-        let ScoredBackEnd { id, predicted, uncached, work_ahead, .. } = scored;
+        let ScoredBackEnd { id, predicted, uncached, work_ahead, choice, transfer, .. } = scored;
+        let speed = self.estimate(now, self.engines.get(&id)?).speed;
         let load = demand.load(uncached, class);
         let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
         let engine = self.engines.get_mut_busy(&id)?;
         let running = engine.load().running;
         engine.own.add(load);
         engine.warmup.on_sent(now);
+        engine.observe_fleet_interval(now);
         self.announcements.on_sent(now, &id);
         if let Some(prompt) = &demand.prompt {
             engine.record_prompt(prompt, now);
@@ -423,7 +482,9 @@
         }
         let entry = Running {
             back_end: id,
+            prefix: demand.prompt.as_ref().and_then(Prompt::prefix_key),
             load,
+            order_class: self.record_class_placement(demand, class),
             sent: now,
             predicted,
             work_ahead,
@@ -431,7 +492,10 @@
             service_level_due,
             events: 0,
             observed: now,
+            progress: StreamProgress::new(demand.pause_objective),
+            is_error: false,
             rollout_request,
+            transfer: expected_transfer,
         };
         self.running.insert(ticket, entry);
         let excluded = self.excluded(now, &demand.service);
@@ -442,6 +506,10 @@
             running,
             limit,
             uncached,
+            choice,
+            speed,
+            prefix_source: transfer.map(|transfer| transfer.address),
+            transferred: transfer.map_or(0, |transfer| transfer.tokens),
             stats_age,
             excluded,
         })
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -7,6 +7,7 @@
 use crate::engine_key::EngineKey;
 use crate::load::Load;
 use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats};
+use crate::performance::EnginePerformance;
 use mastbay_types::Timestamp;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -77,6 +78,8 @@
         seeds: &[SocketAddr],
     ) -> Vec<Outgoing> {
         self.expire_peers(now);
+        self.refresh_performance(now);
+        self.refresh_ranked_speeds(now);
         self.engines.retain_busy(|engine| engine.has_own_stats(now));
         let own = self.own_state(phase);
         let change = self.fleet.choose_role(now, &own);
@@ -88,6 +91,8 @@
                 loads: self.own_loads(now),
                 tenants: Some(self.usage.reports(now)),
                 releases: self.rollouts.reports(),
+                performance: self.own_performance(now),
+                backlog: self.own_backlog(now),
                 ..LoadStats::default()
             }
         };
@@ -124,6 +129,7 @@
     }
 
     fn own_stats(&mut self, now: Timestamp) -> LoadStats {
+        let backlog = self.own_backlog(now);
         let service_levels =
             self.engines.busy().filter_map(|engine| engine.own_service_level(now)).collect();
         LoadStats {
@@ -133,9 +139,9 @@
             heaviest: Vec::new(),
             event_intervals: Some(self.unloaded_event_intervals()),
             releases: self.rollouts.reports(),
-            performance: None,
-            prefixes: None,
-            backlog: Vec::new(),
+            performance: self.own_performance(now),
+            prefixes: self.prefix_report(now),
+            backlog,
         }
     }
 
@@ -148,9 +154,11 @@
         }
         for removed in &change.removed {
             self.update_peer_stats(removed, Engine::remove_load, Engine::remove_service_level);
+            self.update_peer_performance(removed, EnginePerformance::remove_reported);
         }
         if let Some(added) = &change.added {
             self.update_peer_stats(added, Engine::add_load, Engine::add_service_level);
+            self.update_peer_performance(added, EnginePerformance::add_reported);
         }
     }
 
@@ -166,6 +174,11 @@
                 engine.add_service_level(entry);
             }
         }
+        for entry in self.fleet.performance().filter(|entry| new.contains(&entry.engine)) {
+            if let Some(engine) = self.engines.by_key(entry.engine) {
+                engine.performance.add_reported(entry.counts);
+            }
+        }
     }
 
     /// Applies a change to the peers' load and service level of each engine in `stats`.
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -8,8 +8,10 @@
 use crate::first_event::PrefillWork;
 use crate::policy::{ConcurrencyPolicy, PerformanceSource, Policy};
 use crate::prompt::Prompt;
+use crate::ranking::EngineChoice;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
+use crate::transfer::Source;
 use mastbay_types::{Timestamp, mixed_hash};
 use std::time::Duration;
 
@@ -64,7 +66,7 @@
             Some(prompt) => self.score_engines(now, demand, prompt, criteria),
             None => self.score_plain(now, demand, &criteria.release),
         };
-        scored.into_iter().min_by(|left, right| left.cost.total_cmp(&right.cost))
+        self.cheapest(scored)
     }
 
     pub(super) fn is_candidate(
@@ -106,8 +108,10 @@
         criteria: &SelectionCriteria,
     ) -> Vec<ScoredBackEnd> {
         let candidates = self.sampled_candidates(now, demand, &criteria.release);
-        let eligible = candidates
-            .filter_map(|engine| self.score_if_eligible(now, engine, demand, prompt, criteria));
+        let sources = self.transfer_sources(now, demand, prompt, None);
+        let eligible = candidates.filter_map(|engine| {
+            self.score_if_eligible(now, engine, demand, prompt, criteria, &sources)
+        });
         eligible.take(MAX_SCORED_SAMPLES).collect()
     }
 
@@ -162,6 +166,8 @@
             predicted_idle: Duration::ZERO,
             uncached: 0,
             work_ahead: PrefillWork::default(),
+            choice: EngineChoice::Unranked,
+            transfer: None,
             cost,
         })
     }
@@ -175,13 +181,17 @@
         demand: &Demand,
         prompt: &Prompt,
         criteria: &SelectionCriteria,
+        sources: &[Source<'_>],
     ) -> Option<ScoredBackEnd> {
         if !self.has_capacity(now, engine, demand, prompt, criteria) {
             return None;
         }
-        let scored = self.score(now, engine, demand, prompt, 1);
+        let scored = self.score(now, engine, demand, prompt, 1, sources);
+        let scored = self.with_ranking_cost(now, engine, demand, criteria, scored);
         let is_eligible =
             is_idle(engine) || is_in_time(now, &scored, demand, criteria, &self.limits.policy);
+        let is_eligible =
+            is_eligible && !self.delays_streams(engine, demand, &scored, criteria.class);
         is_eligible.then_some(scored)
     }
 
@@ -200,38 +210,61 @@
         let held_cold = self.held_cold_engines(now, &demand.service);
         let is_cheap =
             cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP_RECOMPUTATION_COST;
+        let ranks =
+            if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
+        let ranks = self.rank_count(now, prefix, ranks, &preferred);
         let waited = now.since(demand.arrived);
         let backs_off = |id| self.announcements.backs_off_until(now, id).is_some();
         let waits_for_locality = !is_cheap
             && demand.tried.is_empty()
             && !preferred.iter().any(backs_off)
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
-        let ranks =
-            if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
+        let is_unequal = self.has_unequal_speeds(&preferred);
+        let ranks = if is_unequal { ranks.max(preferred.len()) } else { ranks };
+        let sources = self.transfer_sources(now, demand, prompt, preferred.first());
+        let considered = if sources.is_empty() { ranks } else { preferred.len().max(ranks) };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
         };
-        let ranked = preferred.iter().filter_map(candidate).take(ranks).enumerate();
+        let ranked = preferred.iter().filter_map(candidate).take(considered).enumerate();
         if !preferred.is_empty() && preferred.iter().all(backs_off) {
             return self.score_sampled(now, demand, prompt, criteria);
         }
         let cold_only = held_cold.iter().filter(|id| is_cheap && !preferred.contains(id));
         let cold = cold_only.filter_map(candidate).map(|engine| (ranks, engine));
         let mut scored = Vec::new();
+        // Engines of another speed that would prefill the prefix again, although the request may
+        // wait for one that holds it. They are considered only if that one has capacity.
+        let mut recomputing = Vec::new();
         for (rank, engine) in ranked.chain(cold) {
             if !self.has_capacity(now, engine, demand, prompt, criteria) {
                 continue;
             }
-            let candidate = self.score(now, engine, demand, prompt, rank);
+            let mut candidate = self.score(now, engine, demand, prompt, rank, &sources);
             let recomputes = candidate.uncached > prompt.own_tokens();
-            if recomputes && waits_for_locality {
+            let recomputes = recomputes && candidate.transfer.is_none();
+            let is_outside_ranks = rank >= ranks && preferred.contains(&candidate.id);
+            let waits = recomputes && waits_for_locality && !self.is_spare(engine, criteria);
+            if (waits && !is_unequal) || (recomputes && is_outside_ranks) {
+                continue;
+            }
+            if self.delays_streams(engine, demand, &candidate, criteria.class) {
                 continue;
             }
             if is_idle(engine) || is_in_time(now, &candidate, demand, criteria, &policy) {
-                scored.push(candidate);
+                candidate.choice = EngineChoice::of(&preferred, &candidate.id);
+                let candidate = self.with_ranking_cost(now, engine, demand, criteria, candidate);
+                if waits { &mut recomputing } else { &mut scored }.push(candidate);
             }
         }
+        if !scored.is_empty() {
+            scored.append(&mut recomputing);
+        }
+        let may_overflow = !waits_for_locality || criteria.class == ShareClass::AboveShare;
+        if scored.is_empty() && may_overflow {
+            return self.score_overflow(now, demand, prompt, criteria, (&preferred, ranks));
+        }
         scored
     }
 
@@ -247,7 +280,7 @@
         let release = self.default_release(now, &demand.service);
         let preferred = self.preferred.of(&self.engines, demand, &release, prefix);
         let engine = self.engines.get(preferred.first()?)?;
-        Some(self.score(now, engine, demand, prompt, 0))
+        Some(self.score(now, engine, demand, prompt, 0, &[]))
     }
 
     fn has_capacity(
@@ -281,15 +314,14 @@
         let slots = f64::from(engine.back_end.slots.max(1));
         match self.limits.policy.concurrency {
             ConcurrencyPolicy::Slots => slots,
-            ConcurrencyPolicy::Adaptive | ConcurrencyPolicy::Spare => {
-                engine.agreed_limit(now).min(slots)
-            }
+            ConcurrencyPolicy::Adaptive => engine.agreed_limit(now).min(slots),
+            ConcurrencyPolicy::Spare => self.spare_limit(now, engine),
             ConcurrencyPolicy::Fixed(max) => slots.min(f64::from(max.max(1))),
         }
     }
 
     /// Returns the observed over the predicted time to the first event of an engine.
-    fn latency_ratio(&self, now: Timestamp, engine: &Engine) -> f64 {
+    pub(super) fn latency_ratio(&self, now: Timestamp, engine: &Engine) -> f64 {
         let policy = &self.limits.policy;
         match policy.performance {
             _ if !policy.latency_ratio => 1.0,
@@ -305,12 +337,15 @@
         demand: &Demand,
         prompt: &Prompt,
         rank: usize,
+        sources: &[Source<'_>],
     ) -> ScoredBackEnd {
         let load = engine.load();
         let mut uncached = engine.uncached(prompt);
+        let transfer = self.plan_transfer(now, engine, prompt, uncached, sources);
         if rank == 0 {
             uncached = uncached.min(prompt.own_tokens());
         }
+        uncached = transfer.map_or(uncached, |transfer| transfer.uncached.min(uncached));
         let estimator = self.first_events.get(&demand.service).copied().unwrap_or_default();
         let work_ahead = load.prefill.plus(prompt.prefill(uncached));
         let ratio = self.latency_ratio(now, engine);
@@ -330,6 +365,8 @@
             predicted_idle,
             uncached,
             work_ahead,
+            choice: EngineChoice::Unranked,
+            transfer,
             cost,
         }
     }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -2,13 +2,13 @@
 //! prefixes it is assumed to have cached.
 
 use crate::back_end::{BackEnd, BackEndState};
-use crate::concurrency::{ConcurrencyLimit, LimitSum};
+use crate::concurrency::{ConcurrencyLimit, LimitSum, UnloadedEventInterval};
 use crate::decaying_counter::DecayingCounter;
 use crate::engine_key::EngineKey;
 use crate::health::Health;
 use crate::load::Load;
 use crate::load_stats::{EngineLoad, EngineServiceLevel};
-use crate::performance::PerformanceEstimate;
+use crate::performance::{EnginePerformance, EnginePerformanceReport, PerformanceEstimate};
 use crate::prompt::Prompt;
 use crate::service_level::{ServiceLevel, ServiceLevelCounts};
 use crate::warmup::Warmup;
@@ -44,6 +44,8 @@
     pub health: Health,
     /// Moving average of observed over predicted time to the first event.
     pub latency_ratio: f64,
+    /// Speed by which this router ranks the back end, see [`crate::rank_weight`].
+    pub ranked_speed: f64,
     /// Concurrency limit estimated by this router.
     pub limit: ConcurrencyLimit,
     /// Concurrency limits estimated by other routers.
@@ -52,6 +54,10 @@
     service_level: ServiceLevel,
     /// Outcomes for tenants within their fair share, over the other routers.
     peer_service_level: ServiceLevelCounts,
+    /// Speed and pauses as observed by all routers.
+    pub performance: EnginePerformance,
+    /// Event interval without load, from the fleet's estimates.
+    unloaded_interval: UnloadedEventInterval,
     unplaced: DecayingCounter,
     /// Prompt parts sent here and the time of their last use.
     prompt_parts: HashMap<u64, Timestamp>,
@@ -82,10 +88,13 @@
             others: Load::default(),
             health: Health::default(),
             latency_ratio: 1.0,
+            ranked_speed: 1.0,
             limit: ConcurrencyLimit::default(),
             peer_limits: LimitSum::default(),
             service_level: ServiceLevel::default(),
             peer_service_level: ServiceLevelCounts::default(),
+            performance: EnginePerformance::default(),
+            unloaded_interval: UnloadedEventInterval::default(),
             unplaced: DecayingCounter::new(UNPLACED_TIME_CONSTANT),
             prompt_parts: HashMap::new(),
         }
@@ -150,9 +159,29 @@
         agreed.unwrap_or_else(|| ConcurrencyLimit::initial(slots))
     }
 
-    /// Returns the estimated performance at `_now`, from the observations of all routers.
-    pub fn performance(&self, _now: Timestamp) -> PerformanceEstimate {
-        PerformanceEstimate::default()
+    /// Returns the estimated performance at `now`, from the observations of all routers.
+    pub fn performance(&self, now: Timestamp) -> PerformanceEstimate {
+        self.performance.estimate(now)
+    }
+
+    /// Returns the performance observed by this router, or `None` without recent observations.
+    pub fn own_performance(&self, now: Timestamp) -> Option<EnginePerformanceReport> {
+        let counts = self.performance.own_report(now)?;
+        Some(EnginePerformanceReport { engine: self.key, counts })
+    }
+
+    /// Records the fleet's estimate of the event interval, whose minimum is that without load.
+    pub fn observe_fleet_interval(&mut self, now: Timestamp) {
+        if let Some(interval) = self.performance(now).event_interval {
+            self.unloaded_interval.observe(now, interval);
+        }
+    }
+
+    /// Returns the ratio of the fleet's estimate of the event interval to that without load.
+    pub fn fleet_slowdown(&self, now: Timestamp) -> Option<f64> {
+        let interval = self.performance(now).event_interval?;
+        let minimum = self.unloaded_interval.minimum()?;
+        Some(interval.as_secs_f64() / minimum.as_secs_f64().max(f64::MIN_POSITIVE))
     }
 
     /// Returns the number of prompt tokens after the longest prefix assumed to be cached.
@@ -182,9 +211,14 @@
 
     /// Returns the fraction of such requests that missed their objective, over all routers.
     pub fn miss_rate(&self, now: Timestamp) -> f64 {
+        self.fleet_service_level(now).miss_rate()
+    }
+
+    /// Returns the recent outcomes for tenants within their fair share, over all routers.
+    pub fn fleet_service_level(&self, now: Timestamp) -> ServiceLevelCounts {
         let mut counts = self.service_level.counts(now);
         counts.add(self.peer_service_level);
-        counts.miss_rate()
+        counts
     }
 
     /// Records that a request of a tenant below half of its fair share could not be placed here.
@@ -206,9 +240,11 @@
         has_observations.then_some(EngineServiceLevel { engine: self.key, limits, level })
     }
 
-    /// Returns whether this router has a load or service level to report.
+    /// Returns whether this router has a load, service level or performance to report.
     pub fn has_own_stats(&self, now: Timestamp) -> bool {
-        self.own_load(now).load != Load::default() || self.own_service_level(now).is_some()
+        self.own_load(now).load != Load::default()
+            || self.own_service_level(now).is_some()
+            || self.own_performance(now).is_some()
     }
 
     /// Forgets the cached prompt parts, after the back end has lost its memory.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -36,6 +36,7 @@
 mod prefix_demand;
 mod prompt;
 mod quarantine;
+mod ranking;
 mod regions;
 mod restored;
 mod revision;
@@ -47,10 +48,14 @@
 mod source_watchers;
 mod stall;
 mod table;
+mod transfer;
 mod waiting;
 mod warmup;
 
-pub use admission::BacklogReport;
+pub use admission::{
+    BacklogReport, ClassBacklog, DelayFigures, MAX_DELAY_FRACTION, OrderClass, RetryDelay,
+    SpareCapacity,
+};
 pub use attempt::{Attempt, AttemptState, ExecutionStatus};
 pub use back_end::{BackEnd, BackEndId, BackEndList, BackEndState};
 pub use back_end_update::{BackEndUpdate, UsableChanges};
@@ -67,7 +72,7 @@
 pub use directory::BackEndDirectory;
 pub use dispatch::{
     Admission, AdmissionResults, Dispatcher, DispatcherLimits, ExcludedBackEnds, HEAVIEST_TENANTS,
-    NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason, Role,
+    NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason, Role, SpeedChange,
 };
 pub use engine_key::{EngineKey, ParseEngineKeyError};
 pub use evacuation::EvacuatedZones;
@@ -80,17 +85,24 @@
     EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, ServiceEventInterval, TenantReport,
 };
 pub use overload::{OverloadGuard, PeerCapacity, Tick};
-pub use performance::{EnginePerformanceReport, PerformanceCounts, PerformanceEstimate};
+pub use performance::{
+    EnginePerformance, EnginePerformanceReport, PerformanceCounts, PerformanceEstimate,
+    ServiceMeans, SpeedStep, StreamProgress,
+};
 pub use policy::{
     ConcurrencyPolicy, FairCapacity, PerformanceSource, Policy, RankCount, RankingPolicy,
     RetryAfterPolicy, WaitingScope,
 };
-pub use prefix_demand::PrefixRate;
+pub use prefix_demand::{MAX_REPORTED_PREFIXES, PrefixDemand, PrefixRate, RankChange};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{
     ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus, QuarantinedRequest, Relaying,
     TerminationReport,
 };
+pub use ranking::{
+    EngineChoice, ImposedDelay, RankScore, fast_engine_cost, imposed_delay_cost, pause_cost,
+    rank_weight,
+};
 pub use regions::{AllowedRegions, ZoneRegions};
 pub use restored::Evacuations;
 pub use revision::{ParseRevisionError, Revision};
@@ -106,4 +118,5 @@
 };
 pub use stall::StallDetector;
 pub use table::{RouteTable, TableEntry};
+pub use transfer::TransferLimits;
 pub use warmup::{Holders, Warmup, WarmupLimits};
--- a/crates/routing/src/load_stats.rs
+++ b/crates/routing/src/load_stats.rs
@@ -9,7 +9,7 @@
 use crate::engine_key::EngineKey;
 use crate::load::Load;
 use crate::performance::{EnginePerformanceReport, PerformanceCounts};
-use crate::prefix_demand::PrefixRate;
+use crate::prefix_demand::{PrefixRate, most_demanding};
 use crate::rollout::{ReleaseCounts, ReleaseReport};
 use crate::service_level::ServiceLevelCounts;
 use serde::{Deserialize, Serialize};
@@ -128,7 +128,8 @@
 
     /// Returns the number of engine entries, for sizing messages.
     pub fn engine_count(&self) -> usize {
-        self.loads.len().max(self.service_levels.as_ref().map_or(0, Vec::len))
+        let performance = self.performance.as_ref().map_or(0, Vec::len);
+        self.loads.len().max(self.service_levels.as_ref().map_or(0, Vec::len)).max(performance)
     }
 
     /// Partitions the statistics by engine; those of tenants and services are in the first part.
@@ -159,6 +160,17 @@
         (0..parts).map(of_part).collect()
     }
 
+    /// Subtracts `backlog`, which was previously added to these statistics.
+    pub fn without_backlog(mut self, backlog: &[BacklogReport]) -> Self {
+        for report in &mut self.backlog {
+            if let Some(own) = backlog.iter().find(|own| own.has_key_of(report)) {
+                report.remove(own);
+            }
+        }
+        self.backlog.retain(|report| !report.is_empty());
+        self
+    }
+
     /// Subtracts `loads`, which were previously added to these statistics.
     pub fn without_loads(mut self, loads: &[EngineLoad]) -> Self {
         let removed: HashMap<EngineKey, Load> =
@@ -188,9 +200,10 @@
     event_intervals: BTreeMap<String, u32>,
     /// Answer counts by order and route.
     releases: BTreeMap<(u32, u32), ReleaseCounts>,
-    performance: BTreeMap<EngineKey, PerformanceCounts>,
-    /// Rates by prefix.
-    prefixes: BTreeMap<u64, f32>,
+    /// `None` if no added statistics include any.
+    performance: Option<BTreeMap<EngineKey, PerformanceCounts>>,
+    /// Demand by prefix.
+    prefixes: BTreeMap<u64, PrefixRate>,
     backlog: Vec<BacklogReport>,
 }
 
@@ -244,8 +257,16 @@
         }
     }
 
-    /// Adds the slowly changing values: service levels, event intervals, engine performance and
-    /// rates of prefixes.
+    /// Adds the performance of engines.
+    pub fn add_performance(&mut self, stats: &LoadStats) {
+        let Some(reports) = &stats.performance else { return };
+        let performance = self.performance.get_or_insert_default();
+        for report in reports {
+            performance.entry(report.engine).or_default().add(report.counts);
+        }
+    }
+
+    /// Adds the slowly changing values: service levels, event intervals and rates of prefixes.
     pub fn add_slow_changing(&mut self, stats: &LoadStats) {
         for entry in stats.service_levels.iter().flatten() {
             let (limits, level) = self.service_levels.entry(entry.engine).or_default();
@@ -256,11 +277,9 @@
             let shortest = self.event_intervals.entry(interval.service.clone()).or_insert(u32::MAX);
             *shortest = interval.unloaded_micros.min(*shortest);
         }
-        for report in stats.performance.iter().flatten() {
-            self.performance.entry(report.engine).or_default().add(report.counts);
-        }
         for report in stats.prefixes.iter().flatten() {
-            *self.prefixes.entry(report.prefix).or_default() += report.rate;
+            let none = PrefixRate { rate: 0.0, slots: 0.0, ..*report };
+            self.prefixes.entry(report.prefix).or_insert(none).add(report);
         }
     }
 
@@ -269,6 +288,9 @@
         let releases = self.release_reports();
         let loads = self.loads.into_iter().map(|(engine, load)| EngineLoad { engine, load });
         let loads = loads.collect();
+        let report = |(engine, counts)| EnginePerformanceReport { engine, counts };
+        let performance =
+            self.performance.map(|performance| performance.into_iter().map(report).collect());
         let tenants = self.tenants.into_iter();
         let tenants =
             tenants.map(|(name, (asked, given))| TenantReport { name, asked, given }).collect();
@@ -277,6 +299,7 @@
                 loads,
                 tenants: Some(tenants),
                 releases,
+                performance,
                 backlog: self.backlog,
                 ..LoadStats::default()
             };
@@ -289,12 +312,7 @@
         let event_intervals = intervals
             .map(|(service, unloaded_micros)| ServiceEventInterval { service, unloaded_micros })
             .collect();
-        let performance = self.performance.into_iter();
-        let performance = performance
-            .map(|(engine, counts)| EnginePerformanceReport { engine, counts })
-            .collect();
-        let prefixes = self.prefixes.into_iter();
-        let prefixes = prefixes.map(|(prefix, rate)| PrefixRate { prefix, rate }).collect();
+        let prefixes = most_demanding(self.prefixes.into_values().collect());
         LoadStats {
             loads,
             service_levels: Some(service_levels),
@@ -302,7 +320,7 @@
             heaviest: Vec::new(),
             event_intervals: Some(event_intervals),
             releases,
-            performance: Some(performance),
+            performance,
             prefixes: Some(prefixes),
             backlog: self.backlog,
         }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -25,6 +25,13 @@
     Fleet,
 }
 
+impl PerformanceSource {
+    /// Returns whether performance is observed, reported and used over all routers.
+    pub fn is_fleet(self) -> bool {
+        self == Self::Fleet
+    }
+}
+
 /// How the engines are ranked for a shared prefix.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RankingPolicy {
@@ -118,6 +125,8 @@
     pub rank_count: RankCount,
     /// Whether an engine may fetch a cached prefix from another one.
     pub prefix_transfer: bool,
+    /// Whether engines to which this router has an idle connection are preferred at nearly equal cost.
+    pub reuse_connections: bool,
     /// Scope of the waiting order.
     pub waiting_scope: WaitingScope,
     /// Retry delay of refused requests.
@@ -146,6 +155,7 @@
             ranking: RankingPolicy::Plain,
             rank_count: RankCount::Fixed,
             prefix_transfer: false,
+            reuse_connections: false,
             waiting_scope: WaitingScope::Router,
             retry_after: RetryAfterPolicy::Deadline,
         }
