Apply the fleet's policies in large fleets; keep requests with expensive prefixes at their first ranks

Cause: in a mesh each router meets each engine often and learns it alone; the fleet's policies only move work about.

Change: fleet-policies = large-fleets puts the policies in force only where there are aggregators. Where a prefix can be fetched, requests with an expensive one keep to their ranks; tenants above their share go beyond them only with a transfer. Early refusal counts preceding classes alone: what requests of the same class were refused for went to tenants above their share, which do not wait.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,9 +2,9 @@
 
 use crate::catalogue::EnabledOrders;
 use mastbay_routing::{
-    BudgetLimits, ConcurrencyPolicy, ExposureLimits, FairCapacity, PerformanceSource, Policy,
-    QuarantineLimits, RankCount, RankingPolicy, RetryAfterPolicy, WaitingScope, WarmupLimits,
-    ZoneRegions,
+    BudgetLimits, ConcurrencyPolicy, ExposureLimits, FairCapacity, FleetPolicies,
+    PerformanceSource, Policy, QuarantineLimits, RankCount, RankingPolicy, RetryAfterPolicy,
+    WaitingScope, WarmupLimits, ZoneRegions,
 };
 use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
 use std::net::SocketAddr;
@@ -291,6 +291,7 @@
         ranking: section.or("ranking", Ranking(default.ranking)).0,
         rank_count: section.or("ranks", Ranks(default.rank_count)).0,
         prefix_transfer: section.or("prefix-transfer", default.prefix_transfer),
+        fleet_policies: section.or("fleet-policies", Fleets(default.fleet_policies)).0,
         reuse_connections: section.or("reuse-connections", default.reuse_connections),
         waiting_scope: section.or("waiting-order", Waiting(default.waiting_scope)).0,
         retry_after: section.or("retry-after", RetryDelay(default.retry_after)).0,
@@ -442,3 +443,19 @@
         }
     }
 }
+
+/// The fleets in which policies that rely on figures of all routers apply.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Fleets(FleetPolicies);
+
+impl Value for Fleets {
+    const EXPECTED: &'static str = "'always' or 'large-fleets'";
+
+    fn read(text: &str) -> Result<Self, Expected> {
+        match text {
+            "always" => Ok(Fleets(FleetPolicies::Always)),
+            "large-fleets" => Ok(Fleets(FleetPolicies::LargeFleets)),
+            _ => Err(Self::EXPECTED.into()),
+        }
+    }
+}
--- a/crates/routing/src/admission/backlog.rs
+++ b/crates/routing/src/admission/backlog.rs
@@ -173,9 +173,10 @@
         self.waiting.saturating_add(self.returning)
     }
 
-    /// Returns the time until the waiting requests are placed; `None` without a rate.
-    pub fn waiting_time(&self) -> Option<Duration> {
-        time_for(self.waiting, self.waiting_rate)
+    /// Returns the time until the waiting requests of preceding classes are placed; `None` without
+    /// a rate.
+    pub fn preceding_time(&self) -> Option<Duration> {
+        time_for(self.preceding, self.waiting_rate)
     }
 
     /// Returns the time until all requests ahead are placed; `None` without a rate.
--- a/crates/routing/src/dispatch/candidate.rs
+++ b/crates/routing/src/dispatch/candidate.rs
@@ -2,6 +2,7 @@
 
 use crate::back_end::BackEndId;
 use crate::first_event::PrefillWork;
+use crate::prompt::Prompt;
 use crate::ranking::EngineChoice;
 use crate::rollout::VersionFilter;
 use crate::share_class::ShareClass;
@@ -29,6 +30,13 @@
     pub cost: f64,
 }
 
+impl ScoredBackEnd {
+    /// Returns whether the back end would prefill the prompt's shared prefix again.
+    pub fn recomputes(&self, prompt: &Prompt) -> bool {
+        self.uncached > prompt.own_tokens() && self.transfer.is_none()
+    }
+}
+
 /// Request-dependent conditions for the selection of a back end.
 #[derive(Debug, Clone)]
 pub struct SelectionCriteria {
--- a/crates/routing/src/dispatch/fleet_admission.rs
+++ b/crates/routing/src/dispatch/fleet_admission.rs
@@ -169,9 +169,10 @@
         backlog.preceding > 0 && backlog.needs_slots(free, policy.preferred_engines, engines)
     }
 
-    /// Returns the reason why a request that was not placed at once is refused without waiting.
-    /// Tenants below half of their share precede the others of their class, whose reports do not
-    /// tell them apart, so their requests always wait.
+    /// Returns the reason why a request that was not placed at once is refused without waiting: it
+    /// cannot be served before its deadline, or requests that precede it will take all slots that
+    /// free up while it may wait. Those of its own class are not counted, since capacity that they
+    /// leave would go to tenants above their share, which do not wait.
     pub(super) fn early_refusal(
         &mut self,
         now: Timestamp,
@@ -189,7 +190,7 @@
         }
         let backlog = self.class_backlog(now, demand);
         let may_wait = self.wait_deadline(demand).since(now);
-        let is_too_long = backlog.waiting_time().is_some_and(|time| time > may_wait);
+        let is_too_long = backlog.preceding_time().is_some_and(|time| time > may_wait);
         is_too_long.then_some(RefusalReason::Backlog)
     }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -48,6 +48,7 @@
 use crate::health::Fault;
 use crate::load::Load;
 use crate::performance::StreamProgress;
+use crate::policy::Policy;
 use crate::prefix_demand::PrefixDemand;
 use crate::prompt::Prompt;
 use crate::quarantine::{ProbeSlot, Relaying};
@@ -90,7 +91,10 @@
 /// Decides where and when a router's requests are served.
 #[derive(Debug)]
 pub struct Dispatcher {
+    /// Limits, with the policies in force.
     limits: DispatcherLimits,
+    /// Policies as configured.
+    configured: Policy,
     engines: Engines,
     announcements: Announcements,
     /// Draining back ends that are still to be announced to peers.
@@ -136,9 +140,13 @@
     /// at which this router serves its snapshots.
     pub fn new(limits: DispatcherLimits, me: PeerId, snapshots: SocketAddr) -> Self {
         let usage = Usage::new(limits.share_window);
-        let preferred = PreferredEngines::new(limits.policy.ranking);
+        let configured = limits.policy;
+        let policy = configured.in_fleet(false);
+        let limits = DispatcherLimits { policy, ..limits };
+        let preferred = PreferredEngines::new(policy.ranking);
         Self {
             limits,
+            configured,
             engines: Engines::default(),
             announcements: Announcements::default(),
             draining_queue: GossipQueue::default(),
--- a/crates/routing/src/dispatch/overflow.rs
+++ b/crates/routing/src/dispatch/overflow.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatcher;
 use super::candidate::{ScoredBackEnd, SelectionCriteria};
+use super::placement::is_cheap;
 use crate::back_end::BackEndId;
 use crate::demand::Demand;
 use crate::engine::Engine;
@@ -47,8 +48,19 @@
     }
 }
 
+/// The engines of a ranking that are not candidates.
+#[derive(Debug, Clone, Copy)]
+pub struct BeyondRanks<'a> {
+    /// The ranking.
+    pub preferred: &'a [BackEndId],
+    /// Number of candidates at its beginning.
+    pub ranks: usize,
+    /// Whether the request still waits for an engine that holds its prefix.
+    pub waits: bool,
+}
+
 impl Dispatcher {
-    /// Returns whether ranked engines differ in speed, so that all of them are candidates.
+    /// Returns whether ranked engines differ in speed.
     pub(super) fn has_unequal_speeds(&self, preferred: &[BackEndId]) -> bool {
         let engines = preferred.iter().filter_map(|id| self.engines.get(id));
         self.limits.policy.ranking == RankingPolicy::Weighted
@@ -67,33 +79,44 @@
     }
 
     /// Scores engines beyond the candidates among the ranked ones, of which none has capacity: the
-    /// rest of the ranking, from position `ranks` on, and if none of these has capacity either, a
-    /// sample of the service's engines.
+    /// rest of the ranking, and if none of these has capacity either, a sample of the service's
+    /// engines.
     pub(super) fn score_overflow(
         &mut self,
         now: Timestamp,
         demand: &Demand,
         prompt: &Prompt,
         criteria: &SelectionCriteria,
-        (preferred, ranks): (&[BackEndId], usize),
+        beyond: BeyondRanks<'_>,
     ) -> Vec<ScoredBackEnd> {
-        if self.limits.policy.ranking == RankingPolicy::Plain {
+        let is_weighted = self.limits.policy.ranking == RankingPolicy::Weighted;
+        let sources = self.transfer_sources(now, demand, prompt, beyond.preferred.first());
+        if !is_weighted && sources.is_empty() {
             return Vec::new();
         }
-        let sources = self.transfer_sources(now, demand, prompt, preferred.first());
-        let score =
-            |engine| self.score_overflow_engine(now, engine, demand, prompt, criteria, &sources);
-        let remaining = preferred.iter().enumerate().skip(ranks).filter_map(|(rank, id)| {
+        let is_above_share = criteria.class == ShareClass::AboveShare;
+        // Where a prefix can be transferred, tenants above their share do not cause it to be
+        // prefilled again.
+        let may_recompute =
+            if is_above_share { sources.is_empty() || is_cheap(prompt) } else { !beyond.waits };
+        let score = |engine| {
+            let scored =
+                self.score_overflow_engine(now, engine, demand, prompt, criteria, &sources)?;
+            (may_recompute || !scored.recomputes(prompt)).then_some(scored)
+        };
+        let remaining = beyond.preferred.iter().enumerate().skip(beyond.ranks);
+        let remaining = remaining.filter_map(|(rank, id)| {
             let scored = score(self.engines.get(id)?)?;
             Some(ScoredBackEnd { choice: EngineChoice::Rank(rank), ..scored })
         });
         let mut scored: Vec<ScoredBackEnd> = remaining.collect();
-        if scored.is_empty() && self.failed_samples.allow_another(now) {
+        let may_sample = is_weighted && (is_above_share || !beyond.waits);
+        if scored.is_empty() && may_sample && self.failed_samples.allow_another(now) {
             let sampled = self.overflow_sample(now, demand).filter_map(score);
             let sampled = sampled.take(MAX_OVERFLOW_SCORED);
             let choice = EngineChoice::Overflow;
             scored = sampled.map(|sampled| ScoredBackEnd { choice, ..sampled }).collect();
-            if scored.is_empty() && criteria.class != ShareClass::AboveShare {
+            if scored.is_empty() && !is_above_share {
                 self.failed_samples.add(now);
             }
         }
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -1,6 +1,7 @@
 //! Messages to and from other routers.
 
 use super::Dispatcher;
+use super::aggregation::Role;
 use super::fleet::{LoadStatsChange, NewPeer, OwnState};
 use crate::digest::{Digest, Outgoing, PeerMessage, RouterPhase, Sum};
 use crate::engine::Engine;
@@ -84,6 +85,7 @@
         let own = self.own_state(phase);
         let change = self.fleet.choose_role(now, &own);
         self.apply_stats_change(change);
+        self.update_policy();
         let stats = if self.fleet.includes_slow_stats() {
             self.own_stats(now)
         } else {
@@ -101,6 +103,15 @@
         messages
     }
 
+    /// Puts the policies for the current size of the fleet in force.
+    fn update_policy(&mut self) {
+        let policy = self.configured.in_fleet(self.fleet.role() != Role::Mesh);
+        if policy != self.limits.policy {
+            self.limits.policy = policy;
+            self.preferred.set_policy(policy.ranking);
+        }
+    }
+
     /// Returns the digest that introduces this router to a new peer.
     pub fn hello(&mut self, phase: RouterPhase) -> Digest {
         let own = self.own_state(phase);
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -3,6 +3,7 @@
 
 use super::Dispatcher;
 use super::candidate::{ScoredBackEnd, SelectionCriteria};
+use super::overflow::BeyondRanks;
 use crate::demand::Demand;
 use crate::engine::Engine;
 use crate::first_event::PrefillWork;
@@ -206,10 +207,9 @@
     ) -> Vec<ScoredBackEnd> {
         let policy = self.limits.policy;
         let prefix = prompt.prefix_key().unwrap_or_default();
+        let is_cheap = is_cheap(prompt);
         let preferred = self.preferred.of(&self.engines, demand, &criteria.release, prefix);
         let held_cold = self.held_cold_engines(now, &demand.service);
-        let is_cheap =
-            cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP_RECOMPUTATION_COST;
         let ranks =
             if is_cheap { policy.preferred_engines_cheap } else { policy.preferred_engines };
         let ranks = self.rank_count(now, prefix, ranks, &preferred);
@@ -220,14 +220,16 @@
             && !preferred.iter().any(backs_off)
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
         let is_unequal = self.has_unequal_speeds(&preferred);
-        let ranks = if is_unequal { ranks.max(preferred.len()) } else { ranks };
         let sources = self.transfer_sources(now, demand, prompt, preferred.first());
-        let considered = if sources.is_empty() { ranks } else { preferred.len().max(ranks) };
+        // Prefixes that are spread over more engines are evicted before they are requested again,
+        // and then cannot be transferred either.
+        let is_spread = is_unequal && (is_cheap || sources.is_empty());
+        let ranks = if is_spread { ranks.max(preferred.len()) } else { ranks };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
             self.is_candidate(now, engine, demand, &criteria.release).then_some(engine)
         };
-        let ranked = preferred.iter().filter_map(candidate).take(considered).enumerate();
+        let ranked = preferred.iter().filter_map(candidate).take(ranks).enumerate();
         if !preferred.is_empty() && preferred.iter().all(backs_off) {
             return self.score_sampled(now, demand, prompt, criteria);
         }
@@ -242,11 +244,9 @@
                 continue;
             }
             let mut candidate = self.score(now, engine, demand, prompt, rank, &sources);
-            let recomputes = candidate.uncached > prompt.own_tokens();
-            let recomputes = recomputes && candidate.transfer.is_none();
-            let is_outside_ranks = rank >= ranks && preferred.contains(&candidate.id);
-            let waits = recomputes && waits_for_locality && !self.is_spare(engine, criteria);
-            if (waits && !is_unequal) || (recomputes && is_outside_ranks) {
+            let is_spare = sources.is_empty() && self.is_spare(engine, criteria);
+            let waits = waits_for_locality && candidate.recomputes(prompt) && !is_spare;
+            if waits && !is_unequal {
                 continue;
             }
             if self.delays_streams(engine, demand, &candidate, criteria.class) {
@@ -261,9 +261,9 @@
         if !scored.is_empty() {
             scored.append(&mut recomputing);
         }
-        let may_overflow = !waits_for_locality || criteria.class == ShareClass::AboveShare;
-        if scored.is_empty() && may_overflow {
-            return self.score_overflow(now, demand, prompt, criteria, (&preferred, ranks));
+        if scored.is_empty() {
+            let beyond = BeyondRanks { preferred: &preferred, ranks, waits: waits_for_locality };
+            return self.score_overflow(now, demand, prompt, criteria, beyond);
         }
         scored
     }
@@ -372,6 +372,11 @@
     }
 }
 
+/// Returns whether the prompt's shared prefix is cheap to prefill again.
+pub(super) fn is_cheap(prompt: &Prompt) -> bool {
+    cost_of_recomputing(prompt, prompt.shared_tokens()) < CHEAP_RECOMPUTATION_COST
+}
+
 /// Returns the cost of prefilling `tokens` of a prompt's shared prefix again.
 fn cost_of_recomputing(prompt: &Prompt, tokens: u64) -> f64 {
     let generated = f64::from(prompt.expected_output().max(1));
--- a/crates/routing/src/dispatch/preferred_engines.rs
+++ b/crates/routing/src/dispatch/preferred_engines.rs
@@ -51,6 +51,12 @@
         Self { policy, services: HashMap::new(), rankings: HashMap::new() }
     }
 
+    /// Replaces the policy. Rankings by the earlier one are dropped.
+    pub fn set_policy(&mut self, policy: RankingPolicy) {
+        self.policy = policy;
+        self.rankings.clear();
+    }
+
     /// Drops all rankings.
     pub fn clear(&mut self) {
         self.rankings.clear();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -90,8 +90,8 @@
     ServiceMeans, SpeedStep, StreamProgress,
 };
 pub use policy::{
-    ConcurrencyPolicy, FairCapacity, PerformanceSource, Policy, RankCount, RankingPolicy,
-    RetryAfterPolicy, WaitingScope,
+    ConcurrencyPolicy, FairCapacity, FleetPolicies, PerformanceSource, Policy, RankCount,
+    RankingPolicy, RetryAfterPolicy, WaitingScope,
 };
 pub use prefix_demand::{MAX_REPORTED_PREFIXES, PrefixDemand, PrefixRate, RankChange};
 pub use prompt::{Prompt, PromptPart};
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -77,6 +77,16 @@
     Served,
 }
 
+/// When the policies that rely on figures of the whole fleet apply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FleetPolicies {
+    /// In every fleet.
+    Always,
+    /// In fleets with aggregators. In a smaller one each router meets each engine often enough to
+    /// learn it alone, by the policies that need no figures of other routers.
+    LargeFleets,
+}
+
 /// Settings of the routing policies.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
@@ -125,6 +135,8 @@
     pub rank_count: RankCount,
     /// Whether an engine may fetch a cached prefix from another one.
     pub prefix_transfer: bool,
+    /// When the policies above that rely on figures of the whole fleet apply.
+    pub fleet_policies: FleetPolicies,
     /// Whether engines to which this router has an idle connection are preferred at nearly equal cost.
     pub reuse_connections: bool,
     /// Scope of the waiting order.
@@ -155,9 +167,33 @@
             ranking: RankingPolicy::Plain,
             rank_count: RankCount::Fixed,
             prefix_transfer: false,
+            fleet_policies: FleetPolicies::Always,
             reuse_connections: false,
             waiting_scope: WaitingScope::Router,
             retry_after: RetryAfterPolicy::Deadline,
         }
     }
 }
+
+impl Policy {
+    /// Returns the policies in force in a fleet with or without aggregators.
+    pub fn in_fleet(self, has_aggregators: bool) -> Self {
+        if has_aggregators || self.fleet_policies == FleetPolicies::Always {
+            return self;
+        }
+        let concurrency = match self.concurrency {
+            ConcurrencyPolicy::Spare => ConcurrencyPolicy::Adaptive,
+            other => other,
+        };
+        Self {
+            concurrency,
+            performance: PerformanceSource::Own,
+            ranking: RankingPolicy::Plain,
+            rank_count: RankCount::Fixed,
+            prefix_transfer: false,
+            waiting_scope: WaitingScope::Router,
+            retry_after: RetryAfterPolicy::Deadline,
+            ..self
+        }
+    }
+}
