--- a/crates/routing/src/ranking/cost.rs
+++ b/crates/routing/src/ranking/cost.rs
@@ -8,8 +8,8 @@
 /// occupied engine only delays it; and a prefix that is prefilled again to avoid the pause serves
 /// later requests too.
 const CERTAIN_PAUSE_COST: f64 = 4.0;
-/// Delay of all slots of an engine that costs as much as a fully occupied back end: the shortest
-/// pause objective of the deployments.
+/// Delay of all slots of an engine that costs as much as a fully occupied back end: a pause that
+/// readers of a stream notice.
 const FULL_COST_DELAY: Duration = Duration::from_millis(300);
 /// Maximum cost of the delay of other streams. Very long prompts delay streams at every engine, so
 /// a larger cost would only outweigh all others.
