--- a/crates/routing/src/dispatch/ranked_speeds.rs
+++ b/crates/routing/src/dispatch/ranked_speeds.rs
@@ -21,7 +21,7 @@
 }
 
 impl Dispatcher {
-    /// Replaces an engine's estimate from observations by a fixed one, for tests and trials.
+    /// Replaces an engine's estimate from observations by a fixed one. Used by tests.
     pub fn fix_performance(&mut self, id: &BackEndId, estimate: PerformanceEstimate) {
         self.ranked_speeds.fixed.insert(id.clone(), estimate);
     }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -135,7 +135,7 @@
     pub rank_count: RankCount,
     /// Whether an engine may fetch a cached prefix from another one.
     pub prefix_transfer: bool,
-    /// When the policies above that rely on figures of the whole fleet apply.
+    /// When the policies that rely on figures of the whole fleet apply.
     pub fleet_policies: FleetPolicies,
     /// Whether engines to which this router has an idle connection are preferred at nearly equal cost.
     pub reuse_connections: bool,
