Log why an attempt at a back end failed and how long it took

The lines `try_failed` told only fault and reason, so three causes looked alike: opening packets that the engine's full accept queue drops, a router that is late and fires its timers before it looks at its sockets, and an engine that is alive but slow to answer.

`try_failed` now has `cause` (connect_timeout, unreachable, silent, broke_after_send and so on), `took_ms` of the attempt, and `others_answered`: whether the back end answered other requests of this router meanwhile.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -6,12 +6,13 @@
 use crate::offload::{OffloadError, PeerFailure};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
+use crate::try_failure::{TryCircumstances, TryFailure};
 use crate::update_signal::Origin;
 use crate::write_timeout::WRITE_TIMEOUT;
 use hyper::StatusCode;
 use mastbay_routing::{
-    BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Fault,
-    Placement, QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint, Revision, Role,
+    BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Placement,
+    QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint, Revision, Role,
     RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, SpeedChange, Tick,
     UsableChanges,
 };
@@ -128,13 +129,22 @@
 }
 
 /// Logs a failed attempt at a back end.
-pub fn try_failed(call: &Call, placement: &Placement, fault: Fault, reason: &'static str) {
+pub fn try_failed(
+    call: &Call,
+    placement: &Placement,
+    failure: TryFailure,
+    reason: &'static str,
+    circumstances: TryCircumstances,
+) {
     tracing::info!(
         event = "try_failed",
         request = %call.head.request_id,
         back_end = %placement.back_end.id,
-        fault = ?fault,
+        fault = ?failure.fault,
         reason,
+        cause = %failure.cause,
+        took_ms = milliseconds(circumstances.took),
+        others_answered = circumstances.has_responded,
         predicted_ms = placement.predicted.as_millis() as u64,
         running = placement.running,
         age_ms = placement.stats_age.as_millis() as u64,
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -16,11 +16,13 @@
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome};
 use crate::ticket::Ticket;
+use crate::try_failure::TryCircumstances;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
     Attempt, BackEndId, ExecutionStatus, Fault, Placement, QuarantineStatus, Refusal, RouteKind,
 };
+use mastbay_types::Timestamp;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -112,50 +114,62 @@
             }
             self.call.record_placement(&placement, self.router.now());
             self.router.metrics.on_placement(placement.choice);
+            let began = self.router.now();
             let sent = self.send(&placement).await;
             if !matches!(sent, SendOutcome::NotSent(_)) {
                 self.deliveries += 1;
             }
-            match self.handle_outcome(sent, ticket, &placement).await {
+            match self.handle_outcome(sent, ticket, &placement, began).await {
                 Some(result) => return result,
                 None => self.tried.push(placement.back_end.id),
             }
         }
     }
 
-    /// Evaluates one attempt. Returns `None` if the request may be sent to another back end.
+    /// Evaluates an attempt that began at `began`. Returns `None` if the request may be sent to
+    /// another back end.
     async fn handle_outcome(
         &mut self,
         sent: SendOutcome,
         ticket: Ticket,
         placement: &Placement,
+        began: Timestamp,
     ) -> Option<ExchangeResult> {
-        let (fault, reason) = match sent {
+        let (failure, reason) = match sent {
             SendOutcome::Answered(head, body, connection) => {
                 self.attempt.borrow_mut().on_answer();
                 return self.handle_answer(head, body, *connection, ticket, placement).await;
             }
-            SendOutcome::NotSent(fault) => {
+            SendOutcome::NotSent(failure) => {
                 self.rejections += 1;
-                (fault, "not_sent")
+                (failure, "not_sent")
             }
-            SendOutcome::NotRun(fault) => {
+            SendOutcome::NotRun(failure) => {
                 self.attempt.borrow_mut().on_not_run();
                 self.rejections += 1;
-                (fault, "not_run")
+                (failure, "not_run")
             }
-            SendOutcome::Lost(fault) => {
+            SendOutcome::Lost(failure) => {
                 self.attempt.borrow_mut().on_lost();
-                (fault, "lost")
+                (failure, "lost")
             }
         };
-        events::try_failed(&self.call, placement, fault, reason);
-        ticket.fail(fault);
+        let circumstances = self.circumstances(placement, began);
+        events::try_failed(&self.call, placement, failure, reason, circumstances);
+        ticket.fail(failure.fault);
         drop(ticket);
         let may_retry = self.attempt.borrow().may_send() && self.rejections < MAX_REJECTIONS;
         if may_retry { None } else { Some(self.give_up(reason)) }
     }
 
+    fn circumstances(&self, placement: &Placement, began: Timestamp) -> TryCircumstances {
+        let dispatcher = self.router.dispatcher.borrow();
+        TryCircumstances {
+            took: self.router.now().since(began),
+            has_responded: dispatcher.has_responded_since(&placement.back_end.id, began),
+        }
+    }
+
     /// Starts relaying a stream, or reads a complete answer. Returns `None` if the request may be
     /// sent to another back end.
     async fn handle_answer(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -45,6 +45,7 @@
 mod stop;
 mod throttled_reader;
 mod ticket;
+mod try_failure;
 mod update_signal;
 mod write_timeout;
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -355,8 +355,10 @@
                 ticket.fail(Fault::Failure);
                 None
             }
-            SendOutcome::NotSent(fault) | SendOutcome::NotRun(fault) | SendOutcome::Lost(fault) => {
-                ticket.fail(fault);
+            SendOutcome::NotSent(failure)
+            | SendOutcome::NotRun(failure)
+            | SendOutcome::Lost(failure) => {
+                ticket.fail(failure.fault);
                 None
             }
         }
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -5,8 +5,9 @@
 use crate::call::Call;
 use crate::dialect::{AnswerKind, OutgoingCall};
 use crate::headers::remove_hop_by_hop;
-use crate::pool::{BackEndConnection, ExchangeError, PoolError};
+use crate::pool::{BackEndConnection, ExchangeError};
 use crate::router::Router;
+use crate::try_failure::{FailureCause, TryFailure};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -29,11 +30,26 @@
     /// The head of an answer, its body and the connection.
     Answered(http::response::Parts, Incoming, Box<BackEndConnection>),
     /// Nothing was sent.
-    NotSent(Fault),
+    NotSent(TryFailure),
     /// The back end answered that it did not run the request.
-    NotRun(Fault),
+    NotRun(TryFailure),
     /// The request was sent and its outcome is unknown.
-    Lost(Fault),
+    Lost(TryFailure),
+}
+
+impl SendOutcome {
+    fn not_sent(fault: Fault, cause: FailureCause) -> Self {
+        Self::NotSent(TryFailure::new(fault, cause))
+    }
+
+    fn not_run(fault: Fault, cause: FailureCause) -> Self {
+        Self::NotRun(TryFailure::new(fault, cause))
+    }
+
+    /// The connection or the answer was unusable after the request was sent.
+    fn lost(cause: FailureCause) -> Self {
+        Self::Lost(TryFailure::new(Fault::Broken, cause))
+    }
 }
 
 /// Sends a request to one back end.
@@ -62,15 +78,14 @@
         self.router.update_idle_connection(&back_end.id);
         let mut connection = match acquired {
             Ok(connection) => connection,
-            Err(PoolError::Exhausted) => return SendOutcome::NotSent(Fault::Full),
-            Err(_) => return SendOutcome::NotSent(Fault::Unreachable),
+            Err(error) => return SendOutcome::NotSent(error.into()),
         };
         let now = self.router.now();
         if let Some(fault) = self.router.dispatcher.borrow().fault_before_send(now, &back_end.id) {
-            return SendOutcome::NotSent(fault);
+            return SendOutcome::not_sent(fault, FailureCause::Excluded);
         }
         let Some(request) = self.request(placement, last_event) else {
-            return SendOutcome::NotSent(Fault::Broken);
+            return SendOutcome::not_sent(Fault::Broken, FailureCause::Unsendable);
         };
         self.attempt.borrow_mut().on_send();
         self.router.metrics.on_send(placement);
@@ -79,13 +94,13 @@
             Some(Ok(answer)) => self.read_head(answer, connection, back_end),
             Some(Err(error)) if !error.written && detect_unwritten => {
                 self.attempt.borrow_mut().on_nothing_written();
-                SendOutcome::NotSent(Fault::Full)
+                SendOutcome::not_sent(Fault::Full, FailureCause::ClosedBeforeSend)
             }
             Some(Err(_)) => {
                 broken_connections::record(self.router, self.call, &back_end.id);
-                SendOutcome::Lost(Fault::Broken)
+                SendOutcome::lost(FailureCause::BrokeAfterSend)
             }
-            None => SendOutcome::Lost(Fault::Broken),
+            None => SendOutcome::lost(FailureCause::Silent),
         }
     }
 
@@ -133,9 +148,11 @@
         back_end_notices::apply(self.router, self.call, &back_end.id, &head);
         match self.router.dialects.back_ends.classify(&self.call.head.request_id, &head) {
             AnswerKind::Answer => SendOutcome::Answered(head, body, Box::new(connection)),
-            AnswerKind::NotRunFull => SendOutcome::NotRun(Fault::Full),
-            AnswerKind::NotRunReplaced => SendOutcome::NotRun(Fault::Replaced),
-            AnswerKind::Foreign => SendOutcome::Lost(Fault::Broken),
+            AnswerKind::NotRunFull => SendOutcome::not_run(Fault::Full, FailureCause::Rejected),
+            AnswerKind::NotRunReplaced => {
+                SendOutcome::not_run(Fault::Replaced, FailureCause::Replaced)
+            }
+            AnswerKind::Foreign => SendOutcome::lost(FailureCause::ForeignAnswer),
         }
     }
 
