Leave a silent back end only for another one that has capacity

What callers saw: requests that an engine was working on ended with 502 after 0.8 s and streams that paused for 1 s were broken off, although seconds of their deadline were left and no other engine could take them.

Cause: after the silence timeout the router broke off the attempt and only then asked whether another back end had capacity. With none, the request was given up (`reason=no_room`, status 502 since it may have run), and what the engine had done for it was lost.

Change: `Dispatcher::has_alternative` answers whether a back end that the request has not tried has capacity now. A silent attempt is left only if it does, asked every 0.2 s; else the router waits on until the deadline. The same fault stood in the relay of streams (a pause of 1 s), which now asks the same question. A request that is quarantined meanwhile has no alternative.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -233,8 +233,12 @@
     }
 
     async fn send(&self, placement: &Placement) -> SendOutcome {
-        let sender =
-            RequestSender { router: &self.router, call: &self.call, attempt: &self.attempt };
+        let sender = RequestSender {
+            router: &self.router,
+            call: &self.call,
+            attempt: &self.attempt,
+            tried: &self.tried,
+        };
         sender.send(placement, self.call.head.last_event, true).await
     }
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays an event stream to its caller. Only complete events are relayed, so that a broken stream
 //! can be resumed from another back end if its route allows that.
 
+use crate::alternatives;
 use crate::body_budget::{BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::broken_connections;
 use crate::call::Call;
@@ -173,7 +174,7 @@
                     self.record_broken_connection();
                     "ended_inside_event"
                 }
-                SourceRead::IdleTimeout if !self.may_resume() => continue,
+                SourceRead::IdleTimeout if !self.may_resume_elsewhere() => continue,
                 SourceRead::IdleTimeout => "silent",
                 SourceRead::Broken(reason) => {
                     self.record_broken_connection();
@@ -294,14 +295,19 @@
     }
 
     fn may_resume(&self) -> bool {
-        let mut as_lost = self.attempt.borrow().clone();
-        as_lost.on_lost();
         self.call.entry.route.resumable
             && self.resumes < MAX_RESUMES
-            && as_lost.may_send()
+            && self.attempt.borrow().may_send_if_lost()
             && self.router.has_retries(&self.call.service)
     }
 
+    /// Returns whether the stream may be resumed and another back end can take it now.
+    fn may_resume_elsewhere(&self) -> bool {
+        let current = self.source.iter().map(|source| &source.back_end);
+        let tried = self.tried.iter().chain(current).cloned().collect();
+        self.may_resume() && alternatives::exist(&self.router, &self.call, tried)
+    }
+
     /// Resumes the stream from another back end. Returns whether that succeeded.
     async fn resume(&mut self, reason: &'static str) -> bool {
         let may_resume = self.may_resume();
@@ -329,20 +335,20 @@
     }
 
     async fn next_source(&mut self) -> Option<StreamSource> {
-        let mut demand = self.call.demand();
-        demand.tried = self.tried.clone();
+        let mut demand = alternatives::demand_without(&self.router, &self.call, self.tried.clone());
         demand.arrived = self.router.now();
-        if quarantine::is_suspect(&self.router, &self.call) {
-            demand.suspect = Some(self.call.fingerprint());
-        }
         let (ticket, placement) = Ticket::obtain(&self.router, demand).await.ok()?;
         if !self.router.take_retry(&self.call.service) {
             return None;
         }
         self.call.record_placement(&placement, self.router.now());
         self.router.metrics.on_placement(placement.choice);
-        let sender =
-            RequestSender { router: &self.router, call: &self.call, attempt: &self.attempt };
+        let sender = RequestSender {
+            router: &self.router,
+            call: &self.call,
+            attempt: &self.attempt,
+            tried: &self.tried,
+        };
         match sender.send(&placement, self.last_event, false).await {
             SendOutcome::Answered(head, body, connection) if head.status == StatusCode::OK => {
                 self.attempt.borrow_mut().on_answer();
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one back end and waits for the head of the answer.
 
+use crate::alternatives;
 use crate::back_end_notices;
 use crate::broken_connections;
 use crate::call::Call;
@@ -13,7 +14,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, Uri, http};
-use mastbay_routing::{Attempt, BackEnd, ConnectionBounds, Fault, Placement};
+use mastbay_routing::{Attempt, BackEnd, BackEndId, ConnectionBounds, Fault, Placement};
 use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
@@ -24,6 +25,9 @@
 const SILENCE_TIMEOUT_OBJECTIVES: f64 = 2.0;
 /// Lower bound of that time, without the predicted time.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Interval between checks whether another back end can take over a request whose back end is
+/// silent.
+const ALTERNATIVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The outcome of sending a request to one back end.
 pub enum SendOutcome {
@@ -60,6 +64,8 @@
     pub call: &'a Call,
     /// The state of the request's attempts, updated while sending.
     pub attempt: &'a RefCell<Attempt>,
+    /// Back ends that must not receive the request again.
+    pub tried: &'a [BackEndId],
 }
 
 impl RequestSender<'_> {
@@ -105,7 +111,8 @@
     }
 
     /// Waits for the head of the answer. Returns `None` if there is none within the silence timeout
-    /// and another back end may be tried.
+    /// and another back end can take over the request. Without one, the silent back end is the one
+    /// most likely to answer.
     async fn wait_for_head(
         &self,
         connection: &mut BackEndConnection,
@@ -120,21 +127,26 @@
             .objective
             .mul_f64(SILENCE_TIMEOUT_OBJECTIVES)
             .max(MIN_SILENCE_TIMEOUT);
-        if let Ok(answered) =
-            self.router.runtime.within(silence + placement.predicted, exchange.as_mut()).await
-        {
-            return Some(answered);
-        }
-        if self.may_retry_if_lost() {
-            return None;
+        let mut patience = silence + placement.predicted;
+        loop {
+            if let Ok(answered) = self.router.runtime.within(patience, exchange.as_mut()).await {
+                return Some(answered);
+            }
+            if self.may_retry_if_lost() && self.has_alternative(placement) {
+                return None;
+            }
+            patience = ALTERNATIVE_CHECK_INTERVAL;
         }
-        Some(exchange.await)
     }
 
     fn may_retry_if_lost(&self) -> bool {
-        let mut as_lost = self.attempt.borrow().clone();
-        as_lost.on_lost();
-        as_lost.may_send() && self.router.has_retries(&self.call.service)
+        self.attempt.borrow().may_send_if_lost() && self.router.has_retries(&self.call.service)
+    }
+
+    /// Returns whether another back end than that of `placement` can take the request now.
+    fn has_alternative(&self, placement: &Placement) -> bool {
+        let tried = self.tried.iter().chain([&placement.back_end.id]);
+        alternatives::exist(self.router, self.call, tried.cloned().collect())
     }
 
     fn read_head(
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -31,6 +31,8 @@
 pub enum Step {
     /// Writes the text with each `ID` replaced by the id of the request.
     Write(String),
+    /// Pauses, which simulates a back end that is slow.
+    Pause(Duration),
     /// Closes the connection.
     Close,
     /// Waits until the router closes the connection.
@@ -84,6 +86,9 @@
                             return;
                         }
                     }
+                    Step::Pause(span) => {
+                        smol::Timer::after(*span).await;
+                    }
                     Step::Close => return,
                     Step::UntilClosed => {
                         let mut byte = [0];
@@ -323,20 +328,30 @@
 
     /// Sends a request on a new connection and reads the answer until the router closes it.
     pub async fn call(&self, request: &Request) -> Answer {
-        let mut stream = self.open(request).await;
-        let mut bytes = Vec::new();
-        let ended = stream.read_to_end(&mut bytes).await.is_ok();
-        Answer::new(bytes, ended)
+        call_at(self.settings.callers, request).await
     }
 
     /// Sends a request on a new connection and returns the connection.
     pub async fn open(&self, request: &Request) -> TcpStream {
-        let mut stream = TcpStream::connect(self.settings.callers).await.expect("connected");
-        stream.write_all(request.text().as_bytes()).await.expect("sent");
-        stream
+        open_at(self.settings.callers, request).await
     }
 }
 
+/// Sends a request to the router at `callers` on a new connection and reads the answer until the
+/// router closes it.
+pub async fn call_at(callers: SocketAddr, request: &Request) -> Answer {
+    let mut stream = open_at(callers, request).await;
+    let mut bytes = Vec::new();
+    let ended = stream.read_to_end(&mut bytes).await.is_ok();
+    Answer::new(bytes, ended)
+}
+
+async fn open_at(callers: SocketAddr, request: &Request) -> TcpStream {
+    let mut stream = TcpStream::connect(callers).await.expect("connected");
+    stream.write_all(request.text().as_bytes()).await.expect("sent");
+    stream
+}
+
 /// Polls until a condition holds.
 pub async fn until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
     while !condition().await {
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -92,6 +92,14 @@
         is_safe && self.sends < self.max_sends
     }
 
+    /// Returns whether the request might be sent to a further back end if the current attempt was
+    /// lost.
+    pub fn may_send_if_lost(&self) -> bool {
+        let mut as_lost = self.clone();
+        as_lost.on_lost();
+        as_lost.may_send()
+    }
+
     /// Returns what the caller may be told if the request is given up now.
     pub fn execution_status(&self) -> ExecutionStatus {
         match self.state {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod aggregation;
+mod alternatives;
 mod announced;
 mod candidate;
 mod cold_engines;
