Keep a retry that could not be sent, and reserve what a request leaves a slow back end for

Cause: the retry is taken from the budget when a back end is chosen. If connecting there fails, the next choice took another one, so a few failed connects used up a budget that no back end had seen an arrival of.

Change: a retry is held until an attempt has sent something. A request that leaves a silent back end does so with a slot and a retry in hand (`Takeover`), in place of a question whose answer could change before the slot was taken; `Dispatcher::admit_at_once` places without waiting. When a stream is resumed, a back end that is slow in its turn can be left in the same way.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -15,6 +15,7 @@
 use crate::relay::{Relay, StreamBody, StreamSource};
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome};
+use crate::takeover::Takeover;
 use crate::ticket::Ticket;
 use crate::try_failure::TryCircumstances;
 use hyper::body::Incoming;
@@ -23,7 +24,7 @@
     Attempt, BackEndId, ExecutionStatus, Fault, Placement, QuarantineStatus, Refusal, RouteKind,
 };
 use mastbay_types::Timestamp;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,8 +41,12 @@
     /// Attempts that may have sent some of the request.
     deliveries: u32,
     rejections: u32,
+    /// A retry was taken from the service's budget for the next delivery.
+    holds_retry: bool,
     /// The request is quarantined, and this is its one probe.
     is_probe: bool,
+    /// Where the request goes next, if it left a slow back end.
+    takeover: Cell<Option<Takeover>>,
 }
 
 /// The result of all attempts.
@@ -70,7 +75,9 @@
             tried: Vec::new(),
             deliveries: 0,
             rejections: 0,
+            holds_retry: false,
             is_probe: false,
+            takeover: Cell::default(),
         };
         let caller_gone = CallerGoneGuard::new(router, &call);
         let result = match router.runtime.within(call.time_left(now), exchange.drive()).await {
@@ -98,18 +105,22 @@
                 }
                 QuarantineStatus::Clear => {}
             }
-            let obtained = Ticket::obtain(&self.router, demand).await;
-            let (ticket, placement) = match obtained {
-                Ok(obtained) => obtained,
-                Err(refusal) => return self.refused(refusal),
+            let next = match self.takeover.take() {
+                Some(takeover) => takeover,
+                None => match Ticket::obtain(&self.router, demand).await {
+                    Ok((ticket, placement)) => Takeover { ticket, placement, has_retry: false },
+                    Err(refusal) => return self.refused(refusal),
+                },
             };
+            let Takeover { ticket, placement, has_retry } = next;
             // The request may have been quarantined while it waited in the queue.
             if !self.is_probe
                 && let Some(retry_after) = quarantine::retry_after(&self.router, &self.call)
             {
                 return self.quarantined(retry_after);
             }
-            if self.deliveries > 0 && !self.router.take_retry(&self.call.service) {
+            self.holds_retry |= has_retry;
+            if !self.take_retry_if_needed() {
                 return self.give_up("retry_budget");
             }
             self.call.record_placement(&placement, self.router.now());
@@ -118,6 +129,7 @@
             let sent = self.send(&placement).await;
             if !matches!(sent, SendOutcome::NotSent(_)) {
                 self.deliveries += 1;
+                self.holds_retry = false;
             }
             match self.handle_outcome(sent, ticket, &placement, began).await {
                 Some(result) => return result,
@@ -126,6 +138,16 @@
         }
     }
 
+    /// Takes a retry from the service's budget unless this is the first delivery or one that was
+    /// taken has not been used. Returns false if the budget is empty.
+    fn take_retry_if_needed(&mut self) -> bool {
+        let needs_retry = self.deliveries > 0;
+        if needs_retry && !self.holds_retry {
+            self.holds_retry = self.router.take_retry(&self.call.service);
+        }
+        self.holds_retry || !needs_retry
+    }
+
     /// Evaluates an attempt that began at `began`. Returns `None` if the request may be sent to
     /// another back end.
     async fn handle_outcome(
@@ -238,6 +260,7 @@
             call: &self.call,
             attempt: &self.attempt,
             tried: &self.tried,
+            takeover: &self.takeover,
         };
         sender.send(placement, self.call.head.last_event, true).await
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,7 +5,6 @@
 //! pluggable; see [`dialect`], [`catalogue`] and [`quarantine_archive`]. All tasks of a
 //! router run on one thread.
 
-mod alternatives;
 mod back_end_notices;
 pub mod body_budget;
 mod broken_connections;
@@ -44,6 +43,7 @@
 mod snapshot_serving;
 mod snapshots;
 mod stop;
+mod takeover;
 mod throttled_reader;
 mod ticket;
 mod try_failure;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,7 +1,6 @@
 //! Relays an event stream to its caller. Only complete events are relayed, so that a broken stream
 //! can be resumed from another back end if its route allows that.
 
-use crate::alternatives;
 use crate::body_budget::{BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::broken_connections;
 use crate::call::Call;
@@ -12,16 +11,17 @@
 use crate::quarantine;
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome};
+use crate::takeover::{self, Takeover};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::StatusCode;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use mastbay_routing::{Attempt, BackEndId, Fault, QuarantineStatus};
+use hyper::{StatusCode, http};
+use mastbay_routing::{Attempt, BackEndId, Fault, Placement, QuarantineStatus};
 use mastbay_types::Timestamp;
 use mastbay_web::BodyError;
 use smol::stream::{Stream, StreamExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -102,6 +102,8 @@
     last_relayed: Timestamp,
     resumes: u32,
     tried: Vec<BackEndId>,
+    /// Where the stream is resumed, if it left a slow back end.
+    takeover: Cell<Option<Takeover>>,
     /// Memory reserved for large events.
     event_reservation: Option<BodyReservation>,
     is_recorded: bool,
@@ -151,6 +153,7 @@
             last_relayed: router.now(),
             resumes: 0,
             tried,
+            takeover: Cell::default(),
             event_reservation: None,
             is_recorded: false,
         }
@@ -174,7 +177,7 @@
                     self.record_broken_connection();
                     "ended_inside_event"
                 }
-                SourceRead::IdleTimeout if !self.may_resume_elsewhere() => continue,
+                SourceRead::IdleTimeout if !self.reserve_takeover() => continue,
                 SourceRead::IdleTimeout => "silent",
                 SourceRead::Broken(reason) => {
                     self.record_broken_connection();
@@ -298,19 +301,24 @@
         self.call.entry.route.resumable
             && self.resumes < MAX_RESUMES
             && self.attempt.borrow().may_send_if_lost()
-            && self.router.has_retries(&self.call.service)
     }
 
-    /// Returns whether the stream may be resumed and another back end can take it now.
-    fn may_resume_elsewhere(&self) -> bool {
+    /// Reserves a slot at another back end that may resume the stream. Returns whether there is one.
+    fn reserve_takeover(&mut self) -> bool {
+        if !self.may_resume() {
+            return false;
+        }
         let current = self.source.iter().map(|source| &source.back_end);
         let tried = self.tried.iter().chain(current).cloned().collect();
-        self.may_resume() && alternatives::exist(&self.router, &self.call, tried)
+        self.takeover.set(Takeover::reserve(&self.router, &self.call, tried, true));
+        self.takeover.get_mut().is_some()
     }
 
     /// Resumes the stream from another back end. Returns whether that succeeded.
     async fn resume(&mut self, reason: &'static str) -> bool {
-        let may_resume = self.may_resume();
+        let has_retry =
+            self.takeover.get_mut().is_some() || self.router.has_retries(&self.call.service);
+        let may_resume = self.may_resume() && has_retry;
         self.attempt.borrow_mut().on_lost();
         if let Some(source) = self.source.take() {
             source.ticket.fail(Fault::Broken);
@@ -334,39 +342,70 @@
         self.source.is_some()
     }
 
-    async fn next_source(&mut self) -> Option<StreamSource> {
-        let mut demand = alternatives::demand_without(&self.router, &self.call, self.tried.clone());
+    async fn obtain_next(&self) -> Option<Takeover> {
+        let mut demand = takeover::demand_without(&self.router, &self.call, self.tried.clone());
         demand.arrived = self.router.now();
         let (ticket, placement) = Ticket::obtain(&self.router, demand).await.ok()?;
-        if !self.router.take_retry(&self.call.service) {
-            return None;
+        Some(Takeover { ticket, placement, has_retry: false })
+    }
+
+    /// Opens the rest of the stream at another back end, and at a further one if that is left for
+    /// being slow.
+    async fn next_source(&mut self) -> Option<StreamSource> {
+        let mut holds_retry = false;
+        loop {
+            let next = match self.takeover.take() {
+                Some(takeover) => takeover,
+                None => self.obtain_next().await?,
+            };
+            let Takeover { ticket, placement, has_retry } = next;
+            holds_retry |= has_retry;
+            if !holds_retry && !self.router.take_retry(&self.call.service) {
+                return None;
+            }
+            let sends = self.attempt.borrow().sends();
+            match self.open_rest(&placement).await {
+                Ok((head, body, connection)) => {
+                    let back_end = placement.back_end.id;
+                    let is_delimited = is_delimited(&head.headers);
+                    return Some(StreamSource { ticket, back_end, connection, body, is_delimited });
+                }
+                Err(fault) => ticket.fail(fault),
+            }
+            // A retry that was not sent is kept for the next back end.
+            holds_retry = self.attempt.borrow().sends() == sends;
+            self.tried.push(placement.back_end.id);
+            if self.takeover.get_mut().is_none() {
+                return None;
+            }
         }
-        self.call.record_placement(&placement, self.router.now());
+    }
+
+    /// Requests the rest of the stream from one back end.
+    async fn open_rest(
+        &self,
+        placement: &Placement,
+    ) -> Result<(http::response::Parts, Incoming, BackEndConnection), Fault> {
+        self.call.record_placement(placement, self.router.now());
         self.router.metrics.on_placement(placement.choice);
         let sender = RequestSender {
             router: &self.router,
             call: &self.call,
             attempt: &self.attempt,
             tried: &self.tried,
+            takeover: &self.takeover,
         };
-        match sender.send(&placement, self.last_event, false).await {
+        match sender.send(placement, self.last_event, false).await {
             SendOutcome::Answered(head, body, connection) if head.status == StatusCode::OK => {
                 self.attempt.borrow_mut().on_answer();
-                let back_end = placement.back_end.id;
-                let is_delimited = is_delimited(&head.headers);
-                let connection = *connection;
-                Some(StreamSource { ticket, back_end, connection, body, is_delimited })
-            }
-            SendOutcome::Answered(..) => {
-                ticket.fail(Fault::Failure);
-                None
+                Ok((head, body, *connection))
             }
-            SendOutcome::NotSent(failure)
-            | SendOutcome::NotRun(failure)
-            | SendOutcome::Lost(failure) => {
-                ticket.fail(failure.fault);
-                None
+            SendOutcome::Answered(..) => Err(Fault::Failure),
+            SendOutcome::Lost(failure) => {
+                self.attempt.borrow_mut().on_lost();
+                Err(failure.fault)
             }
+            SendOutcome::NotSent(failure) | SendOutcome::NotRun(failure) => Err(failure.fault),
         }
     }
 
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -1,6 +1,5 @@
 //! Sends a request to one back end and waits for the head of the answer.
 
-use crate::alternatives;
 use crate::back_end_notices;
 use crate::broken_connections;
 use crate::call::Call;
@@ -8,6 +7,7 @@
 use crate::headers::remove_hop_by_hop;
 use crate::pool::{BackEndConnection, ExchangeError};
 use crate::router::Router;
+use crate::takeover::Takeover;
 use crate::try_failure::{FailureCause, TryFailure};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,7 +15,7 @@
 use hyper::header::HOST;
 use hyper::{Request, Response, Uri, http};
 use mastbay_routing::{Attempt, BackEnd, BackEndId, ConnectionBounds, Fault, Placement};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +66,8 @@
     pub attempt: &'a RefCell<Attempt>,
     /// Back ends that must not receive the request again.
     pub tried: &'a [BackEndId],
+    /// Set when a slow back end is left for another one.
+    pub takeover: &'a Cell<Option<Takeover>>,
 }
 
 impl RequestSender<'_> {
@@ -80,9 +82,9 @@
         detect_unwritten: bool,
     ) -> SendOutcome {
         let back_end = &placement.back_end;
-        let acquired = self.router.pool.acquire(back_end, self.connection_bounds(back_end)).await;
+        let connected = self.router.pool.acquire(back_end, self.connection_bounds(back_end)).await;
         self.router.update_idle_connection(&back_end.id);
-        let mut connection = match acquired {
+        let mut connection = match connected {
             Ok(connection) => connection,
             Err(error) => return SendOutcome::NotSent(error.into()),
         };
@@ -111,8 +113,8 @@
     }
 
     /// Waits for the head of the answer. Returns `None` if there is none within the silence timeout
-    /// and another back end can take over the request. Without one, the silent back end is the one
-    /// most likely to answer.
+    /// and another back end takes over the request. Without one, the silent back end is the one most
+    /// likely to answer.
     async fn wait_for_head(
         &self,
         connection: &mut BackEndConnection,
@@ -132,21 +134,20 @@
             if let Ok(answered) = self.router.runtime.within(patience, exchange.as_mut()).await {
                 return Some(answered);
             }
-            if self.may_retry_if_lost() && self.has_alternative(placement) {
+            if self.attempt.borrow().may_send_if_lost() && self.reserve_takeover(placement, true) {
                 return None;
             }
             patience = ALTERNATIVE_CHECK_INTERVAL;
         }
     }
 
-    fn may_retry_if_lost(&self) -> bool {
-        self.attempt.borrow().may_send_if_lost() && self.router.has_retries(&self.call.service)
-    }
-
-    /// Returns whether another back end than that of `placement` can take the request now.
-    fn has_alternative(&self, placement: &Placement) -> bool {
-        let tried = self.tried.iter().chain([&placement.back_end.id]);
-        alternatives::exist(self.router, self.call, tried.cloned().collect())
+    /// Reserves a slot at another back end than that of `placement`. Returns whether there is one.
+    fn reserve_takeover(&self, placement: &Placement, needs_retry: bool) -> bool {
+        let tried = self.tried.iter().chain([&placement.back_end.id]).cloned().collect();
+        let takeover = Takeover::reserve(self.router, self.call, tried, needs_retry);
+        let is_reserved = takeover.is_some();
+        self.takeover.set(takeover);
+        is_reserved
     }
 
     fn read_head(
--- a/crates/router/src/ticket.rs
+++ b/crates/router/src/ticket.rs
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Requests a back end that has capacity now.
+    pub fn obtain_at_once(router: &Rc<Router>, demand: &Demand) -> Option<(Ticket, Placement)> {
+        let now = router.now();
+        let placement = router.dispatcher.borrow_mut().admit_at_once(now, demand)?;
+        Some((Ticket::new(router, placement.ticket), placement))
+    }
+
     fn new(router: &Rc<Router>, id: TicketId) -> Self {
         Self { router: router.clone(), id, outcome: Cell::new(Err(None)) }
     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -52,9 +52,34 @@
     pub closed_by_router: Rc<Cell<u32>>,
 }
 
+/// Whether a back end accepts connections; closing it leaves them in the accept queue.
+#[derive(Clone)]
+pub struct AcceptGate(Rc<Cell<bool>>);
+
+impl AcceptGate {
+    pub fn open(&self) {
+        self.0.set(true);
+    }
+
+    pub fn close(&self) {
+        self.0.set(false);
+    }
+}
+
 impl ScriptedBackEnd {
     pub async fn start(runtime: Runtime, name: &str, reactions: Vec<Vec<Step>>) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        Self::start_gated(runtime, name, listener, reactions).0
+    }
+
+    /// Starts a back end that accepts connections of `listener` while its gate is open.
+    pub fn start_gated(
+        runtime: Runtime,
+        name: &str,
+        listener: TcpListener,
+        reactions: Vec<Vec<Step>>,
+    ) -> (Self, AcceptGate) {
+        let gate = AcceptGate(Rc::new(Cell::new(true)));
         let back_end = Self {
             name: name.to_owned(),
             address: listener.local_addr().expect("bound"),
@@ -62,15 +87,29 @@
             connections: Rc::default(),
             closed_by_router: Rc::default(),
         };
-        let serving = back_end.clone();
+        let (serving, is_open) = (back_end.clone(), gate.0.clone());
         let accept = async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                until(async || is_open.get()).await;
+                let Ok((stream, _)) = listener.accept().await else { return };
                 serving.connections.set(serving.connections.get() + 1);
                 runtime.spawn(serving.clone().serve(stream, reactions.clone())).detach();
             }
         };
         runtime.spawn(accept).detach();
-        back_end
+        (back_end, gate)
+    }
+
+    /// Returns a back end at an address that refuses connections.
+    pub async fn start_refusing(name: &str) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        Self {
+            name: name.to_owned(),
+            address: listener.local_addr().expect("bound"),
+            heads: Rc::default(),
+            connections: Rc::default(),
+            closed_by_router: Rc::default(),
+        }
     }
 
     async fn serve(self, mut stream: TcpStream, reactions: Vec<Vec<Step>>) {
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -1,7 +1,9 @@
 //! Admission control: places a request, queues it, or refuses it with a retry delay.
 
 use super::Dispatcher;
-use super::messages::{Admission, AdmissionResults, Refusal, RefusalDetails, RefusalReason};
+use super::messages::{
+    Admission, AdmissionResults, Placement, Refusal, RefusalDetails, RefusalReason,
+};
 use crate::demand::{Demand, TicketId};
 use crate::engine::Engine;
 use crate::share_class::ShareClass;
@@ -25,8 +27,7 @@
     /// delay.
     pub fn admit(&mut self, now: Timestamp, demand: Demand, draw: f64) -> Admission {
         let has_waiters = self.waiting.get(&demand.service).is_some_and(|queue| queue.len() > 0);
-        let ticket = TicketId(self.next_ticket);
-        self.next_ticket += 1;
+        let ticket = self.new_ticket();
         let is_retry = !demand.tried.is_empty();
         let placed = if !has_waiters || is_retry {
             self.try_place(now, ticket, &demand, false)
@@ -59,6 +60,19 @@
         Admission::Waiting(ticket)
     }
 
+    /// Places a request at a back end outside `demand.tried` if one has capacity now. It neither
+    /// waits nor counts as refused otherwise.
+    pub fn admit_at_once(&mut self, now: Timestamp, demand: &Demand) -> Option<Placement> {
+        let ticket = self.new_ticket();
+        self.try_place(now, ticket, demand, false)
+    }
+
+    fn new_ticket(&mut self) -> TicketId {
+        let ticket = TicketId(self.next_ticket);
+        self.next_ticket += 1;
+        ticket
+    }
+
     /// Places waiting requests for which there is capacity and refuses those whose waiting time is
     /// over.
     pub fn poll(&mut self, now: Timestamp, draw: f64) -> AdmissionResults {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -5,7 +5,6 @@
 
 mod admission;
 mod aggregation;
-mod alternatives;
 mod announced;
 mod candidate;
 mod cold_engines;
