Connect again to a back end that answers others but whose accept queue is full

Cause: opening packets that a full accept queue drops are repeated after a second, a connect gets 350 ms. It counted as unreachable, so the engine was left out for 0.4 to 3 s although it answered other requests all the time; with all entries left out, callers were refused. Ruled out: a router that fires its timer late. The connects took 346 to 379 ms, and what_arrived_before_a_late_timer_fires_is_not_timed_out (runtime.rs) shows that what arrived meanwhile counts: it passes on the code before.

Change: if the back end has answered others since the connect began, the router connects again, or takes a slot at another back end where there is one; the fault is then that of a full back end (50 ms). At most 32 connects to one address are in progress (`ConnectGate`), and those that wait behind one that times out are told with it, so that callers of a dead back end are told as early as before.

Tests: a_back_end_whose_accept_queue_is_full_is_connected_to_again fails on the code before (503); a_back_end_that_accepts_nothing_and_answers_nobody_is_given_up guards the other side with 100 callers.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod catalogue;
 pub mod client;
 mod clock;
+mod connect_gate;
 pub mod dialect;
 pub mod events;
 mod exchange;
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of HTTP/1.1 connections to back ends, with one exchange at a time on each. A connection
 //! is reused only after a complete exchange. The number of connections per back end is limited.
 
+use crate::connect_gate::ConnectGate;
 use crate::runtime::Runtime;
 use crate::throttled_reader::{ReadInterval, ThrottledReader};
 use bytes::Bytes;
@@ -126,17 +127,19 @@
     runtime: Runtime,
     /// Number of connections opened.
     opened: Counter,
+    connecting: ConnectGate,
     back_ends: RefCell<HashMap<BackEndId, BackEndConnections>>,
 }
 
 impl Pool {
     /// Creates an empty pool that counts the connections it opens.
     pub fn new(runtime: Runtime, opened: Counter) -> Self {
-        Self { runtime, opened, back_ends: RefCell::default() }
+        Self { runtime, opened, connecting: ConnectGate::default(), back_ends: RefCell::default() }
     }
 
     /// Returns a connection that is ready for an exchange: the most recently used idle one, or a
-    /// new one.
+    /// new one. While many others are connecting to the same address, waits for them, and times out
+    /// with the first of them that does.
     pub async fn acquire(
         &self,
         back_end: &BackEnd,
@@ -146,7 +149,19 @@
             return Ok(connection);
         }
         let open = self.register_open(&back_end.id, bounds)?;
-        self.connect(back_end, open).await
+        let waiting_since = self.runtime.now();
+        let permit = self.connecting.enter(back_end.address).await;
+        if let Some(connection) = self.take_idle(&back_end.id) {
+            return Ok(connection);
+        }
+        if permit.has_timed_out_since(waiting_since) {
+            return Err(PoolError::TimedOut);
+        }
+        let connected = self.connect(back_end, open).await;
+        if matches!(connected, Err(PoolError::TimedOut)) {
+            permit.on_timeout(self.runtime.now());
+        }
+        connected
     }
 
     /// Returns whether connecting to `address` fails with "connection refused". Timeouts and
@@ -178,6 +193,7 @@
     /// Closes idle connections that have expired or that the back end has closed. Returns the back
     /// ends to which none is left.
     pub fn sweep(&self) -> Vec<BackEndId> {
+        self.connecting.sweep();
         let now = self.runtime.now();
         let mut without_idle = Vec::new();
         for (id, connections) in self.back_ends.borrow_mut().iter_mut() {
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -5,7 +5,7 @@
 use crate::call::Call;
 use crate::dialect::{AnswerKind, OutgoingCall};
 use crate::headers::remove_hop_by_hop;
-use crate::pool::{BackEndConnection, ExchangeError};
+use crate::pool::{BackEndConnection, ExchangeError, PoolError};
 use crate::router::Router;
 use crate::takeover::Takeover;
 use crate::try_failure::{FailureCause, TryFailure};
@@ -82,11 +82,11 @@
         detect_unwritten: bool,
     ) -> SendOutcome {
         let back_end = &placement.back_end;
-        let connected = self.router.pool.acquire(back_end, self.connection_bounds(back_end)).await;
+        let connected = self.connect(placement).await;
         self.router.update_idle_connection(&back_end.id);
         let mut connection = match connected {
             Ok(connection) => connection,
-            Err(error) => return SendOutcome::NotSent(error.into()),
+            Err(failure) => return SendOutcome::NotSent(failure),
         };
         let now = self.router.now();
         if let Some(fault) = self.router.dispatcher.borrow().fault_before_send(now, &back_end.id) {
@@ -112,6 +112,28 @@
         }
     }
 
+    /// Returns a connection to the back end. If connecting times out although the back end answers
+    /// others, its accept queue is full: connects again, unless another back end can take over the
+    /// request.
+    async fn connect(&self, placement: &Placement) -> Result<BackEndConnection, TryFailure> {
+        let back_end = &placement.back_end;
+        loop {
+            let began = self.router.now();
+            let bounds = self.connection_bounds(back_end);
+            let error = match self.router.pool.acquire(back_end, bounds).await {
+                Ok(connection) => return Ok(connection),
+                Err(error) => error,
+            };
+            let is_alive = self.router.dispatcher.borrow().has_responded_since(&back_end.id, began);
+            if !is_alive || !matches!(error, PoolError::TimedOut) {
+                return Err(error.into());
+            }
+            if self.reserve_takeover(placement, false) {
+                return Err(TryFailure::new(Fault::Full, FailureCause::ConnectTimeout));
+            }
+        }
+    }
+
     /// Waits for the head of the answer. Returns `None` if there is none within the silence timeout
     /// and another back end takes over the request. Without one, the silent back end is the one most
     /// likely to answer.
--- a/crates/router/tests/runtime.rs
+++ b/crates/router/tests/runtime.rs
@@ -1,7 +1,10 @@
 //! Timers and aligned ticks of the runtime.
 
 use mastbay_router::Runtime;
-use std::cell::RefCell;
+use smol::io::AsyncReadExt;
+use smol::net::TcpStream;
+use std::cell::{Cell, RefCell};
+use std::io::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,3 +45,36 @@
     let ticks = distance.as_secs_f64() / 0.02;
     assert!(ticks < 5.01, "{distance:?}");
 }
+
+/// Guards against blaming a peer for a time-out when this process was the one that was late: what
+/// arrived meanwhile counts.
+#[test]
+fn what_arrived_before_a_late_timer_fires_is_not_timed_out() {
+    let runtime = Runtime::leaked();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let peer = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accepted");
+        std::thread::sleep(Duration::from_millis(50));
+        stream.write_all(b"x").expect("sent");
+    });
+    let read = smol::block_on(runtime.run(async {
+        let mut stream = TcpStream::connect(address).await.expect("connected");
+        let mut byte = [0];
+        let has_begun = Rc::new(Cell::new(false));
+        let begun = has_begun.clone();
+        let read = runtime.spawn(async move {
+            begun.set(true);
+            let read = stream.read_exact(&mut byte);
+            runtime.within(Duration::from_millis(200), read).await
+        });
+        while !has_begun.get() {
+            smol::future::yield_now().await;
+        }
+        // Blocks the event loop beyond the time-out.
+        std::thread::sleep(Duration::from_millis(400));
+        read.await
+    }));
+    peer.join().expect("ended");
+    assert!(matches!(read, Ok(Ok(()))), "{read:?}");
+}
--- a/crates/router/tests/slow_back_ends.rs
+++ b/crates/router/tests/slow_back_ends.rs
@@ -6,7 +6,10 @@
 
 use mastbay_router::Runtime;
 use smol::Task;
-use std::time::Duration;
+use smol::net::{TcpListener, TcpStream};
+use socket2::{Domain, Socket, Type};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 use support::{
     Answer, Bed, Request, STREAM_END, STREAM_HEAD, ScriptedBackEnd, Step, answer, call_at, events,
     run, until,
@@ -138,3 +141,81 @@
         assert_eq!((silent.closed_by_router.get(), free.arrivals()), (1, 1));
     });
 }
+
+/// A listener whose accept queue holds two connections; the kernel drops further opening packets.
+fn listen_with_short_queue() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_nonblocking(true).expect("set");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(1).expect("listens");
+    let listener: std::net::TcpListener = socket.into();
+    TcpListener::from(smol::Async::new_nonblocking(listener).expect("registered"))
+}
+
+/// Fills the accept queue of a back end that does not accept now.
+async fn fill_accept_queue(runtime: Runtime, address: SocketAddr) -> Vec<TcpStream> {
+    let mut queued = Vec::new();
+    let limit = Duration::from_millis(100);
+    while let Ok(Ok(stream)) = runtime.within(limit, TcpStream::connect(address)).await {
+        queued.push(stream);
+    }
+    queued
+}
+
+/// A stream whose events arrive every 100 ms for two seconds.
+fn steady_stream() -> Vec<Step> {
+    let mut steps = vec![Step::Write(STREAM_HEAD.to_owned())];
+    for number in 1..=20 {
+        steps.push(Step::Write(events(number, number)));
+        steps.push(Step::Pause(Duration::from_millis(100)));
+    }
+    steps.push(Step::Write(STREAM_END.to_owned()));
+    steps
+}
+
+/// Guards against refusing requests because a back end that answers others does not accept new
+/// connections for a moment.
+#[test]
+fn a_back_end_whose_accept_queue_is_full_is_connected_to_again() {
+    run(async |runtime| {
+        let listener = listen_with_short_queue();
+        let reactions = vec![steady_stream(), answer("done")];
+        let (busy, gate) = ScriptedBackEnd::start_gated(runtime, "b1", listener, reactions);
+        let bed = Bed::start(runtime, &[&busy]).await;
+        let stream = bed.open(&Request::new("/stream/x")).await;
+        until(async || busy.arrivals() == 1).await;
+        gate.close();
+        let queued = fill_accept_queue(runtime, busy.address).await;
+        let calls: Vec<_> = (0..4).map(|_| spawn_call(runtime, &bed, "/unsafe/x")).collect();
+        smol::Timer::after(Duration::from_millis(600)).await;
+        gate.open();
+        for call in calls {
+            let answer = call.await;
+            assert_eq!((answer.status, answer.body.as_str()), (200, "done"), "{answer:?}");
+        }
+        drop((stream, queued));
+    });
+}
+
+/// Guards against keeping callers of a back end that accepts no connection and answers nobody.
+#[test]
+fn a_back_end_that_accepts_nothing_and_answers_nobody_is_given_up() {
+    run(async |runtime| {
+        let listener = listen_with_short_queue();
+        let (stuck, gate) =
+            ScriptedBackEnd::start_gated(runtime, "b1", listener, vec![answer("done")]);
+        let bed = Bed::start(runtime, &[&stuck]).await;
+        gate.close();
+        let queued = fill_accept_queue(runtime, stuck.address).await;
+        let began = Instant::now();
+        // More than connect at a time, so some wait for the others.
+        let calls: Vec<_> = (0..100).map(|_| spawn_call(runtime, &bed, "/unsafe/x")).collect();
+        for call in calls {
+            let answer = call.await;
+            let outcome = answer.header("mastbay-outcome");
+            assert_eq!(outcome.as_deref(), Some("not-run"), "{answer:?}");
+        }
+        assert!(began.elapsed() < Duration::from_secs(2), "told after {:?}", began.elapsed());
+        drop(queued);
+    });
+}
