Probe a quarantined request at once if others explain its terminations

Cause: with a limit of three, five ends are two too many, and the delay of the next probe grows tenfold with each one (30 s, 300 s). The delay is meant for probes that failed; here nothing had been probed, and each of the five ends counted against the fatal request as well.

Change: `ProbePlan`. Quarantined requests, the least suspect first, are explained as long as the others account for all of their ends. An explained one is probed at once, in the turns of the suspect that explains it: of requests with the same ends one at a time over the fleet, so a fatal one among them ends a back end where none of the others was and is explained no more. `request_probed` tells `explained_by`. Ruled out: counting ends whose requests were sent before the first end was known as one. A fatal request that five routers send at once would get three more ends.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -228,9 +228,19 @@
     );
 }
 
-/// Logs that a quarantined request is sent to a back end as a probe.
-pub fn request_probed(request: RequestFingerprint, request_id: &str) {
-    tracing::info!(event = "request_probed", request = request_id, fingerprint = %request);
+/// Logs that a quarantined request is sent to a back end as a probe. `explained_by` is the request
+/// that explains its terminations, if there is one.
+pub fn request_probed(
+    request: RequestFingerprint,
+    request_id: &str,
+    explained_by: Option<RequestFingerprint>,
+) {
+    tracing::info!(
+        event = "request_probed",
+        request = request_id,
+        fingerprint = %request,
+        explained_by = explained_by.map(|suspect| suspect.to_string()),
+    );
 }
 
 /// Logs that a quarantined request was written to the archive.
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -35,10 +35,12 @@
 /// Returns whether it does.
 pub fn take_probe(router: &Router, call: &Call) -> bool {
     let request = call.fingerprint();
-    let slot = router.dispatcher.borrow().probe_slot(request);
+    let probe_key = router.quarantine.borrow().probe_key(request);
+    let slot = router.dispatcher.borrow().probe_slot(probe_key);
     let is_probe = router.quarantine.borrow_mut().take_probe(router.now(), request, slot);
     if is_probe {
-        events::request_probed(request, &call.head.request_id);
+        let explained_by = (probe_key != request).then_some(probe_key);
+        events::request_probed(request, &call.head.request_id, explained_by);
     }
     is_probe
 }
--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -6,7 +6,7 @@
 use mastbay_router::{Origin, Runtime};
 use mastbay_routing::{BackEnd, BackEndId, BackEndList, BackEndState};
 use mastbay_testbed::{Behaviour, EndingBackEnds, FATAL, THRICE};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::time::Duration;
 use support::{Answer, Bed, Request, STREAM_HEAD, ScriptedBackEnd, Step, run, until};
@@ -207,3 +207,39 @@
         assert!(runs <= MAX_RUNS, "{runs} runs");
     });
 }
+
+/// Guards against refusing a popular request for minutes because copies of it were in flight at all
+/// back ends that a burst of another one ended.
+#[test]
+fn a_popular_request_beside_a_burst_of_fatal_ones_is_served_again() {
+    run(async |runtime| {
+        let back_ends = EndingBackEnds::start(8, BEHAVIOUR);
+        let beds = start_routers(runtime, 3, &back_ends).await;
+        until(async || beds.iter().all(|bed| bed.router.fleet_size() == 3)).await;
+        let popular = || Request::new("/safe/popular");
+        let was_refused = Cell::new(false);
+        let callers = (0..30).map(|number: usize| {
+            let (bed, was_refused) = (&beds[number % beds.len()], &was_refused);
+            async move {
+                until(async || {
+                    let answer = bed.call(&popular()).await;
+                    was_refused.set(was_refused.get() || answer.status == 503);
+                    was_refused.get()
+                })
+                .await;
+            }
+        });
+        let burst = (0..6).map(|number: usize| {
+            let bed = &beds[number % beds.len()];
+            async move {
+                bed.call(&fatal_request("safe")).await;
+            }
+        });
+        smol::future::zip(join_all(callers), join_all(burst)).await;
+        for bed in &beds {
+            until(async || bed.call(&popular()).await.status == 200).await;
+        }
+        let runs = back_ends.fatal_runs();
+        println!("{runs} fatal runs");
+    });
+}
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! When a back end terminates, any of the requests in flight on it may be the cause. A request is
 //! quarantined after several incarnations terminated under it without it being served in between; a
-//! bystander is soon served elsewhere, which clears it. Reports name the terminated incarnation and
+//! bystander is soon served elsewhere, which clears it. One that is quarantined nevertheless is
+//! cleared by a probe, see [`probe_plan`]. Reports name the terminated incarnation and
 //! form a set that merges in any order, so repeated reports count once.
 
 mod messages;
+mod probe_plan;
 mod reporting;
 mod suspicion;
 
@@ -15,9 +17,10 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::gossip::{GossipQueue, TRANSMISSIONS};
 use mastbay_types::Timestamp;
+use probe_plan::{Evidence, ProbePlan};
 use std::collections::HashMap;
 use std::time::Duration;
-use suspicion::{Suspicion, Termination};
+use suspicion::{PROBE_WINDOW, Suspicion, Termination};
 
 /// Settings of a [`Quarantine`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +46,8 @@
 pub struct Quarantine {
     limits: QuarantineLimits,
     requests: HashMap<RequestFingerprint, Suspicion>,
+    /// Updated with each change of the terminations.
+    plan: ProbePlan,
     /// Terminations that are still to be reported to peers.
     pending_reports: GossipQueue<(RequestFingerprint, EngineKey)>,
     round: u64,
@@ -66,7 +71,7 @@
         let Some(suspicion) = self.requests.get(&request) else { return QuarantineStatus::Clear };
         if let Some(until) = suspicion.quarantined_until(now, &self.limits) {
             let left = until.since(now);
-            let retry_after = suspicion.until_probes(now, &self.limits).min(left);
+            let retry_after = self.until_probes(now, request, suspicion).min(left);
             return QuarantineStatus::Quarantined { left, retry_after };
         }
         match suspicion.counted(now).next() {
@@ -75,16 +80,50 @@
         }
     }
 
-    /// Returns whether to let a quarantined request through as a probe, in this router's slot. A
-    /// probe that is served clears the request; a further termination delays the next probe.
+    /// Returns the request whose turns decide which router may probe `request`: the suspect that
+    /// explains it, or itself. Requests with the same one are probed one at a time.
+    pub fn probe_key(&self, request: RequestFingerprint) -> RequestFingerprint {
+        self.plan.explained_by(request).unwrap_or(request)
+    }
+
+    /// Returns whether to let a quarantined request through as a probe, in this router's slot for
+    /// its [`Self::probe_key`]. A probe that is served clears the request; a further termination
+    /// delays the next probe unless other requests explain it.
     pub fn take_probe(
         &mut self,
         now: Timestamp,
         request: RequestFingerprint,
         slot: ProbeSlot,
     ) -> bool {
-        let suspicion = self.requests.get_mut(&request);
-        suspicion.is_some_and(|suspicion| suspicion.take_probe(now, &self.limits, slot))
+        let suspicion = self.requests.get(&request);
+        let from = suspicion.and_then(|suspicion| self.probed_from(now, request, suspicion));
+        let turns = self.requests.get_mut(&self.probe_key(request));
+        let (Some(from), Some(turns)) = (from, turns) else { return false };
+        turns.take_probe(now, from, slot)
+    }
+
+    /// Returns from when a quarantined request may be probed.
+    fn probed_from(
+        &self,
+        now: Timestamp,
+        request: RequestFingerprint,
+        suspicion: &Suspicion,
+    ) -> Option<Timestamp> {
+        match self.plan.explained_by(request) {
+            Some(suspect) => self.requests.get(&suspect)?.since,
+            None => suspicion.probed_from(now, &self.limits),
+        }
+    }
+
+    /// Returns the time until a quarantined request may be probed, at least one window.
+    fn until_probes(
+        &self,
+        now: Timestamp,
+        request: RequestFingerprint,
+        suspicion: &Suspicion,
+    ) -> Duration {
+        let from = self.probed_from(now, request, suspicion).unwrap_or(now);
+        from.since(now).max(PROBE_WINDOW)
     }
 
     /// Returns the number of terminations that count against a request.
@@ -107,6 +146,7 @@
     /// Clears all terminations of a request that was served, or whose quarantine an operator lifts.
     pub fn clear(&mut self, request: RequestFingerprint) {
         let Some(suspicion) = self.requests.get_mut(&request) else { return };
+        let was_evidence = suspicion.has_evidence(&self.limits);
         let pending = &mut self.pending_reports;
         for (back_end, termination) in
             suspicion.terminations.iter_mut().filter(|(_, known)| !known.is_cleared)
@@ -114,6 +154,9 @@
             termination.is_cleared = true;
             pending.push((request, *back_end), TRANSMISSIONS);
         }
+        if was_evidence {
+            self.update_plan();
+        }
     }
 
     /// Merges reports of another router. Returns the requests that this quarantines.
@@ -162,6 +205,17 @@
             suspicion.terminations.retain(|_, termination| termination.until > now);
         }
         self.requests.retain(|_, suspicion| !suspicion.terminations.is_empty());
+        self.update_plan();
+    }
+
+    /// Determines again which quarantined requests are explained by others.
+    fn update_plan(&mut self) {
+        let all = self.requests.iter();
+        let quarantined = all.filter(|(_, suspicion)| suspicion.has_evidence(&self.limits));
+        let evidence = quarantined.map(|(request, suspicion)| -> Evidence {
+            (*request, suspicion.uncleared().collect())
+        });
+        self.plan = ProbePlan::new(evidence.collect());
     }
 
     /// Merges one termination; a cleared state overrides an uncleared one. Returns the request if
@@ -181,6 +235,7 @@
         let limits = self.limits;
         let suspicion = self.requests.entry(request).or_default();
         let was_quarantined = suspicion.quarantined_until(now, &limits).is_some();
+        let had_evidence = suspicion.has_evidence(&limits);
         let known = suspicion.terminations.get(&back_end).copied();
         if known.is_some_and(|known| known.is_cleared && !termination.is_cleared) {
             // The sender has missed that the termination was cleared.
@@ -192,7 +247,11 @@
         }
         let until = known.map_or(termination.until, |known| known.until);
         suspicion.terminations.insert(back_end, Termination { until, ..termination });
+        let is_plan_affected = had_evidence || suspicion.has_evidence(&limits);
         self.pending_reports.push((request, back_end), transmissions);
+        if is_plan_affected {
+            self.update_plan();
+        }
         let quarantined = self.as_quarantined(now, request, self.requests.get(&request)?)?;
         if let Some(suspicion) = self.requests.get_mut(&request).filter(|_| !termination.is_cleared)
         {
@@ -218,13 +277,12 @@
         if self.requests.len() < MAX_REQUESTS || self.requests.contains_key(new) {
             return;
         }
-        let priority = |suspicion: &Suspicion| {
-            let counted = suspicion.terminations.values().filter(|known| !known.is_cleared).count();
-            (counted, suspicion.latest())
-        };
+        let priority = |suspicion: &Suspicion| (suspicion.uncleared().count(), suspicion.latest());
         let lowest = self.requests.iter().min_by_key(|(_, suspicion)| priority(suspicion));
-        if let Some(request) = lowest.map(|(request, _)| *request) {
-            self.requests.remove(&request);
+        let lowest = lowest.map(|(request, _)| *request);
+        let evicted = lowest.and_then(|request| self.requests.remove(&request));
+        if evicted.is_some_and(|suspicion| suspicion.has_evidence(&self.limits)) {
+            self.update_plan();
         }
     }
 }
--- a/crates/routing/src/quarantine/suspicion.rs
+++ b/crates/routing/src/quarantine/suspicion.rs
@@ -7,9 +7,9 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// Time in which one router may probe a quarantined request. Routers take turns in a common order;
+/// Time in which one router may probe a quarantined request, or one of those that share its turns. Routers take turns in a common order;
 /// a window is long enough for all of them to learn the outcome of the previous probe.
-const PROBE_WINDOW: Duration = Duration::from_millis(1_200);
+pub const PROBE_WINDOW: Duration = Duration::from_millis(1_200);
 /// Time without probes after the first termination beyond the limit; ten times as long after each
 /// further one. The first is short because a probe may coincide with an unrelated termination, and
 /// without a further probe an innocent request stayed quarantined for the whole period.
@@ -55,16 +55,20 @@
         until.get(limits.ends.max(1) - 1).copied()
     }
 
-    /// Returns from when the request may be probed, if it is quarantined.
-    fn probed_from(&self, now: Timestamp, limits: &QuarantineLimits) -> Option<Timestamp> {
-        let excess = self.counted(now).count().saturating_sub(limits.ends);
-        Some(self.since? + probe_backoff(excess))
+    /// Returns the incarnations whose termination is not cleared.
+    pub fn uncleared(&self) -> impl Iterator<Item = EngineKey> {
+        self.terminations.iter().filter(|(_, known)| !known.is_cleared).map(|(key, _)| *key)
     }
 
-    /// Returns the time until the request may be probed, at least one window.
-    pub fn until_probes(&self, now: Timestamp, limits: &QuarantineLimits) -> Duration {
-        let from = self.probed_from(now, limits).unwrap_or(now);
-        from.since(now).max(PROBE_WINDOW)
+    /// Returns whether enough terminations count against the request to quarantine it.
+    pub fn has_evidence(&self, limits: &QuarantineLimits) -> bool {
+        self.uncleared().count() >= limits.ends.max(1)
+    }
+
+    /// Returns from when the request may be probed if nothing else explains its terminations.
+    pub fn probed_from(&self, now: Timestamp, limits: &QuarantineLimits) -> Option<Timestamp> {
+        let excess = self.counted(now).count().saturating_sub(limits.ends);
+        Some(self.since? + probe_backoff(excess))
     }
 
     /// Returns the time at which the last termination stops counting.
@@ -72,15 +76,12 @@
         self.terminations.values().map(|known| known.until).max().unwrap_or_default()
     }
 
-    /// Returns whether this router may probe the request now, and marks its window as used.
-    pub fn take_probe(
-        &mut self,
-        now: Timestamp,
-        limits: &QuarantineLimits,
-        slot: ProbeSlot,
-    ) -> bool {
-        let from = self.probed_from(now, limits);
-        let Some(from) = from.filter(|from| *from <= now) else { return false };
+    /// Returns whether this router may start a probe now, and marks its window as used. The windows
+    /// begin at `from`.
+    pub fn take_probe(&mut self, now: Timestamp, from: Timestamp, slot: ProbeSlot) -> bool {
+        if now < from {
+            return false;
+        }
         let waited = now.since(from);
         let window = (waited.as_micros() / PROBE_WINDOW.as_micros()) as u64;
         let into_window = waited - PROBE_WINDOW * u32::try_from(window).unwrap_or(u32::MAX);
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -4,45 +4,23 @@
 mod support;
 
 use mastbay_routing::{
-    BackEndId, EngineKey, Placement, ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus,
-    ROUND_PERIOD, Relaying, RequestFingerprint, RequestIdentity, TerminationReport,
+    BackEndId, EngineKey, Placement, ProbeSlot, Quarantine, QuarantineStatus, ROUND_PERIOD,
+    Relaying, TerminationReport,
 };
 use mastbay_types::Timestamp;
 use quickcheck::{TestResult, quickcheck};
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
-use support::fleet::{Fleet, address};
+use support::fleet::address;
+use support::quarantined_fleet::{LIMITS, QuarantinedFleet, incarnation, is_quarantined, request};
 use support::{demand, dispatcher, prompt};
 
-const LIMITS: QuarantineLimits = QuarantineLimits { ends: 3, period: Duration::from_secs(600) };
-
-fn request(number: u64) -> RequestFingerprint {
-    let body = number.to_be_bytes();
-    let target = "/p/1";
-    RequestFingerprint::of(&RequestIdentity {
-        tenant: Some("a"),
-        method: "POST",
-        host: "h",
-        target,
-        body: &body,
-    })
-}
-
-fn incarnation(number: u64) -> EngineKey {
-    EngineKey::from(&BackEndId::from(format!("life-{number}").as_str()))
-}
-
 fn at(seconds: u64) -> Timestamp {
     Timestamp::ZERO + Duration::from_secs(seconds)
 }
 
-fn is_quarantined(quarantine: &Quarantine, now: Timestamp, number: u64) -> bool {
-    matches!(quarantine.status(now, request(number)), QuarantineStatus::Quarantined { .. })
-}
-
 #[test]
 fn the_third_incarnation_that_terminates_under_a_request_quarantines_it() {
     let mut quarantine = Quarantine::new(LIMITS);
@@ -182,78 +160,12 @@
     }
 }
 
-/// A fleet in virtual time with the quarantine of each router.
-struct Simulation {
-    fleet: Fleet,
-    quarantines: BTreeMap<SocketAddr, Quarantine>,
-    random: ChaCha8Rng,
-    /// Probability that a message is lost.
-    loss_rate: f64,
-}
-
-impl Simulation {
-    fn new(routers: usize, loss_rate: f64) -> Self {
-        let mut fleet = Fleet::new(routers);
-        fleet.rounds(40);
-        let quarantines =
-            fleet.routers.keys().map(|address| (*address, Quarantine::new(LIMITS))).collect();
-        Self { fleet, quarantines, random: ChaCha8Rng::seed_from_u64(1), loss_rate }
-    }
-
-    fn terminate(&mut self, router: usize, terminated: u64, number: u64) {
-        let now = self.fleet.now;
-        let quarantine = self.quarantines.get_mut(&address(router)).expect("a router");
-        quarantine.on_termination(now, incarnation(terminated), request(number));
-    }
-
-    /// Exchanges one round of reports and reminders of all routers.
-    fn round(&mut self) {
-        self.fleet.now = self.fleet.now + ROUND_PERIOD;
-        let now = self.fleet.now;
-        let mut sent = Vec::new();
-        for (sender, quarantine) in &mut self.quarantines {
-            let dispatcher = &self.fleet.routers[sender];
-            let reports = quarantine.next_reports(now);
-            let targets = dispatcher.gossip_targets(self.random.next_u64());
-            sent.extend(targets.into_iter().map(|target| (target, reports.clone())));
-            let reminder = quarantine.next_reminder(now);
-            sent.extend(
-                dispatcher.random_peer(self.random.next_u64()).map(|target| (target, reminder)),
-            );
-        }
-        for (target, reports) in sent {
-            if self.random.random::<f64>() < self.loss_rate {
-                continue;
-            }
-            let relaying = self.fleet.routers[&target].relaying();
-            let quarantine = self.quarantines.get_mut(&target).expect("a router");
-            quarantine.on_reports(now, &reports, relaying);
-        }
-    }
-
-    fn quarantining(&self, number: u64) -> usize {
-        let now = self.fleet.now;
-        self.quarantines.values().filter(|one| is_quarantined(one, now, number)).count()
-    }
-
-    /// Runs rounds until all routers quarantine a request. Returns their number.
-    fn rounds_until_all(&mut self, number: u64) -> u32 {
-        for round in 0..200 {
-            if self.quarantining(number) == self.quarantines.len() {
-                return round;
-            }
-            self.round();
-        }
-        panic!("{} of {} routers quarantine it", self.quarantining(number), self.quarantines.len());
-    }
-}
-
 /// Routers have at least 3 s to learn of the third termination; the bound leaves two thirds of that
 /// for detecting it.
 #[test]
 fn all_routers_know_terminations_within_a_second() {
     for (routers, loss_rate) in [(3, 0.1), (7, 0.1), (26, 0.1), (85, 0.1), (295, 0.1), (295, 0.3)] {
-        let mut simulation = Simulation::new(routers, loss_rate);
+        let mut simulation = QuarantinedFleet::new(routers, loss_rate);
         for (router, terminated) in [(0, 1), (1, 2), (2, 3)] {
             simulation.terminate(router, terminated, 1);
         }
@@ -271,7 +183,7 @@
 #[test]
 fn a_restarted_router_is_reminded_of_quarantined_requests() {
     for routers in [7, 85] {
-        let mut simulation = Simulation::new(routers, 0.1);
+        let mut simulation = QuarantinedFleet::new(routers, 0.1);
         for terminated in 1..=3 {
             simulation.terminate(0, terminated, 1);
         }
@@ -288,7 +200,7 @@
 /// Reports are sent a few times only, so routers without new terminations send nothing.
 #[test]
 fn nothing_is_sent_if_nothing_is_quarantined() {
-    let mut simulation = Simulation::new(85, 0.0);
+    let mut simulation = QuarantinedFleet::new(85, 0.0);
     simulation.terminate(0, 1, 1);
     (0..20).for_each(|_| simulation.round());
     let now = simulation.fleet.now;
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod directory_view;
 pub mod fleet;
+pub mod quarantined_fleet;
 pub mod sourced_fleet;
 
 use mastbay_routing::{
