Free the slot of a caller that leaves while its engine is silent (gateway)

What callers saw: those who wait for a slot waited longer. A stream whose caller had left kept its slot at the engine until the request's deadline, if the engine sent nothing at the time; and up to three times 2 s while a broken stream was being resumed for nobody.

Cause: `Relay::forward_body` waited for the back end alone and learned of its caller's end only by sending.

Change: the waits for the next chunk and for a resume end when the caller's side of the body is dropped.

Test: a_caller_that_disconnects_from_a_silent_engine_frees_its_slot fails on the code before (all eight slots taken after 5 s).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use mastbay_types::Cost;
 use mastbay_web::{BodyError, Connection, within};
 use smol::channel::Sender;
+use smol::future::FutureExt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -73,11 +74,11 @@
                     break Ok(());
                 }
                 Err(Failure::Broken) => match self.resume().await {
-                    Some((new_body, new_connection)) => {
+                    Ok((new_body, new_connection)) => {
                         body = new_body;
                         connection = new_connection;
                     }
-                    None => break Err(Failure::Broken),
+                    Err(failure) => break Err(failure),
                 },
                 Err(failure) => break Err(failure),
             }
@@ -97,12 +98,13 @@
         let _ = caller.send(Err(BodyError)).await;
     }
 
-    /// Forwards chunks to the caller until the body ends.
+    /// Forwards chunks to the caller until the body ends or the caller disconnects.
     async fn forward_body(&mut self, body: &mut Incoming) -> Result<(), Failure> {
         loop {
             let limit = time_left(self.duty, self.request.deadline);
-            let frame = within(limit, body.frame()).await.map_err(|_| Failure::Deadline)?;
-            match frame {
+            let next = unless_disconnected(&self.caller, body.frame());
+            let frame = within(limit, next).await.map_err(|_| Failure::Deadline)?;
+            match frame? {
                 Some(Ok(frame)) => {
                     if let Ok(chunk) = frame.into_data() {
                         self.forward_chunk(&chunk).await?;
@@ -128,22 +130,24 @@
         self.caller.send(Ok(Bytes::from(complete))).await.map_err(|_| Failure::CallerGone)
     }
 
-    async fn resume(&mut self) -> Option<(Incoming, Connection)> {
+    async fn resume(&mut self) -> Result<(Incoming, Connection), Failure> {
         if !self.resumable || self.resumes >= MAX_RESUMES {
-            return None;
+            return Err(Failure::Broken);
         }
         self.resumes += 1;
         self.meter.drop_partial_event();
         let events = self.meter.events();
         let target = format!("/v1/streams/{}?after={events}", self.request.identity.id);
-        let (response, connection) = self.send_stream_request(Method::GET, &target).await?;
+        let sent = self.send_stream_request(Method::GET, &target);
+        let answered = unless_disconnected(&self.caller, sent).await?;
+        let (response, connection) = answered.ok_or(Failure::Broken)?;
         if response.status() != StatusCode::OK {
-            return None;
+            return Err(Failure::Broken);
         }
         self.duty.record_event(self.request.identity.id, RequestEvent::Resumed(events));
         self.duty.metrics().resumed_streams.inc();
         tracing::info!(event = "stream_resumed", request = %self.request.identity.id, events);
-        Some((response.into_body(), connection))
+        Ok((response.into_body(), connection))
     }
 
     /// Asks a back end that keeps the stream for a resume to drop it.
@@ -174,3 +178,15 @@
         within(RESUME_TIMEOUT, exchange).await.ok()?
     }
 }
+
+/// Runs a future for as long as the caller is connected.
+async fn unless_disconnected<T>(
+    caller: &ChunkSender,
+    future: impl Future<Output = T>,
+) -> Result<T, Failure> {
+    let disconnected = async {
+        caller.closed().await;
+        Err(Failure::CallerGone)
+    };
+    async { Ok(future.await) }.or(disconnected).await
+}
--- a/crates/testbed/tests/whole_answers.rs
+++ b/crates/testbed/tests/whole_answers.rs
@@ -1,8 +1,8 @@
 //! Every caller gets the complete answer to its own request or a visible error.
 
 use mastbay_testbed::{
-    Bed, BedOptions, CallError, CallOutcome, Load, LoadOptions, event_data, expected_answer,
-    wait_until,
+    Bed, BedOptions, CallError, CallOutcome, Load, LoadOptions, Process, event_data,
+    expected_answer, wait_until,
 };
 use std::time::Duration;
 
@@ -113,6 +113,33 @@
     });
 }
 
+/// Guards against streams that keep their slots until their deadlines because their engine is silent
+/// when their callers disconnect.
+#[test]
+fn a_caller_that_disconnects_from_a_silent_engine_frees_its_slot() {
+    run(async |bed| {
+        let callers: Vec<_> = (0..8)
+            .map(|_| {
+                let caller = bed.caller(0, "summaries");
+                smol::spawn(async move { caller.chat(PROMPT, 100_000, true).await })
+            })
+            .collect();
+        let admin = bed.machines[0].gateway_admin;
+        wait_until(Duration::from_secs(5), "all slots are taken", || async {
+            bed.get(admin, "/status").await["demand"][0]["running"] == 8
+        })
+        .await;
+        bed.engines.iter().for_each(Process::freeze);
+        // Dropping the tasks closes their connections.
+        drop(callers);
+        wait_until(Duration::from_secs(5), "all slots are free", || async {
+            bed.get(admin, "/status").await["demand"][0]["running"] == 0
+        })
+        .await;
+        bed.engines.iter().for_each(Process::wake);
+    });
+}
+
 #[test]
 fn many_callers_each_get_their_own_answer() {
     run(async |bed| {
