Let tenants above their share use three quarters of the slots despite earlier misses

Cause: while nothing is known of the pace of an engine's streams, the limit for tenants above their share was divided by the excess of missed objectives, down to half of the slots.

Change: misses alone leave the slots below SPARE_SLOT_FRACTION usable, the constant that engines beyond the ranks had (one copy now). A known slowdown cuts the limit as before. Only `concurrency = spare` uses it, which is off.

Tests: misses_alone_leave_three_quarters_of_the_slots_usable (quickcheck) fails on the code before.

--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -8,4 +8,4 @@
 
 pub use backlog::{Backlog, BacklogReport, ClassBacklog, OrderClass};
 pub use retry_delay::{DelayFigures, MAX_DELAY_FRACTION, RetryDelay};
-pub use spare_capacity::SpareCapacity;
+pub use spare_capacity::{SPARE_SLOT_FRACTION, SpareCapacity};
--- a/crates/routing/src/admission/spare_capacity.rs
+++ b/crates/routing/src/admission/spare_capacity.rs
@@ -12,6 +12,9 @@
 /// Slots that tenants above their share get at least, so that an engine that misses objectives
 /// for other reasons than load is not lost to them.
 const MIN_SLOTS: f64 = 2.0;
+/// Fraction of an engine's slots below which it has spare capacity for tenants above their share.
+/// The rest is for requests within their share that arrive before a slot is free again.
+pub const SPARE_SLOT_FRACTION: f64 = 0.75;
 /// Age of the figures in seconds: arrivals at other routers during one round are not known yet.
 const FIGURES_AGE: f64 = 0.08;
 
@@ -43,8 +46,11 @@
                     if misses > 1.0 { policy.strained_slowdown } else { policy.slowdown };
                 spare.max(initial) / (slowdown / accepted).max(1.0)
             }
-            // Misses alone do not show that the load causes them.
-            None => (spare / misses).max(initial),
+            // Misses alone do not show that the load causes them, least of all while slots are free.
+            None => {
+                let below_spare_fraction = slots * SPARE_SLOT_FRACTION - self.within_share();
+                (spare / misses).max(initial).max(below_spare_fraction)
+            }
         };
         limit.clamp(MIN_SLOTS.min(slots), slots)
     }
--- a/crates/routing/src/dispatch/overflow.rs
+++ b/crates/routing/src/dispatch/overflow.rs
@@ -3,6 +3,7 @@
 use super::Dispatcher;
 use super::candidate::{ScoredBackEnd, SelectionCriteria};
 use super::placement::is_cheap;
+use crate::admission::SPARE_SLOT_FRACTION;
 use crate::back_end::BackEndId;
 use crate::demand::Demand;
 use crate::engine::Engine;
@@ -19,9 +20,6 @@
 const MAX_OVERFLOW_SAMPLED: usize = 24;
 /// Engines with capacity that are scored of these.
 const MAX_OVERFLOW_SCORED: usize = 8;
-/// Fraction of an engine's slots below which it has spare capacity for tenants above their share.
-/// The rest is for requests within their share that arrive before a slot is free again.
-const SPARE_SLOT_FRACTION: f64 = 0.75;
 /// Samples without capacity after which no more are taken until [`FAILED_SAMPLES_PERIOD`] is over.
 /// Otherwise a full queue takes one for each waiting request whenever a slot becomes free.
 const MAX_FAILED_SAMPLES: u32 = 8;
--- a/crates/routing/tests/above_share.rs
+++ b/crates/routing/tests/above_share.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
-use mastbay_routing::{Admission, Dispatcher, Placement, RefusalReason};
+use mastbay_routing::{
+    Admission, Dispatcher, Load, Placement, Policy, RefusalReason, ServiceLevelCounts,
+    SpareCapacity,
+};
 use mastbay_types::Timestamp;
+use quickcheck::quickcheck;
 use support::{at, configuration, demand, dispatcher, prompt};
 
 /// Capacity of the service, in tokens per second.
@@ -57,3 +61,19 @@
         .expect("a prefix with another first engine");
     assert_ne!(place(&mut dispatcher, "large", other_prefix, 45).back_end.id, full);
 }
+
+quickcheck! {
+    /// Guards against refusing requests because others missed their objectives, while a quarter of
+    /// an engine's slots is free and nothing shows that its streams are slow.
+    fn misses_alone_leave_three_quarters_of_the_slots_usable(
+        slots: u8, within: u8, above: u8, requests: u16, missed: u16
+    ) -> bool {
+        let slots = u32::from(slots % 64) + 1;
+        let (within, above) = (u32::from(within) % slots, u32::from(above) % slots);
+        let load = Load { running: within + above, above_share: above, ..Load::default() };
+        let level = ServiceLevelCounts { requests: requests.into(), missed: missed.min(requests).into() };
+        let spare = SpareCapacity { slots, load, level, slowdown: None };
+        let is_usable = f64::from(load.running) + 1.0 <= f64::from(slots) * 0.75;
+        !is_usable || f64::from(above + 1) <= spare.limit(&Policy::default())
+    }
+}
