Try requests above share beside waiting ones only where spare capacity is the limit

So it holds where `concurrency = spare`, whose limit keeps slots for requests within their share, as in the test of the known failures. The test a_request_for_a_free_engine_is_placed_while_others_wait_for_a_full_one uses that policy now; nothing else of it changed.

--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -6,6 +6,7 @@
 };
 use crate::demand::{Demand, TicketId};
 use crate::engine::Engine;
+use crate::policy::ConcurrencyPolicy;
 use crate::share_class::ShareClass;
 use crate::waiting::{Waiter, WaitingQueue};
 use mastbay_types::Timestamp;
@@ -30,9 +31,11 @@
         let ticket = self.new_ticket();
         let is_retry = !demand.tried.is_empty();
         let is_above_share = self.share_class(now, &demand) == ShareClass::AboveShare;
-        // Requests of tenants above their share never wait, and those that do are offered each free
-        // slot first.
-        let placed = if !has_waiters || is_retry || is_above_share {
+        // Requests of tenants above their share never wait. They may take what those that wait leave,
+        // if the limit for them leaves these enough.
+        let may_pass_waiters =
+            is_above_share && self.limits.policy.concurrency == ConcurrencyPolicy::Spare;
+        let placed = if !has_waiters || is_retry || may_pass_waiters {
             self.try_place(now, ticket, &demand, false)
         } else {
             None
--- a/crates/routing/tests/above_share.rs
+++ b/crates/routing/tests/above_share.rs
@@ -3,12 +3,12 @@
 mod support;
 
 use mastbay_routing::{
-    Admission, Dispatcher, Load, Placement, Policy, RefusalReason, ServiceLevelCounts,
-    SpareCapacity,
+    Admission, ConcurrencyPolicy, Dispatcher, DispatcherLimits, Load, Placement, Policy,
+    RefusalReason, ServiceLevelCounts, SpareCapacity,
 };
 use mastbay_types::Timestamp;
 use quickcheck::quickcheck;
-use support::{at, configuration, demand, dispatcher, prompt};
+use support::{address, at, configuration, demand, limits, list, peer, prompt};
 
 /// Capacity of the service, in tokens per second.
 const CAPACITY: u64 = 10_000;
@@ -36,8 +36,11 @@
 /// a different engine.
 #[test]
 fn a_request_for_a_free_engine_is_placed_while_others_wait_for_a_full_one() {
-    let mut dispatcher = dispatcher(1, 12, 1);
+    let policy = Policy { concurrency: ConcurrencyPolicy::Spare, ..Policy::default() };
+    let mut dispatcher =
+        Dispatcher::new(DispatcherLimits { policy, ..limits() }, peer(1), address(1));
     dispatcher.on_configuration(&configuration(Some(CAPACITY)));
+    dispatcher.on_back_ends(at(0), &list(1, 12, 1));
     for request in 1..=40 {
         let served = place(&mut dispatcher, "large", 9, request);
         dispatcher.on_end(time_of(request), served.ticket, Ok(()));
