Report slots that become free at full engines after half a round

Cause: a slot that becomes free at a full engine stands empty until the router whose request ended there has one for it, or tells the others with its next digest: 40 ms on average of the 1.6 s that a request takes.

Nothing is sent more while engines have room, nor in fleets with aggregators.

Tests: freed_slots.rs.

--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use mastbay_routing::{Outgoing, PeerMessage, ROUND_PERIOD};
+use mastbay_routing::{EARLY_ROUND_PERIOD, Outgoing, PeerMessage, ROUND_PERIOD};
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,12 +30,20 @@
 pub async fn send_rounds(router: Rc<Router>, socket: Rc<UdpSocket>) {
     loop {
         send_round(&router, &socket).await;
-        // A round is sent early when an update comes into force.
-        let period = router.runtime.until_aligned_tick(ROUND_PERIOD);
-        let _ = router.runtime.within(period, router.update_signal.notified()).await;
+        let is_updated = wait_for_update(&router, EARLY_ROUND_PERIOD).await;
+        if !is_updated && !router.dispatcher.borrow().has_unreported_slots() {
+            wait_for_update(&router, ROUND_PERIOD - EARLY_ROUND_PERIOD).await;
+        }
     }
 }
 
+/// Waits for the next aligned tick after `period`, or until an update comes into force. Returns
+/// whether there was one.
+async fn wait_for_update(router: &Router, period: Duration) -> bool {
+    let period = router.runtime.until_aligned_tick(period);
+    router.runtime.within(period, router.update_signal.notified()).await.is_ok()
+}
+
 async fn send_round(router: &Rc<Router>, socket: &UdpSocket) {
     let seeds = seeds(router);
     let phase = router.phase();
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -23,6 +23,9 @@
 
 /// Interval between rounds of messages.
 pub const ROUND_PERIOD: Duration = Duration::from_millis(80);
+/// Time after a round at which the next one is sent early, see
+/// [`Dispatcher::has_unreported_slots`](super::Dispatcher::has_unreported_slots).
+pub const EARLY_ROUND_PERIOD: Duration = Duration::from_millis(40);
 /// Age at which received stats expire: several rounds, because datagrams may be lost.
 const STATS_TTL: Duration = Duration::from_millis(700);
 /// Minimum silence after which a peer expires and no longer counts as a router that spends retry
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod fair_level;
 mod fleet;
 mod fleet_admission;
+mod freed_slots;
 mod messages;
 mod overflow;
 mod peers;
@@ -64,6 +65,7 @@
 use fair_level::Shares;
 use fleet::Fleet;
 use fleet_admission::FleetAdmission;
+use freed_slots::FreedSlots;
 use mastbay_types::Timestamp;
 use overflow::FailedSamples;
 use performance::FleetPerformance;
@@ -76,7 +78,7 @@
 use std::time::Duration;
 
 pub use aggregation::Role;
-pub use fleet::{HEAVIEST_TENANTS, NewPeer, ROUND_PERIOD};
+pub use fleet::{EARLY_ROUND_PERIOD, HEAVIEST_TENANTS, NewPeer, ROUND_PERIOD};
 pub use messages::{
     Admission, AdmissionResults, DispatcherLimits, ExcludedBackEnds, Placement, Refusal,
     RefusalDetails, RefusalReason,
@@ -116,6 +118,7 @@
     idle_connections: HashSet<BackEndId>,
     waiting: HashMap<String, WaitingQueue>,
     running: HashMap<TicketId, Running>,
+    freed_slots: FreedSlots,
     budgets: HashMap<String, RetryBudget>,
     usage: Usage,
     fleet: Fleet,
@@ -163,6 +166,7 @@
             idle_connections: HashSet::new(),
             waiting: HashMap::new(),
             running: HashMap::new(),
+            freed_slots: FreedSlots::default(),
             budgets: HashMap::new(),
             usage,
             fleet: Fleet::new(me, snapshots),
@@ -424,6 +428,7 @@
             Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
         }
         let Some(engine) = self.engines.get_mut(&running.back_end) else { return false };
+        self.freed_slots.on_end(engine);
         engine.own.remove(running.load);
         match outcome {
             Ok(()) => {
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -65,6 +65,7 @@
 
     /// Returns this router's digest for all peers of a mesh.
     pub fn digest(&mut self, now: Timestamp, phase: RouterPhase) -> Digest {
+        self.freed_slots.on_report();
         let own = self.own_state(phase);
         let stats = self.own_stats(now);
         self.fleet.digest(own, stats)
@@ -79,6 +80,7 @@
         seeds: &[SocketAddr],
     ) -> Vec<Outgoing> {
         self.expire_peers(now);
+        self.freed_slots.on_report();
         self.refresh_performance(now);
         self.refresh_ranked_speeds(now);
         self.engines.retain_busy(|engine| engine.has_own_stats(now));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -71,8 +71,9 @@
 };
 pub use directory::BackEndDirectory;
 pub use dispatch::{
-    Admission, AdmissionResults, Dispatcher, DispatcherLimits, ExcludedBackEnds, HEAVIEST_TENANTS,
-    NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails, RefusalReason, Role, SpeedChange,
+    Admission, AdmissionResults, Dispatcher, DispatcherLimits, EARLY_ROUND_PERIOD,
+    ExcludedBackEnds, HEAVIEST_TENANTS, NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails,
+    RefusalReason, Role, SpeedChange,
 };
 pub use engine_key::{EngineKey, ParseEngineKeyError};
 pub use evacuation::EvacuatedZones;
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -4,9 +4,9 @@
 
 use mastbay_routing::{
     Admission, AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand,
-    Dispatcher, DispatcherLimits, EngineLimits, ExposureLimits, Limits, PeerId, Placement, Policy,
-    Prompt, PromptPart, RouterPhase, RoutingConfiguration, Service, TicketId, WarmupLimits,
-    ZoneRegions,
+    Dispatcher, DispatcherLimits, EARLY_ROUND_PERIOD, EngineLimits, ExposureLimits, Limits, PeerId,
+    Placement, Policy, Prompt, PromptPart, RouterPhase, RoutingConfiguration, Service, TicketId,
+    WarmupLimits, ZoneRegions,
 };
 use mastbay_types::Timestamp;
 use rand::{Rng, RngExt, SeedableRng};
@@ -83,6 +83,8 @@
     Arrival,
     Poll(usize),
     SendDigest(usize),
+    /// Time at which a router may send its next digest early.
+    CheckSlots(usize),
     Begin(usize, TicketId),
     End(usize, TicketId),
 }
@@ -195,7 +197,20 @@
                 self.poll(router);
                 self.schedule(POLL_INTERVAL, Event::Poll(router));
             }
-            Event::SendDigest(router) => self.send_digest(router),
+            Event::SendDigest(router) => {
+                self.send_digest(router);
+                let peers = self.scenario.routers as f64 - 1.0;
+                let factor = (peers / PEERS_AT_FULL_RATE).max(1.0);
+                self.schedule(DIGEST_INTERVAL.mul_f64(factor), Event::SendDigest(router));
+                if factor <= 1.0 {
+                    self.schedule(EARLY_ROUND_PERIOD, Event::CheckSlots(router));
+                }
+            }
+            Event::CheckSlots(router) => {
+                if self.dispatchers[router].has_unreported_slots() {
+                    self.send_digest(router);
+                }
+            }
             Event::Begin(router, ticket) => {
                 self.dispatchers[router].on_first_event(self.now, ticket);
             }
@@ -293,9 +308,6 @@
                 peer.on_digest(received, digest.clone());
             }
         }
-        let peers = self.scenario.routers as f64 - 1.0;
-        let factor = (peers / PEERS_AT_FULL_RATE).max(1.0);
-        self.schedule(DIGEST_INTERVAL.mul_f64(factor), Event::SendDigest(router));
     }
 }
 
