Don't report a back end as unreachable that answered others meanwhile (gateway)

What callers saw: a back end that is alive gets no requests of any gateway for a second, since one connect to it timed out.

Cause: `record_unreachable` was called for each failed connect, and the scheduler pauses the back end for all.

Change: the demand counts what each back end sent; a failed connect is reported only if nothing came since it began. A refused connect fails at once, so it is reported as before.

Test: a_back_end_that_answers_others_is_not_paused_for_a_connection_that_timed_out (both cases); the case with answers can't be told on the code before, which has no such argument.

--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -196,10 +196,15 @@
         counter.inc_by(u64::try_from(more.0).unwrap_or(0));
     }
 
-    /// Records that a connection to a back end failed.
-    pub fn record_unreachable(&self, cell: &CellId, backend: &BackendName) {
+    /// Returns how many times a back end sent events or an answer to this gateway.
+    pub fn responses(&self, cell: &CellId, backend: &BackendName) -> u64 {
+        self.lock().demands.get(cell).map_or(0, |demand| demand.responses(backend))
+    }
+
+    /// Records that a connection to a back end failed, which had sent `responses` when it began.
+    pub fn record_unreachable(&self, cell: &CellId, backend: &BackendName, responses: u64) {
         if let Some(demand) = self.lock().demands.get_mut(cell) {
-            demand.note_unreachable(backend);
+            demand.note_unreachable(backend, responses);
         }
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -213,6 +213,7 @@
         };
         self.record_event(RequestEvent::Sending);
         let started = Instant::now();
+        let responses = self.duty.responses(&self.request.cell, &assignment.backend);
         let span = HopSpan::start("backend", self.span.context(), &mut self.duty.node().random());
         let trace = span.context();
         let answer = self.attempt_unless_disconnected(backend.address, trace).await;
@@ -228,7 +229,13 @@
         span.finish(&id, &result.map_or_else(|failure| failure.to_string(), |()| "ok".to_owned()));
         match result {
             Ok(()) => self.exchange.answered(),
-            Err(failure) => self.after_failed_attempt(failure, &assignment, started),
+            Err(failure) => {
+                if failure == Failure::Connect {
+                    let (cell, backend) = (&self.request.cell, &assignment.backend);
+                    self.duty.record_unreachable(cell, backend, responses);
+                }
+                self.after_failed_attempt(failure, started)
+            }
         }
     }
 
@@ -252,15 +259,7 @@
         attempt.or(disconnected).await
     }
 
-    fn after_failed_attempt(
-        &mut self,
-        failure: Failure,
-        assignment: &Assignment,
-        started: Instant,
-    ) -> Step {
-        if failure == Failure::Connect {
-            self.duty.record_unreachable(&self.request.cell, &assignment.backend);
-        }
+    fn after_failed_attempt(&mut self, failure: Failure, started: Instant) -> Step {
         let sent = self.exchange.stage() >= Stage::Sent;
         let step = self.on_failure(failure);
         if matches!(step, Step::Finish(_)) && self.stream.is_none() && sent {
--- a/crates/grants/src/demand.rs
+++ b/crates/grants/src/demand.rs
@@ -82,6 +82,8 @@
     waiting: usize,
     running: BTreeMap<RequestId, Running>,
     running_by_backend: BTreeMap<BackendName, u32>,
+    /// Number of times that each back end sent events or an answer.
+    responses: BTreeMap<BackendName, u64>,
     unreachable: BTreeSet<BackendName>,
     /// Tenants and back ends that changed since the last report.
     changed_tenants: BTreeSet<TenantName>,
@@ -105,6 +107,7 @@
             waiting: 0,
             running: BTreeMap::new(),
             running_by_backend: BTreeMap::new(),
+            responses: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             changed_tenants: BTreeSet::new(),
             changed_backends: BTreeSet::new(),
@@ -214,6 +217,7 @@
     /// Adds the cost of service that a running request received since the last call.
     pub fn progress(&mut self, request: RequestId, cost: Cost) {
         let Some(running) = self.running.get_mut(&request) else { return };
+        *self.responses.entry(running.backend.clone()).or_default() += 1;
         running.delivered += cost;
         let excess = running.delivered.minus(running.charged);
         if excess <= Cost::ZERO {
@@ -231,6 +235,9 @@
         let ledger = self.ledger(&running.tenant);
         ledger.charge(total.minus(running.charged));
         ledger.finish(learn.then_some(total));
+        if learn {
+            *self.responses.entry(running.backend.clone()).or_default() += 1;
+        }
         if let Some(count) = self.running_by_backend.get_mut(&running.backend) {
             *count = count.saturating_sub(1);
         }
@@ -238,8 +245,18 @@
         self.raise_urgency(Urgency::Medium);
     }
 
-    /// Records a failed connection to `backend` for the next report.
-    pub fn note_unreachable(&mut self, backend: &BackendName) {
+    /// Returns how many times a back end sent events or an answer to this gateway.
+    pub fn responses(&self, backend: &BackendName) -> u64 {
+        self.responses.get(backend).copied().unwrap_or(0)
+    }
+
+    /// Records a failed connection to `backend` for the next report, unless the back end has sent
+    /// something since [`Self::responses`] was `before`: then it is alive, and only its accept queue
+    /// is full.
+    pub fn note_unreachable(&mut self, backend: &BackendName, before: u64) {
+        if self.responses(backend) > before {
+            return;
+        }
         self.unreachable.insert(backend.clone());
         self.changed_backends.insert(backend.clone());
         self.raise_urgency(Urgency::High);
--- a/crates/grants/src/tests.rs
+++ b/crates/grants/src/tests.rs
@@ -278,3 +278,23 @@
         assert_eq!(moved, moves, "from {holder} to {successor}");
     }
 }
+
+// Guards against pausing a back end that is alive, because its accept queue was full for a moment.
+#[test]
+fn a_back_end_that_answers_others_is_not_paused_for_a_connection_that_timed_out() {
+    for (answers_meanwhile, expected) in [(true, 1), (false, 0)] {
+        let mut fixture = Fixture::new(1, 3);
+        let (tenant, engine) = (TenantName::from("office"), BackendName::from("engine"));
+        fixture.gateways[0].1.enqueue(&tenant, request(0));
+        fixture.exchange(5);
+        let demand = &mut fixture.gateways[0].1;
+        let before = demand.responses(&engine);
+        if answers_meanwhile {
+            demand.progress(request(0), Cost(1));
+        }
+        demand.note_unreachable(&engine, before);
+        fixture.exchange(1);
+        fixture.gateways[0].1.enqueue(&tenant, request(1));
+        assert_eq!(fixture.exchange(3), expected, "answers meanwhile: {answers_meanwhile}");
+    }
+}
