--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -4,6 +4,7 @@
 use crate::body_budget::{BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::broken_connections;
 use crate::call::Call;
+use crate::event_splitter::{EventSplitter, events_of};
 use crate::headers::is_delimited;
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::own_answers::record_end;
@@ -27,8 +28,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Copies of a large event in memory: in the read buffer, in the splitter, as a complete event, and
 /// in hyper's write buffer.
 const EVENT_COPIES: u64 = 4;
@@ -37,59 +36,6 @@
 /// Maximum number of times that a stream is resumed.
 const MAX_RESUMES: u32 = 2;
 
-/// Splits a byte stream after complete events, which end with an empty line.
-#[derive(Debug, Default)]
-pub struct EventSplitter {
-    partial: BytesMut,
-}
-
-impl EventSplitter {
-    /// Appends bytes and returns all complete events in one buffer, if there are any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.partial.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.partial)?;
-        Some(self.partial.split_to(end).freeze())
-    }
-
-    fn buffered_bytes(&self) -> usize {
-        self.partial.len()
-    }
-
-    /// Returns whether an incomplete event is buffered.
-    pub fn is_inside_event(&self) -> bool {
-        !self.partial.is_empty()
-    }
-
-    fn exceeds_limit(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
-    }
-
-    fn clear(&mut self) {
-        self.partial.clear();
-    }
-}
-
-/// Iterates over the single events in a buffer of complete events.
-pub fn events_of(bytes: &Bytes) -> impl Iterator<Item = Bytes> {
-    let mut rest = bytes.clone();
-    std::iter::from_fn(move || {
-        let end = end_of_first_event(&rest)?;
-        Some(rest.split_to(end))
-    })
-}
-
-fn end_of_first_event(bytes: &[u8]) -> Option<usize> {
-    let feeds = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let returns = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    feeds.into_iter().chain(returns).min()
-}
-
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let feeds = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    feeds.into_iter().chain(returns).max()
-}
-
 /// A stream that is being relayed.
 pub struct Relay {
     router: Rc<Router>,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,16 +10,15 @@
 use crate::metrics::RouterMetrics;
 use crate::overflow::{OverflowOutcome, OverflowRecorder};
 use crate::pool::Pool;
-use crate::runtime::{ALIGNED_TICK_INTERVAL, MIN_TICK_INTERVAL, Runtime};
+use crate::runtime::{ALIGNED_TICK_INTERVAL, Runtime};
 use crate::settings::RouterSettings;
 use crate::snapshot_serving::TransferLimiter;
 use crate::snapshots::EncodedSnapshots;
-use crate::update_signal::{Origin, UpdateSignal};
+use crate::update_signal::UpdateSignal;
 use mastbay_routing::{
-    BackEndId, BackEndUpdate, Dispatcher, DispatcherLimits, EvacuatedZones, OutageDetector,
-    OverloadGuard, PeerId, Placement, Quarantine, Refusal, Revision, RolloutRecord, Rollouts,
-    RouteTable, RouterPhase, RoutingConfiguration, SourceCondition, SourceContact, StallDetector,
-    StartingRouter, Tick, TicketId, UsableChanges, watch_timeout,
+    BackEndId, Dispatcher, DispatcherLimits, OutageDetector, OverloadGuard, PeerId, Placement,
+    Quarantine, Refusal, Revision, RolloutRecord, RouteTable, RouterPhase, SourceCondition,
+    SourceContact, StallDetector, StartingRouter, TicketId, watch_timeout,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
@@ -65,13 +64,13 @@
     log_limiter: RefCell<LogRateLimiter>,
     pub(crate) bodies: BodyBudget,
     pub(crate) stopping: Cell<bool>,
-    overload: RefCell<OverloadGuard>,
-    overflow: RefCell<OverflowRecorder>,
-    outage: RefCell<OutageDetector>,
+    pub(crate) overload: RefCell<OverloadGuard>,
+    pub(crate) overflow: RefCell<OverflowRecorder>,
+    pub(crate) outage: RefCell<OutageDetector>,
     /// The last logged condition of the source.
-    source_condition: Cell<SourceCondition>,
+    pub(crate) source_condition: Cell<SourceCondition>,
     /// The first list of back ends came from a source that was once restored from an older copy.
-    started_from_restored: Cell<bool>,
+    pub(crate) started_from_restored: Cell<bool>,
     pub(crate) broken: BrokenConnections,
     pub(crate) quarantine: RefCell<Quarantine>,
     /// A peer has newer versions, but fetching them failed.
@@ -80,7 +79,7 @@
     pub(crate) update_signal: UpdateSignal,
     pub(crate) stop: StopSignal,
     pub(crate) open: OpenConnections,
-    stall_detector: Cell<StallDetector>,
+    pub(crate) stall_detector: Cell<StallDetector>,
     started: Timestamp,
 }
 
@@ -180,107 +179,17 @@
         self.stall_detector.set(stall_detector);
     }
 
-    /// Applies a configuration if it is newer than the one in force.
-    pub fn offer_configuration(&self, offered: RoutingConfiguration, origin: Origin) {
-        let applied = self.catalogue.borrow_mut().offer_configuration(offered);
-        if let Some(table) = applied {
-            self.dispatcher.borrow_mut().on_configuration(table.configuration());
-            events::configuration_in_force(&table, origin);
-            self.notify_peers(origin);
-        }
-    }
-
-    /// Applies an update of the back ends, a full list or changes, if it is newer.
-    pub fn offer_back_ends(&self, offered: impl Into<BackEndUpdate>, origin: Origin) {
-        let offered: BackEndUpdate = offered.into();
-        let now = self.now();
-        let grace_ends = match origin {
-            Origin::Source => self.outage.borrow().grace_ends(now),
-            Origin::Peer(_) | Origin::Expiry => None,
-        };
-        let is_first = self.catalogue.borrow().back_ends().revision().is_none();
-        if is_first && origin == Origin::Source {
-            self.started_from_restored.set(offered.revision.era > 0);
-        }
-        let applied = self.catalogue.borrow_mut().offer_back_ends(now, grace_ends, offered);
-        if let Some(changes) = applied {
-            self.apply_back_ends(&changes, origin);
-            self.notify_peers(origin);
-        }
-    }
-
-    /// Applies evacuated zones if they are newer than the known ones.
-    pub fn offer_evacuations(&self, offered: EvacuatedZones, origin: Origin) {
-        let applied = self.catalogue.borrow_mut().offer_evacuations(self.now(), &offered);
-        if let Some(evacuated) = applied {
-            self.apply_evacuations(&evacuated, origin);
-            self.notify_peers(origin);
-        }
-    }
-
-    fn apply_evacuations(&self, evacuated: &EvacuatedZones, origin: Origin) {
-        self.dispatcher.borrow_mut().on_evacuations(evacuated);
-        events::evacuations_known(evacuated, origin);
-        self.poll_waiting();
-    }
-
-    /// Applies roll-out orders if they are newer than the known ones.
-    pub fn offer_rollouts(&self, offered: Rollouts, origin: Origin) {
-        if !self.catalogue.borrow_mut().offer_rollouts(&offered) {
-            return;
-        }
-        self.dispatcher.borrow_mut().on_rollouts(self.now(), &offered);
-        events::rollouts_known(&offered, origin);
-        self.notify_peers(origin);
-        self.poll_waiting();
-    }
-
     /// Evaluates roll-outs by the counts of the fleet. Returns the states to record at the source.
     pub fn evaluate_rollouts(&self) -> Vec<RolloutRecord> {
         self.dispatcher.borrow_mut().evaluate_rollouts(self.now())
     }
 
-    fn check_stall(&self, now: Timestamp) {
-        let mut stall_detector = self.stall_detector.get();
-        if let Some(lasted) = stall_detector.on_tick(now) {
-            events::stood_still(lasted);
-        }
-        self.stall_detector.set(stall_detector);
-    }
-
-    fn check_outage(&self, now: Timestamp) {
-        let mut outage = self.outage.borrow_mut();
-        outage.observe(now, self.dispatcher.borrow().source_availability(now));
-        let condition = outage.condition(now);
-        if self.source_condition.replace(condition) != condition {
-            let contact = self.dispatcher.borrow().source_contact();
-            events::source_condition(condition, contact);
-            self.metrics.on_source_condition(condition);
-        }
-    }
-
     /// Tells the dispatcher whether there is an idle connection to a back end.
     pub(crate) fn update_idle_connection(&self, id: &BackEndId) {
         let has_idle = self.pool.has_idle(id);
         self.dispatcher.borrow_mut().set_idle_connection(id, has_idle);
     }
 
-    fn apply_back_ends(&self, changes: &UsableChanges, origin: Origin) {
-        self.dispatcher.borrow_mut().on_back_end_changes(self.now(), changes);
-        self.pool.remove(&changes.removed);
-        self.metrics.set_back_ends_kept(self.catalogue.borrow().back_ends().kept());
-        events::back_ends_known(self.catalogue.borrow().back_ends(), changes, origin);
-        self.poll_waiting();
-    }
-
-    /// Wakes the task that sends updates to peers, unless a peer sent this one: it reaches the
-    /// others from there.
-    fn notify_peers(&self, origin: Origin) {
-        if origin == Origin::Source {
-            self.update_signal.notify();
-        }
-    }
-
     /// Returns how long the next call to a source may wait for a change.
     ///
     /// The first call after the router begins to follow the source is answered at once: the router
@@ -392,19 +301,6 @@
         self.overflow.borrow_mut().record(outcome);
     }
 
-    /// Updates the metrics of connections that were not served normally, and logs them with at most
-    /// one line a second.
-    fn log_overflow(&self, now: Timestamp) {
-        let mut recorder = self.overflow.borrow_mut();
-        let full = self.open.take_refused();
-        self.metrics.on_full(full);
-        self.metrics.on_write_timeouts(self.open.take_write_timeouts());
-        recorder.record_full(full);
-        if let Some(counts) = recorder.take_due(now) {
-            events::connections_overflowed(counts, self.overload.borrow().lateness());
-        }
-    }
-
     /// Returns whether the router accepts connections from overloaded peers.
     pub(crate) fn accepts_offloaded(&self) -> bool {
         self.is_ready()
@@ -463,69 +359,4 @@
         }
         is_written
     }
-
-    /// Delivers the results of admission to waiting requests.
-    pub(crate) fn poll_waiting(&self) {
-        if !self.dispatcher.borrow().has_waiting() {
-            return;
-        }
-        let results = self.dispatcher.borrow_mut().poll(self.now(), rand::random());
-        for (ticket, result) in results {
-            if let Some(sender) = self.waiting.borrow_mut().remove(&ticket) {
-                // If the caller is gone, its dropped ticket releases the placement.
-                let _ = sender.try_send(result);
-            }
-        }
-    }
-
-    /// Runs the periodic tick and polls waiting requests for as long as the router runs.
-    pub(crate) async fn run_ticks(self: Rc<Self>) {
-        loop {
-            let period = self.tick_period();
-            let due = self.now() + period;
-            self.runtime.sleep(period).await;
-            let now = self.now();
-            self.on_tick(now, period, now.since(due));
-            self.poll_waiting();
-        }
-    }
-
-    /// Returns the time until the next tick: short while requests wait or under pressure.
-    fn tick_period(&self) -> Duration {
-        let is_under_pressure =
-            self.overload.borrow().is_under_pressure() || self.phase() == RouterPhase::Shedding;
-        if is_under_pressure || self.dispatcher.borrow().has_waiting() {
-            MIN_TICK_INTERVAL
-        } else {
-            self.runtime.until_aligned_tick(ALIGNED_TICK_INTERVAL)
-        }
-    }
-
-    fn on_tick(&self, now: Timestamp, period: Duration, lag: Duration) {
-        self.check_stall(now);
-        self.check_outage(now);
-        let expired = self.catalogue.borrow_mut().expire_back_ends(now);
-        if let Some(changes) = expired {
-            self.apply_back_ends(&changes, Origin::Expiry);
-        }
-        let expired = self.catalogue.borrow_mut().expire_evacuations(now);
-        if let Some(evacuated) = expired {
-            self.apply_evacuations(&evacuated, Origin::Expiry);
-        }
-        self.dispatcher.borrow_mut().on_lag(now, lag);
-        self.metrics.set_backing_off(self.dispatcher.borrow().backing_off(now));
-        self.metrics.set_fleet_backlog(self.dispatcher.borrow_mut().fleet_backlog(now));
-        let max = self.settings.max_connections() as f64;
-        let tick = Tick {
-            period,
-            lag,
-            connections: self.open.count() as f64 / max,
-            peers: self.dispatcher.borrow().peer_capacity(),
-        };
-        let changed = self.overload.borrow_mut().on_tick(now, tick);
-        if let Some(shedding) = changed {
-            events::overload(shedding, self.overload.borrow().lateness(), tick);
-        }
-        self.log_overflow(now);
-    }
 }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod aggregation;
 mod announced;
+mod back_end_changes;
 mod candidate;
 mod cold_engines;
 mod engines;
@@ -21,9 +22,11 @@
 mod placement;
 mod preferred_engines;
 mod prefix_ranks;
+mod progress;
 mod ranked_speeds;
 mod ranking_cost;
 mod releases;
+mod reservation;
 mod reuse;
 mod rollout_request;
 mod running;
@@ -33,8 +36,7 @@
 mod transfers;
 
 use crate::announcements::Announcements;
-use crate::back_end::{BackEnd, BackEndId, BackEndList};
-use crate::back_end_update::UsableChanges;
+use crate::back_end::{BackEnd, BackEndId};
 use crate::budget::RetryBudget;
 use crate::concurrency::UnloadedEventInterval;
 use crate::configuration::{EngineLimits, RoutingConfiguration};
@@ -46,12 +48,9 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::first_event::FirstEventEstimator;
 use crate::gossip::GossipQueue;
-use crate::health::Fault;
 use crate::load::Load;
-use crate::performance::StreamProgress;
 use crate::policy::Policy;
 use crate::prefix_demand::PrefixDemand;
-use crate::prompt::Prompt;
 use crate::quarantine::{ProbeSlot, Relaying};
 use crate::revision::Revision;
 use crate::rollout::RolloutRegistry;
@@ -59,7 +58,6 @@
 use crate::source_watchers::SourceContact;
 use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
-use candidate::{ScoredBackEnd, SelectionCriteria};
 use cold_engines::HeldColdEngines;
 use engines::Engines;
 use fair_level::Shares;
@@ -75,7 +73,6 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 pub use aggregation::Role;
 pub use fleet::{EARLY_ROUND_PERIOD, HEAVIEST_TENANTS, NewPeer, ROUND_PERIOD};
@@ -85,11 +82,6 @@
 };
 pub use performance::SpeedChange;
 
-/// Event-loop lag up to which measured times are attributed to the back ends.
-const TOLERATED_LAG: Duration = Duration::from_millis(15);
-/// Time after a larger lag during which measured times are ignored.
-const LAG_RECOVERY: Duration = Duration::from_millis(600);
-
 /// Decides where and when a router's requests are served.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -202,72 +194,6 @@
             .collect();
     }
 
-    /// Applies added, changed and removed back ends.
-    pub fn on_back_end_changes(&mut self, now: Timestamp, changes: &UsableChanges) {
-        self.back_ends = changes.revision;
-        for id in &changes.removed {
-            self.engines.remove(id);
-            self.preferred.on_removed(id);
-            self.idle_connections.remove(id);
-        }
-        self.set_back_ends(now, &changes.updated);
-    }
-
-    /// Adds or updates back ends. The state that a back end announced itself overrides the listed
-    /// one.
-    fn set_back_ends(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
-        let usable = back_ends.iter().map(|listed| self.announcements.as_usable(listed.clone()));
-        let usable: Vec<BackEnd> = usable.collect();
-        self.set_engines(now, &usable);
-        for back_end in &usable {
-            self.preferred.on_set(&self.engines, back_end);
-        }
-        self.count_draining();
-    }
-
-    /// Replaces all back ends by those of `list`.
-    pub fn on_back_ends(&mut self, now: Timestamp, list: &BackEndList) {
-        let listed: HashSet<&BackEndId> =
-            list.back_ends.iter().map(|back_end| &back_end.id).collect();
-        let removed = self.engines.ids().filter(|id| !listed.contains(id)).cloned().collect();
-        let updated = list.back_ends.clone();
-        let revision = list.revision;
-        let changes = UsableChanges { revision, updated, removed, ..UsableChanges::default() };
-        self.on_back_end_changes(now, &changes);
-    }
-
-    /// Adds or updates back ends. The peers' load at new ones is added in a single pass over the
-    /// reported stats.
-    fn set_engines(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
-        let mut new = HashSet::new();
-        for back_end in back_ends {
-            let is_evacuated = self.evacuated.zones.contains(&back_end.zone);
-            let region = self.limits.regions.of(&back_end.zone);
-            self.engines.set(now, back_end.clone(), |known| {
-                let mut engine = known.unwrap_or_else(|| {
-                    let engine = Engine::new(now, back_end.clone());
-                    new.insert(engine.key);
-                    engine
-                });
-                engine.is_evacuated = is_evacuated;
-                engine.region = region;
-                engine
-            });
-        }
-        if !new.is_empty() {
-            self.add_reported_stats(&new);
-        }
-    }
-
-    /// Replaces the set of evacuated zones, whose back ends receive no new requests.
-    pub fn on_evacuations(&mut self, evacuated: &EvacuatedZones) {
-        self.evacuated = evacuated.clone();
-        self.preferred.clear();
-        self.engines.change_all(|engine| {
-            engine.is_evacuated = evacuated.zones.contains(&engine.back_end.zone);
-        });
-    }
-
     /// Returns a listed back end.
     pub fn back_end(&self, id: &BackEndId) -> Option<&BackEnd> {
         self.engines.get(id).map(|engine| &engine.back_end)
@@ -355,176 +281,10 @@
         self.budget(service).remaining(now, routers)
     }
 
-    /// Records that the router's event loop runs late by `lag`. After a large lag, measured times
-    /// reflect the router's delay and not that of the back ends, so they are ignored for a while.
-    pub fn on_lag(&mut self, now: Timestamp, lag: Duration) {
-        if lag > TOLERATED_LAG {
-            self.lagging_until = now + LAG_RECOVERY;
-        }
-    }
-
-    /// Records a request's first event, or its complete response if it has no events.
-    pub fn on_first_event(&mut self, now: Timestamp, ticket: TicketId) {
-        let Some(running) = self.running.get_mut(&ticket) else { return };
-        if std::mem::replace(&mut running.has_first_event, true) {
-            return;
-        }
-        running.observed = now;
-        let is_measured = self.limits.policy.performance.is_fleet() && running.is_measured();
-        let prefill = std::mem::take(&mut running.load.prefill);
-        let taken = now.since(running.sent);
-        if let Some(rollout_request) = &mut running.rollout_request {
-            rollout_request.on_first_event(taken);
-        }
-        let (predicted, work_ahead) = running.applicable_prediction(taken);
-        self.announcements.on_served(&running.back_end, running.sent);
-        let Some(engine) = self.engines.get_mut(&running.back_end) else { return };
-        engine.last_response = now;
-        engine.own.prefill.remove(prefill);
-        if now < self.lagging_until || engine.warmup.is_cold(now) {
-            return;
-        }
-        if let Some(transfer) = running.transfer {
-            let saved_time = transfer.has_saved_time(taken);
-            self.transfers.on_result(now, transfer.source, saved_time);
-        }
-        if let Some(due) = running.service_level_due {
-            engine.on_service(now, now <= due);
-        }
-        engine.latency_ratio =
-            placement::next_latency_ratio(engine.latency_ratio, predicted, taken);
-        let estimator = self.first_events.entry(engine.back_end.service.clone()).or_default();
-        if is_measured {
-            let alone = Duration::from_secs_f64(estimator.estimate(work_ahead) / 1e3);
-            engine.performance.observe_first_event(now, alone, taken);
-        }
-        estimator.observe(work_ahead, taken);
-        engine.limit.observe_first_event(now);
-        let back_end = running.back_end.clone();
-        self.adjust_limit(now, &back_end);
-    }
-
-    /// Records the end of a request, whether it succeeded, failed or was cancelled by its caller,
-    /// and releases its capacity. Returns whether a back end may have more free capacity than
-    /// before.
-    pub fn on_end(
-        &mut self,
-        now: Timestamp,
-        ticket: TicketId,
-        outcome: Result<(), Option<Fault>>,
-    ) -> bool {
-        let Some(running) = self.running.remove(&ticket) else {
-            self.waiting.values_mut().any(|queue| queue.remove(ticket).is_some());
-            return false;
-        };
-        self.record_release_end(now, &running, outcome);
-        self.observe_end(now, &running, outcome);
-        if outcome.is_ok() {
-            self.observe_slot_time(now, &running);
-        }
-        self.record_class_end(now, &running, outcome.is_ok());
-        match outcome {
-            Ok(()) => self.announcements.on_served(&running.back_end, running.sent),
-            Err(_) => self.announcements.on_not_served(&running.back_end, running.sent),
-        }
-        let Some(engine) = self.engines.get_mut(&running.back_end) else { return false };
-        self.freed_slots.on_end(engine);
-        engine.own.remove(running.load);
-        match outcome {
-            Ok(()) => {
-                engine.last_response = now;
-                engine.health.on_success(now);
-            }
-            Err(Some(fault)) => {
-                engine.health.on_fault(now, fault);
-                if matches!(fault, Fault::Unreachable | Fault::Replaced) {
-                    engine.clear_prompt_parts();
-                }
-            }
-            Err(None) => {}
-        }
-        true
-    }
-
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
         let (limits, burst_from) = (self.limits.budget, self.limits.burst_from);
         let fleet = &self.fleet;
         let budgets = self.budgets.entry(service.to_owned());
         budgets.or_insert_with(|| RetryBudget::new(limits, burst_from, fleet.draw(service)))
     }
-
-    /// Reserves capacity for a request at the best back end that has any. With `is_final_attempt`
-    /// set, it may also be placed where its first event will be late.
-    fn try_place(
-        &mut self,
-        now: Timestamp,
-        ticket: TicketId,
-        demand: &Demand,
-        is_final_attempt: bool,
-    ) -> Option<Placement> {
-        let class = self.share_class(now, demand);
-        let release = self.default_release(now, &demand.service);
-        let criteria = SelectionCriteria { class, is_final_attempt, release };
-        let scored = match self.best_of_canary(now, demand, &criteria) {
-            Some(scored) => scored,
-            None => self.best(now, demand, &criteria)?,
-        };
-        if !is_final_attempt && self.yields_to_peers(now, demand, &scored.id) {
-            return None;
-        }
-        let rollout_request = self.record_release(demand, &scored);
-        let expected_transfer = self.record_transfer(now, demand, &scored);
-        let stats_age = self.fleet.oldest_stats_age(now);
-        let service_level_due = self.service_level_due(demand, class, scored.uncached);
-        let ScoredBackEnd { id, predicted, uncached, work_ahead, choice, transfer, .. } = scored;
-        let speed = self.estimate(now, self.engines.get(&id)?).speed;
-        let load = demand.load(uncached, class);
-        let limit = self.concurrency_limit(now, self.engines.get(&id)?).round() as u32;
-        let engine = self.engines.get_mut_busy(&id)?;
-        let running = engine.load().running;
-        engine.own.add(load);
-        engine.warmup.on_sent(now);
-        engine.observe_fleet_interval(now);
-        self.announcements.on_sent(now, &id);
-        if let Some(prompt) = &demand.prompt {
-            engine.record_prompt(prompt, now);
-        }
-        let back_end = engine.back_end.clone();
-        if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
-            self.usage.on_given(now, tenant, prompt.cost());
-        }
-        let entry = Running {
-            back_end: id,
-            prefix: demand.prompt.as_ref().and_then(Prompt::prefix_key),
-            load,
-            order_class: self.record_class_placement(demand, class),
-            sent: now,
-            predicted,
-            work_ahead,
-            has_first_event: false,
-            service_level_due,
-            events: 0,
-            observed: now,
-            progress: StreamProgress::new(demand.pause_objective),
-            is_error: false,
-            rollout_request,
-            transfer: expected_transfer,
-        };
-        self.running.insert(ticket, entry);
-        let excluded = self.excluded(now, &demand.service);
-        Some(Placement {
-            ticket,
-            back_end,
-            predicted,
-            running,
-            limit,
-            uncached,
-            choice,
-            speed,
-            prefix_source: transfer.map(|transfer| transfer.address),
-            transferred: transfer.map_or(0, |transfer| transfer.tokens),
-            stats_age,
-            excluded,
-        })
-    }
 }
--- a/crates/testbed/tests/whole_answers.rs
+++ b/crates/testbed/tests/whole_answers.rs
@@ -1,9 +1,10 @@
 //! Every caller gets the complete answer to its own request or a visible error.
 
 use mastbay_testbed::{
-    Bed, BedOptions, CallError, CallOutcome, Load, LoadOptions, Process, event_data,
+    Answer, Bed, BedOptions, CallError, CallOutcome, Load, LoadOptions, Process, event_data,
     expected_answer, wait_until,
 };
+use smol::Task;
 use std::time::Duration;
 
 const PROMPT: &str = "Summarise the season at the Limay river for the wardens";
@@ -88,28 +89,35 @@
     });
 }
 
+/// Starts long streams through the first gateway until they take all slots of the engines.
+async fn take_all_slots(bed: &Bed) -> Vec<Task<Result<Answer, CallError>>> {
+    let callers = (0..8).map(|_| {
+        let caller = bed.caller(0, "summaries");
+        smol::spawn(async move { caller.chat(PROMPT, 100_000, true).await })
+    });
+    let callers = callers.collect();
+    wait_for_running(bed, 8, "all slots are taken").await;
+    callers
+}
+
+/// Waits until as many requests run at the first gateway.
+async fn wait_for_running(bed: &Bed, count: u64, what: &str) {
+    let admin = bed.machines[0].gateway_admin;
+    wait_until(Duration::from_secs(5), what, || async {
+        bed.get(admin, "/status").await["demand"][0]["running"] == count
+    })
+    .await;
+}
+
 #[test]
 fn a_caller_that_disconnects_frees_its_slot() {
     run(async |bed| {
-        let callers: Vec<_> = (0..8)
-            .map(|_| {
-                let caller = bed.caller(0, "summaries");
-                smol::spawn(async move { caller.chat(PROMPT, 100_000, true).await })
-            })
-            .collect();
-        let admin = bed.machines[0].gateway_admin;
-        wait_until(Duration::from_secs(5), "all slots are taken", || async {
-            bed.get(admin, "/status").await["demand"][0]["running"] == 8
-        })
-        .await;
+        let callers = take_all_slots(&bed).await;
         // Dropping the tasks closes their connections.
         drop(callers);
         let answer = bed.caller(1, "office").chat(PROMPT, 5, true).await.expect("an answer");
         assert_eq!(event_data(&answer.body), (expected_answer(PROMPT, 5), true));
-        wait_until(Duration::from_secs(5), "all slots are free", || async {
-            bed.get(admin, "/status").await["demand"][0]["running"] == 0
-        })
-        .await;
+        wait_for_running(&bed, 0, "all slots are free").await;
     });
 }
 
@@ -118,24 +126,11 @@
 #[test]
 fn a_caller_that_disconnects_from_a_silent_engine_frees_its_slot() {
     run(async |bed| {
-        let callers: Vec<_> = (0..8)
-            .map(|_| {
-                let caller = bed.caller(0, "summaries");
-                smol::spawn(async move { caller.chat(PROMPT, 100_000, true).await })
-            })
-            .collect();
-        let admin = bed.machines[0].gateway_admin;
-        wait_until(Duration::from_secs(5), "all slots are taken", || async {
-            bed.get(admin, "/status").await["demand"][0]["running"] == 8
-        })
-        .await;
+        let callers = take_all_slots(&bed).await;
         bed.engines.iter().for_each(Process::freeze);
         // Dropping the tasks closes their connections.
         drop(callers);
-        wait_until(Duration::from_secs(5), "all slots are free", || async {
-            bed.get(admin, "/status").await["demand"][0]["running"] == 0
-        })
-        .await;
+        wait_for_running(&bed, 0, "all slots are free").await;
         bed.engines.iter().for_each(Process::wake);
     });
 }
