Tell callers at once when no back end can be reached, and when one is tried again

What callers saw: when connecting to all back ends of a service had failed, they were kept for a quarter of their objective, told `no_room`, and to come back in up to 2.5 s, though the next attempt to connect is due in 0.4 s. Seen with the known failure of unread streams, where the reason hid the cause.

Cause: a back end that cools down after a failed connect was just no candidate, the same as a full one.

Change: if all back ends that may serve a request cool down so, and none is tried again before the request may wait no longer, it is refused at once (`reason=unreachable`) with the time until the first one is tried again, and some spread. One that is tried again soon is waited for as before.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -286,7 +286,7 @@
     fn give_up(&self, reason: &'static str) -> ExchangeResult {
         let now = self.router.now();
         let dispatcher = self.router.dispatcher.borrow();
-        let until = dispatcher.until_backoff_ends(now, &self.call.demand(), rand::random());
+        let until = dispatcher.until_available(now, &self.call.demand(), rand::random());
         self.give_up_with_retry_after(until.unwrap_or(REJECTED_RETRY_AFTER), reason)
     }
 
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -153,8 +153,8 @@
     ) -> Refusal {
         let remaining = demand.deadline.since(now).mul_f64(RETRY_AFTER_FRACTION);
         let default_delay = remaining.min(MAX_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw);
-        let backoff_delay = self.until_backoff_ends(now, demand, draw);
-        let retry_after = backoff_delay
+        let until_available = self.until_available(now, demand, draw);
+        let retry_after = until_available
             .or_else(|| self.backlog_delay(now, demand, reason, draw))
             .unwrap_or(default_delay);
         let excluded = self.excluded(now, &demand.service);
@@ -162,15 +162,12 @@
     }
 
     /// Returns the time until one of the back ends that may serve `demand` accepts requests again,
-    /// if all of them are backing off. A random delay is added so that callers do not return all at
-    /// once. `draw` is uniform in 0..1.
-    pub fn until_backoff_ends(
-        &self,
-        now: Timestamp,
-        demand: &Demand,
-        draw: f64,
-    ) -> Option<Duration> {
-        let remaining = self.earliest_backoff_end(now, demand)?.since(now);
+    /// if all of them are backing off or cannot be reached. A random delay is added so that callers
+    /// do not return all at once. `draw` is uniform in 0..1.
+    pub fn until_available(&self, now: Timestamp, demand: &Demand, draw: f64) -> Option<Duration> {
+        let backoff_end = self.earliest_backoff_end(now, demand);
+        let earliest = backoff_end.or_else(|| self.earliest_reconnect(now, demand))?;
+        let remaining = earliest.since(now);
         let spread =
             remaining.mul_f64(RETURN_SPREAD_FRACTION).clamp(MIN_RETURN_SPREAD, MAX_RETURN_SPREAD);
         Some(remaining + spread.mul_f64(draw))
@@ -208,8 +205,12 @@
         if !is_servable {
             return Some(RefusalReason::NoBackEndInRegion);
         }
-        let first = self.earliest_backoff_end(now, demand)?;
-        (first > self.wait_deadline(demand)).then_some(RefusalReason::BackingOff)
+        let wait_deadline = self.wait_deadline(demand);
+        if let Some(first) = self.earliest_backoff_end(now, demand) {
+            return (first > wait_deadline).then_some(RefusalReason::BackingOff);
+        }
+        let first = self.earliest_reconnect(now, demand)?;
+        (first > wait_deadline).then_some(RefusalReason::Unreachable)
     }
 
     /// Returns the back ends that accept requests and are in an allowed region.
@@ -233,6 +234,17 @@
         first
     }
 
+    /// Returns when the first of the back ends that may serve `demand` is tried again, if connecting
+    /// to all of them failed.
+    fn earliest_reconnect(&self, now: Timestamp, demand: &Demand) -> Option<Timestamp> {
+        let mut first = None;
+        for engine in self.allowed(demand) {
+            let until = engine.health.unreachable_until(now)?;
+            first = Some(first.map_or(until, |first: Timestamp| first.min(until)));
+        }
+        first
+    }
+
     /// Returns the end of the waiting time: a fraction of the objective, or all of it for a retry.
     pub(super) fn wait_deadline(&self, demand: &Demand) -> Timestamp {
         let fraction = if demand.tried.is_empty() { self.limits.policy.wait_fraction } else { 1.0 };
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -139,6 +139,9 @@
     NoBackEndInRegion,
     /// All candidates asked this router to back off for longer than the request may wait.
     BackingOff,
+    /// Connecting to all candidates failed, and none will be tried again before the request may wait
+    /// no longer.
+    Unreachable,
     /// No back end has free capacity, and the tenant is above the fair level.
     OverShare,
     /// No back end had free capacity in time.
@@ -160,6 +163,7 @@
             Self::NoBackEnd => "no_back_end",
             Self::NoBackEndInRegion => "no_back_end_in_region",
             Self::BackingOff => "backing_off",
+            Self::Unreachable => "unreachable",
             Self::OverShare => "over_share",
             Self::NoRoom => "no_room",
             Self::Stopping => "stopping",
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -68,6 +68,12 @@
         now < self.cooldown_until
     }
 
+    /// Returns until when no request should be sent because connecting failed; `None` if it did not.
+    pub fn unreachable_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let is_unreachable = self.failed_connects > 0 && self.is_cooling_down(now);
+        is_unreachable.then_some(self.cooldown_until)
+    }
+
     /// Returns the estimated fraction of failing exchanges, 0 to 1.
     pub fn failure_rate(&self, now: Timestamp) -> f64 {
         let halvings =
