Name the last failed attempt in the line of a request's end

What operators saw: `request_ended reason=no_room` for requests that had lost an attempt before; the cause stood in another line only. `last_failure` has the `cause` of the last failed attempt (connect_timeout, silent, connection_limit and so on), in the lines of served, failed and refused requests.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -2,6 +2,7 @@
 
 use crate::body_budget::BodyReservation;
 use crate::dialect::CallerHead;
+use crate::try_failure::FailureCause;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
@@ -76,6 +77,8 @@
     pub stats_age: Duration,
     /// Number of placements at back ends.
     pub sends: u32,
+    /// Why the last failed attempt failed, if there was one.
+    pub last_failure: Option<FailureCause>,
     /// Why it was refused, if it was and a back end was considered.
     pub refusal_details: Option<RefusalDetails>,
     /// Back ends excluded from the last placement or refusal.
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -62,6 +62,7 @@
         draining = trace.excluded.draining,
         backing_off = trace.excluded.backing_off,
         sends = trace.sends,
+        last_failure = trace.last_failure.map(|cause| cause.to_string()),
         fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
     );
 }
@@ -97,6 +98,7 @@
         draining = trace.excluded.draining,
         backing_off = trace.excluded.backing_off,
         sends = trace.sends,
+        last_failure = trace.last_failure.map(|cause| cause.to_string()),
     );
 }
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -178,6 +178,7 @@
         };
         let circumstances = self.circumstances(placement, began);
         events::try_failed(&self.call, placement, failure, reason, circumstances);
+        self.call.trace.borrow_mut().last_failure = Some(failure.cause);
         ticket.fail(failure.fault);
         drop(ticket);
         let may_retry = self.attempt.borrow().may_send() && self.rejections < MAX_REJECTIONS;
