Log the software version of a stream's back ends and which request it goes on with

What operators couldn't tell: whether a stream of two software versions was put together inside one answer or by a caller that came back, and at which back ends. No line named a version, or that a request goes on with a stream.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -67,6 +67,8 @@
     pub limit: u32,
     /// How the back end was found; `None` without a placement.
     pub choice: Option<EngineChoice>,
+    /// The software version of the back end at the last placement; `None` without a placement.
+    pub version: Option<Arc<str>>,
     /// The back end's speed relative to the mean of its service.
     pub speed: f64,
     /// Prompt tokens estimated not to be in the back end's cache.
@@ -114,6 +116,7 @@
         trace.running = placement.running;
         trace.limit = placement.limit;
         trace.choice = Some(placement.choice);
+        trace.version = Some(placement.back_end.version.clone());
         trace.speed = placement.speed;
         trace.uncached = placement.uncached;
         trace.prefix_source = placement.prefix_source;
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -23,6 +23,9 @@
     pub prompt: Option<Prompt>,
     /// The number of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The ID of the request that brought the first event of the resumed stream, if the caller names
+    /// it.
+    pub resumed_request: Option<String>,
 }
 
 /// Why the head of a request is invalid.
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -6,6 +6,7 @@
 use crate::offload::{OffloadError, PeerFailure};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
+use crate::relay::StreamBackEnd;
 use crate::try_failure::{TryCircumstances, TryFailure};
 use crate::update_signal::Origin;
 use crate::write_timeout::WRITE_TIMEOUT;
@@ -45,6 +46,9 @@
         tenant = call.tenant.as_deref().unwrap_or(""),
         service = %call.service,
         back_end,
+        version = trace.version.as_deref(),
+        last_event = call.head.last_event,
+        resumes = call.head.resumed_request.as_deref(),
         events = outcome.events,
         took_ms = milliseconds(now.since(call.arrived)),
         waited_ms = milliseconds(trace.waited),
@@ -82,6 +86,8 @@
         tenant = call.tenant.as_deref().unwrap_or(""),
         service = %call.service,
         back_end = %details.back_end,
+        last_event = call.head.last_event,
+        resumes = call.head.resumed_request.as_deref(),
         took_ms = milliseconds(now.since(call.arrived)),
         predicted_ms = milliseconds(details.predicted),
         running = details.running,
@@ -154,14 +160,26 @@
     );
 }
 
-/// Logs the attempt to resume a stream; `found` is whether a back end could resume it.
-pub fn stream_resumed(call: &Call, reason: &'static str, last_event: Option<u64>, found: bool) {
+/// Logs the attempt to resume a stream, which broke off at `from`, at `to`: the back end that could
+/// resume it, if there was one.
+pub fn stream_resumed(
+    call: &Call,
+    reason: &'static str,
+    last_event: Option<u64>,
+    from: Option<&StreamBackEnd>,
+    to: Option<&StreamBackEnd>,
+) {
     tracing::info!(
         event = "stream_resumed",
         request = %call.head.request_id,
+        resumes = call.head.resumed_request.as_deref(),
         reason,
         last_event = last_event.unwrap_or(0),
-        found,
+        from = from.map(|from| from.id.to_string()),
+        from_version = from.map(|from| &*from.version),
+        found = to.is_some(),
+        back_end = to.map(|to| to.id.to_string()),
+        version = to.map(|to| &*to.version),
         fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
     );
 }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -12,7 +12,7 @@
 use crate::own_answers::{own_answer, record_end};
 use crate::pool::BackEndConnection;
 use crate::quarantine;
-use crate::relay::{Relay, StreamBody, StreamSource};
+use crate::relay::{Relay, StreamBackEnd, StreamBody, StreamSource};
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome};
 use crate::takeover::Takeover;
@@ -206,7 +206,8 @@
         let id = placement.back_end.id.clone();
         let is_delimited = is_delimited(&head.headers);
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
-            let source = StreamSource { ticket, back_end: id, connection, body, is_delimited };
+            let back_end = StreamBackEnd::from(&placement.back_end);
+            let source = StreamSource { ticket, back_end, connection, body, is_delimited };
             let tried = std::mem::take(&mut self.tried);
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(ExchangeResult::Stream(head, Box::new(relay)));
--- a/crates/router/src/native_dialect.rs
+++ b/crates/router/src/native_dialect.rs
@@ -20,6 +20,8 @@
 pub const TOKENS: HeaderName = HeaderName::from_static("mastbay-tokens");
 /// The number of the last event that the caller received.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("mastbay-last-event");
+/// The ID of the request that brought the first event of the stream that the caller resumes.
+pub const RESUMES: HeaderName = HeaderName::from_static("mastbay-resumes");
 /// The tenant's name, sent to back ends only.
 pub const TENANT: HeaderName = HeaderName::from_static("mastbay-tenant");
 /// The name of the back end that a request is addressed to.
@@ -63,6 +65,7 @@
             key: key.map(str::to_owned),
             prompt: prompt(headers),
             last_event,
+            resumed_request: text(headers, &RESUMES).map(str::to_owned),
         })
     }
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::broken_connections;
 use crate::call::Call;
 use crate::event_splitter::{EventSplitter, events_of};
+use crate::events;
 use crate::headers::is_delimited;
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::own_answers::record_end;
@@ -18,13 +19,14 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{StatusCode, http};
-use mastbay_routing::{Attempt, BackEndId, Fault, Placement, QuarantineStatus};
+use mastbay_routing::{Attempt, BackEnd, BackEndId, Fault, Placement, QuarantineStatus};
 use mastbay_types::Timestamp;
 use mastbay_web::BodyError;
 use smol::stream::{Stream, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -59,8 +61,8 @@
 pub struct StreamSource {
     /// The ticket for the slot at the back end.
     pub ticket: Ticket,
-    /// The back end's ID.
-    pub back_end: BackEndId,
+    /// The back end.
+    pub back_end: StreamBackEnd,
     /// The connection, which is reused after the end of the stream.
     pub connection: BackEndConnection,
     /// The body of the answer.
@@ -69,6 +71,21 @@
     pub is_delimited: bool,
 }
 
+/// The back end of a stream, as it was when the stream was placed there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamBackEnd {
+    /// Its ID.
+    pub id: BackEndId,
+    /// The version of its software.
+    pub version: Arc<str>,
+}
+
+impl From<&BackEnd> for StreamBackEnd {
+    fn from(back_end: &BackEnd) -> Self {
+        Self { id: back_end.id.clone(), version: back_end.version.clone() }
+    }
+}
+
 /// The result of one read from the back end.
 enum SourceRead {
     Bytes(Bytes),
@@ -206,7 +223,7 @@
 
     fn record_broken_connection(&self) {
         if let Some(source) = &self.source {
-            broken_connections::record(&self.router, &self.call, &source.back_end);
+            broken_connections::record(&self.router, &self.call, &source.back_end.id);
         }
     }
 
@@ -227,15 +244,15 @@
             if source.is_delimited {
                 quarantine::on_served(&self.router, &self.call);
             }
-            self.router.pool.release(&source.back_end, source.connection);
-            self.router.update_idle_connection(&source.back_end);
-            self.record_outcome(OutcomeKind::Streamed, None, Some(&source.back_end));
+            self.router.pool.release(&source.back_end.id, source.connection);
+            self.router.update_idle_connection(&source.back_end.id);
+            self.record_outcome(OutcomeKind::Streamed, None, Some(&source.back_end.id));
         }
     }
 
     fn abort(&mut self, reason: &'static str) -> Option<Result<Frame<Bytes>, BodyError>> {
         let source = self.source.take();
-        let back_end = source.as_ref().map(|source| source.back_end.clone());
+        let back_end = source.as_ref().map(|source| source.back_end.id.clone());
         if let Some(source) = source {
             source.ticket.fail(Fault::Broken);
         }
@@ -254,7 +271,7 @@
         if !self.may_resume() {
             return false;
         }
-        let current = self.source.iter().map(|source| &source.back_end);
+        let current = self.source.iter().map(|source| &source.back_end.id);
         let tried = self.tried.iter().chain(current).cloned().collect();
         self.takeover.set(Takeover::reserve(&self.router, &self.call, tried, true));
         self.takeover.get_mut().is_some()
@@ -266,9 +283,11 @@
             self.takeover.get_mut().is_some() || self.router.has_retries(&self.call.service);
         let may_resume = self.may_resume() && has_retry;
         self.attempt.borrow_mut().on_lost();
-        if let Some(source) = self.source.take() {
+        let source = self.source.take();
+        let from = source.as_ref().map(|source| source.back_end.clone());
+        if let Some(source) = source {
             source.ticket.fail(Fault::Broken);
-            self.tried.push(source.back_end);
+            self.tried.push(source.back_end.id);
         }
         self.splitter.clear();
         if !may_resume {
@@ -283,7 +302,8 @@
         self.resumes += 1;
         let left = self.call.time_left(self.router.now());
         let source = self.router.runtime.within(left, self.next_source()).await.unwrap_or_default();
-        crate::events::stream_resumed(&self.call, reason, self.last_event, source.is_some());
+        let to = source.as_ref().map(|source| &source.back_end);
+        events::stream_resumed(&self.call, reason, self.last_event, from.as_ref(), to);
         self.source = source;
         self.source.is_some()
     }
@@ -312,7 +332,7 @@
             let sends = self.attempt.borrow().sends();
             match self.open_rest(&placement).await {
                 Ok((head, body, connection)) => {
-                    let back_end = placement.back_end.id;
+                    let back_end = StreamBackEnd::from(&placement.back_end);
                     let is_delimited = is_delimited(&head.headers);
                     return Some(StreamSource { ticket, back_end, connection, body, is_delimited });
                 }
@@ -377,7 +397,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.is_recorded {
-            let back_end = self.source.as_ref().map(|source| source.back_end.clone());
+            let back_end = self.source.as_ref().map(|source| source.back_end.id.clone());
             self.record_outcome(OutcomeKind::CallerGone, None, back_end.as_ref());
         }
     }
