Resume broken streams only at the software version that began them

Cause: a resumed stream was placed like a new request. Only back ends already tried were excluded; the version of the one that sent the first event was known and not used.

Change: a call keeps the origin of its stream (service and version) from the first event on, and every later demand of it names the version. The dispatcher places such a demand only at back ends of that version, within what a roll-out allows (a reverted or completed roll-out keeps its versions, a canary counts it as exposed), treats it like a retry, looks at all back ends of the version rather than at a sample, and refuses at once if none is left (no_back_end_of_version). A back end whose entry changes its version in place before the send gets nothing; one that changes it before the first event leaves the origin unknown, and the stream is not resumed.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Uri};
 use mastbay_routing::{
     AllowedRegions, Demand, EngineChoice, ExcludedBackEnds, Placement, Refusal, RefusalDetails,
-    RequestFingerprint, RequestIdentity, TableEntry,
+    RequestFingerprint, RequestIdentity, StreamOrigin, TableEntry,
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
@@ -44,6 +44,8 @@
     pub arrived: Timestamp,
     /// When the answer must be complete.
     pub deadline: Timestamp,
+    /// Where the stream began; known from its first event on.
+    pub origin: OnceCell<StreamOrigin>,
     /// Routing decisions and timings for the request's log line.
     pub trace: RefCell<Trace>,
     /// The cached result of [`Call::fingerprint`].
@@ -90,7 +92,8 @@
 }
 
 impl Call {
-    /// Returns the request's demand for the dispatcher, without earlier attempts.
+    /// Returns the request's demand for the dispatcher, without earlier attempts. Once events were
+    /// relayed, only the version that sent them may serve it.
     pub fn demand(&self) -> Demand {
         Demand {
             service: self.service.clone(),
@@ -103,6 +106,7 @@
             priority: self.priority,
             tenant: self.tenant.clone(),
             regions: self.regions.clone(),
+            version: self.origin.get().map(|origin| origin.version.clone()),
             tried: Vec::new(),
             suspect: None,
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,6 +46,7 @@
 mod snapshot_serving;
 mod snapshots;
 mod stop;
+mod stream_origins;
 mod takeover;
 mod throttled_reader;
 mod ticket;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::quarantine;
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome};
+use crate::stream_origins;
 use crate::takeover::{self, Takeover};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
@@ -185,8 +186,7 @@
         }
         self.record_pause();
         if self.events == 0 {
-            self.call.record_first_event(self.router.now());
-            self.router.metrics.on_first_event(&self.call, self.router.now());
+            self.on_first_event();
         }
         let mut arrived = 0;
         let mut relayed = BytesMut::with_capacity(complete.len());
@@ -206,6 +206,14 @@
         Ok((!relayed.is_empty()).then(|| relayed.freeze()))
     }
 
+    fn on_first_event(&self) {
+        self.call.record_first_event(self.router.now());
+        self.router.metrics.on_first_event(&self.call, self.router.now());
+        if let Some(source) = &self.source {
+            stream_origins::on_first_event(&self.router, &self.call, &source.back_end);
+        }
+    }
+
     /// Reserves memory for `complete` bytes of events and the buffered part of the next one, if
     /// they are large. Returns whether there is enough. The reservation is kept until the stream
     /// ends, since earlier events may still be in the connection's write buffer.
@@ -263,6 +271,7 @@
     fn may_resume(&self) -> bool {
         self.call.entry.route.resumable
             && self.resumes < MAX_RESUMES
+            && (self.events == 0 || self.call.origin.get().is_some())
             && self.attempt.borrow().may_send_if_lost()
     }
 
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -92,6 +92,9 @@
         if let Some(fault) = self.router.dispatcher.borrow().fault_before_send(now, &back_end.id) {
             return SendOutcome::not_sent(fault, FailureCause::Excluded);
         }
+        if self.router.dispatcher.borrow().has_other_version(back_end) {
+            return SendOutcome::not_sent(Fault::Replaced, FailureCause::Excluded);
+        }
         let Some(request) = self.request(placement, last_event) else {
             return SendOutcome::not_sent(Fault::Broken, FailureCause::Unsendable);
         };
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -178,6 +178,7 @@
         forwarded_by: arrival.ingress.forwarded_by(),
         arrived: arrival.at,
         deadline,
+        origin: OnceCell::new(),
         trace: RefCell::default(),
         fingerprint: OnceCell::new(),
     })
--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -38,6 +38,9 @@
     pub tenant: Option<Arc<str>>,
     /// Regions in which the request may be served.
     pub regions: AllowedRegions,
+    /// Software version that began the stream which the request resumes. Only back ends of this
+    /// version may serve it. `None` if it begins a stream, or none at all.
+    pub version: Option<Arc<str>>,
     /// Back ends that must not receive the request again.
     pub tried: Vec<BackEndId>,
     /// The request's fingerprint, if back ends have ended while serving it.
@@ -45,6 +48,13 @@
 }
 
 impl Demand {
+    /// Returns whether back ends have already worked on the request: it was sent to one before, or
+    /// resumes a stream. Then it is not refused for reasons of fairness or latency that apply to new
+    /// requests.
+    pub fn is_retry(&self) -> bool {
+        !self.tried.is_empty() || self.version.is_some()
+    }
+
     pub(crate) fn load(&self, uncached: u64, class: ShareClass) -> Load {
         let memory = self.prompt.as_ref().map_or(0, Prompt::memory);
         let prefill = self.prompt.as_ref().map(|prompt| prompt.prefill(uncached));
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -1,6 +1,7 @@
 //! Admission control: places a request, queues it, or refuses it with a retry delay.
 
 use super::Dispatcher;
+use super::engines::ReadyEngine;
 use super::messages::{
     Admission, AdmissionResults, Placement, Refusal, RefusalDetails, RefusalReason,
 };
@@ -29,7 +30,7 @@
     pub fn admit(&mut self, now: Timestamp, demand: Demand, draw: f64) -> Admission {
         let has_waiters = self.waiting.get(&demand.service).is_some_and(|queue| queue.len() > 0);
         let ticket = self.new_ticket();
-        let is_retry = !demand.tried.is_empty();
+        let is_retry = demand.is_retry();
         let is_above_share = self.share_class(now, &demand) == ShareClass::AboveShare;
         // Requests of tenants above their share never wait. They may take what those that wait leave,
         // if the limit for them leaves these enough.
@@ -201,6 +202,9 @@
         if self.engines.ready(&demand.service).is_empty() {
             return Some(RefusalReason::NoBackEnd);
         }
+        if demand.version.is_some() && !self.has_back_end_of_version(now, demand) {
+            return Some(RefusalReason::NoBackEndOfVersion);
+        }
         let is_servable = demand.regions.is_unrestricted() || self.allowed(demand).next().is_some();
         if !is_servable {
             return Some(RefusalReason::NoBackEndInRegion);
@@ -213,11 +217,25 @@
         (first > wait_deadline).then_some(RefusalReason::Unreachable)
     }
 
-    /// Returns the back ends that accept requests and are in an allowed region.
+    /// Returns whether a back end of the version that began the request's stream accepts requests.
+    fn has_back_end_of_version(&self, now: Timestamp, demand: &Demand) -> bool {
+        let Some(versions) = self.allowed_versions(now, demand) else { return false };
+        let mut ready = self.engines.ready(&demand.service).iter();
+        let engine = |ready: &ReadyEngine| self.engines.get(&ready.id);
+        ready.any(|ready| {
+            engine(ready).is_some_and(|engine| versions.allows(&engine.back_end.version))
+        })
+    }
+
+    /// Returns the back ends that accept requests, are in an allowed region and have the version
+    /// that the request needs.
     fn allowed(&self, demand: &Demand) -> impl Iterator<Item = &Engine> {
         let ready = self.engines.ready(&demand.service).iter();
         let engines = ready.filter_map(|ready| self.engines.get(&ready.id));
-        engines.filter(|engine| demand.regions.allow(engine.region.as_deref()))
+        let needed = demand.version.as_deref();
+        engines
+            .filter(move |engine| needed.is_none_or(|version| *engine.back_end.version == *version))
+            .filter(|engine| demand.regions.allow(engine.region.as_deref()))
     }
 
     /// Returns the earliest end of a backoff, if all back ends that may serve `demand` are backing
@@ -247,7 +265,7 @@
 
     /// Returns the end of the waiting time: a fraction of the objective, or all of it for a retry.
     pub(super) fn wait_deadline(&self, demand: &Demand) -> Timestamp {
-        let fraction = if demand.tried.is_empty() { self.limits.policy.wait_fraction } else { 1.0 };
+        let fraction = if demand.is_retry() { 1.0 } else { self.limits.policy.wait_fraction };
         (demand.arrived + demand.objective.mul_f64(fraction)).min(demand.deadline)
     }
 }
--- a/crates/routing/src/dispatch/fleet_admission.rs
+++ b/crates/routing/src/dispatch/fleet_admission.rs
@@ -159,7 +159,7 @@
         id: &BackEndId,
     ) -> bool {
         let policy = self.limits.policy;
-        let is_first_try = demand.tried.is_empty() && demand.suspect.is_none();
+        let is_first_try = !demand.is_retry() && demand.suspect.is_none();
         let has_waited = now.since(demand.arrived) >= YIELD_TIME;
         if policy.waiting_scope == WaitingScope::Router || !is_first_try || has_waited {
             return false;
@@ -182,7 +182,7 @@
         now: Timestamp,
         demand: &Demand,
     ) -> Option<RefusalReason> {
-        if self.limits.policy.retry_after != RetryAfterPolicy::Backlog || !demand.tried.is_empty() {
+        if self.limits.policy.retry_after != RetryAfterPolicy::Backlog || demand.is_retry() {
             return None;
         }
         let first = self.first_choice(now, demand);
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -135,6 +135,8 @@
 pub enum RefusalReason {
     /// The service has no back end that accepts requests.
     NoBackEnd,
+    /// No back end of the version that began the request's stream accepts requests.
+    NoBackEndOfVersion,
     /// No back end accepts requests in the regions where the request may be served.
     NoBackEndInRegion,
     /// All candidates asked this router to back off for longer than the request may wait.
@@ -161,6 +163,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoBackEnd => "no_back_end",
+            Self::NoBackEndOfVersion => "no_back_end_of_version",
             Self::NoBackEndInRegion => "no_back_end_in_region",
             Self::BackingOff => "backing_off",
             Self::Unreachable => "unreachable",
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod fleet_admission;
 mod freed_slots;
 mod messages;
+mod origins;
 mod overflow;
 mod peers;
 mod performance;
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -68,7 +68,8 @@
         }
         let scored = match &demand.prompt {
             Some(prompt) => self.score_engines(now, demand, prompt, criteria),
-            None => self.score_plain(now, demand, &criteria.release),
+            None if demand.version.is_some() => self.score_plain(now, demand, &criteria.release),
+            None => self.score_plain_sample(now, demand, &criteria.release),
         };
         self.cheapest(scored)
     }
@@ -136,9 +137,20 @@
         engines.filter(move |engine| self.is_candidate(now, engine, demand, release))
     }
 
+    /// Scores all plain back ends, as a sample may contain none of a version that few have.
+    fn score_plain(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+        release: &VersionFilter,
+    ) -> Vec<ScoredBackEnd> {
+        let candidates = self.candidates(now, demand, release);
+        candidates.filter_map(|engine| self.score_plain_if_free(now, engine)).collect()
+    }
+
     /// Scores plain back ends. A sample bounds the cost per request and keeps routers from all
     /// choosing the same idle back end.
-    fn score_plain(
+    fn score_plain_sample(
         &self,
         now: Timestamp,
         demand: &Demand,
@@ -219,14 +231,14 @@
         let waited = now.since(demand.arrived);
         let backs_off = |id| self.announcements.backs_off_until(now, id).is_some();
         let waits_for_locality = !is_cheap
-            && demand.tried.is_empty()
+            && !demand.is_retry()
             && !preferred.iter().any(backs_off)
             && waited < demand.objective.mul_f64(policy.locality_wait_fraction);
         let is_unequal = self.has_unequal_speeds(&preferred);
         let sources = self.transfer_sources(now, demand, prompt, preferred.first());
         // Prefixes that are spread over more engines are evicted before they are requested again,
         // and then cannot be transferred either.
-        let is_spread = is_unequal && (is_cheap || sources.is_empty());
+        let is_spread = is_unequal && (is_cheap || sources.is_empty()) || demand.version.is_some();
         let ranks = if is_spread { ranks.max(preferred.len()) } else { ranks };
         let candidate = |id| {
             let engine = self.engines.get(id)?;
@@ -280,7 +292,7 @@
     ) -> Option<ScoredBackEnd> {
         let prompt = demand.prompt.as_ref()?;
         let prefix = prompt.prefix_key().unwrap_or_default();
-        let release = self.default_release(now, &demand.service);
+        let release = self.allowed_versions(now, demand)?;
         let preferred = self.preferred.of(&self.engines, demand, &release, prefix);
         let engine = self.engines.get(preferred.first()?)?;
         Some(self.score(now, engine, demand, prompt, 0, &[]))
@@ -409,7 +421,7 @@
     let is_above_share = criteria.class == ShareClass::AboveShare;
     let fraction =
         if is_above_share { policy.above_share_time_fraction } else { policy.time_fraction };
-    let allowed = if !demand.tried.is_empty() {
+    let allowed = if demand.is_retry() {
         demand.deadline.since(demand.arrived)
     } else if criteria.is_final_attempt {
         demand.objective
--- a/crates/routing/src/dispatch/releases.rs
+++ b/crates/routing/src/dispatch/releases.rs
@@ -31,6 +31,23 @@
         self.rollouts.of(service).map(|rollout| rollout.default_filter(now)).unwrap_or_default()
     }
 
+    /// Returns the versions that may serve a request. A request that resumes a stream needs the
+    /// version that began it; `None` if that one may get no more requests.
+    pub(super) fn allowed_versions(
+        &self,
+        now: Timestamp,
+        demand: &Demand,
+    ) -> Option<VersionFilter> {
+        let default = self.default_release(now, &demand.service);
+        let Some(version) = &demand.version else { return Some(default) };
+        let rollout = self.rollouts.of(&demand.service);
+        let is_exposed = rollout.is_some_and(|rollout| {
+            rollout.rolls_out(version)
+                && rollout.may_expose(now, self.limits.exposure, self.fleet.size())
+        });
+        (default.allows(version) || is_exposed).then(|| VersionFilter::Only(version.clone()))
+    }
+
     /// Returns the best back end of the version that is being rolled out, if the request may be
     /// part of the canary. Retries and suspects may not, since they have already failed once.
     pub(super) fn best_of_canary(
@@ -40,7 +57,7 @@
         criteria: &SelectionCriteria,
     ) -> Option<ScoredBackEnd> {
         let rollout = self.rollouts.of(&demand.service)?;
-        let is_first_try = demand.tried.is_empty() && demand.suspect.is_none();
+        let is_first_try = !demand.is_retry() && demand.suspect.is_none();
         if !is_first_try || !rollout.may_expose(now, self.limits.exposure, self.fleet.size()) {
             return None;
         }
--- a/crates/routing/src/dispatch/reservation.rs
+++ b/crates/routing/src/dispatch/reservation.rs
@@ -20,7 +20,7 @@
         is_final_attempt: bool,
     ) -> Option<Placement> {
         let class = self.share_class(now, demand);
-        let release = self.default_release(now, &demand.service);
+        let release = self.allowed_versions(now, demand)?;
         let criteria = SelectionCriteria { class, is_final_attempt, release };
         let scored = match self.best_of_canary(now, demand, &criteria) {
             Some(scored) => scored,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -47,6 +47,7 @@
 mod source_outage;
 mod source_watchers;
 mod stall;
+mod stream_origin;
 mod table;
 mod transfer;
 mod waiting;
@@ -118,6 +119,7 @@
     Candidate, SourceContact, StartingRouter, watch_timeout, watches_source,
 };
 pub use stall::StallDetector;
+pub use stream_origin::StreamOrigin;
 pub use table::{RouteTable, TableEntry};
 pub use transfer::TransferLimits;
 pub use warmup::{Holders, Warmup, WarmupLimits};
--- a/crates/routing/src/rollout/mod.rs
+++ b/crates/routing/src/rollout/mod.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Returns whether the order rolls out a version.
+    pub fn rolls_out(&self, version: &str) -> bool {
+        *self.order.version == *version
+    }
+
     /// Returns whether the next request may be sent to the canary. `routers` share the limits.
     pub fn may_expose(&self, now: Timestamp, limits: ExposureLimits, routers: usize) -> bool {
         let elapsed = now.since(self.began).as_secs_f64();
@@ -131,7 +136,7 @@
 
     /// Returns the side that a back end belongs to.
     pub fn side(&self, back_end: &BackEnd) -> Side {
-        if *back_end.version == *self.order.version { Side::Canary } else { Side::Baseline }
+        if self.rolls_out(&back_end.version) { Side::Canary } else { Side::Baseline }
     }
 
     /// Records a request sent to a side.
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -121,6 +121,7 @@
         regions: AllowedRegions::default(),
         route: 1,
         tried: Vec::new(),
+        version: None,
         suspect: None,
     }
 }
--- a/crates/simulation/src/router_fleet.rs
+++ b/crates/simulation/src/router_fleet.rs
@@ -266,6 +266,7 @@
             tried: Vec::new(),
             regions: AllowedRegions::default(),
             route: 1,
+            version: None,
             suspect: None,
         }
     }
