Let callers resume streams only at the software version that began them

The two halves don't fit together.

Cause: a router that gets such a request knew nothing of the first one, and placed it like any other.

Without one the stream continues only if no other origin was possible: one service for the route and one version for the service, observed by a router for as long as a stream may be old, contradicted by none that answers, and never by a router that hears none. Otherwise the caller is told 503 with a time to come back. Reports aren't acknowledged: a lost one costs a resumption, never a mixed stream. A router that starts again gets the records that it keeps. An id under which two versions began is resumed nowhere, nor a stream whose route was moved to another service.

Ruled out: a version drawn from the id (load and cold engines couldn't decide), a write to the store for each stream (priced, and away when needed), telling all routers (not at 985), a record sent when the engine is chosen (it would have to be changed when the attempt moves; with the first event it never changes).

Seen by operators: event stream_origin, metrics mastbay_router_resumptions, _stream_records, _evicted_stream_records.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Uri};
 use mastbay_routing::{
     AllowedRegions, Demand, EngineChoice, ExcludedBackEnds, Placement, Refusal, RefusalDetails,
-    RequestFingerprint, RequestIdentity, StreamOrigin, TableEntry,
+    RequestFingerprint, RequestIdentity, StreamKey, StreamOrigin, TableEntry,
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
@@ -44,7 +44,10 @@
     pub arrived: Timestamp,
     /// When the answer must be complete.
     pub deadline: Timestamp,
-    /// Where the stream began; known from its first event on.
+    /// The stream that the request resumes, if the caller names it.
+    pub resumed_stream: Option<StreamKey>,
+    /// Where the stream began: known from the start if the request resumes a stream, otherwise from
+    /// its first event on.
     pub origin: OnceCell<StreamOrigin>,
     /// Routing decisions and timings for the request's log line.
     pub trace: RefCell<Trace>,
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -28,6 +28,13 @@
     pub resumed_request: Option<String>,
 }
 
+impl CallerHead {
+    /// Returns whether the request resumes a stream.
+    pub fn resumes_stream(&self) -> bool {
+        self.last_event.is_some() || self.resumed_request.is_some()
+    }
+}
+
 /// Why the head of a request is invalid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum MalformedRequest {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -1,19 +1,20 @@
 //! The log events of a router, one line of key=value pairs each; docs/OPERATIONS.md lists them.
 
 use crate::call::Call;
-use crate::dialect::{OwnAnswer, RetryAfterError};
+use crate::dialect::{CallerHead, OwnAnswer, RetryAfterError};
 use crate::log_rate_limiter::SuppressedLines;
 use crate::offload::{OffloadError, PeerFailure};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use crate::relay::StreamBackEnd;
+use crate::stream_origins::Search;
 use crate::try_failure::{TryCircumstances, TryFailure};
 use crate::update_signal::Origin;
 use crate::write_timeout::WRITE_TIMEOUT;
 use hyper::StatusCode;
 use mastbay_routing::{
-    BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Placement,
-    QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint, Revision, Role,
+    BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, LookupState,
+    Placement, QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint, Revision, Role,
     RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, SpeedChange, Tick,
     UsableChanges,
 };
@@ -184,6 +185,30 @@
     );
 }
 
+/// Logs the search for the origin of a stream that a caller resumes, and how it was learned.
+pub fn stream_origin(head: &CallerHead, search: &Search, took: Duration) {
+    let (origin, source, age) = match &search.state {
+        LookupState::Found { origin, source, age } => (Some(origin), Some(source), Some(*age)),
+        LookupState::Conflicting | LookupState::Pending | LookupState::NotFound => {
+            (None, None, None)
+        }
+    };
+    tracing::info!(
+        event = "stream_origin",
+        request = %head.request_id,
+        resumes = head.resumed_request.as_deref(),
+        last_event = head.last_event,
+        result = search.name(),
+        service = origin.map(|origin| &*origin.service),
+        version = origin.map(|origin| &*origin.version),
+        source = source.map(|source| source.to_string()),
+        age_ms = age.map(milliseconds),
+        asked = search.asked,
+        answered = search.answered,
+        took_ms = milliseconds(took),
+    );
+}
+
 /// Logs that a back end terminated with requests in progress: their connections broke, and it
 /// refuses new ones.
 pub fn back_end_ended(back_end: &BackEnd, requests: &BTreeSet<RequestFingerprint>) {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::dialect::OwnAnswer;
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
+use crate::stream_origins::Search;
 use mastbay_routing::{EngineChoice, Placement, SourceCondition};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -33,6 +34,12 @@
     step: i32,
 }
 
+/// Labels of requests that resume a stream, by how its origin was learned.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResumptionLabels {
+    origin: &'static str,
+}
+
 /// Labels of placements.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PlacementLabels {
@@ -62,6 +69,9 @@
     engines_by_speed: Family<SpeedLabels, Gauge>,
     prefix_sources: Counter,
     transferred_tokens: Counter,
+    resumptions: Family<ResumptionLabels, Counter>,
+    stream_records: Gauge,
+    evicted_stream_records: Counter,
     first_event: Histogram,
     duration: Histogram,
 }
@@ -90,6 +100,9 @@
             engines_by_speed: Family::default(),
             prefix_sources: Counter::default(),
             transferred_tokens: Counter::default(),
+            resumptions: Family::default(),
+            stream_records: Gauge::default(),
+            evicted_stream_records: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
             duration: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
         };
@@ -150,6 +163,15 @@
         let name = "mastbay_router_transferred_tokens";
         let help = "prompt tokens that back ends were expected to fetch from each other";
         registry.register(name, help, metrics.transferred_tokens.clone());
+        let name = "mastbay_router_resumptions";
+        let help = "requests that resume a stream, by how its origin was learned";
+        registry.register(name, help, metrics.resumptions.clone());
+        let name = "mastbay_router_stream_records";
+        let help = "origins of streams that this router keeps";
+        registry.register(name, help, metrics.stream_records.clone());
+        let name = "mastbay_router_evicted_stream_records";
+        let help = "origins of streams evicted before they expired, since there were too many";
+        registry.register(name, help, metrics.evicted_stream_records.clone());
         let name = "mastbay_router_first_event_seconds";
         registry.register(name, "time to a stream's first event", metrics.first_event.clone());
         let name = "mastbay_router_request_seconds";
@@ -176,6 +198,17 @@
         self.first_event.observe(now.since(call.arrived).as_secs_f64());
     }
 
+    /// Counts a request that resumes a stream.
+    pub fn on_resumption(&self, search: &Search) {
+        self.resumptions.get_or_create(&ResumptionLabels { origin: search.name() }).inc();
+    }
+
+    /// Sets the number of records of streams' origins, and the number evicted so far.
+    pub fn set_stream_records(&self, records: usize, evicted: u64) {
+        self.stream_records.set(records as i64);
+        self.evicted_stream_records.inc_by(evicted - self.evicted_stream_records.get());
+    }
+
     /// Counts a new connection that was forwarded or closed unread.
     pub fn on_overflow(&self, outcome: OverflowOutcome) {
         match outcome {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -8,6 +8,7 @@
 use crate::router::Router;
 use crate::snapshot_serving::TRANSFER_TIMEOUT;
 use crate::snapshots::snapshot_target;
+use crate::stream_origins;
 use crate::update_signal::Origin;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -59,8 +60,9 @@
     record_speed_changes(router);
     report_prefix_ranks(router);
     router.evaluate_rollouts();
+    let reports = stream_origins::next_reports(router);
     for Outgoing { message, targets } in
-        messages.into_iter().chain(quarantine::next_messages(router))
+        messages.into_iter().chain(quarantine::next_messages(router)).chain(reports)
     {
         send(socket, &message, &targets).await;
     }
@@ -82,7 +84,7 @@
 
 /// Sends a message. Datagrams may be lost at any time and the next one repeats their content, so
 /// failures are only logged, with one line per message.
-async fn send(socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
+pub async fn send(socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
     let datagram = match rmp_serde::to_vec(message) {
         Ok(datagram) => datagram,
         Err(error) => return events::message_not_encoded(&error),
@@ -136,6 +138,12 @@
     if let PeerMessage::Draining(back_ends) = &message {
         return back_end_notices::apply_reported(router, back_ends, sender);
     }
+    if let PeerMessage::Origin(message) = message {
+        if let Some(reply) = stream_origins::handle(router, sender, message) {
+            send(socket, &PeerMessage::Origin(reply), &[sender]).await;
+        }
+        return;
+    }
     let relayed = router.dispatcher.borrow().relayed_message(&message);
     if let Some(Outgoing { message, targets }) = relayed {
         send(socket, &message, &targets).await;
@@ -148,7 +156,8 @@
         send(socket, &PeerMessage::Digest(hello), &[new_peer.address]).await;
     }
     let draining = router.dispatcher.borrow().draining_for_new_peer();
-    for message in quarantine::message_for_new_peer(router).into_iter().chain(draining) {
+    let known = quarantine::message_for_new_peer(router).into_iter().chain(draining);
+    for message in known.chain(stream_origins::messages_for_new_peer(router, new_peer.address)) {
         send(socket, &message, &[new_peer.address]).await;
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -14,6 +14,7 @@
 use crate::settings::RouterSettings;
 use crate::snapshot_serving::TransferLimiter;
 use crate::snapshots::EncodedSnapshots;
+use crate::stream_origins::StreamOrigins;
 use crate::update_signal::UpdateSignal;
 use mastbay_routing::{
     BackEndId, Dispatcher, DispatcherLimits, OutageDetector, OverloadGuard, PeerId, Placement,
@@ -22,7 +23,8 @@
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
-use std::cell::{Cell, RefCell};
+use smol::net::UdpSocket;
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,6 +75,9 @@
     pub(crate) started_from_restored: Cell<bool>,
     pub(crate) broken: BrokenConnections,
     pub(crate) quarantine: RefCell<Quarantine>,
+    pub(crate) stream_origins: StreamOrigins,
+    /// The socket for messages to peers, once the router runs.
+    pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// A peer has newer versions, but fetching them failed.
     pub(crate) peer_fetch_failed: Cell<bool>,
     /// Notified when an update came into force here, so that it is sent to peers at once.
@@ -134,6 +139,8 @@
             started_from_restored: Cell::default(),
             broken: BrokenConnections::default(),
             quarantine: RefCell::new(quarantine),
+            stream_origins: StreamOrigins::default(),
+            peer_socket: OnceCell::new(),
             peer_fetch_failed: Cell::new(false),
             update_signal: UpdateSignal::default(),
             stop: StopSignal::default(),
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::own_answers::own_answer;
 use crate::request_head::host;
 use crate::router::Router;
+use crate::stream_origins::{self, Resumption};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, http};
@@ -132,7 +133,16 @@
             return Err(reject(Some(head.request_id), OwnAnswer::Malformed));
         }
     };
-    let routed = route(router, arrival, parts, head, Body { bytes: body, reservation });
+    let table = arrival.ingress.table(router);
+    let resumption = match stream_origins::find(router, table.as_deref(), &parts, &head).await {
+        Ok(resumption) => resumption,
+        Err(unknown) => {
+            let retry_after = unknown.retry_after();
+            return Err(reject(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
+        }
+    };
+    let body = Body { bytes: body, reservation };
+    let routed = route(router, arrival, parts, head, body, resumption);
     routed.map_err(|(id, answer)| reject(Some(id), answer))
 }
 
@@ -144,6 +154,7 @@
     parts: http::request::Parts,
     head: CallerHead,
     body: Body,
+    resumption: Option<Resumption>,
 ) -> Result<Call, (String, OwnAnswer)> {
     let unconfigured = OwnAnswer::NotRun { retry_after: Some(UNCONFIGURED_RETRY_AFTER) };
     let table = arrival.ingress.table(router);
@@ -160,7 +171,15 @@
         None => entry.route.regions.clone(),
     };
     let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(entry.route.priority);
-    let Some(service) = entry.service(rand::random()).map(str::to_owned) else {
+    let service = match &resumption {
+        // The configuration has changed since the stream began.
+        Some(resumption) if !entry.has_target(&resumption.origin.service) => {
+            return Err((head.request_id, OwnAnswer::NotRun { retry_after: None }));
+        }
+        Some(resumption) => Some(&*resumption.origin.service),
+        None => entry.service(rand::random()),
+    };
+    let Some(service) = service.map(str::to_owned) else {
         return Err((head.request_id, unconfigured));
     };
     let deadline = arrival.earliest + time_allowed(&head, &entry.route);
@@ -178,7 +197,8 @@
         forwarded_by: arrival.ingress.forwarded_by(),
         arrived: arrival.at,
         deadline,
-        origin: OnceCell::new(),
+        resumed_stream: resumption.as_ref().and_then(|resumption| resumption.stream),
+        origin: resumption.map(|resumption| resumption.origin.into()).unwrap_or_default(),
         trace: RefCell::default(),
         fingerprint: OnceCell::new(),
     })
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -7,6 +7,7 @@
 use crate::peers;
 use crate::quarantine;
 use crate::router::Router;
+use crate::stream_origins;
 use async_signal::{Signal, Signals};
 use derive_more::{Display, Error};
 use prometheus_client::registry::Registry;
@@ -87,6 +88,7 @@
 }
 
 fn start_background(router: &Rc<Router>, digests: &Rc<UdpSocket>) {
+    router.peer_socket.get_or_init(|| digests.clone());
     let runtime = router.runtime;
     let control = runtime.control();
     runtime.spawn(router.clone().run_ticks()).detach();
@@ -99,6 +101,7 @@
             sweeping.runtime.sleep(sweeping.runtime.until_aligned_tick(SWEEP_INTERVAL)).await;
             sweeping.pool.sweep().iter().for_each(|id| sweeping.update_idle_connection(id));
             quarantine::expire(&sweeping);
+            stream_origins::expire(&sweeping);
         }
     };
     runtime.spawn(sweep).detach();
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -1,9 +1,75 @@
-//! Origins of streams that the router relays.
+//! Keeps the origins of streams together with the other routers, and finds the origin of a stream
+//! that a caller resumes.
 
 use crate::call::Call;
+use crate::dialect::CallerHead;
+use crate::events;
+use crate::log_rate_limiter::LogLineKind;
+use crate::peers;
 use crate::relay::StreamBackEnd;
+use crate::request_head::host;
 use crate::router::Router;
-use mastbay_routing::StreamOrigin;
+use derive_more::{Display, Error};
+use hyper::http;
+use mastbay_routing::{
+    ASKED_OWNERS, LookupState, OWNERS, OriginAnswer, OriginLookup, OriginMessage, OriginQuery,
+    OriginRecords, OriginReply, OriginReport, OriginSource, Outgoing, PeerMessage, Route,
+    RouteKind, RouteTable, StreamKey, StreamOrigin, StreamRecord, TableEntry,
+};
+use smol::channel::{Receiver, Sender};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Number of times that peers are asked for an origin.
+const MAX_QUERIES: u32 = 4;
+/// Time after which they are asked again: datagrams may be lost, and a record may arrive late.
+const QUERY_INTERVAL: Duration = Duration::from_millis(40);
+/// Longest age of a stream that is resumed, in timeouts of its route.
+const AGE_LIMIT_TIMEOUTS: u32 = 2;
+/// Retry delay returned when the origin is unknown: a record may still arrive.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// The origins that a router keeps, and its searches for others.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    records: RefCell<OriginRecords>,
+    /// Receivers of answers, by the ID of the query.
+    searches: RefCell<HashMap<u64, Sender<(SocketAddr, OriginAnswer)>>>,
+}
+
+/// A stream that a caller resumes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resumption {
+    /// The stream, if the caller names it.
+    pub stream: Option<StreamKey>,
+    /// Where it began.
+    pub origin: StreamOrigin,
+}
+
+/// Why it is not known where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum UnknownOrigin {
+    /// No router that answered has a record, and several origins were possible.
+    #[display("unknown")]
+    NotFound,
+    /// Several origins were reported for the stream.
+    #[display("conflicting")]
+    Conflicting,
+}
+
+impl UnknownOrigin {
+    /// Returns the time after which the caller may retry; `None` if the origin will not become
+    /// known.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NotFound => Some(UNKNOWN_RETRY_AFTER),
+            Self::Conflicting => None,
+        }
+    }
+}
 
 /// Records where the stream of a request began when its first event arrives from `back_end`. The
 /// origin stays unset if the back end has changed its version since the request was placed there:
@@ -14,8 +80,214 @@
     if listed.is_some_and(|listed| listed.version != back_end.version) {
         return;
     }
-    call.origin.get_or_init(|| StreamOrigin {
+    let origin = call.origin.get_or_init(|| StreamOrigin {
         service: call.service.as_str().into(),
         version: back_end.version.clone(),
     });
+    let stream = match call.head.resumes_stream() {
+        true => call.resumed_stream,
+        false => Some(StreamKey::new(call.tenant.as_deref(), &call.head.request_id)),
+    };
+    let Some(stream) = stream.filter(|_| call.entry.route.resumable) else { return };
+    let record = StreamRecord::new(stream, age_limit(&call.entry.route));
+    router.stream_origins.records.borrow_mut().record(router.now(), origin, record);
+}
+
+/// Returns the longest age of a stream of a route that is resumed.
+fn age_limit(route: &Route) -> Duration {
+    route.timeout * AGE_LIMIT_TIMEOUTS
+}
+
+/// Finds the origin of the stream that a request resumes. Returns `None` if it resumes none, or if
+/// the request will be rejected for another reason.
+///
+/// # Errors
+/// If the origin is unknown.
+pub async fn find(
+    router: &Rc<Router>,
+    table: Option<&RouteTable>,
+    parts: &http::request::Parts,
+    head: &CallerHead,
+) -> Result<Option<Resumption>, UnknownOrigin> {
+    let Some(table) = table.filter(|_| head.resumes_stream()) else { return Ok(None) };
+    let entry = table.route(host(parts), parts.uri.path());
+    let Some(entry) = entry.filter(|entry| entry.route.kind == RouteKind::Streaming) else {
+        return Ok(None);
+    };
+    let tenant = head.key.as_deref().and_then(|key| table.tenant(key));
+    if tenant.is_none() && table.has_tenants() && !entry.route.public {
+        return Ok(None);
+    }
+    let tenant = tenant.map(|tenant| tenant.name.as_str());
+    let stream = head.resumed_request.as_deref().map(|id| StreamKey::new(tenant, id));
+    let began = router.now();
+    let search = search(router, stream, &entry).await;
+    let took = router.now().since(began);
+    router.metrics.on_resumption(&search);
+    if router.may_write_line(LogLineKind::Success) {
+        events::stream_origin(head, &search, took);
+    }
+    match search.state {
+        LookupState::Found { origin, .. } => Ok(Some(Resumption { stream, origin })),
+        LookupState::Conflicting => Err(UnknownOrigin::Conflicting),
+        LookupState::Pending | LookupState::NotFound => Err(UnknownOrigin::NotFound),
+    }
+}
+
+/// The result of a search for an origin.
+#[derive(Debug)]
+pub struct Search {
+    /// The origin, or that it was not found.
+    pub state: LookupState,
+    /// Number of peers that were asked.
+    pub asked: usize,
+    /// Number of peers that answered.
+    pub answered: usize,
+}
+
+impl Search {
+    /// Returns the name of the result in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self.state {
+            LookupState::Found { source: OriginSource::Own, .. } => "own",
+            LookupState::Found { source: OriginSource::Peer(_), .. } => "peer",
+            LookupState::Found { source: OriginSource::OnlyVersion, .. } => "only_version",
+            LookupState::Conflicting => "conflicting",
+            LookupState::Pending | LookupState::NotFound => "unknown",
+        }
+    }
+}
+
+async fn search(router: &Rc<Router>, stream: Option<StreamKey>, entry: &TableEntry) -> Search {
+    let age_limit_ms = u32::try_from(age_limit(&entry.route).as_millis()).unwrap_or(u32::MAX);
+    let query = OriginQuery { id: rand::random(), stream, route: entry.key, age_limit_ms };
+    let own = answer(router, &query);
+    let asked = match own {
+        OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting => Vec::new(),
+        OriginAnswer::NotRecorded { .. } => {
+            let key = stream.unwrap_or(StreamKey(query.id));
+            router.dispatcher.borrow().origin_owners(key, ASKED_OWNERS)
+        }
+    };
+    let mut lookup = OriginLookup::new(own, &asked);
+    let state = match asked.is_empty() {
+        true => lookup.result(),
+        false => ask_peers(router, &query, &mut lookup).await,
+    };
+    Search { state, asked: asked.len(), answered: lookup.answered() }
+}
+
+/// Asks peers until one has a record, the origin is certain, or they were asked often enough.
+async fn ask_peers(router: &Router, query: &OriginQuery, lookup: &mut OriginLookup) -> LookupState {
+    let Some(socket) = router.peer_socket.get().cloned() else { return lookup.result() };
+    let (sender, answers) = smol::channel::unbounded();
+    let _registration = Registration::new(&router.stream_origins, query.id, sender);
+    let message = PeerMessage::Origin(OriginMessage::Query(*query));
+    for _ in 0..MAX_QUERIES {
+        peers::send(&socket, &message, &lookup.asked()).await;
+        let began = router.now();
+        let _ = router.runtime.within(QUERY_INTERVAL, receive(lookup, &answers)).await;
+        let state = lookup.result();
+        if state != LookupState::NotFound || query.stream.is_none() && lookup.answered() > 0 {
+            return state;
+        }
+        let waited = router.now().since(began);
+        router.runtime.sleep(QUERY_INTERVAL.saturating_sub(waited)).await;
+    }
+    lookup.result()
+}
+
+/// Receives answers until all peers have answered or one has a record.
+async fn receive(lookup: &mut OriginLookup, answers: &Receiver<(SocketAddr, OriginAnswer)>) {
+    while lookup.state() == LookupState::Pending {
+        let Ok((from, answer)) = answers.recv().await else { return };
+        lookup.on_answer(from, answer);
+    }
+}
+
+/// Delivers the answers to a query as long as it exists.
+struct Registration<'a> {
+    origins: &'a StreamOrigins,
+    query: u64,
+}
+
+impl<'a> Registration<'a> {
+    fn new(
+        origins: &'a StreamOrigins,
+        query: u64,
+        sender: Sender<(SocketAddr, OriginAnswer)>,
+    ) -> Self {
+        origins.searches.borrow_mut().insert(query, sender);
+        Self { origins, query }
+    }
+}
+
+impl Drop for Registration<'_> {
+    fn drop(&mut self) {
+        self.origins.searches.borrow_mut().remove(&self.query);
+    }
+}
+
+/// Returns what this router knows of the origin that is asked for.
+fn answer(router: &Router, query: &OriginQuery) -> OriginAnswer {
+    let now = router.now();
+    let records = router.stream_origins.records.borrow();
+    let known = query.stream.map(|stream| records.known(now, stream));
+    router.dispatcher.borrow().origin_answer(now, query, known.unwrap_or_default())
+}
+
+/// Handles a message of a peer. Returns the reply, if there is one.
+pub fn handle(
+    router: &Router,
+    sender: SocketAddr,
+    message: OriginMessage,
+) -> Option<OriginMessage> {
+    let origins = &router.stream_origins;
+    match message {
+        OriginMessage::Reports(reports) => {
+            origins.records.borrow_mut().on_reports(router.now(), &reports);
+            None
+        }
+        OriginMessage::Query(query) => {
+            let answer = answer(router, &query);
+            Some(OriginMessage::Reply(OriginReply { query: query.id, answer }))
+        }
+        OriginMessage::Reply(reply) => {
+            if let Some(search) = origins.searches.borrow().get(&reply.query) {
+                // The search may just have ended.
+                let _ = search.try_send((sender, reply.answer));
+            }
+            None
+        }
+    }
+}
+
+/// Returns the reports for the owners of new records.
+pub fn next_reports(router: &Router) -> Vec<Outgoing> {
+    let dispatcher = router.dispatcher.borrow();
+    let owners = |stream| dispatcher.origin_owners(stream, OWNERS);
+    let reports = router.stream_origins.records.borrow_mut().take_reports(owners);
+    reports.into_iter().map(|(owner, reports)| outgoing(owner, reports)).collect()
+}
+
+fn outgoing(owner: SocketAddr, reports: Vec<OriginReport>) -> Outgoing {
+    Outgoing { message: PeerMessage::Origin(OriginMessage::Reports(reports)), targets: vec![owner] }
+}
+
+/// Returns the messages with the records that a new peer keeps. One that has restarted has lost
+/// them.
+pub fn messages_for_new_peer(router: &Router, peer: SocketAddr) -> Vec<PeerMessage> {
+    let dispatcher = router.dispatcher.borrow();
+    let owners = |stream| dispatcher.origin_owners(stream, OWNERS);
+    let records = router.stream_origins.records.borrow();
+    let reports = records.reports_for(router.now(), peer, owners);
+    let messages = reports.into_iter().map(|(_, reports)| OriginMessage::Reports(reports));
+    messages.map(PeerMessage::Origin).collect()
+}
+
+/// Removes expired records and updates the metrics.
+pub fn expire(router: &Router) {
+    let mut records = router.stream_origins.records.borrow_mut();
+    records.expire(router.now());
+    router.metrics.set_stream_records(records.len(), records.evicted());
 }
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -5,6 +5,7 @@
 use crate::quarantine::TerminationReport;
 use crate::revision::Revision;
 use crate::source_watchers::SourceContact;
+use crate::stream_origin::OriginMessage;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -125,6 +126,8 @@
     Ends(Vec<TerminationReport>),
     /// Back ends that announced in responses that they are shutting down.
     Draining(Vec<BackEndId>),
+    /// About the origins of streams.
+    Origin(OriginMessage),
 }
 
 /// A message with its recipients.
--- a/crates/routing/src/dispatch/back_end_changes.rs
+++ b/crates/routing/src/dispatch/back_end_changes.rs
@@ -13,6 +13,7 @@
     pub fn on_back_end_changes(&mut self, now: Timestamp, changes: &UsableChanges) {
         self.back_ends = changes.revision;
         for id in &changes.removed {
+            self.record_removed_version(now, id);
             self.engines.remove(id);
             self.preferred.on_removed(id);
             self.idle_connections.remove(id);
@@ -48,6 +49,9 @@
     fn set_engines(&mut self, now: Timestamp, back_ends: &[BackEnd]) {
         let mut new = HashSet::new();
         for back_end in back_ends {
+            if self.back_end(&back_end.id).is_some_and(|known| known.version != back_end.version) {
+                self.record_removed_version(now, &back_end.id);
+            }
             let is_evacuated = self.evacuated.zones.contains(&back_end.zone);
             let region = self.limits.regions.of(&back_end.zone);
             self.engines.set(now, back_end.clone(), |known| {
@@ -66,6 +70,12 @@
         }
     }
 
+    fn record_removed_version(&mut self, now: Timestamp, id: &BackEndId) {
+        let Some(engine) = self.engines.get(id) else { return };
+        let BackEnd { service, version, .. } = &engine.back_end;
+        self.origin_history.on_removed(now, service, version);
+    }
+
     /// Replaces the set of evacuated zones, whose back ends receive no new requests.
     pub fn on_evacuations(&mut self, evacuated: &EvacuatedZones) {
         self.evacuated = evacuated.clone();
--- a/crates/routing/src/dispatch/engines.rs
+++ b/crates/routing/src/dispatch/engines.rs
@@ -12,6 +12,7 @@
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
+use std::sync::Arc;
 
 /// A back end that accepts requests.
 #[derive(Debug, Clone)]
@@ -75,6 +76,12 @@
         self.all.keys()
     }
 
+    /// Returns the software versions of a service's back ends.
+    pub fn versions(&self, service: &str) -> BTreeSet<Arc<str>> {
+        let of_service = self.all().filter(|engine| engine.back_end.service == service);
+        of_service.map(|engine| engine.back_end.version.clone()).collect()
+    }
+
     /// Returns the back ends of a service that accept requests, sorted by ID.
     pub fn ready(&self, service: &str) -> &[ReadyEngine] {
         self.ready.get(service).map(Vec::as_slice).unwrap_or_default()
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -12,6 +12,7 @@
 use crate::quarantine::ProbeSlot;
 use crate::rollout::ReleaseReport;
 use crate::source_watchers::{self, SourceContact};
+use crate::stream_origin::{Member, StreamKey, owners};
 use mastbay_types::{Timestamp, stable_hash};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -81,6 +82,16 @@
         self.peers.keys().nth(index as usize).copied()
     }
 
+    /// Returns up to `count` peers that keep the record of a stream, those that are preferred first.
+    pub fn origin_owners(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let members = self.peers.iter().map(|(address, peer)| Member {
+            address: *address,
+            zone: &peer.state.zone,
+            hash: peer.tiebreak,
+        });
+        owners(stream, members, count)
+    }
+
     fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = &RouterState> {
         let fresh = self.peers.values().filter(move |peer| now.since(peer.last_seen) <= STATS_TTL);
         fresh.map(|peer| &peer.state)
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -57,6 +57,7 @@
 use crate::rollout::RolloutRegistry;
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
+use crate::stream_origin::OriginHistory;
 use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
 use cold_engines::HeldColdEngines;
@@ -129,6 +130,7 @@
     rollouts: RolloutRegistry,
     rollouts_revision: Revision,
     performance: FleetPerformance,
+    origin_history: OriginHistory,
 }
 
 impl Dispatcher {
@@ -177,6 +179,7 @@
             rollouts: RolloutRegistry::default(),
             rollouts_revision: Revision::default(),
             performance: FleetPerformance::default(),
+            origin_history: OriginHistory::default(),
         }
     }
 
@@ -185,6 +188,7 @@
         self.configuration = configuration.version;
         self.capacity = configuration.limits.tokens_per_second;
         self.fleet_admission.on_configuration(configuration);
+        self.origin_history.on_configuration(configuration);
         let services = configuration.services.iter();
         self.engine_limits = services
             .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -1,11 +1,52 @@
-//! Versions of back ends that may resume a stream.
+//! Origins of streams: the routers that keep their records, and origins that are certain without one.
 
 use super::Dispatcher;
+use super::fleet::OwnState;
 use crate::back_end::BackEnd;
+use crate::revision::Revision;
+use crate::stream_origin::{KnownOrigin, OriginAnswer, OriginQuery, StreamKey};
+use mastbay_types::Timestamp;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 impl Dispatcher {
+    /// Returns up to `count` peers that keep the record of a stream, those that are preferred first.
+    pub fn origin_owners(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        self.fleet.origin_owners(stream, count)
+    }
+
     /// Returns whether a back end changed its version since it was placed as `placed`.
     pub fn has_other_version(&self, placed: &BackEnd) -> bool {
         self.back_end(&placed.id).is_some_and(|listed| listed.version != placed.version)
     }
+
+    /// Returns this router's answer to a query. `known` is what its records hold.
+    pub fn origin_answer(
+        &self,
+        now: Timestamp,
+        query: &OriginQuery,
+        known: KnownOrigin,
+    ) -> OriginAnswer {
+        let listed = |service: &str| self.engines.versions(service);
+        let age_limit = Duration::from_millis(u64::from(query.age_limit_ms));
+        match known {
+            KnownOrigin::Recorded { origin, age } => {
+                let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+                OriginAnswer::Recorded { origin, age_ms }
+            }
+            KnownOrigin::Conflicting => OriginAnswer::Conflicting,
+            KnownOrigin::NotRecorded => OriginAnswer::NotRecorded {
+                only: self.origin_history.only(now, query.route, age_limit, listed),
+                current: self.origin_history.current(query.route, listed),
+            },
+        }
+    }
+
+    /// Records whether this router's lists of back ends are complete and current.
+    pub(super) fn observe_origins(&mut self, now: Timestamp, own: &OwnState) {
+        let is_complete = own.configuration > 0 && own.back_ends != Revision::default();
+        let is_current =
+            is_complete && self.is_source_answering(now) && !self.fleet.is_behind(now, own);
+        self.origin_history.observe(now, is_current);
+    }
 }
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -26,7 +26,7 @@
                 }
                 None
             }
-            PeerMessage::Ends(_) => None,
+            PeerMessage::Ends(_) | PeerMessage::Origin(_) => None,
         }
     }
 
@@ -40,7 +40,8 @@
             PeerMessage::Digest(_)
             | PeerMessage::Sum(_)
             | PeerMessage::Ends(_)
-            | PeerMessage::Draining(_) => None,
+            | PeerMessage::Draining(_)
+            | PeerMessage::Origin(_) => None,
         }
     }
 
@@ -87,6 +88,7 @@
         let own = self.own_state(phase);
         let change = self.fleet.choose_role(now, &own);
         self.apply_stats_change(change);
+        self.observe_origins(now, &own);
         self.update_policy();
         let stats = if self.fleet.includes_slow_stats() {
             self.own_stats(now)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -119,7 +119,11 @@
     Candidate, SourceContact, StartingRouter, watch_timeout, watches_source,
 };
 pub use stall::StallDetector;
-pub use stream_origin::StreamOrigin;
+pub use stream_origin::{
+    ASKED_OWNERS, KnownOrigin, LookupState, MAX_RECORDS, Member, OWNERS, OriginAnswer,
+    OriginHistory, OriginLookup, OriginMessage, OriginQuery, OriginRecords, OriginReply,
+    OriginReport, OriginSource, StreamKey, StreamOrigin, StreamRecord, owners,
+};
 pub use table::{RouteTable, TableEntry};
 pub use transfer::TransferLimits;
 pub use warmup::{Holders, Warmup, WarmupLimits};
--- a/crates/routing/src/stream_origin/mod.rs
+++ b/crates/routing/src/stream_origin/mod.rs
@@ -1,6 +1,23 @@
 //! Which back ends began a stream, so that it is only resumed at back ends of the same software
-//! version: what two versions write does not fit together, and back ends do not check it.
+//! version.
+//!
+//! What two software versions write does not fit together, and back ends do not check it. A caller
+//! may resume a stream at any router. The router that relays a stream's first event records its
+//! origin and reports it to a few other routers, which are selected by rendezvous hashing of the
+//! request's ID. A router that is asked to resume a stream asks them. Reports are not acknowledged:
+//! if a record is lost, the stream cannot be resumed, but it never continues at another version.
 
+mod history;
+mod lookup;
 mod messages;
+mod owners;
+mod records;
 
-pub use messages::StreamOrigin;
+pub use history::OriginHistory;
+pub use lookup::{LookupState, OriginLookup, OriginSource};
+pub use messages::{
+    KnownOrigin, OriginAnswer, OriginMessage, OriginQuery, OriginReply, OriginReport, StreamKey,
+    StreamOrigin, StreamRecord,
+};
+pub use owners::{ASKED_OWNERS, Member, OWNERS, owners};
+pub use records::{MAX_RECORDS, OriginRecords};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -95,6 +95,12 @@
 }
 
 impl TableEntry {
+    /// Returns whether the route sends requests to a service.
+    pub fn has_target(&self, service: &str) -> bool {
+        let mut targets = self.route.targets.iter();
+        targets.any(|target| target.service == service && target.weight > 0)
+    }
+
     /// Selects the service for a request by weight; `draw` is uniform in 0..1. Returns `None` if
     /// the weights add up to zero.
     pub fn service(&self, draw: f64) -> Option<&str> {
--- /dev/null
+++ b/crates/routing/tests/stream_origins.rs
@@ -0,0 +1,349 @@
+//! Records of streams' origins, their owners, searches for them, and origins without a record.
+
+mod support;
+
+use mastbay_routing::{
+    ASKED_OWNERS, KnownOrigin, LookupState, MAX_RECORDS, Member, OWNERS, OriginAnswer,
+    OriginHistory, OriginLookup, OriginRecords, OriginReport, OriginSource, Route, RouteKind,
+    RoutingConfiguration, StreamKey, StreamOrigin, StreamRecord, Target, owners,
+};
+use mastbay_types::{mixed_hash, short_hash};
+use quickcheck::quickcheck;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use support::at;
+
+const KEPT_FOR: Duration = Duration::from_secs(30);
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: "model".into(), version: version.into() }
+}
+
+fn record(stream: u64) -> StreamRecord {
+    StreamRecord::new(StreamKey(stream), KEPT_FOR)
+}
+
+fn report(version: &str, stream: u64) -> OriginReport {
+    OriginReport { origin: origin(version), streams: vec![record(stream)] }
+}
+
+fn recorded(version: &str, age: Duration) -> KnownOrigin {
+    KnownOrigin::Recorded { origin: origin(version), age }
+}
+
+#[test]
+fn a_record_is_kept_for_its_time_and_renewed_by_the_same_origin() {
+    let mut records = OriginRecords::default();
+    records.record(at(0), &origin("v1"), record(1));
+    assert_eq!(records.known(at(29_000), StreamKey(1)), recorded("v1", Duration::from_secs(29)));
+    records.on_reports(at(29_000), &[report("v1", 1)]);
+    records.expire(at(58_999));
+    assert_eq!(
+        records.known(at(58_999), StreamKey(1)),
+        recorded("v1", Duration::from_millis(29_999))
+    );
+    assert_eq!(records.known(at(59_000), StreamKey(1)), KnownOrigin::NotRecorded);
+    records.expire(at(59_000));
+    assert!(records.is_empty());
+}
+
+/// Guards against a stream that continues at the version of another stream with the same ID.
+#[test]
+fn a_stream_with_reports_of_two_versions_has_no_known_origin() {
+    let mut records = OriginRecords::default();
+    records.on_reports(at(0), &[report("v1", 1)]);
+    records.on_reports(at(10), &[report("v2", 1)]);
+    assert_eq!(records.known(at(20), StreamKey(1)), KnownOrigin::Conflicting);
+    records.on_reports(at(30), &[report("v2", 1)]);
+    assert_eq!(records.known(at(40), StreamKey(1)), KnownOrigin::Conflicting);
+    // Once the earlier reports have expired, the ID may be used again.
+    records.on_reports(at(40_000), &[report("v2", 1)]);
+    assert_eq!(records.known(at(40_000), StreamKey(1)), recorded("v2", Duration::ZERO));
+}
+
+#[test]
+fn the_records_that_expire_first_are_evicted_and_counted() {
+    let mut records = OriginRecords::default();
+    for stream in 0..MAX_RECORDS as u64 + 10 {
+        records.record(at(stream / 10), &origin("v1"), record(stream));
+    }
+    assert_eq!((records.len(), records.evicted()), (MAX_RECORDS, 10));
+    let now = at(MAX_RECORDS as u64 / 10);
+    assert_eq!(records.known(now, StreamKey(9)), KnownOrigin::NotRecorded);
+    assert_ne!(records.known(now, StreamKey(10)), KnownOrigin::NotRecorded);
+}
+
+/// Guards against records that never reach their owners, or that are reported twice.
+#[test]
+fn each_record_is_reported_once_to_each_owner_in_messages_of_bounded_size() {
+    const STREAMS: u64 = 5_000;
+    let mut records = OriginRecords::default();
+    for stream in 0..STREAMS {
+        let version = if stream % 2 == 0 { "v1" } else { "v2" };
+        records.record(at(0), &origin(version), record(stream));
+    }
+    let messages = records.take_reports(|stream| vec![stream.0 % 3, 7]);
+    let mut reported = Vec::new();
+    for (owner, reports) in &messages {
+        let streams: usize = reports.iter().map(|report| report.streams.len()).sum();
+        assert!(streams <= 1_024, "{streams}");
+        for report in reports {
+            let streams = report.streams.iter();
+            reported.extend(streams.map(|record| (*owner, report.origin.clone(), record.stream)));
+        }
+    }
+    assert_eq!(reported.len() as u64, 2 * STREAMS);
+    reported.sort();
+    reported.dedup();
+    assert_eq!(reported.len() as u64, 2 * STREAMS);
+    assert!(records.take_reports(|_| vec![7]).is_empty());
+}
+
+/// Guards against a router that has restarted and never gets the records back that it keeps.
+#[test]
+fn a_restarted_owner_gets_the_records_that_it_keeps() {
+    let mut records = OriginRecords::default();
+    records.on_reports(at(0), &[report("v1", 1), report("v1", 2)]);
+    let messages = records.reports_for(at(10_000), 1, |stream| vec![stream.0]);
+    let kept = StreamRecord { stream: StreamKey(1), kept_for_ms: 20_000 };
+    let expected = OriginReport { origin: origin("v1"), streams: vec![kept] };
+    assert_eq!(messages, vec![(1, vec![expected])]);
+}
+
+fn address(index: u64) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_000))
+}
+
+fn members(count: u64, zones: u64) -> Vec<(SocketAddr, String, u64)> {
+    (0..count)
+        .map(|index| (address(index), format!("z{}", index % zones), mixed_hash(index, 1)))
+        .collect()
+}
+
+fn chosen(stream: u64, members: &[(SocketAddr, String, u64)], count: usize) -> Vec<SocketAddr> {
+    let members =
+        members.iter().map(|(address, zone, hash)| Member { address: *address, zone, hash: *hash });
+    owners(StreamKey(mixed_hash(stream, 2)), members, count)
+}
+
+/// Guards against records that are lost with one zone.
+#[test]
+fn the_owners_of_a_record_are_in_different_zones() {
+    let members = members(60, 3);
+    for stream in 0..200 {
+        let owners = chosen(stream, &members, OWNERS);
+        let zones: BTreeSet<&String> = members
+            .iter()
+            .filter(|(address, ..)| owners.contains(address))
+            .map(|(_, zone, _)| zone)
+            .collect();
+        assert_eq!((owners.len(), zones.len()), (OWNERS, 3));
+    }
+}
+
+/// Guards against a router that asks others than those to which a record was reported. The router
+/// that reports and the one that asks exclude themselves, and one may not know a few of the others.
+#[test]
+fn the_asked_routers_include_an_owner_although_views_differ() {
+    let all = members(60, 3);
+    for stream in 0..500_u64 {
+        let without = |excluded: &[u64]| {
+            let mut view = all.clone();
+            view.retain(|(address, ..)| {
+                !excluded.iter().any(|index| *address == self::address(*index % 60))
+            });
+            view
+        };
+        let owners = chosen(stream, &without(&[stream]), OWNERS);
+        let asked =
+            chosen(stream, &without(&[stream * 7 + 1, stream * 3, stream * 5]), ASKED_OWNERS);
+        assert!(owners.iter().any(|owner| asked.contains(owner)), "{stream}");
+    }
+}
+
+fn not_recorded(only: Option<&str>, current: Option<&str>) -> OriginAnswer {
+    OriginAnswer::NotRecorded { only: only.map(origin), current: current.map(origin) }
+}
+
+fn answer_recorded(version: &str) -> OriginAnswer {
+    OriginAnswer::Recorded { origin: origin(version), age_ms: 5 }
+}
+
+/// Returns the result of a search with an own answer and those of others; `None` if one is silent.
+fn result(own: OriginAnswer, others: Vec<Option<OriginAnswer>>) -> LookupState {
+    let asked: Vec<SocketAddr> = (0..others.len() as u64).map(address).collect();
+    let mut lookup = OriginLookup::new(own, &asked);
+    for (from, answer) in asked.iter().zip(others) {
+        if let Some(answer) = answer {
+            lookup.on_answer(*from, answer);
+        }
+    }
+    lookup.result()
+}
+
+#[test]
+fn a_record_of_any_router_is_found() {
+    let unknown = not_recorded(None, None);
+    let others = vec![None, Some(unknown.clone()), Some(answer_recorded("v1"))];
+    let expected = LookupState::Found {
+        origin: origin("v1"),
+        source: OriginSource::Peer(address(2)),
+        age: Duration::from_millis(5),
+    };
+    assert_eq!(result(unknown, others), expected);
+}
+
+#[test]
+fn routers_with_records_of_two_versions_are_a_conflict() {
+    let others = vec![Some(answer_recorded("v1")), Some(answer_recorded("v2"))];
+    assert_eq!(result(not_recorded(None, None), others), LookupState::Conflicting);
+}
+
+/// Guards against a guess: without a record, an origin is certain only if one router has observed
+/// that no other was possible, and none of those that answer lists another one.
+#[test]
+fn an_origin_without_a_record_is_used_only_if_it_is_certain() {
+    let sure = || not_recorded(Some("v1"), Some("v1"));
+    let started = || not_recorded(None, Some("v1"));
+    let sees_two = || not_recorded(None, None);
+    let is_found = |own, others| matches!(result(own, others), LookupState::Found { .. });
+    assert!(is_found(sure(), vec![]));
+    assert!(is_found(sure(), vec![Some(started()), None]));
+    assert!(is_found(started(), vec![Some(sure())]));
+    assert!(!is_found(started(), vec![]));
+    assert!(!is_found(started(), vec![Some(started())]));
+    assert!(!is_found(sure(), vec![Some(sees_two())]));
+    assert!(!is_found(sees_two(), vec![Some(sure())]));
+    assert!(!is_found(sure(), vec![Some(not_recorded(Some("v2"), Some("v2")))]));
+    // A router that hears none of the others may have missed a change.
+    assert!(!is_found(sure(), vec![None, None]));
+}
+
+quickcheck! {
+    /// Guards against an origin that contradicts any router that answered.
+    fn a_found_origin_contradicts_no_answer(answers: Vec<Option<(u8, u8)>>) -> bool {
+        let version = |number: u8| match number % 3 { 0 => None, 1 => Some("v1"), _ => Some("v2") };
+        let answers: Vec<Option<OriginAnswer>> = answers
+            .into_iter()
+            .map(|answer| answer.map(|(kind, number)| match (kind % 4, version(number)) {
+                (0, Some(version)) => answer_recorded(version),
+                (1, Some(version)) => not_recorded(Some(version), Some(version)),
+                (_, current) => not_recorded(None, current),
+            }))
+            .collect();
+        match result(not_recorded(None, Some("v1")), answers.clone()) {
+            LookupState::Found { origin, source: OriginSource::OnlyVersion, .. } => {
+                answers.iter().flatten().all(|answer| match answer {
+                    OriginAnswer::NotRecorded { current, .. } => current.as_ref() == Some(&origin),
+                    OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting => false,
+                })
+            }
+            LookupState::Found { origin: found, .. } => {
+                answers.iter().flatten().all(|answer| match answer {
+                    OriginAnswer::Recorded { origin, .. } => *origin == found,
+                    OriginAnswer::NotRecorded { .. } | OriginAnswer::Conflicting => true,
+                })
+            }
+            _ => true,
+        }
+    }
+}
+
+const ROUTE: &str = "r";
+const AGE_LIMIT: Duration = Duration::from_secs(10);
+
+fn configuration(services: &[&str]) -> RoutingConfiguration {
+    let targets =
+        services.iter().map(|service| Target { service: (*service).to_owned(), weight: 1 });
+    let route = Route {
+        name: ROUTE.to_owned(),
+        host: "test".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::Streaming,
+        timeout: AGE_LIMIT / 2,
+        objective: Duration::from_millis(400),
+        pause_objective: None,
+        priority: 1,
+        targets: targets.collect(),
+        max_attempts: 2,
+        public: true,
+        resumable: true,
+        regions: Default::default(),
+    };
+    RoutingConfiguration { version: 1, routes: vec![route], ..RoutingConfiguration::default() }
+}
+
+/// A history with the versions of back ends that are listed.
+struct Observed {
+    history: OriginHistory,
+    listed: BTreeSet<Arc<str>>,
+}
+
+impl Observed {
+    /// Observes a route to one service with back ends of `v1` for a time.
+    fn for_millis(millis: u64) -> Self {
+        let mut observed =
+            Self { history: OriginHistory::default(), listed: BTreeSet::from(["v1".into()]) };
+        observed.history.on_configuration(&configuration(&["model"]));
+        observed.observe(0, millis);
+        observed
+    }
+
+    fn observe(&mut self, from_millis: u64, to_millis: u64) {
+        (from_millis..=to_millis).step_by(80).for_each(|now| self.history.observe(at(now), true));
+        self.history.observe(at(to_millis), true);
+    }
+
+    fn only(&self, now_millis: u64) -> Option<StreamOrigin> {
+        let route = short_hash(&[ROUTE.as_bytes()]);
+        self.history.only(at(now_millis), route, AGE_LIMIT, |_| self.listed.clone())
+    }
+}
+
+#[test]
+fn an_origin_is_certain_after_it_was_the_only_one_for_long_enough() {
+    assert_eq!(Observed::for_millis(9_900).only(9_900), None);
+    assert_eq!(Observed::for_millis(10_100).only(10_100), Some(origin("v1")));
+}
+
+/// Guards against a list that has become old without notice.
+#[test]
+fn no_origin_is_certain_while_lists_are_not_current() {
+    let mut observed = Observed::for_millis(20_000);
+    observed.history.observe(at(20_400), false);
+    assert_eq!(observed.only(20_400), None);
+    observed.observe(20_480, 20_560);
+    assert_eq!(observed.only(20_560), Some(origin("v1")));
+    // A back end may have come and gone in a longer gap.
+    observed.observe(22_000, 31_900);
+    assert_eq!(observed.only(31_900), None);
+    observed.observe(31_900, 32_100);
+    assert_eq!(observed.only(32_100), Some(origin("v1")));
+}
+
+#[test]
+fn no_origin_is_certain_until_streams_of_a_removed_version_are_too_old() {
+    let mut observed = Observed::for_millis(20_000);
+    observed.history.on_removed(at(20_000), "model", &"v0".into());
+    observed.observe(20_000, 29_900);
+    assert_eq!(observed.only(29_900), None);
+    observed.observe(29_900, 30_100);
+    assert_eq!(observed.only(30_100), Some(origin("v1")));
+    observed.listed.insert("v2".into());
+    assert_eq!(observed.only(30_100), None);
+}
+
+/// Guards against a stream that continues at the service to which its route was moved.
+#[test]
+fn no_origin_is_certain_after_the_route_was_moved_to_another_service() {
+    let mut observed = Observed::for_millis(20_000);
+    observed.history.on_configuration(&configuration(&["other"]));
+    assert_eq!(observed.only(20_000), None);
+    observed.observe(20_000, 29_900);
+    assert_eq!(observed.only(29_900), None);
+    observed.history.on_configuration(&configuration(&["other", "model"]));
+    observed.observe(29_900, 50_000);
+    assert_eq!(observed.only(50_000), None);
+}
--- a/crates/routing/tests/support/fleet.rs
+++ b/crates/routing/tests/support/fleet.rs
@@ -264,7 +264,8 @@
                 PeerMessage::Digest(_)
                 | PeerMessage::SumForZone(_)
                 | PeerMessage::Ends(_)
-                | PeerMessage::Draining(_) => false,
+                | PeerMessage::Draining(_)
+                | PeerMessage::Origin(_) => false,
             });
             aggregators.extend(sends_sums.then_some(*address));
         }
