Refuse requests whose last event or first request can't be read

What callers saw: a request to resume a stream whose Last-Event-Id is no number was sent on as a new one, so its stream began again and every event came twice.

Cause: both dialects dropped a value that they could not parse.

Change: ResumptionHeaders reads both headers for both dialects. A number that can't be read and an empty or unreadable id are a malformed header (400, typed error with the header's name); an empty Last-Event-Id counts as none, as in server-sent events.

Test: a_request_with_a_malformed_last_event_or_stream_is_refused failed before (read as a request without last event) and passes now.

--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use crate::resumption_headers::ResumptionHeaders;
 pub use crate::retry_after::{RetryAfter, RetryAfterError, read_retry_after, retry_after_of};
 
 /// The information in the headers of a caller's request.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod quarantine_archive;
 mod relay;
 pub mod request_head;
+mod resumption_headers;
 mod retry_after;
 mod router;
 mod runtime;
--- a/crates/router/src/native_dialect.rs
+++ b/crates/router/src/native_dialect.rs
@@ -3,7 +3,7 @@
 
 use crate::dialect::{
     AnswerKind, BackEndDialect, BackEndNotice, CallerDialect, CallerHead, MalformedRequest,
-    OutgoingCall, OwnAnswer, retry_after_of,
+    OutgoingCall, OwnAnswer, ResumptionHeaders, retry_after_of,
 };
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http;
@@ -18,10 +18,13 @@
 pub const PARTS: HeaderName = HeaderName::from_static("mastbay-prompt-parts");
 /// The number of prompt tokens and the maximum number of output tokens, as `IN,OUT`.
 pub const TOKENS: HeaderName = HeaderName::from_static("mastbay-tokens");
+/// The headers with which callers resume streams.
+const RESUMPTION: ResumptionHeaders =
+    ResumptionHeaders { last_event: "mastbay-last-event", resumes: "mastbay-resumes" };
 /// The number of the last event that the caller received.
-pub const LAST_EVENT: HeaderName = HeaderName::from_static("mastbay-last-event");
+pub const LAST_EVENT: HeaderName = HeaderName::from_static(RESUMPTION.last_event);
 /// The ID of the request that brought the first event of the stream that the caller resumes.
-pub const RESUMES: HeaderName = HeaderName::from_static("mastbay-resumes");
+pub const RESUMES: HeaderName = HeaderName::from_static(RESUMPTION.resumes);
 /// The tenant's name, sent to back ends only.
 pub const TENANT: HeaderName = HeaderName::from_static("mastbay-tenant");
 /// The name of the back end that a request is addressed to.
@@ -58,14 +61,13 @@
             None => None,
         };
         let key = text(headers, &AUTHORIZATION).and_then(|value| value.strip_prefix(BEARER));
-        let last_event = text(headers, &LAST_EVENT).and_then(|number| number.parse().ok());
         Ok(CallerHead {
             request_id,
             time_left,
             key: key.map(str::to_owned),
             prompt: prompt(headers),
-            last_event,
-            resumed_request: text(headers, &RESUMES).map(str::to_owned),
+            last_event: RESUMPTION.last_event(headers)?,
+            resumed_request: RESUMPTION.resumed_request(headers)?,
         })
     }
 
