Bound the work for stream records when many routers start at once

Change: new peers are noted and served together in the next round, from the streams that a router relays itself (each record has two other owners), and the choice of owners keeps the first of each zone in one pass instead of sorting all members.

--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -150,14 +150,14 @@
     }
     let new_peer = router.dispatcher.borrow_mut().on_message(router.now(), message);
     let Some(new_peer) = new_peer else { return };
+    stream_origins::on_new_peer(router, new_peer.address);
     events::peer_heard(new_peer.address, router.dispatcher.borrow().routers());
     if new_peer.needs_hello {
         let hello = router.dispatcher.borrow_mut().hello(router.phase());
         send(socket, &PeerMessage::Digest(hello), &[new_peer.address]).await;
     }
     let draining = router.dispatcher.borrow().draining_for_new_peer();
-    let known = quarantine::message_for_new_peer(router).into_iter().chain(draining);
-    for message in known.chain(stream_origins::messages_for_new_peer(router, new_peer.address)) {
+    for message in quarantine::message_for_new_peer(router).into_iter().chain(draining) {
         send(socket, &message, &[new_peer.address]).await;
     }
 }
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -38,6 +38,8 @@
     records: RefCell<OriginRecords>,
     /// Receivers of answers, by the ID of the query.
     searches: RefCell<HashMap<u64, Sender<(SocketAddr, OriginAnswer)>>>,
+    /// Peers that have started since the last round.
+    new_peers: RefCell<Vec<SocketAddr>>,
 }
 
 /// A stream that a caller resumes.
@@ -262,11 +264,16 @@
     }
 }
 
-/// Returns the reports for the owners of new records.
+/// Returns the reports of one round: new records for their owners, and earlier ones for owners that
+/// have started since.
 pub fn next_reports(router: &Router) -> Vec<Outgoing> {
+    let origins = &router.stream_origins;
     let dispatcher = router.dispatcher.borrow();
     let owners = |stream| dispatcher.origin_owners(stream, OWNERS);
-    let reports = router.stream_origins.records.borrow_mut().take_reports(owners);
+    let mut records = origins.records.borrow_mut();
+    let mut reports = records.take_reports(owners);
+    let new_peers = origins.new_peers.take();
+    reports.extend(records.reports_for_new(router.now(), &new_peers, owners));
     reports.into_iter().map(|(owner, reports)| outgoing(owner, reports)).collect()
 }
 
@@ -274,15 +281,9 @@
     Outgoing { message: PeerMessage::Origin(OriginMessage::Reports(reports)), targets: vec![owner] }
 }
 
-/// Returns the messages with the records that a new peer keeps. One that has restarted has lost
-/// them.
-pub fn messages_for_new_peer(router: &Router, peer: SocketAddr) -> Vec<PeerMessage> {
-    let dispatcher = router.dispatcher.borrow();
-    let owners = |stream| dispatcher.origin_owners(stream, OWNERS);
-    let records = router.stream_origins.records.borrow();
-    let reports = records.reports_for(router.now(), peer, owners);
-    let messages = reports.into_iter().map(|(_, reports)| OriginMessage::Reports(reports));
-    messages.map(PeerMessage::Origin).collect()
+/// Notes that a peer has started: one that has restarted has lost its records.
+pub fn on_new_peer(router: &Router, peer: SocketAddr) {
+    router.stream_origins.new_peers.borrow_mut().push(peer);
 }
 
 /// Removes expired records and updates the metrics.
--- a/crates/routing/src/stream_origin/owners.rs
+++ b/crates/routing/src/stream_origin/owners.rs
@@ -3,7 +3,6 @@
 use super::messages::StreamKey;
 use mastbay_types::mixed_hash;
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// Number of routers that a record is reported to. If 60 of 100 routers end at once, all of these
@@ -23,6 +22,9 @@
     pub hash: u64,
 }
 
+/// A member's position in the order of a stream; the lowest is preferred.
+type Rank = (Reverse<u64>, SocketAddr);
+
 /// Returns up to `count` members in the order of preference for a stream. The first ones are in
 /// different zones, as far as there are enough, so that a record survives the loss of a zone.
 pub fn owners<'a>(
@@ -30,17 +32,27 @@
     members: impl Iterator<Item = Member<'a>>,
     count: usize,
 ) -> Vec<SocketAddr> {
-    let scored = members.map(|member| (mixed_hash(stream.0, member.hash), member));
-    let mut scored: Vec<(u64, Member)> = scored.collect();
-    scored.sort_unstable_by_key(|(score, member)| (Reverse(*score), member.address));
-    let mut chosen_in_zone: HashMap<&str, usize> = HashMap::new();
-    let mut ranked: Vec<(usize, SocketAddr)> = Vec::with_capacity(scored.len());
-    for (_, member) in scored {
-        let earlier = chosen_in_zone.entry(member.zone).or_default();
-        ranked.push((*earlier, member.address));
-        *earlier += 1;
+    let mut zones: Vec<(&str, Vec<Rank>)> = Vec::new();
+    for member in members {
+        let rank = (Reverse(mixed_hash(stream.0, member.hash)), member.address);
+        match zones.iter_mut().find(|(zone, _)| *zone == member.zone) {
+            Some((_, first)) => insert(first, rank, count),
+            None => zones.push((member.zone, vec![rank])),
+        }
+    }
+    zones.sort_unstable_by_key(|(_, first)| first.first().copied());
+    let longest = zones.iter().map(|(_, first)| first.len()).max().unwrap_or_default();
+    let by_position = (0..longest)
+        .flat_map(|position| zones.iter().filter_map(move |(_, first)| first.get(position)));
+    by_position.take(count).map(|(_, address)| *address).collect()
+}
+
+/// Inserts a rank into the `count` lowest ones, which are sorted.
+fn insert(first: &mut Vec<Rank>, rank: Rank, count: usize) {
+    if first.len() >= count && first.last().is_some_and(|last| *last < rank) {
+        return;
     }
-    // The sort is stable: members of the same rank in their zones stay in the order of their scores.
-    ranked.sort_by_key(|(rank_in_zone, _)| *rank_in_zone);
-    ranked.into_iter().take(count).map(|(_, address)| address).collect()
+    let position = first.partition_point(|earlier| *earlier < rank);
+    first.insert(position, rank);
+    first.truncate(count);
 }
--- a/crates/routing/src/stream_origin/records.rs
+++ b/crates/routing/src/stream_origin/records.rs
@@ -16,6 +16,8 @@
     origin: Option<StreamOrigin>,
     recorded: Timestamp,
     expires: Timestamp,
+    /// Whether this router relays the stream, and reports its origin.
+    is_own: bool,
 }
 
 /// The origins of streams that this router began to relay or keeps for others.
@@ -31,7 +33,7 @@
 impl OriginRecords {
     /// Records the origin of a stream that this router relays. It is reported in the next round.
     pub fn record(&mut self, now: Timestamp, origin: &StreamOrigin, record: StreamRecord) {
-        self.insert(now, origin, record);
+        self.insert(now, origin, record, true);
         self.unreported.push((origin.clone(), record));
     }
 
@@ -39,22 +41,29 @@
     pub fn on_reports(&mut self, now: Timestamp, reports: &[OriginReport]) {
         for report in reports {
             for record in &report.streams {
-                self.insert(now, &report.origin, *record);
+                self.insert(now, &report.origin, *record, false);
             }
         }
     }
 
-    fn insert(&mut self, now: Timestamp, origin: &StreamOrigin, record: StreamRecord) {
+    fn insert(
+        &mut self,
+        now: Timestamp,
+        origin: &StreamOrigin,
+        record: StreamRecord,
+        is_own: bool,
+    ) {
         let kept_for = Duration::from_millis(u64::from(record.kept_for_ms));
         let earlier = self.remove(record.stream);
         let is_same = earlier.as_ref().is_none_or(|earlier| {
             earlier.expires <= now || earlier.origin.as_ref() == Some(origin)
         });
+        let is_own = is_own || earlier.as_ref().is_some_and(|earlier| earlier.is_own);
         let known_until = earlier.map_or(Timestamp::ZERO, |earlier| earlier.expires);
         let expires = known_until.max(now + kept_for);
         let origin = is_same.then(|| origin.clone());
         self.by_expiry.insert((expires, record.stream));
-        self.entries.insert(record.stream, Entry { origin, recorded: now, expires });
+        self.entries.insert(record.stream, Entry { origin, recorded: now, expires, is_own });
         self.evict();
     }
 
@@ -110,20 +119,25 @@
         batches.into_messages()
     }
 
-    /// Returns reports of all records that `owner` keeps, for a router that has lost them.
-    pub fn reports_for<Owner: Ord + Copy>(
+    /// Returns reports of the streams that this router relays, for those of their owners that are
+    /// `new` and do not have them.
+    pub fn reports_for_new<Owner: Ord + Copy>(
         &self,
         now: Timestamp,
-        owner: Owner,
+        new: &[Owner],
         owners: impl Fn(StreamKey) -> Vec<Owner>,
     ) -> Vec<(Owner, Vec<OriginReport>)> {
         let mut batches = Batches::default();
+        if new.is_empty() {
+            return Vec::new();
+        }
         for (stream, entry) in &self.entries {
-            let origin = entry.origin.as_ref().filter(|_| entry.expires > now);
-            let Some(origin) = origin.filter(|_| owners(*stream).contains(&owner)) else {
-                continue;
-            };
-            batches.add(owner, origin, StreamRecord::new(*stream, entry.expires.since(now)));
+            let is_reported = entry.is_own && entry.expires > now;
+            let Some(origin) = entry.origin.as_ref().filter(|_| is_reported) else { continue };
+            let record = StreamRecord::new(*stream, entry.expires.since(now));
+            for owner in owners(*stream).into_iter().filter(|owner| new.contains(owner)) {
+                batches.add(owner, origin, record);
+            }
         }
         batches.into_messages()
     }
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -4,8 +4,9 @@
 
 use mastbay_routing::{
     ASKED_OWNERS, KnownOrigin, LookupState, MAX_RECORDS, Member, OWNERS, OriginAnswer,
-    OriginHistory, OriginLookup, OriginRecords, OriginReport, OriginSource, Route, RouteKind,
-    RoutingConfiguration, StreamKey, StreamOrigin, StreamRecord, Target, owners,
+    OriginHistory, OriginLookup, OriginMessage, OriginRecords, OriginReport, OriginSource,
+    PeerMessage, ROUND_PERIOD, Route, RouteKind, RoutingConfiguration, StreamKey, StreamOrigin,
+    StreamRecord, Target, owners,
 };
 use mastbay_types::{mixed_hash, short_hash};
 use quickcheck::quickcheck;
@@ -105,8 +106,10 @@
 #[test]
 fn a_restarted_owner_gets_the_records_that_it_keeps() {
     let mut records = OriginRecords::default();
-    records.on_reports(at(0), &[report("v1", 1), report("v1", 2)]);
-    let messages = records.reports_for(at(10_000), 1, |stream| vec![stream.0]);
+    records.record(at(0), &origin("v1"), record(1));
+    records.record(at(0), &origin("v1"), record(2));
+    records.on_reports(at(0), &[report("v1", 3)]);
+    let messages = records.reports_for_new(at(10_000), &[1, 3], |stream| vec![stream.0]);
     let kept = StreamRecord { stream: StreamKey(1), kept_for_ms: 20_000 };
     let expected = OriginReport { origin: origin("v1"), streams: vec![kept] };
     assert_eq!(messages, vec![(1, vec![expected])]);
@@ -347,3 +350,68 @@
     observed.observe(29_900, 50_000);
     assert_eq!(observed.only(50_000), None);
 }
+
+/// Work and memory of one router for the records of a fleet.
+#[derive(Debug)]
+struct RecordLoad {
+    datagrams_per_second: f64,
+    bytes_per_second: f64,
+    /// Records at the router that keeps most.
+    most_records: usize,
+}
+
+/// Returns the load of records in a fleet of routers that begin the same number of streams.
+fn record_load(routers: u64, streams_per_second: u64) -> RecordLoad {
+    const SECONDS: u64 = 4;
+    let members = members(routers, 3);
+    let mut fleet: Vec<OriginRecords> = (0..routers).map(|_| OriginRecords::default()).collect();
+    let (mut datagrams, mut bytes) = (0, 0);
+    let rounds = SECONDS * 1_000 / ROUND_PERIOD.as_millis() as u64;
+    let streams_at = |round: u64| round * SECONDS * streams_per_second / rounds;
+    for round in 0..rounds {
+        let now = at(round * ROUND_PERIOD.as_millis() as u64);
+        let mut sent = Vec::new();
+        for (index, records) in fleet.iter_mut().enumerate() {
+            for number in streams_at(round)..streams_at(round + 1) {
+                let stream = mixed_hash(number, index as u64);
+                records.record(now, &origin("v1"), record(stream));
+            }
+            let own = address(index as u64);
+            let mut others = members.clone();
+            others.retain(|(address, ..)| *address != own);
+            sent.extend(records.take_reports(|stream| chosen(stream.0, &others, OWNERS)));
+        }
+        for (owner, reports) in sent {
+            let message = PeerMessage::Origin(OriginMessage::Reports(reports.clone()));
+            datagrams += 1;
+            bytes += rmp_serde::to_vec(&message).expect("encoded").len();
+            let index = members.iter().position(|(address, ..)| *address == owner);
+            fleet[index.expect("a member")].on_reports(now, &reports);
+        }
+    }
+    let per_second = |count: usize| count as f64 / (routers * SECONDS) as f64;
+    RecordLoad {
+        datagrams_per_second: per_second(datagrams),
+        bytes_per_second: per_second(bytes),
+        most_records: fleet.iter().map(OriginRecords::len).max().unwrap_or_default(),
+    }
+}
+
+/// Bytes a second that a router may send for control in all.
+const MAX_CONTROL_BYTES: f64 = 15_000.0;
+
+/// Guards against work for records that grows with the fleet.
+#[test]
+fn the_work_for_a_record_does_not_grow_with_the_fleet() {
+    for (routers, streams) in [(7, 52), (85, 20), (295, 6), (985, 2)] {
+        let load = record_load(routers, streams);
+        println!("{routers} routers, {streams} streams a second at each: {load:?}");
+        let rounds_per_second = 1.0 / ROUND_PERIOD.as_secs_f64();
+        let most = (OWNERS as f64 * streams as f64).min((routers - 1) as f64 * rounds_per_second);
+        assert!(load.datagrams_per_second <= most, "{routers}: {load:?}");
+        assert!(load.bytes_per_second <= MAX_CONTROL_BYTES, "{routers}: {load:?}");
+        // Four seconds of its own streams and of those of three others, and some unevenness.
+        let expected = 4 * streams * (1 + OWNERS as u64);
+        assert!(load.most_records as u64 <= 4 * expected, "{routers}: {load:?}");
+    }
+}
