Refuse resumed streams of tenants above their share like new ones

What other tenants would have seen: a tenant above its share that adds Last-Event-Id to its requests waits where new ones of its own are refused, since a demand that resumes a stream was treated as a retry throughout. Found in review of the mends, not by callers.

Change: the exemption of retries from the fair share holds only for requests that this router sent to a back end before. A resumed stream of a tenant within its share still waits longer and may start later.

Test: resumed_streams_of_a_tenant_above_its_share_are_refused_like_new_ones failed before (Waiting) and passes.

--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -49,8 +49,7 @@
 
 impl Demand {
     /// Returns whether back ends have already worked on the request: it was sent to one before, or
-    /// resumes a stream. Then it is not refused for reasons of fairness or latency that apply to new
-    /// requests.
+    /// resumes a stream. Then it may wait and start later than a new one.
     pub fn is_retry(&self) -> bool {
         !self.tried.is_empty() || self.version.is_some()
     }
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -48,7 +48,8 @@
         if let Some(reason) = self.unservable_reason(now, &demand) {
             return Admission::Refused(self.refusal(now, &demand, reason, draw));
         }
-        if !is_retry && is_above_share {
+        // Any caller can claim to resume a stream, so that alone does not exempt a tenant.
+        if demand.tried.is_empty() && is_above_share {
             return Admission::Refused(self.refusal(now, &demand, RefusalReason::OverShare, draw));
         }
         if let Some(reason) = self.early_refusal(now, &demand) {
--- a/crates/routing/tests/resumed_streams.rs
+++ b/crates/routing/tests/resumed_streams.rs
@@ -96,6 +96,41 @@
     assert!(matches!(waiting, Admission::Waiting(_)), "{waiting:?}");
 }
 
+/// Guards against tenants that get around their share with requests that resume streams.
+#[test]
+fn resumed_streams_of_a_tenant_above_its_share_are_refused_like_new_ones() {
+    let mut router = router(MODEL, 2, 2);
+    router.on_configuration(&configuration(Some(10_000)));
+    for request in 1..=40 {
+        let now = at(request * 100);
+        let heavy = demand(now, Some(prompt(9, request, 50)), "heavy");
+        router.on_request(now, &heavy);
+        match router.admit(now, heavy, 0.5) {
+            Admission::Placed(placement) => {
+                router.on_end(now, placement.ticket, Ok(()));
+            }
+            other => panic!("not placed: {other:?}"),
+        }
+    }
+    let now = at(4_100);
+    for request in 41..=80 {
+        router.on_request(now, &demand(now, Some(prompt(9, request, 50)), "heavy"));
+        router.on_request(now, &demand(now, Some(prompt(9, request, 50)), "light"));
+    }
+    for request in 0..8 {
+        let light = Demand { tenant: Some("light".into()), ..resumed(now, Some(request), OLD) };
+        assert_eq!(placed_version(&router.admit(now, light, 0.5)), Some(OLD));
+    }
+    let now = at(4_200);
+    let mut reason = |version: Option<&str>| {
+        let version = version.map(Into::into);
+        let heavy = Demand { version, ..demand(now, Some(prompt(9, 99, 50)), "heavy") };
+        refused(router.admit(now, heavy, 0.5)).reason
+    };
+    assert_eq!(reason(None), RefusalReason::OverShare);
+    assert_eq!(reason(Some(OLD)), RefusalReason::OverShare);
+}
+
 /// Guards against a caller that waits for a back end although none has its stream's version.
 #[test]
 fn a_stream_whose_version_is_gone_is_refused_at_once() {
