Take the answers of peers that are asked again for a stream's origin

What callers saw: a stream resumed within a round of its first event, or whose report was late, was refused although the record arrived at its owners meanwhile: the router asked them four times and took only the first answers, as the search counted as complete. Found in review.

Change: each time that they are asked, the earlier answers are forgotten.

Tests: a_record_that_reaches_a_peer_late_is_found (a peer that answers twice that it has no record, then with one) failed before with 503 and passes; a_record_that_arrives_later_is_found_by_asking_again.

--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -186,6 +186,7 @@
     let _registration = Registration::new(&router.stream_origins, query.id, sender);
     let message = PeerMessage::Origin(OriginMessage::Query(*query));
     for _ in 0..MAX_QUERIES {
+        lookup.ask_again();
         peers::send(&socket, &message, &lookup.asked()).await;
         let began = router.now();
         let _ = router.runtime.within(QUERY_INTERVAL, receive(lookup, &answers)).await;
--- a/crates/router/tests/resumed_streams.rs
+++ b/crates/router/tests/resumed_streams.rs
@@ -3,7 +3,11 @@
 mod support;
 
 use mastbay_router::{Origin, Runtime};
-use mastbay_routing::{BackEnd, BackEndList, SourceContact, Target};
+use mastbay_routing::{
+    BackEnd, BackEndList, OriginAnswer, OriginMessage, OriginReply, PeerMessage, SourceContact,
+    StreamOrigin, Target,
+};
+use smol::net::UdpSocket;
 use std::time::Duration;
 use support::{
     Answer, Bed, Request, STREAM_END, STREAM_HEAD, ScriptedBackEnd, Step, configuration, events,
@@ -187,3 +191,55 @@
         until(async || bed.call(&resume(SHORT, None)).await.status == 200).await;
     });
 }
+
+/// A peer that answers queries as a test tells it.
+struct ScriptedPeer {
+    socket: UdpSocket,
+}
+
+impl ScriptedPeer {
+    async fn start(bed: &Bed) -> Self {
+        let socket = UdpSocket::bind(("127.0.0.1", 0)).await.expect("bound");
+        let address = socket.local_addr().expect("bound");
+        bed.announce_peer(address, address);
+        Self { socket }
+    }
+
+    /// Answers the queries of the router one after the other; other messages are ignored.
+    async fn answer_queries(&self, answers: Vec<OriginAnswer>) {
+        let mut buffer = vec![0; 60_000];
+        for answer in answers {
+            let (query, router) = loop {
+                let (length, router) = self.socket.recv_from(&mut buffer).await.expect("received");
+                let message = rmp_serde::from_slice(&buffer[..length]).expect("a message");
+                if let PeerMessage::Origin(OriginMessage::Query(query)) = message {
+                    break (query, router);
+                }
+            };
+            let reply = OriginMessage::Reply(OriginReply { query: query.id, answer });
+            let bytes = rmp_serde::to_vec(&PeerMessage::Origin(reply)).expect("encoded");
+            self.socket.send_to(&bytes, router).await.expect("sent");
+        }
+    }
+}
+
+/// A router asked its peers again and again, but took only their first answers.
+#[test]
+fn a_record_that_reaches_a_peer_late_is_found() {
+    run(async |runtime| {
+        let (bed, old, new) = bed_of_two(runtime).await;
+        list(&bed, 3, &[(&old, "v1"), (&new, "v2")]);
+        let peer = ScriptedPeer::start(&bed).await;
+        until(async || bed.router.fleet_size() == 2).await;
+        let unknown = OriginAnswer::NotRecorded { only: None, current: None };
+        let origin = StreamOrigin { service: "plain".into(), version: "v2".into() };
+        let recorded = OriginAnswer::Recorded { origin, age_ms: 1 };
+        let request = resume("/resumable/x", Some("elsewhere"));
+        let (answer, ()) = smol::future::zip(
+            bed.call(&request),
+            peer.answer_queries(vec![unknown.clone(), unknown, recorded]),
+        )
+        .await;
+        assert_eq!((answer.status, old.arrivals(), new.arrivals()), (200, 0, 1), "{answer:?}");
+    });
+}
--- a/crates/routing/src/stream_origin/lookup.rs
+++ b/crates/routing/src/stream_origin/lookup.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Forgets the answers, as all routers are asked again.
+    pub fn ask_again(&mut self) {
+        self.answers.values_mut().for_each(|answer| *answer = None);
+    }
+
     /// Returns the routers that were asked.
     pub fn asked(&self) -> Vec<SocketAddr> {
         self.answers.keys().copied().collect()
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -198,6 +198,21 @@
     assert_eq!(result(unknown, others), expected);
 }
 
+/// Guards against a search that ignores a record which arrives after the first answer.
+#[test]
+fn a_record_that_arrives_later_is_found_by_asking_again() {
+    let unknown = not_recorded(None, None);
+    let mut lookup = OriginLookup::new(unknown.clone(), &[address(0), address(1)]);
+    lookup.on_answer(address(0), unknown.clone());
+    lookup.on_answer(address(1), unknown.clone());
+    assert_eq!(lookup.state(), LookupState::NotFound);
+    lookup.ask_again();
+    assert_eq!(lookup.state(), LookupState::Pending);
+    lookup.on_answer(address(0), unknown);
+    lookup.on_answer(address(1), answer_recorded("v1"));
+    assert!(matches!(lookup.state(), LookupState::Found { .. }));
+}
+
 #[test]
 fn routers_with_records_of_two_versions_are_a_conflict() {
     let others = vec![Some(answer_recorded("v1")), Some(answer_recorded("v2"))];
