Don't infer the origin of streams that may be older than the kept history

What callers would have seen: on a route with a timeout above 300 s, a stream that a version removed ten minutes ago had begun could be taken for one of the only version left. Found in review.

Cause: versions of removed back ends are kept for 600 s, the age of a stream is bounded by two timeouts of its route.

Change: for longer age limits no origin is certain without a record.

Test: no_origin_is_certain_for_streams_older_than_the_history_is_kept failed before and passes.

--- a/crates/routing/src/stream_origin/history.rs
+++ b/crates/routing/src/stream_origin/history.rs
@@ -99,6 +99,9 @@
         age_limit: Duration,
         listed: impl Fn(&str) -> BTreeSet<Arc<str>>,
     ) -> Option<StreamOrigin> {
+        if age_limit > KEPT {
+            return None;
+        }
         let is_current = now.since(self.last_current) <= MAX_OBSERVATION_AGE;
         let is_unchanged =
             |since: Option<Timestamp>| since.is_some_and(|since| now.since(since) >= age_limit);
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -353,6 +353,18 @@
     assert_eq!(observed.only(30_100), None);
 }
 
+/// Guards against removed versions that are forgotten before the streams that they began are too old.
+#[test]
+fn no_origin_is_certain_for_streams_older_than_the_history_is_kept() {
+    const LONG: Duration = Duration::from_secs(1_000);
+    let mut observed = Observed::for_millis(20_000);
+    observed.history.on_removed(at(20_000), "model", &"v0".into());
+    observed.observe(20_000, 1_015_000);
+    let route = short_hash(&[ROUTE.as_bytes()]);
+    let listed = |_: &str| observed.listed.clone();
+    assert_eq!(observed.history.only(at(1_015_000), route, LONG, listed), None);
+}
+
 /// Guards against a stream that continues at the service to which its route was moved.
 #[test]
 fn no_origin_is_certain_after_the_route_was_moved_to_another_service() {
