Don't give a test ports on which a process of an ended test still listens

Cause: a block of ports is reserved by a listener on its first port; whether the others are in use was not looked at, and the fixture takes whoever answers for its router.

Change: a block with a port that accepts connections is passed over.

--- a/crates/testbed/src/ports.rs
+++ b/crates/testbed/src/ports.rs
@@ -1,6 +1,6 @@
 //! Blocks of loopback ports, each reserved for one test.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 
 /// Blocks lie outside the range of ephemeral ports.
 const FIRST_BLOCK: u16 = 12_000;
@@ -17,7 +17,7 @@
 }
 
 impl PortBlock {
-    /// Reserves a free block.
+    /// Reserves a block on whose ports no process listens.
     ///
     /// # Panics
     /// Panics if every block is taken.
@@ -27,8 +27,10 @@
         for offset in 0..blocks {
             let block = ((start + offset) % blocks) as u16;
             let first = FIRST_BLOCK + block * BLOCK_SIZE;
-            if let Ok(guard) = TcpListener::bind((Ipv4Addr::LOCALHOST, first)) {
-                return Self { _guard: guard, next: first + 1, end: first + BLOCK_SIZE };
+            let Ok(guard) = TcpListener::bind((Ipv4Addr::LOCALHOST, first)) else { continue };
+            let (next, end) = (first + 1, first + BLOCK_SIZE);
+            if (next..end).all(is_unused) {
+                return Self { _guard: guard, next, end };
             }
         }
         panic!("every block of ports is taken");
@@ -46,3 +48,8 @@
         address
     }
 }
+
+/// Returns whether no process listens on a port: one of a test that was killed may outlive it.
+fn is_unused(port: u16) -> bool {
+    TcpStream::connect((Ipv4Addr::LOCALHOST, port)).is_err()
+}
