One check for a back end that has changed its version

Whether a back end changed its version since a request was placed there was checked in two places in two ways: before the send, and at a stream's first event. Both call Dispatcher::has_other_version now, and what stops a send (excluded, or changed) is one function. No behaviour changes.

--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -88,13 +88,9 @@
             Ok(connection) => connection,
             Err(failure) => return SendOutcome::NotSent(failure),
         };
-        let now = self.router.now();
-        if let Some(fault) = self.router.dispatcher.borrow().fault_before_send(now, &back_end.id) {
+        if let Some(fault) = self.fault_before_send(back_end) {
             return SendOutcome::not_sent(fault, FailureCause::Excluded);
         }
-        if self.router.dispatcher.borrow().has_other_version(back_end) {
-            return SendOutcome::not_sent(Fault::Replaced, FailureCause::Excluded);
-        }
         let Some(request) = self.request(placement, last_event) else {
             return SendOutcome::not_sent(Fault::Broken, FailureCause::Unsendable);
         };
@@ -115,6 +111,15 @@
         }
     }
 
+    /// Returns the fault to report instead of sending, if the back end has stopped accepting
+    /// requests, asked for a backoff or changed its version since the placement.
+    fn fault_before_send(&self, back_end: &BackEnd) -> Option<Fault> {
+        let dispatcher = self.router.dispatcher.borrow();
+        let excluded = dispatcher.fault_before_send(self.router.now(), &back_end.id);
+        let has_changed = dispatcher.has_other_version(&back_end.id, &back_end.version);
+        excluded.or(has_changed.then_some(Fault::Replaced))
+    }
+
     /// Returns a connection to the back end. If connecting times out although the back end answers
     /// others, its accept queue is full: connects again, unless another back end can take over the
     /// request.
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -77,9 +77,7 @@
 /// origin stays unset if the back end has changed its version since the request was placed there:
 /// either version may have sent the event.
 pub fn on_first_event(router: &Router, call: &Call, back_end: &StreamBackEnd) {
-    let dispatcher = router.dispatcher.borrow();
-    let listed = dispatcher.back_end(&back_end.id);
-    if listed.is_some_and(|listed| listed.version != back_end.version) {
+    if router.dispatcher.borrow().has_other_version(&back_end.id, &back_end.version) {
         return;
     }
     let origin = call.origin.get_or_init(|| StreamOrigin {
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatcher;
 use super::fleet::OwnState;
-use crate::back_end::BackEnd;
+use crate::back_end::BackEndId;
 use crate::revision::Revision;
 use crate::stream_origin::{KnownOrigin, OriginAnswer, OriginQuery, StreamKey};
 use mastbay_types::Timestamp;
@@ -15,9 +15,9 @@
         self.fleet.origin_owners(stream, count)
     }
 
-    /// Returns whether a back end changed its version since it was placed as `placed`.
-    pub fn has_other_version(&self, placed: &BackEnd) -> bool {
-        self.back_end(&placed.id).is_some_and(|listed| listed.version != placed.version)
+    /// Returns whether a listed back end has changed to another version than `version`.
+    pub fn has_other_version(&self, id: &BackEndId, version: &str) -> bool {
+        self.back_end(id).is_some_and(|listed| *listed.version != *version)
     }
 
     /// Returns this router's answer to a query. `known` is what its records hold.
