Log which parts a request's prompt shares and how far a back end had come when its connection broke

Callers saw engines end under requests of one kind, no two alike. Added: connection_broke (progress, parts, fingerprint) and unmarked_end.

--- a/crates/router/src/broken_connections.rs
+++ b/crates/router/src/broken_connections.rs
@@ -4,8 +4,10 @@
 //! answers arrive from it. A back end that resets some connections still accepts new ones.
 
 use crate::call::Call;
+use crate::events;
 use crate::quarantine;
 use crate::router::Router;
+use crate::run_progress::RunProgress;
 use mastbay_routing::{BackEnd, BackEndId, BackEndState, RequestFingerprint};
 use mastbay_types::Timestamp;
 use std::cell::RefCell;
@@ -60,8 +62,9 @@
 
 /// Records that the connection of a request broke before its answer was complete, and starts the
 /// check of the back end.
-pub fn record(router: &Rc<Router>, call: &Call, id: &BackEndId) {
+pub fn record(router: &Rc<Router>, call: &Call, id: &BackEndId, progress: RunProgress) {
     let request = call.fingerprint();
+    events::connection_broke(call, id, progress);
     let listed = router.dispatcher.borrow().back_end(id).cloned();
     // The termination of a draining back end is planned and not caused by a request.
     let Some(back_end) = listed.filter(|listed| listed.state == BackEndState::Ready) else {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -7,6 +7,7 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use crate::relay::StreamBackEnd;
+use crate::run_progress::RunProgress;
 use crate::stream_origins::Search;
 use crate::try_failure::{TryCircumstances, TryFailure};
 use crate::update_signal::Origin;
@@ -14,9 +15,9 @@
 use hyper::StatusCode;
 use mastbay_routing::{
     BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, LookupState,
-    Placement, QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint, Revision, Role,
-    RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, SpeedChange, Tick,
-    UsableChanges,
+    Placement, Prompt, QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint,
+    Revision, Role, RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact,
+    SpeedChange, Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -209,6 +210,32 @@
     );
 }
 
+/// Logs that the connection of a request broke before its answer was complete. `parts` are those of
+/// its prompt that other requests may share.
+pub fn connection_broke(call: &Call, back_end: &BackEndId, progress: RunProgress) {
+    let parts = call.head.prompt.iter().flat_map(Prompt::shared_parts);
+    let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+    tracing::info!(
+        event = "connection_broke",
+        request = %call.head.request_id,
+        back_end = %back_end,
+        progress = %progress,
+        parts = parts.join(","),
+        fingerprint = %call.fingerprint(),
+    );
+}
+
+/// Logs that a stream ended together with its connection: neither a length nor chunks mark the end
+/// of its answer.
+pub fn unmarked_end(call: &Call, back_end: &BackEndId, events: u64) {
+    tracing::info!(
+        event = "unmarked_end",
+        request = %call.head.request_id,
+        back_end = %back_end,
+        events,
+    );
+}
+
 /// Logs that a back end terminated with requests in progress: their connections broke, and it
 /// refuses new ones.
 pub fn back_end_ended(back_end: &BackEnd, requests: &BTreeSet<RequestFingerprint>) {
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -14,6 +14,7 @@
 use crate::quarantine;
 use crate::relay::{Relay, StreamBackEnd, StreamBody, StreamSource};
 use crate::router::Router;
+use crate::run_progress::{RunProgress, RunTimes};
 use crate::send::{RequestSender, SendOutcome};
 use crate::takeover::Takeover;
 use crate::ticket::Ticket;
@@ -207,7 +208,8 @@
         let is_delimited = is_delimited(&head.headers);
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
             let back_end = StreamBackEnd::from(&placement.back_end);
-            let source = StreamSource { ticket, back_end, connection, body, is_delimited };
+            let times = RunTimes::starting(self.router.now());
+            let source = StreamSource { ticket, back_end, connection, body, is_delimited, times };
             let tried = std::mem::take(&mut self.tried);
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(ExchangeResult::Stream(head, Box::new(relay)));
@@ -247,7 +249,7 @@
     ) -> Option<ExchangeResult> {
         self.attempt.borrow_mut().on_lost();
         if error == BufferedAnswerError::Broken {
-            broken_connections::record(&self.router, &self.call, back_end);
+            broken_connections::record(&self.router, &self.call, back_end, RunProgress::Started);
             ticket.fail(Fault::Broken);
             if self.attempt.borrow().may_send() {
                 return None;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -40,6 +40,7 @@
 mod resumption_headers;
 mod retry_after;
 mod router;
+mod run_progress;
 mod runtime;
 mod send;
 mod serve;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::pool::BackEndConnection;
 use crate::quarantine;
 use crate::router::Router;
+use crate::run_progress::RunTimes;
 use crate::send::{RequestSender, SendOutcome};
 use crate::stream_origins;
 use crate::takeover::{self, Takeover};
@@ -70,6 +71,8 @@
     pub body: Incoming,
     /// Whether the end of the body is marked, so that a truncated stream is detected.
     pub is_delimited: bool,
+    /// When parts of the answer were received.
+    pub times: RunTimes,
 }
 
 /// The back end of a stream, as it was when the stream was placed there.
@@ -162,7 +165,10 @@
         }
         let Some(source) = &mut self.source else { return SourceRead::Broken("no_source") };
         match self.router.runtime.within(left.min(IDLE_TIMEOUT), source.body.frame()).await {
-            Ok(Some(Ok(frame))) => SourceRead::Bytes(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(frame))) => {
+                source.times.on_received(self.router.now());
+                SourceRead::Bytes(frame.into_data().unwrap_or_default())
+            }
             Ok(Some(Err(_))) => SourceRead::Broken("broke_off"),
             Ok(None) => SourceRead::End,
             Err(_) if left <= IDLE_TIMEOUT => SourceRead::DeadlineExceeded,
@@ -231,7 +237,8 @@
 
     fn record_broken_connection(&self) {
         if let Some(source) = &self.source {
-            broken_connections::record(&self.router, &self.call, &source.back_end.id);
+            let progress = source.times.progress();
+            broken_connections::record(&self.router, &self.call, &source.back_end.id, progress);
         }
     }
 
@@ -251,6 +258,8 @@
             source.ticket.succeed();
             if source.is_delimited {
                 quarantine::on_served(&self.router, &self.call);
+            } else {
+                events::unmarked_end(&self.call, &source.back_end.id, self.events);
             }
             self.router.pool.release(&source.back_end.id, source.connection);
             self.router.update_idle_connection(&source.back_end.id);
@@ -343,7 +352,10 @@
                 Ok((head, body, connection)) => {
                     let back_end = StreamBackEnd::from(&placement.back_end);
                     let is_delimited = is_delimited(&head.headers);
-                    return Some(StreamSource { ticket, back_end, connection, body, is_delimited });
+                    let times = RunTimes::starting(self.router.now());
+                    let source =
+                        StreamSource { ticket, back_end, connection, body, is_delimited, times };
+                    return Some(source);
                 }
                 Err(fault) => ticket.fail(fault),
             }
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -7,6 +7,7 @@
 use crate::headers::remove_hop_by_hop;
 use crate::pool::{BackEndConnection, ExchangeError, PoolError};
 use crate::router::Router;
+use crate::run_progress::RunProgress;
 use crate::takeover::Takeover;
 use crate::try_failure::{FailureCause, TryFailure};
 use bytes::Bytes;
@@ -104,7 +105,8 @@
                 SendOutcome::not_sent(Fault::Full, FailureCause::ClosedBeforeSend)
             }
             Some(Err(_)) => {
-                broken_connections::record(self.router, self.call, &back_end.id);
+                let progress = RunProgress::Waiting;
+                broken_connections::record(self.router, self.call, &back_end.id, progress);
                 SendOutcome::lost(FailureCause::BrokeAfterSend)
             }
             None => SendOutcome::lost(FailureCause::Silent),
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -47,10 +47,14 @@
         u64::from(self.input_tokens) + u64::from(self.expected_output())
     }
 
+    /// Returns the parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the number of tokens of the parts shared with other requests.
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum()
+        self.shared_parts().iter().map(|part| u64::from(part.tokens)).sum()
     }
 
     /// Returns the number of tokens that belong to the request or its session alone.
