--- a/crates/testbed/src/ending_back_ends.rs
+++ b/crates/testbed/src/ending_back_ends.rs
@@ -1,6 +1,7 @@
 //! Back ends that crash under fatal requests: all their connections break, new ones are refused,
 //! and after a while they listen again at the same address.
 
+use crate::fatal_parts::{CrashRecord, FatalParts};
 use crate::raw::{header, read_request};
 use smol::channel::{Receiver, Sender};
 use smol::io::AsyncWriteExt;
@@ -9,8 +10,8 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 const END_DELAY: Duration = Duration::from_millis(20);
 /// Time that any other request takes.
 const WORK_TIME: Duration = Duration::from_millis(30);
+/// Interval between checks whether all back ends are to end.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Body of the answer to any other request: one event.
 const ANSWER: &str = "id: 1\ndata: served\n\n";
 
@@ -31,7 +34,7 @@
 pub struct EndingBackEnds {
     /// Address of each back end.
     pub addresses: Vec<SocketAddr>,
-    fatal_runs: Arc<AtomicU32>,
+    shared: Arc<Shared>,
     stop: Sender<()>,
     thread: Option<JoinHandle<()>>,
 }
@@ -43,6 +46,34 @@
     pub id_header: &'static str,
     /// Time from the end of a back end to its restart.
     pub down_for: Duration,
+    /// Parts of prompts that end back ends, if any.
+    pub fatal_parts: Option<FatalParts>,
+}
+
+/// State shared between the thread of the back ends and the test.
+#[derive(Debug)]
+struct Shared {
+    fatal_runs: AtomicU32,
+    /// Number of restarts of each back end.
+    restarts: Vec<AtomicU32>,
+    /// Number of times that all back ends were ended at once.
+    ends_of_all: AtomicU32,
+    record: Mutex<CrashRecord>,
+}
+
+impl Shared {
+    fn new(count: usize) -> Self {
+        Self {
+            fatal_runs: AtomicU32::default(),
+            restarts: (0..count).map(|_| AtomicU32::default()).collect(),
+            ends_of_all: AtomicU32::default(),
+            record: Mutex::default(),
+        }
+    }
+
+    fn record(&self, update: impl FnOnce(&mut CrashRecord)) {
+        update(&mut self.record.lock().expect("not poisoned"));
+    }
 }
 
 impl EndingBackEnds {
@@ -51,22 +82,21 @@
     /// # Panics
     /// Panics if no port is free.
     pub fn start(count: usize, behaviour: Behaviour) -> Self {
-        let fatal_runs: Arc<AtomicU32> = Arc::default();
+        let shared = Arc::new(Shared::new(count));
         let (stop, stopped) = smol::channel::bounded(1);
         let (started, addresses) = smol::channel::bounded(1);
-        let counted = fatal_runs.clone();
+        let of_thread = shared.clone();
         let thread = std::thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let serving = async {
                 let mut bound = Vec::new();
                 let mut tasks = Vec::new();
-                for _ in 0..count {
+                for number in 0..count {
                     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
                     bound.push(listener.local_addr().expect("bound"));
-                    let fatal_runs = counted.clone();
-                    let back_end =
-                        RestartingBackEnd { executor: executor.clone(), behaviour, fatal_runs };
-                    tasks.push(executor.spawn(back_end.run(listener)));
+                    let (executor, shared) = (executor.clone(), of_thread.clone());
+                    let back_end = RestartingBackEnd { number, executor, behaviour, shared };
+                    tasks.push(back_end.executor.clone().spawn(back_end.run(listener)));
                 }
                 started.send(bound).await.expect("awaited");
                 // Ends on a message and also when the sender is dropped.
@@ -75,12 +105,30 @@
             smol::block_on(executor.run(serving));
         });
         let addresses = addresses.recv_blocking().expect("started");
-        Self { addresses, fatal_runs, stop, thread: Some(thread) }
+        Self { addresses, shared, stop, thread: Some(thread) }
     }
 
     /// Returns the number of fatal runs on all back ends.
     pub fn fatal_runs(&self) -> u32 {
-        self.fatal_runs.load(Ordering::SeqCst)
+        self.shared.fatal_runs.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of restarts of each back end.
+    pub fn restarts(&self) -> Vec<u32> {
+        self.shared.restarts.iter().map(|restarts| restarts.load(Ordering::SeqCst)).collect()
+    }
+
+    /// Ends all back ends at once.
+    pub fn end_all(&self) {
+        self.shared.ends_of_all.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Returns what happened under fatal parts so far.
+    ///
+    /// # Panics
+    /// Panics if the thread of the back ends panicked.
+    pub fn crash_record(&self) -> CrashRecord {
+        self.shared.record.lock().expect("not poisoned").clone()
     }
 }
 
@@ -96,9 +144,10 @@
 /// One back end, restarted after each fatal request.
 #[derive(Clone)]
 struct RestartingBackEnd {
+    number: usize,
     executor: Rc<LocalExecutor<'static>>,
     behaviour: Behaviour,
-    fatal_runs: Arc<AtomicU32>,
+    shared: Arc<Shared>,
 }
 
 impl RestartingBackEnd {
@@ -109,6 +158,7 @@
             self.serve_until(listener, end, ended).await;
             smol::Timer::after(self.behaviour.down_for).await;
             listener = TcpListener::bind(address).await.expect("its own address");
+            self.shared.restarts[self.number].fetch_add(1, Ordering::SeqCst);
         }
     }
 
@@ -125,17 +175,29 @@
             // `end` stays open in this function, so this returns only on a message.
             let _ = ended.recv().await;
         };
-        smol::future::or(accept, until_ended).await;
+        smol::future::or(accept, smol::future::or(until_ended, self.until_all_end())).await;
+    }
+
+    /// Waits until all back ends are to end at once.
+    async fn until_all_end(&self) {
+        let ends = self.shared.ends_of_all.load(Ordering::SeqCst);
+        while self.shared.ends_of_all.load(Ordering::SeqCst) == ends {
+            smol::Timer::after(POLL_INTERVAL).await;
+        }
     }
 
     async fn serve(self, mut stream: TcpStream, end: Sender<()>) {
         while let Some(head) = read_request(&mut stream).await {
             let id = header(&head, self.behaviour.id_header).unwrap_or_default();
+            if let Some(fatal) = self.behaviour.fatal_parts {
+                self.serve_prompt(fatal, &mut stream, &head, &id, &end).await;
+                return;
+            }
             let target = head.split(' ').nth(1).unwrap_or_default();
             let is_survivable =
-                target.contains(THRICE) && self.fatal_runs.load(Ordering::SeqCst) >= 3;
+                target.contains(THRICE) && self.shared.fatal_runs.load(Ordering::SeqCst) >= 3;
             if target.contains(FATAL) && !is_survivable {
-                self.fatal_runs.fetch_add(1, Ordering::SeqCst);
+                self.shared.fatal_runs.fetch_add(1, Ordering::SeqCst);
                 self.begin_fatal(&mut stream, &head, &id).await;
                 // Fails if another fatal request ended the back end first.
                 let _ = end.try_send(());
@@ -150,6 +212,29 @@
         }
     }
 
+    /// Answers one request with a stream, or ends the back end if its prompt holds a fatal part.
+    async fn serve_prompt(
+        &self,
+        fatal: FatalParts,
+        stream: &mut TcpStream,
+        head: &str,
+        id: &str,
+        end: &Sender<()>,
+    ) {
+        let Some(part) = fatal.find(head) else {
+            // Writing fails if the router closed the connection.
+            let _ = fatal.answer(stream, &self.head(id)).await;
+            return;
+        };
+        self.shared.record(|record| record.on_run(part));
+        let _ = fatal.begin_fatal(stream, &self.head(id)).await;
+        // Fails if another fatal request ended the back end first.
+        if end.try_send(()).is_ok() {
+            self.shared.record(|record| record.on_end(part));
+        }
+        std::future::pending::<()>().await;
+    }
+
     fn head(&self, id: &str) -> String {
         format!("HTTP/1.1 200 OK\r\n{}: {id}\r\n", self.behaviour.id_header)
     }
