--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -15,11 +15,7 @@
 const MAX_RUNS: u32 = 6;
 /// Time between two arrivals of the request.
 const ARRIVAL_INTERVAL: Duration = Duration::from_millis(60);
-const BEHAVIOUR: Behaviour = Behaviour {
-    id_header: "mastbay-request-id",
-    down_for: Duration::from_millis(400),
-    fatal_parts: None,
-};
+const BEHAVIOUR: Behaviour = Behaviour::new("mastbay-request-id", Duration::from_millis(400));
 
 /// Entries of the back ends in a list of the source.
 fn listed(back_ends: &EndingBackEnds) -> Vec<BackEnd> {
--- a/crates/testbed/src/ending_back_ends.rs
+++ b/crates/testbed/src/ending_back_ends.rs
@@ -50,6 +50,13 @@
     pub fatal_parts: Option<FatalParts>,
 }
 
+impl Behaviour {
+    /// Creates the behaviour of back ends that only end under fatal requests.
+    pub const fn new(id_header: &'static str, down_for: Duration) -> Self {
+        Self { id_header, down_for, fatal_parts: None }
+    }
+}
+
 /// State shared between the thread of the back ends and the test.
 #[derive(Debug)]
 struct Shared {
