Count ends of back ends for each part of a prompt, not only for whole requests

Callers saw requests of one kind, no two alike, end one engine after the other: 13 to 16 further sends after the fifth end, 33 and 37 ends.

Cause: what was counted is the whole request, by a hash of tenant, target and body. Of requests that are never alike each is a new suspect with at most two ends, and the limit of three is met by none. Class: evidence is kept for the whole thing that failed, where one feature of it is the cause.

Change: a suspect is a request or a part of prompts (never the last one), in one mechanism: terminations by incarnation, reports, archive, probes. A part is suspected where a run had just begun to answer; one that had only waited is, 0.3 s later, if nothing else explains the end. A quarantined part whose ends all count against suspects that a request doesn't hold lets that request through. A request whose part is not proven isn't sent on before it is known whether its back end ended (0.1 s).

--- a/crates/router/src/broken_connections.rs
+++ b/crates/router/src/broken_connections.rs
@@ -1,4 +1,4 @@
-//! Distinguishes a back end that terminated from a single connection that failed.
+//! Distinguishes a back end that terminated from a single connection that ended.
 //!
 //! When a back end terminates, all its connections break, it refuses new ones, and no further
 //! answers arrive from it. A back end that resets some connections still accepts new ones.
@@ -8,8 +8,7 @@
 use crate::quarantine;
 use crate::router::Router;
 use crate::run_progress::RunProgress;
-use mastbay_routing::{BackEnd, BackEndId, BackEndState, RequestFingerprint};
-use mastbay_types::Timestamp;
+use mastbay_routing::{BackEnd, BackEndId, BackEndState, Suspect};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -20,78 +19,102 @@
 /// both.
 const CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(80)];
 
-/// The requests whose connections to one back end broke since a time.
+/// What may be the cause of the termination of a back end.
+#[derive(Debug, Clone, Default)]
+pub struct EndedRuns {
+    /// The requests, and the parts of those whose runs had begun shortly before.
+    pub suspects: BTreeSet<Suspect>,
+    /// The parts of requests whose runs are not known to have begun.
+    pub waiting_parts: BTreeSet<Suspect>,
+}
+
+impl EndedRuns {
+    fn add(&mut self, router: &Router, call: &Call, progress: RunProgress) {
+        self.suspects.insert(Suspect::Request(call.fingerprint()));
+        let quarantine = router.quarantine.borrow();
+        let unproven = call.shared_parts().filter(|part| !quarantine.has_survived(*part));
+        match progress {
+            RunProgress::Waiting => self.waiting_parts.extend(unproven),
+            RunProgress::Started => self.suspects.extend(unproven),
+            RunProgress::Sustained => {}
+        }
+    }
+}
+
+/// The check of a back end whose connections ended.
 #[derive(Debug)]
-struct BrokenRequests {
-    since: Timestamp,
-    requests: BTreeSet<RequestFingerprint>,
+struct Check {
+    /// Runs whose connections broke.
+    broken: EndedRuns,
 }
 
-/// The back ends with broken connections whose check is in progress.
+/// The back ends whose check is in progress.
 #[derive(Debug, Default)]
-pub struct BrokenConnections(RefCell<HashMap<BackEndId, BrokenRequests>>);
+pub struct BrokenConnections(RefCell<HashMap<BackEndId, Check>>);
 
 impl BrokenConnections {
-    /// Adds a broken connection. Returns whether it is the first one of the back end, whose check
-    /// is to be started.
-    fn add(&self, now: Timestamp, id: &BackEndId, request: RequestFingerprint) -> bool {
-        let mut all = self.0.borrow_mut();
-        let is_first = !all.contains_key(id);
-        let broken = all
-            .entry(id.clone())
-            .or_insert_with(|| BrokenRequests { since: now, requests: BTreeSet::new() });
-        broken.requests.insert(request);
-        is_first
-    }
-
     /// Returns whether no check is in progress.
     pub fn is_empty(&self) -> bool {
         self.0.borrow().is_empty()
     }
 
-    /// Returns the number of back ends that may have terminated while running a request and whose
-    /// check is in progress.
-    pub fn unresolved_for(&self, request: RequestFingerprint) -> usize {
-        self.0.borrow().values().filter(|broken| broken.requests.contains(&request)).count()
+    /// Returns the number of back ends that may have terminated under a suspect and whose check is
+    /// in progress.
+    pub fn unresolved_for(&self, suspect: Suspect) -> usize {
+        let checks = self.0.borrow();
+        checks.values().filter(|check| check.broken.suspects.contains(&suspect)).count()
+    }
+
+    /// Updates the check of a back end, which is begun if there is none.
+    fn update(&self, router: &Rc<Router>, back_end: BackEnd, update: impl FnOnce(&mut Check)) {
+        let mut checks = self.0.borrow_mut();
+        let check = checks.entry(back_end.id.clone()).or_insert_with(|| {
+            router.runtime.control().spawn(check_back_end(router.clone(), back_end)).detach();
+            Check { broken: EndedRuns::default() }
+        });
+        update(check);
     }
 
-    fn take(&self, id: &BackEndId) -> Option<BrokenRequests> {
+    fn take(&self, id: &BackEndId) -> Option<Check> {
         self.0.borrow_mut().remove(id)
     }
 }
 
+/// Returns the back end if its termination would not be planned.
+fn ready_back_end(router: &Router, id: &BackEndId) -> Option<BackEnd> {
+    let listed = router.dispatcher.borrow().back_end(id).cloned();
+    listed.filter(|listed| listed.state == BackEndState::Ready)
+}
+
 /// Records that the connection of a request broke before its answer was complete, and starts the
 /// check of the back end.
 pub fn record(router: &Rc<Router>, call: &Call, id: &BackEndId, progress: RunProgress) {
-    let request = call.fingerprint();
     events::connection_broke(call, id, progress);
-    let listed = router.dispatcher.borrow().back_end(id).cloned();
-    // The termination of a draining back end is planned and not caused by a request.
-    let Some(back_end) = listed.filter(|listed| listed.state == BackEndState::Ready) else {
-        return;
-    };
-    if router.broken.add(router.now(), id, request) {
-        router.runtime.control().spawn(check_back_end(router.clone(), back_end)).detach();
+    if let Some(back_end) = ready_back_end(router, id) {
+        router.broken.update(router, back_end, |check| check.broken.add(router, call, progress));
     }
 }
 
 /// Checks whether a back end has terminated, and reports it to the quarantine if so.
 async fn check_back_end(router: Rc<Router>, back_end: BackEnd) {
-    let refuses = refuses_connections(&router, &back_end).await;
-    let Some(broken) = router.broken.take(&back_end.id) else { return };
-    let has_responded = router.dispatcher.borrow().has_responded_since(&back_end.id, broken.since);
-    if refuses && !has_responded {
-        quarantine::on_back_end_ended(&router, &back_end, &broken.requests);
+    let has_ended = has_ended(&router, &back_end).await;
+    let Some(check) = router.broken.take(&back_end.id) else { return };
+    if has_ended {
+        quarantine::on_back_end_ended(&router, &back_end, check.broken);
     }
 }
 
-/// Returns whether the back end refuses connections in all checks.
-async fn refuses_connections(router: &Router, back_end: &BackEnd) -> bool {
+/// Returns whether the back end refuses connections in all checks and sends nothing in between.
+async fn has_ended(router: &Router, back_end: &BackEnd) -> bool {
+    let mut refused_at = None;
     for delay in CHECK_DELAYS {
         router.runtime.sleep(delay).await;
         if !router.pool.refuses_connections(back_end.address).await {
             return false;
         }
+        refused_at.get_or_insert(router.now());
     }
-    true
+    // Events that were sent before may be read one batching interval later.
+    let since = refused_at.unwrap_or_default() + router.batching_interval().unwrap_or_default();
+    !router.dispatcher.borrow().has_responded_since(&back_end.id, since)
 }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -7,8 +7,9 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use mastbay_routing::{
-    AllowedRegions, Demand, EngineChoice, ExcludedBackEnds, Placement, Refusal, RefusalDetails,
-    RequestFingerprint, RequestIdentity, StreamKey, StreamOrigin, TableEntry,
+    AllowedRegions, Demand, EngineChoice, ExcludedBackEnds, Placement, Prompt, Refusal,
+    RefusalDetails, RequestFingerprint, RequestIdentity, StreamKey, StreamOrigin, Suspect,
+    TableEntry,
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
@@ -161,6 +162,18 @@
         })
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> impl Iterator<Item = Suspect> {
+        let parts = self.head.prompt.iter().flat_map(Prompt::shared_parts);
+        parts.map(|part| Suspect::PromptPart(part.id))
+    }
+
+    /// Returns what may make the request crash back ends: itself and the parts of its prompt that
+    /// other requests may share.
+    pub fn suspects(&self) -> Vec<Suspect> {
+        std::iter::once(Suspect::Request(self.fingerprint())).chain(self.shared_parts()).collect()
+    }
+
     /// Returns the time left until the deadline, zero if it has passed.
     pub fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -15,9 +15,9 @@
 use hyper::StatusCode;
 use mastbay_routing::{
     BackEnd, BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, LookupState,
-    Placement, Prompt, QuarantinedRequest, RankChange, RefusalDetails, RequestFingerprint,
-    Revision, Role, RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact,
-    SpeedChange, Tick, UsableChanges,
+    Placement, Prompt, QuarantinedSuspect, RankChange, RefusalDetails, Revision, Role,
+    RolloutRecord, Rollouts, RouteTable, SourceCondition, SourceContact, SpeedChange, Suspect,
+    Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -238,13 +238,14 @@
 
 /// Logs that a back end terminated with requests in progress: their connections broke, and it
 /// refuses new ones.
-pub fn back_end_ended(back_end: &BackEnd, requests: &BTreeSet<RequestFingerprint>) {
+pub fn back_end_ended(back_end: &BackEnd, suspects: &BTreeSet<Suspect>) {
+    let requests = suspects.iter().filter(|suspect| matches!(suspect, Suspect::Request(_)));
     tracing::warn!(
         event = "back_end_ended",
         back_end = %back_end.id,
         name = %EngineKey::from(&back_end.id),
         address = %back_end.address,
-        requests = requests.len(),
+        requests = requests.count(),
     );
 }
 
@@ -286,14 +287,15 @@
     );
 }
 
-/// Logs that a request is quarantined: it is sent to no back end. `back_ends` are the keys, as in
+/// Logs that a request, or all that hold a part, are quarantined: they are sent to no back end. `back_ends` are the keys, as in
 /// messages between routers, of the back-end incarnations that terminated while they ran it;
 /// `source` is where the last report came from: `own`, `archive` or the address of a router.
-pub fn request_quarantined(quarantined: &QuarantinedRequest, source: &str) {
+pub fn request_quarantined(quarantined: &QuarantinedSuspect, source: &str) {
     let back_ends = quarantined.back_ends.iter().map(EngineKey::to_string);
     tracing::warn!(
         event = "request_quarantined",
-        fingerprint = %quarantined.request,
+        kind = quarantined.suspect.kind(),
+        fingerprint = %quarantined.suspect,
         back_ends = back_ends.collect::<Vec<_>>().join(","),
         for_s = quarantined.left.as_secs(),
         source,
@@ -302,27 +304,24 @@
 
 /// Logs that a quarantined request is sent to a back end as a probe. `explained_by` is the request
 /// that explains its terminations, if there is one.
-pub fn request_probed(
-    request: RequestFingerprint,
-    request_id: &str,
-    explained_by: Option<RequestFingerprint>,
-) {
+pub fn request_probed(suspect: Suspect, request_id: &str, explained_by: Option<Suspect>) {
     tracing::info!(
         event = "request_probed",
         request = request_id,
-        fingerprint = %request,
+        kind = suspect.kind(),
+        fingerprint = %suspect,
         explained_by = explained_by.map(|suspect| suspect.to_string()),
     );
 }
 
 /// Logs that a quarantined request was written to the archive.
-pub fn quarantine_archived(request: RequestFingerprint) {
-    tracing::info!(event = "quarantine_archived", fingerprint = %request);
+pub fn quarantine_archived(suspect: Suspect) {
+    tracing::info!(event = "quarantine_archived", fingerprint = %suspect);
 }
 
 /// Logs that an operator removed a quarantine entry: the request is sent to back ends again.
-pub fn quarantine_lifted(request: RequestFingerprint) {
-    tracing::warn!(event = "quarantine_lifted", fingerprint = %request);
+pub fn quarantine_lifted(suspect: Suspect) {
+    tracing::warn!(event = "quarantine_lifted", fingerprint = %suspect);
 }
 
 /// Logs that a configuration came into force.
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -102,7 +102,7 @@
                     return self.quarantined(retry_after);
                 }
                 QuarantineStatus::Quarantined { .. } | QuarantineStatus::Suspect => {
-                    demand.suspect = Some(self.call.fingerprint());
+                    demand.suspect = quarantine::main_suspect(&self.router, &self.call);
                 }
                 QuarantineStatus::Clear => {}
             }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -1,14 +1,17 @@
-//! Quarantines requests that terminate back ends, together with the other routers.
+//! Quarantines requests and parts of prompts that terminate back ends, together with the other
+//! routers.
 //!
 //! Without this, such a request would be sent to another back end each time that it arrives
-//! (`tests/fatal_requests.rs`).
+//! (`tests/fatal_requests.rs`), and so would each new one with such a part
+//! (`tests/fatal_parts.rs`).
 
+use crate::broken_connections::EndedRuns;
 use crate::call::Call;
 use crate::events;
 use crate::router::Router;
 use mastbay_routing::{
-    BackEnd, EngineKey, Outgoing, PeerMessage, QuarantineStatus, QuarantinedRequest,
-    RequestFingerprint, TerminationReport,
+    BackEnd, EngineKey, Outgoing, PeerMessage, QuarantineStatus, QuarantinedSuspect, Suspect,
+    TerminationReport,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -18,14 +21,18 @@
 /// Interval between checks whether it is known why a connection broke.
 const STATUS_CHECK_INTERVAL: Duration = Duration::from_millis(16);
 
-/// Returns the quarantine status of a request. If one more termination would quarantine it and it
-/// is not yet known whether a back end just terminated while running it, waits until it is, usually
-/// about 0.1 s.
+/// Time after which the parts of requests that had not begun at an ended back end are suspected,
+/// unless some that had begun explain its termination.
+const WAITING_PARTS_DELAY: Duration = Duration::from_millis(300);
+
+/// Returns the quarantine status of a request. Waits while it is not known whether a back end just
+/// terminated while running it, usually about 0.1 s, if that might quarantine the request, or a part
+/// of its prompt that no back end is known to bear.
 pub async fn status(router: &Router, call: &Call) -> QuarantineStatus {
     if !has_entries(router) {
         return QuarantineStatus::Clear;
     }
-    while is_status_pending(router, call.fingerprint()) {
+    while is_status_pending(router, call) {
         router.runtime.sleep(STATUS_CHECK_INTERVAL).await;
     }
     current_status(router, call)
@@ -34,27 +41,34 @@
 /// Lets a quarantined request through as a probe if one is due and it is this router's turn.
 /// Returns whether it does.
 pub fn take_probe(router: &Router, call: &Call) -> bool {
-    let request = call.fingerprint();
-    let probe_key = router.quarantine.borrow().probe_key(request);
-    let slot = router.dispatcher.borrow().probe_slot(probe_key);
-    let is_probe = router.quarantine.borrow_mut().take_probe(router.now(), request, slot);
-    if is_probe {
-        let explained_by = (probe_key != request).then_some(probe_key);
-        events::request_probed(request, &call.head.request_id, explained_by);
+    let slot_of = |suspect: Suspect| router.dispatcher.borrow().probe_slot(suspect);
+    let mut quarantine = router.quarantine.borrow_mut();
+    let probed = quarantine.take_probe_of(router.now(), &call.suspects(), slot_of);
+    if let Some(suspect) = probed {
+        let probe_key = quarantine.probe_key(suspect);
+        let explained_by = (probe_key != suspect).then_some(probe_key);
+        events::request_probed(suspect, &call.head.request_id, explained_by);
     }
-    is_probe
+    probed.is_some()
 }
 
-/// Returns whether any request may be suspect or quarantined. Usually none is, which saves
-/// computing fingerprints.
+/// Returns whether anything may be suspect or quarantined. Usually nothing is, which saves computing
+/// fingerprints.
 fn has_entries(router: &Router) -> bool {
     !router.quarantine.borrow().is_empty() || !router.broken.is_empty()
 }
 
-fn is_status_pending(router: &Router, request: RequestFingerprint) -> bool {
-    let unresolved = router.broken.unresolved_for(request);
-    let ends = router.quarantine.borrow().terminations(router.now(), request);
-    unresolved > 0 && unresolved + ends + 1 >= router.settings.quarantine.ends
+fn is_status_pending(router: &Router, call: &Call) -> bool {
+    let quarantine = router.quarantine.borrow();
+    let is_pending = |suspect: Suspect| {
+        let unresolved = router.broken.unresolved_for(suspect);
+        let is_unproven_part =
+            matches!(suspect, Suspect::PromptPart(_)) && !quarantine.has_survived(suspect);
+        let ends = quarantine.terminations(router.now(), suspect);
+        let may_quarantine = unresolved + ends + 1 >= router.settings.quarantine.ends;
+        unresolved > 0 && (is_unproven_part || may_quarantine)
+    };
+    call.suspects().into_iter().any(is_pending)
 }
 
 /// Returns the status of a request without waiting. A request whose connection just broke is
@@ -63,59 +77,93 @@
     if !has_entries(router) {
         return QuarantineStatus::Clear;
     }
-    let request = call.fingerprint();
-    let known = router.quarantine.borrow().status(router.now(), request);
-    let is_unresolved = router.broken.unresolved_for(request) > 0;
-    if known == QuarantineStatus::Clear && is_unresolved {
+    let suspects = call.suspects();
+    let known = router.quarantine.borrow().status_of(router.now(), &suspects);
+    if known == QuarantineStatus::Clear && unresolved_suspect(router, &suspects).is_some() {
         QuarantineStatus::Suspect
     } else {
         known
     }
 }
 
-/// Returns whether back ends terminated, or may have, while they ran a request.
-pub fn is_suspect(router: &Router, call: &Call) -> bool {
-    current_status(router, call) == QuarantineStatus::Suspect
+/// Returns the first suspect under which a back end may have terminated just now.
+fn unresolved_suspect(router: &Router, suspects: &[Suspect]) -> Option<Suspect> {
+    suspects.iter().copied().find(|suspect| router.broken.unresolved_for(*suspect) > 0)
+}
+
+/// Returns the request or the part of its prompt under which back ends terminated, or may have;
+/// `None` unless the request's status is [`QuarantineStatus::Suspect`].
+pub fn suspect_of(router: &Router, call: &Call) -> Option<Suspect> {
+    if current_status(router, call) != QuarantineStatus::Suspect {
+        return None;
+    }
+    main_suspect(router, call)
+}
+
+/// Returns the request or the part of its prompt under which most back ends terminated, or may have.
+pub fn main_suspect(router: &Router, call: &Call) -> Option<Suspect> {
+    let suspects = call.suspects();
+    let known = router.quarantine.borrow().main_suspect(router.now(), &suspects);
+    known.or_else(|| unresolved_suspect(router, &suspects))
 }
 
 /// Returns the time after which the caller may retry; `None` unless the request is quarantined.
 pub fn retry_after(router: &Router, call: &Call) -> Option<Duration> {
-    match current_status(router, call) {
-        QuarantineStatus::Quarantined { retry_after, .. } => Some(retry_after),
-        QuarantineStatus::Clear | QuarantineStatus::Suspect => None,
-    }
+    current_status(router, call).retry_after()
 }
 
-/// Clears the quarantine state of a request that was served completely.
+/// Clears the quarantine state of a request that was served completely, and of the parts of its
+/// prompt.
 pub fn on_served(router: &Router, call: &Call) {
     if !router.quarantine.borrow().is_empty() {
-        router.quarantine.borrow_mut().clear(call.fingerprint());
+        router.quarantine.borrow_mut().clear(Suspect::Request(call.fingerprint()));
     }
+    on_sustained(router, call);
+}
+
+/// Records that a back end bears the parts of a request's prompt.
+pub fn on_sustained(router: &Router, call: &Call) {
+    let mut quarantine = router.quarantine.borrow_mut();
+    call.shared_parts().for_each(|part| quarantine.on_survival(part));
 }
 
 /// Records that a back end terminated while it ran requests of this router, and reports it to the
 /// other routers at once.
-pub fn on_back_end_ended(
-    router: &Router,
-    back_end: &BackEnd,
-    requests: &BTreeSet<RequestFingerprint>,
-) {
-    events::back_end_ended(back_end, requests);
+pub fn on_back_end_ended(router: &Rc<Router>, back_end: &BackEnd, runs: EndedRuns) {
+    events::back_end_ended(back_end, &runs.suspects);
     router.metrics.on_back_end_ended();
-    let now = router.now();
     let key = EngineKey::from(&back_end.id);
-    router.dispatcher.borrow_mut().on_back_end_ended(now, key);
-    let quarantined: Vec<QuarantinedRequest> = {
+    router.dispatcher.borrow_mut().on_back_end_ended(router.now(), key);
+    record_terminations(router, key, &runs.suspects);
+    if !runs.waiting_parts.is_empty() {
+        let task = record_waiting_parts(router.clone(), key, runs.waiting_parts);
+        router.runtime.control().spawn(task).detach();
+    }
+}
+
+/// Records the termination of a back end against suspects, and reports it at once.
+fn record_terminations(router: &Router, back_end: EngineKey, suspects: &BTreeSet<Suspect>) {
+    let now = router.now();
+    let quarantined: Vec<QuarantinedSuspect> = {
         let mut quarantine = router.quarantine.borrow_mut();
-        requests
+        suspects
             .iter()
-            .filter_map(|request| quarantine.on_termination(now, key, *request))
+            .filter_map(|suspect| quarantine.on_termination(now, back_end, *suspect))
             .collect()
     };
     record_quarantined(router, &quarantined, "own");
     router.update_signal.notify();
 }
 
+/// Records the termination of a back end against parts of requests that are not known to have begun
+/// there, unless it counts against another part by then: the head of an answer may be lost.
+async fn record_waiting_parts(router: Rc<Router>, back_end: EngineKey, parts: BTreeSet<Suspect>) {
+    router.runtime.sleep(WAITING_PARTS_DELAY).await;
+    if !router.quarantine.borrow().is_attributed(back_end) {
+        record_terminations(&router, back_end, &parts);
+    }
+}
+
 /// Applies reports of terminated back ends from another router.
 pub fn apply_reports(router: &Router, reports: &[TerminationReport], sender: SocketAddr) {
     let relaying = router.dispatcher.borrow().relaying();
@@ -129,8 +177,8 @@
     }
 }
 
-fn record_quarantined(router: &Router, quarantined: &[QuarantinedRequest], source: &str) {
-    quarantined.iter().for_each(|request| events::request_quarantined(request, source));
+fn record_quarantined(router: &Router, quarantined: &[QuarantinedSuspect], source: &str) {
+    quarantined.iter().for_each(|suspect| events::request_quarantined(suspect, source));
     let all = router.quarantine.borrow().quarantined(router.now());
     router.metrics.set_quarantined(all.len());
 }
@@ -160,13 +208,13 @@
     (!reports.is_empty()).then_some(PeerMessage::Ends(reports))
 }
 
-/// Returns the quarantined requests.
-pub fn quarantined(router: &Router) -> Vec<QuarantinedRequest> {
+/// Returns the quarantined requests and parts.
+pub fn quarantined(router: &Router) -> Vec<QuarantinedSuspect> {
     router.quarantine.borrow().quarantined(router.now())
 }
 
 /// Applies an entry of the archive, and reports it to the other routers at once if it is new.
-pub fn apply_archived(router: &Router, entry: &QuarantinedRequest) {
+pub fn apply_archived(router: &Router, entry: &QuarantinedSuspect) {
     let now = router.now();
     if router.quarantine.borrow_mut().on_listed(now, entry) {
         record_quarantined(router, std::slice::from_ref(entry), "archive");
@@ -174,10 +222,10 @@
     }
 }
 
-/// Lifts the quarantine of a request whose entry an operator removed.
-pub fn lift(router: &Router, request: RequestFingerprint) {
-    events::quarantine_lifted(request);
-    router.quarantine.borrow_mut().clear(request);
+/// Lifts the quarantine of a suspect whose entry an operator removed.
+pub fn lift(router: &Router, suspect: Suspect) {
+    events::quarantine_lifted(suspect);
+    router.quarantine.borrow_mut().clear(suspect);
     router.update_signal.notify();
 }
 
--- a/crates/router/src/quarantine_archive.rs
+++ b/crates/router/src/quarantine_archive.rs
@@ -1,4 +1,4 @@
-//! Keeps quarantined requests in an archive, since routers have no disk and may all be lost at
+//! Keeps quarantined suspects in an archive, since routers have no disk and may all be lost at
 //! once.
 //!
 //! The few routers that follow the source write missing entries to the archive and read those that
@@ -8,7 +8,7 @@
 use crate::events;
 use crate::quarantine;
 use crate::router::Router;
-use mastbay_routing::{QuarantinedRequest, RequestFingerprint, Revision};
+use mastbay_routing::{QuarantinedSuspect, Revision, Suspect};
 use mastbay_types::Timestamp;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ArchiveListing {
     /// The entries that can be parsed.
-    pub entries: Vec<QuarantinedRequest>,
+    pub entries: Vec<QuarantinedSuspect>,
     /// Position after which to read changes.
     pub cursor: Revision,
 }
@@ -42,14 +42,14 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ArchiveChanges {
     /// Entries that were written.
-    pub written: Vec<QuarantinedRequest>,
+    pub written: Vec<QuarantinedSuspect>,
     /// Entries that were removed.
-    pub removed: Vec<RequestFingerprint>,
+    pub removed: Vec<Suspect>,
     /// Position after which to read changes.
     pub cursor: Revision,
 }
 
-/// Storage for quarantined requests that survives the routers.
+/// Storage for quarantined suspects that survives the routers.
 #[expect(async_fn_in_trait, reason = "a router runs on one thread")]
 pub trait QuarantineArchive {
     /// Error of a failed call.
@@ -67,14 +67,14 @@
     ) -> Result<Option<ArchiveChanges>, Self::Error>;
 
     /// Writes an entry; an existing one stays unchanged.
-    async fn write(&self, entry: &QuarantinedRequest) -> Result<(), Self::Error>;
+    async fn write(&self, entry: &QuarantinedSuspect) -> Result<(), Self::Error>;
 
     /// Removes an entry, if it exists.
-    async fn remove(&self, request: RequestFingerprint) -> Result<(), Self::Error>;
+    async fn remove(&self, suspect: Suspect) -> Result<(), Self::Error>;
 }
 
 /// The known entries of the archive with their expiry times; `None` before the first listing.
-type KnownEntries = RefCell<Option<BTreeMap<RequestFingerprint, Timestamp>>>;
+type KnownEntries = RefCell<Option<BTreeMap<Suspect, Timestamp>>>;
 
 /// Keeps the archive and the router in sync for as long as the router runs. `reader` and `writer`
 /// access the same archive, so that a write does not wait for a call that waits for changes.
@@ -125,20 +125,20 @@
     let wait = CHANGES_WAIT.mul_f64(0.75 + 0.25 * rand::random::<f64>());
     let Some(changes) = archive.changes(cursor, wait).await? else { return Ok(None) };
     changes.written.iter().for_each(|entry| apply_entry(router, known, entry));
-    for request in changes.removed {
-        let entry = known.borrow_mut().as_mut().and_then(|known| known.remove(&request));
+    for suspect in changes.removed {
+        let entry = known.borrow_mut().as_mut().and_then(|known| known.remove(&suspect));
         // Routers remove expired entries; only an operator removes one that is still valid.
         if entry.is_some_and(|until| until > router.now()) {
-            quarantine::lift(router, request);
+            quarantine::lift(router, suspect);
         }
     }
     Ok(Some(changes.cursor.max(cursor)))
 }
 
-fn apply_entry(router: &Router, known: &KnownEntries, entry: &QuarantinedRequest) {
+fn apply_entry(router: &Router, known: &KnownEntries, entry: &QuarantinedSuspect) {
     let until = router.now() + entry.left;
     if let Some(known) = known.borrow_mut().as_mut() {
-        known.insert(entry.request, until);
+        known.insert(entry.suspect, until);
     }
     quarantine::apply_archived(router, entry);
 }
@@ -162,28 +162,28 @@
     !missing(router, known).is_empty() || !obsolete(router, known).is_empty()
 }
 
-/// Returns the quarantined requests that the archive lacks.
-fn missing(router: &Router, known: &KnownEntries) -> Vec<QuarantinedRequest> {
+/// Returns the quarantined suspects that the archive lacks.
+fn missing(router: &Router, known: &KnownEntries) -> Vec<QuarantinedSuspect> {
     let known = known.borrow();
     let Some(known) = known.as_ref() else { return Vec::new() };
     let mut quarantined = quarantine::quarantined(router);
-    quarantined.retain(|entry| !known.contains_key(&entry.request));
+    quarantined.retain(|entry| !known.contains_key(&entry.suspect));
     quarantined
 }
 
-/// Returns the entries that expired a while ago or whose requests were cleared.
-fn obsolete(router: &Router, known: &KnownEntries) -> Vec<RequestFingerprint> {
+/// Returns the entries that expired a while ago or whose suspects were cleared.
+fn obsolete(router: &Router, known: &KnownEntries) -> Vec<Suspect> {
     let now = router.now();
-    let quarantined: BTreeSet<RequestFingerprint> =
-        quarantine::quarantined(router).iter().map(|entry| entry.request).collect();
-    let is_obsolete = |request: &RequestFingerprint, until: Timestamp| {
+    let quarantined: BTreeSet<Suspect> =
+        quarantine::quarantined(router).iter().map(|entry| entry.suspect).collect();
+    let is_obsolete = |suspect: &Suspect, until: Timestamp| {
         let is_expired = until + REMOVAL_DELAY <= now;
-        let is_cleared = until > now && !quarantined.contains(request);
+        let is_cleared = until > now && !quarantined.contains(suspect);
         is_expired || is_cleared
     };
     let known = known.borrow();
-    let all = known.iter().flatten().filter(|(request, until)| is_obsolete(request, **until));
-    all.map(|(request, _)| *request).collect()
+    let all = known.iter().flatten().filter(|(suspect, until)| is_obsolete(suspect, **until));
+    all.map(|(suspect, _)| *suspect).collect()
 }
 
 async fn write_changes<A: QuarantineArchive>(
@@ -195,14 +195,14 @@
         archive.write(&entry).await?;
         let until = router.now() + entry.left;
         if let Some(known) = known.borrow_mut().as_mut() {
-            known.insert(entry.request, until);
+            known.insert(entry.suspect, until);
         }
-        events::quarantine_archived(entry.request);
+        events::quarantine_archived(entry.suspect);
     }
-    for request in obsolete(router, known) {
-        archive.remove(request).await?;
+    for suspect in obsolete(router, known) {
+        archive.remove(suspect).await?;
         if let Some(known) = known.borrow_mut().as_mut() {
-            known.remove(&request);
+            known.remove(&suspect);
         }
     }
     Ok(())
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -166,7 +166,9 @@
         let Some(source) = &mut self.source else { return SourceRead::Broken("no_source") };
         match self.router.runtime.within(left.min(IDLE_TIMEOUT), source.body.frame()).await {
             Ok(Some(Ok(frame))) => {
-                source.times.on_received(self.router.now());
+                if source.times.on_received(self.router.now()) {
+                    quarantine::on_sustained(&self.router, &self.call);
+                }
                 SourceRead::Bytes(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => SourceRead::Broken("broke_off"),
--- a/crates/router/src/run_progress.rs
+++ b/crates/router/src/run_progress.rs
@@ -35,9 +35,12 @@
         Self { head: now, latest: now }
     }
 
-    /// Records that more of the answer was received.
-    pub fn on_received(&mut self, now: Timestamp) {
+    /// Records that more of the answer was received. Returns whether this shows that the back end
+    /// sustains the run; true only once.
+    pub fn on_received(&mut self, now: Timestamp) -> bool {
+        let earlier = self.progress();
         self.latest = now;
+        earlier != self.progress()
     }
 
     /// Returns how far the back end is known to have come.
--- a/crates/router/src/takeover.rs
+++ b/crates/router/src/takeover.rs
@@ -45,8 +45,6 @@
 pub fn demand_without(router: &Router, call: &Call, tried: Vec<BackEndId>) -> Demand {
     let mut demand = call.demand();
     demand.tried = tried;
-    if quarantine::is_suspect(router, call) {
-        demand.suspect = Some(call.fingerprint());
-    }
+    demand.suspect = quarantine::suspect_of(router, call);
     demand
 }
--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -1,11 +1,11 @@
 //! What a request requires of the back end that serves it.
 
 use crate::back_end::BackEndId;
-use crate::fingerprint::RequestFingerprint;
 use crate::load::Load;
 use crate::prompt::Prompt;
 use crate::regions::AllowedRegions;
 use crate::share_class::ShareClass;
+use crate::suspect::Suspect;
 use mastbay_types::Timestamp;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,8 +43,8 @@
     pub version: Option<Arc<str>>,
     /// Back ends that must not receive the request again.
     pub tried: Vec<BackEndId>,
-    /// The request's fingerprint, if back ends have ended while serving it.
-    pub suspect: Option<RequestFingerprint>,
+    /// The request or the part of its prompt under which back ends have ended, if any have.
+    pub suspect: Option<Suspect>,
 }
 
 impl Demand {
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -4,7 +4,6 @@
 use crate::admission::BacklogReport;
 use crate::digest::{RouterPhase, RouterState};
 use crate::dispatch::aggregation::Role;
-use crate::fingerprint::RequestFingerprint;
 use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, TenantReport};
 use crate::overload::PeerCapacity;
 use crate::performance::EnginePerformanceReport;
@@ -13,6 +12,7 @@
 use crate::rollout::ReleaseReport;
 use crate::source_watchers::{self, SourceContact};
 use crate::stream_origin::{Member, StreamKey, owners};
+use crate::suspect::Suspect;
 use mastbay_types::{Timestamp, stable_hash};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -65,11 +65,11 @@
         targets
     }
 
-    /// Returns this router's position in the order for probing a request, the same at routers with
+    /// Returns this router's position in the order for probing a suspect, the same at routers with
     /// the same view.
-    pub fn probe_slot(&self, request: RequestFingerprint) -> ProbeSlot {
+    pub fn probe_slot(&self, suspect: Suspect) -> ProbeSlot {
         let draw = |address: SocketAddr| {
-            stable_hash(&[&request.short().to_be_bytes(), address.to_string().as_bytes()])
+            stable_hash(&[&suspect.short().to_be_bytes(), address.to_string().as_bytes()])
         };
         let own = draw(self.me.address);
         let before = self.peers.keys().filter(|peer| draw(**peer) < own).count();
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -46,7 +46,6 @@
 use crate::engine::Engine;
 use crate::engine_key::EngineKey;
 use crate::evacuation::EvacuatedZones;
-use crate::fingerprint::RequestFingerprint;
 use crate::first_event::FirstEventEstimator;
 use crate::gossip::GossipQueue;
 use crate::load::Load;
@@ -58,6 +57,7 @@
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
 use crate::stream_origin::OriginHistory;
+use crate::suspect::Suspect;
 use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
 use cold_engines::HeldColdEngines;
@@ -243,9 +243,9 @@
         self.fleet.gossip_targets(draw)
     }
 
-    /// Returns this router's position in the order in which routers probe a quarantined request.
-    pub fn probe_slot(&self, request: RequestFingerprint) -> ProbeSlot {
-        self.fleet.probe_slot(request)
+    /// Returns this router's position in the order in which routers probe a quarantined suspect.
+    pub fn probe_slot(&self, suspect: Suspect) -> ProbeSlot {
+        self.fleet.probe_slot(suspect)
     }
 
     /// Returns the peer selected by the random number `draw`, or `None` without peers.
--- a/crates/routing/src/dispatch/suspects.rs
+++ b/crates/routing/src/dispatch/suspects.rs
@@ -10,7 +10,7 @@
 use crate::demand::Demand;
 use crate::engine::Engine;
 use crate::engine_key::EngineKey;
-use crate::fingerprint::RequestFingerprint;
+use crate::suspect::Suspect;
 use mastbay_types::{Timestamp, stable_hash};
 use std::cmp::Reverse;
 
@@ -20,7 +20,7 @@
         &mut self,
         now: Timestamp,
         demand: &Demand,
-        suspect: RequestFingerprint,
+        suspect: Suspect,
         criteria: &SelectionCriteria,
     ) -> Option<ScoredBackEnd> {
         let candidates = self.candidates(now, demand, &criteria.release);
@@ -34,6 +34,6 @@
 }
 
 /// Returns the rendezvous score of a back end for a suspect, the same at every router.
-fn rendezvous_score(suspect: RequestFingerprint, back_end: EngineKey) -> u64 {
+fn rendezvous_score(suspect: Suspect, back_end: EngineKey) -> u64 {
     stable_hash(&[&suspect.short().to_be_bytes(), &back_end.to_bytes()])
 }
--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -44,9 +44,13 @@
         Self(half(0), half(8))
     }
 
-    /// Returns the first 64 bits, for hashing and drawing.
-    pub fn short(self) -> u64 {
-        self.0
+    /// Returns both halves.
+    pub(crate) fn halves(self) -> (u64, u64) {
+        (self.0, self.1)
+    }
+
+    pub(crate) fn from_halves(first: u64, second: u64) -> Self {
+        Self(first, second)
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,6 +48,7 @@
 mod source_watchers;
 mod stall;
 mod stream_origin;
+mod suspect;
 mod table;
 mod transfer;
 mod waiting;
@@ -98,7 +99,7 @@
 pub use prefix_demand::{MAX_REPORTED_PREFIXES, PrefixDemand, PrefixRate, RankChange};
 pub use prompt::{Prompt, PromptPart};
 pub use quarantine::{
-    ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus, QuarantinedRequest, Relaying,
+    ProbeSlot, Quarantine, QuarantineLimits, QuarantineStatus, QuarantinedSuspect, Relaying,
     TerminationReport,
 };
 pub use ranking::{
@@ -124,6 +125,7 @@
     OriginHistory, OriginLookup, OriginMessage, OriginQuery, OriginRecords, OriginReply,
     OriginReport, OriginSource, StreamKey, StreamOrigin, StreamRecord, owners,
 };
+pub use suspect::Suspect;
 pub use table::{RouteTable, TableEntry};
 pub use transfer::TransferLimits;
 pub use warmup::{Holders, Warmup, WarmupLimits};
--- a/crates/routing/src/quarantine/probe_plan.rs
+++ b/crates/routing/src/quarantine/probe_plan.rs
@@ -1,30 +1,30 @@
-//! Which quarantined requests the others explain away.
+//! Which quarantined suspects the others explain away.
 //!
-//! Requests that were in flight at the same back ends are quarantined together, although one of
+//! Suspects that were in flight at the same back ends are quarantined together, although one of
 //! them may be the cause of all terminations. A few of them that account for every termination stay
 //! suspect; the others are explained and may be probed at once, one at a time. Should one of those
 //! be the cause after all, its probe ends a back end that none of the others was at, and from then
 //! on it explains them.
 
 use crate::engine_key::EngineKey;
-use crate::fingerprint::RequestFingerprint;
+use crate::suspect::Suspect;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// A quarantined request and the incarnations that terminated while it was in flight.
-pub type Evidence = (RequestFingerprint, BTreeSet<EngineKey>);
+/// A quarantined suspect and the incarnations that terminated while it was in flight.
+pub type Evidence = (Suspect, BTreeSet<EngineKey>);
 
-/// The explained requests. All routers that know the same terminations have the same plan.
+/// The explained suspects. All routers that know the same terminations have the same plan.
 #[derive(Debug, Default)]
 pub struct ProbePlan {
-    /// Of each explained request, the suspect that shares most terminations with it.
-    explained_by: HashMap<RequestFingerprint, RequestFingerprint>,
+    /// Of each explained one, the suspect that shares most terminations with it.
+    explained_by: HashMap<Suspect, Suspect>,
 }
 
 impl ProbePlan {
-    /// Determines which of the quarantined requests are explained.
+    /// Determines which of the quarantined suspects are explained.
     pub fn new(mut quarantined: Vec<Evidence>) -> Self {
-        // Requests with few terminations are the least suspect.
-        quarantined.sort_unstable_by_key(|(request, back_ends)| (back_ends.len(), *request));
+        // Those with few terminations are the least suspect.
+        quarantined.sort_unstable_by_key(|(suspect, back_ends)| (back_ends.len(), *suspect));
         let mut suspects_at = count_suspects(&quarantined);
         let (explained, suspects): (Vec<&Evidence>, Vec<&Evidence>) =
             quarantined.iter().partition(|(_, back_ends)| {
@@ -36,17 +36,17 @@
             });
         let explained_by = explained
             .into_iter()
-            .filter_map(|(request, back_ends)| Some((*request, closest(&suspects, back_ends)?)));
+            .filter_map(|(suspect, back_ends)| Some((*suspect, closest(&suspects, back_ends)?)));
         Self { explained_by: explained_by.collect() }
     }
 
-    /// Returns the suspect that explains a request best; `None` if the request is not explained.
-    pub fn explained_by(&self, request: RequestFingerprint) -> Option<RequestFingerprint> {
-        self.explained_by.get(&request).copied()
+    /// Returns the suspect that explains another one best; `None` if it is not explained.
+    pub fn explained_by(&self, suspect: Suspect) -> Option<Suspect> {
+        self.explained_by.get(&suspect).copied()
     }
 }
 
-/// Returns the number of requests that were in flight at each back end.
+/// Returns the number of suspects that were in flight at each back end.
 fn count_suspects(quarantined: &[Evidence]) -> BTreeMap<EngineKey, usize> {
     let mut counts = BTreeMap::new();
     for back_end in quarantined.iter().flat_map(|(_, back_ends)| back_ends) {
@@ -62,7 +62,7 @@
 }
 
 /// Returns the suspect with the most of `back_ends`.
-fn closest(suspects: &[&Evidence], back_ends: &BTreeSet<EngineKey>) -> Option<RequestFingerprint> {
+fn closest(suspects: &[&Evidence], back_ends: &BTreeSet<EngineKey>) -> Option<Suspect> {
     let shared = |suspect: &Evidence| (suspect.1.intersection(back_ends).count(), suspect.0);
     suspects.iter().max_by_key(|suspect| shared(suspect)).map(|suspect| suspect.0)
 }
--- a/crates/routing/src/quarantine/reporting.rs
+++ b/crates/routing/src/quarantine/reporting.rs
@@ -1,17 +1,17 @@
 //! Reports of terminations to peers.
 
-use super::{Quarantine, QuarantinedRequest, TerminationReport};
+use super::{Quarantine, QuarantinedSuspect, TerminationReport};
 use crate::engine_key::EngineKey;
-use crate::fingerprint::RequestFingerprint;
+use crate::suspect::Suspect;
 use mastbay_types::Timestamp;
 
 /// Maximum number of reports per message, at about 40 bytes each.
 const REPORTS_PER_MESSAGE: usize = 128;
-/// Number of rounds between two reminders of quarantined requests, for peers that missed the
+/// Number of rounds between two reminders of quarantined suspects, for peers that missed the
 /// reports or started later.
 const ROUNDS_PER_REMINDER: u64 = 4;
-/// Maximum number of quarantined requests per reminder.
-const REQUESTS_PER_REMINDER: usize = 24;
+/// Maximum number of quarantined suspects per reminder.
+const SUSPECTS_PER_REMINDER: usize = 24;
 
 impl Quarantine {
     /// Returns the reports to send to peers in the next round, usually none.
@@ -19,11 +19,11 @@
         self.round += 1;
         let due = self.pending_reports.next_round(REPORTS_PER_MESSAGE);
         due.into_iter()
-            .filter_map(|(request, back_end)| self.report(now, request, back_end))
+            .filter_map(|(suspect, back_end)| self.report(now, suspect, back_end))
             .collect()
     }
 
-    /// Returns reports that remind peers of quarantined requests; empty in most rounds.
+    /// Returns reports that remind peers of quarantined suspects; empty in most rounds.
     pub fn next_reminder(&mut self, now: Timestamp) -> Vec<TerminationReport> {
         if self.is_empty() || !self.round.is_multiple_of(ROUNDS_PER_REMINDER) {
             return Vec::new();
@@ -31,28 +31,28 @@
         let mut quarantined = self.quarantined(now);
         let begin = self.reminder_offset % quarantined.len().max(1);
         quarantined.rotate_left(begin);
-        quarantined.truncate(REQUESTS_PER_REMINDER);
+        quarantined.truncate(SUSPECTS_PER_REMINDER);
         self.reminder_offset = begin + quarantined.len();
         self.reports_of(now, &quarantined)
     }
 
-    /// Returns the reports of quarantined requests for a new peer, limited to one message.
+    /// Returns the reports of quarantined suspects for a new peer, limited to one message.
     pub fn reports_for_new_peer(&self, now: Timestamp) -> Vec<TerminationReport> {
         let mut reports = self.reports_of(now, &self.quarantined(now));
         reports.truncate(REPORTS_PER_MESSAGE);
         reports
     }
 
-    /// Returns as many terminations of each request as quarantine it, plus one that shows that it
+    /// Returns as many terminations of each suspect as quarantine it, plus one that shows that it
     /// was probed.
     fn reports_of(
         &self,
         now: Timestamp,
-        quarantined: &[QuarantinedRequest],
+        quarantined: &[QuarantinedSuspect],
     ) -> Vec<TerminationReport> {
         let reports = quarantined.iter().flat_map(|quarantined| {
             let back_ends = quarantined.back_ends.iter().take(self.limits.ends + 1);
-            back_ends.filter_map(|back_end| self.report(now, quarantined.request, *back_end))
+            back_ends.filter_map(|back_end| self.report(now, quarantined.suspect, *back_end))
         });
         reports.collect()
     }
@@ -60,14 +60,14 @@
     fn report(
         &self,
         now: Timestamp,
-        request: RequestFingerprint,
+        suspect: Suspect,
         back_end: EngineKey,
     ) -> Option<TerminationReport> {
-        let termination = self.requests.get(&request)?.terminations.get(&back_end)?;
+        let termination = self.suspects.get(&suspect)?.terminations.get(&back_end)?;
         let left = termination.until.since(now).as_millis();
         let counts_for_ms = u32::try_from(left).unwrap_or(u32::MAX);
         Some(TerminationReport {
-            request,
+            suspect,
             back_end,
             counts_for_ms,
             is_cleared: termination.is_cleared,
--- a/crates/routing/src/quarantine/suspicion.rs
+++ b/crates/routing/src/quarantine/suspicion.rs
@@ -1,4 +1,4 @@
-//! Terminations under one request, and when the request may be probed.
+//! Terminations under one suspect, and when the suspect may be probed.
 
 use super::{ProbeSlot, QuarantineLimits};
 use crate::engine_key::EngineKey;
@@ -7,44 +7,44 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// Time in which one router may probe a quarantined request, or one of those that share its turns. Routers take turns in a common order;
+/// Time in which one router may probe a quarantined suspect, or one of those that share its turns. Routers take turns in a common order;
 /// a window is long enough for all of them to learn the outcome of the previous probe.
 pub const PROBE_WINDOW: Duration = Duration::from_millis(1_200);
 /// Time without probes after the first termination beyond the limit; ten times as long after each
 /// further one. The first is short because a probe may coincide with an unrelated termination, and
-/// without a further probe an innocent request stayed quarantined for the whole period.
+/// without a further probe an innocent suspect stayed quarantined for the whole period.
 const PROBE_BACKOFF: Duration = Duration::from_secs(30);
 /// Range within a window in which a probe may start. The margins cover the delay with which routers
 /// learn of a quarantine.
 const PROBE_START: Range<Duration> = Duration::from_millis(300)..Duration::from_millis(700);
 
-/// Termination of a back end while a request was in flight.
+/// Termination of a back end while a suspect was in flight.
 #[derive(Debug, Clone, Copy)]
 pub struct Termination {
-    /// Until when it counts against the request.
+    /// Until when it counts against the suspect.
     pub until: Timestamp,
-    /// Whether the request has been served since.
+    /// Whether the suspect has been served since.
     pub is_cleared: bool,
 }
 
-/// Terminations under one request.
+/// Terminations under one suspect.
 #[derive(Debug, Default)]
 pub struct Suspicion {
     /// Terminations by incarnation.
     pub terminations: BTreeMap<EngineKey, Termination>,
-    /// When this router learned of the last termination that quarantined the request or came later.
+    /// When this router learned of the last termination that quarantined the suspect or came later.
     pub since: Option<Timestamp>,
-    /// Window in which this router last probed the request.
+    /// Window in which this router last probed the suspect.
     pub probed: Option<u64>,
 }
 
 impl Suspicion {
-    /// Returns the terminations that count against the request.
+    /// Returns the terminations that count against the suspect.
     pub fn counted(&self, now: Timestamp) -> impl Iterator<Item = (&EngineKey, &Termination)> {
         self.terminations.iter().filter(move |(_, known)| !known.is_cleared && known.until > now)
     }
 
-    /// Returns until when the request is quarantined, or `None` if it is not.
+    /// Returns until when the suspect is quarantined, or `None` if it is not.
     pub fn quarantined_until(
         &self,
         now: Timestamp,
@@ -60,12 +60,12 @@
         self.terminations.iter().filter(|(_, known)| !known.is_cleared).map(|(key, _)| *key)
     }
 
-    /// Returns whether enough terminations count against the request to quarantine it.
+    /// Returns whether enough terminations count against the suspect to quarantine it.
     pub fn has_evidence(&self, limits: &QuarantineLimits) -> bool {
         self.uncleared().count() >= limits.ends.max(1)
     }
 
-    /// Returns from when the request may be probed if nothing else explains its terminations.
+    /// Returns from when the suspect may be probed if nothing else explains its terminations.
     pub fn probed_from(&self, now: Timestamp, limits: &QuarantineLimits) -> Option<Timestamp> {
         let excess = self.counted(now).count().saturating_sub(limits.ends);
         Some(self.since? + probe_backoff(excess))
