Take the end of an unmarked answer for complete only if its back end is alive

Callers saw answers without length or chunks that a crash cut short handed over as complete: a stream without any event, or cut between two events.

Cause: outside an event the end of the connection was taken for the end of the stream, and for that of an answer that is no stream. Change: at such an end the back end is checked (a new connection after 20 ms, a second one after 100 ms if the first is refused). If it has terminated, the stream goes on elsewhere or breaks off, and the end counts like that of a broken connection; if it is alive, the answer is complete and proves its parts sound, as an answer with a marked end does. An answer without a marked end costs 20 ms and a connection for that; those that end meanwhile share it.

--- a/crates/router/src/broken_connections.rs
+++ b/crates/router/src/broken_connections.rs
@@ -9,7 +9,7 @@
 use crate::router::Router;
 use crate::run_progress::RunProgress;
 use mastbay_routing::{BackEnd, BackEndId, BackEndState, Suspect};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +18,8 @@
 /// other connections break, and answers in flight arrive. Restarting a process takes longer than
 /// both.
 const CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(80)];
+/// Interval between checks whether it is known why a connection ended.
+const VERDICT_INTERVAL: Duration = Duration::from_millis(8);
 
 /// What may be the cause of the termination of a back end.
 #[derive(Debug, Clone, Default)]
@@ -39,6 +41,19 @@
             RunProgress::Sustained => {}
         }
     }
+
+    fn merge(&mut self, other: Self) {
+        self.suspects.extend(other.suspects);
+        self.waiting_parts.extend(other.waiting_parts);
+    }
+}
+
+/// Whether a back end has terminated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Pending,
+    Alive,
+    Ended,
 }
 
 /// The check of a back end whose connections ended.
@@ -46,6 +61,9 @@
 struct Check {
     /// Runs whose connections broke.
     broken: EndedRuns,
+    /// Runs whose answers ended with their connections, as they also do at a back end that is alive.
+    unmarked: EndedRuns,
+    verdict: Rc<Cell<Verdict>>,
 }
 
 /// The back ends whose check is in progress.
@@ -65,14 +83,22 @@
         checks.values().filter(|check| check.broken.suspects.contains(&suspect)).count()
     }
 
-    /// Updates the check of a back end, which is begun if there is none.
-    fn update(&self, router: &Rc<Router>, back_end: BackEnd, update: impl FnOnce(&mut Check)) {
+    /// Updates the check of a back end, which is begun if there is none. Returns its verdict.
+    fn update(
+        &self,
+        router: &Rc<Router>,
+        back_end: BackEnd,
+        update: impl FnOnce(&mut Check),
+    ) -> Rc<Cell<Verdict>> {
         let mut checks = self.0.borrow_mut();
         let check = checks.entry(back_end.id.clone()).or_insert_with(|| {
-            router.runtime.control().spawn(check_back_end(router.clone(), back_end)).detach();
-            Check { broken: EndedRuns::default() }
+            let verdict = Rc::new(Cell::new(Verdict::Pending));
+            let task = check_back_end(router.clone(), back_end, verdict.clone());
+            router.runtime.control().spawn(task).detach();
+            Check { broken: EndedRuns::default(), unmarked: EndedRuns::default(), verdict }
         });
         update(check);
+        check.verdict.clone()
     }
 
     fn take(&self, id: &BackEndId) -> Option<Check> {
@@ -95,12 +121,33 @@
     }
 }
 
+/// Returns whether a back end terminated when the answer to a request ended with its connection,
+/// which is how an answer without a length or chunks ends in any case. Takes 20 ms if the back end
+/// is alive, 0.1 s otherwise.
+pub async fn has_ended_with_answer(
+    router: &Rc<Router>,
+    call: &Call,
+    id: &BackEndId,
+    progress: RunProgress,
+) -> bool {
+    let Some(back_end) = ready_back_end(router, id) else { return false };
+    let unmarked = |check: &mut Check| check.unmarked.add(router, call, progress);
+    let verdict = router.broken.update(router, back_end, unmarked);
+    while verdict.get() == Verdict::Pending {
+        router.runtime.sleep(VERDICT_INTERVAL).await;
+    }
+    verdict.get() == Verdict::Ended
+}
+
 /// Checks whether a back end has terminated, and reports it to the quarantine if so.
-async fn check_back_end(router: Rc<Router>, back_end: BackEnd) {
+async fn check_back_end(router: Rc<Router>, back_end: BackEnd, verdict: Rc<Cell<Verdict>>) {
     let has_ended = has_ended(&router, &back_end).await;
+    verdict.set(if has_ended { Verdict::Ended } else { Verdict::Alive });
     let Some(check) = router.broken.take(&back_end.id) else { return };
     if has_ended {
-        quarantine::on_back_end_ended(&router, &back_end, check.broken);
+        let mut runs = check.broken;
+        runs.merge(check.unmarked);
+        quarantine::on_back_end_ended(&router, &back_end, runs);
     }
 }
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -214,7 +214,7 @@
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(ExchangeResult::Stream(head, Box::new(relay)));
         }
-        let body = match read_answer(self.router.runtime, &self.router.bodies, body).await {
+        let body = match self.read_whole_answer(body, is_delimited, &id).await {
             Ok(body) => body,
             Err(error) => return self.handle_incomplete_answer(error, ticket, &id),
         };
@@ -232,13 +232,28 @@
             }
         } else {
             ticket.succeed();
-            if is_delimited {
-                quarantine::on_served(&self.router, &self.call);
-            }
+            quarantine::on_served(&self.router, &self.call);
         }
         Some(ExchangeResult::Answer(head, body, id))
     }
 
+    /// Reads the body of an answer. One whose end is not marked is complete unless its back end
+    /// terminated.
+    async fn read_whole_answer(
+        &self,
+        body: Incoming,
+        is_delimited: bool,
+        back_end: &BackEndId,
+    ) -> Result<BufferedAnswer, BufferedAnswerError> {
+        let body = read_answer(self.router.runtime, &self.router.bodies, body).await?;
+        let progress = RunProgress::Started;
+        let check = broken_connections::has_ended_with_answer;
+        if !is_delimited && check(&self.router, &self.call, back_end, progress).await {
+            return Err(BufferedAnswerError::Broken);
+        }
+        Ok(body)
+    }
+
     /// Evaluates an answer that was not received completely. Returns `None` if the request may be
     /// sent to another back end.
     fn handle_incomplete_answer(
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -136,14 +136,15 @@
                     Ok(None) => continue,
                     Err(reason) => reason,
                 },
-                SourceRead::End if !self.splitter.is_inside_event() => {
-                    self.finish();
-                    return None;
-                }
-                SourceRead::End => {
+                SourceRead::End if self.splitter.is_inside_event() => {
                     self.record_broken_connection();
                     "ended_inside_event"
                 }
+                SourceRead::End if self.has_ended_with_back_end().await => "back_end_ended",
+                SourceRead::End => {
+                    self.finish();
+                    return None;
+                }
                 SourceRead::IdleTimeout if !self.reserve_takeover() => continue,
                 SourceRead::IdleTimeout => "silent",
                 SourceRead::Broken(reason) => {
@@ -237,6 +238,17 @@
         self.event_reservation.is_some()
     }
 
+    /// Returns whether the end of the stream is not marked and its back end terminated with it.
+    async fn has_ended_with_back_end(&self) -> bool {
+        let Some(source) = self.source.as_ref().filter(|source| !source.is_delimited) else {
+            return false;
+        };
+        let id = &source.back_end.id;
+        events::unmarked_end(&self.call, id, self.events);
+        let progress = source.times.progress();
+        broken_connections::has_ended_with_answer(&self.router, &self.call, id, progress).await
+    }
+
     fn record_broken_connection(&self) {
         if let Some(source) = &self.source {
             let progress = source.times.progress();
@@ -258,11 +270,7 @@
         if let Some(source) = self.source.take() {
             source.ticket.on_first_event();
             source.ticket.succeed();
-            if source.is_delimited {
-                quarantine::on_served(&self.router, &self.call);
-            } else {
-                events::unmarked_end(&self.call, &source.back_end.id, self.events);
-            }
+            quarantine::on_served(&self.router, &self.call);
             self.router.pool.release(&source.back_end.id, source.connection);
             self.router.update_idle_connection(&source.back_end.id);
             self.record_outcome(OutcomeKind::Streamed, None, Some(&source.back_end.id));
