Keep the position of prompt parts that can't be read

A part whose id or length can't be read was dropped, so the part before the last one was taken for the request's own, and the request's own for shared ones where another part was dropped.

--- a/crates/router/src/native_dialect.rs
+++ b/crates/router/src/native_dialect.rs
@@ -133,12 +133,8 @@
 
 fn prompt(headers: &HeaderMap) -> Option<Prompt> {
     let (input, output) = text(headers, &TOKENS)?.split_once(',')?;
-    let parts = text(headers, &PARTS).unwrap_or_default().split(',').filter_map(|part| {
-        let (id, tokens) = part.split_once(':')?;
-        Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
-    });
     Some(Prompt {
-        parts: parts.collect(),
+        parts: PromptPart::read_list(text(headers, &PARTS).unwrap_or_default()),
         input_tokens: input.parse().ok()?,
         max_output_tokens: output.parse().ok()?,
         output_hint: None,
--- a/crates/routing/src/prompt.rs
+++ b/crates/routing/src/prompt.rs
@@ -1,6 +1,7 @@
 //! The properties of a model request's prompt that routing depends on.
 
 use crate::first_event::PrefillWork;
+use mastbay_types::stable_hash;
 
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,6 +12,24 @@
     pub tokens: u32,
 }
 
+impl PromptPart {
+    /// Reads a list of parts, as `ID:TOKENS` joined by commas, with hexadecimal ids. An id of
+    /// another form is hashed, and a length that is no number counts as 0, so that each part keeps
+    /// its position: the last one belongs to the request.
+    pub fn read_list(text: &str) -> Vec<Self> {
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        parts.map(Self::read).collect()
+    }
+
+    fn read(text: &str) -> Self {
+        let (id, tokens) = text.split_once(':').unwrap_or((text, ""));
+        Self {
+            id: u64::from_str_radix(id, 16).unwrap_or_else(|_| stable_hash(&[id.as_bytes()])),
+            tokens: tokens.parse().unwrap_or(0),
+        }
+    }
+}
+
 /// Size and parts of a model request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Prompt {
