Measure from the first bytes of a body how long a back end sustains a run

A back end may send the head of an answer long before it begins to run the request. The time until its first event would have been taken for proof that it bears the request, although it crashes then. Found by reading; no back end of the users' does so in the record (the head comes 36 to 117 ms before the end).

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::quarantine;
 use crate::relay::{Relay, StreamBackEnd, StreamBody, StreamSource};
 use crate::router::Router;
-use crate::run_progress::{RunProgress, RunTimes};
+use crate::run_progress::{BodyTimes, RunProgress};
 use crate::send::{RequestSender, SendOutcome};
 use crate::takeover::Takeover;
 use crate::ticket::Ticket;
@@ -208,7 +208,7 @@
         let is_delimited = is_delimited(&head.headers);
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
             let back_end = StreamBackEnd::from(&placement.back_end);
-            let times = RunTimes::starting(self.router.now());
+            let times = BodyTimes::default();
             let source = StreamSource { ticket, back_end, connection, body, is_delimited, times };
             let tried = std::mem::take(&mut self.tried);
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::pool::BackEndConnection;
 use crate::quarantine;
 use crate::router::Router;
-use crate::run_progress::RunTimes;
+use crate::run_progress::BodyTimes;
 use crate::send::{RequestSender, SendOutcome};
 use crate::stream_origins;
 use crate::takeover::{self, Takeover};
@@ -71,8 +71,8 @@
     pub body: Incoming,
     /// Whether the end of the body is marked, so that a truncated stream is detected.
     pub is_delimited: bool,
-    /// When parts of the answer were received.
-    pub times: RunTimes,
+    /// When the body was received.
+    pub times: BodyTimes,
 }
 
 /// The back end of a stream, as it was when the stream was placed there.
@@ -362,7 +362,7 @@
                 Ok((head, body, connection)) => {
                     let back_end = StreamBackEnd::from(&placement.back_end);
                     let is_delimited = is_delimited(&head.headers);
-                    let times = RunTimes::starting(self.router.now());
+                    let times = BodyTimes::default();
                     let source =
                         StreamSource { ticket, back_end, connection, body, is_delimited, times };
                     return Some(source);
--- a/crates/router/src/run_progress.rs
+++ b/crates/router/src/run_progress.rs
@@ -4,8 +4,8 @@
 use mastbay_types::Timestamp;
 use std::time::Duration;
 
-/// Time from the head of an answer after which a back end that goes on sending is taken to bear the
-/// request. A request that crashes back ends does so about 0.1 s after the head.
+/// Time from the first bytes of an answer's body after which a back end that goes on sending is taken
+/// to bear the request. One that crashes back ends does so about 0.1 s after it begins to run.
 const SUSTAINED_AFTER: Duration = Duration::from_millis(500);
 
 /// How far a back end had come with a request when their connection ended.
@@ -14,7 +14,7 @@
     /// No head of an answer was received: the request waited at the back end or had just begun.
     #[display("waiting")]
     Waiting,
-    /// The head was received a short time before.
+    /// The head was received, and no body for long.
     #[display("started")]
     Started,
     /// The back end went on sending for longer than a crash under the request takes.
@@ -22,33 +22,30 @@
     Sustained,
 }
 
-/// The times at which parts of an answer were received.
-#[derive(Debug, Clone, Copy)]
-pub struct RunTimes {
-    head: Timestamp,
-    latest: Timestamp,
+/// When the body of an answer was received, whose head was received before.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct BodyTimes {
+    /// When the first bytes and the latest ones were received.
+    received: Option<(Timestamp, Timestamp)>,
 }
 
-impl RunTimes {
-    /// Creates the times of an answer whose head was received at `now`.
-    pub fn starting(now: Timestamp) -> Self {
-        Self { head: now, latest: now }
-    }
-
-    /// Records that more of the answer was received. Returns whether this shows that the back end
+impl BodyTimes {
+    /// Records that more of the body was received. Returns whether this shows that the back end
     /// sustains the run; true only once.
     pub fn on_received(&mut self, now: Timestamp) -> bool {
         let earlier = self.progress();
-        self.latest = now;
+        let first = self.received.map_or(now, |(first, _)| first);
+        self.received = Some((first, now));
         earlier != self.progress()
     }
 
     /// Returns how far the back end is known to have come.
     pub fn progress(&self) -> RunProgress {
-        if self.latest.since(self.head) >= SUSTAINED_AFTER {
-            RunProgress::Sustained
-        } else {
-            RunProgress::Started
+        match self.received {
+            Some((first, latest)) if latest.since(first) >= SUSTAINED_AFTER => {
+                RunProgress::Sustained
+            }
+            _ => RunProgress::Started,
         }
     }
 }
