Don't probe a fatal prompt part soon after its quarantine or a router's start

It came within 1.2 s of the quarantine, and again at each router that started: it was told of one end beyond the limit at most, so it waited only 30 s. Sound parts are proven by other requests, so a part waits 30 s from the start, and a new router is told of up to three ends beyond the limit (5 min and more).

--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -112,7 +112,7 @@
     ) -> Option<Timestamp> {
         match self.plan.explained_by(suspect) {
             Some(suspect) => self.suspects.get(&suspect)?.since,
-            None => suspicion.probed_from(now, &self.limits),
+            None => suspicion.probed_from(now, suspect, &self.limits),
         }
     }
 
--- a/crates/routing/src/quarantine/reporting.rs
+++ b/crates/routing/src/quarantine/reporting.rs
@@ -11,7 +11,10 @@
 /// reports or started later.
 const ROUNDS_PER_REMINDER: u64 = 4;
 /// Maximum number of quarantined suspects per reminder.
-const SUSPECTS_PER_REMINDER: usize = 24;
+const SUSPECTS_PER_REMINDER: usize = 20;
+/// Maximum number of terminations beyond the limit that are reported of a quarantined suspect. They
+/// show how often it was probed, so that a router that starts doesn't probe it again soon.
+const MAX_REPORTED_EXCESS: usize = 3;
 
 impl Quarantine {
     /// Returns the reports to send to peers in the next round, usually none.
@@ -43,15 +46,16 @@
         reports
     }
 
-    /// Returns as many terminations of each suspect as quarantine it, plus one that shows that it
-    /// was probed.
+    /// Returns as many terminations of each suspect as quarantine it, and some that show how often
+    /// it was probed.
     fn reports_of(
         &self,
         now: Timestamp,
         quarantined: &[QuarantinedSuspect],
     ) -> Vec<TerminationReport> {
         let reports = quarantined.iter().flat_map(|quarantined| {
-            let back_ends = quarantined.back_ends.iter().take(self.limits.ends + 1);
+            let back_ends =
+                quarantined.back_ends.iter().take(self.limits.ends + MAX_REPORTED_EXCESS);
             back_ends.filter_map(|back_end| self.report(now, quarantined.suspect, *back_end))
         });
         reports.collect()
--- a/crates/routing/src/quarantine/suspicion.rs
+++ b/crates/routing/src/quarantine/suspicion.rs
@@ -2,6 +2,7 @@
 
 use super::{ProbeSlot, QuarantineLimits};
 use crate::engine_key::EngineKey;
+use crate::suspect::Suspect;
 use mastbay_types::Timestamp;
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -65,10 +66,18 @@
         self.uncleared().count() >= limits.ends.max(1)
     }
 
-    /// Returns from when the suspect may be probed if nothing else explains its terminations.
-    pub fn probed_from(&self, now: Timestamp, limits: &QuarantineLimits) -> Option<Timestamp> {
+    /// Returns from when `suspect`, whose terminations these are, may be probed if nothing else
+    /// explains them. A prompt part waits as if it had been probed once: other requests with a
+    /// sound one soon prove it so without a probe.
+    pub fn probed_from(
+        &self,
+        now: Timestamp,
+        suspect: Suspect,
+        limits: &QuarantineLimits,
+    ) -> Option<Timestamp> {
         let excess = self.counted(now).count().saturating_sub(limits.ends);
-        Some(self.since? + probe_backoff(excess))
+        let probes = excess + usize::from(matches!(suspect, Suspect::PromptPart(_)));
+        Some(self.since? + probe_backoff(probes))
     }
 
     /// Returns the time at which the last termination stops counting.
--- a/crates/routing/tests/fatal_prompt_parts.rs
+++ b/crates/routing/tests/fatal_prompt_parts.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use mastbay_routing::{
-    EngineKey, PeerMessage, Quarantine, QuarantineStatus, ROUND_PERIOD, Relaying,
-    RequestFingerprint, Suspect, TerminationReport,
+    EngineKey, PeerMessage, ProbeSlot, PromptPart, Quarantine, QuarantineStatus, ROUND_PERIOD,
+    Relaying, RequestFingerprint, Suspect, TerminationReport,
 };
 use mastbay_types::Timestamp;
 use quickcheck::quickcheck;
@@ -202,3 +202,40 @@
     let answered = quarantine.next_reports(NOW);
     assert_eq!(answered, [TerminationReport { is_cleared: true, ..report }]);
 }
+
+/// Guards against taking a shared part for the request's own because the last one can't be read.
+#[test]
+fn parts_that_cannot_be_read_keep_their_position() {
+    let read = PromptPart::read_list("a1:100, 00112233445566778899aabbccddeeff:7,zz,b2:x");
+    assert_eq!(read.len(), 4);
+    assert_eq!(read[0], PromptPart { id: 0xa1, tokens: 100 });
+    assert_eq!((read[1].tokens, read[2].tokens), (7, 0));
+    assert_eq!(read[3], PromptPart { id: 0xb2, tokens: 0 });
+    assert_ne!(read[1].id, read[2].id);
+    assert_eq!(PromptPart::read_list(""), []);
+}
+
+/// Guards against probing a fatal part again soon after each restart of a router.
+#[test]
+fn a_router_that_starts_learns_how_often_a_part_was_probed() {
+    let mut earlier = Quarantine::new(LIMITS);
+    end_under(&mut earlier, 1..=5, &[FATAL]);
+    let mut started = Quarantine::new(LIMITS);
+    started.on_reports(NOW, &earlier.reports_for_new_peer(NOW), Relaying::Nothing);
+    let retry_after = |quarantine: &Quarantine| quarantine.status(NOW, FATAL).retry_after();
+    assert_eq!(retry_after(&started), retry_after(&earlier));
+    assert!(retry_after(&started) >= Some(Duration::from_secs(300)));
+}
+
+/// Guards against a probe of a fatal part right after its quarantine.
+#[test]
+fn a_part_is_not_probed_for_half_a_minute() {
+    let mut quarantine = Quarantine::new(LIMITS);
+    end_under(&mut quarantine, 1..=3, &[FATAL]);
+    let slot = ProbeSlot { index: 0, routers: 1 };
+    let takes = |quarantine: &mut Quarantine, milliseconds: u64| {
+        quarantine.take_probe(Timestamp::from_millis(milliseconds), FATAL, slot)
+    };
+    assert!((0..300).all(|tenth| !takes(&mut quarantine, 100 * tenth)));
+    assert!((300..313).any(|tenth| takes(&mut quarantine, 100 * tenth)));
+}
