Read what is quarantined before a starting router takes requests

A router that queries the store at its start looked at the archive of quarantined requests up to 0.3 s after it had its configuration, and sent requests with quarantined parts meanwhile: after a restart of all routers at once each of them could. It reads the archive at the same time as the configuration now and takes no requests until then, at most 1.2 s. Routers that learn the configuration from peers are told of quarantines by them.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -45,9 +45,10 @@
 const FIRST_WAIT: Duration = Duration::from_millis(1);
 /// Interval between checks whether this router follows the source.
 const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after the start for which a router waits for its peers if its source was restored from an
-/// older copy. Routers of a large fleet report to each other about once a second.
-const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time after the start for which a router waits for the archive of quarantined requests, and for its
+/// peers if its source was restored from an older copy. Routers of a large fleet report to each
+/// other about once a second.
+const START_WAIT_LIMIT: Duration = Duration::from_millis(1_200);
 /// Delivers the result of admission to a waiting request.
 pub(crate) type AdmissionSender = Sender<Result<Placement, Refusal>>;
 
@@ -73,6 +74,8 @@
     pub(crate) source_condition: Cell<SourceCondition>,
     /// The first list of back ends came from a source that was once restored from an older copy.
     pub(crate) started_from_restored: Cell<bool>,
+    /// The archive of quarantined requests is being read for the first time.
+    reads_quarantines: Cell<bool>,
     pub(crate) broken: BrokenConnections,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) stream_origins: StreamOrigins,
@@ -137,6 +140,7 @@
             outage: RefCell::default(),
             source_condition: Cell::default(),
             started_from_restored: Cell::default(),
+            reads_quarantines: Cell::default(),
             broken: BrokenConnections::default(),
             quarantine: RefCell::new(quarantine),
             stream_origins: StreamOrigins::default(),
@@ -263,22 +267,31 @@
     pub fn is_ready(&self) -> bool {
         self.phase() == RouterPhase::Serving
             && self.catalogue.borrow().is_complete()
-            && !self.is_waiting_for_peers()
+            && !self.is_waiting_to_start()
     }
 
-    /// Returns whether the router has just started from a source that was once restored from an
-    /// older copy, and must wait for messages from its peers, which may have newer versions.
-    fn is_waiting_for_peers(&self) -> bool {
+    /// Records whether the router is reading the archive of quarantined requests for the first time.
+    pub(crate) fn set_reading_quarantines(&self, is_reading: bool) {
+        self.reads_quarantines.set(is_reading);
+    }
+
+    /// Returns whether the router has just started and must not use its routes yet: it is reading
+    /// what is quarantined, or waits for its peers.
+    fn is_waiting_to_start(&self) -> bool {
         // Called for each request; true only rarely and briefly.
-        if !self.started_from_restored.get() {
-            return false;
-        }
-        let now = self.now();
-        if now.since(Timestamp::ZERO) >= PEER_DISCOVERY_TIMEOUT {
+        if !self.reads_quarantines.get() && !self.started_from_restored.get() {
             return false;
         }
+        let has_waited = self.now().since(Timestamp::ZERO) >= START_WAIT_LIMIT;
+        !has_waited && (self.reads_quarantines.get() || self.is_waiting_for_peers())
+    }
+
+    /// Returns whether the router started from a source that was once restored from an older copy,
+    /// and must wait for messages from its peers, which may have newer versions.
+    fn is_waiting_for_peers(&self) -> bool {
         let dispatcher = self.dispatcher.borrow();
-        dispatcher.routers() == 1 || dispatcher.is_behind(now)
+        self.started_from_restored.get()
+            && (dispatcher.routers() == 1 || dispatcher.is_behind(self.now()))
     }
 
     /// Returns whether the router serves new callers, sheds them, or is stopping.
@@ -341,10 +354,10 @@
         (versions.configuration, versions.back_ends)
     }
 
-    /// Returns the route table in force; `None` while the router waits for its peers.
+    /// Returns the route table in force; `None` while the router waits to start.
     pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
         let table = self.catalogue.borrow().table();
-        table.filter(|_| !self.is_waiting_for_peers())
+        table.filter(|_| !self.is_waiting_to_start())
     }
 
     /// Returns whether the retry budget of a service allows another attempt.
