--- a/crates/router/tests/events.rs
+++ b/crates/router/tests/events.rs
@@ -2,7 +2,9 @@
 
 #[test]
 fn the_operators_page_lists_every_event() {
-    let source = include_str!("../src/events.rs");
+    let source =
+        [include_str!("../src/events/mod.rs"), include_str!("../src/events/terminations.rs")]
+            .concat();
     let page = include_str!("../../../docs/OPERATIONS.md");
     let names: Vec<&str> =
         source.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next()).collect();
--- a/crates/router/tests/fatal_parts.rs
+++ b/crates/router/tests/fatal_parts.rs
@@ -9,7 +9,7 @@
 use mastbay_testbed::{Behaviour, Crashes, EndingBackEnds, FatalParts, Framing, PartialEvent};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
-use support::{Answer, Bed, Request, run, until};
+use support::{Answer, Bed, Request, announce_each_other, join_all, run, until};
 
 /// Time in which routers may learn of a crash.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -107,13 +107,7 @@
         for _ in 0..ROUTERS {
             beds.push(Bed::start(runtime, &[]).await);
         }
-        for bed in &beds {
-            for other in &beds {
-                if other.settings.digests != bed.settings.digests {
-                    bed.announce_peer(other.settings.digests, other.settings.operations);
-                }
-            }
-        }
+        announce_each_other(&beds);
         let fleet = Self {
             runtime,
             beds,
@@ -219,18 +213,6 @@
     }
 }
 
-/// Runs futures concurrently until all have completed.
-async fn join_all<F: Future<Output = ()>>(all: impl Iterator<Item = F>) {
-    let executor = smol::LocalExecutor::new();
-    let tasks: Vec<_> = all.map(|one| executor.spawn(one)).collect();
-    let ended = async {
-        for task in tasks {
-            task.await;
-        }
-    };
-    executor.run(ended).await;
-}
-
 /// Returns the number of runs later than allowed after the counted crash.
 fn late_runs(crashes: &Crashes) -> usize {
     let Some(counted) = crashes.ends.get(COUNTED_CRASH - 1) else { return 0 };
--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -7,9 +7,11 @@
 use mastbay_routing::{BackEnd, BackEndId, BackEndList, BackEndState};
 use mastbay_testbed::{Behaviour, EndingBackEnds, FATAL, THRICE};
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::time::Duration;
-use support::{Answer, Bed, Request, STREAM_HEAD, ScriptedBackEnd, Step, run, until};
+use support::{
+    Answer, Bed, Request, STREAM_HEAD, ScriptedBackEnd, Step, announce_each_other, join_all, run,
+    until,
+};
 
 /// Runs allowed in the whole fleet: three until the request is quarantined, and three more.
 const MAX_RUNS: u32 = 6;
@@ -41,11 +43,7 @@
         bed.router.offer_back_ends(list, Origin::Source);
         beds.push(bed);
     }
-    for bed in &beds {
-        for other in beds.iter().filter(|other| other.settings.digests != bed.settings.digests) {
-            bed.announce_peer(other.settings.digests, other.settings.operations);
-        }
-    }
+    announce_each_other(&beds);
     beds
 }
 
@@ -110,18 +108,6 @@
     answers.into_inner()
 }
 
-/// Runs futures concurrently until all have completed.
-async fn join_all<F: Future<Output = ()>>(all: impl Iterator<Item = F>) {
-    let executor = smol::LocalExecutor::new();
-    let tasks: Vec<_> = all.map(|one| executor.spawn(one)).collect();
-    let ended = async {
-        for task in tasks {
-            task.await;
-        }
-    };
-    executor.run(ended).await;
-}
-
 /// Each end of a back end breaks the requests beside the fatal one and removes its slots for a
 /// while, so without a quarantine bystanders fail.
 #[test]
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -230,6 +230,27 @@
     stream
 }
 
+/// Runs futures concurrently until all have completed.
+pub async fn join_all<F: Future<Output = ()>>(all: impl Iterator<Item = F>) {
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = all.map(|one| executor.spawn(one)).collect();
+    let ended = async {
+        for task in tasks {
+            task.await;
+        }
+    };
+    executor.run(ended).await;
+}
+
+/// Tells each router of all others.
+pub fn announce_each_other(beds: &[Bed]) {
+    for bed in beds {
+        for other in beds.iter().filter(|other| other.settings.digests != bed.settings.digests) {
+            bed.announce_peer(other.settings.digests, other.settings.operations);
+        }
+    }
+}
+
 /// Polls until a condition holds.
 pub async fn until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
     while !condition().await {
--- a/crates/routing/tests/fatal_prompt_parts.rs
+++ b/crates/routing/tests/fatal_prompt_parts.rs
@@ -239,3 +239,37 @@
     assert!((0..300).all(|tenth| !takes(&mut quarantine, 100 * tenth)));
     assert!((300..313).any(|tenth| takes(&mut quarantine, 100 * tenth)));
 }
+
+/// Bytes that a router may send a second for control.
+const MAX_BYTES: u64 = 15_000;
+
+/// Guards against reports of a single end that burden the peers: 40 requests of three shared parts
+/// each were in flight, an eighth of them had just begun, and half of the routers know the parts.
+#[test]
+fn the_end_of_a_back_end_costs_each_router_little() {
+    for routers in [7, 85, 295] {
+        let mut simulation = QuarantinedFleet::new(routers, 0.1);
+        let now = simulation.fleet.now;
+        let parts = |number: u64| {
+            (0..3).map(move |part| Suspect::PromptPart(0x100 + 3 * (number % 8) + part))
+        };
+        for quarantine in simulation.quarantines.values_mut().step_by(2) {
+            (0..8).flat_map(parts).for_each(|part| quarantine.on_survival(part));
+        }
+        for number in 0..40 {
+            let router = address(number as usize % routers);
+            let quarantine = simulation.quarantines.get_mut(&router).expect("a router");
+            quarantine.on_termination(now, incarnation(1), request(number));
+            if number % 8 == 0 {
+                parts(number).for_each(|part| {
+                    quarantine.on_termination(now, incarnation(1), part);
+                });
+            }
+        }
+        (0..30).for_each(|_| simulation.round());
+        let (datagrams, bytes) = (simulation.datagrams, simulation.bytes);
+        let each = bytes / routers as u64;
+        println!("{routers} routers: {datagrams} datagrams, {bytes} bytes, {each} bytes each");
+        assert!(each <= MAX_BYTES, "{routers} routers: {each} bytes each");
+    }
+}
--- a/crates/routing/tests/support/quarantined_fleet.rs
+++ b/crates/routing/tests/support/quarantined_fleet.rs
@@ -3,8 +3,8 @@
 
 use super::fleet::{Fleet, address};
 use mastbay_routing::{
-    BackEndId, EngineKey, Quarantine, QuarantineLimits, QuarantineStatus, ROUND_PERIOD,
-    RequestFingerprint, RequestIdentity, Suspect,
+    BackEndId, EngineKey, PeerMessage, Quarantine, QuarantineLimits, QuarantineStatus,
+    ROUND_PERIOD, RequestFingerprint, RequestIdentity, Suspect,
 };
 use mastbay_types::Timestamp;
 use rand::{Rng, RngExt, SeedableRng};
@@ -42,6 +42,10 @@
     random: ChaCha8Rng,
     /// Probability that a message is lost.
     loss_rate: f64,
+    /// Datagrams with reports that were sent so far.
+    pub datagrams: u64,
+    /// Bytes of these datagrams.
+    pub bytes: u64,
 }
 
 impl QuarantinedFleet {
@@ -50,7 +54,8 @@
         fleet.rounds(40);
         let quarantines =
             fleet.routers.keys().map(|address| (*address, Quarantine::new(LIMITS))).collect();
-        Self { fleet, quarantines, random: ChaCha8Rng::seed_from_u64(1), loss_rate }
+        let random = ChaCha8Rng::seed_from_u64(1);
+        Self { fleet, quarantines, random, loss_rate, datagrams: 0, bytes: 0 }
     }
 
     pub fn terminate(&mut self, router: usize, terminated: u64, number: u64) {
@@ -73,6 +78,11 @@
             );
         }
         for (target, reports) in sent {
+            if !reports.is_empty() {
+                let message = PeerMessage::Ends(reports.clone());
+                self.datagrams += 1;
+                self.bytes += rmp_serde::to_vec(&message).expect("encoded").len() as u64;
+            }
             if self.random.random::<f64>() < self.loss_rate {
                 continue;
             }
