Don't take the unmarked end of a leaving back end's answer for proof of its parts

A back end that is draining may end under a fatal part like any other. Its termination isn't checked, since it is planned, and an answer that ended with its connection was taken for complete: a stream without any event was handed to the caller as whole, and the part was cleared everywhere. Such an answer proves nothing now, and an empty stream goes on elsewhere or breaks off.

--- a/crates/router/src/broken_connections.rs
+++ b/crates/router/src/broken_connections.rs
@@ -22,7 +22,7 @@
 /// may accept connections for a moment after the first ones broke.
 const SETTLING_TIME: Duration = Duration::from_millis(10);
 /// Interval between checks whether it is known why a connection ended.
-const VERDICT_INTERVAL: Duration = Duration::from_millis(8);
+const FATE_INTERVAL: Duration = Duration::from_millis(8);
 
 /// What may be the cause of the termination of a back end.
 #[derive(Debug, Clone, Default)]
@@ -51,12 +51,15 @@
     }
 }
 
-/// Whether a back end has terminated.
+/// What is known of a back end whose connections ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
-    Pending,
+pub enum BackEndFate {
+    /// It accepts new connections.
     Alive,
+    /// It has terminated.
     Ended,
+    /// It is about to leave or has left, so its termination would prove nothing.
+    Leaving,
 }
 
 /// The check of a back end whose connections ended.
@@ -66,7 +69,8 @@
     broken: EndedRuns,
     /// Runs whose answers ended with their connections, as they also do at a back end that is alive.
     unmarked: EndedRuns,
-    verdict: Rc<Cell<Verdict>>,
+    /// `None` while the check is in progress.
+    fate: Rc<Cell<Option<BackEndFate>>>,
 }
 
 /// The back ends whose check is in progress.
@@ -86,22 +90,23 @@
         checks.values().filter(|check| check.broken.suspects.contains(&suspect)).count()
     }
 
-    /// Updates the check of a back end, which is begun if there is none. Returns its verdict.
+    /// Updates the check of a back end, which is begun if there is none. Returns where its result
+    /// will be.
     fn update(
         &self,
         router: &Rc<Router>,
         back_end: BackEnd,
         update: impl FnOnce(&mut Check),
-    ) -> Rc<Cell<Verdict>> {
+    ) -> Rc<Cell<Option<BackEndFate>>> {
         let mut checks = self.0.borrow_mut();
         let check = checks.entry(back_end.id.clone()).or_insert_with(|| {
-            let verdict = Rc::new(Cell::new(Verdict::Pending));
-            let task = check_back_end(router.clone(), back_end, verdict.clone());
+            let fate = Rc::default();
+            let task = check_back_end(router.clone(), back_end, Rc::clone(&fate));
             router.runtime.control().spawn(task).detach();
-            Check { broken: EndedRuns::default(), unmarked: EndedRuns::default(), verdict }
+            Check { broken: EndedRuns::default(), unmarked: EndedRuns::default(), fate }
         });
         update(check);
-        check.verdict.clone()
+        check.fate.clone()
     }
 
     fn take(&self, id: &BackEndId) -> Option<Check> {
@@ -124,29 +129,35 @@
     }
 }
 
-/// Returns whether a back end terminated when the answer to a request ended with its connection,
-/// which is how an answer without a length or chunks ends in any case. Takes 10 to 30 ms if the back
-/// end is alive, 0.1 s otherwise.
-pub async fn has_ended_with_answer(
+/// Returns what became of a back end when the answer to a request ended with its connection, which
+/// is how an answer without a length or chunks ends in any case. Takes 10 to 30 ms if the back end
+/// is alive, 0.1 s if it has terminated.
+pub async fn fate_after_answer(
     router: &Rc<Router>,
     call: &Call,
     id: &BackEndId,
     progress: RunProgress,
-) -> bool {
+) -> BackEndFate {
     router.runtime.sleep(SETTLING_TIME).await;
-    let Some(back_end) = ready_back_end(router, id) else { return false };
+    let Some(back_end) = ready_back_end(router, id) else { return BackEndFate::Leaving };
     let unmarked = |check: &mut Check| check.unmarked.add(router, call, progress);
-    let verdict = router.broken.update(router, back_end, unmarked);
-    while verdict.get() == Verdict::Pending {
-        router.runtime.sleep(VERDICT_INTERVAL).await;
+    let fate = router.broken.update(router, back_end, unmarked);
+    loop {
+        if let Some(fate) = fate.get() {
+            return fate;
+        }
+        router.runtime.sleep(FATE_INTERVAL).await;
     }
-    verdict.get() == Verdict::Ended
 }
 
 /// Checks whether a back end has terminated, and reports it to the quarantine if so.
-async fn check_back_end(router: Rc<Router>, back_end: BackEnd, verdict: Rc<Cell<Verdict>>) {
+async fn check_back_end(
+    router: Rc<Router>,
+    back_end: BackEnd,
+    fate: Rc<Cell<Option<BackEndFate>>>,
+) {
     let has_ended = has_ended(&router, &back_end).await;
-    verdict.set(if has_ended { Verdict::Ended } else { Verdict::Alive });
+    fate.set(Some(if has_ended { BackEndFate::Ended } else { BackEndFate::Alive }));
     let Some(check) = router.broken.take(&back_end.id) else { return };
     if has_ended {
         let mut runs = check.broken;
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange of a request with back ends: placement, sending, retries and the answer to the
 //! caller.
 
-use crate::broken_connections;
+use crate::broken_connections::{self, BackEndFate};
 use crate::buffered_answer::{BufferedAnswer, BufferedAnswerError, read_answer};
 use crate::call::Call;
 use crate::dialect::OwnAnswer;
@@ -214,10 +214,16 @@
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(ExchangeResult::Stream(head, Box::new(relay)));
         }
-        let body = match self.read_whole_answer(body, is_delimited, &id).await {
+        let body = match read_answer(self.router.runtime, &self.router.bodies, body).await {
             Ok(body) => body,
             Err(error) => return self.handle_incomplete_answer(error, ticket, &id),
         };
+        // An answer whose end is not marked is complete unless its back end terminated.
+        let fate =
+            if is_delimited { BackEndFate::Alive } else { self.fate_after_answer(&id).await };
+        if fate == BackEndFate::Ended {
+            return self.handle_incomplete_answer(BufferedAnswerError::Broken, ticket, &id);
+        }
         self.router.pool.release(&id, connection);
         if !head.status.is_success() {
             ticket.on_error_answer();
@@ -232,26 +238,16 @@
             }
         } else {
             ticket.succeed();
-            quarantine::on_served(&self.router, &self.call);
+            if fate == BackEndFate::Alive {
+                quarantine::on_served(&self.router, &self.call);
+            }
         }
         Some(ExchangeResult::Answer(head, body, id))
     }
 
-    /// Reads the body of an answer. One whose end is not marked is complete unless its back end
-    /// terminated.
-    async fn read_whole_answer(
-        &self,
-        body: Incoming,
-        is_delimited: bool,
-        back_end: &BackEndId,
-    ) -> Result<BufferedAnswer, BufferedAnswerError> {
-        let body = read_answer(self.router.runtime, &self.router.bodies, body).await?;
+    async fn fate_after_answer(&self, back_end: &BackEndId) -> BackEndFate {
         let progress = RunProgress::Started;
-        let check = broken_connections::has_ended_with_answer;
-        if !is_delimited && check(&self.router, &self.call, back_end, progress).await {
-            return Err(BufferedAnswerError::Broken);
-        }
-        Ok(body)
+        broken_connections::fate_after_answer(&self.router, &self.call, back_end, progress).await
     }
 
     /// Evaluates an answer that was not received completely. Returns `None` if the request may be
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -2,7 +2,7 @@
 //! can be resumed from another back end if its route allows that.
 
 use crate::body_budget::{BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
-use crate::broken_connections;
+use crate::broken_connections::{self, BackEndFate};
 use crate::call::Call;
 use crate::event_splitter::{EventSplitter, events_of};
 use crate::events;
@@ -140,11 +140,15 @@
                     self.record_broken_connection();
                     "ended_inside_event"
                 }
-                SourceRead::End if self.has_ended_with_back_end().await => "back_end_ended",
-                SourceRead::End => {
-                    self.finish();
-                    return None;
-                }
+                SourceRead::End => match self.back_end_fate().await {
+                    BackEndFate::Ended => "back_end_ended",
+                    // A stream without any event whose end is not marked.
+                    BackEndFate::Leaving if self.events == 0 => "back_end_left",
+                    fate => {
+                        self.finish(fate);
+                        return None;
+                    }
+                },
                 SourceRead::IdleTimeout if !self.reserve_takeover() => continue,
                 SourceRead::IdleTimeout => "silent",
                 SourceRead::Broken(reason) => {
@@ -238,15 +242,16 @@
         self.event_reservation.is_some()
     }
 
-    /// Returns whether the end of the stream is not marked and its back end terminated with it.
-    async fn has_ended_with_back_end(&self) -> bool {
+    /// Returns what became of the back end when the stream ended: it is alive if it has marked the
+    /// end.
+    async fn back_end_fate(&self) -> BackEndFate {
         let Some(source) = self.source.as_ref().filter(|source| !source.is_delimited) else {
-            return false;
+            return BackEndFate::Alive;
         };
         let id = &source.back_end.id;
         events::unmarked_end(&self.call, id, self.events);
         let progress = source.times.progress();
-        broken_connections::has_ended_with_answer(&self.router, &self.call, id, progress).await
+        broken_connections::fate_after_answer(&self.router, &self.call, id, progress).await
     }
 
     fn record_broken_connection(&self) {
@@ -266,11 +271,13 @@
         self.last_relayed = now;
     }
 
-    fn finish(&mut self) {
+    fn finish(&mut self, fate: BackEndFate) {
         if let Some(source) = self.source.take() {
             source.ticket.on_first_event();
             source.ticket.succeed();
-            quarantine::on_served(&self.router, &self.call);
+            if fate == BackEndFate::Alive {
+                quarantine::on_served(&self.router, &self.call);
+            }
             self.router.pool.release(&source.back_end.id, source.connection);
             self.router.update_idle_connection(&source.back_end.id);
             self.record_outcome(OutcomeKind::Streamed, None, Some(&source.back_end.id));
