Don't stop a router that serves already while it reads the archive

A router that has its routes from peers and begins to follow the store within 1.2 s of its start stopped using its routes until it had read the archive of quarantines. It goes on now; only a router without routes waits. Found by reading after the failure; that this is its cause is suspected, not shown by a run, so the test is listed. Six process tests of the platform pass, among them the restart of all routers beside requests with a fatal part.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -271,8 +271,10 @@
     }
 
     /// Records whether the router is reading the archive of quarantined requests for the first time.
+    /// A router that has learned its routes from peers takes requests already, and goes on.
     pub(crate) fn set_reading_quarantines(&self, is_reading: bool) {
-        self.reads_quarantines.set(is_reading);
+        let is_starting = !self.catalogue.borrow().is_complete();
+        self.reads_quarantines.set(is_reading && is_starting);
     }
 
     /// Returns whether the router has just started and must not use its routes yet: it is reading
