Build the source of a stream in one place

A stream's source was put together twice, when an answer begins and when a stream is resumed: version, framing and times of the body. No change of behaviour. whole_path, resumed_streams and slow_back_ends pass.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -12,10 +12,11 @@
 use crate::own_answers::{own_answer, record_end};
 use crate::pool::BackEndConnection;
 use crate::quarantine;
-use crate::relay::{Relay, StreamBackEnd, StreamBody, StreamSource};
+use crate::relay::{Relay, StreamBody};
 use crate::router::Router;
-use crate::run_progress::{BodyTimes, RunProgress};
+use crate::run_progress::RunProgress;
 use crate::send::{RequestSender, SendOutcome};
+use crate::stream_source::StreamSource;
 use crate::takeover::Takeover;
 use crate::ticket::Ticket;
 use crate::try_failure::TryCircumstances;
@@ -205,11 +206,9 @@
         placement: &Placement,
     ) -> Option<ExchangeResult> {
         let id = placement.back_end.id.clone();
-        let is_delimited = is_delimited(&head.headers);
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
-            let back_end = StreamBackEnd::from(&placement.back_end);
-            let times = BodyTimes::default();
-            let source = StreamSource { ticket, back_end, connection, body, is_delimited, times };
+            let back_end = &placement.back_end;
+            let source = StreamSource::new(ticket, back_end, connection, &head.headers, body);
             let tried = std::mem::take(&mut self.tried);
             let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
             return Some(ExchangeResult::Stream(head, Box::new(relay)));
@@ -219,8 +218,11 @@
             Err(error) => return self.handle_incomplete_answer(error, ticket, &id),
         };
         // An answer whose end is not marked is complete unless its back end terminated.
-        let fate =
-            if is_delimited { BackEndFate::Alive } else { self.fate_after_answer(&id).await };
+        let fate = if is_delimited(&head.headers) {
+            BackEndFate::Alive
+        } else {
+            self.fate_after_answer(&id).await
+        };
         if fate == BackEndFate::Ended {
             return self.handle_incomplete_answer(BufferedAnswerError::Broken, ticket, &id);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -49,6 +49,7 @@
 mod snapshots;
 mod stop;
 mod stream_origins;
+mod stream_source;
 mod takeover;
 mod throttled_reader;
 mod ticket;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -6,29 +6,27 @@
 use crate::call::Call;
 use crate::event_splitter::{EventSplitter, events_of};
 use crate::events;
-use crate::headers::is_delimited;
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::own_answers::record_end;
 use crate::pool::BackEndConnection;
 use crate::quarantine;
 use crate::router::Router;
-use crate::run_progress::BodyTimes;
 use crate::send::{RequestSender, SendOutcome};
 use crate::stream_origins;
+use crate::stream_source::StreamSource;
 use crate::takeover::{self, Takeover};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{StatusCode, http};
-use mastbay_routing::{Attempt, BackEnd, BackEndId, Fault, Placement, QuarantineStatus};
+use mastbay_routing::{Attempt, BackEndId, Fault, Placement, QuarantineStatus};
 use mastbay_types::Timestamp;
 use mastbay_web::BodyError;
 use smol::stream::{Stream, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -59,37 +57,6 @@
     is_recorded: bool,
 }
 
-/// The back end that a stream is read from.
-pub struct StreamSource {
-    /// The ticket for the slot at the back end.
-    pub ticket: Ticket,
-    /// The back end.
-    pub back_end: StreamBackEnd,
-    /// The connection, which is reused after the end of the stream.
-    pub connection: BackEndConnection,
-    /// The body of the answer.
-    pub body: Incoming,
-    /// Whether the end of the body is marked, so that a truncated stream is detected.
-    pub is_delimited: bool,
-    /// When the body was received.
-    pub times: BodyTimes,
-}
-
-/// The back end of a stream, as it was when the stream was placed there.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StreamBackEnd {
-    /// Its ID.
-    pub id: BackEndId,
-    /// The version of its software.
-    pub version: Arc<str>,
-}
-
-impl From<&BackEnd> for StreamBackEnd {
-    fn from(back_end: &BackEnd) -> Self {
-        Self { id: back_end.id.clone(), version: back_end.version.clone() }
-    }
-}
-
 /// The result of one read from the back end.
 enum SourceRead {
     Bytes(Bytes),
@@ -367,11 +334,9 @@
             let sends = self.attempt.borrow().sends();
             match self.open_rest(&placement).await {
                 Ok((head, body, connection)) => {
-                    let back_end = StreamBackEnd::from(&placement.back_end);
-                    let is_delimited = is_delimited(&head.headers);
-                    let times = BodyTimes::default();
+                    let back_end = &placement.back_end;
                     let source =
-                        StreamSource { ticket, back_end, connection, body, is_delimited, times };
+                        StreamSource::new(ticket, back_end, connection, &head.headers, body);
                     return Some(source);
                 }
                 Err(fault) => ticket.fail(fault),
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -6,9 +6,9 @@
 use crate::events;
 use crate::log_rate_limiter::LogLineKind;
 use crate::peers;
-use crate::relay::StreamBackEnd;
 use crate::request_head::host;
 use crate::router::Router;
+use crate::stream_source::StreamBackEnd;
 use derive_more::{Display, Error};
 use hyper::http;
 use mastbay_routing::{
--- /dev/null
+++ b/crates/router/src/stream_source.rs
@@ -0,0 +1,61 @@
+//! The back end that a stream is read from.
+
+use crate::headers::is_delimited;
+use crate::pool::BackEndConnection;
+use crate::run_progress::BodyTimes;
+use crate::ticket::Ticket;
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use mastbay_routing::{BackEnd, BackEndId};
+use std::sync::Arc;
+
+/// The back end that a stream is read from.
+pub struct StreamSource {
+    /// The ticket for the slot at the back end.
+    pub ticket: Ticket,
+    /// The back end.
+    pub back_end: StreamBackEnd,
+    /// The connection, which is reused after the end of the stream.
+    pub connection: BackEndConnection,
+    /// The body of the answer.
+    pub body: Incoming,
+    /// Whether the end of the body is marked, so that a truncated stream is detected.
+    pub is_delimited: bool,
+    /// When the body was received.
+    pub times: BodyTimes,
+}
+
+impl StreamSource {
+    /// Creates the source of an answer whose head, with `headers`, was just received.
+    pub fn new(
+        ticket: Ticket,
+        back_end: &BackEnd,
+        connection: BackEndConnection,
+        headers: &HeaderMap,
+        body: Incoming,
+    ) -> Self {
+        Self {
+            ticket,
+            back_end: StreamBackEnd::from(back_end),
+            connection,
+            body,
+            is_delimited: is_delimited(headers),
+            times: BodyTimes::default(),
+        }
+    }
+}
+
+/// The back end of a stream, as it was when the stream was placed there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamBackEnd {
+    /// Its ID.
+    pub id: BackEndId,
+    /// The version of its software.
+    pub version: Arc<str>,
+}
+
+impl From<&BackEnd> for StreamBackEnd {
+    fn from(back_end: &BackEnd) -> Self {
+        Self { id: back_end.id.clone(), version: back_end.version.clone() }
+    }
+}
