--- a/crates/router/src/events/terminations.rs
+++ b/crates/router/src/events/terminations.rs
@@ -34,7 +34,7 @@
 /// Logs that a back end terminated with requests in progress: their connections broke, and it
 /// refuses new ones.
 pub fn back_end_ended(back_end: &BackEnd, suspects: &BTreeSet<Suspect>) {
-    let requests = suspects.iter().filter(|suspect| matches!(suspect, Suspect::Request(_)));
+    let requests = suspects.iter().filter(|suspect| !suspect.is_prompt_part());
     tracing::warn!(
         event = "back_end_ended",
         back_end = %back_end.id,
@@ -46,7 +46,8 @@
 
 /// Logs that a request, or all that hold a part, are quarantined: they are sent to no back end.
 /// `back_ends` are the keys, as in messages between routers, of the back-end incarnations that
-/// terminated while they ran it; `source` is where the last report came from: `own`, `archive` or the address of a router.
+/// terminated while they ran it; `source` is where the last report came from: `own`, `archive` or
+/// the address of a router.
 pub fn request_quarantined(quarantined: &QuarantinedSuspect, source: &str) {
     let back_ends = quarantined.back_ends.iter().map(EngineKey::to_string);
     tracing::warn!(
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -62,8 +62,7 @@
     let quarantine = router.quarantine.borrow();
     let is_pending = |suspect: Suspect| {
         let unresolved = router.broken.unresolved_for(suspect);
-        let is_unproven_part =
-            matches!(suspect, Suspect::PromptPart(_)) && !quarantine.has_survived(suspect);
+        let is_unproven_part = suspect.is_prompt_part() && !quarantine.has_survived(suspect);
         let ends = quarantine.terminations(router.now(), suspect);
         let may_quarantine = unresolved + ends + 1 >= router.settings.quarantine.ends;
         unresolved > 0 && (is_unproven_part || may_quarantine)
--- a/crates/routing/src/quarantine/combined.rs
+++ b/crates/routing/src/quarantine/combined.rs
@@ -68,7 +68,7 @@
             .flat_map(|other| other.back_ends)
             .collect();
         quarantined.iter().all(|suspect| {
-            matches!(suspect, Suspect::PromptPart(_))
+            suspect.is_prompt_part()
                 && self.counted_back_ends(now, *suspect).iter().all(|end| others.contains(end))
         })
     }
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -145,7 +145,7 @@
     /// Records that a back end has borne a suspect. This clears its terminations. Those of a prompt
     /// part that become known afterwards don't count either, at first.
     pub fn on_survival(&mut self, suspect: Suspect) {
-        if matches!(suspect, Suspect::PromptPart(_)) {
+        if suspect.is_prompt_part() {
             self.survivals.record(suspect);
         }
         self.clear(suspect);
@@ -158,8 +158,7 @@
 
     /// Returns whether the termination of a back end counts against any prompt part.
     pub fn is_attributed(&self, back_end: EngineKey) -> bool {
-        let mut parts =
-            self.suspects.iter().filter(|(suspect, _)| matches!(suspect, Suspect::PromptPart(_)));
+        let mut parts = self.suspects.iter().filter(|(suspect, _)| suspect.is_prompt_part());
         parts.any(|(_, suspicion)| suspicion.uncleared().any(|terminated| terminated == back_end))
     }
 
--- a/crates/routing/src/quarantine/suspicion.rs
+++ b/crates/routing/src/quarantine/suspicion.rs
@@ -8,8 +8,9 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// Time in which one router may probe a quarantined suspect, or one of those that share its turns. Routers take turns in a common order;
-/// a window is long enough for all of them to learn the outcome of the previous probe.
+/// Time in which one router may probe a quarantined suspect, or one of those that share its turns.
+/// Routers take turns in a common order; a window is long enough for all of them to learn the
+/// outcome of the previous probe.
 pub const PROBE_WINDOW: Duration = Duration::from_millis(1_200);
 /// Time without probes after the first termination beyond the limit; ten times as long after each
 /// further one. The first is short because a probe may coincide with an unrelated termination, and
@@ -76,7 +77,7 @@
         limits: &QuarantineLimits,
     ) -> Option<Timestamp> {
         let excess = self.counted(now).count().saturating_sub(limits.ends);
-        let probes = excess + usize::from(matches!(suspect, Suspect::PromptPart(_)));
+        let probes = excess + usize::from(suspect.is_prompt_part());
         Some(self.since? + probe_backoff(probes))
     }
 
--- a/crates/routing/src/suspect.rs
+++ b/crates/routing/src/suspect.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Returns whether it is a part of prompts.
+    pub fn is_prompt_part(self) -> bool {
+        matches!(self, Self::PromptPart(_))
+    }
+
     /// Returns the name of its kind in logs.
     pub fn kind(self) -> &'static str {
         match self {
