Read the archive at the start in the loop that reads it afterwards

The first reading of the archive had its own copy of the error handling, and after a failure the loop read again at once, without the backoff of other failures. It is the loop's first pass now. The restart test, quarantine and restored_store pass, three times each.

--- a/crates/router/src/quarantine_archive.rs
+++ b/crates/router/src/quarantine_archive.rs
@@ -84,8 +84,12 @@
 }
 
 async fn read<A: QuarantineArchive>(router: &Router, archive: &A, known: &KnownEntries) {
-    let mut cursor = read_at_start(router, archive, known).await;
-    let mut is_available = cursor.is_some();
+    // A router queries the source at its start unless peers tell it all. It takes no requests until
+    // it has read the archive once.
+    router.until_following_source().await;
+    router.set_reading_quarantines(true);
+    let mut cursor = None;
+    let mut is_available = true;
     loop {
         if !router.is_following_source() {
             // A full listing replaces the cursor once the router follows the source again.
@@ -95,6 +99,7 @@
             continue;
         }
         let result = read_once(router, archive, known, cursor).await;
+        router.set_reading_quarantines(false);
         if is_available != result.is_ok() {
             is_available = result.is_ok();
             let detail = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
@@ -109,23 +114,6 @@
     }
 }
 
-/// Reads the archive once the router queries the source, which it does at its start unless peers
-/// tell it all. Meanwhile it takes no requests. Returns the cursor; `None` after a failure.
-async fn read_at_start<A: QuarantineArchive>(
-    router: &Router,
-    archive: &A,
-    known: &KnownEntries,
-) -> Option<Revision> {
-    router.until_following_source().await;
-    router.set_reading_quarantines(true);
-    let result = read_once(router, archive, known, None).await;
-    router.set_reading_quarantines(false);
-    if let Err(error) = &result {
-        events::dependency("quarantine_archive", false, &error.to_string());
-    }
-    result.unwrap_or_default()
-}
-
 /// Reads the full list if there is no cursor, else the next changes. Returns the next cursor.
 async fn read_once<A: QuarantineArchive>(
     router: &Router,
