--- a/crates/router/tests/fatal_parts.rs
+++ b/crates/router/tests/fatal_parts.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use mastbay_router::{Origin, Runtime};
-use mastbay_routing::{BackEnd, BackEndId, BackEndList, BackEndState};
+use mastbay_routing::BackEndList;
 use mastbay_testbed::{Behaviour, Crashes, EndingBackEnds, FatalParts, Framing, PartialEvent};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
@@ -130,15 +130,8 @@
         }
         self.revision.set(self.revision.get() + 1);
         let listed = self.back_ends.addresses.iter().zip(&restarts).enumerate();
-        let listed = listed.map(|(number, (address, restarts))| BackEnd {
-            id: BackEndId::from(format!("b{number}-{restarts}").as_str()),
-            service: "plain".to_owned(),
-            address: *address,
-            zone: "a".to_owned(),
-            version: "1".into(),
-            slots: 8,
-            state: BackEndState::Ready,
-            cold_for: Duration::ZERO,
+        let listed = listed.map(|(number, (address, restarts))| {
+            support::listed(&format!("b{number}-{restarts}"), *address, "plain")
         });
         let list =
             BackEndList { revision: self.revision.get().into(), back_ends: listed.collect() };
--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use mastbay_router::{Origin, Runtime};
-use mastbay_routing::{BackEnd, BackEndId, BackEndList, BackEndState};
+use mastbay_routing::{BackEnd, BackEndList};
 use mastbay_testbed::{Behaviour, EndingBackEnds, FATAL, THRICE};
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -22,17 +22,9 @@
 /// Entries of the back ends in a list of the source.
 fn listed(back_ends: &EndingBackEnds) -> Vec<BackEnd> {
     let addresses = back_ends.addresses.iter().enumerate();
-    let listed = addresses.map(|(number, address)| BackEnd {
-        id: BackEndId::from(format!("b{number}").as_str()),
-        service: "plain".to_owned(),
-        address: *address,
-        zone: "a".to_owned(),
-        version: "1".into(),
-        slots: 8,
-        state: BackEndState::Ready,
-        cold_for: Duration::ZERO,
-    });
-    listed.collect()
+    addresses
+        .map(|(number, address)| support::listed(&format!("b{number}"), *address, "plain"))
+        .collect()
 }
 
 async fn start_routers(runtime: Runtime, count: usize, back_ends: &EndingBackEnds) -> Vec<Bed> {
--- a/crates/router/tests/support/back_ends.rs
+++ b/crates/router/tests/support/back_ends.rs
@@ -132,16 +132,21 @@
 
     /// Entry of this back end in a list, as a member of `service`.
     pub fn listed(&self, service: &str) -> BackEnd {
-        BackEnd {
-            id: BackEndId::from(self.name.as_str()),
-            service: service.to_owned(),
-            address: self.address,
-            zone: "a".to_owned(),
-            version: "1".into(),
-            slots: 8,
-            state: BackEndState::Ready,
-            cold_for: Duration::ZERO,
-        }
+        listed(&self.name, self.address, service)
+    }
+}
+
+/// Entry of a ready back end in a list.
+pub fn listed(id: &str, address: SocketAddr, service: &str) -> BackEnd {
+    BackEnd {
+        id: BackEndId::from(id),
+        service: service.to_owned(),
+        address,
+        zone: "a".to_owned(),
+        version: "1".into(),
+        slots: 8,
+        state: BackEndState::Ready,
+        cold_for: Duration::ZERO,
     }
 }
 
