--- a/review/stand-in.rs
+++ b/review/stand-in.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::fs;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Result, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -380,7 +380,8 @@
             marked: number(6) > 0.0,
         });
         let Ok(listener) = TcpListener::bind(&words[0]) else { return ExitCode::from(2) };
-        println!("engine {} listens on {}", words[1], words[0]);
+        let Ok(address) = listener.local_addr() else { return ExitCode::from(2) };
+        println!("listens on {address}");
         for stream in listener.incoming().flatten() {
             let engine = engine.clone();
             thread::spawn(move || engine.connection(stream));
@@ -599,10 +600,6 @@
     at_work: Arc<Mutex<HashMap<String, i32>>>,
 }
 
-fn free_address() -> Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
 /// Returns ports that are free on the loopback addresses of all routers.
 fn free_ports(hosts: &[String]) -> std::result::Result<Vec<u16>, String> {
     'tries: for _ in 0..200 {
@@ -652,15 +649,20 @@
         let program = std::env::current_exe().map_err(|error| error.to_string())?;
         for index in 0..count {
             let EngineWork { work_ms, events, pause_ms, extra, marked } = work(index);
-            let address = free_address().map_err(|error| error.to_string())?;
             let id = format!("i-{}", &Random::new().id()[..8]);
             let mut command = Command::new(&program);
-            command.arg("engine").args([&address.to_string(), &id]);
+            command.args(["engine", "127.0.0.1:0", &id]);
             command.args([work_ms, events, pause_ms].map(|number| number.to_string()));
             command.args([extra.to_string(), u8::from(marked).to_string()]);
             command.stdout(Stdio::piped());
             let mut process = Process::start(&mut command)?;
             let output = process.child.stdout.take().ok_or("no output")?;
+            let mut output = BufReader::new(output);
+            // The engine tells the free port that it has taken.
+            let mut first = String::new();
+            output.read_line(&mut first).map_err(|error| error.to_string())?;
+            let address = first.trim().strip_prefix("listens on ").and_then(|it| it.parse().ok());
+            let address: SocketAddr = address.ok_or("an engine didn't start")?;
             let zone = ZONES[index % ZONES.len()];
             let service = service.to_owned();
             let one = EngineProcess { process, id: id.clone(), service, address, zone, capacity };
@@ -672,11 +674,11 @@
         Ok(())
     }
 
-    fn collect_runs(&self, id: String, output: impl Read + Send + 'static) {
+    fn collect_runs(&self, id: String, output: impl BufRead + Send + 'static) {
         let record = self.record.clone();
         let (begun, at_work) = (self.begun.clone(), self.at_work.clone());
         thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
+            for line in output.lines().map_while(Result::ok) {
                 if let Some(attempt) = line.strip_prefix("run ").and_then(|l| l.split(' ').next()) {
                     let mut begun = begun.lock().unwrap();
                     begun.entry(attempt.to_owned()).or_default().push(id.clone());
