Log and count retries taken from the budgets, and how their burst is divided

From the users' logs, had they kept them, nobody could have told whether too many retries were charged (the burst divided by too few routers), or as many as allowed arrived late: no line named a charge. Now `retry_charged` and `retry_refused` name the request, the placement that the retry pays for, what is left, the number by which the burst is divided, and the routers heard, reported and rostered; `try_failed` tells which placement failed. Metrics: retries taken and refused by service, and the divisor. The two lines count among the failures of the log's rate limit. No decision changes; the budgets of the dispatcher move to a module of their own.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -1,7 +1,9 @@
 //! The log events of a router, one line of key=value pairs each; docs/OPERATIONS.md lists them.
 
+mod retries;
 mod terminations;
 
+pub use retries::{retry_charged, retry_refused};
 pub use terminations::{
     back_end_ended, connection_broke, quarantine_archived, quarantine_lifted, request_probed,
     request_quarantined, unmarked_end,
@@ -157,6 +159,7 @@
         fault = ?failure.fault,
         reason,
         cause = %failure.cause,
+        send = circumstances.send,
         took_ms = milliseconds(circumstances.took),
         others_answered = circumstances.has_responded,
         predicted_ms = placement.predicted.as_millis() as u64,
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -145,7 +145,7 @@
     fn take_retry_if_needed(&mut self) -> bool {
         let needs_retry = self.deliveries > 0;
         if needs_retry && !self.holds_retry {
-            self.holds_retry = self.router.take_retry(&self.call.service);
+            self.holds_retry = self.router.take_retry(&self.call);
         }
         self.holds_retry || !needs_retry
     }
@@ -190,6 +190,7 @@
     fn circumstances(&self, placement: &Placement, began: Timestamp) -> TryCircumstances {
         let dispatcher = self.router.dispatcher.borrow();
         TryCircumstances {
+            send: self.call.trace.borrow().sends,
             took: self.router.now().since(began),
             has_responded: dispatcher.has_responded_since(&placement.back_end.id, began),
         }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -5,7 +5,7 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
 use crate::stream_origins::Search;
-use mastbay_routing::{EngineChoice, Placement, SourceCondition};
+use mastbay_routing::{EngineChoice, Placement, RetryStatus, SourceCondition};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -46,6 +46,13 @@
     rank: String,
 }
 
+/// Labels of the retries that requests needed. The configuration bounds the number of services.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryLabels {
+    service: String,
+    result: &'static str,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug, Clone)]
 pub struct RouterMetrics {
@@ -70,6 +77,8 @@
     prefix_sources: Counter,
     transferred_tokens: Counter,
     resumptions: Family<ResumptionLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
+    retry_share_divisor: Gauge,
     stream_records: Gauge,
     evicted_stream_records: Counter,
     first_event: Histogram,
@@ -101,6 +110,8 @@
             prefix_sources: Counter::default(),
             transferred_tokens: Counter::default(),
             resumptions: Family::default(),
+            retries: Family::default(),
+            retry_share_divisor: Gauge::default(),
             stream_records: Gauge::default(),
             evicted_stream_records: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
@@ -166,6 +177,12 @@
         let name = "mastbay_router_resumptions";
         let help = "requests that resume a stream, by how its origin was learned";
         registry.register(name, help, metrics.resumptions.clone());
+        let name = "mastbay_router_retries";
+        let help = "retries by service: taken from its budget, or refused as the budget was empty";
+        registry.register(name, help, metrics.retries.clone());
+        let name = "mastbay_router_retry_share_divisor";
+        let help = "routers among which the burst of retry budgets was divided last";
+        registry.register(name, help, metrics.retry_share_divisor.clone());
         let name = "mastbay_router_stream_records";
         let help = "origins of streams that this router keeps";
         registry.register(name, help, metrics.stream_records.clone());
@@ -203,6 +220,13 @@
         self.resumptions.get_or_create(&ResumptionLabels { origin: search.name() }).inc();
     }
 
+    /// Counts a retry that was taken from the budget of a service, or refused.
+    pub fn on_retry(&self, service: &str, is_taken: bool, status: RetryStatus) {
+        let result = if is_taken { "taken" } else { "refused" };
+        self.retries.get_or_create(&RetryLabels { service: service.to_owned(), result }).inc();
+        self.retry_share_divisor.set(i64::try_from(status.divided_by).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of records of streams' origins, and the number evicted so far.
     pub fn set_stream_records(&self, records: usize, evicted: u64) {
         self.stream_records.set(records as i64);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -328,7 +328,7 @@
             };
             let Takeover { ticket, placement, has_retry } = next;
             holds_retry |= has_retry;
-            if !holds_retry && !self.router.take_retry(&self.call.service) {
+            if !holds_retry && !self.router.take_retry(&self.call) {
                 return None;
             }
             let sends = self.attempt.borrow().sends();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::body_budget::BodyBudget;
 use crate::broken_connections::BrokenConnections;
+use crate::call::Call;
 use crate::catalogue::Catalogue;
 use crate::dialect::{BackEndDialect, CallerDialect};
 use crate::events;
@@ -367,9 +368,19 @@
         self.dispatcher.borrow_mut().retries_left(self.now(), service) > 0
     }
 
-    /// Takes an attempt from the retry budget of a service. Returns false if the budget is empty.
-    pub(crate) fn take_retry(&self, service: &str) -> bool {
-        self.dispatcher.borrow_mut().take_retry(self.now(), service)
+    /// Takes a retry from the budget of the request's service. Returns false if it is empty.
+    pub(crate) fn take_retry(&self, call: &Call) -> bool {
+        let is_taken = self.dispatcher.borrow_mut().take_retry(self.now(), &call.service);
+        let status = self.dispatcher.borrow_mut().retry_status(self.now(), &call.service);
+        self.metrics.on_retry(&call.service, is_taken, status);
+        if self.may_write_line(LogLineKind::Failure) {
+            if is_taken {
+                events::retry_charged(call, status);
+            } else {
+                events::retry_refused(call, status);
+            }
+        }
+        is_taken
     }
 
     /// Returns whether a log line about a request may be written now. Logs how many were suppressed
--- a/crates/router/src/takeover.rs
+++ b/crates/router/src/takeover.rs
@@ -36,7 +36,7 @@
         }
         let demand = demand_without(router, call, tried);
         let (ticket, placement) = Ticket::obtain_at_once(router, &demand)?;
-        let has_retry = needs_retry && router.take_retry(&call.service);
+        let has_retry = needs_retry && router.take_retry(call);
         Some(Self { ticket, placement, has_retry })
     }
 }
--- a/crates/router/src/try_failure.rs
+++ b/crates/router/src/try_failure.rs
@@ -73,6 +73,8 @@
 /// Circumstances of a failed attempt, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TryCircumstances {
+    /// Number of the request's placements at back ends so far, this one included.
+    pub send: u32,
     /// Time since the attempt began.
     pub took: Duration,
     /// Whether the back end sent events or answers to other requests of this router meanwhile.
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -4,6 +4,7 @@
 use crate::admission::BacklogReport;
 use crate::digest::{RouterPhase, RouterState};
 use crate::dispatch::aggregation::Role;
+use crate::dispatch::retries::RouterCounts;
 use crate::load_stats::{EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, TenantReport};
 use crate::overload::PeerCapacity;
 use crate::performance::EnginePerformanceReport;
@@ -39,6 +40,11 @@
         1 + self.peers.len()
     }
 
+    /// Returns the number of routers by each way in which this one knows them.
+    pub fn counts(&self) -> RouterCounts {
+        RouterCounts { heard: self.routers(), reported: self.size(), rostered: self.roster_size() }
+    }
+
     pub fn tiebreak(&self) -> u64 {
         self.tiebreak
     }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -28,6 +28,7 @@
 mod ranking_cost;
 mod releases;
 mod reservation;
+mod retries;
 mod reuse;
 mod rollout_request;
 mod running;
@@ -83,6 +84,7 @@
     RefusalDetails, RefusalReason,
 };
 pub use performance::SpeedChange;
+pub use retries::{RetryStatus, RouterCounts};
 
 /// Decides where and when a router's requests are served.
 #[derive(Debug)]
@@ -266,30 +268,11 @@
     /// Records the arrival of a request, which adds to the service's retry budget and to the
     /// tenant's demand.
     pub fn on_request(&mut self, now: Timestamp, demand: &Demand) {
-        self.budget(&demand.service).on_request(now);
+        self.retry_budget(&demand.service).on_request(now);
         self.count_prefix(now, demand);
         self.record_class_arrival(now, demand);
         if let (Some(tenant), Some(prompt)) = (&demand.tenant, &demand.prompt) {
             self.usage.on_asked(now, tenant, prompt.cost());
         }
     }
-
-    /// Takes one retry from the service's budget. Returns whether there was one left.
-    pub fn take_retry(&mut self, now: Timestamp, service: &str) -> bool {
-        let routers = self.fleet.size();
-        self.budget(service).take(now, routers)
-    }
-
-    /// Returns the retries left in the service's budget.
-    pub fn retries_left(&mut self, now: Timestamp, service: &str) -> u32 {
-        let routers = self.fleet.size();
-        self.budget(service).remaining(now, routers)
-    }
-
-    fn budget(&mut self, service: &str) -> &mut RetryBudget {
-        let (limits, burst_from) = (self.limits.budget, self.limits.burst_from);
-        let fleet = &self.fleet;
-        let budgets = self.budgets.entry(service.to_owned());
-        budgets.or_insert_with(|| RetryBudget::new(limits, burst_from, fleet.draw(service)))
-    }
 }
--- /dev/null
+++ b/crates/routing/src/dispatch/retries.rs
@@ -0,0 +1,54 @@
+//! Retries taken from this router's shares of the retry budgets of services.
+
+use super::Dispatcher;
+use crate::budget::RetryBudget;
+use mastbay_types::Timestamp;
+
+/// The number of routers of the fleet, this one included, by each way in which a router knows them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouterCounts {
+    /// Those heard from lately.
+    pub heard: usize,
+    /// The most that this router or any of those heard from lately knows of.
+    pub reported: usize,
+    /// Those that have not said that they leave, also after a long silence.
+    pub rostered: usize,
+}
+
+/// The state of this router's share of the retry budget of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryStatus {
+    /// Retries left.
+    pub left: u32,
+    /// Number of routers among which the burst is divided.
+    pub divided_by: usize,
+    /// What that number is derived from.
+    pub routers: RouterCounts,
+}
+
+impl Dispatcher {
+    /// Takes one retry from the service's budget. Returns whether there was one left.
+    pub fn take_retry(&mut self, now: Timestamp, service: &str) -> bool {
+        let routers = self.fleet.size();
+        self.retry_budget(service).take(now, routers)
+    }
+
+    /// Returns the retries left in the service's budget.
+    pub fn retries_left(&mut self, now: Timestamp, service: &str) -> u32 {
+        let routers = self.fleet.size();
+        self.retry_budget(service).remaining(now, routers)
+    }
+
+    /// Returns the state of this router's share of the service's budget.
+    pub fn retry_status(&mut self, now: Timestamp, service: &str) -> RetryStatus {
+        let left = self.retries_left(now, service);
+        RetryStatus { left, divided_by: self.fleet.size(), routers: self.fleet.counts() }
+    }
+
+    pub(super) fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
+        let (limits, burst_from) = (self.limits.budget, self.limits.burst_from);
+        let fleet = &self.fleet;
+        let budgets = self.budgets.entry(service.to_owned());
+        budgets.or_insert_with(|| RetryBudget::new(limits, burst_from, fleet.draw(service)))
+    }
+}
