--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod back_ends;
 pub mod lists;
+pub mod suspendable;
 
 pub use back_ends::*;
 
--- /dev/null
+++ b/crates/router/tests/support/suspendable.rs
@@ -0,0 +1,83 @@
+//! A back end that stops reading on demand, like a suspended process, and records when it reads
+//! each request.
+
+use super::{answer, header, until};
+use mastbay_router::Runtime;
+use mastbay_testbed::read_request;
+use smol::io::AsyncWriteExt;
+use smol::net::{TcpListener, TcpStream};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::Step;
+
+/// A request that a back end has read.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The id of the request.
+    pub id: String,
+    /// When the back end read it.
+    pub at: Instant,
+}
+
+/// A back end that can be suspended. Meanwhile, the kernel accepts connections and buffers bytes.
+/// Clones share their state.
+#[derive(Clone)]
+pub struct SuspendableBackEnd {
+    pub name: String,
+    pub address: SocketAddr,
+    /// Whether it reads nothing now.
+    pub is_suspended: Rc<Cell<bool>>,
+    /// Whether it closes each connection once it has read a request.
+    pub breaks_connections: Rc<Cell<bool>>,
+    /// The requests read so far, by all back ends that share the record.
+    arrivals: Rc<RefCell<Vec<Arrival>>>,
+}
+
+impl SuspendableBackEnd {
+    /// Starts a back end that adds the requests it reads to `arrivals`.
+    pub async fn start(
+        runtime: Runtime,
+        name: String,
+        arrivals: Rc<RefCell<Vec<Arrival>>>,
+    ) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        let back_end = Self {
+            name,
+            address: listener.local_addr().expect("bound"),
+            is_suspended: Rc::default(),
+            breaks_connections: Rc::default(),
+            arrivals,
+        };
+        let serving = back_end.clone();
+        let accept = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                runtime.spawn(serving.clone().serve(stream)).detach();
+            }
+        };
+        runtime.spawn(accept).detach();
+        back_end
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut first = [0];
+        // Bytes that arrive during a suspension stay in the kernel's buffer.
+        while matches!(stream.peek(&mut first).await, Ok(1)) {
+            until(async || !self.is_suspended.get()).await;
+            let Some(head) = read_request(&mut stream).await else { return };
+            let id = header(&head, "mastbay-request-id").unwrap_or_default();
+            self.arrivals.borrow_mut().push(Arrival { id: id.clone(), at: Instant::now() });
+            if self.breaks_connections.get() {
+                return;
+            }
+            for step in answer("done") {
+                let Step::Write(text) = step else { continue };
+                if stream.write_all(text.replace("ID", &id).as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
