Divide the burst of a retry budget by the routers that may exist

Back ends got more repeats than the budget allows: a router divided the burst by the routers it heard from lately (12 s). One that heard nobody, since it was cut off, suspended or had just started, took the burst of the whole fleet, and so did each of the others.

The divisor is now the largest number of routers over the last window of the budget, of those heard, those that peers report, and those on the roster, which outlive silence and go only when they say that they leave. A router that knows others are configured and has heard none, or that started less than 3 s ago, has no burst; its own requests still allow retries.

A router alone in its configuration uses its burst as before. What it costs: the survivors of routers that were killed for good use no more than their earlier share of the burst for ten minutes.

--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -181,7 +181,7 @@
         let help = "retries by service: taken from its budget, or refused as the budget was empty";
         registry.register(name, help, metrics.retries.clone());
         let name = "mastbay_router_retry_share_divisor";
-        let help = "routers among which the burst of retry budgets was divided last";
+        let help = "routers among which the burst of retry budgets was divided last; 0 if unknown";
         registry.register(name, help, metrics.retry_share_divisor.clone());
         let name = "mastbay_router_stream_records";
         let help = "origins of streams that this router keeps";
@@ -224,7 +224,8 @@
     pub fn on_retry(&self, service: &str, is_taken: bool, status: RetryStatus) {
         let result = if is_taken { "taken" } else { "refused" };
         self.retries.get_or_create(&RetryLabels { service: service.to_owned(), result }).inc();
-        self.retry_share_divisor.set(i64::try_from(status.divided_by).unwrap_or(i64::MAX));
+        let divisor = status.divided_by.unwrap_or(0);
+        self.retry_share_divisor.set(i64::try_from(divisor).unwrap_or(i64::MAX));
     }
 
     /// Sets the number of records of streams' origins, and the number evicted so far.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -51,8 +51,9 @@
         self.expire(now);
     }
 
-    /// Takes one retry if the budget allows it. `routers` is the number of routers of the fleet.
-    pub fn take(&mut self, now: Timestamp, routers: usize) -> bool {
+    /// Takes one retry if the budget allows it. `routers` is the number of routers that may be
+    /// spending the budget; without it, only the router's own requests allow retries.
+    pub fn take(&mut self, now: Timestamp, routers: Option<usize>) -> bool {
         if self.remaining(now, routers) == 0 {
             return false;
         }
@@ -64,12 +65,14 @@
     /// retry; it is rounded up or down by the router's draw, so that the shares of all routers add
     /// up to the burst on average. Without rounding, 985 routers with a burst of 1,040 had 0.74
     /// retries each and used none.
-    pub fn remaining(&mut self, now: Timestamp, routers: usize) -> u32 {
+    pub fn remaining(&mut self, now: Timestamp, routers: Option<usize>) -> u32 {
         self.expire(now);
-        let burst = if now < self.burst_from { 0.0 } else { self.limits.burst };
         let earned = USED_FRACTION * self.limits.ratio * self.requests.len() as f64;
-        let burst = USED_FRACTION * burst / routers.max(1) as f64;
-        let rounding = if routers > 1 && burst > 0.0 { self.rounding } else { 0.0 };
+        let divisor = routers.filter(|_| now >= self.burst_from);
+        let burst = divisor
+            .map_or(0.0, |routers| USED_FRACTION * self.limits.burst / routers.max(1) as f64);
+        let is_divided = divisor.is_some_and(|routers| routers > 1);
+        let rounding = if is_divided { self.rounding } else { 0.0 };
         // The earned part changes with each request; rounding it too would exceed the budget.
         let rounded = earned.floor() + (burst + rounding).floor();
         let allowed = (earned + burst).floor().max(rounded);
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod role;
 mod roster;
 mod rounds;
+mod spenders;
 mod view;
 
 pub use rounds::HEAVIEST_TENANTS;
@@ -14,6 +15,7 @@
 use crate::overload::PeerCapacity;
 use crate::revision::Revision;
 use crate::source_watchers::SourceContact;
+use crate::windowed_max::WindowedMax;
 use mastbay_types::Timestamp;
 use roster::RosterEntry;
 use rounds::SumParts;
@@ -143,6 +145,10 @@
     peers: BTreeMap<SocketAddr, Peer>,
     /// Routers among which duties are divided.
     roster: BTreeMap<SocketAddr, RosterEntry>,
+    /// Whether any message of another router has arrived since the start.
+    has_heard_any: bool,
+    /// Numbers of routers that may have been spending budgets, over the window of the budgets.
+    recent_spenders: WindowedMax,
     /// Whether other routers are configured as seeds; assumed until the first round.
     has_seeds: bool,
     held: BTreeMap<StatsSource, HeldStats>,
@@ -170,8 +176,8 @@
 }
 
 impl Fleet {
-    /// Creates a fleet without peers.
-    pub fn new(me: PeerId, snapshots: SocketAddr) -> Self {
+    /// Creates a fleet without peers, whose budgets have the window `budget_window`.
+    pub fn new(me: PeerId, snapshots: SocketAddr, budget_window: Duration) -> Self {
         Self {
             me,
             tiebreak: tiebreak(me.address),
@@ -181,6 +187,8 @@
             role: Role::default(),
             peers: BTreeMap::new(),
             roster: BTreeMap::new(),
+            has_heard_any: false,
+            recent_spenders: WindowedMax::new(budget_window),
             has_seeds: true,
             held: BTreeMap::new(),
             expected_sums: BTreeMap::new(),
--- /dev/null
+++ b/crates/routing/src/dispatch/fleet/spenders.rs
@@ -0,0 +1,33 @@
+//! How many routers may be spending their shares of a budget of the fleet.
+//!
+//! A share must be small enough for all routers that may exist, not only for those heard from now:
+//! routers that are cut off go on spending theirs, and one that has left may have spent its share
+//! shortly before.
+
+use super::Fleet;
+use super::roster::STARTUP_GRACE_PERIOD;
+use mastbay_types::Timestamp;
+
+impl Fleet {
+    /// Returns the number of routers, including this one, that may be spending shares of a budget
+    /// or have done so within its window. Returns `None` if it is unknown: other routers are
+    /// configured, and this one has heard none, or has just started and may not have heard all.
+    pub fn budget_spenders(&self, now: Timestamp) -> Option<usize> {
+        let is_starting = now.since(Timestamp::ZERO) < STARTUP_GRACE_PERIOD;
+        if self.has_seeds && (is_starting || !self.has_heard_any) {
+            return None;
+        }
+        let recent = self.recent_spenders.max(now);
+        Some(self.current_spenders().max(recent.unwrap_or(0)))
+    }
+
+    /// Records the current number of routers for [`Self::budget_spenders`].
+    pub fn record_spenders(&mut self, now: Timestamp) {
+        self.recent_spenders.expire(now);
+        self.recent_spenders.record(now, self.current_spenders());
+    }
+
+    fn current_spenders(&self) -> usize {
+        self.size().max(self.roster_size())
+    }
+}
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -144,6 +144,7 @@
         let policy = configured.in_fleet(false);
         let limits = DispatcherLimits { policy, ..limits };
         let preferred = PreferredEngines::new(policy.ranking);
+        let fleet = Fleet::new(me, snapshots, limits.budget.window);
         Self {
             limits,
             configured,
@@ -166,7 +167,7 @@
             freed_slots: FreedSlots::default(),
             budgets: HashMap::new(),
             usage,
-            fleet: Fleet::new(me, snapshots),
+            fleet,
             shares: None,
             fleet_admission: FleetAdmission::default(),
             lagging_until: Timestamp::ZERO,
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -60,6 +60,7 @@
 
     /// Removes stats and peers that have expired.
     pub fn expire_peers(&mut self, now: Timestamp) {
+        self.fleet.record_spenders(now);
         let expired = self.fleet.expire(now);
         self.apply_stats_change(expired);
     }
--- a/crates/routing/src/dispatch/retries.rs
+++ b/crates/routing/src/dispatch/retries.rs
@@ -20,8 +20,8 @@
 pub struct RetryStatus {
     /// Retries left.
     pub left: u32,
-    /// Number of routers among which the burst is divided.
-    pub divided_by: usize,
+    /// Number of routers among which the burst is divided; `None` if it is unknown.
+    pub divided_by: Option<usize>,
     /// What that number is derived from.
     pub routers: RouterCounts,
 }
@@ -29,20 +29,21 @@
 impl Dispatcher {
     /// Takes one retry from the service's budget. Returns whether there was one left.
     pub fn take_retry(&mut self, now: Timestamp, service: &str) -> bool {
-        let routers = self.fleet.size();
+        let routers = self.fleet.budget_spenders(now);
         self.retry_budget(service).take(now, routers)
     }
 
     /// Returns the retries left in the service's budget.
     pub fn retries_left(&mut self, now: Timestamp, service: &str) -> u32 {
-        let routers = self.fleet.size();
+        let routers = self.fleet.budget_spenders(now);
         self.retry_budget(service).remaining(now, routers)
     }
 
     /// Returns the state of this router's share of the service's budget.
     pub fn retry_status(&mut self, now: Timestamp, service: &str) -> RetryStatus {
         let left = self.retries_left(now, service);
-        RetryStatus { left, divided_by: self.fleet.size(), routers: self.fleet.counts() }
+        let divided_by = self.fleet.budget_spenders(now);
+        RetryStatus { left, divided_by, routers: self.fleet.counts() }
     }
 
     pub(super) fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -53,6 +53,7 @@
 mod transfer;
 mod waiting;
 mod warmup;
+mod windowed_max;
 
 pub use admission::{
     BacklogReport, ClassBacklog, DelayFigures, MAX_DELAY_FRACTION, OrderClass, RetryDelay,
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -24,7 +24,7 @@
         let target = (step as usize / skew.max(1)) % routers;
         budgets[target].on_request(now);
         for budget in &mut budgets {
-            while budget.take(now, routers) {
+            while budget.take(now, Some(routers)) {
                 retries.push(step);
             }
         }
@@ -56,8 +56,10 @@
             .map(|index| RetryBudget::new(LIMITS, Timestamp::ZERO, draw(index)))
             .collect();
         let now = Timestamp::from_millis(10);
-        let used =
-            budgets.iter_mut().filter_map(|budget| budget.take(now, routers).then_some(())).count();
+        let used = budgets
+            .iter_mut()
+            .filter_map(|budget| budget.take(now, Some(routers)).then_some(()))
+            .count();
         let (used, burst) = (used as f64, LIMITS.burst);
         assert!(used > 0.4 * burst && used <= burst, "{used} of {burst} with {routers} routers");
     }
@@ -66,8 +68,8 @@
 #[test]
 fn a_restarted_router_has_no_burst_at_first() {
     let mut budget = RetryBudget::new(LIMITS, Timestamp::from_millis(10_000), 0.5);
-    assert!(!budget.take(Timestamp::from_millis(100), 1));
-    assert!(budget.take(Timestamp::from_millis(10_100), 1));
+    assert!(!budget.take(Timestamp::from_millis(100), Some(1)));
+    assert!(budget.take(Timestamp::from_millis(10_100), Some(1)));
 }
 
 quickcheck! {
