Keep a retry charged until none of its request's sends can arrive any more

Back ends got more repeats in a window than the budget allows, though no router took too many: a retry was charged for one window from the router's decision, but it takes effect when a back end reads the second of two sends. That may be the earlier one, read seconds later by a back end that stood still.

A retry is pending from the decision until all sends of its request have arrived (an answer, a rejection, a broken connection) or can't arrive any more, and stays charged for one window from then. A send left without an answer is settled once its back end has answered others since, has ended, or after a minute. A retry that was never sent is given back. One type keeps this for exchange, relay and takeover; three flags that passed a taken retry around are gone.

New: gauge of unanswered sends and event `sends_settled`.

--- a/crates/router/src/events/retries.rs
+++ b/crates/router/src/events/retries.rs
@@ -31,3 +31,9 @@
         routers_rostered = status.routers.rostered,
     );
 }
+
+/// Logs that `settled` sends that were left without an answer can't arrive any more, and that
+/// `remaining` others still may.
+pub fn sends_settled(settled: usize, remaining: usize) {
+    tracing::info!(event = "sends_settled", settled, remaining);
+}
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -13,6 +13,7 @@
 use crate::pool::BackEndConnection;
 use crate::quarantine;
 use crate::relay::{Relay, StreamBody};
+use crate::retries::RequestRetries;
 use crate::router::Router;
 use crate::run_progress::RunProgress;
 use crate::send::{RequestSender, SendOutcome};
@@ -43,8 +44,7 @@
     /// Attempts that may have sent some of the request.
     deliveries: u32,
     rejections: u32,
-    /// A retry was taken from the service's budget for the next delivery.
-    holds_retry: bool,
+    retries: Rc<RequestRetries>,
     /// The request is quarantined, and this is its one probe.
     is_probe: bool,
     /// Where the request goes next, if it left a slow back end.
@@ -77,7 +77,7 @@
             tried: Vec::new(),
             deliveries: 0,
             rejections: 0,
-            holds_retry: false,
+            retries: RequestRetries::new(router, &call),
             is_probe: false,
             takeover: Cell::default(),
         };
@@ -110,19 +110,18 @@
             let next = match self.takeover.take() {
                 Some(takeover) => takeover,
                 None => match Ticket::obtain(&self.router, demand).await {
-                    Ok((ticket, placement)) => Takeover { ticket, placement, has_retry: false },
+                    Ok((ticket, placement)) => Takeover { ticket, placement },
                     Err(refusal) => return self.refused(refusal),
                 },
             };
-            let Takeover { ticket, placement, has_retry } = next;
+            let Takeover { ticket, placement } = next;
             // The request may have been quarantined while it waited in the queue.
             if !self.is_probe
                 && let Some(retry_after) = quarantine::retry_after(&self.router, &self.call)
             {
                 return self.quarantined(retry_after);
             }
-            self.holds_retry |= has_retry;
-            if !self.take_retry_if_needed() {
+            if self.deliveries > 0 && !self.retries.hold() {
                 return self.give_up("retry_budget");
             }
             self.call.record_placement(&placement, self.router.now());
@@ -131,7 +130,6 @@
             let sent = self.send(&placement).await;
             if !matches!(sent, SendOutcome::NotSent(_)) {
                 self.deliveries += 1;
-                self.holds_retry = false;
             }
             match self.handle_outcome(sent, ticket, &placement, began).await {
                 Some(result) => return result,
@@ -140,16 +138,6 @@
         }
     }
 
-    /// Takes a retry from the service's budget unless this is the first delivery or one that was
-    /// taken has not been used. Returns false if the budget is empty.
-    fn take_retry_if_needed(&mut self) -> bool {
-        let needs_retry = self.deliveries > 0;
-        if needs_retry && !self.holds_retry {
-            self.holds_retry = self.router.take_retry(&self.call);
-        }
-        self.holds_retry || !needs_retry
-    }
-
     /// Evaluates an attempt that began at `began`. Returns `None` if the request may be sent to
     /// another back end.
     async fn handle_outcome(
@@ -211,7 +199,8 @@
             let back_end = &placement.back_end;
             let source = StreamSource::new(ticket, back_end, connection, &head.headers, body);
             let tried = std::mem::take(&mut self.tried);
-            let relay = Relay::new(&self.router, &self.call, &self.attempt, source, tried);
+            let relay =
+                Relay::new(&self.router, &self.call, &self.attempt, &self.retries, source, tried);
             return Some(ExchangeResult::Stream(head, Box::new(relay)));
         }
         let body = match read_answer(self.router.runtime, &self.router.bodies, body).await {
@@ -277,6 +266,7 @@
             router: &self.router,
             call: &self.call,
             attempt: &self.attempt,
+            retries: &self.retries,
             tried: &self.tried,
             takeover: &self.takeover,
         };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -38,6 +38,7 @@
 mod relay;
 pub mod request_head;
 mod resumption_headers;
+mod retries;
 mod retry_after;
 mod router;
 mod run_progress;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -79,6 +79,7 @@
     resumptions: Family<ResumptionLabels, Counter>,
     retries: Family<RetryLabels, Counter>,
     retry_share_divisor: Gauge,
+    unanswered_sends: Gauge,
     stream_records: Gauge,
     evicted_stream_records: Counter,
     first_event: Histogram,
@@ -112,6 +113,7 @@
             resumptions: Family::default(),
             retries: Family::default(),
             retry_share_divisor: Gauge::default(),
+            unanswered_sends: Gauge::default(),
             stream_records: Gauge::default(),
             evicted_stream_records: Counter::default(),
             first_event: Histogram::new(exponential_buckets(0.005, 1.6, 16)),
@@ -183,6 +185,9 @@
         let name = "mastbay_router_retry_share_divisor";
         let help = "routers among which the burst of retry budgets was divided last; 0 if unknown";
         registry.register(name, help, metrics.retry_share_divisor.clone());
+        let name = "mastbay_router_unanswered_sends";
+        let help = "sends left without an answer, of requests sent again, that may still arrive";
+        registry.register(name, help, metrics.unanswered_sends.clone());
         let name = "mastbay_router_stream_records";
         let help = "origins of streams that this router keeps";
         registry.register(name, help, metrics.stream_records.clone());
@@ -228,6 +233,11 @@
         self.retry_share_divisor.set(i64::try_from(divisor).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of sends left without an answer that may still arrive.
+    pub fn set_unanswered_sends(&self, sends: usize) {
+        self.unanswered_sends.set(i64::try_from(sends).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of records of streams' origins, and the number evicted so far.
     pub fn set_stream_records(&self, records: usize, evicted: u64) {
         self.stream_records.set(records as i64);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::own_answers::record_end;
 use crate::pool::BackEndConnection;
 use crate::quarantine;
+use crate::retries::RequestRetries;
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome};
 use crate::stream_origins;
@@ -43,6 +44,7 @@
     router: Rc<Router>,
     call: Rc<Call>,
     attempt: Rc<RefCell<Attempt>>,
+    retries: Rc<RequestRetries>,
     source: Option<StreamSource>,
     splitter: EventSplitter,
     last_event: Option<u64>,
@@ -73,6 +75,7 @@
         router: &Rc<Router>,
         call: &Rc<Call>,
         attempt: &Rc<RefCell<Attempt>>,
+        retries: &Rc<RequestRetries>,
         source: StreamSource,
         tried: Vec<BackEndId>,
     ) -> Self {
@@ -80,6 +83,7 @@
             router: router.clone(),
             call: call.clone(),
             attempt: attempt.clone(),
+            retries: retries.clone(),
             source: Some(source),
             splitter: EventSplitter::default(),
             last_event: call.head.last_event,
@@ -275,15 +279,14 @@
         }
         let current = self.source.iter().map(|source| &source.back_end.id);
         let tried = self.tried.iter().chain(current).cloned().collect();
-        self.takeover.set(Takeover::reserve(&self.router, &self.call, tried, true));
+        let takeover = Takeover::reserve(&self.router, &self.call, &self.retries, tried, true);
+        self.takeover.set(takeover);
         self.takeover.get_mut().is_some()
     }
 
     /// Resumes the stream from another back end. Returns whether that succeeded.
     async fn resume(&mut self, reason: &'static str) -> bool {
-        let has_retry =
-            self.takeover.get_mut().is_some() || self.router.has_retries(&self.call.service);
-        let may_resume = self.may_resume() && has_retry;
+        let may_resume = self.may_resume() && self.retries.is_available();
         self.attempt.borrow_mut().on_lost();
         let source = self.source.take();
         let from = source.as_ref().map(|source| source.back_end.clone());
@@ -314,24 +317,21 @@
         let mut demand = takeover::demand_without(&self.router, &self.call, self.tried.clone());
         demand.arrived = self.router.now();
         let (ticket, placement) = Ticket::obtain(&self.router, demand).await.ok()?;
-        Some(Takeover { ticket, placement, has_retry: false })
+        Some(Takeover { ticket, placement })
     }
 
     /// Opens the rest of the stream at another back end, and at a further one if that is left for
     /// being slow.
     async fn next_source(&mut self) -> Option<StreamSource> {
-        let mut holds_retry = false;
         loop {
             let next = match self.takeover.take() {
                 Some(takeover) => takeover,
                 None => self.obtain_next().await?,
             };
-            let Takeover { ticket, placement, has_retry } = next;
-            holds_retry |= has_retry;
-            if !holds_retry && !self.router.take_retry(&self.call) {
+            let Takeover { ticket, placement } = next;
+            if !self.retries.hold() {
                 return None;
             }
-            let sends = self.attempt.borrow().sends();
             match self.open_rest(&placement).await {
                 Ok((head, body, connection)) => {
                     let back_end = &placement.back_end;
@@ -341,8 +341,6 @@
                 }
                 Err(fault) => ticket.fail(fault),
             }
-            // A retry that was not sent is kept for the next back end.
-            holds_retry = self.attempt.borrow().sends() == sends;
             self.tried.push(placement.back_end.id);
             if self.takeover.get_mut().is_none() {
                 return None;
@@ -361,6 +359,7 @@
             router: &self.router,
             call: &self.call,
             attempt: &self.attempt,
+            retries: &self.retries,
             tried: &self.tried,
             takeover: &self.takeover,
         };
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -11,6 +11,7 @@
 use crate::metrics::RouterMetrics;
 use crate::overflow::{OverflowOutcome, OverflowRecorder};
 use crate::pool::Pool;
+use crate::retries::UnansweredSend;
 use crate::runtime::{ALIGNED_TICK_INTERVAL, Runtime};
 use crate::settings::RouterSettings;
 use crate::snapshot_serving::TransferLimiter;
@@ -80,6 +81,8 @@
     pub(crate) broken: BrokenConnections,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) stream_origins: StreamOrigins,
+    /// Sends left without an answer that may still arrive.
+    pub(crate) unanswered_sends: RefCell<Vec<UnansweredSend>>,
     /// The socket for messages to peers, once the router runs.
     pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// A peer has newer versions, but fetching them failed.
@@ -145,6 +148,7 @@
             broken: BrokenConnections::default(),
             quarantine: RefCell::new(quarantine),
             stream_origins: StreamOrigins::default(),
+            unanswered_sends: RefCell::default(),
             peer_socket: OnceCell::new(),
             peer_fetch_failed: Cell::new(false),
             update_signal: UpdateSignal::default(),
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -6,6 +6,7 @@
 use crate::dialect::{AnswerKind, OutgoingCall};
 use crate::headers::remove_hop_by_hop;
 use crate::pool::{BackEndConnection, ExchangeError, PoolError};
+use crate::retries::RequestRetries;
 use crate::router::Router;
 use crate::run_progress::RunProgress;
 use crate::takeover::Takeover;
@@ -65,6 +66,8 @@
     pub call: &'a Call,
     /// The state of the request's attempts, updated while sending.
     pub attempt: &'a RefCell<Attempt>,
+    /// The retries of the request. One that is held is used up when the request is sent.
+    pub retries: &'a Rc<RequestRetries>,
     /// Back ends that must not receive the request again.
     pub tried: &'a [BackEndId],
     /// Set when a slow back end is left for another one.
@@ -96,15 +99,21 @@
             return SendOutcome::not_sent(Fault::Broken, FailureCause::Unsendable);
         };
         self.attempt.borrow_mut().on_send();
+        let pending = self.retries.begin_send(&back_end.id);
         self.router.metrics.on_send(placement);
         let answered = self.wait_for_head(&mut connection, request, placement).await;
         match answered {
-            Some(Ok(answer)) => self.read_head(answer, connection, back_end),
+            Some(Ok(answer)) => {
+                pending.on_arrived();
+                self.read_head(answer, connection, back_end)
+            }
             Some(Err(error)) if !error.written && detect_unwritten => {
+                pending.on_unsent();
                 self.attempt.borrow_mut().on_nothing_written();
                 SendOutcome::not_sent(Fault::Full, FailureCause::ClosedBeforeSend)
             }
             Some(Err(_)) => {
+                pending.on_arrived();
                 let progress = RunProgress::Waiting;
                 broken_connections::record(self.router, self.call, &back_end.id, progress);
                 SendOutcome::lost(FailureCause::BrokeAfterSend)
@@ -176,7 +185,7 @@
     /// Reserves a slot at another back end than that of `placement`. Returns whether there is one.
     fn reserve_takeover(&self, placement: &Placement, needs_retry: bool) -> bool {
         let tried = self.tried.iter().chain([&placement.back_end.id]).cloned().collect();
-        let takeover = Takeover::reserve(self.router, self.call, tried, needs_retry);
+        let takeover = Takeover::reserve(self.router, self.call, self.retries, tried, needs_retry);
         let is_reserved = takeover.is_some();
         self.takeover.set(takeover);
         is_reserved
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -6,6 +6,7 @@
 use crate::operations::{operations, readiness};
 use crate::peers;
 use crate::quarantine;
+use crate::retries;
 use crate::router::Router;
 use crate::stream_origins;
 use async_signal::{Signal, Signals};
@@ -102,6 +103,7 @@
             sweeping.pool.sweep().iter().for_each(|id| sweeping.update_idle_connection(id));
             quarantine::expire(&sweeping);
             stream_origins::expire(&sweeping);
+            retries::settle_unanswered(&sweeping);
         }
     };
     runtime.spawn(sweep).detach();
--- a/crates/router/src/takeover.rs
+++ b/crates/router/src/takeover.rs
@@ -5,6 +5,7 @@
 
 use crate::call::Call;
 use crate::quarantine;
+use crate::retries::RequestRetries;
 use crate::router::Router;
 use crate::ticket::Ticket;
 use mastbay_routing::{BackEndId, Demand, Placement};
@@ -16,28 +17,28 @@
     pub ticket: Ticket,
     /// The placement.
     pub placement: Placement,
-    /// Whether a retry was taken from the service's budget.
-    pub has_retry: bool,
 }
 
 impl Takeover {
-    /// Reserves a slot at a back end outside `tried`. With `needs_retry`, also takes a retry from
-    /// the service's budget. Returns `None` if either is unavailable or the request is quarantined.
+    /// Reserves a slot at a back end outside `tried`. With `needs_retry`, also holds a retry.
+    /// Returns `None` if either is unavailable or the request is quarantined.
     pub fn reserve(
         router: &Rc<Router>,
         call: &Call,
+        retries: &RequestRetries,
         tried: Vec<BackEndId>,
         needs_retry: bool,
     ) -> Option<Self> {
         let is_quarantined = quarantine::retry_after(router, call).is_some();
-        let has_retry = !needs_retry || router.has_retries(&call.service);
-        if is_quarantined || !has_retry {
+        if is_quarantined || (needs_retry && !retries.is_available()) {
             return None;
         }
         let demand = demand_without(router, call, tried);
         let (ticket, placement) = Ticket::obtain_at_once(router, &demand)?;
-        let has_retry = needs_retry && router.take_retry(call);
-        Some(Self { ticket, placement, has_retry })
+        if needs_retry && !retries.hold() {
+            return None;
+        }
+        Some(Self { ticket, placement })
     }
 }
 
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -34,15 +34,18 @@
     /// Rounding offset of this router, uniform in 0..1 over the fleet, see [`Self::remaining`].
     rounding: f64,
     requests: VecDeque<Timestamp>,
-    retries: VecDeque<Timestamp>,
+    /// Retries that were taken and may still arrive at a back end.
+    pending: u32,
+    /// Times from which on the other retries of the window could not arrive any more.
+    settled: VecDeque<Timestamp>,
 }
 
 impl RetryBudget {
     /// Creates a budget. Until `burst_from` only the router's own requests allow retries.
     /// `rounding` is this router's draw, uniform in 0..1 over the routers of a fleet.
     pub fn new(limits: BudgetLimits, burst_from: Timestamp, rounding: f64) -> Self {
-        let (requests, retries) = (VecDeque::new(), VecDeque::new());
-        Self { limits, burst_from, rounding, requests, retries }
+        let (requests, settled) = (VecDeque::new(), VecDeque::new());
+        Self { limits, burst_from, rounding, requests, pending: 0, settled }
     }
 
     /// Records a request for the service.
@@ -51,16 +54,30 @@
         self.expire(now);
     }
 
-    /// Takes one retry if the budget allows it. `routers` is the number of routers that may be
+    /// Takes one retry if the budget allows it. It stays charged until it is returned, or for one
+    /// window after it is settled. `routers` is the number of routers that may be
     /// spending the budget; without it, only the router's own requests allow retries.
     pub fn take(&mut self, now: Timestamp, routers: Option<usize>) -> bool {
         if self.remaining(now, routers) == 0 {
             return false;
         }
-        self.retries.push_back(now);
+        self.pending += 1;
         true
     }
 
+    /// Returns a retry that was taken and not used.
+    pub fn return_one(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+    }
+
+    /// Records that `retries` can't arrive at a back end any more. They stay charged for one window
+    /// from now on.
+    pub fn settle(&mut self, now: Timestamp, retries: u32) {
+        self.pending = self.pending.saturating_sub(retries);
+        self.settled.extend(std::iter::repeat_n(now, retries as usize));
+        self.expire(now);
+    }
+
     /// Returns the number of remaining retries. A router's share of the burst may be less than one
     /// retry; it is rounded up or down by the router's draw, so that the shares of all routers add
     /// up to the burst on average. Without rounding, 985 routers with a burst of 1,040 had 0.74
@@ -76,11 +93,11 @@
         // The earned part changes with each request; rounding it too would exceed the budget.
         let rounded = earned.floor() + (burst + rounding).floor();
         let allowed = (earned + burst).floor().max(rounded);
-        (allowed as u32).saturating_sub(self.retries.len() as u32)
+        (allowed as u32).saturating_sub(self.pending + self.settled.len() as u32)
     }
 
     fn expire(&mut self, now: Timestamp) {
-        for times in [&mut self.requests, &mut self.retries] {
+        for times in [&mut self.requests, &mut self.settled] {
             while times.front().is_some_and(|time| now.since(*time) > self.limits.window) {
                 times.pop_front();
             }
--- a/crates/routing/src/dispatch/retries.rs
+++ b/crates/routing/src/dispatch/retries.rs
@@ -1,8 +1,17 @@
 //! Retries taken from this router's shares of the retry budgets of services.
 
 use super::Dispatcher;
+use crate::back_end::BackEndId;
 use crate::budget::RetryBudget;
 use mastbay_types::Timestamp;
+use std::time::Duration;
+
+/// Time after which a send without an answer is assumed not to arrive any more, unless it is known
+/// earlier.
+const UNANSWERED_TTL: Duration = Duration::from_secs(60);
+/// Time after which a response shows that a back end has read what was sent to it before: earlier
+/// ones may have been on their way.
+const READING_DELAY: Duration = Duration::from_millis(100);
 
 /// The number of routers of the fleet, this one included, by each way in which a router knows them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +48,27 @@
         self.retry_budget(service).remaining(now, routers)
     }
 
+    /// Returns a retry that was taken and not used for a send.
+    pub fn return_retry(&mut self, service: &str) {
+        self.retry_budget(service).return_one();
+    }
+
+    /// Records that no send of the requests for which `retries` were taken can arrive any more.
+    pub fn settle_retries(&mut self, now: Timestamp, service: &str, retries: u32) {
+        self.retry_budget(service).settle(now, retries);
+    }
+
+    /// Returns whether a back end may still read a request that was sent to it and left at `left`
+    /// without an answer.
+    pub fn may_still_arrive(&self, now: Timestamp, back_end: &BackEndId, left: Timestamp) -> bool {
+        if now.since(left) >= UNANSWERED_TTL {
+            return false;
+        }
+        // A back end that is not listed may be suspended: its entry returns when it goes on.
+        let Some(engine) = self.engines.get(back_end) else { return true };
+        !engine.is_terminated() && engine.last_response <= left + READING_DELAY
+    }
+
     /// Returns the state of this router's share of the service's budget.
     pub fn retry_status(&mut self, now: Timestamp, service: &str) -> RetryStatus {
         let left = self.retries_left(now, service);
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -113,6 +113,11 @@
         self.back_end.state == BackEndState::Ready && !self.is_evacuated
     }
 
+    /// Returns whether this incarnation is known to have terminated.
+    pub fn is_terminated(&self) -> bool {
+        self.terminated_at.is_some()
+    }
+
     /// Records that this incarnation terminated, as observed by this router or a peer.
     pub fn on_ended(&mut self, now: Timestamp) {
         self.terminated_at.get_or_insert(now);
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -25,6 +25,7 @@
         budgets[target].on_request(now);
         for budget in &mut budgets {
             while budget.take(now, Some(routers)) {
+                budget.settle(now, 1);
                 retries.push(step);
             }
         }
@@ -72,6 +73,29 @@
     assert!(budget.take(Timestamp::from_millis(10_100), Some(1)));
 }
 
+/// Guards against a charge that expires while its request may still arrive.
+#[test]
+fn a_retry_that_may_still_arrive_stays_charged() {
+    let seconds = |seconds: u64| Timestamp::from_millis(seconds * 1_000);
+    let mut budget = RetryBudget::new(LIMITS, Timestamp::ZERO, 0.5);
+    while budget.take(seconds(0), Some(1)) {}
+    assert_eq!(budget.remaining(seconds(100), Some(1)), 0);
+    budget.settle(seconds(100), 5);
+    assert_eq!(budget.remaining(seconds(110), Some(1)), 0);
+    assert_eq!(budget.remaining(seconds(111), Some(1)), 5);
+}
+
+/// Guards against charging retries that were never sent.
+#[test]
+fn a_retry_that_is_returned_can_be_taken_again() {
+    let now = Timestamp::from_millis(10);
+    let mut budget = RetryBudget::new(LIMITS, Timestamp::ZERO, 0.5);
+    let before = budget.remaining(now, Some(1));
+    assert!(budget.take(now, Some(1)));
+    budget.return_one();
+    assert_eq!(budget.remaining(now, Some(1)), before);
+}
+
 quickcheck! {
     fn any_skew_stays_within_the_budget(routers: u8, skew: u16) -> TestResult {
         let routers = usize::from(routers % 12) + 1;
