Reset the connection of a request that is left before its answer begins

Back ends read requests that their router had left for another back end: closing a connection doesn't take back what the kernel still holds, so it goes on delivering, after a cut or once the back end reads again; each is a repeat, and work for nobody.

A connection that is dropped while it waits for the head of an answer is reset now (SO_LINGER of zero), so the kernel drops what is unsent.

The new test (a back end with a receive buffer of 2 kB stops reading, a request of 10 kB is left for another) failed on the code before: the request was read later. Now it isn't.

--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -17,6 +17,7 @@
 use prometheus_client::metrics::counter::Counter;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -55,8 +56,14 @@
     pub written: bool,
 }
 
-/// An open connection. Dropping it closes it immediately.
+/// An open connection. Dropping it closes it immediately. If it still waits for the head of an
+/// answer then, it is reset: otherwise the kernel would go on delivering a request that nobody waits
+/// for, seconds later where a link was cut.
 pub struct BackEndConnection {
+    /// The connection's socket, shared with the driver.
+    socket: TcpStream,
+    /// Whether a request was sent and the head of its answer has not arrived.
+    awaits_head: bool,
     sender: SendRequest<Full<Bytes>>,
     written: WriteCount,
     interval: ReadInterval,
@@ -76,7 +83,9 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let before = self.written.get();
+        self.awaits_head = true;
         let answer = self.sender.send_request(request).await;
+        self.awaits_head = false;
         answer.map_err(|_| ExchangeError { written: self.written.get() > before })
     }
 
@@ -93,6 +102,15 @@
     }
 }
 
+impl Drop for BackEndConnection {
+    fn drop(&mut self) {
+        if self.awaits_head {
+            // Without the option, the connection is closed regularly.
+            let _ = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// Parses a `Keep-Alive: timeout=N` header.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
@@ -260,7 +278,7 @@
         let written = WriteCount::default();
         let interval = ReadInterval::default();
         let throttled = ThrottledReader::new(
-            Counted::new(stream, written.clone()),
+            Counted::new(stream.clone(), written.clone()),
             self.runtime,
             interval.clone(),
         );
@@ -274,6 +292,8 @@
         let driver = self.runtime.spawn(async move { driver.await.unwrap_or_default() });
         let idle_timeout = DEFAULT_IDLE_TIMEOUT;
         Ok(BackEndConnection {
+            socket: stream,
+            awaits_head: false,
             sender,
             written,
             interval,
--- a/crates/router/tests/retry_budget.rs
+++ b/crates/router/tests/retry_budget.rs
@@ -4,13 +4,18 @@
 mod support;
 
 use mastbay_router::{Origin, Runtime};
-use mastbay_routing::{BackEndList, BudgetLimits};
+use mastbay_routing::{BackEnd, BackEndList, BudgetLimits};
+use smol::net::TcpListener;
+use socket2::{Domain, Socket, Type};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use support::suspendable::{Arrival, SuspendableBackEnd};
-use support::{Bed, Request, announce_each_other, join_all, run, until};
+use support::{
+    Bed, Request, ScriptedBackEnd, announce_each_other, answer, call_at, join_all, run, until,
+};
 
 /// Number of routers.
 const ROUTERS: usize = 3;
@@ -23,6 +28,11 @@
 /// Time after the last answer in which further requests may be read.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Size of the receive buffer of a back end, in bytes.
+const RECEIVE_BUFFER: usize = 2_048;
+/// Length of a body that exceeds it, in bytes.
+const BODY_LENGTH: usize = 9_900;
+
 /// A fleet of routers before back ends that record arrivals.
 struct Fleet {
     beds: Vec<Bed>,
@@ -79,6 +89,48 @@
     }
 }
 
+/// A listener whose connections buffer a few kilobytes that are not read, less than a request.
+fn listen_with_small_buffers() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_nonblocking(true).expect("set");
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).expect("set");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(16).expect("listens");
+    let listener: std::net::TcpListener = socket.into();
+    TcpListener::from(smol::Async::new_nonblocking(listener).expect("registered"))
+}
+
+/// Guards against the kernel delivering the rest of a request that the router has left.
+#[test]
+fn what_is_unsent_of_a_request_that_was_left_is_not_delivered_later() {
+    run(async |runtime| {
+        let arrivals: Rc<RefCell<Vec<Arrival>>> = Rc::default();
+        let listener = listen_with_small_buffers();
+        let suspended =
+            SuspendableBackEnd::start_at(runtime, "b0".to_owned(), listener, arrivals.clone());
+        suspended.is_suspended.set(true);
+        let free = ScriptedBackEnd::start(runtime, "b1", vec![answer("done")]).await;
+        let bed = Bed::start(runtime, &[]).await;
+        let list = |revision: u64, back_ends: Vec<BackEnd>| {
+            let list = BackEndList { revision: revision.into(), back_ends };
+            bed.router.offer_back_ends(list, Origin::Source);
+        };
+        let listed = support::listed(&suspended.name, suspended.address, "plain");
+        list(2, vec![listed.clone()]);
+        let request = Request::new("/safe/x").body(&"x".repeat(BODY_LENGTH));
+        let callers = bed.settings.callers;
+        let call = runtime.spawn(async move { call_at(callers, &request).await });
+        until(async || suspended.connections.get() == 1).await;
+        list(3, vec![listed, free.listed("plain")]);
+        let answer = call.await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "done"), "{answer:?}");
+        suspended.is_suspended.set(false);
+        smol::Timer::after(SETTLE_TIME).await;
+        let arrivals = arrivals.borrow();
+        assert!(arrivals.is_empty(), "read later: {arrivals:?}");
+    });
+}
+
 /// Returns the largest number of repeats in a window that begins with one of them.
 fn max_in_window(repeats: &[Instant], window: Duration) -> usize {
     let in_window = |start: Instant| {
--- a/crates/router/tests/support/suspendable.rs
+++ b/crates/router/tests/support/suspendable.rs
@@ -32,6 +32,8 @@
     pub is_suspended: Rc<Cell<bool>>,
     /// Whether it closes each connection once it has read a request.
     pub breaks_connections: Rc<Cell<bool>>,
+    /// Connections accepted so far.
+    pub connections: Rc<Cell<u32>>,
     /// The requests read so far, by all back ends that share the record.
     arrivals: Rc<RefCell<Vec<Arrival>>>,
 }
@@ -44,16 +46,28 @@
         arrivals: Rc<RefCell<Vec<Arrival>>>,
     ) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        Self::start_at(runtime, name, listener, arrivals)
+    }
+
+    /// Like [`Self::start`], for connections of `listener`.
+    pub fn start_at(
+        runtime: Runtime,
+        name: String,
+        listener: TcpListener,
+        arrivals: Rc<RefCell<Vec<Arrival>>>,
+    ) -> Self {
         let back_end = Self {
             name,
             address: listener.local_addr().expect("bound"),
             is_suspended: Rc::default(),
             breaks_connections: Rc::default(),
+            connections: Rc::default(),
             arrivals,
         };
         let serving = back_end.clone();
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
+                serving.connections.set(serving.connections.get() + 1);
                 runtime.spawn(serving.clone().serve(stream)).detach();
             }
         };
