--- a/crates/router/tests/retry_budget.rs
+++ b/crates/router/tests/retry_budget.rs
@@ -177,6 +177,30 @@
     play(Duration::from_secs(7));
 }
 
+/// Guards against retries that stay charged although their back ends have gone on long ago.
+#[test]
+fn retries_are_available_again_after_suspended_back_ends_have_answered_others() {
+    run(async |runtime| {
+        let fleet = Fleet::start(runtime).await;
+        fleet.suspended_half().for_each(|back_end| back_end.is_suspended.set(true));
+        let resume = async {
+            smol::Timer::after(Duration::from_secs(2)).await;
+            fleet.suspended_half().for_each(|back_end| back_end.is_suspended.set(false));
+        };
+        smol::future::zip(fleet.call_at_once(), resume).await;
+        let before = fleet.repeats().len();
+        smol::Timer::after(SETTLE_TIME).await;
+        fleet.call_at_once().await;
+        smol::Timer::after(BudgetLimits::default().window + SETTLE_TIME).await;
+        fleet.other_half().for_each(|back_end| back_end.breaks_connections.set(true));
+        fleet.call_at_once().await;
+        smol::Timer::after(SETTLE_TIME).await;
+        let after = fleet.repeats().len() - before;
+        println!("{before} repeats at first, {after} later");
+        assert!(after >= before / 2, "{before} repeats at first, {after} later");
+    });
+}
+
 /// Guards against a budget so strict that nothing is sent again while it is unused.
 #[test]
 fn requests_are_served_while_no_back_end_is_suspended() {
