Reserve the memory of bodies without a length as they grow

Routers went over their memory and were ended by the platform, with all requests at work, when many callers sent long bodies in chunks: 64 KiB were reserved for each, and up to 4 MB read. Answers of unknown length reserved as they grew, but twice: the reservation was given back while the old buffer was still copied.

Both use one buffer now, which reserves each larger allocation before it copies, and gives the smaller one back afterwards. A request whose body finds no room is rejected at once as not run, with a time to come back.

--- a/crates/router/src/buffered_answer.rs
+++ b/crates/router/src/buffered_answer.rs
@@ -4,8 +4,9 @@
 //! until the caller has received the answer.
 
 use crate::body_budget::{BodyBudget, BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
+use crate::reserved_buffer::{ReservedBuffer, ReservedBufferError};
 use crate::runtime::Runtime;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::time::Duration;
@@ -43,6 +44,15 @@
     }
 }
 
+impl From<ReservedBufferError> for BufferedAnswerError {
+    fn from(error: ReservedBufferError) -> Self {
+        match error {
+            ReservedBufferError::TooLarge => Self::Broken,
+            ReservedBufferError::NoMemory => Self::NoMemory,
+        }
+    }
+}
+
 /// Reads the body of an answer. For a large one of known length, waits for free memory without a
 /// timeout; callers of this function have to bound the wait.
 ///
@@ -58,13 +68,14 @@
         Some(length) if length > MAX_ANSWER_BYTES as u64 => Err(BufferedAnswerError::Broken),
         Some(length) if length > MAX_UNRESERVED_ANSWER => {
             let reservation = wait_for_memory(runtime, budget, length).await?;
-            let reader = AnswerReader {
-                buffer: BytesMut::with_capacity(length as usize),
-                reservation: Some(reservation),
-            };
-            reader.read(budget, body).await
+            let buffer = ReservedBuffer::with_reservation(MAX_ANSWER_BYTES, reservation);
+            let buffer = buffer.allocate(length as usize);
+            read_into(buffer, budget, body).await
+        }
+        _ => {
+            let buffer = ReservedBuffer::new(MAX_ANSWER_BYTES, MAX_UNRESERVED_ANSWER);
+            read_into(buffer, budget, body).await
         }
-        _ => AnswerReader::default().read(budget, body).await,
     }
 }
 
@@ -85,43 +96,17 @@
     }
 }
 
-/// The part of an answer that was received.
-#[derive(Debug, Default)]
-struct AnswerReader {
-    buffer: BytesMut,
-    reservation: Option<BodyReservation>,
-}
-
-impl AnswerReader {
-    async fn read(
-        mut self,
-        budget: &BodyBudget,
-        mut body: Incoming,
-    ) -> Result<BufferedAnswer, BufferedAnswerError> {
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| BufferedAnswerError::Broken)?;
-            if let Some(bytes) = frame.data_ref() {
-                self.append(budget, bytes)?;
-            }
-        }
-        Ok(BufferedAnswer { bytes: self.buffer.freeze(), reservation: self.reservation })
-    }
-
-    fn append(&mut self, budget: &BodyBudget, bytes: &[u8]) -> Result<(), BufferedAnswerError> {
-        let length = self.buffer.len() + bytes.len();
-        if length > MAX_ANSWER_BYTES {
-            return Err(BufferedAnswerError::Broken);
-        }
-        let reserved =
-            self.reservation.as_ref().map_or(MAX_UNRESERVED_ANSWER, BodyReservation::bytes);
-        if length as u64 > reserved {
-            // Doubles the reservation like the buffer's growth.
-            let larger = (2 * length).min(MAX_ANSWER_BYTES) as u64;
-            self.reservation = None;
-            self.reservation =
-                Some(budget.try_reserve(Some(larger)).ok_or(BufferedAnswerError::NoMemory)?);
+async fn read_into(
+    mut buffer: ReservedBuffer,
+    budget: &BodyBudget,
+    mut body: Incoming,
+) -> Result<BufferedAnswer, BufferedAnswerError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BufferedAnswerError::Broken)?;
+        if let Some(bytes) = frame.data_ref() {
+            buffer.append(budget, bytes)?;
         }
-        self.buffer.extend_from_slice(bytes);
-        Ok(())
     }
+    let (bytes, reservation) = buffer.finish();
+    Ok(BufferedAnswer { bytes, reservation })
 }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -185,5 +185,5 @@
     /// The bytes.
     pub bytes: Bytes,
     /// Released when the request ends.
-    pub reservation: BodyReservation,
+    pub reservation: Option<BodyReservation>,
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::exchange::Exchange;
 use crate::listener::LocalBody;
 use crate::own_answers::own_answer;
+use crate::request_body::{RequestBodyError, read_request_body};
 use crate::request_head::host;
 use crate::router::Router;
 use crate::stream_origins::{self, Resumption};
@@ -14,7 +15,6 @@
 use hyper::{Request, Response, http};
 use mastbay_routing::{Route, RouteTable};
 use mastbay_types::Timestamp;
-use mastbay_web::{ReadBodyError, read_limited};
 use std::cell::{OnceCell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -123,13 +123,17 @@
         let retry_after = Some(NO_MEMORY_RETRY_AFTER);
         return Err(reject(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
     };
-    let read = router.runtime.within(BODY_TIMEOUT, read_limited(body, limits.body_bytes)).await;
-    let body = match read {
+    let reading = read_request_body(&router.bodies, reservation, body, limits.body_bytes);
+    let body = match router.runtime.within(BODY_TIMEOUT, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(ReadBodyError::TooLarge { .. })) => {
+        Ok(Err(RequestBodyError::TooLarge)) => {
             return Err(reject(Some(head.request_id), OwnAnswer::TooLarge));
         }
-        Ok(Err(ReadBodyError::Broken)) | Err(_) => {
+        Ok(Err(RequestBodyError::NoMemory)) => {
+            let retry_after = Some(NO_MEMORY_RETRY_AFTER);
+            return Err(reject(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
+        }
+        Ok(Err(RequestBodyError::Broken)) | Err(_) => {
             return Err(reject(Some(head.request_id), OwnAnswer::Malformed));
         }
     };
@@ -141,7 +145,6 @@
             return Err(reject(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
         }
     };
-    let body = Body { bytes: body, reservation };
     let routed = route(router, arrival, parts, head, body, resumption);
     routed.map_err(|(id, answer)| reject(Some(id), answer))
 }
