Check whether a leaving back end has ended with an answer without a marked end

Streams that were cut reached their callers as complete, and so did whole answers: an answer with neither length nor chunks ends like its connection, and whether the back end had ended was checked only where it was listed as ready. For one that drained or had gone from the list the end counted as regular.

The check (does it refuse new connections) is made for these too, by the address that the request was sent to; its result is reported to nobody, as the end is planned. Where it has ended, a stream is resumed or broken off, an answer that may have run is told as of unknown outcome.

What it costs: the last unmarked answer of a back end that ends within 0.1 s of it is resumed, or broken off, although it was whole.

--- a/crates/router/src/broken_connections.rs
+++ b/crates/router/src/broken_connections.rs
@@ -11,6 +11,7 @@
 use mastbay_routing::{BackEnd, BackEndId, BackEndState, Suspect};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -58,7 +59,7 @@
     Alive,
     /// It has terminated.
     Ended,
-    /// It is about to leave or has left, so its termination would prove nothing.
+    /// It is about to leave or has left, and accepts new connections.
     Leaving,
 }
 
@@ -131,15 +132,20 @@
 
 /// Returns what became of a back end when the answer to a request ended with its connection, which
 /// is how an answer without a length or chunks ends in any case. Takes 10 to 30 ms if the back end
-/// is alive, 0.1 s if it has terminated.
+/// is alive, 0.1 s if it has terminated. The termination of one that leaves is reported to nobody,
+/// since it is planned; the answer may have been cut all the same.
 pub async fn fate_after_answer(
     router: &Rc<Router>,
     call: &Call,
     id: &BackEndId,
+    address: SocketAddr,
     progress: RunProgress,
 ) -> BackEndFate {
     router.runtime.sleep(SETTLING_TIME).await;
-    let Some(back_end) = ready_back_end(router, id) else { return BackEndFate::Leaving };
+    let Some(back_end) = ready_back_end(router, id) else {
+        let has_ended = has_ended(router, id, address).await;
+        return if has_ended { BackEndFate::Ended } else { BackEndFate::Leaving };
+    };
     let unmarked = |check: &mut Check| check.unmarked.add(router, call, progress);
     let fate = router.broken.update(router, back_end, unmarked);
     loop {
@@ -156,7 +162,7 @@
     back_end: BackEnd,
     fate: Rc<Cell<Option<BackEndFate>>>,
 ) {
-    let has_ended = has_ended(&router, &back_end).await;
+    let has_ended = has_ended(&router, &back_end.id, back_end.address).await;
     fate.set(Some(if has_ended { BackEndFate::Ended } else { BackEndFate::Alive }));
     let Some(check) = router.broken.take(&back_end.id) else { return };
     if has_ended {
@@ -167,16 +173,16 @@
 }
 
 /// Returns whether the back end refuses connections in all checks and sends nothing in between.
-async fn has_ended(router: &Router, back_end: &BackEnd) -> bool {
+async fn has_ended(router: &Router, id: &BackEndId, address: SocketAddr) -> bool {
     let mut refused_at = None;
     for delay in CHECK_DELAYS {
         router.runtime.sleep(delay).await;
-        if !router.pool.refuses_connections(back_end.address).await {
+        if !router.pool.refuses_connections(address).await {
             return false;
         }
         refused_at.get_or_insert(router.now());
     }
     // Events that were sent before may be read one batching interval later.
     let since = refused_at.unwrap_or_default() + router.batching_interval().unwrap_or_default();
-    !router.dispatcher.borrow().has_responded_since(&back_end.id, since)
+    !router.dispatcher.borrow().has_responded_since(id, since)
 }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -24,7 +24,8 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
-    Attempt, BackEndId, ExecutionStatus, Fault, Placement, QuarantineStatus, Refusal, RouteKind,
+    Attempt, BackEnd, BackEndId, ExecutionStatus, Fault, Placement, QuarantineStatus, Refusal,
+    RouteKind,
 };
 use mastbay_types::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -211,7 +212,7 @@
         let fate = if is_delimited(&head.headers) {
             BackEndFate::Alive
         } else {
-            self.fate_after_answer(&id).await
+            self.fate_after_answer(&placement.back_end).await
         };
         if fate == BackEndFate::Ended {
             return self.handle_incomplete_answer(BufferedAnswerError::Broken, ticket, &id);
@@ -237,9 +238,10 @@
         Some(ExchangeResult::Answer(head, body, id))
     }
 
-    async fn fate_after_answer(&self, back_end: &BackEndId) -> BackEndFate {
+    async fn fate_after_answer(&self, back_end: &BackEnd) -> BackEndFate {
+        let (id, address) = (&back_end.id, back_end.address);
         let progress = RunProgress::Started;
-        broken_connections::fate_after_answer(&self.router, &self.call, back_end, progress).await
+        broken_connections::fate_after_answer(&self.router, &self.call, id, address, progress).await
     }
 
     /// Evaluates an answer that was not received completely. Returns `None` if the request may be
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -14,7 +14,7 @@
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome};
 use crate::stream_origins;
-use crate::stream_source::StreamSource;
+use crate::stream_source::{StreamBackEnd, StreamSource};
 use crate::takeover::{self, Takeover};
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
@@ -219,10 +219,11 @@
         let Some(source) = self.source.as_ref().filter(|source| !source.is_delimited) else {
             return BackEndFate::Alive;
         };
-        let id = &source.back_end.id;
+        let StreamBackEnd { id, address, .. } = &source.back_end;
         events::unmarked_end(&self.call, id, self.events);
         let progress = source.times.progress();
-        broken_connections::fate_after_answer(&self.router, &self.call, id, progress).await
+        broken_connections::fate_after_answer(&self.router, &self.call, id, *address, progress)
+            .await
     }
 
     fn record_broken_connection(&self) {
--- a/crates/router/src/stream_source.rs
+++ b/crates/router/src/stream_source.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use mastbay_routing::{BackEnd, BackEndId};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// The back end that a stream is read from.
@@ -52,10 +53,16 @@
     pub id: BackEndId,
     /// The version of its software.
     pub version: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
 }
 
 impl From<&BackEnd> for StreamBackEnd {
     fn from(back_end: &BackEnd) -> Self {
-        Self { id: back_end.id.clone(), version: back_end.version.clone() }
+        Self {
+            id: back_end.id.clone(),
+            version: back_end.version.clone(),
+            address: back_end.address,
+        }
     }
 }
