--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -21,8 +21,8 @@
     }
 }
 
-/// Fraction of the fleet's budget that is used. The rest covers routers that this one does not
-/// know.
+/// Fraction of the fleet's budget that is used. The rest covers routers that are not known yet, and
+/// retries that arrive in another window than the requests that allowed them.
 const USED_FRACTION: f64 = 0.7;
 
 /// One router's share of the retry budget of one service.
@@ -55,8 +55,8 @@
     }
 
     /// Takes one retry if the budget allows it. It stays charged until it is returned, or for one
-    /// window after it is settled. `routers` is the number of routers that may be
-    /// spending the budget; without it, only the router's own requests allow retries.
+    /// window after it is settled. `routers` is the number of routers that may be spending the
+    /// budget; without it, only the router's own requests allow retries.
     pub fn take(&mut self, now: Timestamp, routers: Option<usize>) -> bool {
         if self.remaining(now, routers) == 0 {
             return false;
