Let a router that has heard another use its share of a budget's burst at once

It is withheld only while none was heard, as one that has heard another knows how many there are from its messages.

--- a/crates/routing/src/dispatch/fleet/roster.rs
+++ b/crates/routing/src/dispatch/fleet/roster.rs
@@ -11,9 +11,9 @@
 
 /// Silence after which a router leaves the roster.
 const ROSTER_TTL: Duration = Duration::from_secs(600);
-/// Time after the start before a router takes on duties or spends its share of budgets, so that a
-/// starting fleet discovers all its routers.
-pub(super) const STARTUP_GRACE_PERIOD: Duration = Duration::from_secs(3);
+/// Time after the start before a router takes on duties, so that a starting fleet discovers all its
+/// routers.
+const STARTUP_GRACE_PERIOD: Duration = Duration::from_secs(3);
 /// Fraction of the fleet that a router must know to take on duties.
 const MIN_KNOWN_FRACTION: f64 = 0.9;
 
--- a/crates/routing/src/dispatch/fleet/spenders.rs
+++ b/crates/routing/src/dispatch/fleet/spenders.rs
@@ -5,16 +5,14 @@
 //! shortly before.
 
 use super::Fleet;
-use super::roster::STARTUP_GRACE_PERIOD;
 use mastbay_types::Timestamp;
 
 impl Fleet {
     /// Returns the number of routers, including this one, that may be spending shares of a budget
     /// or have done so within its window. Returns `None` if it is unknown: other routers are
-    /// configured, and this one has heard none, or has just started and may not have heard all.
+    /// configured, and this one has heard none since its start.
     pub fn budget_spenders(&self, now: Timestamp) -> Option<usize> {
-        let is_starting = now.since(Timestamp::ZERO) < STARTUP_GRACE_PERIOD;
-        if self.has_seeds && (is_starting || !self.has_heard_any) {
+        if self.has_seeds && !self.has_heard_any {
             return None;
         }
         let recent = self.recent_spenders.max(now);
