Read the bodies of requests and answers with one loop into one type

Found in reading the change again: the loop over a body's frames stood in request_body and in buffered_answer, the body with its reservation was a type in each (Body, BufferedAnswer), and RequestBodyError repeated the errors of the buffer and one more.

Callers see no difference.

--- a/crates/router/src/buffered_answer.rs
+++ b/crates/router/src/buffered_answer.rs
@@ -4,10 +4,8 @@
 //! until the caller has received the answer.
 
 use crate::body_budget::{BodyBudget, BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
-use crate::reserved_buffer::{ReservedBuffer, ReservedBufferError};
+use crate::reserved_buffer::{ReserveBodyError, ReservedBody, ReservedBuffer};
 use crate::runtime::Runtime;
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::time::Duration;
 
@@ -16,15 +14,6 @@
 /// Time between two attempts to reserve memory.
 const RESERVE_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The complete body of an answer.
-#[derive(Debug)]
-pub struct BufferedAnswer {
-    /// The bytes of the body.
-    pub bytes: Bytes,
-    /// The memory reserved for it, `None` for a small body.
-    pub reservation: Option<BodyReservation>,
-}
-
 /// Why an answer was not received completely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BufferedAnswerError {
@@ -44,11 +33,11 @@
     }
 }
 
-impl From<ReservedBufferError> for BufferedAnswerError {
-    fn from(error: ReservedBufferError) -> Self {
+impl From<ReserveBodyError> for BufferedAnswerError {
+    fn from(error: ReserveBodyError) -> Self {
         match error {
-            ReservedBufferError::TooLarge => Self::Broken,
-            ReservedBufferError::NoMemory => Self::NoMemory,
+            ReserveBodyError::TooLarge | ReserveBodyError::Broken => Self::Broken,
+            ReserveBodyError::NoMemory => Self::NoMemory,
         }
     }
 }
@@ -63,18 +52,18 @@
     runtime: Runtime,
     budget: &BodyBudget,
     body: Incoming,
-) -> Result<BufferedAnswer, BufferedAnswerError> {
+) -> Result<ReservedBody, BufferedAnswerError> {
     match body.size_hint().exact() {
         Some(length) if length > MAX_ANSWER_BYTES as u64 => Err(BufferedAnswerError::Broken),
         Some(length) if length > MAX_UNRESERVED_ANSWER => {
             let reservation = wait_for_memory(runtime, budget, length).await?;
             let buffer = ReservedBuffer::with_reservation(MAX_ANSWER_BYTES, reservation);
             let buffer = buffer.allocate(length as usize);
-            read_into(buffer, budget, body).await
+            Ok(buffer.read(budget, body).await?)
         }
         _ => {
             let buffer = ReservedBuffer::new(MAX_ANSWER_BYTES, MAX_UNRESERVED_ANSWER);
-            read_into(buffer, budget, body).await
+            Ok(buffer.read(budget, body).await?)
         }
     }
 }
@@ -95,18 +84,3 @@
         runtime.sleep(RESERVE_INTERVAL).await;
     }
 }
-
-async fn read_into(
-    mut buffer: ReservedBuffer,
-    budget: &BodyBudget,
-    mut body: Incoming,
-) -> Result<BufferedAnswer, BufferedAnswerError> {
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BufferedAnswerError::Broken)?;
-        if let Some(bytes) = frame.data_ref() {
-            buffer.append(budget, bytes)?;
-        }
-    }
-    let (bytes, reservation) = buffer.finish();
-    Ok(BufferedAnswer { bytes, reservation })
-}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -1,9 +1,8 @@
 //! A caller's request and the routing decisions about it.
 
-use crate::body_budget::BodyReservation;
 use crate::dialect::CallerHead;
+use crate::reserved_buffer::ReservedBody;
 use crate::try_failure::FailureCause;
-use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use mastbay_routing::{
@@ -28,7 +27,7 @@
     /// The headers as received from the caller.
     pub headers: HeaderMap,
     /// The complete body.
-    pub body: Body,
+    pub body: ReservedBody,
     /// The route that matched, and its configuration version.
     pub entry: TableEntry,
     /// The service selected by the route's weights.
@@ -179,11 +178,3 @@
         self.deadline.since(now)
     }
 }
-
-/// The body of a request with its memory reservation.
-pub struct Body {
-    /// The bytes.
-    pub bytes: Bytes,
-    /// Released when the request ends.
-    pub reservation: Option<BodyReservation>,
-}
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -2,7 +2,7 @@
 //! caller.
 
 use crate::broken_connections::{self, BackEndFate};
-use crate::buffered_answer::{BufferedAnswer, BufferedAnswerError, read_answer};
+use crate::buffered_answer::{BufferedAnswerError, read_answer};
 use crate::call::Call;
 use crate::dialect::OwnAnswer;
 use crate::events;
@@ -13,6 +13,7 @@
 use crate::pool::BackEndConnection;
 use crate::quarantine;
 use crate::relay::{Relay, StreamBody};
+use crate::reserved_buffer::ReservedBody;
 use crate::retries::RequestRetries;
 use crate::router::Router;
 use crate::run_progress::RunProgress;
@@ -55,7 +56,7 @@
 /// The result of all attempts.
 pub enum ExchangeResult {
     /// A complete answer from a back end.
-    Answer(http::response::Parts, BufferedAnswer, BackEndId),
+    Answer(http::response::Parts, ReservedBody, BackEndId),
     /// The head of a stream; the body follows.
     Stream(http::response::Parts, Box<Relay>),
     /// No answer was obtained. Holds the router's own answer and the logged reason.
--- a/crates/router/src/reserved_buffer.rs
+++ b/crates/router/src/reserved_buffer.rs
@@ -1,17 +1,30 @@
-//! A buffer for a body of unknown length whose memory is reserved as it grows.
+//! A buffer for a body whose memory is reserved, before it is read or as it grows.
 
 use crate::body_budget::{BodyBudget, BodyReservation};
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 
-/// Why no more bytes can be appended.
+/// Why a body was not received completely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReservedBufferError {
+pub enum ReserveBodyError {
     /// The body exceeds its maximum size.
     TooLarge,
+    /// The body ended early or violated the protocol.
+    Broken,
     /// The budget has not enough free memory.
     NoMemory,
 }
 
+/// A complete body.
+#[derive(Debug)]
+pub struct ReservedBody {
+    /// The bytes of the body.
+    pub bytes: Bytes,
+    /// The memory reserved for it, released on drop; `None` for a small body.
+    pub reservation: Option<BodyReservation>,
+}
+
 /// The part of a body that was received.
 #[derive(Debug)]
 pub struct ReservedBuffer {
@@ -32,8 +45,7 @@
 
     /// Creates an empty buffer with the space of a reservation.
     pub fn with_reservation(max_bytes: usize, reservation: BodyReservation) -> Self {
-        let unreserved = reservation.bytes();
-        Self { bytes: BytesMut::new(), reservation: Some(reservation), unreserved, max_bytes }
+        Self { reservation: Some(reservation), ..Self::new(max_bytes, 0) }
     }
 
     /// Allocates space for `bytes` at once.
@@ -42,14 +54,29 @@
         self
     }
 
-    /// Appends bytes, and reserves more memory if necessary.
+    /// Reads a whole body, and reserves more memory as necessary.
     ///
     /// # Errors
-    /// If the body becomes too large, or there is not enough memory for it.
-    pub fn append(&mut self, budget: &BodyBudget, bytes: &[u8]) -> Result<(), ReservedBufferError> {
+    /// If the body is incomplete or too large, or there is not enough memory for it. What was read
+    /// and reserved is released.
+    pub async fn read(
+        mut self,
+        budget: &BodyBudget,
+        mut body: Incoming,
+    ) -> Result<ReservedBody, ReserveBodyError> {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| ReserveBodyError::Broken)?;
+            if let Some(bytes) = frame.data_ref() {
+                self.append(budget, bytes)?;
+            }
+        }
+        Ok(ReservedBody { bytes: self.bytes.freeze(), reservation: self.reservation })
+    }
+
+    fn append(&mut self, budget: &BodyBudget, bytes: &[u8]) -> Result<(), ReserveBodyError> {
         let length = self.bytes.len() + bytes.len();
         if length > self.max_bytes {
-            return Err(ReservedBufferError::TooLarge);
+            return Err(ReserveBodyError::TooLarge);
         }
         let reserved = self.reservation.as_ref().map_or(self.unreserved, BodyReservation::bytes);
         if length as u64 > reserved {
@@ -60,18 +87,13 @@
     }
 
     /// Moves the bytes to a larger allocation. Both are reserved until they are copied.
-    fn grow(&mut self, budget: &BodyBudget, capacity: usize) -> Result<(), ReservedBufferError> {
+    fn grow(&mut self, budget: &BodyBudget, capacity: usize) -> Result<(), ReserveBodyError> {
         let reservation = budget.try_reserve(Some(capacity as u64));
-        let reservation = reservation.ok_or(ReservedBufferError::NoMemory)?;
+        let reservation = reservation.ok_or(ReserveBodyError::NoMemory)?;
         let mut larger = BytesMut::with_capacity(capacity);
         larger.extend_from_slice(&self.bytes);
         self.bytes = larger;
         self.reservation = Some(reservation);
         Ok(())
     }
-
-    /// Returns the body and its reservation, `None` for a small one.
-    pub fn finish(self) -> (Bytes, Option<BodyReservation>) {
-        (self.bytes.freeze(), self.reservation)
-    }
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,13 +1,14 @@
 //! Serves a request: reads its body, resolves the route, and runs the exchange with back ends.
 
-use crate::call::{Body, Call};
+use crate::call::Call;
 use crate::dialect::{CallerHead, OwnAnswer};
 use crate::events;
 use crate::exchange::Exchange;
 use crate::listener::LocalBody;
 use crate::own_answers::own_answer;
-use crate::request_body::{RequestBodyError, read_request_body};
+use crate::request_body::read_request_body;
 use crate::request_head::host;
+use crate::reserved_buffer::{ReserveBodyError, ReservedBody};
 use crate::router::Router;
 use crate::stream_origins::{self, Resumption};
 use hyper::body::{Body as _, Incoming};
@@ -119,21 +120,17 @@
     if length.is_some_and(|length| length > limits.body_bytes as u64) {
         return Err(reject(Some(head.request_id), OwnAnswer::TooLarge));
     }
-    let Some(reservation) = router.bodies.try_reserve(length) else {
-        let retry_after = Some(NO_MEMORY_RETRY_AFTER);
-        return Err(reject(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
-    };
-    let reading = read_request_body(&router.bodies, reservation, body, limits.body_bytes);
+    let reading = read_request_body(&router.bodies, body, limits.body_bytes);
     let body = match router.runtime.within(BODY_TIMEOUT, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(RequestBodyError::TooLarge)) => {
+        Ok(Err(ReserveBodyError::TooLarge)) => {
             return Err(reject(Some(head.request_id), OwnAnswer::TooLarge));
         }
-        Ok(Err(RequestBodyError::NoMemory)) => {
+        Ok(Err(ReserveBodyError::NoMemory)) => {
             let retry_after = Some(NO_MEMORY_RETRY_AFTER);
             return Err(reject(Some(head.request_id), OwnAnswer::NotRun { retry_after }));
         }
-        Ok(Err(RequestBodyError::Broken)) | Err(_) => {
+        Ok(Err(ReserveBodyError::Broken)) | Err(_) => {
             return Err(reject(Some(head.request_id), OwnAnswer::Malformed));
         }
     };
@@ -156,7 +153,7 @@
     arrival: Arrival,
     parts: http::request::Parts,
     head: CallerHead,
-    body: Body,
+    body: ReservedBody,
     resumption: Option<Resumption>,
 ) -> Result<Call, (String, OwnAnswer)> {
     let unconfigured = OwnAnswer::NotRun { retry_after: Some(UNCONFIGURED_RETRY_AFTER) };
