Settle retries only where there are any; derive what was kept twice

Found in reading the change again. Each request that was sent once settled zero retries, which looked up the budget of its service under a newly allocated name, once more for each request. It is done only for requests that have retries.

Also: the number of routers that may spend a budget was computed twice for one log line; a request kept its router twice; the events retry_charged and retry_refused were written out twice (the lines stay as they are); a windowed maximum removes what has expired when it records, not by a call of its own.

The cost in processor time was not measured.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -3,7 +3,7 @@
 mod retries;
 mod terminations;
 
-pub use retries::{retry_charged, retry_refused, sends_settled};
+pub use retries::{retry, sends_settled};
 pub use terminations::{
     back_end_ended, connection_broke, quarantine_archived, quarantine_lifted, request_probed,
     request_quarantined, unmarked_end,
--- a/crates/router/src/events/retries.rs
+++ b/crates/router/src/events/retries.rs
@@ -3,28 +3,15 @@
 use crate::call::Call;
 use mastbay_routing::RetryStatus;
 
-/// Logs that a retry was taken from the budget of the request's service, which holds `status` now.
-pub fn retry_charged(call: &Call, status: RetryStatus) {
+/// Logs that a retry was taken from the budget of the request's service, which holds `status` now,
+/// or that the request was not sent again because the budget is empty.
+pub fn retry(call: &Call, is_taken: bool, status: RetryStatus) {
     tracing::info!(
-        event = "retry_charged",
-        request = %call.head.request_id,
-        service = %call.service,
-        send = call.trace.borrow().sends + 1,
-        left = status.left,
-        divided_by = status.divided_by,
-        routers_heard = status.routers.heard,
-        routers_reported = status.routers.reported,
-        routers_rostered = status.routers.rostered,
-    );
-}
-
-/// Logs that a request was not sent again because the budget of its service is empty.
-pub fn retry_refused(call: &Call, status: RetryStatus) {
-    tracing::info!(
-        event = "retry_refused",
+        event = if is_taken { "retry_charged" } else { "retry_refused" },
         request = %call.head.request_id,
         service = %call.service,
         send = call.trace.borrow().sends + 1,
+        left = is_taken.then_some(status.left),
         divided_by = status.divided_by,
         routers_heard = status.routers.heard,
         routers_reported = status.routers.reported,
--- a/crates/router/src/retries.rs
+++ b/crates/router/src/retries.rs
@@ -15,7 +15,6 @@
 
 /// The retries of one request.
 pub struct RequestRetries {
-    router: Rc<Router>,
     call: Rc<Call>,
     /// Whether a retry was taken and the request was not sent since.
     is_held: Cell<bool>,
@@ -31,24 +30,19 @@
             sends: Cell::default(),
             retries: Cell::default(),
         };
-        Rc::new(Self {
-            router: router.clone(),
-            call: call.clone(),
-            is_held: Cell::default(),
-            pending: Rc::new(pending),
-        })
+        Rc::new(Self { call: call.clone(), is_held: Cell::default(), pending: Rc::new(pending) })
     }
 
     /// Returns whether a retry is held for the next send, or could be taken.
     pub fn is_available(&self) -> bool {
-        self.is_held.get() || self.router.has_retries(&self.call.service)
+        self.is_held.get() || self.pending.router.has_retries(&self.call.service)
     }
 
     /// Takes a retry for the next send, unless one is held already. Returns false if the budget is
     /// empty.
     pub fn hold(&self) -> bool {
         if !self.is_held.get() {
-            self.is_held.set(self.router.take_retry(&self.call));
+            self.is_held.set(self.pending.router.take_retry(&self.call));
         }
         self.is_held.get()
     }
@@ -74,7 +68,8 @@
 impl Drop for RequestRetries {
     fn drop(&mut self) {
         if self.is_held.get() {
-            self.router.dispatcher.borrow_mut().return_retry(&self.call.service);
+            let mut dispatcher = self.pending.router.dispatcher.borrow_mut();
+            dispatcher.return_retry(&self.call.service);
         }
     }
 }
@@ -97,8 +92,9 @@
     /// stay charged for one window of the budget.
     fn on_send_settled(&self) {
         self.sends.set(self.sends.get() - 1);
-        if self.sends.get() == 0 {
-            let settled = self.retries.take();
+        let settled = if self.sends.get() == 0 { self.retries.take() } else { 0 };
+        // Nearly all requests are sent once and have no retry to settle.
+        if settled > 0 {
             let now = self.router.now();
             self.router.dispatcher.borrow_mut().settle_retries(now, &self.service, settled);
         }
@@ -146,7 +142,7 @@
             return self.settle();
         }
         self.is_settled.set(true);
-        let router = &self.retries.router;
+        let router = &self.retries.pending.router;
         let unanswered = UnansweredSend {
             back_end: self.back_end.clone(),
             left: router.now(),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -378,11 +378,7 @@
         let status = self.dispatcher.borrow_mut().retry_status(self.now(), &call.service);
         self.metrics.on_retry(&call.service, is_taken, status);
         if self.may_write_line(LogLineKind::Failure) {
-            if is_taken {
-                events::retry_charged(call, status);
-            } else {
-                events::retry_refused(call, status);
-            }
+            events::retry(call, is_taken, status);
         }
         is_taken
     }
--- a/crates/routing/src/dispatch/fleet/spenders.rs
+++ b/crates/routing/src/dispatch/fleet/spenders.rs
@@ -23,7 +23,6 @@
 
     /// Records the current number of routers for [`Self::budget_spenders`].
     pub fn record_spenders(&mut self, now: Timestamp) {
-        self.recent_spenders.expire(now);
         self.recent_spenders.record(now, self.current_spenders());
     }
 
--- a/crates/routing/src/dispatch/retries.rs
+++ b/crates/routing/src/dispatch/retries.rs
@@ -71,8 +71,8 @@
 
     /// Returns the state of this router's share of the service's budget.
     pub fn retry_status(&mut self, now: Timestamp, service: &str) -> RetryStatus {
-        let left = self.retries_left(now, service);
         let divided_by = self.fleet.budget_spenders(now);
+        let left = self.retry_budget(service).remaining(now, divided_by);
         RetryStatus { left, divided_by, routers: self.fleet.counts() }
     }
 
--- a/crates/routing/src/windowed_max.rs
+++ b/crates/routing/src/windowed_max.rs
@@ -18,8 +18,11 @@
         Self { window, values: VecDeque::new() }
     }
 
-    /// Records a value.
+    /// Records a value, and removes those that are older than the window.
     pub fn record(&mut self, now: Timestamp, value: usize) {
+        while self.values.front().is_some_and(|(at, _)| now.since(*at) > self.window) {
+            self.values.pop_front();
+        }
         while self.values.back().is_some_and(|(_, earlier)| *earlier <= value) {
             self.values.pop_back();
         }
@@ -31,11 +34,4 @@
         let mut values = self.values.iter();
         values.find(|(at, _)| now.since(*at) <= self.window).map(|(_, value)| *value)
     }
-
-    /// Removes values that are older than the window.
-    pub fn expire(&mut self, now: Timestamp) {
-        while self.values.front().is_some_and(|(at, _)| now.since(*at) > self.window) {
-            self.values.pop_front();
-        }
-    }
 }
