--- a/crates/router/tests/fatal_requests.rs
+++ b/crates/router/tests/fatal_requests.rs
@@ -3,15 +3,12 @@
 
 mod support;
 
-use mastbay_router::{Origin, Runtime};
+use mastbay_router::Runtime;
 use mastbay_routing::{BackEnd, BackEndList};
 use mastbay_testbed::{Behaviour, EndingBackEnds, FATAL, THRICE};
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
-use support::{
-    Answer, Bed, Request, STREAM_HEAD, ScriptedBackEnd, Step, announce_each_other, join_all, run,
-    until,
-};
+use support::{Answer, Bed, Request, STREAM_HEAD, ScriptedBackEnd, Step, join_all, run, until};
 
 /// Runs allowed in the whole fleet: three until the request is quarantined, and three more.
 const MAX_RUNS: u32 = 6;
@@ -28,15 +25,8 @@
 }
 
 async fn start_routers(runtime: Runtime, count: usize, back_ends: &EndingBackEnds) -> Vec<Bed> {
-    let mut beds: Vec<Bed> = Vec::new();
-    for _ in 0..count {
-        let bed = Bed::start(runtime, &[]).await;
-        let list = BackEndList { revision: 2.into(), back_ends: listed(back_ends) };
-        bed.router.offer_back_ends(list, Origin::Source);
-        beds.push(bed);
-    }
-    announce_each_other(&beds);
-    beds
+    let list = BackEndList { revision: 2.into(), back_ends: listed(back_ends) };
+    support::start_routers(runtime, count, &list).await
 }
 
 /// The fatal request with a new id, otherwise the same each time.
--- a/crates/router/tests/leaving_back_ends.rs
+++ b/crates/router/tests/leaving_back_ends.rs
@@ -16,6 +16,10 @@
 /// The events with which a stream begins, not in chunks.
 const FIRST_EVENTS: &str = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
 
+/// Time in which the router reads the beginning of an answer. Nothing shows that it has, as a whole
+/// answer is passed on at its end.
+const READING_TIME: Duration = Duration::from_millis(100);
+
 /// Whether a back end ends together with the connection of its last answer.
 #[derive(Clone, Copy, PartialEq)]
 enum End {
@@ -54,7 +58,7 @@
     let draining = BackEnd { state: BackEndState::Draining, ..leaving };
     set_back_ends(&bed, 3, vec![draining, other.listed("plain")]);
     until(async || bed.router.versions().1 == 3.into()).await;
-    smol::Timer::after(Duration::from_millis(100)).await;
+    smol::Timer::after(READING_TIME).await;
     if end == End::WithTheAnswer {
         drop(listener);
         drop(stream);
--- a/crates/router/tests/retry_budget.rs
+++ b/crates/router/tests/retry_budget.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 use support::suspendable::{Arrival, SuspendableBackEnd};
 use support::{
-    Bed, Request, ScriptedBackEnd, announce_each_other, answer, call_at, join_all, run, until,
+    Bed, Request, ScriptedBackEnd, answer, call_at, join_all, run, start_routers, until,
 };
 
 /// Number of routers.
@@ -50,13 +50,7 @@
         }
         let listed = back_ends.iter().map(|one| support::listed(&one.name, one.address, "plain"));
         let list = BackEndList { revision: 2.into(), back_ends: listed.collect() };
-        let mut beds: Vec<Bed> = Vec::new();
-        for _ in 0..ROUTERS {
-            let bed = Bed::start(runtime, &[]).await;
-            bed.router.offer_back_ends(list.clone(), Origin::Source);
-            beds.push(bed);
-        }
-        announce_each_other(&beds);
+        let beds = start_routers(runtime, ROUTERS, &list).await;
         until(async || beds.iter().all(|bed| bed.router.fleet_size() == ROUTERS)).await;
         Self { beds, back_ends, arrivals }
     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -252,6 +252,18 @@
     }
 }
 
+/// Starts routers that know of each other and of the listed back ends.
+pub async fn start_routers(runtime: Runtime, count: usize, list: &BackEndList) -> Vec<Bed> {
+    let mut beds: Vec<Bed> = Vec::new();
+    for _ in 0..count {
+        let bed = Bed::start(runtime, &[]).await;
+        bed.router.offer_back_ends(list.clone(), Origin::Source);
+        beds.push(bed);
+    }
+    announce_each_other(&beds);
+    beds
+}
+
 /// Polls until a condition holds.
 pub async fn until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
     while !condition().await {
--- a/crates/router/tests/support/suspendable.rs
+++ b/crates/router/tests/support/suspendable.rs
@@ -1,7 +1,7 @@
 //! A back end that stops reading on demand, like a suspended process, and records when it reads
 //! each request.
 
-use super::{answer, header, until};
+use super::{Step, answer, header, until};
 use mastbay_router::Runtime;
 use mastbay_testbed::read_request;
 use smol::io::AsyncWriteExt;
@@ -11,8 +11,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use super::Step;
-
 /// A request that a back end has read.
 #[derive(Debug, Clone)]
 pub struct Arrival {
--- a/crates/routing/tests/budget_shares.rs
+++ b/crates/routing/tests/budget_shares.rs
@@ -4,7 +4,7 @@
 
 use mastbay_routing::{
     Admission, BackEndList, BudgetLimits, Dispatcher, DispatcherLimits, ExposureLimits,
-    RolloutOrder, RolloutState, Rollouts, RouterPhase,
+    ROUND_PERIOD, RolloutOrder, RolloutState, Rollouts, RouterPhase,
 };
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -13,8 +13,6 @@
 
 /// Number of routers.
 const ROUTERS: u8 = 7;
-/// Interval between rounds of messages.
-const ROUND: Duration = Duration::from_millis(80);
 const LIMITS: BudgetLimits =
     BudgetLimits { ratio: 0.2, window: Duration::from_secs(10), burst: 54.0 };
 
@@ -45,7 +43,7 @@
     fn run(&mut self, span: Duration, is_connected: impl Fn(usize, usize) -> bool) {
         let end = self.now + span;
         while self.now < end {
-            self.now = self.now + ROUND;
+            self.now = self.now + ROUND_PERIOD;
             for sender in 0..self.routers.len() {
                 let seeds = Self::seeds(sender);
                 let phase = RouterPhase::Serving;
@@ -129,7 +127,7 @@
 #[test]
 fn routers_that_have_just_started_stay_within_the_burst_together() {
     let mut fleet = Fleet::new();
-    fleet.run(ROUND, |_, _| false);
+    fleet.run(ROUND_PERIOD, |_, _| false);
     assert_within_burst(fleet.take_all_everywhere());
 }
 
