Send bodies of requests in chunks, so that they are not held twice

Cause: a request went to its back end as one piece, which hyper copies into its write buffer. While a back end hadn't read a body, the router held it twice and counted it once. A heap profile of a failing run shows 16.0 MB of bodies and 12.0 MB of write buffers.

Change: ChunkedBody, which answers to callers use for the same reason, has a module of its own and carries the bodies of requests, too. The back end of the test reads a body 0.5 s after its head, so that the fault shows in each run.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod call;
 mod callers;
 pub mod catalogue;
+mod chunked_body;
 pub mod client;
 mod clock;
 mod connect_gate;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts HTTP connections within limits and shuts them down gracefully when the router stops.
 
-use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,9 +18,9 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
+use crate::chunked_body::ChunkedBody;
 use crate::events;
 use crate::offload::HELLO_LENGTH;
 use crate::runtime::Runtime;
@@ -36,42 +36,7 @@
 
 /// Creates a body from `bytes` that holds `guard` until the body is dropped.
 pub fn full_with_guard<T: Unpin + 'static>(guard: T, bytes: impl Into<Bytes>) -> LocalBody {
-    Box::pin(ChunkedBody { remaining: bytes.into(), _guard: guard })
-}
-
-/// Size of the chunks of a body, in bytes. hyper copies each chunk into its write buffer, so large
-/// chunks would double the memory of an answer.
-const CHUNK_SIZE: usize = 32 << 10;
-
-/// A body in memory, written in chunks.
-struct ChunkedBody<T> {
-    remaining: Bytes,
-    _guard: T,
-}
-
-impl<T: Unpin> Body for ChunkedBody<T> {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.remaining.is_empty() {
-            return Poll::Ready(None);
-        }
-        let length = self.remaining.len().min(CHUNK_SIZE);
-        let chunk = self.remaining.split_to(length);
-        Poll::Ready(Some(Ok(Frame::data(chunk))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.remaining.is_empty()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.remaining.len() as u64)
-    }
+    Box::pin(ChunkedBody::with_guard(guard, bytes.into()))
 }
 
 /// Limits and options of a listener's connections.
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -1,12 +1,11 @@
 //! A pool of HTTP/1.1 connections to back ends, with one exchange at a time on each. A connection
 //! is reused only after a complete exchange. The number of connections per back end is limited.
 
+use crate::chunked_body::ChunkedBody;
 use crate::connect_gate::ConnectGate;
 use crate::runtime::Runtime;
 use crate::throttled_reader::{ReadInterval, ThrottledReader};
-use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
@@ -64,7 +63,7 @@
     socket: TcpStream,
     /// Whether a request was sent and the head of its answer has not arrived.
     awaits_head: bool,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<ChunkedBody>,
     written: WriteCount,
     interval: ReadInterval,
     idle_timeout: Duration,
@@ -80,7 +79,7 @@
     /// Sends a request and waits for the head of the answer.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<ChunkedBody>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let before = self.written.get();
         self.awaits_head = true;
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -3,6 +3,7 @@
 use crate::back_end_notices;
 use crate::broken_connections;
 use crate::call::Call;
+use crate::chunked_body::ChunkedBody;
 use crate::dialect::{AnswerKind, OutgoingCall};
 use crate::headers::remove_hop_by_hop;
 use crate::pool::{BackEndConnection, ExchangeError, PoolError};
@@ -11,8 +12,6 @@
 use crate::run_progress::RunProgress;
 use crate::takeover::Takeover;
 use crate::try_failure::{FailureCause, TryFailure};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, Uri, http};
@@ -159,7 +158,7 @@
     async fn wait_for_head(
         &self,
         connection: &mut BackEndConnection,
-        request: Request<Full<Bytes>>,
+        request: Request<ChunkedBody>,
         placement: &Placement,
     ) -> Option<Result<Response<Incoming>, ExchangeError>> {
         let mut exchange = pin!(connection.exchange(request));
@@ -214,7 +213,7 @@
         &self,
         placement: &Placement,
         last_event: Option<u64>,
-    ) -> Option<Request<Full<Bytes>>> {
+    ) -> Option<Request<ChunkedBody>> {
         let call = self.call;
         let outgoing = OutgoingCall {
             back_end: &placement.back_end.id.name,
@@ -229,7 +228,7 @@
             headers.insert(HOST, host.clone());
         }
         let path = call.uri.path_and_query()?.as_str();
-        let mut request = Request::new(Full::new(call.body.bytes.clone()));
+        let mut request = Request::new(ChunkedBody::new(call.body.bytes.clone()));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = path.parse::<Uri>().ok()?;
         *request.headers_mut() = headers;
--- a/crates/router/tests/request_memory.rs
+++ b/crates/router/tests/request_memory.rs
@@ -20,6 +20,8 @@
 const CALLERS: usize = 20;
 /// Pause after each tenth of a body, so that all bodies are in progress at once.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Delay before the back end reads a body, so that the router holds all bodies that it sends.
+const READ_DELAY: Duration = Duration::from_millis(500);
 /// Heap bytes allowed for each connection in addition to the budget for bodies.
 const MAX_PER_CONNECTION: usize = 256 << 10;
 
@@ -34,6 +36,7 @@
     let head = String::from_utf8_lossy(&head).into_owned();
     let length = header(&head, "content-length").and_then(|length| length.parse().ok());
     let mut left: usize = length.expect("a length");
+    smol::Timer::after(READ_DELAY).await;
     let mut buffer = vec![0; 16 << 10];
     while left > 0 {
         left -= stream.read(&mut buffer).await?.min(left);
