Test back ends keep connections open whose answers announce no end

Cause: EndingBackEnds closed each connection after a chunked answer without saying so. Where back ends and routers get little processor time, a router sends the next request on such a connection before it sees its end, and the budget for retries doesn't cover that many broken sends.

A load of 47 by itself does not show it, if the busy processes belong to another session: the scheduler shares time by session.

Change: a back end goes on reading requests after a chunked answer, and still closes after an unmarked one, whose head says so. Bounds, load and counts of the tests are as before; a crash now breaks idle connections too.

--- a/crates/testbed/src/ending_back_ends.rs
+++ b/crates/testbed/src/ending_back_ends.rs
@@ -197,8 +197,11 @@
         while let Some(head) = read_request(&mut stream).await {
             let id = header(&head, self.behaviour.id_header).unwrap_or_default();
             if let Some(fatal) = self.behaviour.fatal_parts {
-                self.serve_prompt(fatal, &mut stream, &head, &id, &end).await;
-                return;
+                let answered = self.serve_prompt(fatal, &mut stream, &head, &id, &end).await;
+                if answered.is_err() || fatal.closes_connections() {
+                    return;
+                }
+                continue;
             }
             let target = head.split(' ').nth(1).unwrap_or_default();
             let is_survivable =
@@ -220,6 +223,9 @@
     }
 
     /// Answers one request with a stream, or ends the back end if its prompt holds a fatal part.
+    ///
+    /// # Errors
+    /// If the router closed the connection.
     async fn serve_prompt(
         &self,
         fatal: FatalParts,
@@ -227,19 +233,18 @@
         head: &str,
         id: &str,
         end: &Sender<()>,
-    ) {
+    ) -> std::io::Result<()> {
         let Some(part) = fatal.find(head) else {
-            // Writing fails if the router closed the connection.
-            let _ = fatal.answer(stream, &self.head(id)).await;
-            return;
+            return fatal.answer(stream, &self.head(id)).await;
         };
         self.shared.record(|record| record.on_run(part));
+        // Fails if the router closed the connection; the back end ends nonetheless.
         let _ = fatal.begin_fatal(stream, &self.head(id)).await;
         // Fails if another fatal request ended the back end first.
         if end.try_send(()).is_ok() {
             self.shared.record(|record| record.on_end(part));
         }
-        std::future::pending::<()>().await;
+        std::future::pending().await
     }
 
     fn head(&self, id: &str) -> String {
--- a/crates/testbed/src/fatal_parts.rs
+++ b/crates/testbed/src/fatal_parts.rs
@@ -85,6 +85,11 @@
         self.ids.iter().copied().find(|fatal| ids.contains(fatal))
     }
 
+    /// Returns whether the end of an answer is the end of its connection, as its head announces.
+    pub(crate) fn closes_connections(&self) -> bool {
+        self.framing == Framing::Unmarked
+    }
+
     /// Writes a whole stream. `head` lacks the framing and the empty line.
     pub(crate) async fn answer(&self, stream: &mut TcpStream, head: &str) -> io::Result<()> {
         smol::Timer::after(START_DELAY).await;
