Keep no copies of the service and the router in each request's pending retries

Each request copied its service's name for the sends that may still arrive, though nearly none is sent again. PendingRetries holds its two counts now; the request that owns it knows the rest, and a send left without an answer copies the name when it is recorded. PendingSend consumes itself, so its flag needs no Cell. Behaviour is as before; processor time wasn't measured.

--- a/crates/router/src/retries.rs
+++ b/crates/router/src/retries.rs
@@ -15,6 +15,7 @@
 
 /// The retries of one request.
 pub struct RequestRetries {
+    router: Rc<Router>,
     call: Rc<Call>,
     /// Whether a retry was taken and the request was not sent since.
     is_held: Cell<bool>,
@@ -24,25 +25,20 @@
 impl RequestRetries {
     /// Creates the state of a request that has not been sent.
     pub fn new(router: &Rc<Router>, call: &Rc<Call>) -> Rc<Self> {
-        let pending = PendingRetries {
-            router: router.clone(),
-            service: call.service.clone(),
-            sends: Cell::default(),
-            retries: Cell::default(),
-        };
-        Rc::new(Self { call: call.clone(), is_held: Cell::default(), pending: Rc::new(pending) })
+        let (router, call) = (router.clone(), call.clone());
+        Rc::new(Self { router, call, is_held: Cell::default(), pending: Rc::default() })
     }
 
     /// Returns whether a retry is held for the next send, or could be taken.
     pub fn is_available(&self) -> bool {
-        self.is_held.get() || self.pending.router.has_retries(&self.call.service)
+        self.is_held.get() || self.router.has_retries(&self.call.service)
     }
 
     /// Takes a retry for the next send, unless one is held already. Returns false if the budget is
     /// empty.
     pub fn hold(&self) -> bool {
         if !self.is_held.get() {
-            self.is_held.set(self.pending.router.take_retry(&self.call));
+            self.is_held.set(self.router.take_retry(&self.call));
         }
         self.is_held.get()
     }
@@ -51,12 +47,8 @@
     pub fn begin_send(self: &Rc<Self>, back_end: &BackEndId) -> PendingSend {
         let is_retry = self.is_held.take();
         self.pending.begin_send(is_retry);
-        PendingSend {
-            retries: self.clone(),
-            back_end: back_end.clone(),
-            is_retry,
-            is_settled: Cell::new(false),
-        }
+        let (retries, back_end) = (self.clone(), back_end.clone());
+        PendingSend { retries, back_end, is_retry, is_settled: false }
     }
 
     /// Returns whether the request arrives more than once if all its sends arrive.
@@ -68,16 +60,14 @@
 impl Drop for RequestRetries {
     fn drop(&mut self) {
         if self.is_held.get() {
-            let mut dispatcher = self.pending.router.dispatcher.borrow_mut();
-            dispatcher.return_retry(&self.call.service);
+            self.router.dispatcher.borrow_mut().return_retry(&self.call.service);
         }
     }
 }
 
 /// Sends of one request that may still arrive, and the retries that were used for them.
+#[derive(Default)]
 struct PendingRetries {
-    router: Rc<Router>,
-    service: String,
     sends: Cell<u32>,
     retries: Cell<u32>,
 }
@@ -89,14 +79,14 @@
     }
 
     /// Records that a send has arrived or can't arrive any more. After the last one, the retries
-    /// stay charged for one window of the budget.
-    fn on_send_settled(&self) {
+    /// stay charged for one window of the budget of `service`.
+    fn on_send_settled(&self, router: &Router, service: &str) {
         self.sends.set(self.sends.get() - 1);
         let settled = if self.sends.get() == 0 { self.retries.take() } else { 0 };
         // Nearly all requests are sent once and have no retry to settle.
         if settled > 0 {
-            let now = self.router.now();
-            self.router.dispatcher.borrow_mut().settle_retries(now, &self.service, settled);
+            let now = router.now();
+            router.dispatcher.borrow_mut().settle_retries(now, service, settled);
         }
     }
 }
@@ -107,17 +97,17 @@
     back_end: BackEndId,
     /// Whether it used up a retry.
     is_retry: bool,
-    is_settled: Cell<bool>,
+    is_settled: bool,
 }
 
 impl PendingSend {
     /// Records that the back end has read the request, or has closed the connection.
-    pub fn on_arrived(self) {
+    pub fn on_arrived(mut self) {
         self.settle();
     }
 
     /// Records that nothing was sent. A retry that was used is held again.
-    pub fn on_unsent(self) {
+    pub fn on_unsent(mut self) {
         if self.is_retry {
             let pending = &self.retries.pending.retries;
             pending.set(pending.get() - 1);
@@ -126,27 +116,27 @@
         self.settle();
     }
 
-    fn settle(&self) {
-        if !self.is_settled.replace(true) {
-            self.retries.pending.on_send_settled();
-        }
+    fn settle(&mut self) {
+        self.is_settled = true;
+        let RequestRetries { router, call, pending, .. } = &*self.retries;
+        pending.on_send_settled(router, &call.service);
     }
 }
 
 impl Drop for PendingSend {
     fn drop(&mut self) {
-        if self.is_settled.get() {
+        if self.is_settled {
             return;
         }
         if !self.retries.has_any() {
             return self.settle();
         }
-        self.is_settled.set(true);
-        let router = &self.retries.pending.router;
+        let RequestRetries { router, call, pending, .. } = &*self.retries;
         let unanswered = UnansweredSend {
+            service: call.service.clone(),
             back_end: self.back_end.clone(),
             left: router.now(),
-            pending: self.retries.pending.clone(),
+            pending: pending.clone(),
         };
         router.unanswered_sends.borrow_mut().push(unanswered);
     }
@@ -154,6 +144,8 @@
 
 /// A send that the router has left without an answer, of a request that was sent again.
 pub(crate) struct UnansweredSend {
+    /// The service whose budget its request uses.
+    service: String,
     back_end: BackEndId,
     /// When the router left it.
     left: Timestamp,
@@ -170,7 +162,7 @@
             .extract_if(.., |send| !dispatcher.may_still_arrive(now, &send.back_end, send.left))
             .collect()
     };
-    settled.iter().for_each(|send| send.pending.on_send_settled());
+    settled.iter().for_each(|send| send.pending.on_send_settled(router, &send.service));
     let unanswered = router.unanswered_sends.borrow().len();
     router.metrics.set_unanswered_sends(unanswered);
     if !settled.is_empty() {
