Divide the bursts of retries and of roll-outs by one function

Both divided by the routers that may exist, and used nothing while their number is unknown, in the same words. Results are the same, in the same order of operations.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -25,6 +25,11 @@
 /// retries that arrive in another window than the requests that allowed them.
 const USED_FRACTION: f64 = 0.7;
 
+/// Returns one router's share of a burst that `routers` divide; nothing if their number is unknown.
+pub(crate) fn share_of_burst(burst: f64, routers: Option<usize>) -> f64 {
+    routers.map_or(0.0, |routers| burst / routers.max(1) as f64)
+}
+
 /// One router's share of the retry budget of one service.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
@@ -86,8 +91,7 @@
         self.expire(now);
         let earned = USED_FRACTION * self.limits.ratio * self.requests.len() as f64;
         let divisor = routers.filter(|_| now >= self.burst_from);
-        let burst = divisor
-            .map_or(0.0, |routers| USED_FRACTION * self.limits.burst / routers.max(1) as f64);
+        let burst = share_of_burst(USED_FRACTION * self.limits.burst, divisor);
         let is_divided = divisor.is_some_and(|routers| routers > 1);
         let rounding = if is_divided { self.rounding } else { 0.0 };
         // The earned part changes with each request; rounding it too would exceed the budget.
--- a/crates/routing/src/rollout/exposure.rs
+++ b/crates/routing/src/rollout/exposure.rs
@@ -1,6 +1,7 @@
 //! Limits the number of requests that are sent to a canary version.
 
 use super::Side;
+use crate::budget::share_of_burst;
 
 /// Fleet-wide limits on the requests sent to a version that is still being evaluated.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -50,8 +51,7 @@
     pub fn allows(&self, limits: ExposureLimits, elapsed: f64, routers: Option<usize>) -> bool {
         let stage = if elapsed < FIRST_STAGE { FIRST_STAGE_FRACTION } else { 1.0 };
         let of_share = (self.baseline + self.canary) as f64 * limits.share * SHARE_USED * stage;
-        let of_burst = routers
-            .map_or(0.0, |routers| limits.burst * BURST_USED * stage / routers.max(1) as f64);
+        let of_burst = share_of_burst(limits.burst * BURST_USED * stage, routers);
         (self.canary + 1) as f64 <= of_share + of_burst
     }
 }
