--- a/crates/router/src/buffered_answer.rs
+++ b/crates/router/src/buffered_answer.rs
@@ -53,19 +53,18 @@
     budget: &BodyBudget,
     body: Incoming,
 ) -> Result<ReservedBody, BufferedAnswerError> {
-    match body.size_hint().exact() {
-        Some(length) if length > MAX_ANSWER_BYTES as u64 => Err(BufferedAnswerError::Broken),
+    let buffer = match body.size_hint().exact() {
+        Some(length) if length > MAX_ANSWER_BYTES as u64 => {
+            return Err(BufferedAnswerError::Broken);
+        }
         Some(length) if length > MAX_UNRESERVED_ANSWER => {
             let reservation = wait_for_memory(runtime, budget, length).await?;
             let buffer = ReservedBuffer::with_reservation(MAX_ANSWER_BYTES, reservation);
-            let buffer = buffer.allocate(length as usize);
-            Ok(buffer.read(budget, body).await?)
-        }
-        _ => {
-            let buffer = ReservedBuffer::new(MAX_ANSWER_BYTES, MAX_UNRESERVED_ANSWER);
-            Ok(buffer.read(budget, body).await?)
+            buffer.allocate(length as usize)
         }
-    }
+        _ => ReservedBuffer::new(MAX_ANSWER_BYTES, MAX_UNRESERVED_ANSWER),
+    };
+    Ok(buffer.read(budget, body).await?)
 }
 
 /// Reserves memory, waiting until enough is free.
