Tests: start routers and write answers with what stands in support

fatal_parts had its own loop of what start_routers does, and the back end that can be suspended took an answer apart that was built as a list of steps. Assertions, bounds and loads are as before.

--- a/crates/router/tests/fatal_parts.rs
+++ b/crates/router/tests/fatal_parts.rs
@@ -9,7 +9,7 @@
 use mastbay_testbed::{Behaviour, Crashes, EndingBackEnds, FatalParts, Framing, PartialEvent};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
-use support::{Answer, Bed, Request, announce_each_other, join_all, run, until};
+use support::{Answer, Bed, Request, join_all, run, start_routers, until};
 
 /// Time in which routers may learn of a crash.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -23,6 +23,8 @@
 const MIN_SERVED: f64 = 0.9;
 /// Number of routers.
 const ROUTERS: usize = 3;
+/// Revision of the first list of back ends, above that of the empty one with which routers start.
+const FIRST_REVISION: u64 = 2;
 /// Number of callers of sound requests.
 const CALLERS: usize = 18;
 /// Time between two sound requests of a caller.
@@ -89,6 +91,15 @@
     sent: Cell<u64>,
 }
 
+/// Returns the list of the incarnations that follow on `restarts` of each back end.
+fn list(back_ends: &EndingBackEnds, restarts: &[u32], revision: u64) -> BackEndList {
+    let listed = back_ends.addresses.iter().zip(restarts).enumerate();
+    let listed = listed.map(|(number, (address, restarts))| {
+        support::listed(&format!("b{number}-{restarts}"), *address, "plain")
+    });
+    BackEndList { revision: revision.into(), back_ends: listed.collect() }
+}
+
 impl FatalFleet {
     async fn start(runtime: Runtime, scenario: &Scenario) -> Self {
         let fatal_parts = FatalParts {
@@ -103,21 +114,17 @@
             fatal_parts: Some(fatal_parts),
         };
         let back_ends = EndingBackEnds::start(scenario.back_ends, behaviour);
-        let mut beds: Vec<Bed> = Vec::new();
-        for _ in 0..ROUTERS {
-            beds.push(Bed::start(runtime, &[]).await);
-        }
-        announce_each_other(&beds);
+        let restarts = back_ends.restarts();
+        let first = list(&back_ends, &restarts, FIRST_REVISION);
         let fleet = Self {
             runtime,
-            beds,
+            beds: start_routers(runtime, ROUTERS, &first).await,
             back_ends,
-            revision: Cell::new(1),
-            listed: RefCell::default(),
+            revision: Cell::new(FIRST_REVISION),
+            listed: RefCell::new(restarts),
             sound: RefCell::default(),
             sent: Cell::new(0),
         };
-        fleet.update_list();
         until(async || fleet.beds.iter().all(|bed| bed.router.fleet_size() == ROUTERS)).await;
         fleet
     }
@@ -129,12 +136,7 @@
             return;
         }
         self.revision.set(self.revision.get() + 1);
-        let listed = self.back_ends.addresses.iter().zip(&restarts).enumerate();
-        let listed = listed.map(|(number, (address, restarts))| {
-            support::listed(&format!("b{number}-{restarts}"), *address, "plain")
-        });
-        let list =
-            BackEndList { revision: self.revision.get().into(), back_ends: listed.collect() };
+        let list = list(&self.back_ends, &restarts, self.revision.get());
         for bed in &self.beds {
             bed.router.offer_back_ends(list.clone(), Origin::Source);
         }
--- a/crates/router/tests/support/back_ends.rs
+++ b/crates/router/tests/support/back_ends.rs
@@ -152,9 +152,14 @@
 
 /// Writes a complete answer with a `content-length`.
 pub fn answer(body: &str) -> Vec<Step> {
+    vec![Step::Write(answer_text("ID", body))]
+}
+
+/// Returns a complete answer to the request `id` with a `content-length`.
+pub fn answer_text(id: &str, body: &str) -> String {
     let length = body.len();
-    let head = format!("HTTP/1.1 200 OK\r\nmastbay-request-id: ID\r\ncontent-length: {length}");
-    vec![Step::Write(format!("{head}\r\n\r\n{body}"))]
+    let head = format!("HTTP/1.1 200 OK\r\nmastbay-request-id: {id}\r\ncontent-length: {length}");
+    format!("{head}\r\n\r\n{body}")
 }
 
 /// Rejects the request and reports that it was not run.
--- a/crates/router/tests/support/suspendable.rs
+++ b/crates/router/tests/support/suspendable.rs
@@ -1,7 +1,7 @@
 //! A back end that stops reading on demand, like a suspended process, and records when it reads
 //! each request.
 
-use super::{Step, answer, header, until};
+use super::{answer_text, header, until};
 use mastbay_router::Runtime;
 use mastbay_testbed::read_request;
 use smol::io::AsyncWriteExt;
@@ -84,11 +84,8 @@
             if self.breaks_connections.get() {
                 return;
             }
-            for step in answer("done") {
-                let Step::Write(text) = step else { continue };
-                if stream.write_all(text.replace("ID", &id).as_bytes()).await.is_err() {
-                    return;
-                }
+            if stream.write_all(answer_text(&id, "done").as_bytes()).await.is_err() {
+                return;
             }
         }
     }
