Log and count turns of one connection that keep the router's thread, and cut streams by reason

A connection that keeps the only thread left no trace: no line was written while it did.

Each connection's task is timed turn by turn; one of 0.1 s and more is logged (long_turn, with the kind of connection and its other side) and counted. A turn is logged when it ends.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -2,6 +2,7 @@
 //! reused only after a complete reply.
 
 use crate::runtime::Runtime;
+use crate::watched_task::{ConnectionKind, Remote, watched};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
@@ -100,7 +101,9 @@
         let opened = handshake(FuturesIo::new(stream)).await;
         let (sender, driver) = opened.map_err(|_| CallError::Unreachable)?;
         // An error of the driver also fails the call.
-        let driver = self.runtime.spawn(async move { driver.await.unwrap_or_default() });
+        let remote = Remote { kind: ConnectionKind::Source, address: self.address };
+        let driver = async move { driver.await.unwrap_or_default() };
+        let driver = self.runtime.spawn(watched(self.runtime, remote, driver));
         Ok(OpenConnection { sender, _driver: driver })
     }
 }
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -19,6 +19,7 @@
 use crate::stream_source::StreamBackEnd;
 use crate::try_failure::{TryCircumstances, TryFailure};
 use crate::update_signal::Origin;
+use crate::watched_task::Remote;
 use crate::write_timeout::WRITE_TIMEOUT;
 use hyper::StatusCode;
 use mastbay_routing::{
@@ -321,6 +322,16 @@
     tracing::info!(event = "answer_unread", caller = %caller, waited_ms = WRITE_TIMEOUT.as_millis() as u64);
 }
 
+/// Logs that one connection kept the router's thread for `lasted`: nothing else was served meanwhile.
+pub fn long_turn(remote: Remote, lasted: Duration) {
+    tracing::warn!(
+        event = "long_turn",
+        connection = %remote.kind,
+        remote = %remote.address,
+        lasted_ms = milliseconds(lasted),
+    );
+}
+
 /// Logs a change of the roll-out orders, one line for each.
 pub fn rollouts_known(rollouts: &Rollouts, origin: Origin) {
     for order in &rollouts.orders {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -60,6 +60,7 @@
 mod ticks;
 mod try_failure;
 mod update_signal;
+mod watched_task;
 mod write_timeout;
 
 pub use listener::{ListenerLimits, StopSignal};
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -24,6 +24,7 @@
 use crate::events;
 use crate::offload::HELLO_LENGTH;
 use crate::runtime::Runtime;
+use crate::watched_task::{ConnectionKind, Remote, watched};
 use crate::write_timeout::WriteTimeoutStream;
 
 /// The body of an answer. It is not `Send`: all connections are served on one thread.
@@ -178,7 +179,7 @@
                 let open_guard = OpenGuard::new(&open);
                 let recorder = open.clone();
                 let on_write_timeout = Rc::new(move || recorder.record_write_timeout(from));
-                let task = runtime.spawn(async move {
+                let task = async move {
                     let result = match overflow {
                         None => OverflowResult::ServeHere(stream),
                         Some(overflow) => overflow(stream).await,
@@ -191,8 +192,9 @@
                     }
                     drop(open_guard);
                     drop(alive);
-                });
-                task.detach();
+                };
+                let remote = Remote { kind: ConnectionKind::Caller, address: from };
+                runtime.spawn(watched(runtime, remote, task)).detach();
             }
             Some(Err(_)) => runtime.sleep(ACCEPT_BACKOFF).await,
         }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -53,6 +53,12 @@
     result: &'static str,
 }
 
+/// Labels of streams cut within their answers. The reasons are those in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BrokenStreamLabels {
+    reason: &'static str,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug, Clone)]
 pub struct RouterMetrics {
@@ -73,6 +79,8 @@
     opened_connections: Counter,
     quarantined_calls: Counter,
     write_timeouts: Counter,
+    long_turns: Counter,
+    broken_streams: Family<BrokenStreamLabels, Counter>,
     engines_by_speed: Family<SpeedLabels, Gauge>,
     prefix_sources: Counter,
     transferred_tokens: Counter,
@@ -107,6 +115,8 @@
             opened_connections: Counter::default(),
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
+            long_turns: Counter::default(),
+            broken_streams: Family::default(),
             engines_by_speed: Family::default(),
             prefix_sources: Counter::default(),
             transferred_tokens: Counter::default(),
@@ -167,6 +177,12 @@
         let name = "mastbay_router_unread_answers";
         let help = "Connections ended since their callers did not read their answers";
         registry.register(name, help, metrics.write_timeouts.clone());
+        let name = "mastbay_router_long_turns";
+        let help = "turns of one connection for which nothing else was served";
+        registry.register(name, help, metrics.long_turns.clone());
+        let name = "mastbay_router_broken_streams";
+        let help = "streams cut within their answers, by reason";
+        registry.register(name, help, metrics.broken_streams.clone());
         let name = "mastbay_router_engines_by_speed";
         let help = "engines by speed, in steps of a factor 1.25 from the mean of the service";
         registry.register(name, help, metrics.engines_by_speed.clone());
@@ -315,6 +331,16 @@
         self.write_timeouts.inc_by(u64::from(connections));
     }
 
+    /// Counts turns of connections that took long.
+    pub fn on_long_turns(&self, turns: u32) {
+        self.long_turns.inc_by(u64::from(turns));
+    }
+
+    /// Counts a stream that is cut within its answer.
+    pub fn on_broken_stream(&self, reason: &'static str) {
+        self.broken_streams.get_or_create(&BrokenStreamLabels { reason }).inc();
+    }
+
     /// Sets the number of engines at each step of speed.
     pub fn set_engines_by_speed(&self, engines: &BTreeMap<i8, u32>) {
         self.engines_by_speed.clear();
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -5,6 +5,7 @@
 use crate::connect_gate::ConnectGate;
 use crate::runtime::Runtime;
 use crate::throttled_reader::{ReadInterval, ThrottledReader};
+use crate::watched_task::{ConnectionKind, Remote, watched};
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -288,7 +289,9 @@
             .await
             .map_err(|_| PoolError::Unreachable)?;
         // An error of the driver also fails the exchange.
-        let driver = self.runtime.spawn(async move { driver.await.unwrap_or_default() });
+        let remote = Remote { kind: ConnectionKind::BackEnd, address: back_end.address };
+        let driver = async move { driver.await.unwrap_or_default() };
+        let driver = self.runtime.spawn(watched(self.runtime, remote, driver));
         let idle_timeout = DEFAULT_IDLE_TIMEOUT;
         Ok(BackEndConnection {
             socket: stream,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -262,6 +262,7 @@
         if let Some(source) = source {
             source.ticket.fail(Fault::Broken);
         }
+        self.router.metrics.on_broken_stream(reason);
         self.record_outcome(OutcomeKind::BrokenOff, Some(reason), back_end.as_ref());
         Some(Err(BodyError))
     }
--- a/crates/router/src/runtime.rs
+++ b/crates/router/src/runtime.rs
@@ -11,6 +11,7 @@
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
@@ -32,6 +33,8 @@
     requests: &'static LocalExecutor<'static>,
     control: &'static LocalExecutor<'static>,
     timers: &'static TimerQueue,
+    /// Turns of watched tasks that took long, since they were last taken.
+    long_turns: &'static Cell<u32>,
 }
 
 impl Runtime {
@@ -41,7 +44,13 @@
         let requests: &'static LocalExecutor<'static> = Box::leak(Box::default());
         let control: &'static LocalExecutor<'static> = Box::leak(Box::default());
         control.spawn(timers.run()).detach();
-        Self { executor: requests, requests, control, timers }
+        Self {
+            executor: requests,
+            requests,
+            control,
+            timers,
+            long_turns: Box::leak(Box::default()),
+        }
     }
 
     /// Returns a handle for control tasks: peers, sources and readiness. They run before tasks that
@@ -60,6 +69,16 @@
         self.executor.spawn(future)
     }
 
+    /// Counts a turn of a task that took long.
+    pub(crate) fn record_long_turn(self) {
+        self.long_turns.set(self.long_turns.get().saturating_add(1));
+    }
+
+    /// Returns the number of turns that took long since the last call.
+    pub(crate) fn take_long_turns(self) -> u32 {
+        self.long_turns.take()
+    }
+
     /// Returns the time since the machine started, suspensions included.
     pub fn now(self) -> Timestamp {
         self.timers.clock.now()
--- /dev/null
+++ b/crates/router/src/watched_task.rs
@@ -0,0 +1,52 @@
+//! Finds tasks that keep the router's only thread for long: meanwhile no other request, timer, signal
+//! or question for readiness is served.
+
+use crate::events;
+use crate::runtime::Runtime;
+use derive_more::Display;
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::{Duration, Instant};
+
+/// Time from which a turn of a task is logged.
+const LONG_TURN: Duration = Duration::from_millis(100);
+
+/// The kind of connection that a task serves. The displayed names are values in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum ConnectionKind {
+    /// A connection of a caller, of a load balancer or of an operator.
+    #[display("caller")]
+    Caller,
+    /// A connection to a back end.
+    #[display("back_end")]
+    BackEnd,
+    /// A connection to a source or to a peer.
+    #[display("source")]
+    Source,
+}
+
+/// The remote side of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Remote {
+    /// The kind of the connection.
+    pub kind: ConnectionKind,
+    /// The address of the other side.
+    pub address: SocketAddr,
+}
+
+/// Runs the task of a connection. Logs and counts each of its turns that takes long.
+pub async fn watched<F: Future>(runtime: Runtime, remote: Remote, task: F) -> F::Output {
+    let mut task = pin!(task);
+    poll_fn(|context| {
+        let began = Instant::now();
+        let polled = task.as_mut().poll(context);
+        let lasted = began.elapsed();
+        if lasted >= LONG_TURN {
+            runtime.record_long_turn();
+            events::long_turn(remote, lasted);
+        }
+        polled
+    })
+    .await
+}
