Bound what one connection reads in a turn, and without completing anything

At the end of the grace all requests of the router were lost.

Cause: the HTTP library reads on within one poll for as long as bytes come (1xx heads, zeros of a chunk's size); the router has one thread. The other side set how much work one turn is.

Change: connections of callers, back ends, sources and peers read at most 32 KiB before others run, and fail once too many bytes have completed neither a head nor a piece of a body (64 KiB of a back end, 256 KiB of a caller, 512 KiB of a source). It is logged with how many (excess_bytes, cause excess_bytes) and counted. The product's own fleet gets the turns.

--- a/crates/router/src/buffered_answer.rs
+++ b/crates/router/src/buffered_answer.rs
@@ -6,7 +6,8 @@
 use crate::body_budget::{BodyBudget, BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::reserved_buffer::{ReserveBodyError, ReservedBody, ReservedBuffer};
 use crate::runtime::Runtime;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
+use mastbay_web::MeteredBody;
 use std::time::Duration;
 
 /// Maximum size of an answer that is not a stream, in bytes.
@@ -51,7 +52,7 @@
 pub async fn read_answer(
     runtime: Runtime,
     budget: &BodyBudget,
-    body: Incoming,
+    body: MeteredBody,
 ) -> Result<ReservedBody, BufferedAnswerError> {
     let buffer = match body.size_hint().exact() {
         Some(length) if length > MAX_ANSWER_BYTES as u64 => {
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -6,9 +6,9 @@
 use crate::offload;
 use crate::router::Router;
 use crate::serve::{Ingress, serve_request};
-use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response};
+use mastbay_web::MeteredBody;
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,7 +74,7 @@
 async fn serve_offloaded_request(
     router: Rc<Router>,
     ingress: Ingress,
-    request: Request<Incoming>,
+    request: Request<MeteredBody>,
 ) -> Response<LocalBody> {
     let mut response = serve_request(router, ingress, request).await;
     response.headers_mut().insert(KEEP_ALIVE, HeaderValue::from_static(OFFLOADED_KEEP_ALIVE));
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -2,13 +2,13 @@
 //! reused only after a complete reply.
 
 use crate::runtime::Runtime;
-use crate::watched_task::{ConnectionKind, Remote, watched};
+use crate::watched_task::{ConnectionKind, Remote, report_excess, watched};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
-use mastbay_web::read_limited;
+use mastbay_web::{MeteredBody, MeteredStream, ReadMeter, read_limited};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use std::cell::RefCell;
@@ -17,6 +17,10 @@
 
 /// Maximum size of a reply's body, in bytes.
 const MAX_REPLY_BYTES: usize = 32 << 20;
+/// Largest read buffer of a connection, in bytes.
+const MAX_READ_BUFFER: usize = 64 << 10;
+/// How many bytes of a reply may complete neither a head nor a piece of a body.
+const MAX_BYTES_WITHOUT_PROGRESS: u64 = 8 * MAX_READ_BUFFER as u64;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Why a call returned no complete reply.
@@ -46,6 +50,7 @@
 
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    meter: ReadMeter,
     _driver: smol::Task<()>,
 }
 
@@ -84,8 +89,10 @@
             Some(open) => open,
             None => self.connect().await?,
         };
+        open.meter.on_progress();
         let answer = open.sender.send_request(request).await.map_err(|_| CallError::Broken)?;
         let (head, body) = answer.into_parts();
+        let body = MeteredBody::new(body, open.meter.clone());
         let body = read_limited(body, MAX_REPLY_BYTES).await;
         let body = body.map_err(|_| CallError::Broken)?;
         *self.idle.borrow_mut() = Some(open);
@@ -98,12 +105,21 @@
         let stream = connected.ok().and_then(Result::ok).ok_or(CallError::Unreachable)?;
         // The connection works without the option.
         let _ = stream.set_nodelay(true);
-        let opened = handshake(FuturesIo::new(stream)).await;
+        let meter = ReadMeter::new(MAX_BYTES_WITHOUT_PROGRESS);
+        let metered = MeteredStream::new(stream, meter.clone());
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_READ_BUFFER);
+        let opened = builder.handshake(FuturesIo::new(metered)).await;
         let (sender, driver) = opened.map_err(|_| CallError::Unreachable)?;
         // An error of the driver also fails the call.
         let remote = Remote { kind: ConnectionKind::Source, address: self.address };
-        let driver = async move { driver.await.unwrap_or_default() };
+        let (runtime, reported) = (self.runtime, meter.clone());
+        let driver = async move {
+            let ended = driver.await;
+            report_excess(runtime, remote, &reported);
+            ended.unwrap_or_default()
+        };
         let driver = self.runtime.spawn(watched(self.runtime, remote, driver));
-        Ok(OpenConnection { sender, _driver: driver })
+        Ok(OpenConnection { sender, meter, _driver: driver })
     }
 }
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -28,6 +28,7 @@
     SourceCondition, SourceContact, SpeedChange, Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
+use mastbay_web::ExcessBytes;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -322,6 +323,16 @@
     tracing::info!(event = "answer_unread", caller = %caller, waited_ms = WRITE_TIMEOUT.as_millis() as u64);
 }
 
+/// Logs that a connection was closed because its other side sent bytes that completed nothing.
+pub fn excess_bytes(remote: Remote, excess: ExcessBytes) {
+    tracing::warn!(
+        event = "excess_bytes",
+        connection = %remote.kind,
+        remote = %remote.address,
+        bytes = excess.bytes,
+    );
+}
+
 /// Logs that one connection kept the router's thread for `lasted`: nothing else was served meanwhile.
 pub fn long_turn(remote: Remote, lasted: Duration) {
     tracing::warn!(
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -22,13 +22,13 @@
 use crate::takeover::Takeover;
 use crate::ticket::Ticket;
 use crate::try_failure::TryCircumstances;
-use hyper::body::Incoming;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
     Attempt, BackEnd, BackEndId, ExecutionStatus, Fault, Placement, QuarantineStatus, Refusal,
     RouteKind,
 };
 use mastbay_types::Timestamp;
+use mastbay_web::MeteredBody;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -191,7 +191,7 @@
     async fn handle_answer(
         &mut self,
         head: http::response::Parts,
-        body: Incoming,
+        body: MeteredBody,
         connection: BackEndConnection,
         ticket: Ticket,
         placement: &Placement,
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -5,7 +5,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use mastbay_web::BodyError;
+use mastbay_web::{BodyError, MeteredBody, MeteredStream, ReadMeter};
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
@@ -24,7 +24,7 @@
 use crate::events;
 use crate::offload::HELLO_LENGTH;
 use crate::runtime::Runtime;
-use crate::watched_task::{ConnectionKind, Remote, watched};
+use crate::watched_task::{ConnectionKind, Remote, report_excess, watched};
 use crate::write_timeout::WriteTimeoutStream;
 
 /// The body of an answer. It is not `Send`: all connections are served on one thread.
@@ -58,6 +58,13 @@
     pub hello: Option<[u8; HELLO_LENGTH]>,
 }
 
+impl ListenerLimits {
+    /// Returns how many bytes of a caller may complete neither a head nor a piece of a body.
+    fn max_bytes_without_progress(&self) -> u64 {
+        (MAX_BYTES_WITHOUT_PROGRESS).max(2 * self.head_bytes as u64)
+    }
+}
+
 /// The result of an [`OverflowHandler`].
 pub enum OverflowResult {
     /// The connection was served elsewhere, or closed unread.
@@ -115,6 +122,9 @@
 /// How far a request's head may exceed its limit before the connection is closed, in bytes.
 const HEAD_SLACK: usize = 2 << 10;
 
+/// How many bytes of a caller may complete nothing, unless the limit of heads asks for more.
+const MAX_BYTES_WITHOUT_PROGRESS: u64 = 256 << 10;
+
 /// Length of the accept queue. The usual 128 overflows in bursts, and dropped connection attempts
 /// are retried only after a second or more.
 const BACKLOG: i32 = 1_024;
@@ -151,7 +161,7 @@
     open: OpenConnections,
     handler: impl Fn(SocketAddr) -> H,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<MeteredBody>) -> F + 'static,
     F: Future<Output = Response<LocalBody>> + 'static,
 {
     // Each connection holds a sender, so the channel closes when the last one has finished.
@@ -179,6 +189,7 @@
                 let open_guard = OpenGuard::new(&open);
                 let recorder = open.clone();
                 let on_write_timeout = Rc::new(move || recorder.record_write_timeout(from));
+                let remote = Remote { kind: ConnectionKind::Caller, address: from };
                 let task = async move {
                     let result = match overflow {
                         None => OverflowResult::ServeHere(stream),
@@ -188,12 +199,14 @@
                         // The connection works without the option.
                         let _ = stream.set_nodelay(true);
                         let stream = WriteTimeoutStream::new(stream, runtime, on_write_timeout);
-                        serve_connection(runtime, stream, limits, stop, handler).await;
+                        let meter = ReadMeter::new(limits.max_bytes_without_progress());
+                        let stream = MeteredStream::new(stream, meter.clone());
+                        serve_connection(runtime, stream, &meter, limits, stop, handler).await;
+                        report_excess(runtime, remote, &meter);
                     }
                     drop(open_guard);
                     drop(alive);
                 };
-                let remote = Remote { kind: ConnectionKind::Caller, address: from };
                 runtime.spawn(watched(runtime, remote, task)).detach();
             }
             Some(Err(_)) => runtime.sleep(ACCEPT_BACKOFF).await,
@@ -256,12 +269,13 @@
 
 async fn serve_connection<H, F>(
     runtime: Runtime,
-    mut stream: WriteTimeoutStream<TcpStream>,
+    mut stream: MeteredStream<WriteTimeoutStream<TcpStream>>,
+    meter: &ReadMeter,
     limits: ListenerLimits,
     stop: StopSignal,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<MeteredBody>) -> F + 'static,
     F: Future<Output = Response<LocalBody>> + 'static,
 {
     if let Some(hello) = limits.hello
@@ -270,8 +284,9 @@
         return;
     }
     let close_after = limits.max_age.map(|age| runtime.now() + age);
-    let service = service_fn(move |request| {
-        let answer = handler(request);
+    let meter = meter.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = handler(request.map(|body| MeteredBody::new(body, meter.clone())));
         async move {
             let mut answer = answer.await;
             if close_after.is_some_and(|close_after| runtime.now() >= close_after) {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -80,6 +80,7 @@
     quarantined_calls: Counter,
     write_timeouts: Counter,
     long_turns: Counter,
+    excessive: Counter,
     broken_streams: Family<BrokenStreamLabels, Counter>,
     engines_by_speed: Family<SpeedLabels, Gauge>,
     prefix_sources: Counter,
@@ -116,6 +117,7 @@
             quarantined_calls: Counter::default(),
             write_timeouts: Counter::default(),
             long_turns: Counter::default(),
+            excessive: Counter::default(),
             broken_streams: Family::default(),
             engines_by_speed: Family::default(),
             prefix_sources: Counter::default(),
@@ -180,6 +182,9 @@
         let name = "mastbay_router_long_turns";
         let help = "turns of one connection for which nothing else was served";
         registry.register(name, help, metrics.long_turns.clone());
+        let name = "mastbay_router_excessive_connections";
+        let help = "connections closed since their other sides sent bytes that completed nothing";
+        registry.register(name, help, metrics.excessive.clone());
         let name = "mastbay_router_broken_streams";
         let help = "streams cut within their answers, by reason";
         registry.register(name, help, metrics.broken_streams.clone());
@@ -336,6 +341,11 @@
         self.long_turns.inc_by(u64::from(turns));
     }
 
+    /// Counts connections closed for bytes that completed nothing.
+    pub fn on_excessive(&self, connections: u32) {
+        self.excessive.inc_by(u64::from(connections));
+    }
+
     /// Counts a stream that is cut within its answer.
     pub fn on_broken_stream(&self, reason: &'static str) {
         self.broken_streams.get_or_create(&BrokenStreamLabels { reason }).inc();
--- a/crates/router/src/operations.rs
+++ b/crates/router/src/operations.rs
@@ -5,8 +5,8 @@
 use crate::router::Router;
 use crate::snapshots::{SNAPSHOT_PATH, known_versions};
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use mastbay_web::MeteredBody;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 use std::rc::Rc;
@@ -24,7 +24,7 @@
 pub fn operations(
     router: &Rc<Router>,
     registry: &Registry,
-    request: &Request<Incoming>,
+    request: &Request<MeteredBody>,
 ) -> Response<LocalBody> {
     match request.uri().path() {
         SNAPSHOT_PATH => snapshot(router, request.uri().query()),
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -5,15 +5,14 @@
 use crate::connect_gate::ConnectGate;
 use crate::runtime::Runtime;
 use crate::throttled_reader::{ReadInterval, ThrottledReader};
-use crate::watched_task::{ConnectionKind, Remote, watched};
+use crate::watched_task::{ConnectionKind, Remote, report_excess, watched};
 use derive_more::{Display, Error};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use mastbay_routing::{BackEnd, BackEndId, ConnectionBounds};
 use mastbay_types::Timestamp;
-use mastbay_web::{Counted, WriteCount};
+use mastbay_web::{Counted, MeteredBody, MeteredStream, ReadMeter, WriteCount};
 use prometheus_client::metrics::counter::Counter;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -33,6 +32,9 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 /// Read buffer of a connection, in bytes; the minimum that hyper accepts.
 const READ_BUFFER: usize = 8 << 10;
+/// How many bytes of a back end may complete neither a head nor a piece of a body: many times what is
+/// read ahead of a slow caller.
+const MAX_BYTES_WITHOUT_PROGRESS: u64 = 8 * READ_BUFFER as u64;
 
 /// Why no connection is available. Nothing was sent.
 #[derive(Debug, Display, Error)]
@@ -54,6 +56,8 @@
 pub struct ExchangeError {
     /// Whether any byte of the request may have been sent.
     pub written: bool,
+    /// Whether the back end sent too many bytes that completed nothing.
+    pub is_excessive: bool,
 }
 
 /// An open connection. Dropping it closes it immediately. If it still waits for the head of an
@@ -66,6 +70,7 @@
     awaits_head: bool,
     sender: SendRequest<ChunkedBody>,
     written: WriteCount,
+    meter: ReadMeter,
     interval: ReadInterval,
     idle_timeout: Duration,
     _driver: smol::Task<()>,
@@ -81,12 +86,23 @@
     pub async fn exchange(
         &mut self,
         request: Request<ChunkedBody>,
-    ) -> Result<Response<Incoming>, ExchangeError> {
+    ) -> Result<Response<MeteredBody>, ExchangeError> {
         let before = self.written.get();
+        self.meter.on_progress();
         self.awaits_head = true;
         let answer = self.sender.send_request(request).await;
         self.awaits_head = false;
-        answer.map_err(|_| ExchangeError { written: self.written.get() > before })
+        let answer = answer.map_err(|_| ExchangeError {
+            written: self.written.get() > before,
+            is_excessive: self.has_excess_bytes(),
+        })?;
+        Ok(answer.map(|body| MeteredBody::new(body, self.meter.clone())))
+    }
+
+    /// Returns whether reading has failed because the back end sent too many bytes that completed
+    /// nothing.
+    pub fn has_excess_bytes(&self) -> bool {
+        self.meter.excess().is_some()
     }
 
     /// Sets the interval between reads. With `None`, bytes are read as they arrive.
@@ -282,15 +298,20 @@
             self.runtime,
             interval.clone(),
         );
+        let meter = ReadMeter::new(MAX_BYTES_WITHOUT_PROGRESS);
+        let metered = MeteredStream::new(throttled, meter.clone());
         let mut builder = Builder::new();
         builder.max_buf_size(READ_BUFFER);
-        let (sender, driver) = builder
-            .handshake(FuturesIo::new(throttled))
-            .await
-            .map_err(|_| PoolError::Unreachable)?;
+        let (sender, driver) =
+            builder.handshake(FuturesIo::new(metered)).await.map_err(|_| PoolError::Unreachable)?;
         // An error of the driver also fails the exchange.
         let remote = Remote { kind: ConnectionKind::BackEnd, address: back_end.address };
-        let driver = async move { driver.await.unwrap_or_default() };
+        let (runtime, reported) = (self.runtime, meter.clone());
+        let driver = async move {
+            let ended = driver.await;
+            report_excess(runtime, remote, &reported);
+            ended.unwrap_or_default()
+        };
         let driver = self.runtime.spawn(watched(self.runtime, remote, driver));
         let idle_timeout = DEFAULT_IDLE_TIMEOUT;
         Ok(BackEndConnection {
@@ -298,6 +319,7 @@
             awaits_head: false,
             sender,
             written,
+            meter,
             interval,
             idle_timeout,
             _driver: driver,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -19,11 +19,11 @@
 use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::{StatusCode, http};
 use mastbay_routing::{Attempt, BackEndId, Fault, Placement, QuarantineStatus};
 use mastbay_types::Timestamp;
-use mastbay_web::BodyError;
+use mastbay_web::{BodyError, MeteredBody};
 use smol::stream::{Stream, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
@@ -147,6 +147,9 @@
                 }
                 SourceRead::Bytes(frame.into_data().unwrap_or_default())
             }
+            Ok(Some(Err(_))) if source.connection.has_excess_bytes() => {
+                SourceRead::Broken("excess_bytes")
+            }
             Ok(Some(Err(_))) => SourceRead::Broken("broke_off"),
             Ok(None) => SourceRead::End,
             Err(_) if left <= IDLE_TIMEOUT => SourceRead::DeadlineExceeded,
@@ -354,7 +357,7 @@
     async fn open_rest(
         &self,
         placement: &Placement,
-    ) -> Result<(http::response::Parts, Incoming, BackEndConnection), Fault> {
+    ) -> Result<(http::response::Parts, MeteredBody, BackEndConnection), Fault> {
         self.call.record_placement(placement, self.router.now());
         self.router.metrics.on_placement(placement.choice);
         let sender = RequestSender {
--- a/crates/router/src/request_body.rs
+++ b/crates/router/src/request_body.rs
@@ -2,7 +2,8 @@
 
 use crate::body_budget::BodyBudget;
 use crate::reserved_buffer::{ReserveBodyError, ReservedBody, ReservedBuffer};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
+use mastbay_web::MeteredBody;
 
 /// Reads a whole body of at most `limit` bytes. Memory is reserved before: all of it if the length
 /// is known, otherwise a part, and more as the body arrives.
@@ -11,7 +12,7 @@
 /// If the body is too large, is incomplete, or has no room in the budget.
 pub async fn read_request_body(
     budget: &BodyBudget,
-    body: Incoming,
+    body: MeteredBody,
     limit: usize,
 ) -> Result<ReservedBody, ReserveBodyError> {
     let length = body.size_hint().exact();
--- a/crates/router/src/reserved_buffer.rs
+++ b/crates/router/src/reserved_buffer.rs
@@ -3,7 +3,7 @@
 use crate::body_budget::{BodyBudget, BodyReservation};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use mastbay_web::MeteredBody;
 
 /// Why a body was not received completely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,7 +62,7 @@
     pub async fn read(
         mut self,
         budget: &BodyBudget,
-        mut body: Incoming,
+        mut body: MeteredBody,
     ) -> Result<ReservedBody, ReserveBodyError> {
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| ReserveBodyError::Broken)?;
--- a/crates/router/src/runtime.rs
+++ b/crates/router/src/runtime.rs
@@ -6,12 +6,12 @@
 //! tasks sleep until aligned ticks, so that an idle router is rarely woken.
 
 use crate::clock::Clock;
+use crate::watched_task::ConnectionTroubles;
 use mastbay_types::Timestamp;
 use mastbay_web::TimedOut;
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
-use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
@@ -33,8 +33,7 @@
     requests: &'static LocalExecutor<'static>,
     control: &'static LocalExecutor<'static>,
     timers: &'static TimerQueue,
-    /// Turns of watched tasks that took long, since they were last taken.
-    long_turns: &'static Cell<u32>,
+    troubles: &'static ConnectionTroubles,
 }
 
 impl Runtime {
@@ -44,13 +43,7 @@
         let requests: &'static LocalExecutor<'static> = Box::leak(Box::default());
         let control: &'static LocalExecutor<'static> = Box::leak(Box::default());
         control.spawn(timers.run()).detach();
-        Self {
-            executor: requests,
-            requests,
-            control,
-            timers,
-            long_turns: Box::leak(Box::default()),
-        }
+        Self { executor: requests, requests, control, timers, troubles: Box::leak(Box::default()) }
     }
 
     /// Returns a handle for control tasks: peers, sources and readiness. They run before tasks that
@@ -69,14 +62,9 @@
         self.executor.spawn(future)
     }
 
-    /// Counts a turn of a task that took long.
-    pub(crate) fn record_long_turn(self) {
-        self.long_turns.set(self.long_turns.get().saturating_add(1));
-    }
-
-    /// Returns the number of turns that took long since the last call.
-    pub(crate) fn take_long_turns(self) -> u32 {
-        self.long_turns.take()
+    /// Returns the counts of troubles with connections.
+    pub(crate) fn troubles(self) -> &'static ConnectionTroubles {
+        self.troubles
     }
 
     /// Returns the time since the machine started, suspensions included.
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -12,10 +12,10 @@
 use crate::run_progress::RunProgress;
 use crate::takeover::Takeover;
 use crate::try_failure::{FailureCause, TryFailure};
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, Response, Uri, http};
 use mastbay_routing::{Attempt, BackEnd, BackEndId, ConnectionBounds, Fault, Placement};
+use mastbay_web::MeteredBody;
 use std::cell::{Cell, RefCell};
 use std::pin::pin;
 use std::rc::Rc;
@@ -33,7 +33,7 @@
 /// The outcome of sending a request to one back end.
 pub enum SendOutcome {
     /// The head of an answer, its body and the connection.
-    Answered(http::response::Parts, Incoming, Box<BackEndConnection>),
+    Answered(http::response::Parts, MeteredBody, Box<BackEndConnection>),
     /// Nothing was sent.
     NotSent(TryFailure),
     /// The back end answered that it did not run the request.
@@ -111,11 +111,15 @@
                 self.attempt.borrow_mut().on_nothing_written();
                 SendOutcome::not_sent(Fault::Full, FailureCause::ClosedBeforeSend)
             }
-            Some(Err(_)) => {
+            Some(Err(error)) => {
                 pending.on_arrived();
                 let progress = RunProgress::Waiting;
                 broken_connections::record(self.router, self.call, &back_end.id, progress);
-                SendOutcome::lost(FailureCause::BrokeAfterSend)
+                SendOutcome::lost(if error.is_excessive {
+                    FailureCause::ExcessBytes
+                } else {
+                    FailureCause::BrokeAfterSend
+                })
             }
             None => SendOutcome::lost(FailureCause::Silent),
         }
@@ -160,7 +164,7 @@
         connection: &mut BackEndConnection,
         request: Request<ChunkedBody>,
         placement: &Placement,
-    ) -> Option<Result<Response<Incoming>, ExchangeError>> {
+    ) -> Option<Result<Response<MeteredBody>, ExchangeError>> {
         let mut exchange = pin!(connection.exchange(request));
         let silence = self
             .call
@@ -192,7 +196,7 @@
 
     fn read_head(
         &self,
-        answer: Response<Incoming>,
+        answer: Response<MeteredBody>,
         mut connection: BackEndConnection,
         back_end: &BackEnd,
     ) -> SendOutcome {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -11,11 +11,12 @@
 use crate::reserved_buffer::{ReserveBodyError, ReservedBody};
 use crate::router::Router;
 use crate::stream_origins::{self, Resumption};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, http};
 use mastbay_routing::{Route, RouteTable};
 use mastbay_types::Timestamp;
+use mastbay_web::MeteredBody;
 use std::cell::{OnceCell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -64,7 +65,7 @@
 pub async fn serve_request(
     router: Rc<Router>,
     ingress: Ingress,
-    request: Request<Incoming>,
+    request: Request<MeteredBody>,
 ) -> Response<LocalBody> {
     let arrival = Arrival { at: router.now(), earliest: router.earliest_arrival(), ingress };
     router.wait_until_up_to_date().await;
@@ -101,7 +102,7 @@
     router: &Rc<Router>,
     arrival: Arrival,
     parts: http::request::Parts,
-    body: Incoming,
+    body: MeteredBody,
 ) -> Result<Call, Rejection> {
     let forwarded_by = arrival.ingress.forwarded_by();
     let ingress = arrival.ingress.clone();
--- a/crates/router/src/stream_source.rs
+++ b/crates/router/src/stream_source.rs
@@ -4,9 +4,9 @@
 use crate::pool::BackEndConnection;
 use crate::run_progress::BodyTimes;
 use crate::ticket::Ticket;
-use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use mastbay_routing::{BackEnd, BackEndId};
+use mastbay_web::MeteredBody;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -19,7 +19,7 @@
     /// The connection, which is reused after the end of the stream.
     pub connection: BackEndConnection,
     /// The body of the answer.
-    pub body: Incoming,
+    pub body: MeteredBody,
     /// Whether the end of the body is marked, so that a truncated stream is detected.
     pub is_delimited: bool,
     /// When the body was received.
@@ -33,7 +33,7 @@
         back_end: &BackEnd,
         connection: BackEndConnection,
         headers: &HeaderMap,
-        body: Incoming,
+        body: MeteredBody,
     ) -> Self {
         Self {
             ticket,
--- a/crates/router/src/ticks.rs
+++ b/crates/router/src/ticks.rs
@@ -101,7 +101,9 @@
         let full = self.open.take_refused();
         self.metrics.on_full(full);
         self.metrics.on_write_timeouts(self.open.take_write_timeouts());
-        self.metrics.on_long_turns(self.runtime.take_long_turns());
+        let troubles = self.runtime.troubles();
+        self.metrics.on_long_turns(troubles.take_long_turns());
+        self.metrics.on_excessive(troubles.take_excessive());
         recorder.record_full(full);
         if let Some(counts) = recorder.take_due(now) {
             events::connections_overflowed(counts, self.overload.borrow().lateness());
--- a/crates/router/src/try_failure.rs
+++ b/crates/router/src/try_failure.rs
@@ -30,6 +30,9 @@
     /// The connection broke after bytes were written.
     #[display("broke_after_send")]
     BrokeAfterSend,
+    /// The back end sent many bytes that are no head of an answer.
+    #[display("excess_bytes")]
+    ExcessBytes,
     /// No answer began within the silence timeout.
     #[display("silent")]
     Silent,
--- a/crates/router/src/watched_task.rs
+++ b/crates/router/src/watched_task.rs
@@ -4,6 +4,8 @@
 use crate::events;
 use crate::runtime::Runtime;
 use derive_more::Display;
+use mastbay_web::ReadMeter;
+use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -35,6 +37,43 @@
     pub address: SocketAddr,
 }
 
+/// Counts of troubles with connections, since they were last taken.
+#[derive(Debug, Default)]
+pub struct ConnectionTroubles {
+    long_turns: Cell<u32>,
+    excessive: Cell<u32>,
+}
+
+impl ConnectionTroubles {
+    /// Returns the number of turns that took long.
+    pub fn take_long_turns(&self) -> u32 {
+        self.long_turns.take()
+    }
+
+    /// Returns the number of connections closed because their other sides sent too many bytes that
+    /// completed nothing.
+    pub fn take_excessive(&self) -> u32 {
+        self.excessive.take()
+    }
+
+    fn record_long_turn(&self) {
+        self.long_turns.set(self.long_turns.get().saturating_add(1));
+    }
+
+    fn record_excessive(&self) {
+        self.excessive.set(self.excessive.get().saturating_add(1));
+    }
+}
+
+/// Logs and counts the end of a connection if its other side sent too many bytes that completed
+/// nothing.
+pub fn report_excess(runtime: Runtime, remote: Remote, meter: &ReadMeter) {
+    if let Some(excess) = meter.excess() {
+        runtime.troubles().record_excessive();
+        events::excess_bytes(remote, excess);
+    }
+}
+
 /// Runs the task of a connection. Logs and counts each of its turns that takes long.
 pub async fn watched<F: Future>(runtime: Runtime, remote: Remote, task: F) -> F::Output {
     let mut task = pin!(task);
@@ -43,7 +82,7 @@
         let polled = task.as_mut().poll(context);
         let lasted = began.elapsed();
         if lasted >= LONG_TURN {
-            runtime.record_long_turn();
+            runtime.troubles().record_long_turn();
             events::long_turn(remote, lasted);
         }
         polled
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -1,6 +1,7 @@
 //! A client connection that reports whether a failed exchange wrote any bytes.
 
 use crate::counted::{Counted, WriteCount};
+use crate::metered::{MeteredStream, ReadMeter};
 use crate::wait::within;
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -69,7 +70,8 @@
         let _ = stream.set_nodelay(true);
         let written = WriteCount::default();
         let counted = Counted::new(stream, written.clone());
-        let (sender, connection) = handshake(FuturesIo::new(counted))
+        let metered = MeteredStream::new(counted, ReadMeter::unlimited());
+        let (sender, connection) = handshake(FuturesIo::new(metered))
             .await
             .map_err(|source| ConnectError::Handshake { address, source })?;
         // An error of the driver is also returned by the exchange in progress.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,6 +7,7 @@
 mod counted;
 mod handshakes;
 mod idle;
+mod metered;
 mod server;
 mod wait;
 
@@ -15,6 +16,7 @@
 pub use connection::{ConnectError, Connection, ExchangeError};
 pub use counted::{Counted, WriteCount};
 pub use idle::IdleConnections;
+pub use metered::{ExcessBytes, MeteredBody, MeteredStream, ReadMeter};
 pub use server::{BindError, Server, ServerConfig, Stopper};
 pub use wait::{TimedOut, within};
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::body::Body;
 use crate::handshakes::{HANDSHAKE_GRACE, refuse_handshakes};
+use crate::metered::{MeteredStream, ReadMeter};
 use crate::wait::within;
 use derive_more::{Display, Error};
 use hyper::body::Incoming;
@@ -276,12 +277,13 @@
             async move { Ok::<_, Infallible>(answer.await) }
         }
     });
+    let metered = MeteredStream::new(stream, ReadMeter::unlimited());
     let mut connection = pin!(
         http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(config.head_timeout)
             .max_buf_size(config.head_limit)
-            .serve_connection(FuturesIo::new(stream), service)
+            .serve_connection(FuturesIo::new(metered), service)
     );
     let ended = async { Some(connection.as_mut().await) };
     let stopped = async {
--- a/crates/web/src/tests.rs
+++ b/crates/web/src/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of connections, streamed bodies and the graceful shutdown of the server.
 
 use crate::{
-    Body, BodyError, Connection, IdleConnections, Server, ServerConfig, Stopper, full,
-    read_limited, streamed, within,
+    Body, BodyError, Connection, IdleConnections, MeteredStream, ReadMeter, Server, ServerConfig,
+    Stopper, full, read_limited, streamed, within,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -160,3 +160,34 @@
         assert_eq!(broken, 0, "connections that were let in broke in {STOPS} stops");
     });
 }
+
+/// Guards against a connection that keeps its thread, and its parser, for as long as the other side
+/// sends bytes that complete nothing.
+#[test]
+fn a_metered_stream_lets_other_tasks_run_and_ends_without_progress() {
+    const LIMIT: u64 = 1 << 20;
+    let meter = ReadMeter::new(LIMIT);
+    let mut stream = MeteredStream::new(smol::io::repeat(b'x'), meter.clone());
+    let mut buffer = [0; 4 << 10];
+    smol::block_on(async {
+        let read_until_pending = async |stream: &mut MeteredStream<_>, buffer: &mut [u8]| {
+            let mut bytes = 0;
+            while let Some(read) = smol::future::poll_once(stream.read(buffer)).await {
+                bytes += read? as u64;
+            }
+            std::io::Result::Ok(bytes)
+        };
+        let turn = read_until_pending(&mut stream, &mut buffer).await.expect("within the limit");
+        assert!((1..LIMIT / 8).contains(&turn), "{turn} bytes in a turn");
+        for _ in 0..2 * LIMIT / turn {
+            read_until_pending(&mut stream, &mut buffer).await.expect("within the limit");
+            meter.on_progress();
+        }
+        let mut read = 0;
+        while let Ok(bytes) = read_until_pending(&mut stream, &mut buffer).await {
+            read += bytes;
+        }
+        assert!((LIMIT / 2..=LIMIT).contains(&read), "{read} bytes without progress");
+        assert!(meter.excess().is_some());
+    });
+}
