Look at each byte of a stream once, and bound events without data

Cause: the end of an event was sought from its start at each read, and the end of each small event was sought to the end of the buffer for the other kind of line end. Nothing bounded what is no event.

Change: a read is searched once, from where the last one ended; an event's end is found in one pass. Over 64 KiB of events without data or number since the last one that has some is a failure (no_events), so that another engine is asked. The first event is the first with data.

--- a/crates/router/src/event_splitter.rs
+++ b/crates/router/src/event_splitter.rs
@@ -1,9 +1,13 @@
 //! Splits the bytes of an event stream into complete events.
+//!
+//! Each byte is looked at once, however small the events or however large a single one is.
 
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// The longest end of an event is four bytes long, so that many less one may have arrived before.
+const MAX_PARTIAL_END: usize = 3;
 
 /// Splits a byte stream after complete events, which end with an empty line.
 #[derive(Debug, Default)]
@@ -14,9 +18,10 @@
 impl EventSplitter {
     /// Appends bytes and returns all complete events in one buffer, if there are any.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let searched = self.partial.len().saturating_sub(MAX_PARTIAL_END);
         self.partial.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.partial)?;
-        Some(self.partial.split_to(end).freeze())
+        let end = end_of_last_event(&self.partial[searched..])?;
+        Some(self.partial.split_to(searched + end).freeze())
     }
 
     /// Returns the size of the buffered part of an incomplete event.
@@ -49,14 +54,25 @@
     })
 }
 
+/// Returns whether an event has data. One without, such as a comment, only keeps a stream alive.
+pub fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
+
 fn end_of_first_event(bytes: &[u8]) -> Option<usize> {
-    let feeds = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let returns = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    feeds.into_iter().chain(returns).min()
+    (0..bytes.len()).find_map(|at| end_at(bytes, at))
 }
 
 fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let feeds = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    feeds.into_iter().chain(returns).max()
+    (0..bytes.len()).rev().find_map(|at| end_at(bytes, at))
+}
+
+/// Returns the end of the event whose last line ends with the line feed at `at`.
+fn end_at(bytes: &[u8], at: usize) -> Option<usize> {
+    let rest = bytes[at..].strip_prefix(b"\n")?;
+    if rest.starts_with(b"\n") {
+        return Some(at + 2);
+    }
+    let ends_with_return = bytes[..at].ends_with(b"\r");
+    (ends_with_return && rest.starts_with(b"\r\n")).then_some(at + 3)
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::body_budget::{BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::broken_connections::{self, BackEndFate};
 use crate::call::Call;
-use crate::event_splitter::{EventSplitter, events_of};
+use crate::event_splitter::{EventSplitter, events_of, has_data};
 use crate::events;
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::own_answers::record_end;
@@ -36,6 +36,8 @@
 const EVENT_COPIES: u64 = 4;
 /// Time without data after which a resumable stream is resumed from another back end.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Bytes of events without data, such as comments, between two events that have some.
+const MAX_BLANK_BYTES: usize = 64 << 10;
 /// Maximum number of times that a stream is resumed.
 const MAX_RESUMES: u32 = 2;
 
@@ -48,7 +50,10 @@
     source: Option<StreamSource>,
     splitter: EventSplitter,
     last_event: Option<u64>,
+    /// Events with data that were relayed.
     events: u64,
+    /// Bytes of events without data since the last one that has some.
+    blank_bytes: usize,
     last_relayed: Timestamp,
     resumes: u32,
     tried: Vec<BackEndId>,
@@ -88,6 +93,7 @@
             splitter: EventSplitter::default(),
             last_event: call.head.last_event,
             events: 0,
+            blank_bytes: 0,
             last_relayed: router.now(),
             resumes: 0,
             tried,
@@ -167,14 +173,7 @@
             return Err(NO_MEMORY);
         }
         let Some(complete) = complete else { return Ok(None) };
-        if let Some(source) = &self.source {
-            source.ticket.on_first_event();
-            source.connection.set_read_interval(self.router.batching_interval());
-        }
-        self.record_pause();
-        if self.events == 0 {
-            self.on_first_event();
-        }
+        let is_first = self.events == 0;
         let mut arrived = 0;
         let mut relayed = BytesMut::with_capacity(complete.len());
         for event in events_of(&complete) {
@@ -184,15 +183,34 @@
                 continue;
             }
             self.last_event = number.or(self.last_event);
-            self.events += 1;
+            self.count(&event, number);
             relayed.extend_from_slice(&event);
         }
+        if self.blank_bytes > MAX_BLANK_BYTES {
+            return Err("no_events");
+        }
+        if is_first && self.events > 0 {
+            self.on_first_event();
+        }
+        self.record_pause();
         if let Some(source) = &self.source {
+            source.ticket.on_first_event();
             source.ticket.on_events(arrived);
+            source.connection.set_read_interval(self.router.batching_interval());
         }
         Ok((!relayed.is_empty()).then(|| relayed.freeze()))
     }
 
+    /// Counts an event that is relayed.
+    fn count(&mut self, event: &[u8], number: Option<u64>) {
+        if number.is_some() || has_data(event) {
+            self.events += 1;
+            self.blank_bytes = 0;
+        } else {
+            self.blank_bytes += event.len();
+        }
+    }
+
     fn on_first_event(&self) {
         self.call.record_first_event(self.router.now());
         self.router.metrics.on_first_event(&self.call, self.router.now());
