Begin the answer of a stream with its first event

Cause: the head was handed on as soon as it came. When the body then broke, nothing but closing the connection was left, and the HTTP library drops a head that it hasn't written.

Change: the relay waits for the first event (or the regular end) before the answer begins. If there is none, the stream is continued elsewhere where its route allows that, else its caller is told 502, or 504 at the deadline. An error within a stream is passed on one turn later, so that events received before are written.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::broken_connections::{self, BackEndFate};
 use crate::buffered_answer::{BufferedAnswerError, read_answer};
 use crate::call::Call;
+use crate::continuation::Continuation;
 use crate::dialect::OwnAnswer;
 use crate::events;
 use crate::headers::{is_delimited, remove_hop_by_hop};
@@ -12,16 +13,16 @@
 use crate::own_answers::{own_answer, record_end};
 use crate::pool::BackEndConnection;
 use crate::quarantine;
-use crate::relay::{Relay, StreamBody};
+use crate::relay::{OUT_OF_TIME, Relay};
 use crate::reserved_buffer::ReservedBody;
 use crate::retries::RequestRetries;
 use crate::router::Router;
 use crate::run_progress::RunProgress;
-use crate::send::{RequestSender, SendOutcome};
+use crate::send::{RequestSender, SendOutcome, circumstances};
+use crate::stream_body::StreamBody;
 use crate::stream_source::StreamSource;
 use crate::takeover::Takeover;
 use crate::ticket::Ticket;
-use crate::try_failure::TryCircumstances;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
     Attempt, BackEnd, BackEndId, ExecutionStatus, Fault, Placement, QuarantineStatus, Refusal,
@@ -57,15 +58,15 @@
 pub enum ExchangeResult {
     /// A complete answer from a back end.
     Answer(http::response::Parts, ReservedBody, BackEndId),
-    /// The head of a stream; the body follows.
-    Stream(http::response::Parts, Box<Relay>),
+    /// The head of a stream and its body, which has begun.
+    Stream(http::response::Parts, Box<StreamBody>),
     /// No answer was obtained. Holds the router's own answer and the logged reason.
     GivenUp(OwnAnswer, &'static str),
 }
 
 impl Exchange {
-    /// Runs the exchange until there is a complete answer or the head of a stream, or until the
-    /// deadline.
+    /// Runs the exchange until there is a complete answer or the first event of a stream, or until
+    /// the deadline.
     pub async fn run(router: &Rc<Router>, call: Rc<Call>) -> Response<LocalBody> {
         let route = &call.entry.route;
         let attempt = Attempt::new(route.is_idempotent(), route.max_attempts);
@@ -168,7 +169,7 @@
                 (failure, "lost")
             }
         };
-        let circumstances = self.circumstances(placement, began);
+        let circumstances = circumstances(&self.router, &self.call, placement, began);
         events::try_failed(&self.call, placement, failure, reason, circumstances);
         self.call.trace.borrow_mut().last_failure = Some(failure.cause);
         ticket.fail(failure.fault);
@@ -177,15 +178,6 @@
         if may_retry { None } else { Some(self.give_up(reason)) }
     }
 
-    fn circumstances(&self, placement: &Placement, began: Timestamp) -> TryCircumstances {
-        let dispatcher = self.router.dispatcher.borrow();
-        TryCircumstances {
-            send: self.call.trace.borrow().sends,
-            took: self.router.now().since(began),
-            has_responded: dispatcher.has_responded_since(&placement.back_end.id, began),
-        }
-    }
-
     /// Starts relaying a stream, or reads a complete answer. Returns `None` if the request may be
     /// sent to another back end.
     async fn handle_answer(
@@ -200,10 +192,7 @@
         if self.call.entry.route.kind == RouteKind::Streaming && head.status == StatusCode::OK {
             let back_end = &placement.back_end;
             let source = StreamSource::new(ticket, back_end, connection, &head.headers, body);
-            let tried = std::mem::take(&mut self.tried);
-            let relay =
-                Relay::new(&self.router, &self.call, &self.attempt, &self.retries, source, tried);
-            return Some(ExchangeResult::Stream(head, Box::new(relay)));
+            return Some(self.begin_stream(head, source).await);
         }
         let body = match read_answer(self.router.runtime, &self.router.bodies, body).await {
             Ok(body) => body,
@@ -239,6 +228,25 @@
         Some(ExchangeResult::Answer(head, body, id))
     }
 
+    /// Relays a stream, if there is a first event of it.
+    async fn begin_stream(
+        &mut self,
+        head: http::response::Parts,
+        source: StreamSource,
+    ) -> ExchangeResult {
+        let tried = std::mem::take(&mut self.tried);
+        let continuation =
+            Continuation::new(&self.router, &self.call, &self.attempt, &self.retries, tried);
+        let mut relay = Relay::new(&self.router, &self.call, source, continuation);
+        match relay.begin().await {
+            Ok(received) => {
+                ExchangeResult::Stream(head, Box::new(StreamBody::new(relay, received)))
+            }
+            Err(OUT_OF_TIME) => out_of_time(&self.attempt.borrow()),
+            Err(failure) => self.give_up(failure),
+        }
+    }
+
     async fn fate_after_answer(&self, back_end: &BackEnd) -> BackEndFate {
         let (id, address) = (&back_end.id, back_end.address);
         let progress = RunProgress::Started;
@@ -368,9 +376,9 @@
             *response.headers_mut() = head.headers;
             response
         }
-        ExchangeResult::Stream(mut head, relay) => {
+        ExchangeResult::Stream(mut head, body) => {
             remove_hop_by_hop(&mut head.headers);
-            let body: LocalBody = Box::pin(StreamBody::new(*relay));
+            let body: LocalBody = Box::into_pin(body);
             let mut response = Response::new(body);
             *response.headers_mut() = head.headers;
             response
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,53 +1,46 @@
 //! Relays an event stream to its caller. Only complete events are relayed, so that a broken stream
-//! can be resumed from another back end if its route allows that.
+//! can be continued from another back end if its route allows that.
 
 use crate::body_budget::{BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::broken_connections::{self, BackEndFate};
 use crate::call::Call;
+use crate::continuation::Continuation;
 use crate::event_splitter::{EventSplitter, events_of, has_data};
 use crate::events;
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::own_answers::record_end;
-use crate::pool::BackEndConnection;
 use crate::quarantine;
-use crate::retries::RequestRetries;
 use crate::router::Router;
-use crate::send::{RequestSender, SendOutcome};
 use crate::stream_origins;
 use crate::stream_source::{StreamBackEnd, StreamSource};
-use crate::takeover::{self, Takeover};
-use crate::ticket::Ticket;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, SizeHint};
-use hyper::{StatusCode, http};
-use mastbay_routing::{Attempt, BackEndId, Fault, Placement, QuarantineStatus};
+use hyper::StatusCode;
+use hyper::body::Frame;
+use mastbay_routing::BackEndId;
 use mastbay_types::Timestamp;
-use mastbay_web::{BodyError, MeteredBody};
-use smol::stream::{Stream, StreamExt};
-use std::cell::{Cell, RefCell};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// Copies of a large event in memory: in the read buffer, in the splitter, as a complete event, and
 /// in hyper's write buffer.
 const EVENT_COPIES: u64 = 4;
-/// Time without data after which a resumable stream is resumed from another back end.
+/// Time without data after which another back end is asked to continue a stream.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Bytes of events without data, such as comments, between two events that have some.
 const MAX_BLANK_BYTES: usize = 64 << 10;
-/// Maximum number of times that a stream is resumed.
-const MAX_RESUMES: u32 = 2;
+
+/// Why a stream is not relayed any further, as a reason for the log.
+pub type StreamFailure = &'static str;
+/// The failure of a stream whose deadline has passed.
+pub const OUT_OF_TIME: StreamFailure = "out_of_time";
 
 /// A stream that is being relayed.
 pub struct Relay {
     router: Rc<Router>,
     call: Rc<Call>,
-    attempt: Rc<RefCell<Attempt>>,
-    retries: Rc<RequestRetries>,
     source: Option<StreamSource>,
+    continuation: Continuation,
     splitter: EventSplitter,
     last_event: Option<u64>,
     /// Events with data that were relayed.
@@ -55,12 +48,10 @@
     /// Bytes of events without data since the last one that has some.
     blank_bytes: usize,
     last_relayed: Timestamp,
-    resumes: u32,
-    tried: Vec<BackEndId>,
-    /// Where the stream is resumed, if it left a slow back end.
-    takeover: Cell<Option<Takeover>>,
     /// Memory reserved for large events.
     event_reservation: Option<BodyReservation>,
+    /// Whether the answer to the caller has begun, so that its end is recorded here.
+    has_begun: bool,
     is_recorded: bool,
 }
 
@@ -68,74 +59,105 @@
 enum SourceRead {
     Bytes(Bytes),
     End,
-    Broken(&'static str),
+    Broken(StreamFailure),
     IdleTimeout,
     DeadlineExceeded,
 }
 
 impl Relay {
-    /// Creates a relay for a stream whose head was received from `source`. The back ends in `tried`
-    /// are excluded when the stream is resumed.
+    /// Creates a relay for a stream whose head was received from `source`.
     pub fn new(
         router: &Rc<Router>,
         call: &Rc<Call>,
-        attempt: &Rc<RefCell<Attempt>>,
-        retries: &Rc<RequestRetries>,
         source: StreamSource,
-        tried: Vec<BackEndId>,
+        continuation: Continuation,
     ) -> Self {
         Self {
             router: router.clone(),
             call: call.clone(),
-            attempt: attempt.clone(),
-            retries: retries.clone(),
             source: Some(source),
+            continuation,
             splitter: EventSplitter::default(),
             last_event: call.head.last_event,
             events: 0,
             blank_bytes: 0,
             last_relayed: router.now(),
-            resumes: 0,
-            tried,
-            takeover: Cell::default(),
             event_reservation: None,
+            has_begun: false,
             is_recorded: false,
         }
     }
 
+    /// Waits for the first event with data, or the regular end of a stream without any. Returns
+    /// what was received. From then on, the relay records how the request ends.
+    ///
+    /// # Errors
+    /// If there is none. Nothing was sent to the caller yet, so the request can still be answered.
+    pub async fn begin(&mut self) -> Result<Bytes, StreamFailure> {
+        let mut received = BytesMut::new();
+        while self.events == 0 {
+            match self.next().await {
+                Some(Ok(events)) => received.extend_from_slice(&events),
+                Some(Err(failure)) => {
+                    self.close_source();
+                    return Err(failure);
+                }
+                None => break,
+            }
+        }
+        self.has_begun = true;
+        Ok(received.freeze())
+    }
+
+    /// Returns the next complete events for the caller, and `None` after the end of the stream.
+    /// Records a failure as the end of the request.
+    pub async fn next_or_abort(&mut self) -> Option<Result<Bytes, StreamFailure>> {
+        if self.is_recorded {
+            return None;
+        }
+        let next = self.next().await;
+        if let Some(Err(failure)) = next {
+            let back_end = self.close_source();
+            self.router.metrics.on_broken_stream(failure);
+            self.record_outcome(OutcomeKind::BrokenOff, Some(failure), back_end.as_ref());
+        }
+        next
+    }
+
     /// Returns the next complete events for the caller, and `None` after the regular end of the
     /// stream.
-    async fn next(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+    async fn next(&mut self) -> Option<Result<Bytes, StreamFailure>> {
         loop {
             let failure = match self.read().await {
                 SourceRead::Bytes(bytes) => match self.process(&bytes) {
-                    Ok(Some(events)) => return Some(Ok(Frame::data(events))),
-                    Ok(None) => continue,
-                    Err(reason) => reason,
+                    Ok(Some(events)) => return Some(Ok(events)),
+                    Ok(None) => None,
+                    Err(failure) => Some(failure),
                 },
                 SourceRead::End if self.splitter.is_inside_event() => {
                     self.record_broken_connection();
-                    "ended_inside_event"
+                    Some("ended_inside_event")
                 }
                 SourceRead::End => match self.back_end_fate().await {
-                    BackEndFate::Ended => "back_end_ended",
+                    BackEndFate::Ended => Some("back_end_ended"),
                     // A stream without any event whose end is not marked.
-                    BackEndFate::Leaving if self.events == 0 => "back_end_left",
+                    BackEndFate::Leaving if self.events == 0 => Some("back_end_left"),
                     fate => {
                         self.finish(fate);
                         return None;
                     }
                 },
-                SourceRead::IdleTimeout if !self.reserve_takeover() => continue,
-                SourceRead::IdleTimeout => "silent",
-                SourceRead::Broken(reason) => {
+                SourceRead::IdleTimeout => self.reserve_takeover().then_some("silent"),
+                SourceRead::Broken(failure) => {
                     self.record_broken_connection();
-                    reason
+                    Some(failure)
                 }
-                SourceRead::DeadlineExceeded => return self.abort("out_of_time"),
+                SourceRead::DeadlineExceeded => return Some(Err(OUT_OF_TIME)),
             };
-            if failure == NO_MEMORY || !self.resume(failure).await {
-                return self.abort(failure);
+            if let Some(failure) = failure
+                && (failure == NO_MEMORY || !self.replace_broken(failure).await)
+            {
+                return Some(Err(failure));
             }
         }
     }
@@ -147,19 +169,27 @@
         }
         let Some(source) = &mut self.source else { return SourceRead::Broken("no_source") };
         match self.router.runtime.within(left.min(IDLE_TIMEOUT), source.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
+            Ok(frame) => self.received(frame),
+            Err(_) if left <= IDLE_TIMEOUT => SourceRead::DeadlineExceeded,
+            Err(_) => SourceRead::IdleTimeout,
+        }
+    }
+
+    /// Evaluates what the current back end sent.
+    fn received(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> SourceRead {
+        let Some(source) = &mut self.source else { return SourceRead::Broken("no_source") };
+        match frame {
+            Some(Ok(frame)) => {
                 if source.times.on_received(self.router.now()) {
                     quarantine::on_sustained(&self.router, &self.call);
                 }
                 SourceRead::Bytes(frame.into_data().unwrap_or_default())
             }
-            Ok(Some(Err(_))) if source.connection.has_excess_bytes() => {
+            Some(Err(_)) if source.connection.has_excess_bytes() => {
                 SourceRead::Broken("excess_bytes")
             }
-            Ok(Some(Err(_))) => SourceRead::Broken("broke_off"),
-            Ok(None) => SourceRead::End,
-            Err(_) if left <= IDLE_TIMEOUT => SourceRead::DeadlineExceeded,
-            Err(_) => SourceRead::IdleTimeout,
+            Some(Err(_)) => SourceRead::Broken("broke_off"),
+            None => SourceRead::End,
         }
     }
 
@@ -194,7 +224,6 @@
         }
         self.record_pause();
         if let Some(source) = &self.source {
-            source.ticket.on_first_event();
             source.ticket.on_events(arrived);
             source.connection.set_read_interval(self.router.batching_interval());
         }
@@ -277,127 +306,42 @@
         }
     }
 
-    fn abort(&mut self, reason: &'static str) -> Option<Result<Frame<Bytes>, BodyError>> {
-        let source = self.source.take();
-        let back_end = source.as_ref().map(|source| source.back_end.id.clone());
-        if let Some(source) = source {
-            source.ticket.fail(Fault::Broken);
-        }
-        self.router.metrics.on_broken_stream(reason);
-        self.record_outcome(OutcomeKind::BrokenOff, Some(reason), back_end.as_ref());
-        Some(Err(BodyError))
-    }
-
-    fn may_resume(&self) -> bool {
-        self.call.entry.route.resumable
-            && self.resumes < MAX_RESUMES
-            && (self.events == 0 || self.call.origin.get().is_some())
-            && self.attempt.borrow().may_send_if_lost()
+    /// Closes the connection to the current back end and returns its ID.
+    fn close_source(&mut self) -> Option<BackEndId> {
+        self.source.take().map(StreamSource::close)
     }
 
-    /// Reserves a slot at another back end that may resume the stream. Returns whether there is one.
-    fn reserve_takeover(&mut self) -> bool {
-        if !self.may_resume() {
-            return false;
-        }
-        let current = self.source.iter().map(|source| &source.back_end.id);
-        let tried = self.tried.iter().chain(current).cloned().collect();
-        let takeover = Takeover::reserve(&self.router, &self.call, &self.retries, tried, true);
-        self.takeover.set(takeover);
-        self.takeover.get_mut().is_some()
-    }
-
-    /// Resumes the stream from another back end. Returns whether that succeeded.
-    async fn resume(&mut self, reason: &'static str) -> bool {
-        let may_resume = self.may_resume() && self.retries.is_available();
-        self.attempt.borrow_mut().on_lost();
-        let source = self.source.take();
-        let from = source.as_ref().map(|source| source.back_end.clone());
-        if let Some(source) = source {
-            source.ticket.fail(Fault::Broken);
-            self.tried.push(source.back_end.id);
+    /// Continues the stream at another back end, since the current one failed. Returns whether that
+    /// succeeded.
+    async fn replace_broken(&mut self, failure: StreamFailure) -> bool {
+        let is_allowed = self.continuation.is_allowed(self.events > 0);
+        let from = self.source.as_ref().map(|source| source.back_end.clone());
+        if let Some(source) = self.source.take() {
+            self.continuation.leave(source);
         }
         self.splitter.clear();
-        if !may_resume {
+        if !is_allowed {
             return false;
         }
         let left = self.call.time_left(self.router.now());
-        let status = quarantine::status(&self.router, &self.call);
-        match self.router.runtime.within(left, status).await {
-            Ok(QuarantineStatus::Clear | QuarantineStatus::Suspect) => {}
-            Ok(QuarantineStatus::Quarantined { .. }) | Err(_) => return false,
-        }
-        self.resumes += 1;
-        let left = self.call.time_left(self.router.now());
-        let source = self.router.runtime.within(left, self.next_source()).await.unwrap_or_default();
-        let to = source.as_ref().map(|source| &source.back_end);
-        events::stream_resumed(&self.call, reason, self.last_event, from.as_ref(), to);
-        self.source = source;
+        let next = self.continuation.after_break(self.last_event);
+        self.source = self.router.runtime.within(left, next).await.unwrap_or_default();
+        self.log_handover(failure, from.as_ref());
         self.source.is_some()
     }
 
-    async fn obtain_next(&self) -> Option<Takeover> {
-        let mut demand = takeover::demand_without(&self.router, &self.call, self.tried.clone());
-        demand.arrived = self.router.now();
-        let (ticket, placement) = Ticket::obtain(&self.router, demand).await.ok()?;
-        Some(Takeover { ticket, placement })
+    /// Reserves a slot at another back end that may continue the stream. Returns whether there is one.
+    fn reserve_takeover(&mut self) -> bool {
+        let is_allowed = self.continuation.is_allowed(self.events > 0);
+        let current = self.source.as_ref().map(|source| source.back_end.id.clone());
+        is_allowed && current.is_some_and(|current| self.continuation.reserve(&current))
     }
 
-    /// Opens the rest of the stream at another back end, and at a further one if that is left for
-    /// being slow.
-    async fn next_source(&mut self) -> Option<StreamSource> {
-        loop {
-            let next = match self.takeover.take() {
-                Some(takeover) => takeover,
-                None => self.obtain_next().await?,
-            };
-            let Takeover { ticket, placement } = next;
-            if !self.retries.hold() {
-                return None;
-            }
-            match self.open_rest(&placement).await {
-                Ok((head, body, connection)) => {
-                    let back_end = &placement.back_end;
-                    let source =
-                        StreamSource::new(ticket, back_end, connection, &head.headers, body);
-                    return Some(source);
-                }
-                Err(fault) => ticket.fail(fault),
-            }
-            self.tried.push(placement.back_end.id);
-            if self.takeover.get_mut().is_none() {
-                return None;
-            }
-        }
-    }
-
-    /// Requests the rest of the stream from one back end.
-    async fn open_rest(
-        &self,
-        placement: &Placement,
-    ) -> Result<(http::response::Parts, MeteredBody, BackEndConnection), Fault> {
-        self.call.record_placement(placement, self.router.now());
-        self.router.metrics.on_placement(placement.choice);
-        let sender = RequestSender {
-            router: &self.router,
-            call: &self.call,
-            attempt: &self.attempt,
-            retries: &self.retries,
-            tried: &self.tried,
-            takeover: &self.takeover,
-        };
-        match sender.send(placement, self.last_event, false).await {
-            SendOutcome::Answered(head, body, connection) if head.status == StatusCode::OK => {
-                self.attempt.borrow_mut().on_answer();
-                Ok((head, body, *connection))
-            }
-            SendOutcome::Answered(..) => Err(Fault::Failure),
-            SendOutcome::Lost(failure) => {
-                self.attempt.borrow_mut().on_lost();
-                Err(failure.fault)
-            }
-            SendOutcome::NotSent(failure) | SendOutcome::NotRun(failure) => Err(failure.fault),
-        }
+    /// Logs that the stream left `from`, or tried to, and where it goes on.
+    fn log_handover(&self, reason: &'static str, from: Option<&StreamBackEnd>) {
+        let to = self.source.as_ref().map(|source| &source.back_end);
+        let to = to.filter(|to| from.is_none_or(|from| from.id != to.id));
+        events::stream_resumed(&self.call, reason, self.last_event, from, to);
     }
 
     fn record_outcome(
@@ -421,43 +365,9 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if !self.is_recorded {
+        if self.has_begun && !self.is_recorded {
             let back_end = self.source.as_ref().map(|source| source.back_end.id.clone());
             self.record_outcome(OutcomeKind::CallerGone, None, back_end.as_ref());
         }
     }
 }
-
-/// The body of a stream's answer. Dropping it before the end closes the connection to the back end.
-pub struct StreamBody {
-    frames: Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, BodyError>>>>,
-}
-
-impl StreamBody {
-    /// Creates a body from a relay's events.
-    pub fn new(relay: Relay) -> Self {
-        let frames = smol::stream::unfold(Some(relay), |relay| async move {
-            let mut relay = relay?;
-            let frame = relay.next().await?;
-            let rest = frame.is_ok().then_some(relay);
-            Some((frame, rest))
-        });
-        Self { frames: Box::pin(frames) }
-    }
-}
-
-impl Body for StreamBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.frames.poll_next(context)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::default()
-    }
-}
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -11,10 +11,11 @@
 use crate::router::Router;
 use crate::run_progress::RunProgress;
 use crate::takeover::Takeover;
-use crate::try_failure::{FailureCause, TryFailure};
+use crate::try_failure::{FailureCause, TryCircumstances, TryFailure};
 use hyper::header::HOST;
 use hyper::{Request, Response, Uri, http};
 use mastbay_routing::{Attempt, BackEnd, BackEndId, ConnectionBounds, Fault, Placement};
+use mastbay_types::Timestamp;
 use mastbay_web::MeteredBody;
 use std::cell::{Cell, RefCell};
 use std::pin::pin;
@@ -84,16 +85,41 @@
         last_event: Option<u64>,
         detect_unwritten: bool,
     ) -> SendOutcome {
+        match self.connect_to(placement).await {
+            Ok(connection) => {
+                self.send_on(connection, placement, last_event, detect_unwritten).await
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Returns a connection on which the request may be sent now.
+    ///
+    /// # Errors
+    /// Why nothing can be sent, as the outcome of the attempt.
+    pub async fn connect_to(
+        &self,
+        placement: &Placement,
+    ) -> Result<BackEndConnection, SendOutcome> {
         let back_end = &placement.back_end;
         let connected = self.connect(placement).await;
         self.router.update_idle_connection(&back_end.id);
-        let mut connection = match connected {
-            Ok(connection) => connection,
-            Err(failure) => return SendOutcome::NotSent(failure),
-        };
-        if let Some(fault) = self.fault_before_send(back_end) {
-            return SendOutcome::not_sent(fault, FailureCause::Excluded);
+        let connection = connected.map_err(SendOutcome::NotSent)?;
+        match self.fault_before_send(back_end) {
+            Some(fault) => Err(SendOutcome::not_sent(fault, FailureCause::Excluded)),
+            None => Ok(connection),
         }
+    }
+
+    /// Like [`Self::send`], on a connection of [`Self::connect_to`].
+    pub async fn send_on(
+        &self,
+        mut connection: BackEndConnection,
+        placement: &Placement,
+        last_event: Option<u64>,
+        detect_unwritten: bool,
+    ) -> SendOutcome {
+        let back_end = &placement.back_end;
         let Some(request) = self.request(placement, last_event) else {
             return SendOutcome::not_sent(Fault::Broken, FailureCause::Unsendable);
         };
@@ -249,5 +275,20 @@
     }
 }
 
+/// Returns the circumstances of an attempt that began at `began` and failed.
+pub fn circumstances(
+    router: &Router,
+    call: &Call,
+    placement: &Placement,
+    began: Timestamp,
+) -> TryCircumstances {
+    let dispatcher = router.dispatcher.borrow();
+    TryCircumstances {
+        send: call.trace.borrow().sends,
+        took: router.now().since(began),
+        has_responded: dispatcher.has_responded_since(&placement.back_end.id, began),
+    }
+}
+
 /// Connections of the whole fleet to one back end while its service is not in the configuration.
 const DEFAULT_MAX_CONNECTIONS: u32 = 256;
--- /dev/null
+++ b/crates/router/src/stream_body.rs
@@ -0,0 +1,52 @@
+//! The body of a stream's answer.
+
+use crate::relay::Relay;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use mastbay_web::BodyError;
+use smol::future::yield_now;
+use smol::stream::{Stream, StreamExt};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+type Frames = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, BodyError>>>>;
+
+/// The body of a stream's answer. Dropping it before the end closes the connection to the back end.
+pub struct StreamBody {
+    frames: Frames,
+}
+
+impl StreamBody {
+    /// Creates a body from a relay that has begun, and the events that it has received so far.
+    pub fn new(relay: Relay, received: Bytes) -> Self {
+        let first = (!received.is_empty()).then_some(Ok(Frame::data(received)));
+        let rest = smol::stream::unfold(Some(relay), |relay| async move {
+            let mut relay = relay?;
+            match relay.next_or_abort().await? {
+                Ok(events) => Some((Ok(Frame::data(events)), Some(relay))),
+                Err(_) => {
+                    // The error closes the connection. What was sent before is written first.
+                    yield_now().await;
+                    Some((Err(BodyError), None))
+                }
+            }
+        });
+        Self { frames: Box::pin(smol::stream::iter(first).chain(rest)) }
+    }
+}
+
+impl Body for StreamBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.frames.poll_next(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
--- a/crates/router/src/stream_source.rs
+++ b/crates/router/src/stream_source.rs
@@ -5,7 +5,7 @@
 use crate::run_progress::BodyTimes;
 use crate::ticket::Ticket;
 use hyper::header::HeaderMap;
-use mastbay_routing::{BackEnd, BackEndId};
+use mastbay_routing::{BackEnd, BackEndId, Fault};
 use mastbay_web::MeteredBody;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,6 +46,14 @@
     }
 }
 
+impl StreamSource {
+    /// Closes the connection, since the back end is left. Returns the back end's ID.
+    pub fn close(self) -> BackEndId {
+        self.ticket.fail(Fault::Broken);
+        self.back_end.id
+    }
+}
+
 /// The back end of a stream, as it was when the stream was placed there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamBackEnd {
--- a/crates/router/src/try_failure.rs
+++ b/crates/router/src/try_failure.rs
@@ -42,6 +42,9 @@
     /// The back end answered that it has no capacity.
     #[display("rejected")]
     Rejected,
+    /// The back end answered with an error instead of a stream.
+    #[display("error_answer")]
+    ErrorAnswer,
     /// Another incarnation of a back end has the address.
     #[display("replaced")]
     Replaced,
