Keep a silent back end of a stream until another one has sent an event

Cause: the connection to the silent engine was closed first, then another one was asked. When that broke, refused or had no room, nothing was left. Class: what is held is given up before what replaces it is in hand.

Change: the silent engine is kept while the other is asked, and goes on if it speaks first. It is left once the other has sent an event with data, or 0.25 s after the request was sent there, since both may run it meanwhile. An engine that breaks off before its first event is left, and the silent one kept (stream_without_event). The large futures of both handovers are boxed: they made each request 10 kB larger (answer_memory failed at 25.6 MB of 25.2, and passes).

--- a/crates/router/src/continuation.rs
+++ b/crates/router/src/continuation.rs
@@ -1,22 +1,78 @@
 //! Continues a stream at another back end.
 
+use crate::broken_connections;
 use crate::call::Call;
 use crate::events;
 use crate::quarantine;
 use crate::retries::RequestRetries;
 use crate::router::Router;
 use crate::send::{RequestSender, SendOutcome, circumstances};
-use crate::stream_source::StreamSource;
+use crate::stream_source::{NextFrame, NoEvent, StreamSource};
 use crate::takeover::{self, Takeover};
 use crate::ticket::Ticket;
 use crate::try_failure::{FailureCause, TryFailure};
 use hyper::StatusCode;
 use mastbay_routing::{Attempt, BackEndId, Fault, Placement, QuarantineStatus};
+use mastbay_types::Timestamp;
+use smol::future::FutureExt;
 use std::cell::{Cell, RefCell};
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Maximum number of times that a stream is continued.
 const MAX_CONTINUATIONS: u32 = 2;
+/// Time for which a silent back end is kept once another one was sent the request. Both may run it
+/// meanwhile; a back end that breaks or rejects it does so sooner.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
+/// Interval between checks whether the request was sent.
+const OVERLAP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// When a request was sent to the back end that is asked to continue a stream; `None` before.
+#[derive(Debug, Default)]
+struct RequestSent(Cell<Option<Timestamp>>);
+
+impl RequestSent {
+    /// Waits until a silent back end can't be kept any longer beside the one that is asked.
+    async fn overlap_ended(&self, router: &Router) {
+        loop {
+            let overlap = self.0.get().map(|sent| router.now().since(sent));
+            if overlap.is_some_and(|overlap| overlap >= MAX_OVERLAP) {
+                return;
+            }
+            let left = overlap.map_or(OVERLAP_CHECK_INTERVAL, |overlap| MAX_OVERLAP - overlap);
+            router.runtime.sleep(left).await;
+        }
+    }
+}
+
+/// What became of a stream whose back end was silent.
+pub enum Handover {
+    /// No other back end continues it. It stays with the silent one.
+    Kept(StreamSource),
+    /// The silent back end went on with this frame before another one answered.
+    Recovered(StreamSource, NextFrame),
+    /// Another back end continues it. The silent one was left.
+    Replaced(StreamSource),
+    /// The silent back end was left, and the other one does not continue the stream.
+    Lost,
+}
+
+/// What came first while another back end was asked.
+enum First {
+    Asked(Option<StreamSource>),
+    Recovered(NextFrame),
+    /// Both may run the request for too long.
+    Overlapped,
+}
+
+/// The same with the silent back end, which may have been left.
+enum Raced {
+    Asked(StreamSource, Option<StreamSource>),
+    Recovered(StreamSource, NextFrame),
+    Left(BackEndId, Option<StreamSource>),
+}
+
 /// The other back ends that may continue a stream.
 pub struct Continuation {
     router: Rc<Router>,
@@ -26,6 +82,7 @@
     tried: Vec<BackEndId>,
     /// A slot at the back end that is asked next.
     takeover: Cell<Option<Takeover>>,
+    request_sent: Rc<RequestSent>,
     /// Times that the stream was continued.
     count: u32,
 }
@@ -47,6 +104,7 @@
             retries: retries.clone(),
             tried,
             takeover: Cell::default(),
+            request_sent: Rc::default(),
             count: 0,
         }
     }
@@ -91,12 +149,87 @@
                 None => self.obtain().await?,
             };
             if let Some(source) = self.ask(next, last_event).await {
+                self.request_sent.0.set(None);
                 return Some(source);
             }
         }
         None
     }
 
+    /// Asks the back ends at which slots are reserved to continue a stream, since the current one is
+    /// silent. Keeps that one until another has sent an event, as long as both may run the request.
+    pub async fn replace_silent(
+        &mut self,
+        mut silent: StreamSource,
+        last_event: Option<u64>,
+    ) -> Handover {
+        let request_sent = self.request_sent.clone();
+        let router = self.router.clone();
+        let raced = {
+            let mut asking = pin!(self.ask_reserved(last_event));
+            let asked = async { First::Asked(asking.as_mut().await) };
+            let recovered = async { First::Recovered(silent.next_frame().await) };
+            let overlapped = async {
+                request_sent.overlap_ended(&router).await;
+                First::Overlapped
+            };
+            let first = asked.or(recovered).or(overlapped).await;
+            match first {
+                First::Asked(source) => Raced::Asked(silent, source),
+                First::Recovered(frame) => Raced::Recovered(silent, frame),
+                First::Overlapped => Raced::Left(silent.close(), asking.await),
+            }
+        };
+        match raced {
+            Raced::Asked(silent, Some(source)) => {
+                self.leave(silent);
+                Handover::Replaced(source)
+            }
+            Raced::Asked(silent, None) => Handover::Kept(silent),
+            Raced::Recovered(silent, frame) => {
+                self.abandon();
+                Handover::Recovered(silent, frame)
+            }
+            Raced::Left(left, source) => {
+                self.exclude(left);
+                source.map_or(Handover::Lost, Handover::Replaced)
+            }
+        }
+    }
+
+    async fn ask_reserved(&mut self, last_event: Option<u64>) -> Option<StreamSource> {
+        while let Some(next) = self.takeover.take() {
+            if let Some(mut source) = self.ask(next, last_event).await {
+                let overlap_ended = async {
+                    self.request_sent.overlap_ended(&self.router).await;
+                    Ok(())
+                };
+                let began = source.wait_for_event().or(overlap_ended).await;
+                self.request_sent.0.set(None);
+                match began {
+                    Ok(()) => return Some(source),
+                    Err(NoEvent) => self.leave_without_event(source),
+                }
+            }
+        }
+        None
+    }
+
+    /// Leaves a back end whose answer broke off before its first event.
+    fn leave_without_event(&mut self, source: StreamSource) {
+        let (id, progress) = (&source.back_end.id, source.times.progress());
+        broken_connections::record(&self.router, &self.call, id, progress);
+        events::stream_without_event(&self.call, id);
+        self.leave(source);
+    }
+
+    /// Records that the back end that was being asked is left: the silent one goes on.
+    fn abandon(&mut self) {
+        if self.request_sent.0.take().is_some() {
+            self.attempt.borrow_mut().on_lost();
+        }
+    }
+
     /// Asks a back end to continue the stream. It is not asked again.
     async fn ask(&mut self, next: Takeover, last_event: Option<u64>) -> Option<StreamSource> {
         let Takeover { ticket, placement } = next;
@@ -128,6 +261,7 @@
                 (failure, "lost")
             }
         };
+        self.request_sent.0.set(None);
         let circumstances = circumstances(&self.router, &self.call, &placement, began);
         events::try_failed(&self.call, &placement, failure, reason, circumstances);
         ticket.fail(failure.fault);
@@ -143,7 +277,13 @@
             tried: &self.tried,
             takeover: &self.takeover,
         };
-        sender.send(placement, last_event, false).await
+        match sender.connect_to(placement).await {
+            Ok(connection) => {
+                self.request_sent.0.set(Some(self.router.now()));
+                sender.send_on(connection, placement, last_event, false).await
+            }
+            Err(outcome) => outcome,
+        }
     }
 
     async fn obtain(&self) -> Option<Takeover> {
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -195,6 +195,16 @@
     );
 }
 
+/// Logs that a back end that was asked to continue a stream sent no event before its answer broke
+/// off. The one that was silent is kept.
+pub fn stream_without_event(call: &Call, back_end: &BackEndId) {
+    tracing::info!(
+        event = "stream_without_event",
+        request = %call.head.request_id,
+        back_end = %back_end,
+    );
+}
+
 /// Logs the search for the origin of a stream that a caller resumes, and how it was learned.
 pub fn stream_origin(head: &CallerHead, search: &Search, took: Duration) {
     let (origin, source, age) = match &search.state {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::body_budget::{BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::broken_connections::{self, BackEndFate};
 use crate::call::Call;
-use crate::continuation::Continuation;
+use crate::continuation::{Continuation, Handover};
 use crate::event_splitter::{EventSplitter, events_of, has_data};
 use crate::events;
 use crate::outcome::{Outcome, OutcomeKind};
@@ -12,11 +12,9 @@
 use crate::quarantine;
 use crate::router::Router;
 use crate::stream_origins;
-use crate::stream_source::{StreamBackEnd, StreamSource};
+use crate::stream_source::{NextFrame, StreamBackEnd, StreamSource};
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::Frame;
 use mastbay_routing::BackEndId;
 use mastbay_types::Timestamp;
 use std::rc::Rc;
@@ -93,11 +91,11 @@
     ///
     /// # Errors
     /// If there is none. Nothing was sent to the caller yet, so the request can still be answered.
-    pub async fn begin(&mut self) -> Result<Bytes, StreamFailure> {
-        let mut received = BytesMut::new();
+    pub async fn begin(&mut self) -> Result<Vec<Bytes>, StreamFailure> {
+        let mut received = Vec::new();
         while self.events == 0 {
             match self.next().await {
-                Some(Ok(events)) => received.extend_from_slice(&events),
+                Some(Ok(events)) => received.push(events),
                 Some(Err(failure)) => {
                     self.close_source();
                     return Err(failure);
@@ -106,7 +104,7 @@
             }
         }
         self.has_begun = true;
-        Ok(received.freeze())
+        Ok(received)
     }
 
     /// Returns the next complete events for the caller, and `None` after the end of the stream.
@@ -127,8 +125,9 @@
     /// Returns the next complete events for the caller, and `None` after the regular end of the
     /// stream.
     async fn next(&mut self) -> Option<Result<Bytes, StreamFailure>> {
+        let mut read = self.read().await;
         loop {
-            let failure = match self.read().await {
+            let failure = match read {
                 SourceRead::Bytes(bytes) => match self.process(&bytes) {
                     Ok(Some(events)) => return Some(Ok(events)),
                     Ok(None) => None,
@@ -147,7 +146,14 @@
                         return None;
                     }
                 },
-                SourceRead::IdleTimeout => self.reserve_takeover().then_some("silent"),
+                SourceRead::IdleTimeout => {
+                    // Boxed, since nearly no stream needs this large future.
+                    if let Some(recovered) = Box::pin(self.replace_silent()).await {
+                        read = recovered;
+                        continue;
+                    }
+                    None
+                }
                 SourceRead::Broken(failure) => {
                     self.record_broken_connection();
                     Some(failure)
@@ -155,10 +161,11 @@
                 SourceRead::DeadlineExceeded => return Some(Err(OUT_OF_TIME)),
             };
             if let Some(failure) = failure
-                && (failure == NO_MEMORY || !self.replace_broken(failure).await)
+                && (failure == NO_MEMORY || !Box::pin(self.replace_broken(failure)).await)
             {
                 return Some(Err(failure));
             }
+            read = self.read().await;
         }
     }
 
@@ -168,7 +175,7 @@
             return SourceRead::DeadlineExceeded;
         }
         let Some(source) = &mut self.source else { return SourceRead::Broken("no_source") };
-        match self.router.runtime.within(left.min(IDLE_TIMEOUT), source.body.frame()).await {
+        match self.router.runtime.within(left.min(IDLE_TIMEOUT), source.next_frame()).await {
             Ok(frame) => self.received(frame),
             Err(_) if left <= IDLE_TIMEOUT => SourceRead::DeadlineExceeded,
             Err(_) => SourceRead::IdleTimeout,
@@ -176,7 +183,7 @@
     }
 
     /// Evaluates what the current back end sent.
-    fn received(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> SourceRead {
+    fn received(&mut self, frame: NextFrame) -> SourceRead {
         let Some(source) = &mut self.source else { return SourceRead::Broken("no_source") };
         match frame {
             Some(Ok(frame)) => {
@@ -330,11 +337,39 @@
         self.source.is_some()
     }
 
-    /// Reserves a slot at another back end that may continue the stream. Returns whether there is one.
-    fn reserve_takeover(&mut self) -> bool {
+    /// Asks another back end to continue the stream, since the current one is silent. Keeps that one
+    /// until the other begins to answer. Returns what it sends if it goes on before.
+    async fn replace_silent(&mut self) -> Option<SourceRead> {
+        let current = self.source.as_ref().map(|source| source.back_end.clone())?;
         let is_allowed = self.continuation.is_allowed(self.events > 0);
-        let current = self.source.as_ref().map(|source| source.back_end.id.clone());
-        is_allowed && current.is_some_and(|current| self.continuation.reserve(&current))
+        if !is_allowed || !self.continuation.reserve(&current.id) {
+            return None;
+        }
+        let left = self.call.time_left(self.router.now());
+        let router = self.router.clone();
+        let read = match router.runtime.within(left, self.ask_for_silent()).await {
+            Ok(read) => read,
+            Err(_) => Some(SourceRead::DeadlineExceeded),
+        };
+        self.log_handover("silent", Some(&current));
+        read
+    }
+
+    async fn ask_for_silent(&mut self) -> Option<SourceRead> {
+        let silent = self.source.take()?;
+        match self.continuation.replace_silent(silent, self.last_event).await {
+            Handover::Kept(silent) => self.source = Some(silent),
+            Handover::Recovered(silent, frame) => {
+                self.source = Some(silent);
+                return Some(self.received(frame));
+            }
+            Handover::Replaced(source) => {
+                self.splitter.clear();
+                self.source = Some(source);
+            }
+            Handover::Lost => return Some(SourceRead::Broken("silent")),
+        }
+        None
     }
 
     /// Logs that the stream left `from`, or tried to, and where it goes on.
--- a/crates/router/src/stream_body.rs
+++ b/crates/router/src/stream_body.rs
@@ -18,8 +18,8 @@
 
 impl StreamBody {
     /// Creates a body from a relay that has begun, and the events that it has received so far.
-    pub fn new(relay: Relay, received: Bytes) -> Self {
-        let first = (!received.is_empty()).then_some(Ok(Frame::data(received)));
+    pub fn new(relay: Relay, received: Vec<Bytes>) -> Self {
+        let first = received.into_iter().map(|events| Ok(Frame::data(events)));
         let rest = smol::stream::unfold(Some(relay), |relay| async move {
             let mut relay = relay?;
             match relay.next_or_abort().await? {
