Read at most 64 KiB of the body of an error

Cause: an error's body was read up to 16 MiB, as a good answer's, with two copies while it grows.

Change: bodies of answers that are no success are read up to 64 KiB; a longer one counts as broken. The future of a request's attempts is boxed, so that a connection doesn't hold it for good.

--- a/crates/router/src/buffered_answer.rs
+++ b/crates/router/src/buffered_answer.rs
@@ -6,12 +6,15 @@
 use crate::body_budget::{BodyBudget, BodyReservation, MAX_UNRESERVED_ANSWER, NO_MEMORY};
 use crate::reserved_buffer::{ReserveBodyError, ReservedBody, ReservedBuffer};
 use crate::runtime::Runtime;
+use hyper::StatusCode;
 use hyper::body::Body;
 use mastbay_web::MeteredBody;
 use std::time::Duration;
 
 /// Maximum size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Maximum size of the body of an error, in bytes. Many may come at once.
+const MAX_ERROR_BYTES: usize = 64 << 10;
 /// Time between two attempts to reserve memory.
 const RESERVE_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -43,7 +46,12 @@
     }
 }
 
-/// Reads the body of an answer. For a large one of known length, waits for free memory without a
+/// Returns the maximum size of the body of an answer, in bytes.
+fn max_bytes(status: StatusCode) -> usize {
+    if status.is_success() { MAX_ANSWER_BYTES } else { MAX_ERROR_BYTES }
+}
+
+/// Reads the body of an answer with `status`. For a large one of known length, waits for free memory without a
 /// timeout; callers of this function have to bound the wait.
 ///
 /// # Errors
@@ -52,18 +60,20 @@
 pub async fn read_answer(
     runtime: Runtime,
     budget: &BodyBudget,
+    status: StatusCode,
     body: MeteredBody,
 ) -> Result<ReservedBody, BufferedAnswerError> {
+    let max_bytes = max_bytes(status);
     let buffer = match body.size_hint().exact() {
-        Some(length) if length > MAX_ANSWER_BYTES as u64 => {
+        Some(length) if length > max_bytes as u64 => {
             return Err(BufferedAnswerError::Broken);
         }
         Some(length) if length > MAX_UNRESERVED_ANSWER => {
             let reservation = wait_for_memory(runtime, budget, length).await?;
-            let buffer = ReservedBuffer::with_reservation(MAX_ANSWER_BYTES, reservation);
+            let buffer = ReservedBuffer::with_reservation(max_bytes, reservation);
             buffer.allocate(length as usize)
         }
-        _ => ReservedBuffer::new(MAX_ANSWER_BYTES, MAX_UNRESERVED_ANSWER),
+        _ => ReservedBuffer::new(max_bytes, MAX_UNRESERVED_ANSWER),
     };
     Ok(buffer.read(budget, body).await?)
 }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -85,7 +85,9 @@
             takeover: Cell::default(),
         };
         let caller_gone = CallerGoneGuard::new(router, &call);
-        let result = match router.runtime.within(call.time_left(now), exchange.drive()).await {
+        // Boxed, so that the connection doesn't hold its memory while a stream is relayed.
+        let driving = Box::pin(exchange.drive());
+        let result = match router.runtime.within(call.time_left(now), driving).await {
             Ok(result) => result,
             Err(_) => out_of_time(&attempt.borrow()),
         };
@@ -194,7 +196,8 @@
             let source = StreamSource::new(ticket, back_end, connection, &head.headers, body);
             return Some(self.begin_stream(head, source).await);
         }
-        let body = match read_answer(self.router.runtime, &self.router.bodies, body).await {
+        let reading = read_answer(self.router.runtime, &self.router.bodies, head.status, body);
+        let body = match reading.await {
             Ok(body) => body,
             Err(error) => return self.handle_incomplete_answer(error, ticket, &id),
         };
