Report the first event of a stream when it arrives; withhold comments before it

Cause: the dispatcher was told of a stream's first event at its end only, so that each engine looked as slow as its longest streams.

Change: it is told at the first event with data. Also: comments that come before the first event of a back end wait for it, and are dropped with the back end if none comes; the soak found them before the events of another back end. Events are passed on without a copy where none is left out. Reading of datagrams, and of requests that are handed on, lets other tasks run. The future of a send is boxed.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -132,7 +132,8 @@
             self.call.record_placement(&placement, self.router.now());
             self.router.metrics.on_placement(placement.choice);
             let began = self.router.now();
-            let sent = self.send(&placement).await;
+            // Boxed, so that its memory is free again while a stream waits for its first event.
+            let sent = Box::pin(self.send(&placement)).await;
             if !matches!(sent, SendOutcome::NotSent(_)) {
                 self.deliveries += 1;
             }
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -12,7 +12,7 @@
 use crate::runtime::Runtime;
 use derive_more::{Display, Error};
 use mastbay_types::Timestamp;
-use smol::future::FutureExt;
+use smol::future::{FutureExt, yield_now};
 use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use smol::net::TcpStream;
 use std::cell::{Cell, RefCell};
@@ -274,6 +274,8 @@
     let mut state = Ok(RequestCopyState::Continue);
     while let Ok(RequestCopyState::Continue) = state {
         state = copy_requests_once(runtime, &mut caller, &mut peer, &progress, &*forwarded).await;
+        // A caller that sends without pause must not keep the thread.
+        yield_now().await;
     }
     if let Ok(RequestCopyState::CallerClosed) = state {
         progress.on_caller_closed();
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -15,6 +15,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use mastbay_routing::{EARLY_ROUND_PERIOD, Outgoing, PeerMessage, ROUND_PERIOD};
+use smol::future::yield_now;
 use smol::net::UdpSocket;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -109,10 +110,16 @@
     seeds.filter(|seed| *seed != own).collect()
 }
 
+/// Messages that are handled before other tasks run, if more are waiting.
+const MESSAGES_PER_TURN: u64 = 32;
+
 /// Receives messages from other routers for as long as the router runs.
 pub async fn receive_messages(router: Rc<Router>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0_u8; MAX_DATAGRAM_SIZE];
-    loop {
+    for received in 1_u64.. {
+        if received.is_multiple_of(MESSAGES_PER_TURN) {
+            yield_now().await;
+        }
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             router.runtime.sleep(ROUND_PERIOD).await;
             continue;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -45,6 +45,10 @@
     events: u64,
     /// Bytes of events without data since the last one that has some.
     blank_bytes: usize,
+    /// Whether the current back end has sent an event with data.
+    has_data_of_source: bool,
+    /// Events without data that came before that.
+    withheld: BytesMut,
     last_relayed: Timestamp,
     /// Memory reserved for large events.
     event_reservation: Option<BodyReservation>,
@@ -79,6 +83,8 @@
             last_event: call.head.last_event,
             events: 0,
             blank_bytes: 0,
+            has_data_of_source: false,
+            withheld: BytesMut::new(),
             last_relayed: router.now(),
             event_reservation: None,
             has_begun: false,
@@ -212,7 +218,7 @@
         let Some(complete) = complete else { return Ok(None) };
         let is_first = self.events == 0;
         let mut arrived = 0;
-        let mut relayed = BytesMut::with_capacity(complete.len());
+        let mut relayed = Vec::new();
         for event in events_of(&complete) {
             arrived += 1;
             let number = self.router.dialects.back_ends.event_number(&event);
@@ -221,7 +227,7 @@
             }
             self.last_event = number.or(self.last_event);
             self.count(&event, number);
-            relayed.extend_from_slice(&event);
+            relayed.push(event);
         }
         if self.blank_bytes > MAX_BLANK_BYTES {
             return Err("no_events");
@@ -231,10 +237,37 @@
         }
         self.record_pause();
         if let Some(source) = &self.source {
+            if self.has_data_of_source {
+                source.ticket.on_first_event();
+            }
             source.ticket.on_events(arrived);
             source.connection.set_read_interval(self.router.batching_interval());
         }
-        Ok((!relayed.is_empty()).then(|| relayed.freeze()))
+        let is_unchanged = relayed.len() == arrived as usize;
+        let relayed = if is_unchanged { complete } else { Bytes::from(relayed.concat()) };
+        Ok(self.release(relayed))
+    }
+
+    /// Returns the events that are relayed now. Those without data wait for the first one of their
+    /// back end with data, and are dropped with the back end if none comes.
+    fn release(&mut self, events: Bytes) -> Option<Bytes> {
+        if self.blank_bytes > 0 && !self.has_data_of_source {
+            self.withheld.extend_from_slice(&events);
+            return None;
+        }
+        if self.withheld.is_empty() {
+            return (!events.is_empty()).then_some(events);
+        }
+        self.withheld.extend_from_slice(&events);
+        Some(std::mem::take(&mut self.withheld).freeze())
+    }
+
+    /// Forgets what is buffered of a back end that was left.
+    fn forget_source(&mut self) {
+        self.splitter.clear();
+        self.withheld.clear();
+        self.blank_bytes = 0;
+        self.has_data_of_source = false;
     }
 
     /// Counts an event that is relayed.
@@ -242,6 +275,7 @@
         if number.is_some() || has_data(event) {
             self.events += 1;
             self.blank_bytes = 0;
+            self.has_data_of_source = true;
         } else {
             self.blank_bytes += event.len();
         }
@@ -326,7 +360,7 @@
         if let Some(source) = self.source.take() {
             self.continuation.leave(source);
         }
-        self.splitter.clear();
+        self.forget_source();
         if !is_allowed {
             return false;
         }
@@ -364,7 +398,7 @@
                 return Some(self.received(frame));
             }
             Handover::Replaced(source) => {
-                self.splitter.clear();
+                self.forget_source();
                 self.source = Some(source);
             }
             Handover::Lost => return Some(SourceRead::Broken("silent")),
