Answer what is not over at the limit of a planned stop

Cause: at the limit the process ends, whatever it still holds. Class: what is held is given up before there is anything in its place.

Change: a quarter of a second before that, requests without an answer get one of the router's own (503 if they did not run, else 502, reason=stop_limit), also those that a peer has and that are read.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -30,6 +30,7 @@
 };
 use mastbay_types::Timestamp;
 use mastbay_web::MeteredBody;
+use smol::future::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -87,10 +88,15 @@
         let caller_gone = CallerGoneGuard::new(router, &call);
         // Boxed, so that the connection doesn't hold its memory while a stream is relayed.
         let driving = Box::pin(exchange.drive());
-        let result = match router.runtime.within(call.time_left(now), driving).await {
-            Ok(result) => result,
-            Err(_) => out_of_time(&attempt.borrow()),
+        let driven = async {
+            let driven = router.runtime.within(call.time_left(now), driving).await;
+            driven.unwrap_or_else(|_| out_of_time(&attempt.borrow()))
         };
+        let stopped = async {
+            router.stop_limit.wait().await;
+            stopped_at_limit(&attempt.borrow())
+        };
+        let result = driven.or(stopped).await;
         caller_gone.disarm();
         answer(router, &call, result)
     }
@@ -340,6 +346,15 @@
     }
 }
 
+/// Gives up a request that is not answered before the router ends.
+fn stopped_at_limit(attempt: &Attempt) -> ExchangeResult {
+    let answer = match attempt.execution_status() {
+        ExecutionStatus::NotRun => OwnAnswer::NotRun { retry_after: None },
+        ExecutionStatus::MayHaveRun => OwnAnswer::UnknownOutcome,
+    };
+    ExchangeResult::GivenUp(answer, "stop_limit")
+}
+
 /// Records on drop that the caller disconnected before its answer, unless it was disarmed.
 struct CallerGoneGuard<'a> {
     router: &'a Router,
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -73,7 +73,8 @@
     let interval = router.offload_interval();
     let forwarded = Rc::new(AgreedConfiguration { router: router.clone(), table });
     let began = router.now();
-    let copied = connection.copy(router.runtime, caller, interval, forwarded).await;
+    let stop_limit = router.stop_limit.clone();
+    let copied = connection.copy(router.runtime, caller, interval, forwarded, stop_limit).await;
     if let CopyOutcome::Unanswered { caller, failure, request_start } = copied {
         record_unanswered(router, peer, failure, router.now().since(began));
         send_own_answer(router, caller, &request_start, failure).await;
@@ -134,7 +135,7 @@
 /// Returns the answer for a caller whose request a peer did not answer. The request may have run.
 fn answer_for(failure: PeerFailure) -> OwnAnswer {
     match failure {
-        PeerFailure::Disconnected => OwnAnswer::UnknownOutcome,
+        PeerFailure::Disconnected | PeerFailure::Stopped => OwnAnswer::UnknownOutcome,
         PeerFailure::TimedOut => OwnAnswer::OutOfTime,
     }
 }
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -9,6 +9,7 @@
 //! and requests are copied only while it is in force here: callers of one address see one
 //! configuration at a time.
 
+use crate::listener::StopSignal;
 use crate::runtime::Runtime;
 use derive_more::{Display, Error};
 use mastbay_types::Timestamp;
@@ -114,7 +115,7 @@
 }
 
 impl PeerConnection {
-    /// Copies both ways until either side closes or an answer is overdue. After the first reads,
+    /// Copies both ways until either side closes, an answer is overdue or this router ends. After the first reads,
     /// answers are copied at `interval`.
     pub async fn copy(
         self,
@@ -122,6 +123,7 @@
         caller: TcpStream,
         interval: Duration,
         forwarded: Rc<dyn ForwardedConnection>,
+        stop_limit: StopSignal,
     ) -> CopyOutcome {
         // The connection works without TCP_NODELAY, too.
         let _ = caller.set_nodelay(true);
@@ -147,7 +149,11 @@
             wait_until_overdue(runtime, &progress, &*forwarded).await;
             Some(PeerFailure::TimedOut)
         };
-        let failure = answers.or(overdue).await;
+        let stopped = async {
+            stop_limit.wait().await;
+            Some(PeerFailure::Stopped)
+        };
+        let failure = answers.or(overdue).or(stopped).await;
         drop(requests);
         // The caller gets an answer from this router; a connection that just closes would look like
         // a failure of this router.
@@ -203,6 +209,9 @@
     /// The connection to the peer closed.
     #[display("gone")]
     Disconnected,
+    /// This router ends before the peer has answered.
+    #[display("stop_limit")]
+    Stopped,
     /// The peer sent nothing for as long as the request may take.
     #[display("silent")]
     TimedOut,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -90,6 +90,8 @@
     /// Notified when an update came into force here, so that it is sent to peers at once.
     pub(crate) update_signal: UpdateSignal,
     pub(crate) stop: StopSignal,
+    /// Triggered shortly before the limit of a stop: whoever has no answer yet gets one.
+    pub(crate) stop_limit: StopSignal,
     pub(crate) open: OpenConnections,
     pub(crate) stall_detector: Cell<StallDetector>,
     started: Timestamp,
@@ -153,6 +155,7 @@
             peer_fetch_failed: Cell::new(false),
             update_signal: UpdateSignal::default(),
             stop: StopSignal::default(),
+            stop_limit: StopSignal::default(),
             open: OpenConnections::default(),
             stall_detector: Cell::default(),
             started: runtime.now(),
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -17,6 +17,7 @@
 use mastbay_routing::{Route, RouteTable};
 use mastbay_types::Timestamp;
 use mastbay_web::MeteredBody;
+use smol::future::FutureExt;
 use std::cell::{OnceCell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -70,7 +71,11 @@
     let arrival = Arrival { at: router.now(), earliest: router.earliest_arrival(), ingress };
     router.wait_until_up_to_date().await;
     let (parts, body) = request.into_parts();
-    let mut response = match accept(&router, arrival, parts, body).await {
+    let stopped = async {
+        router.stop_limit.wait().await;
+        Err(Rejection { request_id: None, answer: OwnAnswer::NotRun { retry_after: None } })
+    };
+    let mut response = match accept(&router, arrival, parts, body).or(stopped).await {
         Ok(call) => Exchange::run(&router, Rc::new(call)).await,
         Err(rejection) => own_answer(&router, rejection.request_id.as_deref(), rejection.answer),
     };
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -41,6 +41,9 @@
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the stop limit at which remaining requests are cut off.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// Time before that at which requests without an answer get one of the router's own, so that they
+/// don't end in a closed connection.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 /// Maximum number of connections to each of the readiness and operations addresses: all members of
 /// an aggregator may fetch a snapshot at the same time.
 const MAX_OPERATIONS_CONNECTIONS: usize = 160;
@@ -161,14 +164,18 @@
 
 /// Stops the router: it is not ready but still accepts connections until load balancers notice,
 /// then accepts none and lets requests in progress complete until the stop limit.
-async fn stop(router: &Rc<Router>, serving: smol::Task<()>) {
+async fn stop(router: &Rc<Router>, mut serving: smol::Task<()>) {
     let name = &router.settings.name;
     events::process("stopping", name);
     router.stopping.set(true);
-    let limit = router.settings.stop_limit.saturating_sub(STOP_MARGIN);
+    let limit = router.settings.stop_limit.saturating_sub(STOP_MARGIN + LAST_ANSWERS_TIME);
     let notice = READINESS_NOTICE_TIME.min(limit / 2);
     router.runtime.sleep(notice).await;
     router.stop.trigger();
-    let ended = router.runtime.within(limit - notice, serving).await;
+    let mut ended = router.runtime.within(limit - notice, &mut serving).await;
+    if ended.is_err() {
+        router.stop_limit.trigger();
+        ended = router.runtime.within(LAST_ANSWERS_TIME, &mut serving).await;
+    }
     events::process(if ended.is_ok() { "stopped" } else { "stopped_at_limit" }, name);
 }
