--- a/crates/router/src/continuation.rs
+++ b/crates/router/src/continuation.rs
@@ -60,7 +60,7 @@
 
 /// What came first while another back end was asked.
 enum First {
-    Asked(Option<StreamSource>),
+    Asked(Option<Box<StreamSource>>),
     Recovered(NextFrame),
     /// Both may run the request for too long.
     Overlapped,
@@ -68,7 +68,7 @@
 
 /// The same with the silent back end, which may have been left.
 enum Raced {
-    Asked(StreamSource, Option<StreamSource>),
+    Asked(StreamSource, Option<Box<StreamSource>>),
     Recovered(StreamSource, NextFrame),
     Left(BackEndId, Option<StreamSource>),
 }
@@ -167,7 +167,7 @@
         let router = self.router.clone();
         let raced = {
             let mut asking = pin!(self.ask_reserved(last_event));
-            let asked = async { First::Asked(asking.as_mut().await) };
+            let asked = async { First::Asked(asking.as_mut().await.map(Box::new)) };
             let recovered = async { First::Recovered(silent.next_frame().await) };
             let overlapped = async {
                 request_sent.overlap_ended(&router).await;
@@ -183,7 +183,7 @@
         match raced {
             Raced::Asked(silent, Some(source)) => {
                 self.leave(silent);
-                Handover::Replaced(source)
+                Handover::Replaced(*source)
             }
             Raced::Asked(silent, None) => Handover::Kept(silent),
             Raced::Recovered(silent, frame) => {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -92,15 +92,16 @@
         }
     }
 
-    /// Waits for the first event with data, or the regular end of a stream without any. Returns
-    /// what was received. From then on, the relay records how the request ends.
+    /// Waits for the first event with data, much of one, or the regular end of a stream without any.
+    /// Returns the events received. From then on, the relay records how the request ends.
     ///
     /// # Errors
     /// If there is none. Nothing was sent to the caller yet, so the request can still be answered.
     pub async fn begin(&mut self) -> Result<Vec<Bytes>, StreamFailure> {
         let mut received = Vec::new();
-        while self.events == 0 {
+        while self.events == 0 && !self.is_inside_large_event() {
             match self.next().await {
+                Some(Ok(events)) if events.is_empty() => {}
                 Some(Ok(events)) => received.push(events),
                 Some(Err(failure)) => {
                     self.close_source();
@@ -136,6 +137,9 @@
             let failure = match read {
                 SourceRead::Bytes(bytes) => match self.process(&bytes) {
                     Ok(Some(events)) => return Some(Ok(events)),
+                    Ok(None) if !self.has_begun && self.is_inside_large_event() => {
+                        return Some(Ok(Bytes::new()));
+                    }
                     Ok(None) => None,
                     Err(failure) => Some(failure),
                 },
@@ -270,6 +274,11 @@
         self.has_data_of_source = false;
     }
 
+    /// Returns whether so much of an event is buffered that the answer begins without it.
+    fn is_inside_large_event(&self) -> bool {
+        self.splitter.buffered_bytes() as u64 > MAX_UNRESERVED_ANSWER
+    }
+
     /// Counts an event that is relayed.
     fn count(&mut self, event: &[u8], number: Option<u64>) {
         if number.is_some() || has_data(event) {
--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -6,7 +6,7 @@
     CopyOutcome, ForwardedConnection, HELLO_LENGTH, OffloadError, PeerConnection, PeerFailure,
     connect, hello,
 };
-use mastbay_router::{Origin, Runtime};
+use mastbay_router::{Origin, Runtime, StopSignal};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::cell::Cell;
@@ -59,7 +59,7 @@
     caller: TcpStream,
     forwarding: Rc<ScriptedForwarding>,
 ) -> Option<PeerFailure> {
-    match peer_connection.copy(runtime, caller, INTERVAL, forwarding).await {
+    match peer_connection.copy(runtime, caller, INTERVAL, forwarding, StopSignal::default()).await {
         CopyOutcome::Ended => None,
         CopyOutcome::Unanswered { mut caller, failure, .. } => {
             caller.write_all(UNANSWERED.as_bytes()).await.expect("the caller waits");
