Streams of comments alone end whole; events that a caller has count as data; one start of drivers

Change: what waits is sent at the regular end; repeated events count. The drivers of connections to back ends and to sources are started by one function, which stood twice.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -2,7 +2,7 @@
 //! reused only after a complete reply.
 
 use crate::runtime::Runtime;
-use crate::watched_task::{ConnectionKind, Remote, report_excess, watched};
+use crate::watched_task::{ConnectionKind, Remote, spawn_driver};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
@@ -111,15 +111,8 @@
         builder.max_buf_size(MAX_READ_BUFFER);
         let opened = builder.handshake(FuturesIo::new(metered)).await;
         let (sender, driver) = opened.map_err(|_| CallError::Unreachable)?;
-        // An error of the driver also fails the call.
         let remote = Remote { kind: ConnectionKind::Source, address: self.address };
-        let (runtime, reported) = (self.runtime, meter.clone());
-        let driver = async move {
-            let ended = driver.await;
-            report_excess(runtime, remote, &reported);
-            ended.unwrap_or_default()
-        };
-        let driver = self.runtime.spawn(watched(self.runtime, remote, driver));
+        let driver = spawn_driver(self.runtime, remote, meter.clone(), driver);
         Ok(OpenConnection { sender, meter, _driver: driver })
     }
 }
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -5,7 +5,7 @@
 use crate::connect_gate::ConnectGate;
 use crate::runtime::Runtime;
 use crate::throttled_reader::{ReadInterval, ThrottledReader};
-use crate::watched_task::{ConnectionKind, Remote, report_excess, watched};
+use crate::watched_task::{ConnectionKind, Remote, spawn_driver};
 use derive_more::{Display, Error};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
@@ -304,15 +304,8 @@
         builder.max_buf_size(READ_BUFFER);
         let (sender, driver) =
             builder.handshake(FuturesIo::new(metered)).await.map_err(|_| PoolError::Unreachable)?;
-        // An error of the driver also fails the exchange.
         let remote = Remote { kind: ConnectionKind::BackEnd, address: back_end.address };
-        let (runtime, reported) = (self.runtime, meter.clone());
-        let driver = async move {
-            let ended = driver.await;
-            report_excess(runtime, remote, &reported);
-            ended.unwrap_or_default()
-        };
-        let driver = self.runtime.spawn(watched(self.runtime, remote, driver));
+        let driver = spawn_driver(self.runtime, remote, meter.clone(), driver);
         let idle_timeout = DEFAULT_IDLE_TIMEOUT;
         Ok(BackEndConnection {
             socket: stream,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -99,7 +99,7 @@
     /// If there is none. Nothing was sent to the caller yet, so the request can still be answered.
     pub async fn begin(&mut self) -> Result<Vec<Bytes>, StreamFailure> {
         let mut received = Vec::new();
-        while self.events == 0 && !self.is_inside_large_event() {
+        while self.events == 0 && !self.is_recorded && !self.is_inside_large_event() {
             match self.next().await {
                 Some(Ok(events)) if events.is_empty() => {}
                 Some(Ok(events)) => received.push(events),
@@ -153,7 +153,8 @@
                     BackEndFate::Leaving if self.events == 0 => Some("back_end_left"),
                     fate => {
                         self.finish(fate);
-                        return None;
+                        let rest = std::mem::take(&mut self.withheld);
+                        return (!rest.is_empty()).then(|| Ok(rest.freeze()));
                     }
                 },
                 SourceRead::IdleTimeout => {
@@ -211,7 +212,7 @@
     }
 
     /// Returns the events that `bytes` complete, without those that the caller already received.
-    fn process(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, &'static str> {
+    fn process(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, StreamFailure> {
         let complete = self.splitter.push(bytes);
         if self.splitter.exceeds_limit() {
             return Err("event_too_large");
@@ -227,6 +228,7 @@
             arrived += 1;
             let number = self.router.dialects.back_ends.event_number(&event);
             if number.is_some() && number <= self.last_event {
+                self.has_data_of_source = true;
                 continue;
             }
             self.last_event = number.or(self.last_event);
--- a/crates/router/src/watched_task.rs
+++ b/crates/router/src/watched_task.rs
@@ -65,6 +65,24 @@
     }
 }
 
+/// Spawns the driver of a connection that this router opened. Its error also fails the exchange.
+pub fn spawn_driver<F>(
+    runtime: Runtime,
+    remote: Remote,
+    meter: ReadMeter,
+    driver: F,
+) -> smol::Task<()>
+where
+    F: Future<Output = hyper::Result<()>> + 'static,
+{
+    let driver = async move {
+        let ended = driver.await;
+        report_excess(runtime, remote, &meter);
+        ended.unwrap_or_default()
+    };
+    runtime.spawn(watched(runtime, remote, driver))
+}
+
 /// Logs and counts the end of a connection if its other side sent too many bytes that completed
 /// nothing.
 pub fn report_excess(runtime: Runtime, remote: Remote, meter: &ReadMeter) {
