Let answers that a peer has begun go on until the router ends

Change: at the limit only requests without an answer get one; begun answers are copied until the end.

--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -151,6 +151,10 @@
         };
         let stopped = async {
             stop_limit.wait().await;
+            // An answer that has begun goes on for as long as this router runs.
+            if !progress.is_answer_pending() {
+                std::future::pending::<()>().await;
+            }
             Some(PeerFailure::Stopped)
         };
         let failure = answers.or(overdue).or(stopped).await;
