Choose the answer of a request that is given up in one function

A stray pair of parentheses and a doc comment over the line length are mended. Behaviour is the same.

Checked: format, clippy of the router for all targets, and its tests whole_path, slow_back_ends and offload (49 passed).

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -94,7 +94,7 @@
         };
         let stopped = async {
             router.stop_limit.wait().await;
-            stopped_at_limit(&attempt.borrow())
+            given_up(&attempt.borrow(), None, "stop_limit")
         };
         let result = driven.or(stopped).await;
         caller_gone.disarm();
@@ -326,11 +326,7 @@
         retry_after: Duration,
         reason: &'static str,
     ) -> ExchangeResult {
-        let answer = match self.attempt.borrow().execution_status() {
-            ExecutionStatus::NotRun => OwnAnswer::NotRun { retry_after: Some(retry_after) },
-            ExecutionStatus::MayHaveRun => OwnAnswer::UnknownOutcome,
-        };
-        ExchangeResult::GivenUp(answer, reason)
+        given_up(&self.attempt.borrow(), Some(retry_after), reason)
     }
 }
 
@@ -346,13 +342,18 @@
     }
 }
 
-/// Gives up a request that is not answered before the router ends.
-fn stopped_at_limit(attempt: &Attempt) -> ExchangeResult {
+/// Gives up with an answer that depends on whether the request may have run. `retry_after` is only
+/// returned if it has not.
+fn given_up(
+    attempt: &Attempt,
+    retry_after: Option<Duration>,
+    reason: &'static str,
+) -> ExchangeResult {
     let answer = match attempt.execution_status() {
-        ExecutionStatus::NotRun => OwnAnswer::NotRun { retry_after: None },
+        ExecutionStatus::NotRun => OwnAnswer::NotRun { retry_after },
         ExecutionStatus::MayHaveRun => OwnAnswer::UnknownOutcome,
     };
-    ExchangeResult::GivenUp(answer, "stop_limit")
+    ExchangeResult::GivenUp(answer, reason)
 }
 
 /// Records on drop that the caller disconnected before its answer, unless it was disarmed.
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -61,7 +61,7 @@
 impl ListenerLimits {
     /// Returns how many bytes of a caller may complete neither a head nor a piece of a body.
     fn max_bytes_without_progress(&self) -> u64 {
-        (MAX_BYTES_WITHOUT_PROGRESS).max(2 * self.head_bytes as u64)
+        MAX_BYTES_WITHOUT_PROGRESS.max(2 * self.head_bytes as u64)
     }
 }
 
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -115,8 +115,8 @@
 }
 
 impl PeerConnection {
-    /// Copies both ways until either side closes, an answer is overdue or this router ends. After the first reads,
-    /// answers are copied at `interval`.
+    /// Copies both ways until either side closes, an answer is overdue or this router ends. After
+    /// the first reads, answers are copied at `interval`.
     pub async fn copy(
         self,
         runtime: Runtime,
