--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -6,7 +6,7 @@
 use crate::listener::OverflowResult;
 use crate::log_rate_limiter::LogLineKind;
 use crate::offload::{
-    self, CopyOutcome, ForwardedConnection, OffloadError, PeerConnection, PeerFailure,
+    self, CopyOutcome, ForwardedConnection, OffloadError, PeerConnection, PeerFailure, StopPhases,
 };
 use crate::overflow::OverflowOutcome;
 use crate::own_answers::own_answer_bytes;
@@ -73,11 +73,12 @@
     let interval = router.offload_interval();
     let forwarded = Rc::new(AgreedConfiguration { router: router.clone(), table });
     let began = router.now();
-    let stop_limit = router.stop_limit.clone();
-    let copied = connection.copy(router.runtime, caller, interval, forwarded, stop_limit).await;
-    if let CopyOutcome::Unanswered { caller, failure, request_start } = copied {
+    let stop = StopPhases { accepts_none: router.stop.clone(), limit: router.stop_limit.clone() };
+    let copied = connection.copy(router.runtime, caller, interval, forwarded, stop).await;
+    if let CopyOutcome::Unanswered { caller, failure, answer, request_start } = copied {
+        router.metrics.on_own_answer(answer);
         record_unanswered(router, peer, failure, router.now().since(began));
-        send_own_answer(router, caller, &request_start, failure).await;
+        send_own_answer(router, caller, &request_start, answer).await;
     }
     OverflowResult::Done
 }
@@ -126,29 +127,15 @@
 
 fn record_unanswered(router: &Router, peer: SocketAddr, failure: PeerFailure, waited: Duration) {
     router.record_overflow(OverflowOutcome::Unanswered);
-    router.metrics.on_own_answer(answer_for(failure));
     if router.may_write_line(LogLineKind::Failure) {
         events::handed_on_unanswered(peer, failure, waited);
     }
 }
 
-/// Returns the answer for a caller whose request a peer did not answer. The request may have run.
-fn answer_for(failure: PeerFailure) -> OwnAnswer {
-    match failure {
-        PeerFailure::Disconnected | PeerFailure::Stopped => OwnAnswer::UnknownOutcome,
-        PeerFailure::TimedOut => OwnAnswer::OutOfTime,
-    }
-}
-
-async fn send_own_answer(
-    router: &Router,
-    mut caller: TcpStream,
-    start: &[u8],
-    failure: PeerFailure,
-) {
+async fn send_own_answer(router: &Router, mut caller: TcpStream, start: &[u8], answer: OwnAnswer) {
     let head = parse_head(start).and_then(|head| router.dialects.callers.read(&head).ok());
     let request_id = head.as_ref().map(|head| head.request_id.as_str());
-    let bytes = own_answer_bytes(router, request_id, answer_for(failure));
+    let bytes = own_answer_bytes(router, request_id, answer);
     // The caller may have closed the connection.
     let _ = caller.write_all(&bytes).await;
 }
--- a/crates/router/src/offload.rs
+++ b/crates/router/src/offload.rs
@@ -9,6 +9,7 @@
 //! and requests are copied only while it is in force here: callers of one address see one
 //! configuration at a time.
 
+use crate::dialect::OwnAnswer;
 use crate::listener::StopSignal;
 use crate::runtime::Runtime;
 use derive_more::{Display, Error};
@@ -114,6 +115,15 @@
     fn answer_timeout(&self, start: &[u8]) -> Duration;
 }
 
+/// The phases of a stop of the forwarding router.
+#[derive(Debug, Clone, Default)]
+pub struct StopPhases {
+    /// Triggered when the router accepts no further requests.
+    pub accepts_none: StopSignal,
+    /// Triggered shortly before the router ends.
+    pub limit: StopSignal,
+}
+
 impl PeerConnection {
     /// Copies both ways until either side closes, an answer is overdue or this router ends. After
     /// the first reads, answers are copied at `interval`.
@@ -123,7 +133,7 @@
         caller: TcpStream,
         interval: Duration,
         forwarded: Rc<dyn ForwardedConnection>,
-        stop_limit: StopSignal,
+        stop: StopPhases,
     ) -> CopyOutcome {
         // The connection works without TCP_NODELAY, too.
         let _ = caller.set_nodelay(true);
@@ -150,7 +160,7 @@
             Some(PeerFailure::TimedOut)
         };
         let stopped = async {
-            stop_limit.wait().await;
+            stop.limit.wait().await;
             // An answer that has begun goes on for as long as this router runs.
             if !progress.is_answer_pending() {
                 std::future::pending::<()>().await;
@@ -165,6 +175,7 @@
             Some(failure) => CopyOutcome::Unanswered {
                 caller,
                 failure,
+                answer: failure.answer(),
                 request_start: progress.0.request_start.take(),
             },
             None => CopyOutcome::Ended,
@@ -202,6 +213,8 @@
         caller: TcpStream,
         /// The reason why there was no answer.
         failure: PeerFailure,
+        /// The answer for the caller.
+        answer: OwnAnswer,
         /// The first bytes of the request.
         request_start: Vec<u8>,
     },
@@ -221,6 +234,17 @@
     TimedOut,
 }
 
+impl PeerFailure {
+    /// Returns the answer for a caller whose request the peer did not answer. The request may have
+    /// run.
+    fn answer(self) -> OwnAnswer {
+        match self {
+            Self::Disconnected | Self::Stopped => OwnAnswer::UnknownOutcome,
+            Self::TimedOut => OwnAnswer::OutOfTime,
+        }
+    }
+}
+
 /// Tracks the requests and answers of a copied connection.
 #[derive(Debug, Clone, Default)]
 struct Progress(Rc<ProgressState>);
--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -4,9 +4,9 @@
 
 use mastbay_router::offload::{
     CopyOutcome, ForwardedConnection, HELLO_LENGTH, OffloadError, PeerConnection, PeerFailure,
-    connect, hello,
+    StopPhases, connect, hello,
 };
-use mastbay_router::{Origin, Runtime, StopSignal};
+use mastbay_router::{Origin, Runtime};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::cell::Cell;
@@ -59,7 +59,7 @@
     caller: TcpStream,
     forwarding: Rc<ScriptedForwarding>,
 ) -> Option<PeerFailure> {
-    match peer_connection.copy(runtime, caller, INTERVAL, forwarding, StopSignal::default()).await {
+    match peer_connection.copy(runtime, caller, INTERVAL, forwarding, StopPhases::default()).await {
         CopyOutcome::Ended => None,
         CopyOutcome::Unanswered { mut caller, failure, .. } => {
             caller.write_all(UNANSWERED.as_bytes()).await.expect("the caller waits");
