Log what a stopping router accepts, and when cut requests were received and sent

Callers saw streams cut at the limit of a stop, and the logs told neither that a request was accepted while the router stopped nor when: a stream cut by the end of the process had no line at all. Now request_during_stop names a request that is accepted, with the time left and its own; request_ended of all requests that end during a stop says when head and body were received and when it was sent last, relative to the SIGTERM; streams that the end of the process cuts are recorded with reason=stop_limit, also in mastbay_router_broken_streams. mastbay_router_stop_rejections counts rejections, of which there are none yet. The moments of a stop move to a module of their own.

A request on a connection that a peer forwards has handed_on_by, and no such fields unless this router stops, too.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -42,6 +42,8 @@
     pub forwarded_by: Option<IpAddr>,
     /// When the head was read.
     pub arrived: Timestamp,
+    /// When the body was received completely.
+    pub received: Timestamp,
     /// When the answer must be complete.
     pub deadline: Timestamp,
     /// The stream that the request resumes, if the caller names it.
@@ -84,6 +86,8 @@
     pub stats_age: Duration,
     /// Number of placements at back ends.
     pub sends: u32,
+    /// Events with data that were relayed.
+    pub events: u64,
     /// Why the last failed attempt failed, if there was one.
     pub last_failure: Option<FailureCause>,
     /// Why it was refused, if it was and a back end was considered.
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -1,9 +1,11 @@
 //! The log events of a router, one line of key=value pairs each; docs/OPERATIONS.md lists them.
 
 mod retries;
+mod shutdown;
 mod terminations;
 
 pub use retries::{retry, sends_settled};
+pub use shutdown::{StopDecision, StopStage, request_during_stop};
 pub use terminations::{
     back_end_ended, connection_broke, quarantine_archived, quarantine_lifted, request_probed,
     request_quarantined, unmarked_end,
@@ -15,6 +17,7 @@
 use crate::offload::{OffloadError, PeerFailure};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
+use crate::shutdown::StopSchedule;
 use crate::stream_origins::Search;
 use crate::stream_source::StreamBackEnd;
 use crate::try_failure::{TryCircumstances, TryFailure};
@@ -32,15 +35,17 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-/// Logs the end of a request, with the details of the refusal if it was refused.
-pub fn request_ended(call: &Call, outcome: &Outcome, now: Timestamp) {
+/// Logs the end of a request, with the details of the refusal if it was refused. `stop` is the
+/// schedule of the router's stop, if there is one.
+pub fn request_ended(call: &Call, outcome: &Outcome, now: Timestamp, stop: Option<StopSchedule>) {
     match call.trace.borrow().refusal_details.as_ref() {
         Some(details) => refused(call, outcome, details, now),
-        None => served_or_failed(call, outcome, now),
+        None => served_or_failed(call, outcome, now, stop),
     }
 }
 
-fn served_or_failed(call: &Call, outcome: &Outcome, now: Timestamp) {
+fn served_or_failed(call: &Call, outcome: &Outcome, now: Timestamp, stop: Option<StopSchedule>) {
+    let after_stop = |at| stop.map(|schedule| schedule.offset_milliseconds(at));
     let back_end = outcome.back_end.as_ref().map(BackEndId::to_string).unwrap_or_default();
     let trace = call.trace.borrow();
     let prompt = call.head.prompt.as_ref();
@@ -78,6 +83,9 @@
         sends = trace.sends,
         last_failure = trace.last_failure.map(|cause| cause.to_string()),
         fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
+        head_after_stop_ms = after_stop(call.arrived),
+        received_after_stop_ms = after_stop(call.received),
+        sent_after_stop_ms = trace.choice.and_then(|_| after_stop(call.arrived + trace.waited)),
     );
 }
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::call::Call;
 use crate::continuation::Continuation;
 use crate::dialect::OwnAnswer;
-use crate::events;
+use crate::events::{self, StopDecision, StopStage};
 use crate::headers::{is_delimited, remove_hop_by_hop};
 use crate::listener::{LocalBody, full_with_guard};
 use crate::outcome::{Outcome, OutcomeKind};
@@ -73,6 +73,7 @@
         let attempt = Attempt::new(route.is_idempotent(), route.max_attempts);
         let attempt = Rc::new(RefCell::new(attempt));
         let now = router.now();
+        router.log_during_stop(&call, StopDecision::Accepted, StopStage::Received);
         router.dispatcher.borrow_mut().on_request(now, &call.demand());
         let exchange = Self {
             router: router.clone(),
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::dialect::OwnAnswer;
+use crate::events::StopStage;
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
 use crate::stream_origins::Search;
@@ -59,6 +60,12 @@
     reason: &'static str,
 }
 
+/// Labels of requests rejected because the router stops.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StopRejectionLabels {
+    stage: String,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug, Clone)]
 pub struct RouterMetrics {
@@ -78,6 +85,7 @@
     raised_prefixes: Gauge,
     opened_connections: Counter,
     quarantined_calls: Counter,
+    stop_rejections: Family<StopRejectionLabels, Counter>,
     write_timeouts: Counter,
     long_turns: Counter,
     excessive: Counter,
@@ -115,6 +123,7 @@
             raised_prefixes: Gauge::default(),
             opened_connections: Counter::default(),
             quarantined_calls: Counter::default(),
+            stop_rejections: Family::default(),
             write_timeouts: Counter::default(),
             long_turns: Counter::default(),
             excessive: Counter::default(),
@@ -176,6 +185,9 @@
         let name = "mastbay_router_quarantined_calls";
         let help = "arrivals of quarantined requests";
         registry.register(name, help, metrics.quarantined_calls.clone());
+        let name = "mastbay_router_stop_rejections";
+        let help = "requests rejected because the router stops before they end";
+        registry.register(name, help, metrics.stop_rejections.clone());
         let name = "mastbay_router_unread_answers";
         let help = "Connections ended since their callers did not read their answers";
         registry.register(name, help, metrics.write_timeouts.clone());
@@ -374,6 +386,12 @@
         self.quarantined_calls.inc();
     }
 
+    /// Counts a request that is rejected because the router stops before it ends.
+    pub fn on_stop_rejection(&self, stage: StopStage) {
+        let labels = StopRejectionLabels { stage: stage.to_string() };
+        self.stop_rejections.get_or_create(&labels).inc();
+    }
+
     /// Counts an answer of the router's own.
     pub fn on_own_answer(&self, answer: OwnAnswer) {
         let labels = AnswerLabels { status: answer.status().as_u16() };
--- a/crates/router/src/own_answers.rs
+++ b/crates/router/src/own_answers.rs
@@ -39,6 +39,6 @@
     router.metrics.on_end(call, outcome, now);
     let kind = if outcome.is_success() { LogLineKind::Success } else { LogLineKind::Failure };
     if router.may_write_line(kind) {
-        events::request_ended(call, outcome, now);
+        events::request_ended(call, outcome, now, router.shutdown.get().schedule());
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::continuation::{Continuation, Handover};
 use crate::event_splitter::{EventSplitter, events_of, has_data};
 use crate::events;
+use crate::open_streams::OpenStream;
 use crate::outcome::{Outcome, OutcomeKind};
 use crate::own_answers::record_end;
 use crate::quarantine;
@@ -55,6 +56,8 @@
     /// Whether the answer to the caller has begun, so that its end is recorded here.
     has_begun: bool,
     is_recorded: bool,
+    /// Registers the stream from its beginning to its end.
+    open: Option<OpenStream>,
 }
 
 /// The result of one read from the back end.
@@ -89,6 +92,7 @@
             event_reservation: None,
             has_begun: false,
             is_recorded: false,
+            open: None,
         }
     }
 
@@ -111,6 +115,9 @@
             }
         }
         self.has_begun = true;
+        if !self.is_recorded {
+            self.open = Some(OpenStream::new(&self.router, &self.call));
+        }
         Ok(received)
     }
 
@@ -341,6 +348,7 @@
         if self.events > 0 {
             let mut trace = self.call.trace.borrow_mut();
             trace.longest_pause = trace.longest_pause.max(pause);
+            trace.events = self.events;
         }
         self.last_relayed = now;
     }
@@ -431,6 +439,7 @@
         back_end: Option<&BackEndId>,
     ) {
         self.is_recorded = true;
+        self.open = None;
         let mut outcome =
             Outcome::new(kind).with_status(StatusCode::OK.as_u16()).with_events(self.events);
         if let Some(reason) = reason {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -5,15 +5,17 @@
 use crate::call::Call;
 use crate::catalogue::Catalogue;
 use crate::dialect::{BackEndDialect, CallerDialect};
-use crate::events;
+use crate::events::{self, StopDecision, StopStage};
 use crate::listener::{OpenConnections, StopSignal};
 use crate::log_rate_limiter::{LogLineKind, LogRateLimiter};
 use crate::metrics::RouterMetrics;
+use crate::open_streams::OpenStreams;
 use crate::overflow::{OverflowOutcome, OverflowRecorder};
 use crate::pool::Pool;
 use crate::retries::UnansweredSend;
 use crate::runtime::{ALIGNED_TICK_INTERVAL, Runtime};
 use crate::settings::RouterSettings;
+use crate::shutdown::Shutdown;
 use crate::snapshot_serving::TransferLimiter;
 use crate::snapshots::EncodedSnapshots;
 use crate::stream_origins::StreamOrigins;
@@ -68,7 +70,8 @@
     pub(crate) metrics: RouterMetrics,
     log_limiter: RefCell<LogRateLimiter>,
     pub(crate) bodies: BodyBudget,
-    pub(crate) stopping: Cell<bool>,
+    pub(crate) shutdown: Cell<Shutdown>,
+    pub(crate) open_streams: OpenStreams,
     pub(crate) overload: RefCell<OverloadGuard>,
     pub(crate) overflow: RefCell<OverflowRecorder>,
     pub(crate) outage: RefCell<OutageDetector>,
@@ -140,7 +143,8 @@
             pool: Pool::new(runtime, metrics.opened_connections()),
             metrics,
             log_limiter: RefCell::default(),
-            stopping: Cell::new(false),
+            shutdown: Cell::default(),
+            open_streams: OpenStreams::default(),
             overload: RefCell::default(),
             overflow: RefCell::default(),
             outage: RefCell::default(),
@@ -306,7 +310,7 @@
 
     /// Returns whether the router serves new callers, sheds them, or is stopping.
     pub fn phase(&self) -> RouterPhase {
-        if self.stopping.get() {
+        if self.is_stopping() {
             RouterPhase::Leaving
         } else if self.overload.borrow().is_shedding() {
             RouterPhase::Shedding
@@ -315,14 +319,30 @@
         }
     }
 
+    fn is_stopping(&self) -> bool {
+        self.shutdown.get().schedule().is_some()
+    }
+
+    /// Logs that a request is accepted or rejected while the router stops.
+    pub(crate) fn log_during_stop(&self, call: &Call, decision: StopDecision, stage: StopStage) {
+        let Some(schedule) = self.shutdown.get().schedule() else { return };
+        let kind = match decision {
+            StopDecision::Accepted => LogLineKind::Success,
+            StopDecision::Rejected => LogLineKind::Failure,
+        };
+        if self.may_write_line(kind) {
+            events::request_during_stop(call, &schedule, decision, stage, self.now());
+        }
+    }
+
     /// Returns the fraction of new connections to close unread; zero during a planned stop.
     pub(crate) fn rejected_fraction(&self) -> f64 {
-        if self.stopping.get() { 0.0 } else { self.overload.borrow().rejected_fraction() }
+        if self.is_stopping() { 0.0 } else { self.overload.borrow().rejected_fraction() }
     }
 
     /// Returns the fraction of new connections to offer to peers; zero during a planned stop.
     pub(crate) fn overflow_fraction(&self) -> f64 {
-        if self.stopping.get() { 0.0 } else { self.overload.borrow().offloaded_fraction() }
+        if self.is_stopping() { 0.0 } else { self.overload.borrow().offloaded_fraction() }
     }
 
     /// Counts a new connection that was not served normally.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -202,6 +202,7 @@
         regions,
         forwarded_by: arrival.ingress.forwarded_by(),
         arrived: arrival.at,
+        received: router.now(),
         deadline,
         resumed_stream: resumption.as_ref().and_then(|resumption| resumption.stream),
         origin: resumption.map(|resumption| resumption.origin.into()).unwrap_or_default(),
--- /dev/null
+++ b/crates/router/src/shutdown.rs
@@ -0,0 +1,86 @@
+//! The planned stop of a router: its phases, and which requests still end before its limit.
+
+use mastbay_types::Timestamp;
+use std::time::Duration;
+
+/// Time for load balancers to notice that the router is not ready; it still accepts connections.
+const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_600);
+/// Time before the stop limit at which remaining requests are cut off.
+const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// Time before that at which requests without an answer get one of the router's own, so that they
+/// don't end in a closed connection.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
+
+/// The phases of a router's life with regard to a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShutdownPhase {
+    /// No stop was asked for.
+    Running,
+    /// Load balancers may still send requests, and all are accepted.
+    Notice,
+    /// Requests in progress complete. Another one is accepted only if it ends in time.
+    Draining,
+}
+
+/// The moments of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopSchedule {
+    /// The earliest time at which the signal may have arrived.
+    pub signalled: Timestamp,
+    /// When the router closes its listeners.
+    pub notice_end: Timestamp,
+    /// When requests without an answer get one of the router's own.
+    pub last_answers: Timestamp,
+    /// When the remaining requests are cut off.
+    pub limit: Timestamp,
+}
+
+impl StopSchedule {
+    /// Creates the schedule of a stop that must be over `stop_limit` after `signalled`.
+    pub fn new(signalled: Timestamp, stop_limit: Duration) -> Self {
+        let until_last_answers = stop_limit.saturating_sub(STOP_MARGIN + LAST_ANSWERS_TIME);
+        let notice = READINESS_NOTICE_TIME.min(until_last_answers / 2);
+        Self {
+            signalled,
+            notice_end: signalled + notice,
+            last_answers: signalled + until_last_answers,
+            limit: signalled + until_last_answers + LAST_ANSWERS_TIME,
+        }
+    }
+
+    /// Returns the time from the signal to `at` in milliseconds, negative if `at` is earlier.
+    pub fn offset_milliseconds(&self, at: Timestamp) -> i64 {
+        let milliseconds =
+            |time: Timestamp| i64::try_from(time.as_micros() / 1_000).unwrap_or(i64::MAX);
+        milliseconds(at) - milliseconds(self.signalled)
+    }
+}
+
+/// Whether and how a router stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Shutdown {
+    /// No stop was asked for.
+    #[default]
+    Running,
+    /// The router stops by this schedule.
+    Stopping(StopSchedule),
+}
+
+impl Shutdown {
+    /// Returns the schedule of the stop; `None` if there is none.
+    pub fn schedule(&self) -> Option<StopSchedule> {
+        match self {
+            Self::Running => None,
+            Self::Stopping(schedule) => Some(*schedule),
+        }
+    }
+
+    /// Returns the phase at `now`.
+    pub fn phase(&self, now: Timestamp) -> ShutdownPhase {
+        match self {
+            Self::Running => ShutdownPhase::Running,
+            Self::Stopping(schedule) if now < schedule.notice_end => ShutdownPhase::Notice,
+            Self::Stopping(_) => ShutdownPhase::Draining,
+        }
+    }
+}
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -3,14 +3,17 @@
 use crate::callers::serve_callers;
 use crate::events;
 use crate::listener::{ListenerLimits, OpenConnections, StopSignal, close_unread, listen, serve};
+use crate::open_streams;
 use crate::operations::{operations, readiness};
 use crate::peers;
 use crate::quarantine;
 use crate::retries;
 use crate::router::Router;
+use crate::shutdown::{Shutdown, StopSchedule};
 use crate::stream_origins;
 use async_signal::{Signal, Signals};
 use derive_more::{Display, Error};
+use mastbay_types::Timestamp;
 use prometheus_client::registry::Registry;
 use smol::net::{TcpListener, UdpSocket};
 use smol::stream::StreamExt;
@@ -37,13 +40,6 @@
     },
 }
 
-/// Time for load balancers to notice that the router is not ready; it still accepts connections.
-const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_600);
-/// Time before the stop limit at which remaining requests are cut off.
-const STOP_MARGIN: Duration = Duration::from_millis(250);
-/// Time before that at which requests without an answer get one of the router's own, so that they
-/// don't end in a closed connection.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 /// Maximum number of connections to each of the readiness and operations addresses: all members of
 /// an aggregator may fetch a snapshot at the same time.
 const MAX_OPERATIONS_CONNECTIONS: usize = 160;
@@ -167,15 +163,16 @@
 async fn stop(router: &Rc<Router>, mut serving: smol::Task<()>) {
     let name = &router.settings.name;
     events::process("stopping", name);
-    router.stopping.set(true);
-    let limit = router.settings.stop_limit.saturating_sub(STOP_MARGIN + LAST_ANSWERS_TIME);
-    let notice = READINESS_NOTICE_TIME.min(limit / 2);
-    router.runtime.sleep(notice).await;
+    let schedule = StopSchedule::new(router.now(), router.settings.stop_limit);
+    router.shutdown.set(Shutdown::Stopping(schedule));
+    let until = |at: Timestamp| at.since(router.now());
+    router.runtime.sleep(until(schedule.notice_end)).await;
     router.stop.trigger();
-    let mut ended = router.runtime.within(limit - notice, &mut serving).await;
+    let mut ended = router.runtime.within(until(schedule.last_answers), &mut serving).await;
     if ended.is_err() {
         router.stop_limit.trigger();
-        ended = router.runtime.within(LAST_ANSWERS_TIME, &mut serving).await;
+        ended = router.runtime.within(until(schedule.limit), &mut serving).await;
     }
+    open_streams::record_cut(router);
     events::process(if ended.is_ok() { "stopped" } else { "stopped_at_limit" }, name);
 }
