Failing test: a tenant is short while the largest returns and load triples

Adds a simulation in virtual time: 62 routers, 60 engines with prefill in order of arrival, slots and prefix caches, 30 unequal tenants, late routers, returning callers, and a count of the rule's own windows.

--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -2,9 +2,12 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod directory_view;
+pub mod engine_model;
+pub mod fair_rule;
 pub mod fleet;
 pub mod quarantined_fleet;
 pub mod sourced_fleet;
+pub mod tenants_day;
 
 use mastbay_routing::{
     AllowedRegions, BackEnd, BackEndId, BackEndList, BackEndState, BudgetLimits, Demand, Digest,
