Accept a request during a stop only if its deadline precedes the last answers

Callers saw streams cut 7.75 s after SIGTERM although they had completed their requests up to 7 s after it. A stopping router served whatever it had not refused: no place compared the time that a request may take with the time left until the stop limit. The limits also counted from when the event loop saw the signal, not from when it may have arrived.

For 2.6 s after SIGTERM, while load balancers may still send, every request is accepted and gets all the time there is. After that a request that has not run is sent to a back end only if its deadline precedes the last answers (7.5 s); otherwise it gets 503 at once, with Retry-After 10 ms and Connection: close. This is asked when the request was received, while it waits for a slot, before each attempt and after connecting. A request that may have run goes on. All moments count from the second last tick of the event loop before the signal was read.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -19,14 +19,15 @@
 use crate::router::Router;
 use crate::run_progress::RunProgress;
 use crate::send::{RequestSender, SendOutcome, circumstances};
+use crate::shutdown::STOP_RETRY_AFTER;
 use crate::stream_body::StreamBody;
 use crate::stream_source::StreamSource;
 use crate::takeover::Takeover;
 use crate::ticket::Ticket;
 use hyper::{Response, StatusCode, http};
 use mastbay_routing::{
-    Attempt, BackEnd, BackEndId, ExecutionStatus, Fault, Placement, QuarantineStatus, Refusal,
-    RouteKind,
+    Attempt, BackEnd, BackEndId, Demand, ExecutionStatus, Fault, Placement, QuarantineStatus,
+    Refusal, RouteKind,
 };
 use mastbay_types::Timestamp;
 use mastbay_web::MeteredBody;
@@ -69,6 +70,10 @@
     /// Runs the exchange until there is a complete answer or the first event of a stream, or until
     /// the deadline.
     pub async fn run(router: &Rc<Router>, call: Rc<Call>) -> Response<LocalBody> {
+        if !router.accepts(&call) {
+            let result = rejected_for_stop(router, &call, StopStage::Received);
+            return answer(router, &call, result);
+        }
         let route = &call.entry.route;
         let attempt = Attempt::new(route.is_idempotent(), route.max_attempts);
         let attempt = Rc::new(RefCell::new(attempt));
@@ -95,7 +100,7 @@
         };
         let stopped = async {
             router.stop_limit.wait().await;
-            given_up(&attempt.borrow(), None, "stop_limit")
+            given_up(&attempt.borrow(), Some(STOP_RETRY_AFTER), "stop_limit")
         };
         let result = driven.or(stopped).await;
         caller_gone.disarm();
@@ -108,6 +113,9 @@
             if self.call.time_left(self.router.now()).is_zero() {
                 return out_of_time(&self.attempt.borrow());
             }
+            if self.must_reject_for_stop() {
+                return rejected_for_stop(&self.router, &self.call, StopStage::Sending);
+            }
             let mut demand = self.call.demand();
             demand.tried = self.tried.clone();
             match quarantine::status(&self.router, &self.call).await {
@@ -121,9 +129,9 @@
             }
             let next = match self.takeover.take() {
                 Some(takeover) => takeover,
-                None => match Ticket::obtain(&self.router, demand).await {
-                    Ok((ticket, placement)) => Takeover { ticket, placement },
-                    Err(refusal) => return self.refused(refusal),
+                None => match self.obtain(demand).await {
+                    Ok(placed) => placed,
+                    Err(result) => return result,
                 },
             };
             let Takeover { ticket, placement } = next;
@@ -140,7 +148,9 @@
             self.router.metrics.on_placement(placement.choice);
             let began = self.router.now();
             // Boxed, so that its memory is free again while a stream waits for its first event.
-            let sent = Box::pin(self.send(&placement)).await;
+            let Some(sent) = Box::pin(self.send(&placement)).await else {
+                return rejected_for_stop(&self.router, &self.call, StopStage::Sending);
+            };
             if !matches!(sent, SendOutcome::NotSent(_)) {
                 self.deliveries += 1;
             }
@@ -283,7 +293,32 @@
         Some(self.give_up(error.reason()))
     }
 
-    async fn send(&self, placement: &Placement) -> SendOutcome {
+    /// Waits for a slot at a back end, for as long as the request may still be sent there.
+    async fn obtain(&self, demand: Demand) -> Result<Takeover, ExchangeResult> {
+        let placed = async {
+            let placed = Ticket::obtain(&self.router, demand).await;
+            let placed = placed.map(|(ticket, placement)| Takeover { ticket, placement });
+            placed.map_err(|refusal| self.refused(refusal))
+        };
+        let rejected = async {
+            self.router.stop.wait().await;
+            if !self.must_reject_for_stop() {
+                std::future::pending::<()>().await;
+            }
+            Err(rejected_for_stop(&self.router, &self.call, StopStage::Waiting))
+        };
+        placed.or(rejected).await
+    }
+
+    /// Returns whether the request must not be sent any more, because the router stops before it
+    /// ends. One that may have run goes on with all the time that is left.
+    fn must_reject_for_stop(&self) -> bool {
+        let status = self.attempt.borrow().execution_status();
+        status == ExecutionStatus::NotRun && !self.router.accepts(&self.call)
+    }
+
+    /// Sends the request. Returns `None` if it must not be sent any more, because the router stops.
+    async fn send(&self, placement: &Placement) -> Option<SendOutcome> {
         let sender = RequestSender {
             router: &self.router,
             call: &self.call,
@@ -292,7 +327,15 @@
             tried: &self.tried,
             takeover: &self.takeover,
         };
-        sender.send(placement, self.call.head.last_event, true).await
+        let connection = match sender.connect_to(placement).await {
+            Ok(connection) => connection,
+            Err(outcome) => return Some(outcome),
+        };
+        if self.must_reject_for_stop() {
+            self.router.pool.release(&placement.back_end.id, connection);
+            return None;
+        }
+        Some(sender.send_on(connection, placement, self.call.head.last_event, true).await)
     }
 
     fn refused(&self, refusal: Refusal) -> ExchangeResult {
@@ -334,6 +377,14 @@
 /// Retry delay returned when no back end accepted the request and none is backing off.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Gives up a request that has not run, because the router stops before it ends.
+fn rejected_for_stop(router: &Router, call: &Call, stage: StopStage) -> ExchangeResult {
+    router.metrics.on_stop_rejection(stage);
+    router.log_during_stop(call, StopDecision::Rejected, stage);
+    let retry_after = Some(STOP_RETRY_AFTER);
+    ExchangeResult::GivenUp(OwnAnswer::NotRun { retry_after }, "stopping")
+}
+
 fn out_of_time(attempt: &Attempt) -> ExchangeResult {
     match attempt.execution_status() {
         ExecutionStatus::NotRun => {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -177,6 +177,11 @@
         self.stall_detector.get().earliest_arrival(self.now())
     }
 
+    /// Returns the earliest time at which a signal that is read now may have arrived.
+    pub(crate) fn earliest_signal(&self) -> Timestamp {
+        self.stall_detector.get().earliest_signal(self.now())
+    }
+
     /// Waits after a stall until updates from a peer or a source are in force, for some tenths of a
     /// second at most: keys may have been revoked meanwhile.
     pub(crate) async fn wait_until_up_to_date(&self) {
@@ -323,6 +328,11 @@
         self.shutdown.get().schedule().is_some()
     }
 
+    /// Returns whether a request that has not run may be sent to a back end, with regard to a stop.
+    pub(crate) fn accepts(&self, call: &Call) -> bool {
+        self.shutdown.get().accepts(self.now(), call.deadline)
+    }
+
     /// Logs that a request is accepted or rejected while the router stops.
     pub(crate) fn log_during_stop(&self, call: &Call, decision: StopDecision, stage: StopStage) {
         let Some(schedule) = self.shutdown.get().schedule() else { return };
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -75,24 +75,6 @@
 }
 
 impl RequestSender<'_> {
-    /// Sends the request and waits for the head of the answer. `last_event` is the number of the
-    /// last event that the caller received. If the connection fails before any byte was written,
-    /// the outcome is [`SendOutcome::NotSent`] with `detect_unwritten`, and [`SendOutcome::Lost`]
-    /// otherwise.
-    pub async fn send(
-        &self,
-        placement: &Placement,
-        last_event: Option<u64>,
-        detect_unwritten: bool,
-    ) -> SendOutcome {
-        match self.connect_to(placement).await {
-            Ok(connection) => {
-                self.send_on(connection, placement, last_event, detect_unwritten).await
-            }
-            Err(outcome) => outcome,
-        }
-    }
-
     /// Returns a connection on which the request may be sent now.
     ///
     /// # Errors
@@ -111,7 +93,10 @@
         }
     }
 
-    /// Like [`Self::send`], on a connection of [`Self::connect_to`].
+    /// Sends the request on a connection of [`Self::connect_to`] and waits for the head of the
+    /// answer. `last_event` is the number of the last event that the caller received. If the
+    /// connection fails before any byte was written, the outcome is [`SendOutcome::NotSent`] with
+    /// `detect_unwritten`, and [`SendOutcome::Lost`] otherwise.
     pub async fn send_on(
         &self,
         mut connection: BackEndConnection,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -10,6 +10,7 @@
 use crate::request_head::host;
 use crate::reserved_buffer::{ReserveBodyError, ReservedBody};
 use crate::router::Router;
+use crate::shutdown::STOP_RETRY_AFTER;
 use crate::stream_origins::{self, Resumption};
 use hyper::body::Body as _;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -73,7 +74,8 @@
     let (parts, body) = request.into_parts();
     let stopped = async {
         router.stop_limit.wait().await;
-        Err(Rejection { request_id: None, answer: OwnAnswer::NotRun { retry_after: None } })
+        let retry_after = Some(STOP_RETRY_AFTER);
+        Err(Rejection { request_id: None, answer: OwnAnswer::NotRun { retry_after } })
     };
     let mut response = match accept(&router, arrival, parts, body).or(stopped).await {
         Ok(call) => Exchange::run(&router, Rc::new(call)).await,
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -11,6 +11,9 @@
 /// don't end in a closed connection.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 
+/// Retry delay returned to callers of requests that are rejected: another router is a connect away.
+pub const STOP_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 /// The phases of a router's life with regard to a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShutdownPhase {
@@ -83,4 +86,16 @@
             Self::Stopping(_) => ShutdownPhase::Draining,
         }
     }
+
+    /// Returns whether a request that was not sent to a back end yet may still be sent at `now`. In
+    /// the draining phase its deadline must precede the last answers, since nothing else tells how
+    /// long it runs.
+    pub fn accepts(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        match self {
+            Self::Running => true,
+            Self::Stopping(schedule) => {
+                now < schedule.notice_end || deadline <= schedule.last_answers
+            }
+        }
+    }
 }
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -79,7 +79,8 @@
             Ok(_) | Err(_) => break,
         }
     }
-    stop(&router, serving).await;
+    let signalled = router.earliest_signal();
+    stop(&router, signalled, serving).await;
     Ok(())
 }
 
@@ -159,14 +160,18 @@
 }
 
 /// Stops the router: it is not ready but still accepts connections until load balancers notice,
-/// then accepts none and lets requests in progress complete until the stop limit.
-async fn stop(router: &Rc<Router>, mut serving: smol::Task<()>) {
+/// then accepts none and lets requests in progress complete until the stop limit. All moments count
+/// from `signalled`, the earliest time at which the signal may have arrived.
+async fn stop(router: &Rc<Router>, signalled: Timestamp, mut serving: smol::Task<()>) {
     let name = &router.settings.name;
     events::process("stopping", name);
-    let schedule = StopSchedule::new(router.now(), router.settings.stop_limit);
+    let schedule = StopSchedule::new(signalled, router.settings.stop_limit);
     router.shutdown.set(Shutdown::Stopping(schedule));
     let until = |at: Timestamp| at.since(router.now());
-    router.runtime.sleep(until(schedule.notice_end)).await;
+    // Timers may fire a few milliseconds early.
+    while router.now() < schedule.notice_end {
+        router.runtime.sleep(until(schedule.notice_end)).await;
+    }
     router.stop.trigger();
     let mut ended = router.runtime.within(until(schedule.last_answers), &mut serving).await;
     if ended.is_err() {
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StallDetector {
     last_tick: Timestamp,
+    /// The tick before the last one.
+    previous_tick: Timestamp,
     last_stall: Option<Stall>,
     last_contact: Timestamp,
 }
@@ -31,6 +33,7 @@
     /// Processes a tick. Returns the duration of the stall that it ends, if any.
     pub fn on_tick(&mut self, now: Timestamp) -> Option<Duration> {
         let began = std::mem::replace(&mut self.last_tick, now);
+        self.previous_tick = began;
         let lasted = now.since(began);
         if lasted < MIN_STALL {
             return None;
@@ -52,6 +55,12 @@
         }
     }
 
+    /// Returns the earliest time at which a signal that is read now may have arrived. After any delay
+    /// of the event loop, however short, at most one tick precedes the reading of signals.
+    pub fn earliest_signal(&self, now: Timestamp) -> Timestamp {
+        self.previous_tick.min(self.earliest_arrival(now))
+    }
+
     /// Returns whether a stall ended so recently that the known versions may be outdated: one of
     /// more than half of `bound`, the time within which updates must be in force. The other half is
     /// left for the way of the updates.
--- a/crates/routing/tests/stall.rs
+++ b/crates/routing/tests/stall.rs
@@ -59,3 +59,33 @@
     // Without any contact the router continues with the known versions, as if it were cut off.
     assert!(!long.may_be_outdated(at(6_700), BOUND));
 }
+
+/// Guards against measuring a stop from when a late process saw the signal: a delay that is too short
+/// to count as a stall, whether a tick comes before the signal is read or after.
+#[test]
+fn a_signal_read_after_a_short_delay_may_have_arrived_before_it() {
+    let millis = Timestamp::from_millis;
+    let mut detector = StallDetector::default();
+    for tick in [0, 20, 40, 60] {
+        detector.on_tick(millis(tick));
+    }
+    assert_eq!(detector.earliest_signal(millis(65)), millis(40));
+    assert!(detector.earliest_signal(millis(560)) <= millis(60));
+    detector.on_tick(millis(560));
+    assert_eq!(detector.earliest_signal(millis(561)), millis(60));
+    for tick in [580, 600] {
+        detector.on_tick(millis(tick));
+    }
+    assert_eq!(detector.earliest_signal(millis(601)), millis(580));
+}
+
+/// The same with a delay that counts as a stall.
+#[test]
+fn a_signal_read_after_a_stall_may_have_arrived_during_it() {
+    let millis = Timestamp::from_millis;
+    let mut detector = StallDetector::default();
+    for tick in [0, 20, 40, 2_040, 2_060, 2_080] {
+        detector.on_tick(millis(tick));
+    }
+    assert_eq!(detector.earliest_signal(millis(2_090)), millis(40));
+}
