Tell the class and the rates of a tenant at each placement, and count both by class

Lines of placed requests now tell share_class, tenant_asked, tenant_given, rates_age_ms and fair_level at their last placement; refusals tell share_class too. mastbay_router_admissions_total{class,result} counts both.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -8,7 +8,7 @@
 use mastbay_routing::{
     AllowedRegions, Demand, EngineChoice, ExcludedBackEnds, Placement, Prompt, Refusal,
     RefusalDetails, RequestFingerprint, RequestIdentity, StreamKey, StreamOrigin, Suspect,
-    TableEntry,
+    TableEntry, TenantShare,
 };
 use mastbay_types::Timestamp;
 use std::cell::{OnceCell, RefCell};
@@ -88,6 +88,8 @@
     pub sends: u32,
     /// Events with data that were relayed.
     pub events: u64,
+    /// The tenant's share at the last placement; `None` without a prompt, a tenant or a placement.
+    pub share: Option<TenantShare>,
     /// Why the last failed attempt failed, if there was one.
     pub last_failure: Option<FailureCause>,
     /// Why it was refused, if it was and a back end was considered.
@@ -131,6 +133,7 @@
         trace.speed = placement.speed;
         trace.uncached = placement.uncached;
         trace.prefix_source = placement.prefix_source;
+        trace.share = placement.share;
         trace.stats_age = placement.stats_age;
         trace.excluded = placement.excluded;
         trace.sends += 1;
--- a/crates/router/src/continuation.rs
+++ b/crates/router/src/continuation.rs
@@ -239,7 +239,7 @@
         let began = self.router.now();
         self.tried.push(placement.back_end.id.clone());
         self.call.record_placement(&placement, began);
-        self.router.metrics.on_placement(placement.choice);
+        self.router.metrics.on_placement(&placement);
         let (failure, reason) = match self.send(&placement, last_event).await {
             SendOutcome::Answered(head, body, connection) if head.status == StatusCode::OK => {
                 self.attempt.borrow_mut().on_answer();
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -49,6 +49,7 @@
     let back_end = outcome.back_end.as_ref().map(BackEndId::to_string).unwrap_or_default();
     let trace = call.trace.borrow();
     let prompt = call.head.prompt.as_ref();
+    let share = trace.share;
     tracing::info!(
         event = "request_ended",
         request = %call.head.request_id,
@@ -77,6 +78,11 @@
         prompt_tokens = prompt.map_or(0, |prompt| prompt.input_tokens),
         uncached = trace.uncached,
         prefix_source = trace.prefix_source.map(|source| source.to_string()),
+        share_class = share.map(|share| share.class.name()),
+        tenant_asked = share.map(|share| share.asked as u64),
+        tenant_given = share.map(|share| share.given as u64),
+        rates_age_ms = share.map(|share| milliseconds(share.rates_age)),
+        fair_level = share.and_then(|share| share.fair_level).map(|level| level as u64),
         age_ms = milliseconds(trace.stats_age),
         draining = trace.excluded.draining,
         backing_off = trace.excluded.backing_off,
@@ -111,6 +117,7 @@
         running = details.running,
         limit = details.limit,
         pending_prefill = details.pending_prefill,
+        share_class = details.class.name(),
         tenant_asked = details.asked as u64,
         tenant_given = details.given as u64,
         rates_age_ms = milliseconds(details.rates_age),
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -145,7 +145,7 @@
                 return self.give_up("retry_budget");
             }
             self.call.record_placement(&placement, self.router.now());
-            self.router.metrics.on_placement(placement.choice);
+            self.router.metrics.on_placement(&placement);
             let began = self.router.now();
             // Boxed, so that its memory is free again while a stream waits for its first event.
             let Some(sent) = Box::pin(self.send(&placement)).await else {
@@ -340,6 +340,7 @@
 
     fn refused(&self, refusal: Refusal) -> ExchangeResult {
         self.call.record_refusal(&refusal);
+        refusal.details.iter().for_each(|details| self.router.metrics.on_refusal(details));
         self.give_up_with_retry_after(refusal.retry_after, refusal.reason.name())
     }
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -6,7 +6,7 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
 use crate::stream_origins::Search;
-use mastbay_routing::{EngineChoice, Placement, RetryStatus, SourceCondition};
+use mastbay_routing::{Placement, RefusalDetails, RetryStatus, ShareClass, SourceCondition};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -47,6 +47,13 @@
     rank: String,
 }
 
+/// Labels of placed and refused requests with a prompt, by the class of their tenants.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AdmissionLabels {
+    class: &'static str,
+    result: &'static str,
+}
+
 /// Labels of the retries that requests needed. The configuration bounds the number of services.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RetryLabels {
@@ -72,6 +79,7 @@
     ended: Family<EndLabels, Counter>,
     own_answers: Family<AnswerLabels, Counter>,
     placements: Family<PlacementLabels, Counter>,
+    admissions: Family<AdmissionLabels, Counter>,
     offloaded: Counter,
     closed_unread: Counter,
     back_ends_ended: Counter,
@@ -110,6 +118,7 @@
             ended: Family::default(),
             own_answers: Family::default(),
             placements: Family::default(),
+            admissions: Family::default(),
             offloaded: Counter::default(),
             closed_unread: Counter::default(),
             back_ends_ended: Counter::default(),
@@ -147,6 +156,9 @@
         let name = "mastbay_router_placements";
         let help = "placements at back ends, by rank for the shared prefix; overflow beyond ranks";
         registry.register(name, help, metrics.placements.clone());
+        let name = "mastbay_router_admissions";
+        let help = "requests with a prompt that were placed or refused, by their tenants' class";
+        registry.register(name, help, metrics.admissions.clone());
         let name = "mastbay_router_offloaded_connections";
         registry.register(name, "connections handed to peers", metrics.offloaded.clone());
         let name = "mastbay_router_connections_closed_unread";
@@ -243,9 +255,22 @@
     }
 
     /// Counts a placement at a back end.
-    pub fn on_placement(&self, choice: EngineChoice) {
-        let labels = PlacementLabels { rank: choice.to_string() };
+    pub fn on_placement(&self, placement: &Placement) {
+        let labels = PlacementLabels { rank: placement.choice.to_string() };
         self.placements.get_or_create(&labels).inc();
+        if let Some(share) = placement.share {
+            self.count_admission(share.class, "placed");
+        }
+    }
+
+    /// Counts a refusal for which a back end was considered.
+    pub fn on_refusal(&self, details: &RefusalDetails) {
+        self.count_admission(details.class, "refused");
+    }
+
+    fn count_admission(&self, class: ShareClass, result: &'static str) {
+        let labels = AdmissionLabels { class: class.name(), result };
+        self.admissions.get_or_create(&labels).inc();
     }
 
     /// Observes the time to the first event of a stream.
--- a/crates/routing/src/dispatch/admission.rs
+++ b/crates/routing/src/dispatch/admission.rs
@@ -176,9 +176,7 @@
     }
 
     fn refusal_details(&mut self, now: Timestamp, demand: &Demand) -> Option<RefusalDetails> {
-        let shares = self.shares(now);
-        let tenant = demand.tenant.as_deref().unwrap_or_default();
-        let rates_age = self.fleet.rates_age(now);
+        let share = self.tenant_share(now, demand.tenant.as_deref().unwrap_or_default());
         let backlog = self.class_backlog(now, demand);
         let scored = self.first_choice(now, demand)?;
         let engine = self.engines.get(&scored.id)?;
@@ -189,10 +187,11 @@
             limit: self.concurrency_limit(now, engine).round() as u32,
             pending_prefill: load.prefill.tokens,
             predicted: scored.predicted,
-            asked: shares.asked(tenant),
-            given: shares.given(tenant),
-            rates_age,
-            fair_level: shares.fair_level.is_finite().then_some(shares.fair_level),
+            class: share.class,
+            asked: share.asked,
+            given: share.given,
+            rates_age: share.rates_age,
+            fair_level: share.fair_level,
             backlog_ahead: backlog.ahead(),
             drain_rate: backlog.drain_rate,
         })
--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -7,6 +7,7 @@
 use crate::ranking::EngineChoice;
 use crate::regions::ZoneRegions;
 use crate::rollout::ExposureLimits;
+use crate::share_class::{ShareClass, TenantShare};
 use crate::warmup::WarmupLimits;
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
@@ -71,6 +72,8 @@
     pub prefix_source: Option<SocketAddr>,
     /// Prompt tokens that are expected to be fetched from there.
     pub transferred: u64,
+    /// The tenant's share; `None` without a prompt or a tenant, or if shares are not limited.
+    pub share: Option<TenantShare>,
     /// Age of the oldest peer stats that were used; zero without peers.
     pub stats_age: Duration,
     /// Back ends of the service that were excluded from selection.
@@ -103,6 +106,8 @@
     pub pending_prefill: u64,
     /// Predicted time to the first event.
     pub predicted: Duration,
+    /// The tenant's class.
+    pub class: ShareClass,
     /// Service that the tenant requests from the fleet, in tokens per second.
     pub asked: f64,
     /// Service that the fleet gives the tenant, in tokens per second.
--- a/crates/routing/src/dispatch/reservation.rs
+++ b/crates/routing/src/dispatch/reservation.rs
@@ -31,6 +31,7 @@
         }
         let rollout_request = self.record_release(demand, &scored);
         let expected_transfer = self.record_transfer(now, demand, &scored);
+        let share = self.share_of(now, demand);
         let stats_age = self.fleet.oldest_stats_age(now);
         let service_level_due = self.service_level_due(demand, class, scored.uncached);
         let ScoredBackEnd { id, predicted, uncached, work_ahead, choice, transfer, .. } = scored;
@@ -78,6 +79,7 @@
             uncached,
             choice,
             speed,
+            share,
             prefix_source: transfer.map(|transfer| transfer.address),
             transferred: transfer.map_or(0, |transfer| transfer.tokens),
             stats_age,
--- a/crates/routing/src/dispatch/sharing.rs
+++ b/crates/routing/src/dispatch/sharing.rs
@@ -4,7 +4,7 @@
 use super::Dispatcher;
 use super::fair_level::Shares;
 use crate::demand::Demand;
-use crate::share_class::ShareClass;
+use crate::share_class::{ShareClass, TenantShare};
 use mastbay_types::Timestamp;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +21,25 @@
         self.shares(now).class(tenant)
     }
 
+    /// Returns the share of the request's tenant, if shares are limited and the request has a
+    /// prompt and a tenant.
+    pub(super) fn share_of(&mut self, now: Timestamp, demand: &Demand) -> Option<TenantShare> {
+        demand.prompt.as_ref()?;
+        let tenant = demand.tenant.as_deref().filter(|_| self.limits.policy.fair_share)?;
+        Some(self.tenant_share(now, tenant))
+    }
+
+    pub(super) fn tenant_share(&mut self, now: Timestamp, tenant: &str) -> TenantShare {
+        let shares = self.shares(now);
+        TenantShare {
+            class: shares.class(tenant),
+            asked: shares.asked(tenant),
+            given: shares.given(tenant),
+            fair_level: shares.fair_level.is_finite().then_some(shares.fair_level),
+            rates_age: self.fleet.rates_age(now),
+        }
+    }
+
     /// Records that a request could not be placed. If its tenant is below half of its share,
     /// routers reserve slots for it.
     pub(super) fn record_unplaced(&mut self, now: Timestamp, demand: &Demand) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -115,6 +115,7 @@
     RolloutState, Rollouts,
 };
 pub use service_level::{ACCEPTED_MISSES, ServiceLevel, ServiceLevelCounts};
+pub use share_class::{ShareClass, TenantShare};
 pub use shares::{Usage, water_level};
 pub use source_outage::{OutageDetector, SourceAvailability, SourceCondition};
 pub use source_watchers::{
--- a/crates/routing/tests/above_share.rs
+++ b/crates/routing/tests/above_share.rs
@@ -4,7 +4,7 @@
 
 use mastbay_routing::{
     Admission, ConcurrencyPolicy, Dispatcher, DispatcherLimits, Load, Placement, Policy,
-    RefusalReason, ServiceLevelCounts, SpareCapacity,
+    RefusalReason, ServiceLevelCounts, ShareClass, SpareCapacity,
 };
 use mastbay_types::Timestamp;
 use quickcheck::quickcheck;
@@ -65,6 +65,30 @@
     assert_ne!(place(&mut dispatcher, "large", other_prefix, 45).back_end.id, full);
 }
 
+/// Guards against lines of placed requests that do not tell with which class and at which rates a
+/// tenant was served.
+#[test]
+fn placements_and_refusals_tell_the_class_of_their_tenant() {
+    let mut dispatcher = support::dispatcher(1, 12, 8);
+    dispatcher.on_configuration(&configuration(Some(CAPACITY)));
+    let first = place(&mut dispatcher, "large", 9, 1).share.expect("a prompt and a tenant");
+    assert_eq!((first.class, first.given), (ShareClass::BelowHalf, 0.0));
+    assert!(first.asked > 0.0);
+    for request in 100..110 {
+        let now = time_of(1);
+        dispatcher.on_request(now, &demand(now, Some(prompt(9, request, 50)), "small"));
+    }
+    let above = (2..12).map(|request| place(&mut dispatcher, "large", request, request).share);
+    let above = above.flatten().find(|share| share.class == ShareClass::AboveShare);
+    let above = above.expect("it is given more than the fair level");
+    assert!(above.given > above.fair_level.expect("more is asked than declared"));
+    let refused = (12..200).find_map(|request| match admit(&mut dispatcher, "large", 9, request) {
+        Admission::Refused(refusal) => refusal.details,
+        Admission::Placed(_) | Admission::Waiting(_) => None,
+    });
+    assert_eq!(refused.expect("one is refused").class, ShareClass::AboveShare);
+}
+
 quickcheck! {
     /// Guards against refusing requests because others missed their objectives, while a quarter of
     /// an engine's slots is free and nothing shows that its streams are slow.
--- a/crates/routing/tests/support/tenants_day.rs
+++ b/crates/routing/tests/support/tenants_day.rs
@@ -6,7 +6,9 @@
 use super::fair_rule::{BINS_PER_SECOND, FairCounts};
 use super::fleet::Fleet;
 use super::{configuration, demand, list};
-use mastbay_routing::{Admission, Policy, Prompt, PromptPart, ROUND_PERIOD, Refusal, TicketId};
+use mastbay_routing::{
+    Admission, Placement, Policy, Prompt, PromptPart, ROUND_PERIOD, Refusal, TicketId,
+};
 use mastbay_types::{Timestamp, mixed_hash};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -171,6 +173,8 @@
     begin: Timestamp,
     /// Refusals by tenant, second and reason.
     refused: BTreeMap<(usize, usize, &'static str), u32>,
+    /// Tokens placed by tenant, second and class.
+    placed_by_class: BTreeMap<(usize, usize, &'static str), f64>,
     /// Refusals while the engines have free slots and no request waits there.
     pub refused_with_room: u64,
     pub refusals: u64,
@@ -235,6 +239,7 @@
             requests: 0,
             begin,
             refused: BTreeMap::new(),
+            placed_by_class: BTreeMap::new(),
             refused_with_room: 0,
             refusals: 0,
             tries: 0,
@@ -419,7 +424,7 @@
             let key = (router, ticket);
             let Some(waiter) = self.waiting.remove(&key) else { continue };
             match result {
-                Ok(placement) => self.start(key, &placement.back_end.id.to_string(), waiter),
+                Ok(placement) => self.start(key, &placement, waiter),
                 Err(refusal) => {
                     self.open.remove(&key);
                     self.on_refused(waiter, &refusal);
@@ -441,7 +446,7 @@
             Admission::Placed(placement) => {
                 let key = (router, placement.ticket);
                 self.open.insert(key, (request.tenant, request.sent + request.objective));
-                self.start(key, &placement.back_end.id.to_string(), request);
+                self.start(key, &placement, request);
             }
             Admission::Waiting(ticket) => {
                 let due = request.sent + request.objective;
@@ -452,8 +457,12 @@
         }
     }
 
-    fn start(&mut self, key: RequestKey, back_end: &str, request: Try) {
-        let engine = self.engine_names[back_end];
+    fn start(&mut self, key: RequestKey, placement: &Placement, request: Try) {
+        let engine = self.engine_names[&placement.back_end.id.to_string()];
+        let class = placement.share.map_or("none", |share| share.class.name());
+        let by_class = (request.tenant, self.seconds() as usize, class);
+        *self.placed_by_class.entry(by_class).or_default() +=
+            f64::from(request.prompt.input_tokens);
         let (prompt, output) = (request.prompt.clone(), request.output);
         self.engines[engine].send(self.fleet.now, key, prompt, output);
         self.placed.insert(key, request);
@@ -480,13 +489,20 @@
 
     /// Prints each second of a tenant.
     pub fn print(&self, tenant: usize) {
-        println!("tenant {}: second, asked, given in thousands, short, refused", tenant + 1);
+        println!(
+            "tenant {}: second, asked, given in thousands, short, placed by class, refused",
+            tenant + 1
+        );
         for second in 0..DURATION.as_secs() as usize {
             let sums = self.counts.second(tenant, second * BINS_PER_SECOND);
             let reasons =
                 self.refused.iter().filter(|((one, at, _), _)| (*one, *at) == (tenant, second));
-            let reasons: Vec<String> =
-                reasons.map(|((_, _, reason), count)| format!("{reason} {count}")).collect();
+            let reasons = reasons.map(|((_, _, reason), count)| format!("{reason} {count}"));
+            let placed = self.placed_by_class.iter();
+            let placed = placed.filter(|((one, at, _), _)| (*one, *at) == (tenant, second));
+            let placed =
+                placed.map(|((_, _, class), tokens)| format!("{class} {:.0}", tokens / 1e3));
+            let reasons: Vec<String> = placed.chain(reasons).collect();
             println!(
                 "  {second:2} {:6.0} {:6.0} {:5} {}",
                 sums.asked / 1e3,
