Copy requests of forwarded connections one at a time, and none while stopping

Callers of a late router lost streams that a peer served: a stream asked for 3.3 s after the SIGTERM of the forwarding router was cut at 7.75 s, and a configuration that changed nothing for it cut a stream as soon as its caller sent the next request. Some requests that crossed the peer's idle limit were told 502 although no engine got them.

The forwarding router took the first byte of an answer for its end, and did not ask whether it stops before it copied a request.

It now follows the framing of what it copies. A request is copied only while the configuration is in force and the router accepts requests. What comes within an answer is held (8 KB of it are read, so that a caller that leaves is noticed) and is copied after the answer. An idle connection is closed at the stop, at a configuration and after 1.5 s, before the peer does. A request that is incomplete at the stop, or held, is told 503 not run. So is one that the peer has not received whole when it goes (502 before). The end of an answer under way is waited for. A caller that gets a last answer may send for 0.3 s more, so that no reset drops it.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -15,11 +15,12 @@
 use std::time::Duration;
 
 /// Idle timeout of connections that a peer forwards, a second longer than announced to the caller.
+/// The forwarding peer closes them half a second earlier.
 const OFFLOADED_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The `Keep-Alive` value announced on such connections.
 const OFFLOADED_KEEP_ALIVE: &str = "timeout=1";
-/// Age after which the next answer closes such a connection. The forwarding peer, which may be
-/// about to stop, does not parse the traffic and so can't close it between two requests.
+/// Age after which the next answer closes such a connection, so that the caller may reach another
+/// router once the forwarding peer is no longer overloaded.
 const OFFLOADED_MAX_AGE: Duration = Duration::from_secs(3);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -12,7 +12,7 @@
 use crate::call::Call;
 use crate::dialect::{CallerHead, OwnAnswer, RetryAfterError};
 use crate::log_rate_limiter::SuppressedLines;
-use crate::offload::{OffloadError, PeerFailure};
+use crate::offload::{EndReason, OffloadError};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use crate::stream_origins::Search;
@@ -407,11 +407,11 @@
 }
 
 /// Logs that a peer accepted a connection and did not answer a request on it.
-pub fn handed_on_unanswered(peer: SocketAddr, failure: PeerFailure, waited: Duration) {
+pub fn handed_on_unanswered(peer: SocketAddr, reason: EndReason, waited: Duration) {
     tracing::warn!(
         event = "handed_on_unanswered",
         peer = %peer,
-        reason = %failure,
+        reason = %reason,
         waited_ms = milliseconds(waited),
     );
 }
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -3,10 +3,11 @@
 
 use crate::dialect::OwnAnswer;
 use crate::events;
+use crate::lingering_close::close_after_answer;
 use crate::listener::OverflowResult;
 use crate::log_rate_limiter::LogLineKind;
 use crate::offload::{
-    self, CopyOutcome, ForwardedConnection, OffloadError, PeerConnection, PeerFailure, StopPhases,
+    self, CopyOutcome, EndReason, ForwardedConnection, OffloadError, PeerConnection, StopPhases,
 };
 use crate::overflow::OverflowOutcome;
 use crate::own_answers::own_answer_bytes;
@@ -75,9 +76,9 @@
     let began = router.now();
     let stop = StopPhases { accepts_none: router.stop.clone(), limit: router.stop_limit.clone() };
     let copied = connection.copy(router.runtime, caller, interval, forwarded, stop).await;
-    if let CopyOutcome::Unanswered { caller, failure, answer, request_start } = copied {
+    if let CopyOutcome::Unanswered { caller, reason, answer, request_start } = copied {
         router.metrics.on_own_answer(answer);
-        record_unanswered(router, peer, failure, router.now().since(began));
+        record_unanswered(router, peer, reason, router.now().since(began));
         send_own_answer(router, caller, &request_start, answer).await;
     }
     OverflowResult::Done
@@ -125,10 +126,10 @@
     }
 }
 
-fn record_unanswered(router: &Router, peer: SocketAddr, failure: PeerFailure, waited: Duration) {
+fn record_unanswered(router: &Router, peer: SocketAddr, reason: EndReason, waited: Duration) {
     router.record_overflow(OverflowOutcome::Unanswered);
     if router.may_write_line(LogLineKind::Failure) {
-        events::handed_on_unanswered(peer, failure, waited);
+        events::handed_on_unanswered(peer, reason, waited);
     }
 }
 
@@ -136,6 +137,8 @@
     let head = parse_head(start).and_then(|head| router.dialects.callers.read(&head).ok());
     let request_id = head.as_ref().map(|head| head.request_id.as_str());
     let bytes = own_answer_bytes(router, request_id, answer);
-    // The caller may have closed the connection.
-    let _ = caller.write_all(&bytes).await;
+    // Fails if the caller has closed the connection.
+    if caller.write_all(&bytes).await.is_ok() {
+        close_after_answer(router.runtime, caller).await;
+    }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 mod exchange;
 mod forwarding;
 mod headers;
+mod lingering_close;
 mod listener;
 mod log_rate_limiter;
 pub mod message_framing;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -104,6 +104,11 @@
         self.sender.close();
     }
 
+    /// Returns whether the signal was triggered.
+    pub fn is_triggered(&self) -> bool {
+        self.receiver.is_closed()
+    }
+
     /// Waits for the signal. Returns at once if it was already triggered.
     pub async fn wait(&self) {
         // Closing the channel is the signal; no value is ever sent.
--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use mastbay_router::offload::{
-    CopyOutcome, ForwardedConnection, HELLO_LENGTH, OffloadError, PeerConnection, PeerFailure,
+    CopyOutcome, EndReason, ForwardedConnection, HELLO_LENGTH, OffloadError, PeerConnection,
     StopPhases, connect, hello,
 };
 use mastbay_router::{Origin, Runtime};
@@ -58,12 +58,12 @@
     peer_connection: PeerConnection,
     caller: TcpStream,
     forwarding: Rc<ScriptedForwarding>,
-) -> Option<PeerFailure> {
+) -> Option<EndReason> {
     match peer_connection.copy(runtime, caller, INTERVAL, forwarding, StopPhases::default()).await {
         CopyOutcome::Ended => None,
-        CopyOutcome::Unanswered { mut caller, failure, .. } => {
+        CopyOutcome::Unanswered { mut caller, reason, .. } => {
             caller.write_all(UNANSWERED.as_bytes()).await.expect("the caller waits");
-            Some(failure)
+            Some(reason)
         }
     }
 }
@@ -300,7 +300,7 @@
         caller.write_all(request.as_bytes()).await.expect("sent");
         let forwarding = ScriptedForwarding::new(Duration::from_millis(100));
         let failure = copy(runtime, peer_connection, accepted, forwarding).await;
-        assert_eq!(failure, Some(PeerFailure::TimedOut));
+        assert_eq!(failure, Some(EndReason::TimedOut));
         silent.await;
         let mut received = String::new();
         caller.read_to_string(&mut received).await.expect("closed");
