Average tenants' rates over a quarter of the share window

Cause: rates were averaged over the whole share window, 4 s. A tenant that returned after a quiet time passed as below its share for about a second and took what all others were entitled to; tenants that had been served meanwhile, from capacity that nobody else asked for, counted as above their share until their old rate had decayed, and were refused.

Change: one time constant, a quarter of the share window, for requested and granted rates. No message changes.

--- a/crates/routing/src/dispatch/messages.rs
+++ b/crates/routing/src/dispatch/messages.rs
@@ -20,7 +20,7 @@
     pub zone: String,
     /// The regions of the back ends' zones.
     pub regions: ZoneRegions,
-    /// Window over which tenants' usage is averaged.
+    /// Window in which each tenant is to get its share. Rates are averaged over a part of it.
     pub share_window: Duration,
     /// The fleet's retry budget for each service.
     pub budget: BudgetLimits,
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -86,6 +86,11 @@
 pub use performance::SpeedChange;
 pub use retries::{RetryStatus, RouterCounts};
 
+/// Time constants of tenants' rates in a share window. With one of 4 s, a tenant that returned after
+/// a quiet time was taken for one below its share for 1 to 2 s, and those that had been served
+/// meanwhile for ones above it for as long; in a burst these got 0.43 of their due over six seconds.
+const RATES_PER_SHARE_WINDOW: u32 = 4;
+
 /// Decides where and when a router's requests are served.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -139,7 +144,7 @@
     /// Creates a dispatcher without configuration, back ends or peers. `snapshots` is the address
     /// at which this router serves its snapshots.
     pub fn new(limits: DispatcherLimits, me: PeerId, snapshots: SocketAddr) -> Self {
-        let usage = Usage::new(limits.share_window);
+        let usage = Usage::new(limits.share_window / RATES_PER_SHARE_WINDOW);
         let configured = limits.policy;
         let policy = configured.in_fleet(false);
         let limits = DispatcherLimits { policy, ..limits };
