Report which request a forwarded connection ended with, why, and how far it was

On-call could not tell from logs whether a request on a forwarded connection was cut by the stop of the forwarding router, a configuration, a peer that went or an overdue answer: the line named neither the request nor answers that had begun.

`handed_on_unanswered` now has the request's id, the reason, the stage (not_passed_on, unanswered, within_answer) and for how long the answer had been under way. `mastbay_router_forwarding_interruptions` counts ends by reason and stage, those of idle connections included.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -19,8 +19,8 @@
 const OFFLOADED_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The `Keep-Alive` value announced on such connections.
 const OFFLOADED_KEEP_ALIVE: &str = "timeout=1";
-/// Age after which the next answer closes such a connection, so that the caller may reach another
-/// router once the forwarding peer is no longer overloaded.
+/// Age after which the next answer closes such a connection. Forwarding peers of earlier versions,
+/// which may be about to stop, can't close it between two requests.
 const OFFLOADED_MAX_AGE: Duration = Duration::from_secs(3);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -12,7 +12,7 @@
 use crate::call::Call;
 use crate::dialect::{CallerHead, OwnAnswer, RetryAfterError};
 use crate::log_rate_limiter::SuppressedLines;
-use crate::offload::{EndReason, OffloadError};
+use crate::offload::{Interruption, OffloadError};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use crate::stream_origins::Search;
@@ -406,13 +406,22 @@
     );
 }
 
-/// Logs that a peer accepted a connection and did not answer a request on it.
-pub fn handed_on_unanswered(peer: SocketAddr, reason: EndReason, waited: Duration) {
+/// Logs that a forwarded connection ended with a request that was not answered whole. The request
+/// that was not passed on has not run.
+pub fn forwarding_interrupted(
+    peer: SocketAddr,
+    request_id: Option<&str>,
+    interruption: &Interruption<'_>,
+) {
+    let Interruption { reason, stage, waited, answering, .. } = interruption;
     tracing::warn!(
         event = "handed_on_unanswered",
         peer = %peer,
+        request = request_id,
         reason = %reason,
-        waited_ms = milliseconds(waited),
+        stage = %stage,
+        waited_ms = milliseconds(*waited),
+        answering_ms = answering.map(milliseconds),
     );
 }
 
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -7,7 +7,8 @@
 use crate::listener::OverflowResult;
 use crate::log_rate_limiter::LogLineKind;
 use crate::offload::{
-    self, CopyOutcome, EndReason, ForwardedConnection, OffloadError, PeerConnection, StopPhases,
+    self, CopyOutcome, ForwardedConnection, Interruption, OffloadError, PeerConnection, Stage,
+    StopPhases,
 };
 use crate::overflow::OverflowOutcome;
 use crate::own_answers::own_answer_bytes;
@@ -72,13 +73,12 @@
 ) -> OverflowResult {
     router.record_overflow(OverflowOutcome::Forwarded);
     let interval = router.offload_interval();
-    let forwarded = Rc::new(AgreedConfiguration { router: router.clone(), table });
-    let began = router.now();
+    let forwarded = Rc::new(AgreedConfiguration { router: router.clone(), table, peer });
     let stop = StopPhases { accepts_none: router.stop.clone(), limit: router.stop_limit.clone() };
     let copied = connection.copy(router.runtime, caller, interval, forwarded, stop).await;
-    if let CopyOutcome::Unanswered { caller, reason, answer, request_start } = copied {
+    if let CopyOutcome::Unanswered { caller, answer, request_start, .. } = copied {
+        router.record_overflow(OverflowOutcome::Unanswered);
         router.metrics.on_own_answer(answer);
-        record_unanswered(router, peer, reason, router.now().since(began));
         send_own_answer(router, caller, &request_start, answer).await;
     }
     OverflowResult::Done
@@ -88,6 +88,8 @@
 struct AgreedConfiguration {
     router: Rc<Router>,
     table: Rc<RouteTable>,
+    /// The peer that serves the connection.
+    peer: SocketAddr,
 }
 
 impl ForwardedConnection for AgreedConfiguration {
@@ -100,6 +102,18 @@
         head.map_or_else(|| self.max_route_timeout(), |head| self.request_timeout(&head))
             + RETURN_MARGIN
     }
+
+    fn on_interruption(&self, interruption: &Interruption<'_>) {
+        let Interruption { reason, stage, request_start, .. } = interruption;
+        self.router.metrics.on_forwarding_interrupted(*reason, *stage);
+        // No request is concerned by the end of an idle connection.
+        if *stage != Stage::Idle && self.router.may_write_line(LogLineKind::Failure) {
+            let head = parse_head(request_start);
+            let head = head.and_then(|head| self.router.dialects.callers.read(&head).ok());
+            let request_id = head.map(|head| head.request_id);
+            events::forwarding_interrupted(self.peer, request_id.as_deref(), interruption);
+        }
+    }
 }
 
 impl AgreedConfiguration {
@@ -126,13 +140,6 @@
     }
 }
 
-fn record_unanswered(router: &Router, peer: SocketAddr, reason: EndReason, waited: Duration) {
-    router.record_overflow(OverflowOutcome::Unanswered);
-    if router.may_write_line(LogLineKind::Failure) {
-        events::handed_on_unanswered(peer, reason, waited);
-    }
-}
-
 async fn send_own_answer(router: &Router, mut caller: TcpStream, start: &[u8], answer: OwnAnswer) {
     let head = parse_head(start).and_then(|head| router.dialects.callers.read(&head).ok());
     let request_id = head.as_ref().map(|head| head.request_id.as_str());
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::dialect::OwnAnswer;
+use crate::offload::{EndReason, Stage};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
 use crate::stream_origins::Search;
@@ -59,6 +60,13 @@
     reason: &'static str,
 }
 
+/// Labels of ends of forwarded connections. The values are those in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct InterruptionLabels {
+    reason: String,
+    stage: String,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug, Clone)]
 pub struct RouterMetrics {
@@ -82,6 +90,7 @@
     long_turns: Counter,
     excessive: Counter,
     broken_streams: Family<BrokenStreamLabels, Counter>,
+    interruptions: Family<InterruptionLabels, Counter>,
     engines_by_speed: Family<SpeedLabels, Gauge>,
     prefix_sources: Counter,
     transferred_tokens: Counter,
@@ -119,6 +128,7 @@
             long_turns: Counter::default(),
             excessive: Counter::default(),
             broken_streams: Family::default(),
+            interruptions: Family::default(),
             engines_by_speed: Family::default(),
             prefix_sources: Counter::default(),
             transferred_tokens: Counter::default(),
@@ -185,6 +195,9 @@
         let name = "mastbay_router_excessive_connections";
         let help = "connections closed since their other sides sent bytes that completed nothing";
         registry.register(name, help, metrics.excessive.clone());
+        let name = "mastbay_router_forwarding_interruptions";
+        let help = "forwarded connections that ended, by reason and by what they carried";
+        registry.register(name, help, metrics.interruptions.clone());
         let name = "mastbay_router_broken_streams";
         let help = "streams cut within their answers, by reason";
         registry.register(name, help, metrics.broken_streams.clone());
@@ -351,6 +364,12 @@
         self.broken_streams.get_or_create(&BrokenStreamLabels { reason }).inc();
     }
 
+    /// Counts the end of a forwarded connection that its peer's answer did not ask for.
+    pub fn on_forwarding_interrupted(&self, reason: EndReason, stage: Stage) {
+        let labels = InterruptionLabels { reason: reason.to_string(), stage: stage.to_string() };
+        self.interruptions.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of engines at each step of speed.
     pub fn set_engines_by_speed(&self, engines: &BTreeMap<i8, u32>) {
         self.engines_by_speed.clear();
--- a/crates/router/tests/forwarded_requests.rs
+++ b/crates/router/tests/forwarded_requests.rs
@@ -5,7 +5,8 @@
 
 use mastbay_router::Runtime;
 use mastbay_router::offload::{
-    CopyOutcome, ForwardedConnection, PeerConnection, StopPhases, connect, hello,
+    CopyOutcome, EndReason, ForwardedConnection, Interruption, PeerConnection, Stage, StopPhases,
+    connect, hello,
 };
 use smol::future::FutureExt;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
@@ -24,15 +25,28 @@
 const VERSION: u64 = 1;
 const SHORT_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
 
-struct ScriptedForwarding(Cell<bool>);
+/// Scripted state of the router that forwards a connection.
+struct ScriptedForwarding {
+    is_current: Cell<bool>,
+    answer_timeout: Cell<Duration>,
+    interruptions: RefCell<Vec<(EndReason, Stage)>>,
+}
 
 impl ForwardedConnection for ScriptedForwarding {
     fn is_current(&self) -> bool {
-        self.0.get()
+        self.is_current.get()
     }
 
     fn answer_timeout(&self, _start: &[u8]) -> Duration {
-        ANSWER_TIMEOUT
+        self.answer_timeout.get()
+    }
+
+    fn on_interruption(&self, interruption: &Interruption<'_>) {
+        let Interruption { reason, stage, request_start, answering, .. } = interruption;
+        let has_request = request_start.starts_with(b"POST /unsafe/x HTTP/1.1\r\n");
+        assert!(has_request || *stage == Stage::Idle);
+        assert_eq!(answering.is_some(), *stage == Stage::WithinAnswer);
+        self.interruptions.borrow_mut().push((*reason, *stage));
     }
 }
 
@@ -68,7 +82,11 @@
         let (accepted, _) = callers.accept().await.expect("accepted");
         let (copied, is_closed) = (Rc::default(), Rc::default());
         let reading = read_all(peer.clone(), Rc::clone(&copied), Rc::clone(&is_closed));
-        let forwarding = Rc::new(ScriptedForwarding(Cell::new(true)));
+        let forwarding = Rc::new(ScriptedForwarding {
+            is_current: Cell::new(true),
+            answer_timeout: Cell::new(ANSWER_TIMEOUT),
+            interruptions: RefCell::default(),
+        });
         let stop = StopPhases::default();
         let copying = copy(runtime, connection, accepted, forwarding.clone(), stop.clone());
         Self {
@@ -185,7 +203,7 @@
     run(async |runtime| {
         let mut forwarded = Forwarded::start(runtime).await;
         forwarded.begin_stream().await;
-        forwarded.forwarding.0.set(false);
+        forwarded.forwarding.is_current.set(false);
         let copied = forwarded.copied.borrow().clone();
         forwarded.send(&request()).await;
         smol::Timer::after(COPY_TIME).await;
@@ -234,7 +252,7 @@
     run(async |runtime| {
         let mut forwarded = Forwarded::start(runtime).await;
         forwarded.exchange().await;
-        forwarded.forwarding.0.set(false);
+        forwarded.forwarding.is_current.set(false);
         assert!(forwarded.has_ended().await);
     });
 }
@@ -368,3 +386,100 @@
         }
     });
 }
+
+impl Forwarded {
+    /// Waits for the first interruption and returns it.
+    async fn interruption(&self) -> (EndReason, Stage) {
+        until(async || !self.forwarding.interruptions.borrow().is_empty()).await;
+        self.forwarding.interruptions.borrow()[0]
+    }
+}
+
+// An on-call must be able to tell the causes of cut or refused requests apart.
+#[test]
+fn a_request_that_is_held_at_a_configuration_change_is_reported() {
+    run(async |runtime| {
+        let mut forwarded = Forwarded::start(runtime).await;
+        forwarded.begin_stream().await;
+        forwarded.send(&request()).await;
+        forwarded.forwarding.is_current.set(false);
+        smol::Timer::after(COPY_TIME).await;
+        forwarded.answer(STREAM_END).await;
+        let reported = forwarded.interruption().await;
+        assert_eq!(reported, (EndReason::ConfigurationChanged, Stage::NotPassedOn));
+    });
+}
+
+#[test]
+fn a_request_that_is_incomplete_at_the_stop_is_reported() {
+    run(async |runtime| {
+        let mut forwarded = Forwarded::start(runtime).await;
+        let text = request();
+        let (start, rest) = text.split_at(text.len() - 1);
+        forwarded.send(start).await;
+        forwarded.until_copied(start).await;
+        forwarded.stop.accepts_none.trigger();
+        forwarded.send(rest).await;
+        assert_eq!(forwarded.interruption().await, (EndReason::Stopping, Stage::NotPassedOn));
+    });
+}
+
+#[test]
+fn an_answer_under_way_at_the_stop_limit_is_reported_and_goes_on() {
+    run(async |runtime| {
+        let mut forwarded = Forwarded::start(runtime).await;
+        forwarded.begin_stream().await;
+        forwarded.stop.accepts_none.trigger();
+        forwarded.stop.limit.trigger();
+        assert_eq!(forwarded.interruption().await, (EndReason::StopLimit, Stage::WithinAnswer));
+        forwarded.answer(STREAM_END).await;
+        forwarded.until_received(STREAM_END).await;
+    });
+}
+
+#[test]
+fn a_request_without_an_answer_at_the_stop_limit_is_reported() {
+    run(async |runtime| {
+        for (missing, stage, status) in [(0, Stage::Unanswered, 502), (1, Stage::NotPassedOn, 503)]
+        {
+            let mut forwarded = Forwarded::start(runtime).await;
+            let text = request();
+            let start = &text[..text.len() - missing];
+            forwarded.send(start).await;
+            forwarded.until_copied(start).await;
+            forwarded.stop.accepts_none.trigger();
+            forwarded.stop.limit.trigger();
+            assert_eq!(forwarded.interruption().await, (EndReason::StopLimit, stage));
+            assert!(forwarded.has_ended().await);
+            let head = format!("HTTP/1.1 {status} ");
+            assert!(forwarded.received.starts_with(&head), "{}", forwarded.received);
+        }
+    });
+}
+
+#[test]
+fn a_peer_that_goes_is_reported_with_what_it_served() {
+    run(async |runtime| {
+        let mut forwarded = Forwarded::start(runtime).await;
+        forwarded.begin_stream().await;
+        forwarded.peer.shutdown(std::net::Shutdown::Both).expect("closed");
+        assert_eq!(forwarded.interruption().await, (EndReason::Disconnected, Stage::WithinAnswer));
+
+        let mut forwarded = Forwarded::start(runtime).await;
+        let text = request();
+        forwarded.send(&text).await;
+        forwarded.until_copied(&text).await;
+        forwarded.peer.shutdown(std::net::Shutdown::Both).expect("closed");
+        assert_eq!(forwarded.interruption().await, (EndReason::Disconnected, Stage::Unanswered));
+    });
+}
+
+#[test]
+fn an_overdue_answer_is_reported() {
+    run(async |runtime| {
+        let mut forwarded = Forwarded::start(runtime).await;
+        forwarded.forwarding.answer_timeout.set(COPY_TIME);
+        forwarded.send(&request()).await;
+        assert_eq!(forwarded.interruption().await, (EndReason::TimedOut, Stage::Unanswered));
+    });
+}
