--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -184,8 +184,8 @@
     });
 }
 
-/// A router that stops cannot end the connections that it forwarded, so the peer limits their
-/// duration.
+/// A router of an earlier version that stops cannot end the connections that it forwarded, so the
+/// peer limits their duration.
 #[test]
 fn a_forwarded_connection_ends_with_an_answer_after_three_seconds() {
     run(async |runtime| {
