--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,7 +15,7 @@
 use crate::retries::UnansweredSend;
 use crate::runtime::{ALIGNED_TICK_INTERVAL, Runtime};
 use crate::settings::RouterSettings;
-use crate::shutdown::{Shutdown, ShutdownPhase};
+use crate::shutdown::Shutdown;
 use crate::snapshot_serving::TransferLimiter;
 use crate::snapshots::EncodedSnapshots;
 use crate::stream_origins::StreamOrigins;
@@ -333,12 +333,6 @@
         self.shutdown.get().accepts(self.now(), call.deadline)
     }
 
-    /// Returns whether new requests of connections that are forwarded may still be copied to the
-    /// peer, which does not know that this router stops.
-    pub fn accepts_forwarded_requests(&self) -> bool {
-        self.shutdown.get().phase(self.now()) != ShutdownPhase::Draining
-    }
-
     /// Logs that a request is accepted or rejected while the router stops.
     pub(crate) fn log_during_stop(&self, call: &Call, decision: StopDecision, stage: StopStage) {
         let Some(schedule) = self.shutdown.get().schedule() else { return };
