--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -86,9 +86,8 @@
 pub use performance::SpeedChange;
 pub use retries::{RetryStatus, RouterCounts};
 
-/// Time constants of tenants' rates in a share window. With one of 4 s, a tenant that returned after
-/// a quiet time was taken for one below its share for 1 to 2 s, and those that had been served
-/// meanwhile for ones above it for as long; in a burst these got 0.43 of their due over six seconds.
+/// Time constants of tenants' rates in a share window. A longer mean tells of the past after a jump:
+/// a tenant that returns passes as one below its share, and those served meanwhile as above theirs.
 const RATES_PER_SHARE_WINDOW: u32 = 4;
 
 /// Decides where and when a router's requests are served.
