Tell a request that is read after the peer's close as not run

Callers whose request crossed the peer's close of an idle connection were told 502, though no byte of it was passed on, and could not repeat it. The task that copies requests refused it, but the end of the answers was noticed first and took its place. That the request was not passed on is now kept in the state of the exchange.

--- a/crates/router/src/offload/requests.rs
+++ b/crates/router/src/offload/requests.rs
@@ -176,6 +176,8 @@
 
     fn refuse(&self, reason: EndReason, bytes: &[u8]) -> Step {
         self.state.on_request(self.runtime.now(), bytes);
+        // Kept in the state, since the end of the answers may be noticed before this one.
+        self.state.on_undelivered();
         Step::End(RequestsEnd::Refused(reason))
     }
 
