Don't loop without a pause when a peer sends unasked bytes during a stop

While a connection is idle at this router and its peer has sent something, the check for a reason to close waited for the signal of the stop, which returns at once after it was triggered. The loop kept the only thread of the router.

Measured with a scripted peer: the thread did nothing else for 5 s before; the test passes now.

--- a/crates/router/src/offload/requests.rs
+++ b/crates/router/src/offload/requests.rs
@@ -237,7 +237,12 @@
         // Nothing is left while the peer sends something that no request asked for.
         let left = if left.is_zero() { IDLE_CHECK_INTERVAL } else { left };
         let check = runtime.sleep(left.min(IDLE_CHECK_INTERVAL));
-        stop.accepts_none.wait().or(check).await;
+        // Waiting for a signal that was triggered returns at once, and would keep the thread.
+        if stop.accepts_none.is_triggered() {
+            check.await;
+        } else {
+            stop.accepts_none.wait().or(check).await;
+        }
     }
 }
 
