Refuse a request that follows a close that no answer has announced

A forwarding router that stops, or whose configuration has changed, closed a connection after an answer, and read and dropped for 0.3 s what came, so that no reset drops the answer. The peer's answer had not said that the connection closes: a request that its caller sent at once was read and dropped, and the connection ended without an answer, so its caller could not repeat it. The same befell a first request if the configuration changed while the peer was asked.

The router now waits 0.3 s for such a request before it closes, and tells it 503 not run.

--- a/crates/router/src/offload/requests.rs
+++ b/crates/router/src/offload/requests.rs
@@ -23,6 +23,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval between checks whether an idle connection must be closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for a request that the caller sends right after an answer, before it can notice that the
+/// connection is closed.
+const NEXT_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// Bytes of the next request that are read before the end of an answer. Reading notices a caller
 /// that leaves.
 const MAX_HELD_BYTES: usize = 8 << 10;
@@ -88,7 +91,7 @@
             .await;
         }
         if let Some(reason) = self.reason_to_close() {
-            return Step::End(RequestsEnd::Closed { reason, is_after_answer: true });
+            return self.refuse_next(reason).await;
         }
         let must_close = until_must_close(
             self.runtime,
@@ -181,6 +184,25 @@
         Step::End(RequestsEnd::Refused(reason))
     }
 
+    /// Refuses the next request if it comes soon, and otherwise closes the connection. No answer has
+    /// announced that it closes, so the caller may just have sent a request, and can't repeat one
+    /// that is read and dropped.
+    async fn refuse_next(&mut self, reason: EndReason) -> Step {
+        let runtime = self.runtime;
+        let request = poll_fn(|context| {
+            BUFFER.with_borrow_mut(|buffer| {
+                let length = ready!(poll_read_available(&mut self.caller, context, buffer));
+                let Some(length) = length else { return Poll::Ready(Step::CALLER_CLOSED) };
+                Poll::Ready(self.refuse(reason, &buffer[..length]))
+            })
+        });
+        let none = async {
+            runtime.sleep(NEXT_REQUEST_TIME).await;
+            Step::End(RequestsEnd::Closed { reason, is_after_answer: false })
+        };
+        request.or(none).await
+    }
+
     /// Waits for bytes and holds them.
     fn poll_hold(&mut self, context: &mut Context<'_>) -> Poll<Step> {
         let most = MAX_HELD_BYTES.saturating_sub(self.state.held());
