End a forwarded connection whose caller does not read its answer

A caller that neither read nor left kept its forwarded connection open until the router stopped: the peer gives up after 5 s without progress, but the router that waited to write to the caller did not notice it. Writes to the caller now have the limit of direct connections.

--- a/crates/router/src/offload/answers.rs
+++ b/crates/router/src/offload/answers.rs
@@ -3,6 +3,7 @@
 use super::exchange_state::ExchangeState;
 use super::{BUFFER, write_some};
 use crate::runtime::Runtime;
+use crate::write_timeout::WRITE_TIMEOUT;
 use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
 use std::future::poll_fn;
@@ -60,6 +61,14 @@
         })
     })
     .await?;
-    caller.write_all(&unwritten).await.map_err(|_| BrokenSide::Caller)?;
+    let mut rest = &unwritten[..];
+    while !rest.is_empty() {
+        // A write that waits does not notice that the peer has given up such a caller.
+        let written = runtime.within(WRITE_TIMEOUT, caller.write(rest)).await;
+        match written {
+            Ok(Ok(length @ 1..)) => rest = &rest[length..],
+            Ok(_) | Err(_) => return Err(BrokenSide::Caller),
+        }
+    }
     Ok(length > 0)
 }
--- a/crates/router/tests/forwarded_ends.rs
+++ b/crates/router/tests/forwarded_ends.rs
@@ -15,10 +15,12 @@
 use std::time::Duration;
 use support::{Request, run};
 
-const INTERVAL: Duration = Duration::from_millis(40);
+const INTERVAL: Duration = Duration::from_millis(1);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which bytes that are copied at all arrive, also on a busy machine.
 const COPY_TIME: Duration = Duration::from_millis(300);
+/// Time within which an answer that is not read ends; direct callers have 5 s.
+const UNREAD_LIMIT: Duration = Duration::from_secs(7);
 const VERSION: u64 = 1;
 const SHORT_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
 
@@ -226,3 +228,23 @@
     });
     done.recv_timeout(Duration::from_secs(5)).expect("the thread goes on");
 }
+
+// A caller that neither reads nor leaves would hold a connection of this router for good: its peer
+// gives up after a time, which a router that waits to write doesn't notice.
+#[test]
+fn an_answer_that_its_caller_does_not_read_ends() {
+    run(async |runtime| {
+        let mut forwarded = Forwarded::start(runtime).await;
+        forwarded.caller.write_all(request().as_bytes()).await.expect("sent");
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 100000000\r\n\r\n";
+        forwarded.peer.write_all(head.as_bytes()).await.expect("answered");
+        // As many bytes as the buffers on the way hold.
+        let block = vec![b'x'; 64 << 10];
+        let mut peer = forwarded.peer.clone();
+        let fill = async { while peer.write_all(&block).await.is_ok() {} };
+        assert!(mastbay_web::within(Duration::from_secs(2), fill).await.is_err(), "not blocked");
+        forwarded.peer.shutdown(Shutdown::Both).expect("closed");
+        let ended = mastbay_web::within(UNREAD_LIMIT, forwarded.copying).await;
+        assert!(ended.is_ok(), "open with an answer that is not read");
+    });
+}
