Refuse a request that ends after a configuration change on a forwarded connection

Callers whose upload crossed a change of the configuration were served by the older one, since the forwarding router passed on what completed a request that had begun before it. A direct request takes the configuration that is in force once its body has come.

A request that is incomplete when another configuration comes into force is told 503 as not run: the peer never had it whole. One whose answer has begun goes on.

--- a/crates/router/src/offload/requests.rs
+++ b/crates/router/src/offload/requests.rs
@@ -171,6 +171,10 @@
         if self.stop.accepts_none.is_triggered() {
             return self.refuse(EndReason::Stopping, bytes);
         }
+        let is_incomplete = matches!(self.state.phase(), Phase::Idle | Phase::Receiving);
+        if is_incomplete && !self.forwarded.is_current() {
+            return self.refuse(EndReason::ConfigurationChanged, bytes);
+        }
         let length = self.state.on_request(self.runtime.now(), bytes);
         // The rest fails, too, if the connection has failed.
         let unwritten = write_some(&mut self.peer, context, &bytes[..length]);
