--- a/crates/router/src/offload/copy.rs
+++ b/crates/router/src/offload/copy.rs
@@ -140,15 +140,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct CopyEnd {
     reason: EndReason,
-    /// A request of which bytes were read is not passed on.
-    is_refused: bool,
     /// Bytes of the last answer may still be on their way to the caller.
     is_after_answer: bool,
 }
 
 impl CopyEnd {
     fn new(reason: EndReason) -> Self {
-        Self { reason, is_refused: false, is_after_answer: false }
+        Self { reason, is_after_answer: false }
     }
 }
 
@@ -159,7 +157,7 @@
             RequestsEnd::Closed { reason, is_after_answer } => {
                 Self { is_after_answer, ..Self::new(reason) }
             }
-            RequestsEnd::Refused(reason) => Self { is_refused: true, ..Self::new(reason) },
+            RequestsEnd::Refused(reason) => Self::new(reason),
         }
     }
 }
@@ -247,7 +245,7 @@
     }
 
     async fn end(&self, end: CopyEnd, caller: TcpStream) -> CopyOutcome {
-        let stage = self.stage(end);
+        let stage = self.stage();
         if end.reason != EndReason::LastAnswer {
             self.record(end.reason, stage);
         }
@@ -270,10 +268,9 @@
         CopyOutcome::Unanswered { caller, reason: end.reason, answer, request_start }
     }
 
-    fn stage(&self, end: CopyEnd) -> Stage {
+    fn stage(&self) -> Stage {
         match self.state.phase() {
             Phase::Receiving => Stage::NotPassedOn,
-            Phase::Awaiting if end.is_refused => Stage::NotPassedOn,
             Phase::Unframed | Phase::Awaiting => Stage::Unanswered,
             Phase::Answering => Stage::WithinAnswer,
             Phase::Idle | Phase::Discarding | Phase::Closing => Stage::Idle,
