--- a/crates/router/tests/retry_budget.rs
+++ b/crates/router/tests/retry_budget.rs
@@ -200,3 +200,52 @@
 fn requests_are_served_while_no_back_end_is_suspended() {
     play(Duration::ZERO);
 }
+
+/// Time between two bouts of requests, less than a window of the budget and more than half of one.
+const BOUT_INTERVAL: Duration = Duration::from_secs(6);
+/// Interval at which windows begin for the check of each.
+const WINDOW_STEP: Duration = Duration::from_millis(50);
+
+/// Returns by how many the repeats exceed what is allowed in the worst window: a fraction of the
+/// requests of the window itself, of the one before or of the one that begins half a window earlier,
+/// plus a burst.
+fn worst_excess(requests: &[Instant], repeats: &[Instant], limits: BudgetLimits) -> f64 {
+    let (Some(first), Some(last)) = (requests.iter().min(), repeats.iter().max()) else {
+        return 0.0;
+    };
+    // Moments before the first request count as negative.
+    let seconds = |at: &Instant| at.duration_since(*first).as_secs_f64();
+    let window = limits.window.as_secs_f64();
+    let count = |times: &[Instant], from: f64| {
+        times.iter().filter(|at| (from..=from + window).contains(&seconds(at))).count()
+    };
+    let excess = |from: f64| {
+        let of_requests = [0.0, window / 2.0, window].map(|back| count(requests, from - back));
+        let most = of_requests.into_iter().max().unwrap_or_default();
+        count(repeats, from) as f64 - (limits.ratio * most as f64 + limits.burst)
+    };
+    let steps = ((seconds(last) + window) / WINDOW_STEP.as_secs_f64()) as usize;
+    let starts = (0..=steps).map(|step| step as f64 * WINDOW_STEP.as_secs_f64() - window);
+    starts.map(excess).fold(f64::MIN, f64::max)
+}
+
+/// Guards against retries that two bouts allow together, although no window holds both.
+#[test]
+fn retries_in_the_second_of_two_bouts_stay_within_the_budget_of_each_window() {
+    run(async |runtime| {
+        let fleet = Fleet::start(runtime).await;
+        let first = Instant::now();
+        fleet.call_at_once().await;
+        smol::Timer::at(first + BOUT_INTERVAL).await;
+        let second = Instant::now();
+        fleet.back_ends.iter().for_each(|back_end| back_end.breaks_connections.set(true));
+        fleet.call_at_once().await;
+        smol::Timer::after(SETTLE_TIME).await;
+        let requests = [vec![first; REQUESTS], vec![second; REQUESTS]].concat();
+        let repeats = fleet.repeats();
+        let excess = worst_excess(&requests, &repeats, BudgetLimits::default());
+        println!("{} repeats, {excess:.1} over the budget of a window", repeats.len());
+        assert!(!repeats.is_empty(), "nothing was sent again");
+        assert!(excess <= 0.0, "{excess:.1} of {} repeats too many", repeats.len());
+    });
+}
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -103,3 +103,103 @@
         TestResult::from_bool(max_in_window as f64 <= LIMITS.ratio * requests as f64 + LIMITS.burst)
     }
 }
+
+/// Interval of requests and retries in the simulation of bouts, in milliseconds.
+const STEP_MILLIS: u64 = 100;
+
+/// Time after a bout in which its requests fail, in milliseconds.
+const FAILING_MILLIS: u64 = 2_000;
+
+/// A bout of requests, spread evenly over the routers.
+#[derive(Debug, Clone, Copy)]
+struct Bout {
+    at_millis: u64,
+    requests: usize,
+    /// Whether its requests fail, so that routers retry whenever they may.
+    fails: bool,
+}
+
+impl Bout {
+    fn is_failing(&self, millis: u64) -> bool {
+        self.fails && (self.at_millis..self.at_millis + FAILING_MILLIS).contains(&millis)
+    }
+}
+
+/// Times of the requests and the retries of a fleet, in milliseconds and in order.
+#[derive(Default)]
+struct History {
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl History {
+    /// Simulates routers that retry whenever they may while a bout fails.
+    fn of_bouts(routers: usize, bouts: &[Bout]) -> Self {
+        let new = |index| RetryBudget::new(LIMITS, Timestamp::ZERO, draw(index));
+        let mut budgets: Vec<RetryBudget> = (0..routers).map(new).collect();
+        let mut history = Self::default();
+        let last = bouts.iter().map(|bout| bout.at_millis).max().unwrap_or_default();
+        for millis in (0..=last + FAILING_MILLIS).step_by(STEP_MILLIS as usize) {
+            let now = Timestamp::from_millis(millis);
+            for bout in bouts.iter().filter(|bout| bout.at_millis == millis) {
+                (0..bout.requests).for_each(|nth| budgets[nth % routers].on_request(now));
+                history.requests.extend(std::iter::repeat_n(millis, bout.requests));
+            }
+            if bouts.iter().any(|bout| bout.is_failing(millis)) {
+                for budget in &mut budgets {
+                    while budget.take(now, Some(routers)) {
+                        budget.settle(now, 1);
+                        history.retries.push(millis);
+                    }
+                }
+            }
+        }
+        history
+    }
+
+    /// Returns the retries beyond what is allowed in the window where most are, negative if fewer
+    /// are used. The requests of a window are its own, those of the window before or of the one that
+    /// begins half a window earlier, whichever are most.
+    fn worst_excess(&self) -> f64 {
+        let window = LIMITS.window.as_millis() as i64;
+        let count = |times: &[u64], from: i64| {
+            let is_within = |at: &&u64| (from..=from + window).contains(&(**at as i64));
+            times.iter().filter(is_within).count()
+        };
+        let excess = |from: i64| {
+            let requests = [0, window / 2, window].map(|back| count(&self.requests, from - back));
+            let most = requests.into_iter().max().unwrap_or_default();
+            count(&self.retries, from) as f64 - (LIMITS.ratio * most as f64 + LIMITS.burst)
+        };
+        let last = self.retries.last().copied().unwrap_or_default() as i64;
+        (-window..=last).step_by(STEP_MILLIS as usize / 2).map(excess).fold(f64::MIN, f64::max)
+    }
+}
+
+/// Guards against retries that two bouts allow together, although no window of the rule holds both.
+#[test]
+fn retries_after_two_bouts_stay_within_the_budget_of_each_window() {
+    let bout = |at_millis, fails| Bout { at_millis, requests: 1_500, fails };
+    for second in [5_500, 6_000, 8_000, 9_900] {
+        let history = History::of_bouts(7, &[bout(0, false), bout(second, true)]);
+        let excess = history.worst_excess();
+        println!("second bout at {second} ms: {} retries, {excess:.1} over", history.retries.len());
+        assert!(excess <= 0.0, "{excess:.1} retries too many with a bout at {second} ms");
+    }
+}
+
+quickcheck! {
+    fn any_bouts_stay_within_the_budget_of_each_window(bouts: Vec<(u8, u16, bool)>) -> TestResult {
+        let mut bouts: Vec<Bout> = bouts
+            .into_iter()
+            .take(6)
+            .map(|(at, requests, fails)| Bout {
+                at_millis: u64::from(at) * STEP_MILLIS,
+                requests: usize::from(requests % 2_000),
+                fails,
+            })
+            .collect();
+        bouts.sort_by_key(|bout| bout.at_millis);
+        TestResult::from_bool(History::of_bouts(7, &bouts).worst_excess() <= 0.0)
+    }
+}
