Log and count how old requests are when their heads are complete

What on-call lacked: no line and no metric told how long the head of a request took, how long it lay unread, or what time a back end was given, so deadlines that count from the wrong moment could not be told from other faults.

request_ended has head_age_ms (from the first byte of the request until its head was complete) and time_given_ms (what the last back end was given); the counter mastbay_router_late_heads counts heads of half a second and more. The stream of a connection follows the framing of its requests to date them, also those that one read returns and those that are read within an answer. The code for ages that a forwarding router tells is there and not used yet. No decision is changed.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -40,7 +40,9 @@
     pub regions: AllowedRegions,
     /// The router that forwarded the connection, `None` if the caller connected here.
     pub forwarded_by: Option<IpAddr>,
-    /// When the head was read.
+    /// When the request began to arrive, here or at the router that forwarded it.
+    pub began: Timestamp,
+    /// When the head was complete here.
     pub arrived: Timestamp,
     /// When the body was received completely.
     pub received: Timestamp,
@@ -98,6 +100,8 @@
     pub excluded: ExcludedBackEnds,
     /// The retry delay returned to the caller.
     pub retry_after: Option<Duration>,
+    /// The time that the last back end was given.
+    pub time_given: Option<Duration>,
 }
 
 impl Call {
@@ -124,6 +128,7 @@
     /// Records that the request was assigned to a back end.
     pub fn record_placement(&self, placement: &Placement, now: Timestamp) {
         let mut trace = self.trace.borrow_mut();
+        trace.time_given = Some(self.time_left(now));
         trace.waited = now.since(self.arrived);
         trace.predicted = placement.predicted;
         trace.running = placement.running;
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -2,8 +2,11 @@
 //! load, and those that peers forward.
 
 use crate::forwarding::forward_connection;
-use crate::listener::{ListenerLimits, LocalBody, OverflowHandler, close_unread, serve};
+use crate::listener::{
+    ListenerContext, ListenerLimits, LocalBody, OverflowHandler, close_unread, serve,
+};
 use crate::offload;
+use crate::request_arrivals::ReadDelay;
 use crate::router::Router;
 use crate::serve::{Ingress, serve_request};
 use hyper::header::{HeaderName, HeaderValue};
@@ -39,10 +42,9 @@
     let handler_router = router.clone();
     let handler = move |_| {
         let handler_router = handler_router.clone();
-        move |request| serve_request(handler_router.clone(), Ingress::Direct, request)
+        move |request, age| serve_request(handler_router.clone(), Ingress::Direct, request, age)
     };
-    let (stop, open) = (router.stop.clone(), router.open.clone());
-    let direct = serve(runtime, callers, limits, overflow(router), stop, open, handler);
+    let direct = serve(runtime, callers, limits, context(router, overflow(router)), handler);
     let offloaded = serve_offloaded(router.clone(), offloaded);
     runtime.spawn(async move {
         smol::future::zip(direct, offloaded).await;
@@ -63,21 +65,31 @@
     let handler_router = router.clone();
     let handler = move |from: SocketAddr| {
         let (router, table) = (handler_router.clone(), handler_router.table());
-        move |request| {
+        move |request, age| {
             let ingress = Ingress::Forwarded { by: from.ip(), table: table.clone() };
-            serve_offloaded_request(router.clone(), ingress, request)
+            serve_offloaded_request(router.clone(), ingress, request, age)
         }
     };
-    let (stop, open) = (router.stop.clone(), router.open.clone());
-    serve(router.runtime, listener, limits, close_unread(), stop, open, handler).await;
+    let context = context(&router, close_unread());
+    serve(router.runtime, listener, limits, context, handler).await;
+}
+
+fn context(router: &Rc<Router>, overflow: OverflowHandler) -> ListenerContext {
+    ListenerContext {
+        overflow,
+        stop: router.stop.clone(),
+        open: router.open.clone(),
+        read_delay: read_delay(router),
+    }
 }
 
 async fn serve_offloaded_request(
     router: Rc<Router>,
     ingress: Ingress,
     request: Request<MeteredBody>,
+    age: Duration,
 ) -> Response<LocalBody> {
-    let mut response = serve_request(router, ingress, request).await;
+    let mut response = serve_request(router, ingress, request, age).await;
     response.headers_mut().insert(KEEP_ALIVE, HeaderValue::from_static(OFFLOADED_KEEP_ALIVE));
     response
 }
@@ -94,7 +106,13 @@
     }
 }
 
+/// Returns how long bytes that are read now may have waited for the router.
+pub fn read_delay(router: &Rc<Router>) -> ReadDelay {
+    let router = router.clone();
+    Rc::new(move || router.read_delay())
+}
+
 fn overflow(router: &Rc<Router>) -> OverflowHandler {
     let router = router.clone();
-    Rc::new(move |caller| Box::pin(forward_connection(router.clone(), caller)))
+    Rc::new(move |caller, _| Box::pin(forward_connection(router.clone(), caller)))
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -42,6 +42,7 @@
 mod quarantine;
 pub mod quarantine_archive;
 mod relay;
+pub mod request_arrivals;
 mod request_body;
 pub mod request_head;
 mod reserved_buffer;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -5,6 +5,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use mastbay_types::Timestamp;
 use mastbay_web::{BodyError, MeteredBody, MeteredStream, ReadMeter};
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
@@ -12,7 +13,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
 use socket2::{Domain, Protocol, Socket, Type};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -23,6 +24,9 @@
 use crate::chunked_body::ChunkedBody;
 use crate::events;
 use crate::offload::HELLO_LENGTH;
+use crate::request_arrivals::{
+    AgeSource, ArrivalStream, ReadDelay, RequestArrivals, SharedArrivals,
+};
 use crate::runtime::Runtime;
 use crate::watched_task::{ConnectionKind, Remote, report_excess, watched};
 use crate::write_timeout::WriteTimeoutStream;
@@ -73,12 +77,14 @@
     ServeHere(TcpStream),
 }
 
-/// Handles new connections instead of the listener while the router is overloaded.
-pub type OverflowHandler = Rc<dyn Fn(TcpStream) -> Pin<Box<dyn Future<Output = OverflowResult>>>>;
+/// Handles new connections instead of the listener while the router is overloaded. Each came at the
+/// given time or later.
+pub type OverflowHandler =
+    Rc<dyn Fn(TcpStream, Timestamp) -> Pin<Box<dyn Future<Output = OverflowResult>>>>;
 
 /// Returns a handler that closes connections without reading from them.
 pub fn close_unread() -> OverflowHandler {
-    Rc::new(|stream| {
+    Rc::new(|stream, _| {
         drop(stream);
         Box::pin(std::future::ready(OverflowResult::Done))
     })
@@ -154,21 +160,33 @@
     Ok(TcpListener::from(smol::Async::new_nonblocking(listener)?))
 }
 
-/// Accepts connections until `stop` is triggered, then waits until the open ones have finished.
+/// What a listener uses for each of its connections.
+pub struct ListenerContext {
+    /// Handles the connections that overflow.
+    pub overflow: OverflowHandler,
+    /// Ends accepting.
+    pub stop: StopSignal,
+    /// Counts the connections.
+    pub open: OpenConnections,
+    /// How late bytes are read.
+    pub read_delay: ReadDelay,
+}
+
+/// Accepts connections until the stop is triggered, then waits until the open ones have finished.
 /// `limits` and `handler` are called for each connection, so a new configuration applies to new
-/// connections. `handler` gets the address of the remote side.
+/// connections. `handler` gets the address of the remote side, and what it returns gets each request
+/// with the time since it began to arrive.
 pub async fn serve<H, F>(
     runtime: Runtime,
     listener: TcpListener,
     limits: impl Fn() -> ListenerLimits,
-    overflow: OverflowHandler,
-    stop: StopSignal,
-    open: OpenConnections,
+    context: ListenerContext,
     handler: impl Fn(SocketAddr) -> H,
 ) where
-    H: Fn(Request<MeteredBody>) -> F + 'static,
+    H: Fn(Request<MeteredBody>, Duration) -> F + 'static,
     F: Future<Output = Response<LocalBody>> + 'static,
 {
+    let ListenerContext { overflow, stop, open, read_delay } = context;
     // Each connection holds a sender, so the channel closes when the last one has finished.
     let (alive, all_finished) = smol::channel::bounded::<Infallible>(1);
     loop {
@@ -186,6 +204,8 @@
                 runtime.sleep(FULL_BACKOFF).await;
             }
             Some(Ok((stream, from))) => {
+                let connected = runtime.now().saturating_sub(read_delay());
+                let read_delay = read_delay.clone();
                 let limits = limits();
                 let overflows = limits.overflow_fraction > 0.0
                     && rand::random::<f64>() < limits.overflow_fraction;
@@ -198,15 +218,22 @@
                 let task = async move {
                     let result = match overflow {
                         None => OverflowResult::ServeHere(stream),
-                        Some(overflow) => overflow(stream).await,
+                        Some(overflow) => overflow(stream, connected).await,
                     };
                     if let OverflowResult::ServeHere(stream) = result {
                         // The connection works without the option.
                         let _ = stream.set_nodelay(true);
                         let stream = WriteTimeoutStream::new(stream, runtime, on_write_timeout);
+                        let arrivals = RequestArrivals::new(AgeSource::Reading);
+                        let arrivals = Rc::new(RefCell::new(arrivals));
+                        let dated = arrivals.clone();
+                        let stream =
+                            ArrivalStream::new(stream, runtime, connected, read_delay, dated);
                         let meter = ReadMeter::new(limits.max_bytes_without_progress());
                         let stream = MeteredStream::new(stream, meter.clone());
-                        serve_connection(runtime, stream, &meter, limits, stop, handler).await;
+                        let connection = Connection { stream, meter, arrivals };
+                        let meter = connection.meter.clone();
+                        serve_connection(runtime, connection, limits, stop, handler).await;
                         report_excess(runtime, remote, &meter);
                     }
                     drop(open_guard);
@@ -272,26 +299,35 @@
     }
 }
 
+/// A connection of a caller with the records of what is read from it.
+struct Connection {
+    stream: MeteredStream<ArrivalStream<WriteTimeoutStream<TcpStream>>>,
+    meter: ReadMeter,
+    arrivals: SharedArrivals,
+}
+
 async fn serve_connection<H, F>(
     runtime: Runtime,
-    mut stream: MeteredStream<WriteTimeoutStream<TcpStream>>,
-    meter: &ReadMeter,
+    connection: Connection,
     limits: ListenerLimits,
     stop: StopSignal,
     handler: H,
 ) where
-    H: Fn(Request<MeteredBody>) -> F + 'static,
+    H: Fn(Request<MeteredBody>, Duration) -> F + 'static,
     F: Future<Output = Response<LocalBody>> + 'static,
 {
+    let Connection { mut stream, meter, arrivals } = connection;
     if let Some(hello) = limits.hello
         && stream.write_all(&hello).await.is_err()
     {
         return;
     }
     let close_after = limits.max_age.map(|age| runtime.now() + age);
-    let meter = meter.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let answer = handler(request.map(|body| MeteredBody::new(body, meter.clone())));
+        let now = runtime.now();
+        let began = arrivals.borrow_mut().take_next().unwrap_or(now);
+        let request = request.map(|body| MeteredBody::new(body, meter.clone()));
+        let answer = handler(request, now.since(began));
         async move {
             let mut answer = answer.await;
             if close_after.is_some_and(|close_after| runtime.now() >= close_after) {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Labels of ended requests. The configuration bounds the number of their values.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -74,6 +75,15 @@
     stage: String,
 }
 
+/// Labels of requests whose heads were complete late.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LateHeadLabels {
+    ingress: &'static str,
+}
+
+/// Age from which the head of a request counts as late.
+const LATE_HEAD: Duration = Duration::from_millis(500);
+
 /// Labels of ends of forwarded connections. The values are those in the log.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct InterruptionLabels {
@@ -107,6 +117,7 @@
     excessive: Counter,
     broken_streams: Family<BrokenStreamLabels, Counter>,
     interruptions: Family<InterruptionLabels, Counter>,
+    late_heads: Family<LateHeadLabels, Counter>,
     engines_by_speed: Family<SpeedLabels, Gauge>,
     prefix_sources: Counter,
     transferred_tokens: Counter,
@@ -147,6 +158,7 @@
             excessive: Counter::default(),
             broken_streams: Family::default(),
             interruptions: Family::default(),
+            late_heads: Family::default(),
             engines_by_speed: Family::default(),
             prefix_sources: Counter::default(),
             transferred_tokens: Counter::default(),
@@ -222,6 +234,9 @@
         let name = "mastbay_router_forwarding_interruptions";
         let help = "forwarded connections that ended, by reason and by what they carried";
         registry.register(name, help, metrics.interruptions.clone());
+        let name = "mastbay_router_late_heads";
+        let help = "requests whose heads were complete half a second after they began, or later";
+        registry.register(name, help, metrics.late_heads.clone());
         let name = "mastbay_router_broken_streams";
         let help = "streams cut within their answers, by reason";
         registry.register(name, help, metrics.broken_streams.clone());
@@ -407,6 +422,15 @@
         self.interruptions.get_or_create(&labels).inc();
     }
 
+    /// Records a request whose head is complete `age` after it began, on a connection that another
+    /// router forwards or on one of its caller.
+    pub fn on_head(&self, age: Duration, is_forwarded: bool) {
+        if age >= LATE_HEAD {
+            let ingress = if is_forwarded { "forwarded" } else { "direct" };
+            self.late_heads.get_or_create(&LateHeadLabels { ingress }).inc();
+        }
+    }
+
     /// Sets the number of engines at each step of speed.
     pub fn set_engines_by_speed(&self, engines: &BTreeMap<i8, u32>) {
         self.engines_by_speed.clear();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -171,10 +171,11 @@
         Timestamp::ZERO + self.runtime.now().since(self.started)
     }
 
-    /// Returns the earliest time at which a request that is read now may have arrived: one that lay
-    /// unread while the machine was suspended must not get its full timeout again.
-    pub(crate) fn earliest_arrival(&self) -> Timestamp {
-        self.stall_detector.get().earliest_arrival(self.now())
+    /// Returns how long bytes that are read now may have waited in a socket: a request that lay unread
+    /// while the machine was suspended must not get its full timeout again.
+    pub(crate) fn read_delay(&self) -> Duration {
+        let now = self.now();
+        now.since(self.stall_detector.get().earliest_arrival(now))
     }
 
     /// Returns the earliest time at which a signal that is read now may have arrived.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -63,13 +63,18 @@
     }
 }
 
-/// Serves one request. All failures are returned as answers of the router's own.
+/// Serves one request that began to arrive `age` ago. All failures are returned as answers of the
+/// router's own.
 pub async fn serve_request(
     router: Rc<Router>,
     ingress: Ingress,
     request: Request<MeteredBody>,
+    age: Duration,
 ) -> Response<LocalBody> {
-    let arrival = Arrival { at: router.now(), earliest: router.earliest_arrival(), ingress };
+    let now = router.now();
+    let earliest = now.saturating_sub(router.read_delay());
+    let arrival = Arrival { at: now, began: now.saturating_sub(age), earliest, ingress };
+    router.metrics.on_head(age, arrival.ingress.forwarded_by().is_some());
     router.wait_until_up_to_date().await;
     let (parts, body) = request.into_parts();
     let stopped = async {
@@ -90,8 +95,10 @@
 /// When and how a request arrived.
 #[derive(Debug, Clone)]
 struct Arrival {
-    /// When the head was read.
+    /// When the head was complete.
     at: Timestamp,
+    /// When the request began to arrive.
+    began: Timestamp,
     /// The earliest time at which the request may have arrived: after a stall it may have been
     /// waiting in the socket's buffer.
     earliest: Timestamp,
@@ -203,6 +210,7 @@
         priority,
         regions,
         forwarded_by: arrival.ingress.forwarded_by(),
+        began: arrival.began,
         arrived: arrival.at,
         received: router.now(),
         deadline,
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -2,7 +2,9 @@
 
 use crate::callers::serve_callers;
 use crate::events;
-use crate::listener::{ListenerLimits, OpenConnections, StopSignal, close_unread, listen, serve};
+use crate::listener::{
+    ListenerContext, ListenerLimits, OpenConnections, StopSignal, close_unread, listen, serve,
+};
 use crate::open_streams;
 use crate::operations::{operations, readiness};
 use crate::peers;
@@ -123,9 +125,14 @@
         max_age: None,
         hello: None,
     };
-    let no_stop = StopSignal::default();
+    let context = || ListenerContext {
+        overflow: close_unread(),
+        stop: StopSignal::default(),
+        open: OpenConnections::default(),
+        read_delay: Rc::new(|| Duration::ZERO),
+    };
     let answering = router.clone();
-    let handler = move |_| {
+    let handler = move |_, _| {
         let answer = readiness(&answering);
         async move { answer }
     };
@@ -135,14 +142,12 @@
             runtime,
             readiness_listener,
             move || limits,
-            close_unread(),
-            no_stop.clone(),
-            OpenConnections::default(),
+            context(),
             move |_| handler.clone(),
         ))
         .detach();
     let answering = router.clone();
-    let handler = move |request| {
+    let handler = move |request, _| {
         let answer = operations(&answering, &registry, &request);
         async move { answer }
     };
@@ -151,9 +156,7 @@
             runtime,
             operations_listener,
             move || limits,
-            close_unread(),
-            no_stop,
-            OpenConnections::default(),
+            context(),
             move |_| handler.clone(),
         ))
         .detach();
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -37,6 +37,12 @@
         self.0 as f64 / 1e6
     }
 
+    /// Returns the timestamp `duration` earlier, at least the origin.
+    pub fn saturating_sub(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Returns the time since `earlier`, or zero if `earlier` is later.
     pub fn since(self, earlier: Timestamp) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
