Count a deadline from the first byte of its request

What callers saw: engines worked on requests after their callers' deadlines. A head that came 2.5 s after its first bytes, or a request sent within the answer before it, got its whole deadline again: 60 of 60 requests were given 2.5 s too much, and 68 of 144 reads up to 3.1 s.

Ruled out: bodies; they were counted right.

Objectives, waits and the choice of a back end still count from the complete head: an old request that is served late is worth more to its caller than one that is refused.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -72,8 +72,7 @@
     age: Duration,
 ) -> Response<LocalBody> {
     let now = router.now();
-    let earliest = now.saturating_sub(router.read_delay());
-    let arrival = Arrival { at: now, began: now.saturating_sub(age), earliest, ingress };
+    let arrival = Arrival { at: now, began: now.saturating_sub(age), ingress };
     router.metrics.on_head(age, arrival.ingress.forwarded_by().is_some());
     router.wait_until_up_to_date().await;
     let (parts, body) = request.into_parts();
@@ -97,11 +96,9 @@
 struct Arrival {
     /// When the head was complete.
     at: Timestamp,
-    /// When the request began to arrive.
+    /// When the request began to arrive. After a stall this is the earliest time at which it may
+    /// have: its first bytes may have been waiting in the socket's buffer.
     began: Timestamp,
-    /// The earliest time at which the request may have arrived: after a stall it may have been
-    /// waiting in the socket's buffer.
-    earliest: Timestamp,
     ingress: Ingress,
 }
 
@@ -197,7 +194,8 @@
     let Some(service) = service.map(str::to_owned) else {
         return Err((head.request_id, unconfigured));
     };
-    let deadline = arrival.earliest + time_allowed(&head, &entry.route);
+    // The caller counts from when it began to send.
+    let deadline = arrival.began + time_allowed(&head, &entry.route);
     Ok(Call {
         tenant: tenant.map(|tenant| Arc::from(tenant.name.as_str())),
         head,
