Tell a peer the age of each forwarded request

What callers saw: a router that is late forwards connections because it is late, and the peer took what it read as sent just now.

Cause: the bytes were copied without their age, so the deadline began anew at the peer; a request that was held until the end of the answer before it lost its age in the same way.

The forwarding router sends four bytes before each request: the milliseconds since the request began to arrive. The first bytes of a connection count from when it came, unless a read found nothing; held bytes from when they were read. The peer takes the ages out by the same framing. The timeout of the forwarding router counts from there, too. Hellos begin with another byte, so routers of this and of earlier versions forward nothing to each other while both run.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -114,5 +114,5 @@
 
 fn overflow(router: &Rc<Router>) -> OverflowHandler {
     let router = router.clone();
-    Rc::new(move |caller, _| Box::pin(forward_connection(router.clone(), caller)))
+    Rc::new(move |caller| Box::pin(forward_connection(router.clone(), caller)))
 }
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -7,8 +7,8 @@
 use crate::listener::OverflowResult;
 use crate::log_rate_limiter::LogLineKind;
 use crate::offload::{
-    self, CopyOutcome, ForwardedConnection, Interruption, OffloadError, PeerConnection, Stage,
-    StopPhases,
+    self, AcceptedCaller, CopyOutcome, ForwardedConnection, Interruption, OffloadError,
+    PeerConnection, Stage, StopPhases,
 };
 use crate::overflow::OverflowOutcome;
 use crate::own_answers::own_answer_bytes;
@@ -28,8 +28,11 @@
 
 /// Forwards a connection to a peer in the zone. If none accepts it, serves it locally, except for
 /// the rejected fraction, which is forwarded to a peer in another zone or closed unread.
-pub(crate) async fn forward_connection(router: Rc<Router>, caller: TcpStream) -> OverflowResult {
-    let Some(table) = router.table() else { return OverflowResult::ServeHere(caller) };
+pub(crate) async fn forward_connection(
+    router: Rc<Router>,
+    caller: AcceptedCaller,
+) -> OverflowResult {
+    let Some(table) = router.table() else { return OverflowResult::ServeHere(caller.stream) };
     let draws = (rand::random(), rand::random());
     let in_zone = router.dispatcher.borrow().offload_targets(draws);
     for peer in in_zone {
@@ -39,7 +42,7 @@
     }
     if rand::random::<f64>() >= router.rejected_fraction() {
         router.record_overflow(OverflowOutcome::ServedLocally);
-        return OverflowResult::ServeHere(caller);
+        return OverflowResult::ServeHere(caller.stream);
     }
     // Connections are closed before their tenant is known, which favors the tenant that connects
     // most, so a peer in another zone is tried first.
@@ -69,7 +72,7 @@
     table: Rc<RouteTable>,
     peer: SocketAddr,
     connection: PeerConnection,
-    caller: TcpStream,
+    caller: AcceptedCaller,
 ) -> OverflowResult {
     router.record_overflow(OverflowOutcome::Forwarded);
     let interval = router.offload_interval();
@@ -103,6 +106,10 @@
             + RETURN_MARGIN
     }
 
+    fn read_delay(&self) -> Duration {
+        self.router.read_delay()
+    }
+
     fn on_interruption(&self, interruption: &Interruption<'_>) {
         let Interruption { reason, stage, request_start, .. } = interruption;
         self.router.metrics.on_forwarding_interrupted(*reason, *stage);
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -5,7 +5,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use mastbay_types::Timestamp;
 use mastbay_web::{BodyError, MeteredBody, MeteredStream, ReadMeter};
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
@@ -23,7 +22,7 @@
 
 use crate::chunked_body::ChunkedBody;
 use crate::events;
-use crate::offload::HELLO_LENGTH;
+use crate::offload::{AcceptedCaller, HELLO_LENGTH};
 use crate::request_arrivals::{
     AgeSource, ArrivalStream, ReadDelay, RequestArrivals, SharedArrivals,
 };
@@ -58,11 +57,17 @@
     pub overflow_fraction: f64,
     /// Age after which the next answer closes the connection, `None` for no limit.
     pub max_age: Option<Duration>,
-    /// Message sent before anything is read, on connections that other routers forward.
+    /// Message sent before anything is read, on connections that other routers forward. These send
+    /// the age of each request before it.
     pub hello: Option<[u8; HELLO_LENGTH]>,
 }
 
 impl ListenerLimits {
+    /// Returns how the ages of requests are known.
+    fn age_source(&self) -> AgeSource {
+        self.hello.map_or(AgeSource::Reading, |_| AgeSource::ForwardingRouter)
+    }
+
     /// Returns how many bytes of a caller may complete neither a head nor a piece of a body.
     fn max_bytes_without_progress(&self) -> u64 {
         MAX_BYTES_WITHOUT_PROGRESS.max(2 * self.head_bytes as u64)
@@ -77,15 +82,14 @@
     ServeHere(TcpStream),
 }
 
-/// Handles new connections instead of the listener while the router is overloaded. Each came at the
-/// given time or later.
+/// Handles new connections instead of the listener while the router is overloaded.
 pub type OverflowHandler =
-    Rc<dyn Fn(TcpStream, Timestamp) -> Pin<Box<dyn Future<Output = OverflowResult>>>>;
+    Rc<dyn Fn(AcceptedCaller) -> Pin<Box<dyn Future<Output = OverflowResult>>>>;
 
 /// Returns a handler that closes connections without reading from them.
 pub fn close_unread() -> OverflowHandler {
-    Rc::new(|stream, _| {
-        drop(stream);
+    Rc::new(|caller| {
+        drop(caller);
         Box::pin(std::future::ready(OverflowResult::Done))
     })
 }
@@ -218,13 +222,13 @@
                 let task = async move {
                     let result = match overflow {
                         None => OverflowResult::ServeHere(stream),
-                        Some(overflow) => overflow(stream, connected).await,
+                        Some(overflow) => overflow(AcceptedCaller { stream, connected }).await,
                     };
                     if let OverflowResult::ServeHere(stream) = result {
                         // The connection works without the option.
                         let _ = stream.set_nodelay(true);
                         let stream = WriteTimeoutStream::new(stream, runtime, on_write_timeout);
-                        let arrivals = RequestArrivals::new(AgeSource::Reading);
+                        let arrivals = RequestArrivals::new(limits.age_source());
                         let arrivals = Rc::new(RefCell::new(arrivals));
                         let dated = arrivals.clone();
                         let stream =
--- a/crates/router/src/offload/copy.rs
+++ b/crates/router/src/offload/copy.rs
@@ -8,8 +8,10 @@
 use crate::dialect::OwnAnswer;
 use crate::lingering_close::close_after_answer;
 use crate::listener::StopSignal;
+use crate::request_arrivals::FirstRead;
 use crate::runtime::Runtime;
 use derive_more::Display;
+use mastbay_types::Timestamp;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
 use std::net::Shutdown;
@@ -28,10 +30,22 @@
     /// of the request.
     fn answer_timeout(&self, start: &[u8]) -> Duration;
 
+    /// Returns how long bytes that are read now may have waited for this router.
+    fn read_delay(&self) -> Duration;
+
     /// Records that the connection ended before its peer or its caller asked for it.
     fn on_interruption(&self, _interruption: &Interruption<'_>) {}
 }
 
+/// The connection of a caller before anything was read from it.
+#[derive(Debug)]
+pub struct AcceptedCaller {
+    /// The connection.
+    pub stream: TcpStream,
+    /// The earliest time at which it may have come.
+    pub connected: Timestamp,
+}
+
 /// The phases of a stop of the forwarding router.
 #[derive(Debug, Clone, Default)]
 pub struct StopPhases {
@@ -114,7 +128,7 @@
     pub stage: Stage,
     /// The first bytes of the request; of the last one if none was under way.
     pub request_start: &'a [u8],
-    /// Time since the first bytes of the request.
+    /// Time since the request began to arrive.
     pub waited: Duration,
     /// Time since the first bytes of the answer, if it had begun.
     pub answering: Option<Duration>,
@@ -168,11 +182,12 @@
     pub async fn copy(
         self,
         runtime: Runtime,
-        caller: TcpStream,
+        caller: AcceptedCaller,
         interval: Duration,
         forwarded: Rc<dyn ForwardedConnection>,
         stop: StopPhases,
     ) -> CopyOutcome {
+        let AcceptedCaller { stream: caller, connected } = caller;
         // The connection works without TCP_NODELAY, too.
         let _ = caller.set_nodelay(true);
         let state = ExchangeState::new(runtime.now());
@@ -180,6 +195,7 @@
             runtime,
             caller: caller.clone(),
             peer: self.0.clone(),
+            first_read: FirstRead::new(connected),
             state: state.clone(),
             forwarded: forwarded.clone(),
             stop: stop.clone(),
--- a/crates/router/src/offload/exchange_state.rs
+++ b/crates/router/src/offload/exchange_state.rs
@@ -32,6 +32,23 @@
 #[derive(Debug, Clone)]
 pub(super) struct ExchangeState(Rc<RefCell<Exchange>>);
 
+/// Bytes of a request that is not copied yet.
+#[derive(Debug, Default)]
+pub(super) struct HeldBytes {
+    pub(super) bytes: Vec<u8>,
+    /// When the first of them arrived.
+    pub(super) arrived: Timestamp,
+}
+
+impl HeldBytes {
+    fn extend(&mut self, arrived: Timestamp, bytes: &[u8]) {
+        if self.bytes.is_empty() {
+            self.arrived = arrived;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+}
+
 #[derive(Debug)]
 struct Exchange {
     request: MessageFraming,
@@ -43,8 +60,8 @@
     /// The first bytes of the request.
     request_start: Vec<u8>,
     /// Bytes of the next request, which came before the end of the answer.
-    held: Vec<u8>,
-    /// When the first bytes of the request came.
+    held: HeldBytes,
+    /// When the request began to arrive.
     requested_at: Timestamp,
     /// When the first bytes of the answer came.
     answered_at: Option<Timestamp>,
@@ -62,7 +79,7 @@
             is_answer_written: false,
             is_undelivered: false,
             request_start: Vec::new(),
-            held: Vec::new(),
+            held: HeldBytes::default(),
             requested_at: now,
             answered_at: None,
             idle_since: now,
@@ -74,14 +91,14 @@
         self.0.borrow().phase()
     }
 
-    /// Returns when the first bytes of a request came whose answer has not begun.
+    /// Returns when a request began to arrive whose answer has not begun.
     pub(super) fn awaited_since(&self) -> Option<Timestamp> {
         let is_awaited =
             matches!(self.phase(), Phase::Receiving | Phase::Unframed | Phase::Awaiting);
         is_awaited.then(|| self.requested_at())
     }
 
-    /// Returns when the first bytes of the current request came.
+    /// Returns when the current request began to arrive.
     pub(super) fn requested_at(&self) -> Timestamp {
         self.0.borrow().requested_at
     }
@@ -111,10 +128,10 @@
         self.0.borrow().answer.progress() == MessageProgress::UntilClose
     }
 
-    /// Reads bytes from the caller. Those after the end of the request are held. Returns how many
-    /// belong to the request.
-    pub(super) fn on_request(&self, now: Timestamp, bytes: &[u8]) -> usize {
-        self.0.borrow_mut().on_request(now, bytes)
+    /// Reads bytes that arrived from the caller at `arrived`. Those after the end of the request are
+    /// held. Returns how many belong to the request.
+    pub(super) fn on_request(&self, now: Timestamp, arrived: Timestamp, bytes: &[u8]) -> usize {
+        self.0.borrow_mut().on_request(now, arrived, bytes)
     }
 
     /// Records that part of the request could not be written to the peer.
@@ -141,18 +158,18 @@
         has_ended
     }
 
-    /// Holds bytes of the next request.
-    pub(super) fn hold(&self, bytes: &[u8]) {
-        self.0.borrow_mut().held.extend_from_slice(bytes);
+    /// Holds bytes of the next request, which arrived at `arrived`.
+    pub(super) fn hold(&self, arrived: Timestamp, bytes: &[u8]) {
+        self.0.borrow_mut().held.extend(arrived, bytes);
     }
 
     /// Returns the number of bytes held.
     pub(super) fn held(&self) -> usize {
-        self.0.borrow().held.len()
+        self.0.borrow().held.bytes.len()
     }
 
     /// Takes the bytes held.
-    pub(super) fn take_held(&self) -> Vec<u8> {
+    pub(super) fn take_held(&self) -> HeldBytes {
         std::mem::take(&mut self.0.borrow_mut().held)
     }
 
@@ -193,15 +210,15 @@
         if self.answer.closes_connection() { Phase::Closing } else { Phase::Discarding }
     }
 
-    fn on_request(&mut self, now: Timestamp, bytes: &[u8]) -> usize {
+    fn on_request(&mut self, now: Timestamp, arrived: Timestamp, bytes: &[u8]) -> usize {
         if self.request.progress() == MessageProgress::NotBegun {
-            self.requested_at = now;
+            self.requested_at = arrived;
             self.request_start.clear();
         }
         let length = self.request.advance(bytes);
         let kept = length.min(MAX_REQUEST_START.saturating_sub(self.request_start.len()));
         self.request_start.extend_from_slice(&bytes[..kept]);
-        self.held.extend_from_slice(&bytes[length..]);
+        self.held.extend(arrived, &bytes[length..]);
         if self.is_answer_written && self.request.progress() == MessageProgress::Ended {
             self.await_next(now);
         }
--- a/crates/router/src/offload/mod.rs
+++ b/crates/router/src/offload/mod.rs
@@ -5,6 +5,9 @@
 //! of the caller is forwarded, so a connection that no peer accepts can still be served or closed
 //! here. Peers never forward a connection again.
 //!
+//! Before each request this router sends its age: how long ago the request began to arrive here. A
+//! router forwards connections because it is late, and the caller's deadline goes on meanwhile.
+//!
 //! Both routers must have the same configuration in force. The peer serves the connection by it,
 //! and requests are copied only while it is in force here: callers of one address see one
 //! configuration at a time. The peer does not know when this router stops, so none is copied from
@@ -15,7 +18,9 @@
 mod exchange_state;
 mod requests;
 
-pub use copy::{CopyOutcome, EndReason, ForwardedConnection, Interruption, Stage, StopPhases};
+pub use copy::{
+    AcceptedCaller, CopyOutcome, EndReason, ForwardedConnection, Interruption, Stage, StopPhases,
+};
 
 use crate::runtime::Runtime;
 use derive_more::{Display, Error};
@@ -29,14 +34,15 @@
 
 /// Length of a hello, in bytes.
 pub const HELLO_LENGTH: usize = 9;
-/// First byte of a hello.
-const HELLO_MARKER: u8 = b'+';
+/// First byte of a hello of a peer that reads ages. Those of earlier versions send another one and
+/// take no connections of this version.
+const HELLO_MARKER: u8 = b'*';
 /// Timeout for a peer to accept a connection: several round trips between machines of a zone.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum number of bytes copied at a time.
 const BUFFER_SIZE: usize = 32 << 10;
 
-/// Returns the first bytes that a peer sends on a connection that it accepts: a plus sign and the
+/// Returns the first bytes that a peer sends on a connection that it accepts: an asterisk and the
 /// version of the configuration that it serves, in eight bytes, big endian.
 pub fn hello(version: u64) -> [u8; HELLO_LENGTH] {
     let mut bytes = [HELLO_MARKER; HELLO_LENGTH];
--- a/crates/router/src/offload/requests.rs
+++ b/crates/router/src/offload/requests.rs
@@ -4,7 +4,9 @@
 use super::copy::{EndReason, ForwardedConnection, StopPhases};
 use super::exchange_state::{ExchangeState, Phase};
 use super::{BUFFER, write_some};
+use crate::request_arrivals::{FirstRead, encode_age};
 use crate::runtime::Runtime;
+use mastbay_types::Timestamp;
 use smol::future::{FutureExt, yield_now};
 use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
@@ -50,6 +52,7 @@
     pub(super) runtime: Runtime,
     pub(super) caller: TcpStream,
     pub(super) peer: TcpStream,
+    pub(super) first_read: FirstRead,
     pub(super) state: ExchangeState,
     pub(super) forwarded: Rc<dyn ForwardedConnection>,
     pub(super) stop: StopPhases,
@@ -125,7 +128,7 @@
                     (None, 0) => self.poll_copy(context),
                     (None, _) => {
                         let held = self.state.take_held();
-                        Poll::Ready(self.copy_bytes(context, &held))
+                        Poll::Ready(self.copy_bytes(context, held.arrived, &held.bytes))
                     }
                     (Some(reason), 0) => {
                         let end = RequestsEnd::Closed { reason, is_after_answer: false };
@@ -133,7 +136,7 @@
                     }
                     (Some(reason), _) => {
                         let held = self.state.take_held();
-                        Poll::Ready(self.refuse(reason, &held))
+                        Poll::Ready(self.refuse(reason, held.arrived, &held.bytes))
                     }
                 }
             }
@@ -157,32 +160,58 @@
     /// would otherwise forward requests of callers that left long ago.
     fn poll_copy(&mut self, context: &mut Context<'_>) -> Poll<Step> {
         BUFFER.with_borrow_mut(|buffer| {
-            let length = ready!(poll_read_available(&mut self.caller, context, buffer));
+            let length = ready!(self.poll_read(context, buffer));
             let Some(length) = length else { return Poll::Ready(Step::CALLER_CLOSED) };
-            Poll::Ready(self.copy_bytes(context, &buffer[..length]))
+            let arrived = self.date_read();
+            Poll::Ready(self.copy_bytes(context, arrived, &buffer[..length]))
         })
     }
 
-    fn copy_bytes(&mut self, context: &mut Context<'_>, bytes: &[u8]) -> Step {
-        if self.state.phase() == Phase::Idle && has_closed(&self.peer) {
-            return self.refuse(EndReason::Disconnected, bytes);
+    fn poll_read(&mut self, context: &mut Context<'_>, buffer: &mut [u8]) -> Poll<Option<usize>> {
+        let read = poll_read_available(&mut self.caller, context, buffer);
+        if read.is_pending() {
+            self.first_read.on_pending();
+        }
+        read
+    }
+
+    /// Returns the earliest time at which the bytes that were just read may have arrived.
+    fn date_read(&mut self) -> Timestamp {
+        self.first_read.date(self.runtime.now(), self.forwarded.read_delay())
+    }
+
+    /// Copies bytes that arrived at `arrived`.
+    fn copy_bytes(&mut self, context: &mut Context<'_>, arrived: Timestamp, bytes: &[u8]) -> Step {
+        let begins = self.state.phase() == Phase::Idle;
+        if begins && has_closed(&self.peer) {
+            return self.refuse(EndReason::Disconnected, arrived, bytes);
         }
         // A request that began before is not complete, so it has not run and will not.
         if self.stop.accepts_none.is_triggered() {
-            return self.refuse(EndReason::Stopping, bytes);
+            return self.refuse(EndReason::Stopping, arrived, bytes);
         }
         let is_incomplete = matches!(self.state.phase(), Phase::Idle | Phase::Receiving);
         if is_incomplete && !self.forwarded.is_current() {
-            return self.refuse(EndReason::ConfigurationChanged, bytes);
+            return self.refuse(EndReason::ConfigurationChanged, arrived, bytes);
+        }
+        let now = self.runtime.now();
+        let length = self.state.on_request(now, arrived, bytes);
+        let bytes = &bytes[..length];
+        if begins {
+            return self.write(context, &[&encode_age(now.since(arrived)), bytes].concat());
         }
-        let length = self.state.on_request(self.runtime.now(), bytes);
+        self.write(context, bytes)
+    }
+
+    /// Writes bytes to the peer and returns the rest as the next step.
+    fn write(&mut self, context: &mut Context<'_>, bytes: &[u8]) -> Step {
         // The rest fails, too, if the connection has failed.
-        let unwritten = write_some(&mut self.peer, context, &bytes[..length]);
-        Step::Write(unwritten.unwrap_or_else(|_| bytes[..length].to_vec()))
+        let unwritten = write_some(&mut self.peer, context, bytes);
+        Step::Write(unwritten.unwrap_or_else(|_| bytes.to_vec()))
     }
 
-    fn refuse(&self, reason: EndReason, bytes: &[u8]) -> Step {
-        self.state.on_request(self.runtime.now(), bytes);
+    fn refuse(&self, reason: EndReason, arrived: Timestamp, bytes: &[u8]) -> Step {
+        self.state.on_request(self.runtime.now(), arrived, bytes);
         // Kept in the state, since the end of the answers may be noticed before this one.
         self.state.on_undelivered();
         Step::End(RequestsEnd::Refused(reason))
@@ -195,9 +224,10 @@
         let runtime = self.runtime;
         let request = poll_fn(|context| {
             BUFFER.with_borrow_mut(|buffer| {
-                let length = ready!(poll_read_available(&mut self.caller, context, buffer));
+                let length = ready!(self.poll_read(context, buffer));
                 let Some(length) = length else { return Poll::Ready(Step::CALLER_CLOSED) };
-                Poll::Ready(self.refuse(reason, &buffer[..length]))
+                let arrived = self.date_read();
+                Poll::Ready(self.refuse(reason, arrived, &buffer[..length]))
             })
         });
         let none = async {
@@ -214,10 +244,10 @@
             return Poll::Pending;
         }
         BUFFER.with_borrow_mut(|buffer| {
-            let length =
-                ready!(poll_read_available(&mut self.caller, context, &mut buffer[..most]));
+            let length = ready!(self.poll_read(context, &mut buffer[..most]));
             let Some(length) = length else { return Poll::Ready(Step::CALLER_CLOSED) };
-            self.state.hold(&buffer[..length]);
+            let arrived = self.date_read();
+            self.state.hold(arrived, &buffer[..length]);
             Poll::Ready(Step::NOTHING)
         })
     }
--- /dev/null
+++ b/crates/router/tests/forwarded_ages.rs
@@ -0,0 +1,132 @@
+//! The age that a forwarding router tells a peer before each request.
+
+mod support;
+
+use mastbay_router::Runtime;
+use mastbay_router::offload::{AcceptedCaller, ForwardedConnection, StopPhases, connect, hello};
+use mastbay_router::request_arrivals::AGE_LENGTH;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use support::{Request, run};
+
+const INTERVAL: Duration = Duration::from_millis(40);
+const VERSION: u64 = 1;
+const SHORT_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+/// Time for which a connection waited before it was forwarded.
+const WAITED: Duration = Duration::from_millis(1_500);
+/// Time between a request and the answer before it.
+const EARLY: Duration = Duration::from_millis(400);
+/// Time that a read may take on a busy machine.
+const READING_TIME: Duration = Duration::from_millis(300);
+
+/// A configuration that stays in force.
+struct Current;
+
+impl ForwardedConnection for Current {
+    fn is_current(&self) -> bool {
+        true
+    }
+
+    fn answer_timeout(&self, _start: &[u8]) -> Duration {
+        Duration::from_secs(60)
+    }
+
+    fn read_delay(&self) -> Duration {
+        Duration::ZERO
+    }
+}
+
+/// A forwarded connection: the caller's side and the peer's.
+struct Forwarded {
+    caller: TcpStream,
+    peer: TcpStream,
+}
+
+impl Forwarded {
+    /// Forwards a connection that came [`WAITED`] ago, on which the caller has sent `sent`.
+    async fn start(runtime: Runtime, sent: &str) -> Self {
+        let peers = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let peer_address = peers.local_addr().expect("an address");
+        let accept = runtime.spawn(async move {
+            let (mut peer, _) = peers.accept().await.expect("accepted");
+            peer.write_all(&hello(VERSION)).await.expect("hello");
+            peer
+        });
+        let connection = connect(runtime, peer_address, VERSION).await.expect("taken");
+        let callers = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = callers.local_addr().expect("an address");
+        let mut caller = TcpStream::connect(address).await.expect("connected");
+        caller.write_all(sent.as_bytes()).await.expect("sent");
+        let (stream, _) = callers.accept().await.expect("accepted");
+        let accepted = AcceptedCaller { stream, connected: runtime.now().saturating_sub(WAITED) };
+        let stop = StopPhases::default();
+        let copying = connection.copy(runtime, accepted, INTERVAL, Rc::new(Current), stop);
+        runtime.spawn(copying).detach();
+        Self { caller, peer: accept.await }
+    }
+
+    /// Reads a request at the peer and returns the age that is told before it.
+    async fn read_age(&mut self, request: &str) -> Duration {
+        let mut copied = vec![0; AGE_LENGTH + request.len()];
+        self.peer.read_exact(&mut copied).await.expect("copied");
+        let text = copied.split_off(AGE_LENGTH);
+        assert_eq!(String::from_utf8_lossy(&text), request);
+        let age: [u8; AGE_LENGTH] = copied.try_into().expect("an age");
+        Duration::from_millis(u32::from_be_bytes(age).into())
+    }
+
+    async fn answer(&mut self) {
+        self.peer.write_all(SHORT_ANSWER.as_bytes()).await.expect("answered");
+    }
+}
+
+fn request() -> String {
+    Request::new("/unsafe/x").body("question").keep_alive().text()
+}
+
+fn assert_age(age: Duration, expected: Duration) {
+    assert!((expected..expected + READING_TIME).contains(&age), "{age:?}, expected {expected:?}");
+}
+
+/// Guards against a peer that counts a deadline from when it reads a forwarded request.
+#[test]
+fn a_request_that_waited_before_its_connection_was_forwarded_is_as_old_as_the_connection() {
+    run(async |runtime| {
+        let text = request();
+        let mut forwarded = Forwarded::start(runtime, &text).await;
+        assert_age(forwarded.read_age(&text).await, WAITED);
+    });
+}
+
+/// Guards against counting the wait of a connection as the age of a request that comes later.
+#[test]
+fn a_request_sent_after_its_connection_was_forwarded_is_new() {
+    run(async |runtime| {
+        let text = request();
+        let mut forwarded = Forwarded::start(runtime, "").await;
+        smol::Timer::after(EARLY).await;
+        forwarded.caller.write_all(text.as_bytes()).await.expect("sent");
+        assert_age(forwarded.read_age(&text).await, Duration::ZERO);
+    });
+}
+
+/// Guards against forgetting how long a request was held that came within the answer before it.
+#[test]
+fn a_request_that_was_held_until_the_end_of_an_answer_is_as_old_as_its_first_bytes() {
+    run(async |runtime| {
+        let (first, second) = (request(), request());
+        let mut forwarded = Forwarded::start(runtime, &first).await;
+        forwarded.read_age(&first).await;
+        forwarded.caller.write_all(second.as_bytes()).await.expect("sent");
+        smol::Timer::after(EARLY).await;
+        forwarded.answer().await;
+        assert_age(forwarded.read_age(&second).await, EARLY);
+        forwarded.answer().await;
+        let third = request();
+        smol::Timer::after(EARLY).await;
+        forwarded.caller.write_all(third.as_bytes()).await.expect("sent");
+        assert_age(forwarded.read_age(&third).await, Duration::ZERO);
+    });
+}
--- a/crates/router/tests/forwarded_ends.rs
+++ b/crates/router/tests/forwarded_ends.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::sync::mpsc;
 use std::time::Duration;
+use support::forwarded::{accepted_caller, read_copied};
 use support::{Request, run};
 
 const INTERVAL: Duration = Duration::from_millis(1);
@@ -34,6 +35,10 @@
     fn answer_timeout(&self, _start: &[u8]) -> Duration {
         ANSWER_TIMEOUT
     }
+
+    fn read_delay(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// A connection that is forwarded to a scripted peer.
@@ -76,8 +81,7 @@
     async fn exchange(&mut self) {
         let text = request();
         self.caller.write_all(text.as_bytes()).await.expect("sent");
-        let mut copied = vec![0; text.len()];
-        self.peer.read_exact(&mut copied).await.expect("copied");
+        read_copied(&mut self.peer, text.len()).await;
         self.answer().await;
     }
 
@@ -124,7 +128,9 @@
     forwarding: Rc<ScriptedForwarding>,
     stop: StopPhases,
 ) {
-    let outcome = connection.copy(runtime, caller, INTERVAL, forwarding, stop).await;
+    let outcome = connection
+        .copy(runtime, accepted_caller(runtime, caller), INTERVAL, forwarding, stop)
+        .await;
     if let CopyOutcome::Unanswered { mut caller, answer, .. } = outcome {
         let text = format!("HTTP/1.1 {}\r\ncontent-length: 0\r\n\r\n", answer.status());
         // The caller may have closed the connection.
@@ -160,8 +166,7 @@
         let text = request();
         let (start, rest) = text.split_at(text.len() - 3);
         forwarded.caller.write_all(start.as_bytes()).await.expect("sent");
-        let mut copied = vec![0; start.len()];
-        forwarded.peer.read_exact(&mut copied).await.expect("copied");
+        read_copied(&mut forwarded.peer, start.len()).await;
         forwarded.forwarding.0.set(false);
         smol::Timer::after(COPY_TIME).await;
         forwarded.caller.write_all(rest.as_bytes()).await.expect("sent");
@@ -187,8 +192,7 @@
         let mut forwarded = Forwarded::start(runtime).await;
         let text = request();
         forwarded.caller.write_all(text.as_bytes()).await.expect("sent");
-        let mut copied = vec![0; text.len()];
-        forwarded.peer.read_exact(&mut copied).await.expect("copied");
+        read_copied(&mut forwarded.peer, text.len()).await;
         forwarded.stop.accepts_none.trigger();
         forwarded.answer().await;
         // Fails if the connection is closed by now.
--- a/crates/router/tests/forwarded_requests.rs
+++ b/crates/router/tests/forwarded_requests.rs
@@ -8,6 +8,8 @@
     CopyOutcome, EndReason, ForwardedConnection, Interruption, PeerConnection, Stage, StopPhases,
     connect, hello,
 };
+use mastbay_router::request_arrivals::{AgeSource, RequestArrivals};
+use mastbay_types::Timestamp;
 use smol::future::FutureExt;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -15,6 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use support::forwarded::accepted_caller;
 use support::{Request, STREAM_END, STREAM_HEAD, events, run, until};
 
 const INTERVAL: Duration = Duration::from_millis(40);
@@ -41,6 +44,10 @@
         self.answer_timeout.get()
     }
 
+    fn read_delay(&self) -> Duration {
+        Duration::ZERO
+    }
+
     fn on_interruption(&self, interruption: &Interruption<'_>) {
         let Interruption { reason, stage, request_start, answering, .. } = interruption;
         let has_request = request_start.starts_with(b"POST /unsafe/x HTTP/1.1\r\n");
@@ -174,7 +181,9 @@
 
 async fn read_all(mut peer: TcpStream, copied: Rc<RefCell<String>>, is_closed: Rc<Cell<bool>>) {
     let mut buffer = [0; 4_096];
+    let mut arrivals = RequestArrivals::new(AgeSource::ForwardingRouter);
     while let Ok(length @ 1..) = peer.read(&mut buffer).await {
+        let length = arrivals.on_read(Timestamp::ZERO, &mut buffer[..length]);
         copied.borrow_mut().push_str(&String::from_utf8_lossy(&buffer[..length]));
     }
     is_closed.set(true);
@@ -188,7 +197,9 @@
     forwarding: Rc<ScriptedForwarding>,
     stop: StopPhases,
 ) {
-    let outcome = connection.copy(runtime, caller, INTERVAL, forwarding, stop).await;
+    let outcome = connection
+        .copy(runtime, accepted_caller(runtime, caller), INTERVAL, forwarding, stop)
+        .await;
     if let CopyOutcome::Unanswered { mut caller, answer, .. } = outcome {
         let text = format!("HTTP/1.1 {}\r\ncontent-length: 0\r\n\r\n", answer.status());
         // The caller may have closed the connection.
--- a/crates/router/tests/forwarding_cost.rs
+++ b/crates/router/tests/forwarding_cost.rs
@@ -1,7 +1,8 @@
 //! Processor time that copying a forwarded connection takes. Started by hand.
 
 use mastbay_router::Runtime;
-use mastbay_router::offload::{ForwardedConnection, StopPhases, connect, hello};
+use mastbay_router::offload::{AcceptedCaller, ForwardedConnection, StopPhases, connect, hello};
+use mastbay_router::request_arrivals::AGE_LENGTH;
 use rustix::time::{ClockId, clock_gettime};
 use smol::net::{TcpListener, TcpStream};
 use std::io::{Read, Write};
@@ -23,6 +24,10 @@
     fn answer_timeout(&self, _start: &[u8]) -> Duration {
         Duration::from_secs(60)
     }
+
+    fn read_delay(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// Copies `requests` requests with `answer` each and returns the processor time of the copying
@@ -35,7 +40,7 @@
         let (mut peer, _) = peers.accept().expect("accepted");
         peer.set_nodelay(true).expect("set");
         peer.write_all(&hello(VERSION)).expect("hello");
-        let mut received = vec![0; request.len()];
+        let mut received = vec![0; AGE_LENGTH + request.len()];
         for _ in 0..requests {
             peer.read_exact(&mut received).expect("read");
             peer.write_all(answer).expect("written");
@@ -57,9 +62,10 @@
             sender.send(listener.local_addr().expect("an address")).expect("awaited");
             let (accepted, _): (TcpStream, _) = listener.accept().await.expect("accepted");
             let connection = connect(runtime, peer_address, VERSION).await.expect("taken");
+            let caller = AcceptedCaller { stream: accepted, connected: runtime.now() };
             let began = processor_time();
             let stop = StopPhases::default();
-            connection.copy(runtime, accepted, Duration::ZERO, Rc::new(Current), stop).await;
+            connection.copy(runtime, caller, Duration::ZERO, Rc::new(Current), stop).await;
             processor_time() - began
         }))
     });
--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use support::forwarded::accepted_caller;
 use support::{
     Answer, Bed, Request, STREAM_END, STREAM_HEAD, ScriptedBackEnd, Step, answer, events, header,
     run, until,
@@ -49,6 +50,10 @@
         self.has_request.set(true);
         self.answer_timeout
     }
+
+    fn read_delay(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// Copies a connection and sends [`UNANSWERED`] if the peer does not answer. Returns why it did
@@ -59,7 +64,16 @@
     caller: TcpStream,
     forwarding: Rc<ScriptedForwarding>,
 ) -> Option<EndReason> {
-    match peer_connection.copy(runtime, caller, INTERVAL, forwarding, StopPhases::default()).await {
+    match peer_connection
+        .copy(
+            runtime,
+            accepted_caller(runtime, caller),
+            INTERVAL,
+            forwarding,
+            StopPhases::default(),
+        )
+        .await
+    {
         CopyOutcome::Ended => None,
         CopyOutcome::Unanswered { mut caller, reason, .. } => {
             caller.write_all(UNANSWERED.as_bytes()).await.expect("the caller waits");
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod back_ends;
+pub mod forwarded;
 pub mod lists;
 pub mod suspendable;
 
