Date messages that are read after a delay of the event loop by its beginning

What callers saw: after a router had not run for 0.9 s, 60 of 60 requests that lay in its sockets reached engines with a deadline 0.9 s beyond their callers', forwarded or served by the late router itself.

Cause: only a stall of a second and more was taken into account, since a busy router is usually late by less; the lateness of a busy router is lost to its callers all the same.

A message that is read within 50 ms after a delay of at least 100 ms between two ticks may have arrived at its beginning. Stalls, from a second on, have their 150 ms as before, and are what updates and signals go by, as before.

--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -9,16 +9,30 @@
 const MIN_STALL: Duration = Duration::from_secs(1);
 /// Time after a stall in which messages that are read may have arrived during it.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(150);
+/// Minimum time between two ticks in which messages may have waited for long.
+const MIN_DELAY: Duration = Duration::from_millis(100);
+/// Time after such a delay, shorter than a stall, in which messages that are read may have arrived
+/// during it.
+const DELAY_RECOVERY_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum time for which requests wait for updates after a stall: a failed call and a second one.
 const MAX_UPDATE_WAIT: Duration = Duration::from_millis(600);
 
-/// A period in which the process did not run.
+/// A period in which the process did not run, or did not come to reading messages.
 #[derive(Debug, Clone, Copy)]
 struct Stall {
     began: Timestamp,
     ended: Timestamp,
 }
 
+impl Stall {
+    /// Returns whether a message that is read now may have arrived within the period.
+    fn may_hold_messages(&self, now: Timestamp) -> bool {
+        let is_stall = self.ended.since(self.began) >= MIN_STALL;
+        let period = if is_stall { RECOVERY_PERIOD } else { DELAY_RECOVERY_PERIOD };
+        now.since(self.ended) <= period
+    }
+}
+
 /// Detects stalls by the time between two ticks of the event loop.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StallDetector {
@@ -26,6 +40,8 @@
     /// The tick before the last one.
     previous_tick: Timestamp,
     last_stall: Option<Stall>,
+    /// The last delay of at least [`MIN_DELAY`], stalls included.
+    last_delay: Option<Stall>,
     last_contact: Timestamp,
 }
 
@@ -35,10 +51,14 @@
         let began = std::mem::replace(&mut self.last_tick, now);
         self.previous_tick = began;
         let lasted = now.since(began);
+        let delay = Stall { began, ended: now };
+        if lasted >= MIN_DELAY {
+            self.last_delay = Some(delay);
+        }
         if lasted < MIN_STALL {
             return None;
         }
-        self.last_stall = Some(Stall { began, ended: now });
+        self.last_stall = Some(delay);
         Some(lasted)
     }
 
@@ -49,16 +69,18 @@
 
     /// Returns the earliest time at which a message that is read now may have arrived.
     pub fn earliest_arrival(&self, now: Timestamp) -> Timestamp {
-        match self.current(now) {
-            Some(stall) if now.since(stall.ended) <= RECOVERY_PERIOD => stall.began,
-            _ => now,
-        }
+        let is_late = now.since(self.last_tick) >= MIN_DELAY;
+        let current = is_late.then_some(Stall { began: self.last_tick, ended: now });
+        let delays = [current, self.last_delay, self.current(now)].into_iter().flatten();
+        let earliest = delays.filter(|delay| delay.may_hold_messages(now)).map(|delay| delay.began);
+        earliest.min().unwrap_or(now)
     }
 
     /// Returns the earliest time at which a signal that is read now may have arrived. After any delay
     /// of the event loop, however short, at most one tick precedes the reading of signals.
     pub fn earliest_signal(&self, now: Timestamp) -> Timestamp {
-        self.previous_tick.min(self.earliest_arrival(now))
+        let stall = self.current(now).filter(|stall| stall.may_hold_messages(now));
+        self.previous_tick.min(stall.map_or(now, |stall| stall.began))
     }
 
     /// Returns whether a stall ended so recently that the known versions may be outdated: one of
