Give no life of a router the burst of the retry budget at once

What callers saw: with settings that name the first start and stay as they are, three routers that were killed together and started again four times within a window repeated 135 of 225 requests where 75 are allowed, 27 in each life.

Cause: the template of the settings turned the platform's bootstrap into first-start, and without the key it was taken as given. A router believed it in each of its lives; only the window after a start that was told not to be the first had no burst. Ruled out: charges that are lost with a life; a life that earns nothing repeats 3 requests there.

At the platform's deployments traffic starts as long after the routers as a window lasts, so the first start loses nothing there. An operator can still name a first start.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -45,7 +45,9 @@
     pub propagation: Duration,
     /// `[router] event-delay`: maximum delay of an event of a stream.
     pub event_delay: Duration,
-    /// `[router] first-start`: whether the whole fleet starts for the first time.
+    /// `[router] first-start`: whether the whole fleet starts for the first time, so that no earlier
+    /// life of a router may have spent the burst of a retry budget. It must not stay set when a
+    /// router is started again.
     pub first_start: bool,
     /// `[peers] listen`: address that receives digests from peers.
     pub digests: SocketAddr,
@@ -173,7 +175,7 @@
     let window: Span<100, 600_000> = section.or("share-window", Span(DEFAULT_SHARE_WINDOW));
     let propagation: Span<100, 600_000> = section.or("propagation", Span(DEFAULT_PROPAGATION));
     let event_delay: Span<1, 600_000> = section.or("event-delay", Span(DEFAULT_EVENT_DELAY));
-    let first_start = section.or("first-start", true);
+    let first_start = section.or("first-start", false);
     let evacuations = section.or("evacuations", true);
     section.finish();
 
