--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,6 +28,7 @@
 mod gossip;
 mod health;
 mod incarnations;
+mod interval_counts;
 mod load;
 mod load_stats;
 mod overload;
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -110,11 +110,13 @@
 /// Time after a bout in which its requests fail, in milliseconds.
 const FAILING_MILLIS: u64 = 2_000;
 
-/// A bout of requests, spread evenly over the routers.
+/// A bout of requests.
 #[derive(Debug, Clone, Copy)]
 struct Bout {
     at_millis: u64,
     requests: usize,
+    /// The router that gets all of them; `None` if they are spread evenly over all.
+    router: Option<usize>,
     /// Whether its requests fail, so that routers retry whenever they may.
     fails: bool,
 }
@@ -142,7 +144,8 @@
         for millis in (0..=last + FAILING_MILLIS).step_by(STEP_MILLIS as usize) {
             let now = Timestamp::from_millis(millis);
             for bout in bouts.iter().filter(|bout| bout.at_millis == millis) {
-                (0..bout.requests).for_each(|nth| budgets[nth % routers].on_request(now));
+                let target = |nth| bout.router.unwrap_or(nth) % routers;
+                (0..bout.requests).for_each(|nth| budgets[target(nth)].on_request(now));
                 history.requests.extend(std::iter::repeat_n(millis, bout.requests));
             }
             if bouts.iter().any(|bout| bout.is_failing(millis)) {
@@ -179,7 +182,7 @@
 /// Guards against retries that two bouts allow together, although no window of the rule holds both.
 #[test]
 fn retries_after_two_bouts_stay_within_the_budget_of_each_window() {
-    let bout = |at_millis, fails| Bout { at_millis, requests: 1_500, fails };
+    let bout = |at_millis, fails| Bout { at_millis, requests: 1_500, router: None, fails };
     for second in [5_500, 6_000, 8_000, 9_900] {
         let history = History::of_bouts(7, &[bout(0, false), bout(second, true)]);
         let excess = history.worst_excess();
@@ -188,18 +191,29 @@
     }
 }
 
+/// Returns drawn bouts. Each goes to all routers, or with `is_skewed` to one of them.
+fn drawn_bouts(drawn: Vec<(u8, u16, bool, u8)>, is_skewed: bool) -> Vec<Bout> {
+    let bouts = drawn.into_iter().take(6).map(|(at, requests, fails, router)| Bout {
+        at_millis: u64::from(at) * STEP_MILLIS,
+        requests: usize::from(requests % 2_000),
+        router: is_skewed.then_some(usize::from(router)),
+        fails,
+    });
+    bouts.collect()
+}
+
 quickcheck! {
-    fn any_bouts_stay_within_the_budget_of_each_window(bouts: Vec<(u8, u16, bool)>) -> TestResult {
-        let mut bouts: Vec<Bout> = bouts
-            .into_iter()
-            .take(6)
-            .map(|(at, requests, fails)| Bout {
-                at_millis: u64::from(at) * STEP_MILLIS,
-                requests: usize::from(requests % 2_000),
-                fails,
-            })
-            .collect();
-        bouts.sort_by_key(|bout| bout.at_millis);
+    fn any_bouts_stay_within_the_budget_of_each_window(
+        bouts: Vec<(u8, u16, bool, u8)>
+    ) -> TestResult {
+        let bouts = drawn_bouts(bouts, false);
+        TestResult::from_bool(History::of_bouts(7, &bouts).worst_excess() <= 0.0)
+    }
+
+    fn bouts_at_single_routers_stay_within_the_budget_of_each_window(
+        bouts: Vec<(u8, u16, bool, u8)>
+    ) -> TestResult {
+        let bouts = drawn_bouts(bouts, true);
         TestResult::from_bool(History::of_bouts(7, &bouts).worst_excess() <= 0.0)
     }
 }
