--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -96,7 +96,7 @@
     /// Triggered shortly before the limit of a stop: whoever has no answer yet gets one.
     pub(crate) stop_limit: StopSignal,
     pub(crate) open: OpenConnections,
-    pub(crate) stall_detector: Cell<StallDetector>,
+    pub(crate) stall_detector: RefCell<StallDetector>,
     started: Timestamp,
 }
 
@@ -161,7 +161,7 @@
             stop: StopSignal::default(),
             stop_limit: StopSignal::default(),
             open: OpenConnections::default(),
-            stall_detector: Cell::default(),
+            stall_detector: RefCell::default(),
             started: runtime.now(),
         })
     }
@@ -175,12 +175,12 @@
     /// while the machine was suspended must not get its full timeout again.
     pub(crate) fn read_delay(&self) -> Duration {
         let now = self.now();
-        now.since(self.stall_detector.get().earliest_arrival(now))
+        now.since(self.stall_detector.borrow().earliest_arrival(now))
     }
 
     /// Returns the earliest time at which a signal that is read now may have arrived.
     pub(crate) fn earliest_signal(&self) -> Timestamp {
-        self.stall_detector.get().earliest_signal(self.now())
+        self.stall_detector.borrow().earliest_signal(self.now())
     }
 
     /// Waits after a stall until updates from a peer or a source are in force, for some tenths of a
@@ -193,7 +193,7 @@
 
     fn is_waiting_for_updates(&self) -> bool {
         let now = self.now();
-        let stall_detector = self.stall_detector.get();
+        let stall_detector = self.stall_detector.borrow();
         if !stall_detector.may_be_outdated(now, self.settings.propagation) {
             return false;
         }
@@ -203,9 +203,7 @@
 
     /// Records that a peer sent a message or a source answered.
     pub(crate) fn record_contact(&self) {
-        let mut stall_detector = self.stall_detector.get();
-        stall_detector.on_contact(self.now());
-        self.stall_detector.set(stall_detector);
+        self.stall_detector.borrow_mut().on_contact(self.now());
     }
 
     /// Evaluates roll-outs by the counts of the fleet. Returns the states to record at the source.
--- a/crates/router/src/ticks.rs
+++ b/crates/router/src/ticks.rs
@@ -76,11 +76,10 @@
     }
 
     fn check_stall(&self, now: Timestamp) {
-        let mut stall_detector = self.stall_detector.get();
-        if let Some(lasted) = stall_detector.on_tick(now) {
+        let stall = self.stall_detector.borrow_mut().on_tick(now);
+        if let Some(lasted) = stall {
             events::stood_still(lasted);
         }
-        self.stall_detector.set(stall_detector);
     }
 
     fn check_outage(&self, now: Timestamp) {
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -2,6 +2,7 @@
 //! time. Messages read right after a stall may have been sent long before.
 
 use mastbay_types::Timestamp;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Minimum time between two ticks that counts as a stall. Ticks are 20 ms apart, and the event loop
@@ -11,9 +12,11 @@
 const RECOVERY_PERIOD: Duration = Duration::from_millis(150);
 /// Minimum time between two ticks in which messages may have waited for long.
 const MIN_DELAY: Duration = Duration::from_millis(100);
-/// Time after such a delay, shorter than a stall, in which messages that are read may have arrived
-/// during it.
+/// Running time after such a delay, shorter than a stall, in which messages that are read may have
+/// arrived during it.
 const DELAY_RECOVERY_PERIOD: Duration = Duration::from_millis(50);
+/// Time between two ticks for which the process surely ran, however far apart they are.
+const MAX_RUNNING_TIME: Duration = Duration::from_millis(20);
 /// Maximum time for which requests wait for updates after a stall: a failed call and a second one.
 const MAX_UPDATE_WAIT: Duration = Duration::from_millis(600);
 
@@ -25,23 +28,44 @@
 }
 
 impl Stall {
+    /// Returns the time after it in which messages that are read may have arrived within it.
+    fn recovery_period(&self) -> Duration {
+        let is_stall = self.ended.since(self.began) >= MIN_STALL;
+        if is_stall { RECOVERY_PERIOD } else { DELAY_RECOVERY_PERIOD }
+    }
+
     /// Returns whether a message that is read now may have arrived within the period.
     fn may_hold_messages(&self, now: Timestamp) -> bool {
-        let is_stall = self.ended.since(self.began) >= MIN_STALL;
-        let period = if is_stall { RECOVERY_PERIOD } else { DELAY_RECOVERY_PERIOD };
-        now.since(self.ended) <= period
+        now.since(self.ended) <= self.recovery_period()
+    }
+}
+
+/// A delay of at least [`MIN_DELAY`] after which the process has run only shortly.
+#[derive(Debug, Clone, Copy)]
+struct Delay {
+    stall: Stall,
+    /// Time for which the process has run since. Further delays don't count: what was not read
+    /// before them is read after them.
+    running: Duration,
+}
+
+impl Delay {
+    /// Returns whether a message that is read after running for `further` may have arrived within
+    /// the delay.
+    fn may_hold_messages(&self, further: Duration) -> bool {
+        self.running + further <= self.stall.recovery_period()
     }
 }
 
 /// Detects stalls by the time between two ticks of the event loop.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct StallDetector {
     last_tick: Timestamp,
     /// The tick before the last one.
     previous_tick: Timestamp,
     last_stall: Option<Stall>,
-    /// The last delay of at least [`MIN_DELAY`], stalls included.
-    last_delay: Option<Stall>,
+    /// Delays whose messages may not all have been read, in order.
+    delays: VecDeque<Delay>,
     last_contact: Timestamp,
 }
 
@@ -51,17 +75,27 @@
         let began = std::mem::replace(&mut self.last_tick, now);
         self.previous_tick = began;
         let lasted = now.since(began);
-        let delay = Stall { began, ended: now };
-        if lasted >= MIN_DELAY {
-            self.last_delay = Some(delay);
-        }
+        let stall = Stall { began, ended: now };
+        self.record_delay(stall);
         if lasted < MIN_STALL {
             return None;
         }
-        self.last_stall = Some(delay);
+        self.last_stall = Some(stall);
         Some(lasted)
     }
 
+    /// Records the time between two ticks, and forgets delays after which the process has run for
+    /// long enough.
+    fn record_delay(&mut self, between_ticks: Stall) {
+        let lasted = between_ticks.ended.since(between_ticks.began);
+        let running = lasted.min(MAX_RUNNING_TIME);
+        self.delays.iter_mut().for_each(|delay| delay.running += running);
+        self.delays.retain(|delay| delay.may_hold_messages(Duration::ZERO));
+        if lasted >= MIN_DELAY {
+            self.delays.push_back(Delay { stall: between_ticks, running: Duration::ZERO });
+        }
+    }
+
     /// Records a message from a peer or an answer of the source.
     pub fn on_contact(&mut self, now: Timestamp) {
         self.last_contact = now;
@@ -69,11 +103,13 @@
 
     /// Returns the earliest time at which a message that is read now may have arrived.
     pub fn earliest_arrival(&self, now: Timestamp) -> Timestamp {
-        let is_late = now.since(self.last_tick) >= MIN_DELAY;
-        let current = is_late.then_some(Stall { began: self.last_tick, ended: now });
-        let delays = [current, self.last_delay, self.current(now)].into_iter().flatten();
-        let earliest = delays.filter(|delay| delay.may_hold_messages(now)).map(|delay| delay.began);
-        earliest.min().unwrap_or(now)
+        let since_tick = now.since(self.last_tick);
+        let running = since_tick.min(MAX_RUNNING_TIME);
+        let earliest = self.delays.iter().find(|delay| delay.may_hold_messages(running));
+        let current = (since_tick >= MIN_DELAY).then_some(self.last_tick);
+        let stall = self.current(now).filter(|stall| stall.may_hold_messages(now));
+        let began = [earliest.map(|delay| delay.stall.began), current, stall.map(|it| it.began)];
+        began.into_iter().flatten().min().unwrap_or(now)
     }
 
     /// Returns the earliest time at which a signal that is read now may have arrived. After any delay
