Take the age of a request off its deadline, also beyond the router's own life

Cause: traced to a router that had been started 318 ms before: the request was 1.39 s old when it was forwarded, and the time at which it began, in the router's own time, can't be before the router's start. head_age_ms was 318 and 319, the life of the router.

The age is taken off the time that is allowed, instead of a begin in the router's own time.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -40,10 +40,10 @@
     pub regions: AllowedRegions,
     /// The router that forwarded the connection, `None` if the caller connected here.
     pub forwarded_by: Option<IpAddr>,
-    /// When the request began to arrive, here or at the router that forwarded it.
-    pub began: Timestamp,
     /// When the head was complete here.
     pub arrived: Timestamp,
+    /// Time since the request began to arrive, here or at the router that forwarded it, until then.
+    pub head_age: Duration,
     /// When the body was received completely.
     pub received: Timestamp,
     /// When the answer must be complete.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -72,7 +72,7 @@
     age: Duration,
 ) -> Response<LocalBody> {
     let now = router.now();
-    let arrival = Arrival { at: now, began: now.saturating_sub(age), ingress };
+    let arrival = Arrival { at: now, age, ingress };
     router.metrics.on_head(age, arrival.ingress.forwarded_by().is_some());
     router.wait_until_up_to_date().await;
     let (parts, body) = request.into_parts();
@@ -96,9 +96,10 @@
 struct Arrival {
     /// When the head was complete.
     at: Timestamp,
-    /// When the request began to arrive. After a stall this is the earliest time at which it may
-    /// have: its first bytes may have been waiting in the socket's buffer.
-    began: Timestamp,
+    /// Time since the request began to arrive, here or at the router that forwarded it, which may be
+    /// before this one started. After a stall it is the longest possible: the first bytes may have
+    /// been waiting in the socket's buffer.
+    age: Duration,
     ingress: Ingress,
 }
 
@@ -195,7 +196,7 @@
         return Err((head.request_id, unconfigured));
     };
     // The caller counts from when it began to send.
-    let deadline = arrival.began + time_allowed(&head, &entry.route);
+    let deadline = arrival.at + time_allowed(&head, &entry.route).saturating_sub(arrival.age);
     Ok(Call {
         tenant: tenant.map(|tenant| Arc::from(tenant.name.as_str())),
         head,
@@ -208,7 +209,7 @@
         priority,
         regions,
         forwarded_by: arrival.ingress.forwarded_by(),
-        began: arrival.began,
+        head_age: arrival.age,
         arrived: arrival.at,
         received: router.now(),
         deadline,
--- a/crates/router/tests/forwarded_ages.rs
+++ b/crates/router/tests/forwarded_ages.rs
@@ -3,13 +3,15 @@
 mod support;
 
 use mastbay_router::Runtime;
-use mastbay_router::offload::{AcceptedCaller, ForwardedConnection, StopPhases, connect, hello};
-use mastbay_router::request_arrivals::AGE_LENGTH;
+use mastbay_router::offload::{
+    AcceptedCaller, ForwardedConnection, HELLO_LENGTH, StopPhases, connect, hello,
+};
+use mastbay_router::request_arrivals::{AGE_LENGTH, encode_age};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
-use support::{Request, run};
+use support::{Bed, Request, ScriptedBackEnd, answer, header, run};
 
 const INTERVAL: Duration = Duration::from_millis(40);
 const VERSION: u64 = 1;
@@ -130,3 +132,30 @@
         assert_age(forwarded.read_age(&third).await, Duration::ZERO);
     });
 }
+
+/// Deadline of a request that is older than the router that serves it.
+const DEADLINE: Duration = Duration::from_secs(9);
+/// Age of that request.
+const AGE: Duration = Duration::from_secs(4);
+
+/// Guards against counting a deadline from the start of a router that has just been started.
+#[test]
+fn a_request_that_is_older_than_its_router_gets_no_later_deadline_than_its_caller_has() {
+    run(async |runtime| {
+        let back_end = ScriptedBackEnd::start(runtime, "b1", vec![answer("hello")]).await;
+        let bed = Bed::start(runtime, &[&back_end]).await;
+        let mut stream = TcpStream::connect(bed.settings.digests).await.expect("connected");
+        stream.read_exact(&mut [0; HELLO_LENGTH]).await.expect("a hello");
+        let deadline = DEADLINE.as_millis().to_string();
+        let request = Request::new("/unsafe/x").with("mastbay-deadline-ms", &deadline);
+        let bytes = [&encode_age(AGE)[..], request.text().as_bytes()].concat();
+        stream.write_all(&bytes).await.expect("sent");
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.expect("answered");
+        assert!(answer.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&answer));
+        let head = back_end.heads.borrow().last().cloned().expect("a request");
+        let given = header(&head, "mastbay-deadline-ms").expect("a time");
+        let given = Duration::from_millis(given.parse().expect("a number"));
+        assert!(given <= DEADLINE - AGE, "{given:?}");
+    });
+}
