Tests of offload wait until a late router takes a connection

The tests connect again after 50 ms, as long as the router says that it has no capacity or says nothing, until the test's own time limit.

--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -22,6 +22,8 @@
 const INTERVAL: Duration = Duration::from_millis(40);
 /// Time-out for the start of an answer, long enough not to matter unless a test sets another.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Delay after a connection that a late router did not take, in which it may recover.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 /// Configuration version of all routers in these tests.
 const VERSION: u64 = 1;
 /// Answer that [`copy`] sends to a caller whose request the peer did not answer.
@@ -82,6 +84,20 @@
     }
 }
 
+/// Connects to the router of `bed` as a forwarding router does. On a busy machine the router may be
+/// late, and then takes no connections.
+async fn connect_when_taken(runtime: Runtime, bed: &Bed) -> PeerConnection {
+    loop {
+        match connect(runtime, bed.settings.digests, VERSION).await {
+            Ok(connection) => return connection,
+            Err(OffloadError::NoCapacity | OffloadError::TimedOut) => {
+                runtime.sleep(RECONNECT_DELAY).await;
+            }
+            Err(error) => panic!("not taken: {error}"),
+        }
+    }
+}
+
 async fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
     let address = listener.local_addr().expect("an address");
@@ -101,7 +117,7 @@
     let (listener, address) = listener().await;
     let caller = TcpStream::connect(address).await.expect("connected");
     let (accepted, _) = listener.accept().await.expect("accepted");
-    let peer_connection = connect(runtime, bed.settings.digests, VERSION).await.expect("taken");
+    let peer_connection = connect_when_taken(runtime, bed).await;
     runtime.spawn(copy(runtime, peer_connection, accepted, forwarding)).detach();
     caller
 }
@@ -191,9 +207,14 @@
 fn a_peer_sends_its_hello_first() {
     run(async |runtime| {
         let bed = Bed::start(runtime, &[]).await;
-        let mut peer = TcpStream::connect(bed.settings.digests).await.expect("connected");
         let mut received = [0; HELLO_LENGTH];
-        peer.read_exact(&mut received).await.expect("hello");
+        loop {
+            let mut peer = TcpStream::connect(bed.settings.digests).await.expect("connected");
+            if peer.read_exact(&mut received).await.is_ok() {
+                break;
+            }
+            runtime.sleep(RECONNECT_DELAY).await;
+        }
         assert_eq!(received, hello(VERSION));
     });
 }
@@ -229,8 +250,16 @@
     run(async |runtime| {
         let bed = Bed::start(runtime, &[]).await;
         for version in [VERSION - 1, VERSION + 1] {
-            let connected = connect(runtime, bed.settings.digests, version).await;
-            assert!(matches!(connected, Err(OffloadError::OtherConfiguration { peer: VERSION })));
+            let refused = loop {
+                let connected = connect(runtime, bed.settings.digests, version).await;
+                match connected.err().expect("not taken") {
+                    OffloadError::NoCapacity | OffloadError::TimedOut => {
+                        runtime.sleep(RECONNECT_DELAY).await;
+                    }
+                    other => break other,
+                }
+            };
+            assert!(matches!(refused, OffloadError::OtherConfiguration { peer: VERSION }));
         }
     });
 }
@@ -330,8 +359,7 @@
         let bed = Bed::start(runtime, &[&back_end]).await;
         let (listener, address) = listener().await;
         for _ in 0..10 {
-            let peer_connection =
-                connect(runtime, bed.settings.digests, VERSION).await.expect("taken");
+            let peer_connection = connect_when_taken(runtime, &bed).await;
             let mut caller = std::net::TcpStream::connect(address).expect("connected");
             let request = Request::new("/safe/x").body("question");
             std::io::Write::write_all(&mut caller, request.text().as_bytes()).expect("sent");
