Split the serving of an accepted connection from the accept loop

The accept loop of a listener also built the stream of each connection with all that watches it, 40 lines within a match. ConnectionServer does that now; the loop accepts, draws whether a connection overflows, and spawns.

--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -208,37 +208,30 @@
                 runtime.sleep(FULL_BACKOFF).await;
             }
             Some(Ok((stream, from))) => {
-                let connected = runtime.now().saturating_sub(read_delay());
-                let read_delay = read_delay.clone();
                 let limits = limits();
                 let overflows = limits.overflow_fraction > 0.0
                     && rand::random::<f64>() < limits.overflow_fraction;
                 let overflow = overflows.then(|| overflow.clone());
-                let (handler, stop, alive) = (handler(from), stop.clone(), alive.clone());
+                let (handler, alive) = (handler(from), alive.clone());
                 let open_guard = OpenGuard::new(&open);
-                let recorder = open.clone();
-                let on_write_timeout = Rc::new(move || recorder.record_write_timeout(from));
                 let remote = Remote { kind: ConnectionKind::Caller, address: from };
+                let connected = runtime.now().saturating_sub(read_delay());
+                let caller = AcceptedCaller { stream, connected };
+                let serving = ConnectionServer {
+                    runtime,
+                    remote,
+                    limits,
+                    stop: stop.clone(),
+                    open: open.clone(),
+                    read_delay: read_delay.clone(),
+                };
                 let task = async move {
                     let result = match overflow {
-                        None => OverflowResult::ServeHere(stream),
-                        Some(overflow) => overflow(AcceptedCaller { stream, connected }).await,
+                        None => OverflowResult::ServeHere(caller.stream),
+                        Some(overflow) => overflow(caller).await,
                     };
                     if let OverflowResult::ServeHere(stream) = result {
-                        // The connection works without the option.
-                        let _ = stream.set_nodelay(true);
-                        let stream = WriteTimeoutStream::new(stream, runtime, on_write_timeout);
-                        let arrivals = RequestArrivals::new(limits.age_source());
-                        let arrivals = Rc::new(RefCell::new(arrivals));
-                        let dated = arrivals.clone();
-                        let stream =
-                            ArrivalStream::new(stream, runtime, connected, read_delay, dated);
-                        let meter = ReadMeter::new(limits.max_bytes_without_progress());
-                        let stream = MeteredStream::new(stream, meter.clone());
-                        let connection = Connection { stream, meter, arrivals };
-                        let meter = connection.meter.clone();
-                        serve_connection(runtime, connection, limits, stop, handler).await;
-                        report_excess(runtime, remote, &meter);
+                        serving.serve(AcceptedCaller { stream, connected }, handler).await;
                     }
                     drop(open_guard);
                     drop(alive);
@@ -303,9 +296,58 @@
     }
 }
 
+/// Serves one connection.
+struct ConnectionServer {
+    runtime: Runtime,
+    remote: Remote,
+    limits: ListenerLimits,
+    stop: StopSignal,
+    open: OpenConnections,
+    read_delay: ReadDelay,
+}
+
+impl ConnectionServer {
+    async fn serve<H, F>(self, caller: AcceptedCaller, handler: H)
+    where
+        H: Fn(Request<MeteredBody>, Duration) -> F + 'static,
+        F: Future<Output = Response<LocalBody>> + 'static,
+    {
+        let Self { runtime, remote, limits, .. } = self;
+        let arrivals = RequestArrivals::new(limits.age_source());
+        let arrivals: SharedArrivals = Rc::new(RefCell::new(arrivals));
+        let meter = ReadMeter::new(limits.max_bytes_without_progress());
+        let stream = self.monitored_stream(caller, &arrivals, &meter);
+        let connection = Connection { stream, meter: meter.clone(), arrivals };
+        serve_connection(runtime, connection, limits, self.stop, handler).await;
+        report_excess(runtime, remote, &meter);
+    }
+
+    /// Returns the stream of a caller with all that watches it.
+    fn monitored_stream(
+        &self,
+        caller: AcceptedCaller,
+        arrivals: &SharedArrivals,
+        meter: &ReadMeter,
+    ) -> MonitoredStream {
+        let AcceptedCaller { stream, connected } = caller;
+        // The connection works without the option.
+        let _ = stream.set_nodelay(true);
+        let (recorder, from) = (self.open.clone(), self.remote.address);
+        let on_write_timeout = Rc::new(move || recorder.record_write_timeout(from));
+        let stream = WriteTimeoutStream::new(stream, self.runtime, on_write_timeout);
+        let read_delay = self.read_delay.clone();
+        let arrivals = arrivals.clone();
+        let stream = ArrivalStream::new(stream, self.runtime, connected, read_delay, arrivals);
+        MeteredStream::new(stream, meter.clone())
+    }
+}
+
+/// The stream of a caller with all that watches it.
+type MonitoredStream = MeteredStream<ArrivalStream<WriteTimeoutStream<TcpStream>>>;
+
 /// A connection of a caller with the records of what is read from it.
 struct Connection {
-    stream: MeteredStream<ArrivalStream<WriteTimeoutStream<TcpStream>>>,
+    stream: MonitoredStream,
     meter: ReadMeter,
     arrivals: SharedArrivals,
 }
