--- a/crates/router/src/request_arrivals.rs
+++ b/crates/router/src/request_arrivals.rs
@@ -5,10 +5,10 @@
 use crate::message_framing::{MessageFraming, MessageProgress};
 use crate::runtime::Runtime;
 use mastbay_types::Timestamp;
-use smol::io::{AsyncRead, AsyncWrite};
+use smol::io::AsyncRead;
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::io::{IoSlice, Result};
+use std::io::Result;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -196,28 +196,4 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for ArrivalStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
-    }
-}
+mastbay_web::delegate_writes!(ArrivalStream);
--- a/crates/router/src/throttled_reader.rs
+++ b/crates/router/src/throttled_reader.rs
@@ -4,9 +4,9 @@
 //! events are read at intervals, so that those which arrived in between are relayed together.
 
 use crate::runtime::{Runtime, Sleep};
-use smol::io::{AsyncRead, AsyncWrite};
+use smol::io::AsyncRead;
 use std::cell::Cell;
-use std::io::{IoSlice, Result};
+use std::io::Result;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -56,28 +56,4 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for ThrottledReader<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
-    }
-}
+mastbay_web::delegate_writes!(ThrottledReader);
--- a/crates/router/tests/forwarded_ages.rs
+++ b/crates/router/tests/forwarded_ages.rs
@@ -3,14 +3,13 @@
 mod support;
 
 use mastbay_router::Runtime;
-use mastbay_router::offload::{
-    AcceptedCaller, ForwardedConnection, HELLO_LENGTH, StopPhases, connect, hello,
-};
+use mastbay_router::offload::{AcceptedCaller, ForwardedConnection, HELLO_LENGTH, StopPhases};
 use mastbay_router::request_arrivals::{AGE_LENGTH, encode_age};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use support::forwarded::connect_to_scripted_peer;
 use support::{Bed, Request, ScriptedBackEnd, answer, header, run};
 
 const INTERVAL: Duration = Duration::from_millis(40);
@@ -49,14 +48,7 @@
 impl Forwarded {
     /// Forwards a connection that came [`WAITED`] ago, on which the caller has sent `sent`.
     async fn start(runtime: Runtime, sent: &str) -> Self {
-        let peers = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let peer_address = peers.local_addr().expect("an address");
-        let accept = runtime.spawn(async move {
-            let (mut peer, _) = peers.accept().await.expect("accepted");
-            peer.write_all(&hello(VERSION)).await.expect("hello");
-            peer
-        });
-        let connection = connect(runtime, peer_address, VERSION).await.expect("taken");
+        let (connection, peer) = connect_to_scripted_peer(runtime, VERSION).await;
         let callers = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let address = callers.local_addr().expect("an address");
         let mut caller = TcpStream::connect(address).await.expect("connected");
@@ -66,7 +58,7 @@
         let stop = StopPhases::default();
         let copying = connection.copy(runtime, accepted, INTERVAL, Rc::new(Current), stop);
         runtime.spawn(copying).detach();
-        Self { caller, peer: accept.await }
+        Self { caller, peer }
     }
 
     /// Reads a request at the peer and returns the age that is told before it.
--- a/crates/router/tests/forwarded_ends.rs
+++ b/crates/router/tests/forwarded_ends.rs
@@ -3,9 +3,7 @@
 mod support;
 
 use mastbay_router::Runtime;
-use mastbay_router::offload::{
-    CopyOutcome, ForwardedConnection, PeerConnection, StopPhases, connect, hello,
-};
+use mastbay_router::offload::{CopyOutcome, ForwardedConnection, PeerConnection, StopPhases};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::cell::Cell;
@@ -13,7 +11,7 @@
 use std::rc::Rc;
 use std::sync::mpsc;
 use std::time::Duration;
-use support::forwarded::{accepted_caller, read_copied};
+use support::forwarded::{accepted_caller, connect_to_scripted_peer, read_copied};
 use support::{Request, run};
 
 const INTERVAL: Duration = Duration::from_millis(1);
@@ -57,15 +55,7 @@
 
     /// Starts while the configuration is current or not, after the caller has sent `sent`.
     async fn start_with(runtime: Runtime, is_current: bool, sent: &str) -> Self {
-        let peers = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let peer_address = peers.local_addr().expect("an address");
-        let accept = runtime.spawn(async move {
-            let (mut peer, _) = peers.accept().await.expect("accepted");
-            peer.write_all(&hello(VERSION)).await.expect("hello");
-            peer
-        });
-        let connection = connect(runtime, peer_address, VERSION).await.expect("taken");
-        let peer = accept.await;
+        let (connection, peer) = connect_to_scripted_peer(runtime, VERSION).await;
         let callers = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let address = callers.local_addr().expect("an address");
         let mut caller = TcpStream::connect(address).await.expect("connected");
--- a/crates/router/tests/forwarded_requests.rs
+++ b/crates/router/tests/forwarded_requests.rs
@@ -6,7 +6,6 @@
 use mastbay_router::Runtime;
 use mastbay_router::offload::{
     CopyOutcome, EndReason, ForwardedConnection, Interruption, PeerConnection, Stage, StopPhases,
-    connect, hello,
 };
 use mastbay_router::request_arrivals::{AgeSource, RequestArrivals};
 use mastbay_types::Timestamp;
@@ -17,7 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use support::forwarded::accepted_caller;
+use support::forwarded::{accepted_caller, connect_to_scripted_peer};
 use support::{Request, STREAM_END, STREAM_HEAD, events, run, until};
 
 const INTERVAL: Duration = Duration::from_millis(40);
@@ -76,14 +75,7 @@
 
 impl Forwarded {
     async fn start(runtime: Runtime) -> Self {
-        let (peers, peer_address) = listener().await;
-        let accept = runtime.spawn(async move {
-            let (mut peer, _) = peers.accept().await.expect("accepted");
-            peer.write_all(&hello(VERSION)).await.expect("hello");
-            peer
-        });
-        let connection = connect(runtime, peer_address, VERSION).await.expect("taken");
-        let peer = accept.await;
+        let (connection, peer) = connect_to_scripted_peer(runtime, VERSION).await;
         let (callers, address) = listener().await;
         let caller = TcpStream::connect(address).await.expect("connected");
         let (accepted, _) = callers.accept().await.expect("accepted");
--- a/crates/router/tests/support/forwarded.rs
+++ b/crates/router/tests/support/forwarded.rs
@@ -1,10 +1,27 @@
 //! Connections that a router forwards to a scripted peer.
 
 use mastbay_router::Runtime;
-use mastbay_router::offload::AcceptedCaller;
+use mastbay_router::offload::{AcceptedCaller, PeerConnection, connect, hello};
 use mastbay_router::request_arrivals::AGE_LENGTH;
-use smol::io::AsyncReadExt;
-use smol::net::TcpStream;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream};
+
+/// Connects to a scripted peer that serves this version of the configuration. Returns the forwarding
+/// router's side of the connection and the peer's.
+pub async fn connect_to_scripted_peer(
+    runtime: Runtime,
+    version: u64,
+) -> (PeerConnection, TcpStream) {
+    let peers = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = peers.local_addr().expect("an address");
+    let accept = runtime.spawn(async move {
+        let (mut peer, _) = peers.accept().await.expect("accepted");
+        peer.write_all(&hello(version)).await.expect("hello");
+        peer
+    });
+    let connection = connect(runtime, address, version).await.expect("taken");
+    (connection, accept.await)
+}
 
 /// A caller whose connection came just now.
 pub fn accepted_caller(runtime: Runtime, stream: TcpStream) -> AcceptedCaller {
--- a/crates/web/src/metered.rs
+++ b/crates/web/src/metered.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use smol::io::{AsyncRead, AsyncWrite};
-use std::io::{Error, ErrorKind, IoSlice, Result};
+use smol::io::AsyncRead;
+use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -103,31 +103,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for MeteredStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
-    }
-}
+crate::delegate_writes!(MeteredStream);
 
 /// A body that is received on a connection with a [`ReadMeter`].
 #[derive(Debug)]
