Answer the requests of a router that is late at the end of its stop

Cause: the moment of the last answers and the limit had both passed when the timer fired, so the process ended before the tasks that write the answers had run. And a router that is late may not look again before it is killed.

Date messages after a delay until the next tick only

Tasks run in the order in which they are woken, so what waited during a delay is read before the tick after the one that ends it; the delays in series, kept for 50 ms of running time, are not needed: what they were made for was the age beyond a router's own life.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -178,6 +178,11 @@
         now.since(self.stall_detector.borrow().earliest_arrival(now))
     }
 
+    /// Returns how late a timer may fire, by the recent delays of the event loop.
+    pub(crate) fn lateness(&self) -> Duration {
+        self.stall_detector.borrow().lateness(self.now())
+    }
+
     /// Returns the earliest time at which a signal that is read now may have arrived.
     pub(crate) fn earliest_signal(&self) -> Timestamp {
         self.stall_detector.borrow().earliest_signal(self.now())
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -11,6 +11,11 @@
 /// don't end in a closed connection.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 
+/// The earliest that a late router begins the last answers before their time.
+const MAX_EARLY_ANSWERS: Duration = Duration::from_millis(800);
+/// Time for writing the last answers, however late they begin.
+pub const LAST_ANSWERS_MIN_TIME: Duration = Duration::from_millis(150);
+
 /// Retry delay returned to callers of requests that are rejected: another router is a connect away.
 pub const STOP_RETRY_AFTER: Duration = Duration::from_millis(10);
 
@@ -51,6 +56,12 @@
         }
     }
 
+    /// Returns whether the last answers begin now. If timers may fire as late as `lateness`, the next
+    /// look may come after the process was killed.
+    pub fn begins_last_answers(&self, now: Timestamp, lateness: Duration) -> bool {
+        now + lateness.min(MAX_EARLY_ANSWERS) >= self.last_answers
+    }
+
     /// Returns the time from the signal to `at` in milliseconds, negative if `at` is earlier.
     pub fn offset_milliseconds(&self, at: Timestamp) -> i64 {
         let milliseconds =
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -11,11 +11,12 @@
 use crate::quarantine;
 use crate::retries;
 use crate::router::Router;
-use crate::shutdown::{Shutdown, StopSchedule};
+use crate::shutdown::{LAST_ANSWERS_MIN_TIME, Shutdown, StopSchedule};
 use crate::stream_origins;
 use async_signal::{Signal, Signals};
 use derive_more::{Display, Error};
 use mastbay_types::Timestamp;
+use mastbay_web::TimedOut;
 use prometheus_client::registry::Registry;
 use smol::net::{TcpListener, UdpSocket};
 use smol::stream::StreamExt;
@@ -45,6 +46,8 @@
 /// Maximum number of connections to each of the readiness and operations addresses: all members of
 /// an aggregator may fetch a snapshot at the same time.
 const MAX_OPERATIONS_CONNECTIONS: usize = 160;
+/// Interval between checks whether the last answers of a stop begin.
+const LAST_ANSWERS_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval between sweeps of idle connections and expired quarantine entries.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -176,10 +179,15 @@
         router.runtime.sleep(until(schedule.notice_end)).await;
     }
     router.stop.trigger();
-    let mut ended = router.runtime.within(until(schedule.last_answers), &mut serving).await;
+    let mut ended = Err(TimedOut);
+    while ended.is_err() && !schedule.begins_last_answers(router.now(), router.lateness()) {
+        let check = until(schedule.last_answers).min(LAST_ANSWERS_CHECK_INTERVAL);
+        ended = router.runtime.within(check, &mut serving).await;
+    }
     if ended.is_err() {
         router.stop_limit.trigger();
-        ended = router.runtime.within(until(schedule.limit), &mut serving).await;
+        let left = until(schedule.limit).max(LAST_ANSWERS_MIN_TIME);
+        ended = router.runtime.within(left, &mut serving).await;
     }
     open_streams::record_cut(router);
     events::process(if ended.is_ok() { "stopped" } else { "stopped_at_limit" }, name);
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -12,11 +12,8 @@
 const RECOVERY_PERIOD: Duration = Duration::from_millis(150);
 /// Minimum time between two ticks in which messages may have waited for long.
 const MIN_DELAY: Duration = Duration::from_millis(100);
-/// Running time after such a delay, shorter than a stall, in which messages that are read may have
-/// arrived during it.
-const DELAY_RECOVERY_PERIOD: Duration = Duration::from_millis(50);
-/// Time between two ticks for which the process surely ran, however far apart they are.
-const MAX_RUNNING_TIME: Duration = Duration::from_millis(20);
+/// Time for which a delay says how late the event loop may be again.
+const LATENESS_MEMORY: Duration = Duration::from_secs(3);
 /// Maximum time for which requests wait for updates after a stall: a failed call and a second one.
 const MAX_UPDATE_WAIT: Duration = Duration::from_millis(600);
 
@@ -28,32 +25,9 @@
 }
 
 impl Stall {
-    /// Returns the time after it in which messages that are read may have arrived within it.
-    fn recovery_period(&self) -> Duration {
-        let is_stall = self.ended.since(self.began) >= MIN_STALL;
-        if is_stall { RECOVERY_PERIOD } else { DELAY_RECOVERY_PERIOD }
-    }
-
     /// Returns whether a message that is read now may have arrived within the period.
     fn may_hold_messages(&self, now: Timestamp) -> bool {
-        now.since(self.ended) <= self.recovery_period()
-    }
-}
-
-/// A delay of at least [`MIN_DELAY`] after which the process has run only shortly.
-#[derive(Debug, Clone, Copy)]
-struct Delay {
-    stall: Stall,
-    /// Time for which the process has run since. Further delays don't count: what was not read
-    /// before them is read after them.
-    running: Duration,
-}
-
-impl Delay {
-    /// Returns whether a message that is read after running for `further` may have arrived within
-    /// the delay.
-    fn may_hold_messages(&self, further: Duration) -> bool {
-        self.running + further <= self.stall.recovery_period()
+        now.since(self.ended) <= RECOVERY_PERIOD
     }
 }
 
@@ -64,8 +38,8 @@
     /// The tick before the last one.
     previous_tick: Timestamp,
     last_stall: Option<Stall>,
-    /// Delays whose messages may not all have been read, in order.
-    delays: VecDeque<Delay>,
+    /// Delays of the last [`LATENESS_MEMORY`], in order.
+    recent: VecDeque<Stall>,
     last_contact: Timestamp,
 }
 
@@ -84,18 +58,28 @@
         Some(lasted)
     }
 
-    /// Records the time between two ticks, and forgets delays after which the process has run for
-    /// long enough.
+    /// Records the time between two ticks.
     fn record_delay(&mut self, between_ticks: Stall) {
         let lasted = between_ticks.ended.since(between_ticks.began);
-        let running = lasted.min(MAX_RUNNING_TIME);
-        self.delays.iter_mut().for_each(|delay| delay.running += running);
-        self.delays.retain(|delay| delay.may_hold_messages(Duration::ZERO));
+        let now = between_ticks.ended;
+        while self.recent.front().is_some_and(|delay| now.since(delay.ended) > LATENESS_MEMORY) {
+            self.recent.pop_front();
+        }
         if lasted >= MIN_DELAY {
-            self.delays.push_back(Delay { stall: between_ticks, running: Duration::ZERO });
+            self.recent.push_back(between_ticks);
         }
     }
 
+    /// Returns the longest recent delay of the event loop, one under way included: a timer may fire
+    /// this late again.
+    pub fn lateness(&self, now: Timestamp) -> Duration {
+        let is_recent = |delay: &&Stall| now.since(delay.ended) <= LATENESS_MEMORY;
+        let recent = self.recent.iter().filter(is_recent);
+        let longest = recent.map(|delay| delay.ended.since(delay.began)).max().unwrap_or_default();
+        let current = now.since(self.last_tick);
+        if current >= MIN_DELAY { longest.max(current) } else { longest }
+    }
+
     /// Records a message from a peer or an answer of the source.
     pub fn on_contact(&mut self, now: Timestamp) {
         self.last_contact = now;
@@ -103,13 +87,17 @@
 
     /// Returns the earliest time at which a message that is read now may have arrived.
     pub fn earliest_arrival(&self, now: Timestamp) -> Timestamp {
-        let since_tick = now.since(self.last_tick);
-        let running = since_tick.min(MAX_RUNNING_TIME);
-        let earliest = self.delays.iter().find(|delay| delay.may_hold_messages(running));
-        let current = (since_tick >= MIN_DELAY).then_some(self.last_tick);
+        let is_late = now.since(self.last_tick) >= MIN_DELAY;
+        let was_late = self.last_tick.since(self.previous_tick) >= MIN_DELAY;
+        // Tasks run in the order in which they are woken: what waited during a delay is read before
+        // the tick after the one that ends it.
+        let delay = match (was_late, is_late) {
+            (true, _) => Some(self.previous_tick),
+            (false, true) => Some(self.last_tick),
+            (false, false) => None,
+        };
         let stall = self.current(now).filter(|stall| stall.may_hold_messages(now));
-        let began = [earliest.map(|delay| delay.stall.began), current, stall.map(|it| it.began)];
-        began.into_iter().flatten().min().unwrap_or(now)
+        delay.into_iter().chain(stall.map(|stall| stall.began)).min().unwrap_or(now)
     }
 
     /// Returns the earliest time at which a signal that is read now may have arrived. After any delay
