--- a/crates/router/tests/forwarded_ages.rs
+++ b/crates/router/tests/forwarded_ages.rs
@@ -3,13 +3,13 @@
 mod support;
 
 use mastbay_router::Runtime;
-use mastbay_router::offload::{AcceptedCaller, ForwardedConnection, HELLO_LENGTH, StopPhases};
+use mastbay_router::offload::{AcceptedCaller, HELLO_LENGTH, StopPhases};
 use mastbay_router::request_arrivals::{AGE_LENGTH, encode_age};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
-use support::forwarded::connect_to_scripted_peer;
+use support::forwarded::{Current, connect_to_scripted_peer};
 use support::{Bed, Request, ScriptedBackEnd, answer, header, run};
 
 const INTERVAL: Duration = Duration::from_millis(40);
@@ -22,23 +22,6 @@
 /// Time that a read may take on a busy machine.
 const READING_TIME: Duration = Duration::from_millis(300);
 
-/// A configuration that stays in force.
-struct Current;
-
-impl ForwardedConnection for Current {
-    fn is_current(&self) -> bool {
-        true
-    }
-
-    fn answer_timeout(&self, _start: &[u8]) -> Duration {
-        Duration::from_secs(60)
-    }
-
-    fn read_delay(&self) -> Duration {
-        Duration::ZERO
-    }
-}
-
 /// A forwarded connection: the caller's side and the peer's.
 struct Forwarded {
     caller: TcpStream,
--- a/crates/router/tests/forwarding_cost.rs
+++ b/crates/router/tests/forwarding_cost.rs
@@ -1,7 +1,9 @@
 //! Processor time that copying a forwarded connection takes. Started by hand.
 
+mod support;
+
 use mastbay_router::Runtime;
-use mastbay_router::offload::{AcceptedCaller, ForwardedConnection, StopPhases, connect, hello};
+use mastbay_router::offload::{AcceptedCaller, StopPhases, connect, hello};
 use mastbay_router::request_arrivals::AGE_LENGTH;
 use rustix::time::{ClockId, clock_gettime};
 use smol::net::{TcpListener, TcpStream};
@@ -9,27 +11,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use support::forwarded::Current;
 
 const VERSION: u64 = 1;
 /// Number of measurements of each case.
 const REPEATS: usize = 5;
 
-struct Current;
-
-impl ForwardedConnection for Current {
-    fn is_current(&self) -> bool {
-        true
-    }
-
-    fn answer_timeout(&self, _start: &[u8]) -> Duration {
-        Duration::from_secs(60)
-    }
-
-    fn read_delay(&self) -> Duration {
-        Duration::ZERO
-    }
-}
-
 /// Copies `requests` requests with `answer` each and returns the processor time of the copying
 /// thread.
 fn copy(request: &'static [u8], answer: &'static [u8], requests: usize) -> Duration {
--- a/crates/router/tests/support/forwarded.rs
+++ b/crates/router/tests/support/forwarded.rs
@@ -1,10 +1,30 @@
 //! Connections that a router forwards to a scripted peer.
 
 use mastbay_router::Runtime;
-use mastbay_router::offload::{AcceptedCaller, PeerConnection, connect, hello};
+use mastbay_router::offload::{
+    AcceptedCaller, ForwardedConnection, PeerConnection, connect, hello,
+};
 use mastbay_router::request_arrivals::AGE_LENGTH;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+/// A forwarding router whose configuration stays in force and that is never late.
+pub struct Current;
+
+impl ForwardedConnection for Current {
+    fn is_current(&self) -> bool {
+        true
+    }
+
+    fn answer_timeout(&self, _start: &[u8]) -> Duration {
+        Duration::from_secs(60)
+    }
+
+    fn read_delay(&self) -> Duration {
+        Duration::ZERO
+    }
+}
 
 /// Connects to a scripted peer that serves this version of the configuration. Returns the forwarding
 /// router's side of the connection and the peer's.
