Log how long a router has observed the lists, and the age limit of a search

stream_origin said only that a version was the only one possible, not from which observed time that followed, nor which age of a stream was taken for its limit. Both tell a limit that is too short from a first view that is believed too early.

--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -143,6 +143,10 @@
     pub asked: usize,
     /// Number of peers that answered.
     pub answered: usize,
+    /// How long this router had observed the lists of back ends.
+    pub observed: Duration,
+    /// Longest time since the stream began.
+    pub age_limit: Duration,
 }
 
 impl Search {
@@ -159,7 +163,8 @@
 }
 
 async fn search(router: &Rc<Router>, stream: Option<StreamKey>, entry: &TableEntry) -> Search {
-    let age_limit_ms = u32::try_from(age_limit(&entry.route).as_millis()).unwrap_or(u32::MAX);
+    let age_limit = age_limit(&entry.route);
+    let age_limit_ms = u32::try_from(age_limit.as_millis()).unwrap_or(u32::MAX);
     let query = OriginQuery { id: rand::random(), stream, route: entry.key, age_limit_ms };
     let own = answer(router, &query);
     let asked = match own {
@@ -169,12 +174,13 @@
             router.dispatcher.borrow().origin_owners(key, ASKED_OWNERS)
         }
     };
+    let observed = router.dispatcher.borrow().observed_origins_for(router.now());
     let mut lookup = OriginLookup::new(own, &asked);
     let state = match asked.is_empty() {
         true => lookup.result(),
         false => ask_peers(router, &query, &mut lookup).await,
     };
-    Search { state, asked: asked.len(), answered: lookup.answered() }
+    Search { state, asked: asked.len(), answered: lookup.answered(), observed, age_limit }
 }
 
 /// Asks peers until one has a record, the origin is certain, or they were asked often enough.
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Returns for how long this router has observed the lists of back ends without a gap.
+    pub fn observed_origins_for(&self, now: Timestamp) -> Duration {
+        self.origin_history.observed_for(now).unwrap_or_default()
+    }
+
     /// Records whether this router's lists of back ends are complete and current.
     pub(super) fn observe_origins(&mut self, now: Timestamp, own: &OwnState) {
         let is_complete = own.configuration > 0 && own.back_ends != Revision::default();
--- a/crates/routing/src/stream_origin/history.rs
+++ b/crates/routing/src/stream_origin/history.rs
@@ -90,6 +90,11 @@
         Some(StreamOrigin { service: service.clone(), version })
     }
 
+    /// Returns for how long the lists have been observed without a gap; `None` before.
+    pub fn observed_for(&self, now: Timestamp) -> Option<Duration> {
+        self.observed_since.map(|since| now.since(since))
+    }
+
     /// Returns the only origin that a stream of a route can have had if it began within `age_limit`;
     /// `None` if several were possible, or if not all of that time was observed.
     pub fn only(
