Bound the age of a stream by what its caller waits, not by a route's timeout

Cause: two timeouts of the route, as configured when the caller returns, were taken for the longest age of a stream. Records expired by it too, so named streams were joined as well. Ruled out: a first view of the list that is believed too early; nothing is joined in the first seconds after a start, and no kill is needed. Change: a record is kept until after its caller's deadline; without a record, a version counts as the only one after ten minutes without any other. Queries of earlier routers are answered by the same bound.

--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -12,10 +12,11 @@
 use derive_more::{Display, Error};
 use hyper::http;
 use mastbay_routing::{
-    ASKED_OWNERS, LookupState, OWNERS, OriginAnswer, OriginLookup, OriginMessage, OriginQuery,
-    OriginRecords, OriginReply, OriginReport, OriginSource, Outgoing, PeerMessage, Route,
+    ASKED_OWNERS, LookupState, MAX_STREAM_AGE, OWNERS, OriginAnswer, OriginLookup, OriginMessage,
+    OriginQuery, OriginRecords, OriginReply, OriginReport, OriginSource, Outgoing, PeerMessage,
     RouteKind, RouteTable, StreamKey, StreamOrigin, StreamRecord, TableEntry,
 };
+use mastbay_types::Timestamp;
 use smol::channel::{Receiver, Sender};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -27,8 +28,9 @@
 const MAX_QUERIES: u32 = 4;
 /// Time after which they are asked again: datagrams may be lost, and a record may arrive late.
 const QUERY_INTERVAL: Duration = Duration::from_millis(40);
-/// Longest age of a stream that is resumed, in timeouts of its route.
-const AGE_LIMIT_TIMEOUTS: u32 = 2;
+/// Time for which a record is kept beyond its caller's deadline: what a caller sends before it may
+/// arrive later.
+const RECORD_MARGIN: Duration = Duration::from_secs(5);
 /// Retry delay returned when the origin is unknown: a record may still arrive.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -89,13 +91,20 @@
         false => Some(StreamKey::new(call.tenant.as_deref(), &call.head.request_id)),
     };
     let Some(stream) = stream.filter(|_| call.entry.route.resumable) else { return };
-    let record = StreamRecord::new(stream, age_limit(&call.entry.route));
-    router.stream_origins.records.borrow_mut().record(router.now(), origin, record);
+    let now = router.now();
+    let record = StreamRecord::new(stream, time_until_return(call, now) + RECORD_MARGIN);
+    router.stream_origins.records.borrow_mut().record(now, origin, record);
+}
+
+/// Returns the longest time from now on after which the caller may resume its stream.
+fn time_until_return(call: &Call, now: Timestamp) -> Duration {
+    let age = now.since(call.arrived) + call.head_age;
+    call.head.time_left.map_or(MAX_STREAM_AGE, |left| left.saturating_sub(age))
 }
 
-/// Returns the longest age of a stream of a route that is resumed.
-fn age_limit(route: &Route) -> Duration {
-    route.timeout * AGE_LIMIT_TIMEOUTS
+/// Returns the longest time since the first event of a stream that a request resumes.
+fn age_limit(head: &CallerHead) -> Duration {
+    head.time_left.unwrap_or_default().max(MAX_STREAM_AGE)
 }
 
 /// Finds the origin of the stream that a request resumes. Returns `None` if it resumes none, or if
@@ -121,7 +130,7 @@
     let tenant = tenant.map(|tenant| tenant.name.as_str());
     let stream = head.resumed_request.as_deref().map(|id| StreamKey::new(tenant, id));
     let began = router.now();
-    let search = search(router, stream, &entry).await;
+    let search = search(router, stream, &entry, age_limit(head)).await;
     let took = router.now().since(began);
     router.metrics.on_resumption(&search);
     if router.may_write_line(LogLineKind::Success) {
@@ -162,8 +171,12 @@
     }
 }
 
-async fn search(router: &Rc<Router>, stream: Option<StreamKey>, entry: &TableEntry) -> Search {
-    let age_limit = age_limit(&entry.route);
+async fn search(
+    router: &Rc<Router>,
+    stream: Option<StreamKey>,
+    entry: &TableEntry,
+    age_limit: Duration,
+) -> Search {
     let age_limit_ms = u32::try_from(age_limit.as_millis()).unwrap_or(u32::MAX);
     let query = OriginQuery { id: rand::random(), stream, route: entry.key, age_limit_ms };
     let own = answer(router, &query);
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -4,7 +4,7 @@
 use super::fleet::OwnState;
 use crate::back_end::BackEndId;
 use crate::revision::Revision;
-use crate::stream_origin::{KnownOrigin, OriginAnswer, OriginQuery, StreamKey};
+use crate::stream_origin::{KnownOrigin, MAX_STREAM_AGE, OriginAnswer, OriginQuery, StreamKey};
 use mastbay_types::Timestamp;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,7 +28,8 @@
         known: KnownOrigin,
     ) -> OriginAnswer {
         let listed = |service: &str| self.engines.versions(service);
-        let age_limit = Duration::from_millis(u64::from(query.age_limit_ms));
+        // Routers of earlier versions ask with a limit that follows from the route's timeout.
+        let age_limit = Duration::from_millis(u64::from(query.age_limit_ms)).max(MAX_STREAM_AGE);
         match known {
             KnownOrigin::Recorded { origin, age } => {
                 let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
