Ignore first-start: the burst of a retry budget is there one window after a start

Callers' engines saw repeats beyond the budget: 120 of 75 allowed where all routers are killed four times in 3.3 s and the settings of each life say that it is the first. Cause: a setting about history is believed in lives for which it was not written. Change: the key is read, has no effect and is logged (setting_ignored); a router has no part in the burst in the first window of its life.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -522,6 +522,11 @@
     tracing::warn!(event = "stood_still", lasted_ms = milliseconds(lasted));
 }
 
+/// Logs a key of the settings that has no effect.
+pub fn setting_ignored(key: &str) {
+    tracing::warn!(event = "setting_ignored", key);
+}
+
 /// Logs that the process starts, reloads or stops.
 pub fn process(phase: &str, name: &str) {
     tracing::info!(event = "process", phase, name);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -109,11 +109,7 @@
         metrics: RouterMetrics,
     ) -> Rc<Self> {
         let own_id = PeerId { address: settings.digests, incarnation: rand::random() };
-        let burst_from = if settings.first_start {
-            Timestamp::ZERO
-        } else {
-            Timestamp::ZERO + settings.budget.window
-        };
+        let burst_from = Timestamp::ZERO + settings.burst_delay;
         let limits = DispatcherLimits {
             zone: settings.zone.clone(),
             regions: settings.regions.clone(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -6,7 +6,7 @@
     PerformanceSource, Policy, QuarantineLimits, RankCount, RankingPolicy, RetryAfterPolicy,
     WaitingScope, WarmupLimits, ZoneRegions,
 };
-use mastbay_settings::{Bounded, Document, Expected, Faults, Span, Value};
+use mastbay_settings::{Bounded, Document, Expected, Faults, SectionReader, Span, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -45,10 +45,11 @@
     pub propagation: Duration,
     /// `[router] event-delay`: maximum delay of an event of a stream.
     pub event_delay: Duration,
-    /// `[router] first-start`: whether the whole fleet starts for the first time, so that no earlier
-    /// life of a router may have spent the burst of a retry budget. It must not stay set when a
-    /// router is started again.
-    pub first_start: bool,
+    /// Time from the start of this life of the router until it has a part in the burst of a retry
+    /// budget, which an earlier life may have spent: a window of the budget.
+    pub burst_delay: Duration,
+    /// Keys in the file that are accepted and have no effect.
+    pub ignored: Vec<&'static str>,
     /// `[peers] listen`: address that receives digests from peers.
     pub digests: SocketAddr,
     /// `[peers] seeds`: operations addresses of the routers to contact first.
@@ -156,6 +157,16 @@
 const DEFAULT_EVENT_DELAY: Duration = Duration::from_millis(120);
 const DEFAULT_SHARE_WINDOW: Duration = Duration::from_secs(4);
 
+/// Key that once told a router that the whole fleet starts for the first time. A router can't rely on
+/// it: settings outlive the life that they were written for.
+const FIRST_START: &str = "first-start";
+
+/// Returns the keys of the section `[router]` that are accepted and have no effect.
+fn ignored_keys(section: &mut SectionReader<'_>) -> Vec<&'static str> {
+    let first_start: Option<bool> = section.optional(FIRST_START);
+    first_start.map(|_| FIRST_START).into_iter().collect()
+}
+
 /// Reads the settings of a router. Adds faults to `faults`, and returns `None` if a required value
 /// is missing or malformed.
 pub fn read_router_settings(document: &Document, faults: &mut Faults) -> Option<RouterSettings> {
@@ -175,7 +186,7 @@
     let window: Span<100, 600_000> = section.or("share-window", Span(DEFAULT_SHARE_WINDOW));
     let propagation: Span<100, 600_000> = section.or("propagation", Span(DEFAULT_PROPAGATION));
     let event_delay: Span<1, 600_000> = section.or("event-delay", Span(DEFAULT_EVENT_DELAY));
-    let first_start = section.or("first-start", false);
+    let ignored = ignored_keys(&mut section);
     let evacuations = section.or("evacuations", true);
     section.finish();
 
@@ -208,7 +219,8 @@
         share_window: window.0,
         propagation: propagation.0,
         event_delay: event_delay.0,
-        first_start,
+        burst_delay: budget.window,
+        ignored,
         digests: digests?,
         seeds,
         budget,
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -117,7 +117,9 @@
         processor: 1.0,
         event_delay: Duration::from_millis(120),
         propagation: Duration::from_secs(2),
-        first_start: true,
+        // The routers of tests have no earlier life.
+        burst_delay: Duration::ZERO,
+        ignored: Vec::new(),
         digests: ports.next_address(),
         seeds: Vec::new(),
         budget: BudgetLimits::default(),
