Keep the versions that may have begun streams in the store

Change: the routers that follow the store write each version of a service of resumable streams into it once it is listed, and a mark that these are all: made by one that has seen the store without any configuration, or the lists for ten minutes; it holds for one era of the store. A router that starts reads them once. Routers that are starting say so instead of disagreeing, and a search waits for them up to 0.8 s. Ruled out: believing the first view of the list; a time of day in the store (clocks jump); one object a router (its end would have to be told apart).

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -28,7 +28,7 @@
 use mastbay_routing::{
     BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, LookupState, Placement,
     RankChange, RefusalDetails, Revision, Role, RolloutRecord, Rollouts, RouteTable,
-    SourceCondition, SourceContact, SpeedChange, Tick, UsableChanges,
+    SourceCondition, SourceContact, SpeedChange, StreamOrigin, Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use mastbay_web::ExcessBytes;
@@ -522,6 +522,17 @@
     tracing::warn!(event = "stood_still", lasted_ms = milliseconds(lasted));
 }
 
+/// Logs what an archive of software versions holds.
+pub fn version_archive_read(versions: usize, complete: bool) {
+    tracing::info!(event = "version_archive_read", versions, complete);
+}
+
+/// Logs that a version that may begin streams was written to the archive.
+pub fn version_archived(origin: &StreamOrigin) {
+    let StreamOrigin { service, version } = origin;
+    tracing::info!(event = "version_archived", service = %service, version = %version);
+}
+
 /// Logs a key of the settings that has no effect.
 pub fn setting_ignored(key: &str) {
     tracing::warn!(event = "setting_ignored", key);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -68,6 +68,7 @@
 mod ticks;
 mod try_failure;
 mod update_signal;
+pub mod version_archive;
 mod watched_task;
 mod write_timeout;
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -262,6 +262,11 @@
         starting.queries_source()
     }
 
+    /// Records that the source has never had a configuration, so that no stream has begun yet.
+    pub fn on_unconfigured_source(&self) {
+        self.dispatcher.borrow_mut().on_unconfigured_source();
+    }
+
     /// Records the result of a call to a source.
     pub fn on_source_contact(&self, contact: SourceContact) {
         if contact == SourceContact::Answered {
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -18,7 +18,7 @@
 };
 use mastbay_types::Timestamp;
 use smol::channel::{Receiver, Sender};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +26,8 @@
 
 /// Number of times that peers are asked for an origin.
 const MAX_QUERIES: u32 = 4;
+/// The same while routers start: they will know in a moment.
+const MAX_QUERIES_WHILE_STARTING: u32 = 20;
 /// Time after which they are asked again: datagrams may be lost, and a record may arrive late.
 const QUERY_INTERVAL: Duration = Duration::from_millis(40);
 /// Time for which a record is kept beyond its caller's deadline: what a caller sends before it may
@@ -42,6 +44,29 @@
     searches: RefCell<HashMap<u64, Sender<(SocketAddr, OriginAnswer)>>>,
     /// Peers that have started since the last round.
     new_peers: RefCell<Vec<SocketAddr>>,
+    /// Whether an archive tells the origins of the time before this router's life.
+    expects_archive: Cell<bool>,
+    /// When it was read last; `None` before.
+    archive_read: Cell<Option<Timestamp>>,
+}
+
+impl StreamOrigins {
+    /// Records that an archive will be read.
+    pub fn expect_archive(&self) {
+        self.expects_archive.set(true);
+    }
+
+    /// Records that the archive was read.
+    pub fn on_archive_read(&self, at: Timestamp) {
+        self.archive_read.set(Some(at));
+    }
+
+    /// Returns whether the archive is still to be read. `needed_before` is since when the lists are
+    /// observed, if what was before is not known.
+    fn awaits_archive(&self, needed_before: Option<Timestamp>) -> bool {
+        let is_missing = |before| self.archive_read.get().is_none_or(|read| read < before);
+        self.expects_archive.get() && needed_before.is_some_and(is_missing)
+    }
 }
 
 /// A stream that a caller resumes.
@@ -182,16 +207,18 @@
     let own = answer(router, &query);
     let asked = match own {
         OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting => Vec::new(),
-        OriginAnswer::NotRecorded { .. } => {
+        OriginAnswer::NotRecorded { .. } | OriginAnswer::Starting => {
             let key = stream.unwrap_or(StreamKey(query.id));
             router.dispatcher.borrow().origin_owners(key, ASKED_OWNERS)
         }
     };
     let observed = router.dispatcher.borrow().observed_origins_for(router.now());
     let mut lookup = OriginLookup::new(own, &asked);
-    let state = match asked.is_empty() {
-        true => lookup.result(),
-        false => ask_peers(router, &query, &mut lookup).await,
+    let state = match lookup.state() {
+        LookupState::Pending | LookupState::NotFound => {
+            ask_peers(router, &query, &mut lookup).await
+        }
+        known => known,
     };
     Search { state, asked: asked.len(), answered: lookup.answered(), observed, age_limit }
 }
@@ -202,13 +229,15 @@
     let (sender, answers) = smol::channel::unbounded();
     let _registration = Registration::new(&router.stream_origins, query.id, sender);
     let message = PeerMessage::Origin(OriginMessage::Query(*query));
-    for _ in 0..MAX_QUERIES {
-        lookup.ask_again();
+    for asked in 1..=MAX_QUERIES_WHILE_STARTING {
+        lookup.ask_again(answer(router, query));
         peers::send(&socket, &message, &lookup.asked()).await;
         let began = router.now();
         let _ = router.runtime.within(QUERY_INTERVAL, receive(lookup, &answers)).await;
         let state = lookup.result();
-        if state != LookupState::NotFound || query.stream.is_none() && lookup.answered() > 0 {
+        let is_starting = lookup.is_any_starting() || awaits_archive(router);
+        let is_last = !is_starting && (asked >= MAX_QUERIES || lookup.is_settled(query));
+        if state != LookupState::NotFound || is_last {
             return state;
         }
         let waited = router.now().since(began);
@@ -217,6 +246,11 @@
     lookup.result()
 }
 
+fn awaits_archive(router: &Router) -> bool {
+    let needed_before = router.dispatcher.borrow().needs_origins_before(router.now());
+    router.stream_origins.awaits_archive(needed_before)
+}
+
 /// Receives answers until all peers have answered or one has a record.
 async fn receive(lookup: &mut OriginLookup, answers: &Receiver<(SocketAddr, OriginAnswer)>) {
     while lookup.state() == LookupState::Pending {
--- a/crates/routing/src/dispatch/back_end_changes.rs
+++ b/crates/routing/src/dispatch/back_end_changes.rs
@@ -52,6 +52,7 @@
             if self.back_end(&back_end.id).is_some_and(|known| known.version != back_end.version) {
                 self.record_removed_version(now, &back_end.id);
             }
+            self.origin_history.on_listed(&back_end.service, &back_end.version);
             let is_evacuated = self.evacuated.zones.contains(&back_end.zone);
             let region = self.limits.regions.of(&back_end.zone);
             self.engines.set(now, back_end.clone(), |known| {
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -4,8 +4,11 @@
 use super::fleet::OwnState;
 use crate::back_end::BackEndId;
 use crate::revision::Revision;
-use crate::stream_origin::{KnownOrigin, MAX_STREAM_AGE, OriginAnswer, OriginQuery, StreamKey};
+use crate::stream_origin::{
+    KnownOrigin, MAX_STREAM_AGE, OriginAnswer, OriginQuery, StreamKey, StreamOrigin,
+};
 use mastbay_types::Timestamp;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -36,6 +39,9 @@
                 OriginAnswer::Recorded { origin, age_ms }
             }
             KnownOrigin::Conflicting => OriginAnswer::Conflicting,
+            KnownOrigin::NotRecorded if !self.origin_history.has_observed() => {
+                OriginAnswer::Starting
+            }
             KnownOrigin::NotRecorded => OriginAnswer::NotRecorded {
                 only: self.origin_history.only(now, query.route, age_limit, listed),
                 current: self.origin_history.current(query.route, listed),
@@ -48,6 +54,57 @@
         self.origin_history.observed_for(now).unwrap_or_default()
     }
 
+    /// Records that the source has never had a configuration, so that no stream has begun yet.
+    pub fn on_unconfigured_source(&mut self) {
+        self.origin_history.on_unconfigured_source();
+    }
+
+    /// Returns since when this router observes the lists, if the origins of the time before are
+    /// still to be read.
+    pub fn needs_origins_before(&self, now: Timestamp) -> Option<Timestamp> {
+        self.origin_history.needs_origins_before(now)
+    }
+
+    /// Returns whether this router observes the lists of back ends.
+    pub fn observes_origins(&self) -> bool {
+        self.origin_history.has_observed()
+    }
+
+    /// Records the origins that an archive held at `read`, when it began to be read.
+    pub fn on_origin_archive(
+        &mut self,
+        read: Timestamp,
+        origins: &BTreeSet<StreamOrigin>,
+        is_complete: bool,
+    ) {
+        self.origin_history.on_archive(read, origins, is_complete);
+    }
+
+    /// Returns all origins that streams may have had whose callers can still resume them; `None` if
+    /// they are not known.
+    pub fn possible_origins(&self, now: Timestamp) -> Option<BTreeSet<StreamOrigin>> {
+        self.origin_history.possible_origins(now)
+    }
+
+    /// Returns the origins that streams may have had in this life of the router.
+    pub fn observed_origins(&self) -> BTreeSet<StreamOrigin> {
+        self.origin_history.observed_origins()
+    }
+
+    /// Removes those of `origins` of which no stream can be resumed any more, and returns them.
+    pub fn take_obsolete_origins(
+        &mut self,
+        now: Timestamp,
+        origins: &BTreeSet<StreamOrigin>,
+    ) -> Vec<StreamOrigin> {
+        let listed = |service: &str| self.engines.versions(service);
+        let is_obsolete =
+            |origin: &&StreamOrigin| self.origin_history.is_obsolete(now, origin, listed);
+        let obsolete: Vec<StreamOrigin> = origins.iter().filter(is_obsolete).cloned().collect();
+        obsolete.iter().for_each(|origin| self.origin_history.forget(origin));
+        obsolete
+    }
+
     /// Records whether this router's lists of back ends are complete and current.
     pub(super) fn observe_origins(&mut self, now: Timestamp, own: &OwnState) {
         let is_complete = own.configuration > 0 && own.back_ends != Revision::default();
--- a/crates/routing/src/stream_origin/history.rs
+++ b/crates/routing/src/stream_origin/history.rs
@@ -1,7 +1,8 @@
 //! Origins that streams of a route may have had in the recent past.
 //!
 //! Where the origin of a stream is not recorded, it is still certain if only one was possible in all
-//! of the time in which the stream may have begun.
+//! of the time in which the stream may have begun. A router observes its own life; an archive that
+//! outlives the routers tells which origins were possible before.
 
 use super::messages::StreamOrigin;
 use crate::configuration::RoutingConfiguration;
@@ -40,6 +41,16 @@
     routes: HashMap<u32, RouteTargets>,
     /// When the last back end of each version was removed, by service.
     removed: HashMap<String, BTreeMap<Arc<str>, Timestamp>>,
+    /// Versions that were listed in this life of the router, by service.
+    listed: HashMap<String, BTreeSet<Arc<str>>>,
+    /// Services that routes of resumable streams had as targets in this life.
+    stream_services: BTreeSet<Arc<str>>,
+    /// Origins that were possible before `observed_since`; `None` if they are not known.
+    earlier: Option<BTreeSet<StreamOrigin>>,
+    /// Whether the source had no configuration when this router first read it.
+    began_unconfigured: bool,
+    /// When there was no configuration last; no stream can have begun before.
+    last_unconfigured: Option<Timestamp>,
 }
 
 impl OriginHistory {
@@ -49,11 +60,16 @@
         for targets in self.routes.values_mut() {
             targets.since.get_or_insert(now);
         }
+        if self.began_unconfigured && self.routes.is_empty() {
+            self.last_unconfigured = Some(now);
+        }
         if !is_current {
             return;
         }
         if self.observed_since.is_none() || now.since(self.last_current) > MAX_GAP {
             self.observed_since = Some(now);
+            let is_first = self.last_unconfigured.is_some_and(|last| now.since(last) <= MAX_GAP);
+            self.earlier = is_first.then(BTreeSet::new);
         }
         self.last_current = now;
         self.removed.retain(|_, versions| {
@@ -62,6 +78,11 @@
         });
     }
 
+    /// Records that the source has never had a configuration.
+    pub fn on_unconfigured_source(&mut self) {
+        self.began_unconfigured = self.routes.is_empty();
+    }
+
     /// Records the targets of the routes in force.
     pub fn on_configuration(&mut self, configuration: &RoutingConfiguration) {
         let mut earlier = std::mem::take(&mut self.routes);
@@ -69,12 +90,101 @@
             let used = route.targets.iter().filter(|target| target.weight > 0);
             let services: BTreeSet<Arc<str>> =
                 used.map(|target| Arc::from(target.service.as_str())).collect();
+            if route.resumable {
+                self.stream_services.extend(services.iter().cloned());
+            }
             let key = short_hash(&[route.name.as_bytes()]);
             let same = earlier.remove(&key).filter(|targets| targets.services == services);
             self.routes.insert(key, same.unwrap_or(RouteTargets { services, since: None }));
         }
     }
 
+    /// Records that a back end of a version is listed.
+    pub fn on_listed(&mut self, service: &str, version: &Arc<str>) {
+        match self.listed.get_mut(service) {
+            Some(versions) if versions.contains(version) => {}
+            Some(versions) => {
+                versions.insert(version.clone());
+            }
+            None => {
+                self.listed.insert(service.to_owned(), BTreeSet::from([version.clone()]));
+            }
+        }
+    }
+
+    /// Returns the origins that streams may have had in this life of the router.
+    pub fn observed_origins(&self) -> BTreeSet<StreamOrigin> {
+        let services = self.stream_services.iter();
+        let versions = services.flat_map(|service| {
+            let versions = self.listed.get(&**service).into_iter().flatten();
+            versions.map(move |version| (service.clone(), version.clone()))
+        });
+        versions.map(|(service, version)| StreamOrigin { service, version }).collect()
+    }
+
+    /// Returns all origins that streams may have had whose callers can still resume them; `None` if
+    /// they are not known.
+    pub fn possible_origins(&self, now: Timestamp) -> Option<BTreeSet<StreamOrigin>> {
+        let is_observed = self.observed_for(now).is_some_and(|span| span >= MAX_STREAM_AGE);
+        let earlier = self.earlier.clone().or(is_observed.then(BTreeSet::new))?;
+        Some(&earlier | &self.observed_origins())
+    }
+
+    /// Returns since when the lists have been observed, if the origins of the time before are still
+    /// to be read.
+    pub fn needs_origins_before(&self, now: Timestamp) -> Option<Timestamp> {
+        let since = self.observed_since.filter(|_| self.earlier.is_none())?;
+        (now.since(since) < MAX_STREAM_AGE).then_some(since)
+    }
+
+    /// Returns whether the lists of back ends have been current at any time.
+    pub fn has_observed(&self) -> bool {
+        self.observed_since.is_some()
+    }
+
+    /// Records the origins that an archive held at `read`, when it began to be read. If the archive
+    /// is not complete, it tells nothing of the others.
+    pub fn on_archive(
+        &mut self,
+        read: Timestamp,
+        origins: &BTreeSet<StreamOrigin>,
+        is_complete: bool,
+    ) {
+        // What became possible while this router did not observe the lists may be missing.
+        let is_since = self.observed_since.is_some_and(|since| since <= read);
+        if is_since && is_complete {
+            self.earlier.get_or_insert_default();
+        }
+        if let Some(earlier) = &mut self.earlier {
+            earlier.extend(origins.iter().cloned());
+        }
+    }
+
+    /// Forgets an origin of which no stream can be resumed any more.
+    pub fn forget(&mut self, origin: &StreamOrigin) {
+        if let Some(versions) = self.listed.get_mut(&*origin.service) {
+            versions.remove(&origin.version);
+        }
+        if let Some(earlier) = &mut self.earlier {
+            earlier.remove(origin);
+        }
+    }
+
+    /// Returns whether no stream of an origin can be resumed any more, since no back end of it has
+    /// been listed for as long as a caller may wait. `listed` returns the versions of a service's
+    /// listed back ends.
+    pub fn is_obsolete(
+        &self,
+        now: Timestamp,
+        origin: &StreamOrigin,
+        listed: impl Fn(&str) -> BTreeSet<Arc<str>>,
+    ) -> bool {
+        let is_observed = self.observed_for(now).is_some_and(|span| span >= MAX_STREAM_AGE);
+        let removed = self.removed.get(&*origin.service);
+        let is_recent = removed.is_some_and(|versions| versions.contains_key(&origin.version));
+        is_observed && !is_recent && !listed(&origin.service).contains(&origin.version)
+    }
+
     /// Records that a back end of a version was removed, or changed to another version.
     pub fn on_removed(&mut self, now: Timestamp, service: &str, version: &Arc<str>) {
         let versions = self.removed.entry(service.to_owned()).or_default();
@@ -110,14 +220,16 @@
         if age_limit > MAX_STREAM_AGE {
             return None;
         }
-        let is_current = now.since(self.last_current) <= MAX_OBSERVATION_AGE;
-        let is_unchanged =
-            |since: Option<Timestamp>| since.is_some_and(|since| now.since(since) >= age_limit);
-        if !is_current || !is_unchanged(self.observed_since) {
+        if now.since(self.last_current) > MAX_OBSERVATION_AGE {
             return None;
         }
+        let is_unchanged =
+            |since: Option<Timestamp>| since.is_some_and(|since| now.since(since) >= age_limit);
         let targets = self.routes.get(&route)?;
-        let service = only(&targets.services).filter(|_| is_unchanged(targets.since))?;
+        let service = only(&targets.services)?;
+        if !is_unchanged(self.observed_since) || !is_unchanged(targets.since) {
+            return self.only_ever(service, listed(service));
+        }
         let removed = self.removed.get(&**service).into_iter().flatten();
         let recent = removed.filter(|(_, removed)| now.since(**removed) <= age_limit);
         let mut versions = listed(service);
@@ -125,6 +237,17 @@
         let version = only(&versions)?.clone();
         Some(StreamOrigin { service: service.clone(), version })
     }
+
+    /// Returns the only origin that any stream can have had, before this life of the router and in
+    /// it; `None` if there were several, or if the time before is not known.
+    fn only_ever(&self, service: &Arc<str>, listed: BTreeSet<Arc<str>>) -> Option<StreamOrigin> {
+        let mut possible = &self.earlier.clone()? | &self.observed_origins();
+        possible.extend(
+            listed.into_iter().map(|version| StreamOrigin { service: service.clone(), version }),
+        );
+        let is_only = possible.len() == 1;
+        possible.pop_first().filter(|_| is_only)
+    }
 }
 
 /// Returns the element of a set that has exactly one.
--- a/crates/routing/src/stream_origin/lookup.rs
+++ b/crates/routing/src/stream_origin/lookup.rs
@@ -1,6 +1,6 @@
 //! The search for a stream's origin at other routers.
 
-use super::messages::{OriginAnswer, StreamOrigin};
+use super::messages::{OriginAnswer, OriginQuery, StreamOrigin};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -61,8 +61,9 @@
         }
     }
 
-    /// Forgets the answers, as all routers are asked again.
-    pub fn ask_again(&mut self) {
+    /// Forgets the answers, as all routers are asked again. `own` is what this router knows now.
+    pub fn ask_again(&mut self, own: OriginAnswer) {
+        self.own = own;
         self.answers.values_mut().for_each(|answer| *answer = None);
     }
 
@@ -76,6 +77,17 @@
         self.answers.values().flatten().count()
     }
 
+    /// Returns whether asking again is of no use: a record may arrive late, but there is none of a
+    /// stream that is not named.
+    pub fn is_settled(&self, query: &OriginQuery) -> bool {
+        self.answers.is_empty() || query.stream.is_none() && self.answered() > 0
+    }
+
+    /// Returns whether any router that was asked, or this one, has just started.
+    pub fn is_any_starting(&self) -> bool {
+        self.all().any(|answer| *answer == OriginAnswer::Starting)
+    }
+
     /// Returns the state of the search. While it is pending, a record may still be found.
     pub fn state(&self) -> LookupState {
         if self.has_conflict() {
@@ -108,7 +120,7 @@
         self.all().any(|answer| match answer {
             OriginAnswer::Conflicting => true,
             OriginAnswer::Recorded { origin, .. } => *first.get_or_insert(origin) != origin,
-            OriginAnswer::NotRecorded { .. } => false,
+            OriginAnswer::NotRecorded { .. } | OriginAnswer::Starting => false,
         })
     }
 
@@ -119,7 +131,9 @@
                 source,
                 age: Duration::from_millis(u64::from(*age_ms)),
             }),
-            OriginAnswer::Conflicting | OriginAnswer::NotRecorded { .. } => None,
+            OriginAnswer::Conflicting
+            | OriginAnswer::NotRecorded { .. }
+            | OriginAnswer::Starting => None,
         };
         found(&self.own, OriginSource::Own).or_else(|| {
             let mut answers = self.answers.iter();
@@ -128,16 +142,19 @@
     }
 
     /// Returns the only origin that was possible, if one router has observed all of the time and no
-    /// router that answered disagrees. Without any answer of the routers that were asked, this one
+    /// router that answered disagrees. Those that have just started have no view yet. Without any answer of the routers that were asked, this one
     /// may be out of touch.
     fn without_record(&self) -> LookupState {
         let is_in_touch = self.answers.is_empty() || self.answered() > 0;
         let only = self.all().find_map(|answer| match answer {
             OriginAnswer::NotRecorded { only, .. } => only.clone(),
-            OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting => None,
+            OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting | OriginAnswer::Starting => {
+                None
+            }
         });
         let agrees = |answer: &OriginAnswer| match answer {
             OriginAnswer::NotRecorded { current, .. } => *current == only,
+            OriginAnswer::Starting => true,
             OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting => false,
         };
         match &only {
--- a/crates/routing/src/stream_origin/messages.rs
+++ b/crates/routing/src/stream_origin/messages.rs
@@ -102,6 +102,8 @@
         /// The origin that a stream of the route would have now, if only one is possible.
         current: Option<StreamOrigin>,
     },
+    /// It has no record and has just started: it does not know the back ends yet.
+    Starting,
 }
 
 /// A message between routers about the origins of streams.
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -206,7 +206,7 @@
     lookup.on_answer(address(0), unknown.clone());
     lookup.on_answer(address(1), unknown.clone());
     assert_eq!(lookup.state(), LookupState::NotFound);
-    lookup.ask_again();
+    lookup.ask_again(unknown.clone());
     assert_eq!(lookup.state(), LookupState::Pending);
     lookup.on_answer(address(0), unknown);
     lookup.on_answer(address(1), answer_recorded("v1"));
@@ -235,6 +235,11 @@
     assert!(!is_found(sure(), vec![Some(sees_two())]));
     assert!(!is_found(sees_two(), vec![Some(sure())]));
     assert!(!is_found(sure(), vec![Some(not_recorded(Some("v2"), Some("v2")))]));
+    // A router that has just started has no view that could disagree, and none that could suffice.
+    assert!(is_found(sure(), vec![Some(OriginAnswer::Starting)]));
+    assert!(is_found(OriginAnswer::Starting, vec![Some(sure())]));
+    assert!(!is_found(OriginAnswer::Starting, vec![Some(OriginAnswer::Starting)]));
+    assert!(!is_found(OriginAnswer::Starting, vec![Some(sure()), Some(sees_two())]));
     // A router that hears none of the others may have missed a change.
     assert!(!is_found(sure(), vec![None, None]));
 }
@@ -255,13 +260,17 @@
             LookupState::Found { origin, source: OriginSource::OnlyVersion, .. } => {
                 answers.iter().flatten().all(|answer| match answer {
                     OriginAnswer::NotRecorded { current, .. } => current.as_ref() == Some(&origin),
-                    OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting => false,
+                    OriginAnswer::Recorded { .. }
+                    | OriginAnswer::Conflicting
+                    | OriginAnswer::Starting => false,
                 })
             }
             LookupState::Found { origin: found, .. } => {
                 answers.iter().flatten().all(|answer| match answer {
                     OriginAnswer::Recorded { origin, .. } => *origin == found,
-                    OriginAnswer::NotRecorded { .. } | OriginAnswer::Conflicting => true,
+                    OriginAnswer::NotRecorded { .. }
+                    | OriginAnswer::Conflicting
+                    | OriginAnswer::Starting => true,
                 })
             }
             _ => true,
@@ -378,6 +387,79 @@
     assert_eq!(observed.only(50_000), None);
 }
 
+/// A history of a router that starts before the first configuration, with back ends of `v1`.
+fn observed_from_the_start() -> Observed {
+    let listed = BTreeSet::from(["v1".into()]);
+    let mut observed = Observed { history: OriginHistory::default(), listed };
+    observed.history.on_unconfigured_source();
+    observed.history.observe(at(0), false);
+    observed.history.on_configuration(&configuration(&["model"]));
+    observed.history.on_listed("model", &"v1".into());
+    observed.observe(80, 1_000);
+    observed
+}
+
+/// Guards against refusing streams although no other version has ever been in service.
+#[test]
+fn the_only_version_since_the_first_configuration_is_certain() {
+    let mut observed = observed_from_the_start();
+    assert_eq!(observed.only(1_000), Some(origin("v1")));
+    assert_eq!(observed.history.possible_origins(at(1_000)), Some(BTreeSet::from([origin("v1")])));
+    let mut archived = observed_from_the_start();
+    archived.history.on_archive(at(1_000), &BTreeSet::from([origin("v0")]), false);
+    assert_eq!(archived.only(1_000), None, "an archive names another one");
+    observed.history.on_listed("model", &"v2".into());
+    observed.history.on_removed(at(1_000), "model", &"v1".into());
+    observed.listed = BTreeSet::from(["v2".into()]);
+    assert_eq!(observed.only(1_000), None);
+}
+
+/// Guards against taking the first configuration that this router sees for the first one ever.
+#[test]
+fn no_version_is_certain_if_the_configuration_was_unknown_for_a_while() {
+    let mut observed = observed_from_the_start();
+    observed.observe(2_500, 3_000);
+    assert_eq!(observed.only(3_000), None, "lists were not observed for over a second");
+    let mut late = OriginHistory::default();
+    late.on_configuration(&configuration(&["model"]));
+    late.on_unconfigured_source();
+    late.observe(at(0), true);
+    assert_eq!(late.possible_origins(at(0)), None, "a configuration was known before");
+}
+
+/// A router that starts again knows the versions of the time before from an archive.
+#[test]
+fn an_archive_tells_which_versions_were_possible_before_a_start() {
+    let mut observed = Observed::for_millis(1_000);
+    observed.history.on_listed("model", &"v1".into());
+    assert_eq!(observed.history.needs_origins_before(at(1_000)), Some(at(0)));
+    let v1 = BTreeSet::from([origin("v1")]);
+    observed.history.on_archive(at(1_000), &v1, false);
+    assert_eq!(observed.only(1_000), None, "others were possible as well");
+    observed.history.on_archive(at(1_000), &v1, true);
+    assert_eq!(observed.only(1_000), Some(origin("v1")));
+    // What was read before a gap may lack what came up within it.
+    observed.observe(9_000, 9_500);
+    observed.history.on_archive(at(1_000), &v1, true);
+    assert_eq!(observed.only(9_500), None);
+    observed.history.on_archive(at(9_500), &BTreeSet::from([origin("v0")]), true);
+    assert_eq!(observed.only(9_500), None, "two versions were possible");
+}
+
+/// Guards against versions that are kept for ever, so that no stream is certain after a roll-out.
+#[test]
+fn a_version_that_left_longer_ago_than_callers_wait_is_obsolete() {
+    let listed = |_: &str| BTreeSet::from([Arc::from("v1")]);
+    let mut observed = Observed::for_millis(1_000);
+    observed.history.on_removed(at(1_000), "model", &"v0".into());
+    observed.observe(1_000, 600_000);
+    let left_at = |now| observed.history.is_obsolete(at(now), &origin("v0"), listed);
+    assert!(!left_at(600_000));
+    observed.observe(600_000, 602_000);
+    assert!(observed.history.is_obsolete(at(602_000), &origin("v0"), listed));
+    assert!(!observed.history.is_obsolete(at(602_000), &origin("v1"), listed));
+}
+
 /// Work and memory of one router for the records of a fleet.
 #[derive(Debug)]
 struct RecordLoad {
