--- a/crates/router/src/version_archive.rs
+++ b/crates/router/src/version_archive.rs
@@ -1,7 +1,7 @@
 //! Keeps the software versions that may have begun streams in an archive, since routers have no disk
 //! and may all be lost at once.
 //!
-//! The few routers that follow the source write each version of a service of resumable streams once
+//! The few routers that follow the source write each version of a service of streams once
 //! it is listed. A router that starts reads the archive: if it is complete and names one version, a
 //! stream without a record began there. The archive is complete once a router that knows all versions
 //! has written them: one that has seen the source without any configuration, or for as long as a
--- a/crates/routing/src/stream_origin/history.rs
+++ b/crates/routing/src/stream_origin/history.rs
@@ -5,7 +5,7 @@
 //! outlives the routers tells which origins were possible before.
 
 use super::messages::StreamOrigin;
-use crate::configuration::RoutingConfiguration;
+use crate::configuration::{RouteKind, RoutingConfiguration};
 use mastbay_types::{Timestamp, short_hash};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -43,7 +43,7 @@
     removed: HashMap<String, BTreeMap<Arc<str>, Timestamp>>,
     /// Versions that were listed in this life of the router, by service.
     listed: HashMap<String, BTreeSet<Arc<str>>>,
-    /// Services that routes of resumable streams had as targets in this life.
+    /// Services that routes of streams had as targets in this life.
     stream_services: BTreeSet<Arc<str>>,
     /// Origins that were possible before `observed_since`; `None` if they are not known.
     earlier: Option<BTreeSet<StreamOrigin>>,
@@ -90,7 +90,8 @@
             let used = route.targets.iter().filter(|target| target.weight > 0);
             let services: BTreeSet<Arc<str>> =
                 used.map(|target| Arc::from(target.service.as_str())).collect();
-            if route.resumable {
+            // Whether its streams may be resumed is a matter of the configuration at that time.
+            if route.kind == RouteKind::Streaming {
                 self.stream_services.extend(services.iter().cloned());
             }
             let key = short_hash(&[route.name.as_bytes()]);
