Forget that a source was without configuration once there was one; names

A configuration without routes must not make a later gap of the lists count as the time before the first configuration.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -49,7 +49,7 @@
     /// budget, which an earlier life may have spent: a window of the budget.
     pub burst_delay: Duration,
     /// Keys in the file that are accepted and have no effect.
-    pub ignored: Vec<&'static str>,
+    pub ignored_keys: Vec<&'static str>,
     /// `[peers] listen`: address that receives digests from peers.
     pub digests: SocketAddr,
     /// `[peers] seeds`: operations addresses of the routers to contact first.
@@ -162,7 +162,7 @@
 const FIRST_START: &str = "first-start";
 
 /// Returns the keys of the section `[router]` that are accepted and have no effect.
-fn ignored_keys(section: &mut SectionReader<'_>) -> Vec<&'static str> {
+fn read_ignored_keys(section: &mut SectionReader<'_>) -> Vec<&'static str> {
     let first_start: Option<bool> = section.optional(FIRST_START);
     first_start.map(|_| FIRST_START).into_iter().collect()
 }
@@ -186,7 +186,7 @@
     let window: Span<100, 600_000> = section.or("share-window", Span(DEFAULT_SHARE_WINDOW));
     let propagation: Span<100, 600_000> = section.or("propagation", Span(DEFAULT_PROPAGATION));
     let event_delay: Span<1, 600_000> = section.or("event-delay", Span(DEFAULT_EVENT_DELAY));
-    let ignored = ignored_keys(&mut section);
+    let ignored_keys = read_ignored_keys(&mut section);
     let evacuations = section.or("evacuations", true);
     section.finish();
 
@@ -220,7 +220,7 @@
         propagation: propagation.0,
         event_delay: event_delay.0,
         burst_delay: budget.window,
-        ignored,
+        ignored_keys,
         digests: digests?,
         seeds,
         budget,
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -75,7 +75,7 @@
     serve_operations(&router, registry, readiness_listener, operations_listener);
     let serving = serve_callers(&router, callers, offloaded_listener);
     events::process("started", &settings.name);
-    settings.ignored.iter().for_each(|key| events::setting_ignored(key));
+    settings.ignored_keys.iter().for_each(|key| events::setting_ignored(key));
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => {
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -119,7 +119,7 @@
         propagation: Duration::from_secs(2),
         // The routers of tests have no earlier life.
         burst_delay: Duration::ZERO,
-        ignored: Vec::new(),
+        ignored_keys: Vec::new(),
         digests: ports.next_address(),
         seeds: Vec::new(),
         budget: BudgetLimits::default(),
--- a/crates/routing/src/stream_origin/history.rs
+++ b/crates/routing/src/stream_origin/history.rs
@@ -47,7 +47,8 @@
     stream_services: BTreeSet<Arc<str>>,
     /// Origins that were possible before `observed_since`; `None` if they are not known.
     earlier: Option<BTreeSet<StreamOrigin>>,
-    /// Whether the source had no configuration when this router first read it.
+    /// Whether the source had no configuration when this router first read it, and there are no
+    /// routes yet.
     began_unconfigured: bool,
     /// When there was no configuration last; no stream can have begun before.
     last_unconfigured: Option<Timestamp>,
@@ -60,7 +61,7 @@
         for targets in self.routes.values_mut() {
             targets.since.get_or_insert(now);
         }
-        if self.began_unconfigured && self.routes.is_empty() {
+        if self.began_unconfigured {
             self.last_unconfigured = Some(now);
         }
         if !is_current {
@@ -68,7 +69,8 @@
         }
         if self.observed_since.is_none() || now.since(self.last_current) > MAX_GAP {
             self.observed_since = Some(now);
-            let is_first = self.last_unconfigured.is_some_and(|last| now.since(last) <= MAX_GAP);
+            let unconfigured = self.last_unconfigured.take();
+            let is_first = unconfigured.is_some_and(|last| now.since(last) <= MAX_GAP);
             self.earlier = is_first.then(BTreeSet::new);
         }
         self.last_current = now;
@@ -98,6 +100,7 @@
             let same = earlier.remove(&key).filter(|targets| targets.services == services);
             self.routes.insert(key, same.unwrap_or(RouteTargets { services, since: None }));
         }
+        self.began_unconfigured &= self.routes.is_empty();
     }
 
     /// Records that a back end of a version is listed.
