Forget the time before the first configuration once a router was out of touch

Callers' streams could be joined from two versions at a router that had seen the source without configuration and was then cut off, or suspended, while others came into service and left: it took the versions that it saw on its return for the only ones ever. Cause: that there was no configuration was renewed in each round, also while no call to the source was answered; after a suspension the first round did. Evidence: the new test, 250 rounds without an answer and a suspension of 20 s, both gave "only v2" before the change; found by reading.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -264,7 +264,7 @@
 
     /// Records that the source has never had a configuration, so that no stream has begun yet.
     pub fn on_unconfigured_source(&self) {
-        self.dispatcher.borrow_mut().on_unconfigured_source();
+        self.dispatcher.borrow_mut().on_unconfigured_source(self.now());
     }
 
     /// Records the result of a call to a source.
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -5,7 +5,7 @@
 use crate::back_end::BackEndId;
 use crate::revision::Revision;
 use crate::stream_origin::{
-    KnownOrigin, MAX_STREAM_AGE, OriginAnswer, OriginQuery, StreamKey, StreamOrigin,
+    KnownOrigin, ListView, MAX_STREAM_AGE, OriginAnswer, OriginQuery, StreamKey, StreamOrigin,
 };
 use mastbay_types::Timestamp;
 use std::collections::BTreeSet;
@@ -55,8 +55,8 @@
     }
 
     /// Records that the source has never had a configuration, so that no stream has begun yet.
-    pub fn on_unconfigured_source(&mut self) {
-        self.origin_history.on_unconfigured_source();
+    pub fn on_unconfigured_source(&mut self, now: Timestamp) {
+        self.origin_history.on_unconfigured_source(now);
     }
 
     /// Returns since when this router observes the lists, if the origins of the time before are
@@ -108,8 +108,12 @@
     /// Records whether this router's lists of back ends are complete and current.
     pub(super) fn observe_origins(&mut self, now: Timestamp, own: &OwnState) {
         let is_complete = own.configuration > 0 && own.back_ends != Revision::default();
-        let is_current =
-            is_complete && self.is_source_answering(now) && !self.fleet.is_behind(now, own);
-        self.origin_history.observe(now, is_current);
+        let is_current = self.is_source_answering(now) && !self.fleet.is_behind(now, own);
+        let view = match (is_current, is_complete) {
+            (false, _) => ListView::Outdated,
+            (true, false) => ListView::Incomplete,
+            (true, true) => ListView::Complete,
+        };
+        self.origin_history.observe(now, view);
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -124,7 +124,7 @@
 };
 pub use stall::StallDetector;
 pub use stream_origin::{
-    ASKED_OWNERS, KnownOrigin, LookupState, MAX_RECORDS, MAX_STREAM_AGE, Member, OWNERS,
+    ASKED_OWNERS, KnownOrigin, ListView, LookupState, MAX_RECORDS, MAX_STREAM_AGE, Member, OWNERS,
     OriginAnswer, OriginHistory, OriginLookup, OriginMessage, OriginQuery, OriginRecords,
     OriginReply, OriginReport, OriginSource, StreamKey, StreamOrigin, StreamRecord, owners,
 };
--- a/crates/routing/src/stream_origin/history.rs
+++ b/crates/routing/src/stream_origin/history.rs
@@ -30,6 +30,17 @@
     since: Option<Timestamp>,
 }
 
+/// What a router knows of the source's configuration and back ends at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListView {
+    /// It may lack changes: no call to the source is answered, or a peer has newer lists.
+    Outdated,
+    /// It is current, but the configuration or the list of back ends is not known yet.
+    Incomplete,
+    /// It is current and complete.
+    Complete,
+}
+
 /// What this router has observed of routes and of the versions of back ends.
 #[derive(Debug, Default)]
 pub struct OriginHistory {
@@ -47,31 +58,24 @@
     stream_services: BTreeSet<Arc<str>>,
     /// Origins that were possible before `observed_since`; `None` if they are not known.
     earlier: Option<BTreeSet<StreamOrigin>>,
-    /// Whether the source had no configuration when this router first read it, and there are no
-    /// routes yet.
-    began_unconfigured: bool,
-    /// When there was no configuration last; no stream can have begun before.
+    /// Until when the source had no configuration, and never had one before: no stream can have begun
+    /// until then. `None` if that is not known, or too long ago to know what came since.
     last_unconfigured: Option<Timestamp>,
 }
 
 impl OriginHistory {
-    /// Records whether the lists of back ends are current: a router reaches their source, and no
-    /// peer has newer ones. Called in each round of messages.
-    pub fn observe(&mut self, now: Timestamp, is_current: bool) {
+    /// Records whether the lists of back ends are current. Called in each round of messages.
+    pub fn observe(&mut self, now: Timestamp, view: ListView) {
         for targets in self.routes.values_mut() {
             targets.since.get_or_insert(now);
         }
-        if self.began_unconfigured {
-            self.last_unconfigured = Some(now);
-        }
-        if !is_current {
+        self.track_unconfigured(now, view);
+        if view != ListView::Complete {
             return;
         }
         if self.observed_since.is_none() || now.since(self.last_current) > MAX_GAP {
             self.observed_since = Some(now);
-            let unconfigured = self.last_unconfigured.take();
-            let is_first = unconfigured.is_some_and(|last| now.since(last) <= MAX_GAP);
-            self.earlier = is_first.then(BTreeSet::new);
+            self.earlier = self.last_unconfigured.take().map(|_| BTreeSet::new());
         }
         self.last_current = now;
         self.removed.retain(|_, versions| {
@@ -81,8 +85,17 @@
     }
 
     /// Records that the source has never had a configuration.
-    pub fn on_unconfigured_source(&mut self) {
-        self.began_unconfigured = self.routes.is_empty();
+    pub fn on_unconfigured_source(&mut self, now: Timestamp) {
+        self.last_unconfigured = self.routes.is_empty().then_some(now);
+    }
+
+    /// Follows until when there was no configuration. A router that was out of touch, or suspended,
+    /// may have missed the first one.
+    fn track_unconfigured(&mut self, now: Timestamp, view: ListView) {
+        self.last_unconfigured = self.last_unconfigured.filter(|last| now.since(*last) <= MAX_GAP);
+        if view == ListView::Incomplete && self.routes.is_empty() {
+            self.last_unconfigured = self.last_unconfigured.map(|_| now);
+        }
     }
 
     /// Records the targets of the routes in force.
@@ -100,7 +113,6 @@
             let same = earlier.remove(&key).filter(|targets| targets.services == services);
             self.routes.insert(key, same.unwrap_or(RouteTargets { services, since: None }));
         }
-        self.began_unconfigured &= self.routes.is_empty();
     }
 
     /// Records that a back end of a version is listed.
--- a/crates/routing/src/stream_origin/mod.rs
+++ b/crates/routing/src/stream_origin/mod.rs
@@ -13,7 +13,7 @@
 mod owners;
 mod records;
 
-pub use history::{MAX_STREAM_AGE, OriginHistory};
+pub use history::{ListView, MAX_STREAM_AGE, OriginHistory};
 pub use lookup::{LookupState, OriginLookup, OriginSource};
 pub use messages::{
     KnownOrigin, OriginAnswer, OriginMessage, OriginQuery, OriginReply, OriginReport, StreamKey,
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use mastbay_routing::{
-    ASKED_OWNERS, KnownOrigin, LookupState, MAX_RECORDS, Member, OWNERS, OriginAnswer,
+    ASKED_OWNERS, KnownOrigin, ListView, LookupState, MAX_RECORDS, Member, OWNERS, OriginAnswer,
     OriginHistory, OriginLookup, OriginMessage, OriginRecords, OriginReport, OriginSource,
     PeerMessage, ROUND_PERIOD, Route, RouteKind, RoutingConfiguration, StreamKey, StreamOrigin,
     StreamRecord, Target, owners,
@@ -319,8 +319,12 @@
     }
 
     fn observe(&mut self, from_millis: u64, to_millis: u64) {
-        (from_millis..=to_millis).step_by(80).for_each(|now| self.history.observe(at(now), true));
-        self.history.observe(at(to_millis), true);
+        self.observe_view(from_millis, to_millis, ListView::Complete);
+    }
+
+    fn observe_view(&mut self, from_millis: u64, to_millis: u64, view: ListView) {
+        (from_millis..=to_millis).step_by(80).for_each(|now| self.history.observe(at(now), view));
+        self.history.observe(at(to_millis), view);
     }
 
     fn only(&self, now_millis: u64) -> Option<StreamOrigin> {
@@ -339,7 +343,7 @@
 #[test]
 fn no_origin_is_certain_while_lists_are_not_current() {
     let mut observed = Observed::for_millis(20_000);
-    observed.history.observe(at(20_400), false);
+    observed.history.observe(at(20_400), ListView::Outdated);
     assert_eq!(observed.only(20_400), None);
     observed.observe(20_480, 20_560);
     assert_eq!(observed.only(20_560), Some(origin("v1")));
@@ -391,8 +395,8 @@
 fn observed_from_the_start() -> Observed {
     let listed = BTreeSet::from(["v1".into()]);
     let mut observed = Observed { history: OriginHistory::default(), listed };
-    observed.history.on_unconfigured_source();
-    observed.history.observe(at(0), false);
+    observed.history.on_unconfigured_source(at(0));
+    observed.history.observe(at(0), ListView::Incomplete);
     observed.history.on_configuration(&configuration(&["model"]));
     observed.history.on_listed("model", &"v1".into());
     observed.observe(80, 1_000);
@@ -422,11 +426,34 @@
     assert_eq!(observed.only(3_000), None, "lists were not observed for over a second");
     let mut late = OriginHistory::default();
     late.on_configuration(&configuration(&["model"]));
-    late.on_unconfigured_source();
-    late.observe(at(0), true);
+    late.on_unconfigured_source(at(0));
+    late.observe(at(0), ListView::Complete);
     assert_eq!(late.possible_origins(at(0)), None, "a configuration was known before");
 }
 
+/// Guards against a router that saw the source without configuration, and takes the versions that it
+/// sees when it is back for the only ones ever: others have come and gone meanwhile.
+#[test]
+fn no_version_is_certain_to_a_router_that_was_out_of_touch_while_the_source_was_configured() {
+    let cut_off = [ListView::Outdated; 250];
+    let suspended = [];
+    for rounds in [&cut_off[..], &suspended[..]] {
+        let listed = BTreeSet::from(["v2".into()]);
+        let mut observed = Observed { history: OriginHistory::default(), listed };
+        observed.history.on_unconfigured_source(at(0));
+        observed.observe_view(0, 400, ListView::Incomplete);
+        for (round, view) in rounds.iter().enumerate() {
+            observed.history.observe(at(480 + 80 * round as u64), *view);
+        }
+        observed.history.observe(at(20_480), ListView::Incomplete);
+        observed.history.on_configuration(&configuration(&["model"]));
+        observed.history.on_listed("model", &"v2".into());
+        observed.observe(20_560, 22_000);
+        assert_eq!(observed.only(22_000), None, "{} rounds", rounds.len());
+        assert_eq!(observed.history.possible_origins(at(22_000)), None);
+    }
+}
+
 /// A router that starts again knows the versions of the time before from an archive.
 #[test]
 fn an_archive_tells_which_versions_were_possible_before_a_start() {
