Keep the origins of running streams in the store while several versions are in service

Cause: the record of a stream's origin was kept by routers only. Change: while more than one version may have begun streams, each router writes the records of its own streams into one object of its own, about once a second (20 writes a second over the fleet; none where that would be less than one in 5 s), and a router that starts reads them all. They are facts: one that is missing is refused as before, none can name another version. Ruled out: one object for all (conditional writes of all routers collide); an object for each life (somebody would have to remove them); the owners' records (three times as many). What began since the last write is still refused.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -527,6 +527,12 @@
     tracing::info!(event = "version_archive_read", versions, complete);
 }
 
+/// Logs what an archive held of streams' origins: of how many routers, and how many records this
+/// router has now.
+pub fn record_archive_read(routers: usize, records: usize) {
+    tracing::info!(event = "record_archive_read", routers, records);
+}
+
 /// Logs that a version that may begin streams was written to the archive.
 pub fn version_archived(origin: &StreamOrigin) {
     let StreamOrigin { service, version } = origin;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -41,6 +41,7 @@
 mod pool;
 mod quarantine;
 pub mod quarantine_archive;
+pub mod record_archive;
 mod relay;
 pub mod request_arrivals;
 mod request_body;
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -6,6 +6,7 @@
 use crate::events;
 use crate::log_rate_limiter::LogLineKind;
 use crate::peers;
+use crate::record_archive::RouterRecords;
 use crate::request_head::host;
 use crate::router::Router;
 use crate::stream_source::StreamBackEnd;
@@ -48,6 +49,8 @@
     expects_archive: Cell<bool>,
     /// When it was read last; `None` before.
     archive_read: Cell<Option<Timestamp>>,
+    /// Whether records of the time before this router's life are still to be read.
+    expects_records: Cell<bool>,
 }
 
 impl StreamOrigins {
@@ -61,11 +64,42 @@
         self.archive_read.set(Some(at));
     }
 
-    /// Returns whether the archive is still to be read. `needed_before` is since when the lists are
+    /// Records that an archive of records will be read.
+    pub fn expect_records(&self) {
+        self.expects_records.set(true);
+    }
+
+    /// Stores the records that routers archived before this life of the router.
+    pub fn on_archived_records(&self, router: &Router, archived: &[RouterRecords]) {
+        self.expects_records.set(false);
+        let now = router.now();
+        let mut records = self.records.borrow_mut();
+        for RouterRecords { router: writer, reports } in archived {
+            if *writer == router.settings.digests {
+                records.restore_own(now, reports);
+            } else {
+                records.on_reports(now, reports);
+            }
+        }
+        events::record_archive_read(archived.len(), records.len());
+    }
+
+    /// Returns all records of this router, for an archive; `None` if there is no new one.
+    pub fn take_archived(&self, now: Timestamp) -> Option<Vec<OriginReport>> {
+        self.records.borrow_mut().take_archived(now)
+    }
+
+    /// Has the records archived once more, since they could not be written.
+    pub fn on_archive_failure(&self) {
+        self.records.borrow_mut().on_archive_failure();
+    }
+
+    /// Returns whether an archive is still to be read. `needed_before` is since when the lists are
     /// observed, if what was before is not known.
     fn awaits_archive(&self, needed_before: Option<Timestamp>) -> bool {
         let is_missing = |before| self.archive_read.get().is_none_or(|read| read < before);
-        self.expects_archive.get() && needed_before.is_some_and(is_missing)
+        let awaits_versions = self.expects_archive.get() && needed_before.is_some_and(is_missing);
+        self.expects_records.get() || awaits_versions
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -124,9 +124,10 @@
 };
 pub use stall::StallDetector;
 pub use stream_origin::{
-    ASKED_OWNERS, KnownOrigin, ListView, LookupState, MAX_RECORDS, MAX_STREAM_AGE, Member, OWNERS,
-    OriginAnswer, OriginHistory, OriginLookup, OriginMessage, OriginQuery, OriginRecords,
-    OriginReply, OriginReport, OriginSource, StreamKey, StreamOrigin, StreamRecord, owners,
+    ASKED_OWNERS, KnownOrigin, ListView, LookupState, MAX_ARCHIVED, MAX_RECORDS, MAX_STREAM_AGE,
+    Member, OWNERS, OriginAnswer, OriginHistory, OriginLookup, OriginMessage, OriginQuery,
+    OriginRecords, OriginReply, OriginReport, OriginSource, StreamKey, StreamOrigin, StreamRecord,
+    owners,
 };
 pub use suspect::Suspect;
 pub use table::{RouteTable, TableEntry};
--- a/crates/routing/src/stream_origin/mod.rs
+++ b/crates/routing/src/stream_origin/mod.rs
@@ -20,4 +20,4 @@
     StreamOrigin, StreamRecord,
 };
 pub use owners::{ASKED_OWNERS, Member, OWNERS, owners};
-pub use records::{MAX_RECORDS, OriginRecords};
+pub use records::{MAX_ARCHIVED, MAX_RECORDS, OriginRecords};
--- a/crates/routing/src/stream_origin/records.rs
+++ b/crates/routing/src/stream_origin/records.rs
@@ -7,6 +7,8 @@
 
 /// Maximum number of records kept; beyond it those that expire first are evicted.
 pub const MAX_RECORDS: usize = 65_536;
+/// Maximum number of records of one router in an archive.
+pub const MAX_ARCHIVED: usize = 8_192;
 /// Maximum number of streams in one message, about 15 bytes each.
 const MAX_PER_MESSAGE: usize = 1_024;
 
@@ -27,6 +29,8 @@
     by_expiry: BTreeSet<(Timestamp, StreamKey)>,
     /// Records of this router that are still to be reported to their owners.
     unreported: Vec<(StreamOrigin, StreamRecord)>,
+    /// Whether any stream of this router was recorded since its records were taken for an archive.
+    has_unarchived: bool,
     evicted: u64,
 }
 
@@ -35,6 +39,37 @@
     pub fn record(&mut self, now: Timestamp, origin: &StreamOrigin, record: StreamRecord) {
         self.insert(now, origin, record, true);
         self.unreported.push((origin.clone(), record));
+        self.has_unarchived = true;
+    }
+
+    /// Stores records of streams that this router relayed in an earlier life.
+    pub fn restore_own(&mut self, now: Timestamp, reports: &[OriginReport]) {
+        for report in reports {
+            for record in &report.streams {
+                self.insert(now, &report.origin, *record, true);
+            }
+        }
+    }
+
+    /// Returns all records of this router, for an archive; `None` if there is no new one. The
+    /// longest-lived ones are kept if there are more than [`MAX_ARCHIVED`].
+    pub fn take_archived(&mut self, now: Timestamp) -> Option<Vec<OriginReport>> {
+        if !std::mem::take(&mut self.has_unarchived) {
+            return None;
+        }
+        let mut batch = Batches::default();
+        let latest = self.by_expiry.iter().rev().take_while(|(expires, _)| *expires > now);
+        let own = latest.filter_map(|(expires, stream)| {
+            let entry = self.entries.get(stream).filter(|entry| entry.is_own)?;
+            Some((entry.origin.as_ref()?, StreamRecord::new(*stream, expires.since(now))))
+        });
+        own.take(MAX_ARCHIVED).for_each(|(origin, record)| batch.add((), origin, record));
+        Some(batch.into_reports())
+    }
+
+    /// Has the records taken once more, since they could not be written.
+    pub fn on_archive_failure(&mut self) {
+        self.has_unarchived = true;
     }
 
     /// Stores the records that another router reported.
@@ -179,6 +214,12 @@
         }
     }
 
+    /// Returns all records, one report for each origin.
+    fn into_reports(self) -> Vec<OriginReport> {
+        let by_origin = self.0.into_values().flatten();
+        by_origin.map(|(origin, streams)| OriginReport { origin, streams }).collect()
+    }
+
     /// Returns messages of at most [`MAX_PER_MESSAGE`] streams.
     fn into_messages(self) -> Vec<(Owner, Vec<OriginReport>)> {
         let mut messages = Vec::new();
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -3,10 +3,10 @@
 mod support;
 
 use mastbay_routing::{
-    ASKED_OWNERS, KnownOrigin, ListView, LookupState, MAX_RECORDS, Member, OWNERS, OriginAnswer,
-    OriginHistory, OriginLookup, OriginMessage, OriginRecords, OriginReport, OriginSource,
-    PeerMessage, ROUND_PERIOD, Route, RouteKind, RoutingConfiguration, StreamKey, StreamOrigin,
-    StreamRecord, Target, owners,
+    ASKED_OWNERS, KnownOrigin, ListView, LookupState, MAX_ARCHIVED, MAX_RECORDS, Member, OWNERS,
+    OriginAnswer, OriginHistory, OriginLookup, OriginMessage, OriginRecords, OriginReport,
+    OriginSource, PeerMessage, ROUND_PERIOD, Route, RouteKind, RoutingConfiguration, StreamKey,
+    StreamOrigin, StreamRecord, Target, owners,
 };
 use mastbay_types::{mixed_hash, short_hash};
 use quickcheck::quickcheck;
@@ -115,6 +115,50 @@
     assert_eq!(messages, vec![(1, vec![expected])]);
 }
 
+/// Guards against streams that are refused after all routers were lost, as an archive lacks their
+/// records, and against an archive that keeps records of other routers or of streams long over.
+#[test]
+fn the_records_of_own_streams_survive_a_life_of_the_router() {
+    let mut records = OriginRecords::default();
+    assert_eq!(records.take_archived(at(0)), None);
+    records.record(at(0), &origin("v1"), record(1));
+    records.record(at(5_000), &origin("v2"), record(2));
+    records.on_reports(at(5_000), &[report("v1", 3)]);
+    let kept = |stream, kept_for_ms| StreamRecord { stream: StreamKey(stream), kept_for_ms };
+    let expected = vec![
+        OriginReport { origin: origin("v1"), streams: vec![kept(1, 24_000)] },
+        OriginReport { origin: origin("v2"), streams: vec![kept(2, 29_000)] },
+    ];
+    assert_eq!(records.take_archived(at(6_000)), Some(expected.clone()));
+    assert_eq!(records.take_archived(at(6_000)), None, "nothing is new");
+    records.on_archive_failure();
+    assert_eq!(records.take_archived(at(6_000)), Some(expected.clone()));
+
+    let mut next_life = OriginRecords::default();
+    next_life.restore_own(at(0), &expected);
+    assert_eq!(next_life.known(at(10), StreamKey(2)), recorded("v2", Duration::from_millis(10)));
+    // Its first write replaces what the earlier life wrote.
+    next_life.record(at(25_000), &origin("v1"), record(4));
+    let left = vec![
+        OriginReport { origin: origin("v1"), streams: vec![kept(4, 30_000)] },
+        OriginReport { origin: origin("v2"), streams: vec![kept(2, 4_000)] },
+    ];
+    assert_eq!(next_life.take_archived(at(25_000)), Some(left));
+}
+
+/// Guards against objects of an archive that grow without bound.
+#[test]
+fn an_archive_holds_the_records_that_are_kept_longest() {
+    let mut records = OriginRecords::default();
+    for stream in 0..MAX_ARCHIVED as u64 + 10 {
+        records.record(at(stream), &origin("v1"), record(stream));
+    }
+    let archived = records.take_archived(at(10_000)).expect("new records");
+    let streams = &archived[0].streams;
+    assert_eq!((archived.len(), streams.len()), (1, MAX_ARCHIVED));
+    assert!(streams.iter().all(|record| record.stream.0 >= 10));
+}
+
 fn address(index: u64) -> SocketAddr {
     SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_000))
 }
