Test that the product's gateway relays no answer that was cut at any place

Operators of other systems saw heads that stop midway become whole answers with an empty body. The router's tests of this incident left out the product's own gateway. Not brought about here either; no change of the gateway.

--- a/crates/testbed/tests/whole_answers.rs
+++ b/crates/testbed/tests/whole_answers.rs
@@ -2,9 +2,14 @@
 
 use mastbay_testbed::{
     Answer, Bed, BedOptions, CallError, CallOutcome, Load, LoadOptions, Process, event_data,
-    expected_answer, wait_until,
+    expected_answer, header, read_request, wait_until,
 };
 use smol::Task;
+use smol::io::AsyncWriteExt;
+use smol::net::{TcpListener, TcpStream};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 const PROMPT: &str = "Summarise the season at the Limay river for the wardens";
@@ -89,6 +94,77 @@
     });
 }
 
+/// A back end in place of one that was killed, which ends each answer after some bytes of it.
+struct CuttingBackEnd {
+    /// Bytes of an answer that are sent.
+    sent: Arc<AtomicUsize>,
+    _serving: Task<()>,
+}
+
+impl CuttingBackEnd {
+    async fn start(address: SocketAddr) -> Self {
+        let listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => smol::Timer::after(Duration::from_millis(10)).await,
+            };
+        };
+        let sent = Arc::<AtomicUsize>::default();
+        let cut = sent.clone();
+        let serving = smol::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                smol::spawn(Self::answer(stream, cut.clone())).detach();
+            }
+        });
+        Self { sent, _serving: serving }
+    }
+
+    /// The whole answer to a request; its body is as long as its head says.
+    fn whole_answer(id: &str) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\nmastbay-request-id: {id}\r\ncontent-type: text/plain\r\n\
+             content-length: 6\r\n\r\nissued"
+        )
+    }
+
+    async fn answer(mut stream: TcpStream, sent: Arc<AtomicUsize>) {
+        let Some(head) = read_request(&mut stream).await else { return };
+        let id = header(&head, "mastbay-request-id").unwrap_or_default();
+        let answer = Self::whole_answer(&id);
+        let sent = sent.load(Ordering::Relaxed).min(answer.len());
+        // The gateway may have closed the connection.
+        let _ = stream.write_all(&answer.as_bytes()[..sent]).await;
+    }
+}
+
+/// Guards against an answer whose head or body stops midway and that reaches its caller as a whole one
+/// with an empty or short body.
+#[test]
+fn an_answer_cut_at_any_place_is_not_relayed() {
+    const ID_LENGTH: usize = 32;
+    const STRIDE: usize = 9;
+    run(async |mut bed| {
+        let mut cutting = Vec::new();
+        for (application, address) in bed.applications.iter_mut().zip(&bed.application_addresses) {
+            application.kill();
+            cutting.push(CuttingBackEnd::start(*address).await);
+        }
+        let whole = CuttingBackEnd::whole_answer(&"0".repeat(ID_LENGTH)).len();
+        for sent in (1..whole).step_by(STRIDE).chain([whole - 1]) {
+            cutting.iter().for_each(|back_end| back_end.sent.store(sent, Ordering::Relaxed));
+            let answer = bed.caller(0, "office").post("/permits/new", "trout").await;
+            let answer = answer.expect("an answer");
+            assert!(!answer.status.is_success(), "{sent} of {whole} bytes: {answer:?}");
+        }
+        cutting.iter().for_each(|back_end| back_end.sent.store(whole, Ordering::Relaxed));
+        wait_until(Duration::from_secs(20), "a whole answer is relayed", || async {
+            let answer = bed.caller(0, "office").post("/permits/new", "trout").await;
+            answer.is_ok_and(|answer| answer.status.is_success() && *answer.body == *b"issued")
+        })
+        .await;
+    });
+}
+
 /// Starts long streams through the first gateway until they take all slots of the engines.
 async fn take_all_slots(bed: &Bed) -> Vec<Task<Result<Answer, CallError>>> {
     let callers = (0..8).map(|_| {
