--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! pluggable; see [`dialect`], [`catalogue`] and [`quarantine_archive`]. All tasks of a
 //! router run on one thread.
 
+mod archive_reads;
 mod back_end_notices;
 pub mod body_budget;
 mod broken_connections;
--- a/crates/router/src/record_archive.rs
+++ b/crates/router/src/record_archive.rs
@@ -5,6 +5,7 @@
 //! routers when it starts. A stream that began since the last write is not resumed after a loss of all
 //! routers. In a large fleet, that would take too many writes, and none are made.
 
+use crate::archive_reads::until_first_read;
 use crate::events;
 use crate::router::Router;
 use mastbay_routing::OriginReport;
@@ -51,7 +52,11 @@
 /// Keeps the records of this router in the archive for as long as it runs.
 pub async fn keep_records<A: RecordArchive>(router: Rc<Router>, archive: A) {
     router.stream_origins.expect_records();
-    read(&router, &archive).await;
+    until_first_read(&router).await;
+    match write_interval(router.fleet_size()) {
+        Some(_) => read(&router, &archive).await,
+        None => router.stream_origins.on_archived_records(&router, &[]),
+    }
     let mut is_available = true;
     loop {
         let interval = write_interval(router.fleet_size());
--- a/crates/router/src/version_archive.rs
+++ b/crates/router/src/version_archive.rs
@@ -7,6 +7,7 @@
 //! has written them: one that has seen the source without any configuration, or for as long as a
 //! caller may wait, or that has read a complete archive.
 
+use crate::archive_reads::until_first_read;
 use crate::events;
 use crate::router::Router;
 use mastbay_routing::StreamOrigin;
@@ -66,6 +67,7 @@
 /// Keeps the archive and the router in sync for as long as the router runs.
 pub async fn keep_versions<A: VersionArchive>(router: Rc<Router>, archive: A) {
     router.stream_origins.expect_archive();
+    until_first_read(&router).await;
     let mut known = Known::default();
     let mut is_available = true;
     loop {
@@ -103,7 +105,7 @@
 fn is_read_due(router: &Router, known: &Known) -> bool {
     let now = router.now();
     let dispatcher = router.dispatcher.borrow();
-    let Some(read) = known.read else { return dispatcher.observes_origins() };
+    let Some(read) = known.read else { return true };
     let age = now.since(read);
     let needed = dispatcher.needs_origins_before(now);
     needed.is_some_and(|before| read < before || age >= INCOMPLETE_INTERVAL)
