--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -2,33 +2,36 @@
 
 mod retries;
 mod shutdown;
+mod streams;
 mod terminations;
 
 pub use retries::{retry, sends_settled};
 pub use shutdown::{StopDecision, StopStage, request_during_stop};
+pub use streams::{
+    record_archive_read, stream_origin, stream_resumed, stream_without_event, version_archive_read,
+    version_archived,
+};
 pub use terminations::{
     back_end_ended, connection_broke, quarantine_archived, quarantine_lifted, request_probed,
     request_quarantined, unmarked_end,
 };
 
 use crate::call::Call;
-use crate::dialect::{CallerHead, OwnAnswer, RetryAfterError};
+use crate::dialect::{OwnAnswer, RetryAfterError};
 use crate::log_rate_limiter::SuppressedLines;
 use crate::offload::{Interruption, OffloadError};
 use crate::outcome::Outcome;
 use crate::overflow::OverflowCounts;
 use crate::shutdown::StopSchedule;
-use crate::stream_origins::Search;
-use crate::stream_source::StreamBackEnd;
 use crate::try_failure::{TryCircumstances, TryFailure};
 use crate::update_signal::Origin;
 use crate::watched_task::Remote;
 use crate::write_timeout::WRITE_TIMEOUT;
 use hyper::StatusCode;
 use mastbay_routing::{
-    BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, LookupState, Placement,
-    RankChange, RefusalDetails, Revision, Role, RolloutRecord, Rollouts, RouteTable,
-    SourceCondition, SourceContact, SpeedChange, StreamOrigin, Tick, UsableChanges,
+    BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Placement, RankChange,
+    RefusalDetails, Revision, Role, RolloutRecord, Rollouts, RouteTable, SourceCondition,
+    SourceContact, SpeedChange, Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use mastbay_web::ExcessBytes;
@@ -190,66 +193,6 @@
     );
 }
 
-/// Logs the attempt to resume a stream, which broke off at `from`, at `to`: the back end that could
-/// resume it, if there was one.
-pub fn stream_resumed(
-    call: &Call,
-    reason: &'static str,
-    last_event: Option<u64>,
-    from: Option<&StreamBackEnd>,
-    to: Option<&StreamBackEnd>,
-) {
-    tracing::info!(
-        event = "stream_resumed",
-        request = %call.head.request_id,
-        resumes = call.head.resumed_request.as_deref(),
-        reason,
-        last_event = last_event.unwrap_or(0),
-        from = from.map(|from| from.id.to_string()),
-        from_version = from.map(|from| &*from.version),
-        found = to.is_some(),
-        back_end = to.map(|to| to.id.to_string()),
-        version = to.map(|to| &*to.version),
-        fingerprint = call.fingerprint.get().map(|fingerprint| fingerprint.to_string()),
-    );
-}
-
-/// Logs that a back end that was asked to continue a stream sent no event before its answer broke
-/// off. The one that was silent is kept.
-pub fn stream_without_event(call: &Call, back_end: &BackEndId) {
-    tracing::info!(
-        event = "stream_without_event",
-        request = %call.head.request_id,
-        back_end = %back_end,
-    );
-}
-
-/// Logs the search for the origin of a stream that a caller resumes, and how it was learned.
-pub fn stream_origin(head: &CallerHead, search: &Search, took: Duration) {
-    let (origin, source, age) = match &search.state {
-        LookupState::Found { origin, source, age } => (Some(origin), Some(source), Some(*age)),
-        LookupState::Conflicting | LookupState::Pending | LookupState::NotFound => {
-            (None, None, None)
-        }
-    };
-    tracing::info!(
-        event = "stream_origin",
-        request = %head.request_id,
-        resumes = head.resumed_request.as_deref(),
-        last_event = head.last_event,
-        result = search.name(),
-        service = origin.map(|origin| &*origin.service),
-        version = origin.map(|origin| &*origin.version),
-        source = source.map(|source| source.to_string()),
-        age_ms = age.map(milliseconds),
-        asked = search.asked,
-        answered = search.answered,
-        observed_ms = milliseconds(search.observed),
-        age_limit_ms = milliseconds(search.age_limit),
-        took_ms = milliseconds(took),
-    );
-}
-
 /// Logs that a back end announced its shutdown in an answer. `source` is `own` or the address of
 /// the router that reported it.
 pub fn back_end_draining(back_end: &BackEndId, request_id: Option<&str>, source: &str) {
@@ -522,23 +465,6 @@
     tracing::warn!(event = "stood_still", lasted_ms = milliseconds(lasted));
 }
 
-/// Logs what an archive of software versions holds.
-pub fn version_archive_read(versions: usize, complete: bool) {
-    tracing::info!(event = "version_archive_read", versions, complete);
-}
-
-/// Logs what an archive held of streams' origins: of how many routers, and how many records this
-/// router has now.
-pub fn record_archive_read(routers: usize, records: usize) {
-    tracing::info!(event = "record_archive_read", routers, records);
-}
-
-/// Logs that a version that may begin streams was written to the archive.
-pub fn version_archived(origin: &StreamOrigin) {
-    let StreamOrigin { service, version } = origin;
-    tracing::info!(event = "version_archived", service = %service, version = %version);
-}
-
 /// Logs a key of the settings that has no effect.
 pub fn setting_ignored(key: &str) {
     tracing::warn!(event = "setting_ignored", key);
