--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 //! router run on one thread.
 
 mod archive_reads;
+mod availability;
 mod back_end_notices;
 pub mod body_budget;
 mod broken_connections;
--- a/crates/router/src/quarantine_archive.rs
+++ b/crates/router/src/quarantine_archive.rs
@@ -5,6 +5,7 @@
 //! they lack; the other routers learn of them through peer messages. An operator lifts a quarantine
 //! by removing its entry.
 
+use crate::availability::Availability;
 use crate::events;
 use crate::quarantine;
 use crate::router::Router;
@@ -89,7 +90,7 @@
     router.until_following_source().await;
     router.set_reading_quarantines(true);
     let mut cursor = None;
-    let mut is_available = true;
+    let mut availability = Availability::new("quarantine_archive");
     loop {
         if !router.is_following_source() {
             // A full listing replaces the cursor once the router follows the source again.
@@ -100,11 +101,7 @@
         }
         let result = read_once(router, archive, known, cursor).await;
         router.set_reading_quarantines(false);
-        if is_available != result.is_ok() {
-            is_available = result.is_ok();
-            let detail = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
-            events::dependency("quarantine_archive", is_available, &detail);
-        }
+        availability.observe(&result);
         match result {
             Ok(next) => cursor = next,
             Err(_) => {
--- a/crates/router/src/record_archive.rs
+++ b/crates/router/src/record_archive.rs
@@ -6,7 +6,7 @@
 //! routers. In a large fleet, that would take too many writes, and none are made.
 
 use crate::archive_reads::until_first_read;
-use crate::events;
+use crate::availability::Availability;
 use crate::router::Router;
 use mastbay_routing::OriginReport;
 use std::fmt::Display;
@@ -53,11 +53,11 @@
 pub async fn keep_records<A: RecordArchive>(router: Rc<Router>, archive: A) {
     router.stream_origins.expect_records();
     until_first_read(&router).await;
+    let mut availability = Availability::new("record_archive");
     match write_interval(router.fleet_size()) {
-        Some(_) => read(&router, &archive).await,
+        Some(_) => read(&router, &archive, &mut availability).await,
         None => router.stream_origins.on_archived_records(&router, &[]),
     }
-    let mut is_available = true;
     loop {
         let interval = write_interval(router.fleet_size());
         let pause = interval.unwrap_or(CHECK_INTERVAL).mul_f64(0.75 + 0.5 * rand::random::<f64>());
@@ -66,7 +66,7 @@
             continue;
         }
         let result = write(&router, &archive).await;
-        report_availability(&mut is_available, &result);
+        availability.observe(&result);
         if result.is_err() {
             router.stream_origins.on_archive_failure();
             router.runtime.sleep(FAILURE_BACKOFF).await;
@@ -87,11 +87,10 @@
 }
 
 /// Reads the records of the time before this life of the router. Tries until a call succeeds.
-async fn read<A: RecordArchive>(router: &Router, archive: &A) {
-    let mut is_available = true;
+async fn read<A: RecordArchive>(router: &Router, archive: &A, availability: &mut Availability) {
     loop {
         let result = archive.list().await;
-        report_availability(&mut is_available, &result);
+        availability.observe(&result);
         if let Ok(archived) = result {
             router.stream_origins.on_archived_records(router, &archived);
             return;
@@ -104,11 +103,3 @@
     let Some(reports) = router.stream_origins.take_archived(router.now()) else { return Ok(()) };
     archive.write(RouterRecords { router: router.settings.digests, reports }).await
 }
-
-fn report_availability<T, E: Display>(is_available: &mut bool, result: &Result<T, E>) {
-    if *is_available != result.is_ok() {
-        *is_available = result.is_ok();
-        let detail = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
-        events::dependency("record_archive", *is_available, &detail);
-    }
-}
--- a/crates/router/src/version_archive.rs
+++ b/crates/router/src/version_archive.rs
@@ -8,6 +8,7 @@
 //! caller may wait, or that has read a complete archive.
 
 use crate::archive_reads::until_first_read;
+use crate::availability::Availability;
 use crate::events;
 use crate::router::Router;
 use mastbay_routing::StreamOrigin;
@@ -69,15 +70,11 @@
     router.stream_origins.expect_archive();
     until_first_read(&router).await;
     let mut known = Known::default();
-    let mut is_available = true;
+    let mut availability = Availability::new("version_archive");
     loop {
         router.runtime.sleep(router.runtime.until_aligned_tick(CHECK_INTERVAL)).await;
         let result = sync_once(&router, &archive, &mut known).await;
-        if is_available != result.is_ok() {
-            is_available = result.is_ok();
-            let detail = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
-            events::dependency("version_archive", is_available, &detail);
-        }
+        availability.observe(&result);
         if result.is_err() {
             router.runtime.sleep(FAILURE_BACKOFF.mul_f64(0.5 + rand::random::<f64>())).await;
         }
