Name what an archive is given as such; say of both archives what they are for

take_archived read like records that had been archived; records_to_archive says what it returns. Reflowed a doc comment, and named both archives where a newcomer looks for them. No change of behaviour.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,8 +2,8 @@
 //! load reports with its peers, and distributes configuration to peers that lack it.
 //!
 //! The protocols of callers and back ends and the sources of configuration and back ends are
-//! pluggable; see [`dialect`], [`catalogue`] and [`quarantine_archive`]. All tasks of a
-//! router run on one thread.
+//! pluggable; see [`dialect`], [`catalogue`], [`quarantine_archive`], [`version_archive`] and
+//! [`record_archive`]. All tasks of a router run on one thread.
 
 mod archive_reads;
 mod availability;
--- a/crates/router/src/record_archive.rs
+++ b/crates/router/src/record_archive.rs
@@ -100,6 +100,8 @@
 }
 
 async fn write<A: RecordArchive>(router: &Router, archive: &A) -> Result<(), A::Error> {
-    let Some(reports) = router.stream_origins.take_archived(router.now()) else { return Ok(()) };
+    let Some(reports) = router.stream_origins.records_to_archive(router.now()) else {
+        return Ok(());
+    };
     archive.write(RouterRecords { router: router.settings.digests, reports }).await
 }
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -85,8 +85,8 @@
     }
 
     /// Returns all records of this router, for an archive; `None` if there is no new one.
-    pub fn take_archived(&self, now: Timestamp) -> Option<Vec<OriginReport>> {
-        self.records.borrow_mut().take_archived(now)
+    pub fn records_to_archive(&self, now: Timestamp) -> Option<Vec<OriginReport>> {
+        self.records.borrow_mut().records_to_archive(now)
     }
 
     /// Has the records archived once more, since they could not be written.
--- a/crates/routing/src/stream_origin/lookup.rs
+++ b/crates/routing/src/stream_origin/lookup.rs
@@ -142,8 +142,8 @@
     }
 
     /// Returns the only origin that was possible, if one router has observed all of the time and no
-    /// router that answered disagrees. Those that have just started have no view yet. Without any answer of the routers that were asked, this one
-    /// may be out of touch.
+    /// router that answered disagrees. Those that have just started have no view yet. Without any
+    /// answer of the routers that were asked, this one may be out of touch.
     fn without_record(&self) -> LookupState {
         let is_in_touch = self.answers.is_empty() || self.answered() > 0;
         let only = self.all().find_map(|answer| match answer {
--- a/crates/routing/src/stream_origin/mod.rs
+++ b/crates/routing/src/stream_origin/mod.rs
@@ -6,6 +6,8 @@
 //! origin and reports it to a few other routers, which are selected by rendezvous hashing of the
 //! request's ID. A router that is asked to resume a stream asks them. Reports are not acknowledged:
 //! if a record is lost, the stream cannot be resumed, but it never continues at another version.
+//! Records and the versions that were in service can be archived outside the routers, so that they
+//! outlive a loss of all of them.
 
 mod history;
 mod lookup;
--- a/crates/routing/src/stream_origin/records.rs
+++ b/crates/routing/src/stream_origin/records.rs
@@ -53,7 +53,7 @@
 
     /// Returns all records of this router, for an archive; `None` if there is no new one. The
     /// longest-lived ones are kept if there are more than [`MAX_ARCHIVED`].
-    pub fn take_archived(&mut self, now: Timestamp) -> Option<Vec<OriginReport>> {
+    pub fn records_to_archive(&mut self, now: Timestamp) -> Option<Vec<OriginReport>> {
         if !std::mem::take(&mut self.has_unarchived) {
             return None;
         }
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -120,7 +120,7 @@
 #[test]
 fn the_records_of_own_streams_survive_a_life_of_the_router() {
     let mut records = OriginRecords::default();
-    assert_eq!(records.take_archived(at(0)), None);
+    assert_eq!(records.records_to_archive(at(0)), None);
     records.record(at(0), &origin("v1"), record(1));
     records.record(at(5_000), &origin("v2"), record(2));
     records.on_reports(at(5_000), &[report("v1", 3)]);
@@ -129,10 +129,10 @@
         OriginReport { origin: origin("v1"), streams: vec![kept(1, 24_000)] },
         OriginReport { origin: origin("v2"), streams: vec![kept(2, 29_000)] },
     ];
-    assert_eq!(records.take_archived(at(6_000)), Some(expected.clone()));
-    assert_eq!(records.take_archived(at(6_000)), None, "nothing is new");
+    assert_eq!(records.records_to_archive(at(6_000)), Some(expected.clone()));
+    assert_eq!(records.records_to_archive(at(6_000)), None, "nothing is new");
     records.on_archive_failure();
-    assert_eq!(records.take_archived(at(6_000)), Some(expected.clone()));
+    assert_eq!(records.records_to_archive(at(6_000)), Some(expected.clone()));
 
     let mut next_life = OriginRecords::default();
     next_life.restore_own(at(0), &expected);
@@ -143,7 +143,7 @@
         OriginReport { origin: origin("v1"), streams: vec![kept(4, 30_000)] },
         OriginReport { origin: origin("v2"), streams: vec![kept(2, 4_000)] },
     ];
-    assert_eq!(next_life.take_archived(at(25_000)), Some(left));
+    assert_eq!(next_life.records_to_archive(at(25_000)), Some(left));
 }
 
 /// Guards against objects of an archive that grow without bound.
@@ -153,7 +153,7 @@
     for stream in 0..MAX_ARCHIVED as u64 + 10 {
         records.record(at(stream), &origin("v1"), record(stream));
     }
-    let archived = records.take_archived(at(10_000)).expect("new records");
+    let archived = records.records_to_archive(at(10_000)).expect("new records");
     let streams = &archived[0].streams;
     assert_eq!((archived.len(), streams.len()), (1, MAX_ARCHIVED));
     assert!(streams.iter().all(|record| record.stream.0 >= 10));
