--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -167,7 +167,7 @@
         now: Timestamp,
         engine: &Engine,
     ) -> Option<ScoredBackEnd> {
-        if engine.load().running >= engine.back_end.slots.max(1) + MAX_PLAIN_QUEUE {
+        if engine.load().running >= engine.back_end.slots.max(1).saturating_add(MAX_PLAIN_QUEUE) {
             return None;
         }
         let slots = f64::from(engine.back_end.slots.max(1));
