Read the archive of versions before a version counts as the only one

Cause: a router was certain since nobody that it asked contradicted. What it and its peers heard last counted as current, for up to a second and more, and a peer that knows nothing yet as being in touch. Nobody asked the store after the caller had come back. Change: a version is archived before a stream begins there: while back ends of an archived version are ready, those of others begin no streams. A search that would end as only_version reads the archive after its request has arrived, one read for all that wait, and goes on only if the archive is complete and holds no other version of the service. Log: stream_origin tells how many of the peers that answered were starting, and what the archive said; results refuted and unconfirmed in the metrics. Ruled out: waiting for more peers, which may all be behind; a watch as the barrier, since most routers know a revision that the store's history no longer reaches.

--- a/crates/router/src/events/streams.rs
+++ b/crates/router/src/events/streams.rs
@@ -62,6 +62,8 @@
         age_ms = age.map(milliseconds),
         asked = search.asked,
         answered = search.answered,
+        starting = search.starting,
+        archive = %search.confirmation,
         observed_ms = milliseconds(search.observed),
         age_limit_ms = milliseconds(search.age_limit),
         took_ms = milliseconds(took),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,9 +2,10 @@
 //! load reports with its peers, and distributes configuration to peers that lack it.
 //!
 //! The protocols of callers and back ends and the sources of configuration and back ends are
-//! pluggable; see [`dialect`], [`catalogue`], [`quarantine_archive`], [`version_archive`] and
-//! [`record_archive`]. All tasks of a router run on one thread.
+//! pluggable; see [`dialect`], [`catalogue`], [`quarantine_archive`], [`version_archive`],
+//! [`archive_confirmations`] and [`record_archive`]. All tasks of a router run on one thread.
 
+pub mod archive_confirmations;
 mod archive_reads;
 mod availability;
 mod back_end_notices;
--- a/crates/router/src/stream_origins.rs
+++ b/crates/router/src/stream_origins.rs
@@ -1,6 +1,7 @@
 //! Keeps the origins of streams together with the other routers, and finds the origin of a stream
 //! that a caller resumes.
 
+use crate::archive_confirmations::ArchiveConfirmations;
 use crate::call::Call;
 use crate::dialect::CallerHead;
 use crate::events;
@@ -51,6 +52,7 @@
     archive_read: Cell<Option<Timestamp>>,
     /// Whether records of the time before this router's life are still to be read.
     expects_records: Cell<bool>,
+    confirmations: ArchiveConfirmations,
 }
 
 impl StreamOrigins {
@@ -64,6 +66,11 @@
         self.archive_read.set(Some(at));
     }
 
+    /// Returns the searches that wait for a read of the archive.
+    pub fn confirmations(&self) -> &ArchiveConfirmations {
+        &self.confirmations
+    }
+
     /// Records that an archive of records will be read.
     pub fn expect_records(&self) {
         self.expects_records.set(true);
@@ -202,6 +209,23 @@
     }
 }
 
+/// Whether an archive of versions agreed with a search that found the only possible origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Confirmation {
+    /// It was not asked: there is a record, no origin was found, or no archive is kept.
+    #[display("not_needed")]
+    NotNeeded,
+    /// It holds that origin only.
+    #[display("confirmed")]
+    Confirmed,
+    /// It holds others, or may lack some.
+    #[display("refuted")]
+    Refuted,
+    /// It could not be read.
+    #[display("unavailable")]
+    Unavailable,
+}
+
 /// The result of a search for an origin.
 #[derive(Debug)]
 pub struct Search {
@@ -211,6 +235,10 @@
     pub asked: usize,
     /// Number of peers that answered.
     pub answered: usize,
+    /// Number of those that had just started and know nothing yet.
+    pub starting: usize,
+    /// Whether the archive agreed.
+    pub confirmation: Confirmation,
     /// How long this router had observed the lists of back ends.
     pub observed: Duration,
     /// Longest time since the stream began.
@@ -225,7 +253,11 @@
             LookupState::Found { source: OriginSource::Peer(_), .. } => "peer",
             LookupState::Found { source: OriginSource::OnlyVersion, .. } => "only_version",
             LookupState::Conflicting => "conflicting",
-            LookupState::Pending | LookupState::NotFound => "unknown",
+            LookupState::Pending | LookupState::NotFound => match self.confirmation {
+                Confirmation::Refuted => "refuted",
+                Confirmation::Unavailable => "unconfirmed",
+                Confirmation::NotNeeded | Confirmation::Confirmed => "unknown",
+            },
         }
     }
 }
@@ -248,13 +280,44 @@
     };
     let observed = router.dispatcher.borrow().observed_origins_for(router.now());
     let mut lookup = OriginLookup::new(own, &asked);
-    let state = match lookup.state() {
+    let mut state = match lookup.state() {
         LookupState::Pending | LookupState::NotFound => {
             ask_peers(router, &query, &mut lookup).await
         }
         known => known,
     };
-    Search { state, asked: asked.len(), answered: lookup.answered(), observed, age_limit }
+    let confirmation = confirm(router, &query, &state).await;
+    if matches!(confirmation, Confirmation::Refuted | Confirmation::Unavailable) {
+        state = LookupState::NotFound;
+    }
+    let (answered, starting) = (lookup.answered(), lookup.starting());
+    Search { state, asked: asked.len(), answered, starting, confirmation, observed, age_limit }
+}
+
+/// Asks the archive whether an origin without a record is the only one. Each version is archived before
+/// a stream begins there, so what is read now holds the origin of the stream.
+async fn confirm(router: &Router, query: &OriginQuery, state: &LookupState) -> Confirmation {
+    let LookupState::Found { origin, source: OriginSource::OnlyVersion, .. } = state else {
+        return Confirmation::NotNeeded;
+    };
+    let origins = &router.stream_origins;
+    if !origins.expects_archive.get() {
+        return Confirmation::NotNeeded;
+    }
+    let Some(archived) = origins.confirmations.read(router).await else {
+        return Confirmation::Unavailable;
+    };
+    // With several services, what is archived does not tell which one the route had as its target.
+    let is_of_route = || match answer(router, query) {
+        OriginAnswer::NotRecorded { only, .. } => only.as_ref() == Some(origin),
+        OriginAnswer::Recorded { .. } | OriginAnswer::Conflicting | OriginAnswer::Starting => false,
+    };
+    let is_only = archived.origins.len() == 1 || is_of_route();
+    if archived.holds_only(origin) && is_only {
+        Confirmation::Confirmed
+    } else {
+        Confirmation::Refuted
+    }
 }
 
 /// Asks peers until one has a record, the origin is certain, or they were asked often enough.
@@ -333,6 +396,9 @@
     let origins = &router.stream_origins;
     match message {
         OriginMessage::Reports(reports) => {
+            let mut dispatcher = router.dispatcher.borrow_mut();
+            // A version is archived before a stream begins there.
+            reports.iter().for_each(|report| dispatcher.on_archived_origin(&report.origin));
             origins.records.borrow_mut().on_reports(router.now(), &reports);
             None
         }
--- a/crates/router/src/version_archive.rs
+++ b/crates/router/src/version_archive.rs
@@ -2,7 +2,7 @@
 //! and may all be lost at once.
 //!
 //! The few routers that follow the source write each version of a service of streams once
-//! it is listed. A router that starts reads the archive: if it is complete and names one version, a
+//! it is listed; the others read whether it is there, and no stream begins at it before. A router that starts reads the archive: if it is complete and names one version, a
 //! stream without a record began there. The archive is complete once a router that knows all versions
 //! has written them: one that has seen the source without any configuration, or for as long as a
 //! caller may wait, or that has read a complete archive.
@@ -25,6 +25,8 @@
 /// Interval at which routers that follow the source compare the archive with what they know: it may
 /// have been restored from an older copy.
 const VERIFY_INTERVAL: Duration = Duration::from_secs(60);
+/// Reads in one [`CHECK_INTERVAL`] by a fleet of which all routers but a few wait for a new version.
+const READS_PER_INTERVAL: f64 = 200.0;
 /// Backoff after a failed call.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(900);
 
@@ -37,6 +39,16 @@
     pub is_complete: bool,
 }
 
+impl ArchivedVersions {
+    /// Returns whether streams of the origin's service can have begun at no other version.
+    pub fn holds_only(&self, origin: &StreamOrigin) -> bool {
+        let mut of_service =
+            self.origins.iter().filter(|archived| archived.service == origin.service);
+        let is_only = of_service.next() == Some(origin) && of_service.next().is_none();
+        self.is_complete && is_only
+    }
+}
+
 /// Storage for versions that survives the routers.
 #[expect(async_fn_in_trait, reason = "a router runs on one thread")]
 pub trait VersionArchive {
@@ -68,6 +80,7 @@
 /// Keeps the archive and the router in sync for as long as the router runs.
 pub async fn keep_versions<A: VersionArchive>(router: Rc<Router>, archive: A) {
     router.stream_origins.expect_archive();
+    router.dispatcher.borrow_mut().expect_origin_archive();
     until_first_read(&router).await;
     let mut known = Known::default();
     let mut availability = Availability::new("version_archive");
@@ -107,6 +120,14 @@
     let needed = dispatcher.needs_origins_before(now);
     needed.is_some_and(|before| read < before || age >= INCOMPLETE_INTERVAL)
         || router.is_following_source() && age >= VERIFY_INTERVAL
+        || !router.is_following_source() && is_version_read_due(router)
+}
+
+/// Returns whether a router that does not write versions itself reads whether a listed one has been
+/// written. In a large fleet, a random part of the routers reads at a time.
+fn is_version_read_due(router: &Router) -> bool {
+    let fraction = READS_PER_INTERVAL / router.fleet_size() as f64;
+    router.dispatcher.borrow().lacks_archived_origins() && rand::random::<f64>() < fraction
 }
 
 async fn read<A: VersionArchive>(
@@ -135,6 +156,7 @@
     for origin in observed.difference(&known.archived.origins.clone()) {
         archive.write(origin).await?;
         events::version_archived(origin);
+        router.dispatcher.borrow_mut().on_archived_origin(origin);
         known.archived.origins.insert(origin.clone());
     }
     if known.archived.is_complete {
--- a/crates/routing/src/dispatch/back_end_changes.rs
+++ b/crates/routing/src/dispatch/back_end_changes.rs
@@ -19,6 +19,7 @@
             self.idle_connections.remove(id);
         }
         self.set_back_ends(now, &changes.updated);
+        self.update_withheld_versions();
     }
 
     /// Adds or updates back ends. The state that a back end announced itself overrides the listed
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -57,7 +57,7 @@
 use crate::rollout::RolloutRegistry;
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
-use crate::stream_origin::OriginHistory;
+use crate::stream_origin::{ArchivedVersions, OriginHistory};
 use crate::suspect::Suspect;
 use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
@@ -137,6 +137,7 @@
     rollouts_revision: Revision,
     performance: FleetPerformance,
     origin_history: OriginHistory,
+    archived_versions: ArchivedVersions,
 }
 
 impl Dispatcher {
@@ -187,6 +188,7 @@
             rollouts_revision: Revision::default(),
             performance: FleetPerformance::default(),
             origin_history: OriginHistory::default(),
+            archived_versions: ArchivedVersions::default(),
         }
     }
 
@@ -196,6 +198,7 @@
         self.capacity = configuration.limits.tokens_per_second;
         self.fleet_admission.on_configuration(configuration);
         self.origin_history.on_configuration(configuration);
+        self.update_withheld_versions();
         let services = configuration.services.iter();
         self.engine_limits = services
             .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
--- a/crates/routing/src/dispatch/placement.rs
+++ b/crates/routing/src/dispatch/placement.rs
@@ -85,6 +85,7 @@
             && engine.accepts_work()
             && demand.regions.allow(engine.region.as_deref())
             && release.allows(&engine.back_end.version)
+            && (demand.version.is_some() || self.may_begin_stream(&engine.back_end))
             && self.accepts_more(now, engine)
             && !engine.health.is_cooling_down(now)
             && self.announcements.admits(now, &engine.back_end.id)
--- a/crates/routing/src/stream_origin/history.rs
+++ b/crates/routing/src/stream_origin/history.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Returns the services that routes of streams had as targets in this life of the router.
+    pub fn stream_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.stream_services.iter()
+    }
+
     /// Returns the origins that streams may have had in this life of the router.
     pub fn observed_origins(&self) -> BTreeSet<StreamOrigin> {
         let services = self.stream_services.iter();
--- a/crates/routing/src/stream_origin/lookup.rs
+++ b/crates/routing/src/stream_origin/lookup.rs
@@ -77,6 +77,12 @@
         self.answers.values().flatten().count()
     }
 
+    /// Returns the number of routers that have answered that they have just started.
+    pub fn starting(&self) -> usize {
+        let starting = |answer: &&OriginAnswer| **answer == OriginAnswer::Starting;
+        self.answers.values().flatten().filter(starting).count()
+    }
+
     /// Returns whether asking again is of no use: a record may arrive late, but there is none of a
     /// stream that is not named.
     pub fn is_settled(&self, query: &OriginQuery) -> bool {
--- a/crates/routing/src/stream_origin/mod.rs
+++ b/crates/routing/src/stream_origin/mod.rs
@@ -7,14 +7,17 @@
 //! request's ID. A router that is asked to resume a stream asks them. Reports are not acknowledged:
 //! if a record is lost, the stream cannot be resumed, but it never continues at another version.
 //! Records and the versions that were in service can be archived outside the routers, so that they
-//! outlive a loss of all of them.
+//! outlive a loss of all of them. Versions are archived before streams begin there, and a router reads
+//! the archive before it takes a version for the only one: what it and its peers know may be old.
 
+mod archived;
 mod history;
 mod lookup;
 mod messages;
 mod owners;
 mod records;
 
+pub use archived::ArchivedVersions;
 pub use history::{ListView, MAX_STREAM_AGE, OriginHistory};
 pub use lookup::{LookupState, OriginLookup, OriginSource};
 pub use messages::{
