Contain panics: tasks of the store start again, requests are answered

A follower of the store that panics would have ended for good, unnoticed: the router stops following. Cause: a detached task that panics is gone, and nothing logged it. Change: each task that uses the store is supervised and starts again after 0.5 s (event task_restarted); a request whose handling panics is answered with 502, as it is not known whether it ran; a panic is an event in the log, with its place.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -38,6 +38,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+/// Logs that a task that the router depends on starts again after a panic.
+pub fn task_restarted(name: &str) {
+    tracing::error!(event = "task_restarted", name);
+}
+
 /// Logs the end of a request, with the details of the refusal if it was refused. `stop` is the
 /// schedule of the router's stop, if there is one.
 pub fn request_ended(call: &Call, outcome: &Outcome, now: Timestamp, stop: Option<StopSchedule>) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod client;
 mod clock;
 mod connect_gate;
+pub mod containment;
 mod continuation;
 pub mod dialect;
 mod event_splitter;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -3,7 +3,7 @@
 use crate::body_budget::BodyBudget;
 use crate::broken_connections::BrokenConnections;
 use crate::call::Call;
-use crate::catalogue::Catalogue;
+use crate::catalogue::{Catalogue, EnabledOrders};
 use crate::dialect::{BackEndDialect, CallerDialect};
 use crate::events::{self, StopDecision, StopStage};
 use crate::listener::{OpenConnections, StopSignal};
@@ -275,6 +275,11 @@
         self.dispatcher.borrow_mut().on_source_contact(contact);
     }
 
+    /// Returns the kinds of operators' orders that this router follows.
+    pub fn enabled_orders(&self) -> EnabledOrders {
+        self.settings.enabled_orders()
+    }
+
     /// Returns the number of routers in the fleet, the highest that any router knows of.
     pub fn fleet_size(&self) -> usize {
         self.dispatcher.borrow().fleet_size()
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,6 +1,7 @@
 //! Serves a request: reads its body, resolves the route, and runs the exchange with back ends.
 
 use crate::call::Call;
+use crate::containment::contain;
 use crate::dialect::{CallerHead, OwnAnswer};
 use crate::events;
 use crate::exchange::Exchange;
@@ -64,12 +65,28 @@
 }
 
 /// Serves one request that began to arrive `age` ago. All failures are returned as answers of the
-/// router's own.
+/// router's own; after a panic it is not known whether the request has run.
 pub async fn serve_request(
     router: Rc<Router>,
     ingress: Ingress,
     request: Request<MeteredBody>,
     age: Duration,
+) -> Response<LocalBody> {
+    let serving = serve(router.clone(), ingress, request, age);
+    match contain(serving).await {
+        Some(response) => response,
+        None => {
+            router.metrics.on_own_answer(OwnAnswer::UnknownOutcome);
+            own_answer(&router, None, OwnAnswer::UnknownOutcome)
+        }
+    }
+}
+
+async fn serve(
+    router: Rc<Router>,
+    ingress: Ingress,
+    request: Request<MeteredBody>,
+    age: Duration,
 ) -> Response<LocalBody> {
     let now = router.now();
     let arrival = Arrival { at: now, age, ingress };
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 pub use back_ends::*;
 
+use mastbay_router::dialect::CallerDialect;
 use mastbay_router::native_dialect::NativeDialect;
 use mastbay_router::{Dialects, Origin, Router, RouterMetrics, RouterSettings, Runtime};
 use mastbay_routing::{
@@ -138,28 +139,44 @@
 
     /// Like [`Self::start`], in `zone`.
     pub async fn start_in(zone: &str, runtime: Runtime, back_ends: &[&ScriptedBackEnd]) -> Self {
-        let bed = Self::start_unconfigured_in(zone, runtime).await;
-        bed.router.offer_configuration(configuration(1), Origin::Source);
-        bed.router.offer_evacuations(
+        let bed = Self::start_unconfigured_in(zone, runtime, Box::new(NativeDialect)).await;
+        bed.configure(back_ends)
+    }
+
+    /// Like [`Self::start`], with a dialect of callers.
+    pub async fn start_with_callers(
+        runtime: Runtime,
+        callers: Box<dyn CallerDialect>,
+        back_ends: &[&ScriptedBackEnd],
+    ) -> Self {
+        Self::start_unconfigured_in(ZONE, runtime, callers).await.configure(back_ends)
+    }
+
+    fn configure(self, back_ends: &[&ScriptedBackEnd]) -> Self {
+        self.router.offer_configuration(configuration(1), Origin::Source);
+        self.router.offer_evacuations(
             EvacuatedZones { revision: 1.into(), ..EvacuatedZones::default() },
             Origin::Source,
         );
-        bed.set_back_ends(1, back_ends);
-        bed
+        self.set_back_ends(1, back_ends);
+        self
     }
 
     /// Starts a router without a configuration or a list of back ends.
     pub async fn start_unconfigured(runtime: Runtime) -> Self {
-        Self::start_unconfigured_in(ZONE, runtime).await
+        Self::start_unconfigured_in(ZONE, runtime, Box::new(NativeDialect)).await
     }
 
-    async fn start_unconfigured_in(zone: &str, runtime: Runtime) -> Self {
+    async fn start_unconfigured_in(
+        zone: &str,
+        runtime: Runtime,
+        callers: Box<dyn CallerDialect>,
+    ) -> Self {
         let mut ports = PortBlock::take();
         let settings = RouterSettings { zone: zone.to_owned(), ..settings(&mut ports) };
         // The listeners stay open until the process exits, so the ports must stay reserved.
         std::mem::forget(ports);
-        let dialects =
-            Dialects { callers: Box::new(NativeDialect), back_ends: Box::new(NativeDialect) };
+        let dialects = Dialects { callers, back_ends: Box::new(NativeDialect) };
         let mut registry = Registry::default();
         let metrics = RouterMetrics::register(&mut registry);
         let router = Router::new(settings.clone(), dialects, runtime, metrics);
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -75,5 +75,17 @@
         .with(lines)
         .try_init()
         .map_err(|source| LoggingError::Started { source })?;
+    log_panics();
     Ok(OutputLog { dropped, _worker: worker })
 }
+
+/// Logs each panic as an event, in addition to what is written to standard error.
+fn log_panics() {
+    let earlier = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let location = panic.location().map(ToString::to_string).unwrap_or_default();
+        let message = panic.payload_as_str().unwrap_or_default();
+        tracing::error!(event = "panic", location, message);
+        earlier(panic);
+    }));
+}
