--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -83,9 +83,7 @@
 fn log_panics() {
     let earlier = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
-        let location = panic.location().map(ToString::to_string).unwrap_or_default();
-        let message = panic.payload_as_str().unwrap_or_default();
-        tracing::error!(event = "panic", location, message);
+        tracing::error!(event = "panic", detail = %panic);
         earlier(panic);
     }));
 }
