Divide the burst of the retry budget also for parts of a fleet that never met

Callers saw (in virtual time): 73 retries of a burst of 54 where seven routers start while two parts of them are cut from each other for a window, as after a loss of power beside a cut. Each part took itself for the whole fleet. Cause: a router divides the burst by the routers that it has heard of since its start. Of a part that it never met, it knows nothing. Change: routers meet at the seeds, so there are at most as many parts as seeds.

--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -149,8 +149,10 @@
     has_heard_any: bool,
     /// Numbers of routers that may have been spending budgets, over the window of the budgets.
     recent_spenders: WindowedMax,
-    /// Whether other routers are configured as seeds; assumed until the first round.
-    has_seeds: bool,
+    /// The other routers that are configured as seeds; `None` until the first round.
+    seeds: Option<Vec<SocketAddr>>,
+    /// Those of them that were heard since the start.
+    heard_seeds: BTreeSet<SocketAddr>,
     held: BTreeMap<StatsSource, HeldStats>,
     /// Routers expected to send sums to this one, by address, with the time of the last sum or
     /// since when one is expected.
@@ -189,7 +191,8 @@
             roster: BTreeMap::new(),
             has_heard_any: false,
             recent_spenders: WindowedMax::new(budget_window),
-            has_seeds: true,
+            seeds: None,
+            heard_seeds: BTreeSet::new(),
             held: BTreeMap::new(),
             expected_sums: BTreeMap::new(),
             last_fleet_sum: Timestamp::ZERO,
--- a/crates/routing/src/dispatch/fleet/roster.rs
+++ b/crates/routing/src/dispatch/fleet/roster.rs
@@ -26,6 +26,11 @@
 }
 
 impl Fleet {
+    /// Returns whether other routers are configured as seeds, which is assumed until the first round.
+    pub(super) fn has_seeds(&self) -> bool {
+        self.seeds.as_ref().is_none_or(|seeds| !seeds.is_empty())
+    }
+
     /// Returns the number of routers on the roster, including this one.
     pub fn roster_size(&self) -> usize {
         1 + self.roster.len()
@@ -46,6 +51,9 @@
     /// Updates the roster from a message received directly from a router.
     pub(super) fn update_roster(&mut self, now: Timestamp, state: &RouterState, tiebreak: u64) {
         self.has_heard_any = true;
+        if self.seeds.iter().flatten().any(|seed| *seed == state.id.address) {
+            self.heard_seeds.insert(state.id.address);
+        }
         if state.phase == RouterPhase::Leaving {
             self.roster.remove(&state.id.address);
         } else {
@@ -59,7 +67,7 @@
 
     fn knows_roster(&self, now: Timestamp) -> bool {
         if self.roster.is_empty() {
-            return !self.has_seeds;
+            return !self.has_seeds();
         }
         let is_settled = now.since(Timestamp::ZERO) >= STARTUP_GRACE_PERIOD;
         let knows_most = self.roster_size() as f64 >= self.size() as f64 * MIN_KNOWN_FRACTION;
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -170,7 +170,9 @@
         stats: LoadStats,
         seeds: &[SocketAddr],
     ) -> Vec<Outgoing> {
-        self.has_seeds = !seeds.is_empty();
+        if self.seeds.as_deref() != Some(seeds) {
+            self.seeds = Some(seeds.to_vec());
+        }
         let contacted_seeds = if self.contacts_seeds() { seeds } else { &[] };
         let mut messages = match self.role {
             Role::Mesh => vec![self.mesh_round(own, stats, contacted_seeds)],
--- a/crates/routing/tests/budget_shares.rs
+++ b/crates/routing/tests/budget_shares.rs
@@ -141,6 +141,28 @@
     assert_within_burst(fleet.take_all_everywhere());
 }
 
+/// Guards against parts of a fleet that start while they are cut from each other: each one took itself
+/// for the whole fleet.
+#[test]
+fn parts_of_a_fleet_that_have_never_heard_each_other_stay_within_the_burst_together() {
+    for parts in [2, 3] {
+        let mut fleet = Fleet::new();
+        fleet.run(Duration::from_secs(14), |sender, receiver| sender % parts == receiver % parts);
+        assert_within_burst(fleet.take_all_everywhere());
+    }
+}
+
+/// Guards against a share that counts on routers at seeds that have long been gone.
+#[test]
+fn routers_with_a_stale_seed_use_most_of_their_share() {
+    let mut fleet = Fleet::new();
+    fleet.routers.remove(2);
+    fleet.run(Duration::from_secs(14), |_, _| true);
+    let taken = fleet.take_all_everywhere();
+    assert_within_burst(taken);
+    assert!(taken as f64 >= LIMITS.burst / 3.0, "{taken} retries of a burst of {}", LIMITS.burst);
+}
+
 /// Guards against dividing the burst among the routers that are left while those that have just
 /// left have spent their shares.
 #[test]
