Keep what is known of the archive when a search reads it; names

Read again before the landing: a search's read of the archive replaced what a router knew, so that a version written meanwhile was withheld at a router that follows the store until its next check, a minute later. The read adds now (archived_versions.rs, failed before by construction of the call). The withheld versions are computed after announcements of draining, too. The routing crate's type is WithheldVersions, as the archive's contents have the other name. A test that routers of a large fleet hear all seeds.

--- a/crates/router/src/archive_confirmations.rs
+++ b/crates/router/src/archive_confirmations.rs
@@ -58,7 +58,7 @@
         // Searches whose read failed learn it as their sender is dropped.
         let Ok(archived) = archive.list().await else { continue };
         let ArchivedVersions { origins, is_complete } = &archived;
-        router.dispatcher.borrow_mut().on_origin_archive(began, origins, *is_complete);
+        router.dispatcher.borrow_mut().on_confirmed_origins(began, origins, *is_complete);
         for search in waiting {
             // A search that has given up needs no answer.
             let _ = search.try_send(archived.clone());
--- a/crates/router/src/version_archive.rs
+++ b/crates/router/src/version_archive.rs
@@ -1,11 +1,11 @@
 //! Keeps the software versions that may have begun streams in an archive, since routers have no disk
 //! and may all be lost at once.
 //!
-//! The few routers that follow the source write each version of a service of streams once
-//! it is listed; the others read whether it is there, and no stream begins at it before. A router that starts reads the archive: if it is complete and names one version, a
-//! stream without a record began there. The archive is complete once a router that knows all versions
-//! has written them: one that has seen the source without any configuration, or for as long as a
-//! caller may wait, or that has read a complete archive.
+//! The few routers that follow the source write each version of a service of streams once it is listed;
+//! the others read whether it is there, and no stream begins at it before. A router that starts reads the
+//! archive: if it is complete and names one version, a stream without a record began there. The archive
+//! is complete once a router that knows all versions has written them: one that has seen the source
+//! without any configuration, or for as long as a caller may wait, or that has read a complete archive.
 
 use crate::archive_reads::until_first_read;
 use crate::availability::Availability;
--- a/crates/routing/src/dispatch/back_end_changes.rs
+++ b/crates/routing/src/dispatch/back_end_changes.rs
@@ -19,7 +19,6 @@
             self.idle_connections.remove(id);
         }
         self.set_back_ends(now, &changes.updated);
-        self.update_withheld_versions();
     }
 
     /// Adds or updates back ends. The state that a back end announced itself overrides the listed
@@ -31,6 +30,7 @@
         for back_end in &usable {
             self.preferred.on_set(&self.engines, back_end);
         }
+        self.update_withheld_versions();
         self.count_draining();
     }
 
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -57,7 +57,7 @@
 use crate::rollout::RolloutRegistry;
 use crate::shares::Usage;
 use crate::source_watchers::SourceContact;
-use crate::stream_origin::{ArchivedVersions, OriginHistory};
+use crate::stream_origin::{OriginHistory, WithheldVersions};
 use crate::suspect::Suspect;
 use crate::transfer::{PrefixHolders, TransferSources};
 use crate::waiting::WaitingQueue;
@@ -137,7 +137,7 @@
     rollouts_revision: Revision,
     performance: FleetPerformance,
     origin_history: OriginHistory,
-    archived_versions: ArchivedVersions,
+    withheld_versions: WithheldVersions,
 }
 
 impl Dispatcher {
@@ -188,7 +188,7 @@
             rollouts_revision: Revision::default(),
             performance: FleetPerformance::default(),
             origin_history: OriginHistory::default(),
-            archived_versions: ArchivedVersions::default(),
+            withheld_versions: WithheldVersions::default(),
         }
     }
 
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -79,37 +79,49 @@
         is_complete: bool,
     ) {
         self.origin_history.on_archive(read, origins, is_complete);
-        self.archived_versions.on_read(origins);
+        self.withheld_versions.on_read(origins);
         self.update_withheld_versions();
     }
 
+    /// Records the origins that an archive held at `read` on behalf of a search. What was archived since
+    /// may be known here already.
+    pub fn on_confirmed_origins(
+        &mut self,
+        read: Timestamp,
+        origins: &BTreeSet<StreamOrigin>,
+        is_complete: bool,
+    ) {
+        self.origin_history.on_archive(read, origins, is_complete);
+        origins.iter().for_each(|origin| self.on_archived_origin(origin));
+    }
+
     /// Records that an archive of origins is kept: no stream begins at a version that it lacks while
     /// there are others.
     pub fn expect_origin_archive(&mut self) {
-        self.archived_versions.expect();
+        self.withheld_versions.expect();
     }
 
     /// Records that the archive holds an origin, which this router or another one has written.
     pub fn on_archived_origin(&mut self, origin: &StreamOrigin) {
-        if self.archived_versions.on_archived(origin) {
+        if self.withheld_versions.on_archived(origin) {
             self.update_withheld_versions();
         }
     }
 
     /// Returns whether the archive is not known to hold all origins that streams may have.
     pub fn lacks_archived_origins(&self) -> bool {
-        self.archived_versions.lacks_any(&self.origin_history.observed_origins())
+        self.withheld_versions.lacks_any(&self.origin_history.observed_origins())
     }
 
     /// Returns whether a stream may begin at a back end.
     pub(super) fn may_begin_stream(&self, back_end: &BackEnd) -> bool {
-        !self.archived_versions.withholds(&back_end.service, &back_end.version)
+        !self.withheld_versions.withholds(&back_end.service, &back_end.version)
     }
 
     /// Computes anew which versions begin no streams yet.
     pub(super) fn update_withheld_versions(&mut self) {
         if !self.lacks_archived_origins() {
-            self.archived_versions.update_withheld(std::iter::empty());
+            self.withheld_versions.update(std::iter::empty());
             return;
         }
         let engines = &self.engines;
@@ -118,7 +130,7 @@
             (service.clone(), ready.map(|engine| engine.back_end.version.clone()).collect())
         };
         let services = self.origin_history.stream_services();
-        self.archived_versions.update_withheld(services.map(ready_versions));
+        self.withheld_versions.update(services.map(ready_versions));
     }
 
     /// Returns all origins that streams may have had whose callers can still resume them; `None` if
--- a/crates/routing/src/stream_origin/mod.rs
+++ b/crates/routing/src/stream_origin/mod.rs
@@ -10,14 +10,13 @@
 //! outlive a loss of all of them. Versions are archived before streams begin there, and a router reads
 //! the archive before it takes a version for the only one: what it and its peers know may be old.
 
-mod archived;
 mod history;
 mod lookup;
 mod messages;
 mod owners;
 mod records;
+mod withheld;
 
-pub use archived::ArchivedVersions;
 pub use history::{ListView, MAX_STREAM_AGE, OriginHistory};
 pub use lookup::{LookupState, OriginLookup, OriginSource};
 pub use messages::{
@@ -26,3 +25,4 @@
 };
 pub use owners::{ASKED_OWNERS, Member, OWNERS, owners};
 pub use records::{MAX_ARCHIVED, MAX_RECORDS, OriginRecords};
+pub use withheld::WithheldVersions;
--- a/crates/routing/src/stream_origin/archived.rs
+++ b/crates/routing/src/stream_origin/withheld.rs
@@ -9,16 +9,16 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-/// What a router knows of the archive's contents.
+/// The versions that begin no streams yet, by what a router knows of the archive's contents.
 #[derive(Debug, Default)]
-pub struct ArchivedVersions {
+pub struct WithheldVersions {
     /// Origins that the archive holds; `None` if there is no archive.
     archived: Option<BTreeSet<StreamOrigin>>,
     /// Versions that begin no streams yet, by service.
     withheld: HashMap<Arc<str>, BTreeSet<Arc<str>>>,
 }
 
-impl ArchivedVersions {
+impl WithheldVersions {
     /// Records that there is an archive.
     pub fn expect(&mut self) {
         self.archived.get_or_insert_default();
@@ -42,7 +42,7 @@
 
     /// Computes the withheld versions anew. `ready` holds the versions of the ready back ends of each
     /// service of streams.
-    pub fn update_withheld(&mut self, ready: impl Iterator<Item = (Arc<str>, BTreeSet<Arc<str>>)>) {
+    pub fn update(&mut self, ready: impl Iterator<Item = (Arc<str>, BTreeSet<Arc<str>>)>) {
         self.withheld.clear();
         let Some(archived) = &self.archived else { return };
         for (service, versions) in ready {
--- a/crates/routing/tests/archived_versions.rs
+++ b/crates/routing/tests/archived_versions.rs
@@ -130,6 +130,16 @@
     assert_eq!(placed_versions(&mut router), names(&["v1"]));
 }
 
+/// Guards against an old reading of the archive that withholds a version which was written since.
+#[test]
+fn a_version_that_was_archived_after_a_search_read_the_archive_begins_streams() {
+    let mut router = router();
+    router.on_archived_origin(&origin("v1"));
+    router.on_archived_origin(&origin("v2"));
+    router.on_confirmed_origins(at(1), &BTreeSet::from([origin("v1")]), true);
+    assert_eq!(placed_versions(&mut router), names(&["v1", "v2"]));
+}
+
 /// Guards against routers without an archive that use no new version.
 #[test]
 fn without_an_archive_all_versions_begin_streams() {
--- a/crates/routing/tests/budget_shares.rs
+++ b/crates/routing/tests/budget_shares.rs
@@ -163,6 +163,19 @@
     assert!(taken as f64 >= LIMITS.burst / 3.0, "{taken} retries of a burst of {}", LIMITS.burst);
 }
 
+/// Guards against a large fleet whose members never hear the seeds, and so use a part of their shares.
+#[test]
+fn routers_of_a_large_fleet_divide_the_burst_by_its_size() {
+    const LARGE: usize = 200;
+    let mut fleet = support::fleet::Fleet::new(LARGE);
+    fleet.rounds(200);
+    let now = fleet.now + LIMITS.window;
+    for index in 0..LARGE {
+        let divided_by = fleet.router(index).retry_status(now, MODEL).divided_by;
+        assert_eq!(divided_by, Some(LARGE), "router {index}");
+    }
+}
+
 /// Guards against dividing the burst among the routers that are left while those that have just
 /// left have spent their shares.
 #[test]
