--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -445,7 +445,17 @@
 
 /// Logs that an object of a source cannot be parsed. Only a configuration keeps its previous state.
 pub fn object_not_understood(kind: &str, name: &str, error: &impl std::fmt::Display) {
-    tracing::warn!(event = "object_not_understood", kind, name, error = %error);
+    let (name, error) = (shortened(name), shortened(&error.to_string()));
+    tracing::warn!(event = "object_not_understood", kind, name, error);
+}
+
+/// Maximum length in the log of a text that another writer chose, in characters.
+const MAX_FOREIGN_TEXT: usize = 256;
+
+/// Returns the beginning of a text. Errors of parsing quote the whole value, which may be as large as
+/// the source takes.
+fn shortened(text: &str) -> String {
+    text.chars().take(MAX_FOREIGN_TEXT).collect()
 }
 
 /// Logs that a dependency became unavailable or available again.
