Withhold no version before the archive was read

Found on reading the change again: a router that has just started knew only the versions that peers had reported, and sent all streams to these, however few their engines, until its first read of the archive: 0.1 s in small fleets, up to seconds in large ones after a kill of many routers. Now it withholds none before that; the other routers have archived what they use. archived_versions.rs has the case; it failed on the code before, where the router placed at v1 only.

--- a/crates/router/src/version_archive.rs
+++ b/crates/router/src/version_archive.rs
@@ -80,7 +80,6 @@
 /// Keeps the archive and the router in sync for as long as the router runs.
 pub async fn keep_versions<A: VersionArchive>(router: Rc<Router>, archive: A) {
     router.stream_origins.expect_archive();
-    router.dispatcher.borrow_mut().expect_origin_archive();
     until_first_read(&router).await;
     let mut known = Known::default();
     let mut availability = Availability::new("version_archive");
--- a/crates/routing/src/dispatch/origins.rs
+++ b/crates/routing/src/dispatch/origins.rs
@@ -95,12 +95,6 @@
         origins.iter().for_each(|origin| self.on_archived_origin(origin));
     }
 
-    /// Records that an archive of origins is kept: no stream begins at a version that it lacks while
-    /// there are others.
-    pub fn expect_origin_archive(&mut self) {
-        self.withheld_versions.expect();
-    }
-
     /// Records that the archive holds an origin, which this router or another one has written.
     pub fn on_archived_origin(&mut self, origin: &StreamOrigin) {
         if self.withheld_versions.on_archived(origin) {
--- a/crates/routing/src/stream_origin/withheld.rs
+++ b/crates/routing/src/stream_origin/withheld.rs
@@ -3,7 +3,8 @@
 //! A router that missed that a version joined learns of it from the archive, which it reads before it
 //! takes a version for the only one that a stream can have begun at. That holds only if each version
 //! is archived before the first stream begins there. While no back end of an archived version is
-//! ready, the others are used all the same: a fleet that has just started has archived none.
+//! ready, the others are used all the same: a fleet that has just started has archived none. A router
+//! that has not read the archive yet withholds none: the others have archived what they use.
 
 use super::messages::StreamOrigin;
 use std::collections::{BTreeSet, HashMap};
@@ -12,24 +13,20 @@
 /// The versions that begin no streams yet, by what a router knows of the archive's contents.
 #[derive(Debug, Default)]
 pub struct WithheldVersions {
-    /// Origins that the archive holds; `None` if there is no archive.
+    /// Origins that the archive holds; `None` before it was read, and if there is none.
     archived: Option<BTreeSet<StreamOrigin>>,
     /// Versions that begin no streams yet, by service.
     withheld: HashMap<Arc<str>, BTreeSet<Arc<str>>>,
 }
 
 impl WithheldVersions {
-    /// Records that there is an archive.
-    pub fn expect(&mut self) {
-        self.archived.get_or_insert_default();
-    }
-
     /// Replaces what is known of the contents: an archive that was restored may lack origins.
     pub fn on_read(&mut self, origins: &BTreeSet<StreamOrigin>) {
         self.archived = Some(origins.clone());
     }
 
-    /// Records that the archive holds an origin. Returns whether that is new.
+    /// Records that the archive holds an origin. Returns whether that is new; it is not used before the
+    /// archive was read.
     pub fn on_archived(&mut self, origin: &StreamOrigin) -> bool {
         let archived = self.archived.as_mut().filter(|archived| !archived.contains(origin));
         archived.is_some_and(|archived| archived.insert(origin.clone()))
--- a/crates/routing/tests/archived_versions.rs
+++ b/crates/routing/tests/archived_versions.rs
@@ -43,10 +43,9 @@
     }
 }
 
-/// A router with an archive before engines of two versions.
-fn router() -> Dispatcher {
+/// A router before engines of two versions, which has not read an archive.
+fn starting_router() -> Dispatcher {
     let mut router = Dispatcher::new(limits(), peer(1), address(1));
-    router.expect_origin_archive();
     let mut configuration = configuration(None);
     configuration.routes = vec![route()];
     router.on_configuration(&configuration);
@@ -54,6 +53,14 @@
     router
 }
 
+/// The same router once it has read an archive that holds `versions`.
+fn router(versions: &[&str]) -> Dispatcher {
+    let mut router = starting_router();
+    let origins = versions.iter().map(|version| origin(version)).collect();
+    router.on_origin_archive(at(1), &origins, true);
+    router
+}
+
 fn set_engines(router: &mut Dispatcher, revision: u64, back_ends: Vec<BackEnd>) {
     let list = BackEndList { revision: revision.into(), back_ends };
     router.on_back_ends(Timestamp::ZERO, &list);
@@ -78,8 +85,7 @@
 /// Guards against streams of a version that a router which missed it can't learn of.
 #[test]
 fn a_version_begins_no_stream_before_it_is_archived() {
-    let mut router = router();
-    router.on_archived_origin(&origin("v1"));
+    let mut router = router(&["v1"]);
     assert!(router.lacks_archived_origins());
     assert_eq!(placed_versions(&mut router), names(&["v1"]));
 }
@@ -87,8 +93,7 @@
 /// Guards against a version that stays unused.
 #[test]
 fn a_version_begins_streams_once_it_is_archived() {
-    let mut router = router();
-    router.on_archived_origin(&origin("v1"));
+    let mut router = router(&["v1"]);
     router.on_archived_origin(&origin("v2"));
     assert!(!router.lacks_archived_origins());
     assert_eq!(placed_versions(&mut router), names(&["v1", "v2"]));
@@ -98,20 +103,27 @@
 /// archive is out of reach and the archived version has left.
 #[test]
 fn versions_begin_streams_while_no_archived_one_is_ready() {
-    assert_eq!(placed_versions(&mut router()), names(&["v1", "v2"]));
-    let mut router = router();
-    router.on_archived_origin(&origin("v1"));
+    assert_eq!(placed_versions(&mut router(&[])), names(&["v1", "v2"]));
+    let mut router = router(&["v1"]);
     let leaving = engines("v1").into_iter();
     let leaving = leaving.map(|engine| BackEnd { state: BackEndState::Draining, ..engine });
     set_engines(&mut router, 2, leaving.chain(engines("v2")).collect());
     assert_eq!(placed_versions(&mut router), names(&["v2"]));
 }
 
+/// Guards against a router that has just started and sends all streams to the few engines of the
+/// version that its peers have reported first.
+#[test]
+fn a_router_that_has_not_read_the_archive_withholds_no_version() {
+    let mut router = starting_router();
+    router.on_archived_origin(&origin("v1"));
+    assert_eq!(placed_versions(&mut router), names(&["v1", "v2"]));
+}
+
 /// Guards against a stream that is not taken up at its own version.
 #[test]
 fn a_stream_is_taken_up_at_its_version_whether_it_is_archived_or_not() {
-    let mut router = router();
-    router.on_archived_origin(&origin("v1"));
+    let mut router = router(&["v1"]);
     let mut resumed = demand(at(10), Some(prompt(1, 1, 10)), "t");
     resumed.version = Some("v2".into());
     let admission = router.admit(at(10), resumed, 0.5);
@@ -123,8 +135,7 @@
 /// was written since.
 #[test]
 fn a_version_that_the_archive_has_lost_begins_no_stream() {
-    let mut router = router();
-    router.on_origin_archive(at(1), &BTreeSet::from([origin("v1"), origin("v2")]), true);
+    let mut router = router(&["v1", "v2"]);
     assert!(!router.lacks_archived_origins());
     router.on_origin_archive(at(2), &BTreeSet::from([origin("v1")]), false);
     assert_eq!(placed_versions(&mut router), names(&["v1"]));
@@ -133,21 +144,7 @@
 /// Guards against an old reading of the archive that withholds a version which was written since.
 #[test]
 fn a_version_that_was_archived_after_a_search_read_the_archive_begins_streams() {
-    let mut router = router();
-    router.on_archived_origin(&origin("v1"));
-    router.on_archived_origin(&origin("v2"));
+    let mut router = router(&["v1", "v2"]);
     router.on_confirmed_origins(at(1), &BTreeSet::from([origin("v1")]), true);
     assert_eq!(placed_versions(&mut router), names(&["v1", "v2"]));
 }
-
-/// Guards against routers without an archive that use no new version.
-#[test]
-fn without_an_archive_all_versions_begin_streams() {
-    let mut router = Dispatcher::new(limits(), peer(1), address(1));
-    let mut configuration = configuration(None);
-    configuration.routes = vec![route()];
-    router.on_configuration(&configuration);
-    set_engines(&mut router, 1, [engines("v1"), engines("v2")].concat());
-    router.on_archived_origin(&origin("v1"));
-    assert_eq!(placed_versions(&mut router), names(&["v1", "v2"]));
-}
