Do not use a back end again that left, since a peer that was out of touch keeps it

A router that had been cut off from the store and its peers for 3 s took the gap for an outage of the store, kept what was missing for 2 s more, and told so in its next update; the router in touch used the engine again (back_ends_known revision=38 kept=i-7bd1bc8327). It refused only engines that it had seen draining, and some leave without saying so. Measured: the first of two new tests in expired.rs failed before; the second guards engines that came back and are lost in a later outage.

--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -130,12 +130,16 @@
         }
     }
 
-    /// Uses a back end that is missing from the source as long as the sender of an update does.
+    /// Uses a back end that is missing from the source as long as the sender of an update does. One
+    /// whose removal was seen here while the source answered has left, whatever a sender believes that
+    /// was out of touch then.
     fn adopt(&mut self, now: Timestamp, kept: KeptBackEnd, changes: &mut UsableChanges) {
         let KeptBackEnd { back_end, remaining } = kept;
         let name = &back_end.id.name;
         let is_known = self.listed.contains_key(name) || self.expired.contains(name);
-        let has_left = self.is_outdated(&back_end.id) || self.draining.contains(&back_end.id);
+        let has_left = self.is_outdated(&back_end.id)
+            || self.draining.contains(&back_end.id)
+            || self.departed.has_left(now, &back_end.id);
         if is_known || has_left || remaining.is_zero() {
             return;
         }
@@ -174,6 +178,7 @@
         self.ready += usize::from(back_end.state == BackEndState::Ready);
         self.removed.remove(&name);
         self.incarnations.on_listed(&name);
+        self.departed.on_listed(&back_end.id);
         changes.updated.push(self.departed.as_usable(back_end.clone()));
         self.listed.insert(name, Entry { back_end, changed: changes.revision });
     }
--- a/crates/routing/src/restored.rs
+++ b/crates/routing/src/restored.rs
@@ -56,6 +56,18 @@
         self.departed.insert(id.clone(), now);
     }
 
+    /// Drops a back end that is listed again, unless a restored source may list it by mistake.
+    pub fn on_listed(&mut self, id: &BackEndId) {
+        if !self.uncertain.items.contains(id) {
+            self.departed.remove(id);
+        }
+    }
+
+    /// Returns whether the entry of a back end was removed lately and is not listed again.
+    pub fn has_left(&self, now: Timestamp, id: &BackEndId) -> bool {
+        self.departed.get(id).is_some_and(|left| now.since(*left) < DEPARTED_TTL)
+    }
+
     /// Records that the source was restored.
     pub fn on_restored(&mut self, now: Timestamp) {
         self.departed.retain(|_, left| now.since(*left) < DEPARTED_TTL);
--- a/crates/routing/tests/expired.rs
+++ b/crates/routing/tests/expired.rs
@@ -82,6 +82,35 @@
     assert_eq!(router.ready(), ["e0", "e1", "e3"]);
 }
 
+/// Guards against a back end that gets requests again, after its removal was in force, since a router
+/// that was cut off at that time keeps it and tells so.
+#[test]
+fn a_router_does_not_use_a_back_end_that_left_although_a_peer_that_was_out_of_touch_keeps_it() {
+    let mut cut_off = DirectoryView::default();
+    assert!(cut_off.apply(at(0), None, list(1, 4, 8)));
+    assert!(cut_off.apply(at(50), Some(GRACE_ENDS), list(3, 3, 8)));
+    assert_eq!(cut_off.back_ends.len(), 4);
+    let mut in_touch = DirectoryView::default();
+    assert!(in_touch.apply(at(0), None, list(1, 4, 8)));
+    assert!(in_touch.apply(at(10), None, list(2, 3, 8)));
+    assert!(in_touch.sync_from(at(100), &cut_off));
+    assert_eq!(in_touch.ready(), ["e0", "e1", "e2"]);
+}
+
+/// Guards against taking a back end that is listed again for one that has left.
+#[test]
+fn a_back_end_that_came_back_is_kept_in_a_later_outage() {
+    let mut reader = DirectoryView::default();
+    assert!(reader.apply(at(0), None, list(3, 4, 8)));
+    assert!(reader.apply(at(50), Some(GRACE_ENDS), list(4, 3, 8)));
+    let mut router = DirectoryView::default();
+    assert!(router.apply(at(0), None, list(1, 4, 8)));
+    assert!(router.apply(at(10), None, list(2, 3, 8)));
+    assert!(router.apply(at(20), None, list(3, 4, 8)));
+    assert!(router.sync_from(at(100), &reader));
+    assert_eq!(router.ready().len(), 4);
+}
+
 #[test]
 fn updates_report_kept_back_ends_once() {
     let reader = reader_after_an_outage();
