Tell apart in logs and metrics why a router is late: too much work, or not run

The event loop measures now for how long no task is ready; the lag of a tick has two parts, with ready tasks (busy) and without (idle). overload and connections_overflowed log not_run beside lateness, and two gauges tell both.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -30,9 +30,9 @@
 use crate::write_timeout::WRITE_TIMEOUT;
 use hyper::StatusCode;
 use mastbay_routing::{
-    BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Placement, RankChange,
-    RefusalDetails, Revision, Role, RolloutRecord, Rollouts, RouteTable, SourceCondition,
-    SourceContact, SpeedChange, Tick, UsableChanges,
+    BackEndDirectory, BackEndId, BackEndState, EngineKey, EvacuatedZones, Lateness, Placement,
+    RankChange, RefusalDetails, Revision, Role, RolloutRecord, Rollouts, RouteTable,
+    SourceCondition, SourceContact, SpeedChange, Tick, UsableChanges,
 };
 use mastbay_types::Timestamp;
 use mastbay_web::ExcessBytes;
@@ -350,7 +350,7 @@
 
 /// Logs the new connections since the last such line that were not served normally. Those in
 /// `turned_away` and `full` were closed unread, so no tenant's rate includes them.
-pub fn connections_overflowed(counts: OverflowCounts, lateness: f64) {
+pub fn connections_overflowed(counts: OverflowCounts, lateness: Lateness) {
     let OverflowCounts { forwarded, unanswered, served_locally, rejected, full } = counts;
     tracing::info!(
         event = "connections_overflowed",
@@ -359,7 +359,8 @@
         kept_here = served_locally,
         turned_away = rejected,
         full,
-        lateness,
+        lateness = lateness.total,
+        not_run = lateness.not_run,
     );
 }
 
@@ -466,11 +467,12 @@
 }
 
 /// Logs that the router starts or stops shedding new callers.
-pub fn overload(shedding: bool, lateness: f64, tick: Tick) {
+pub fn overload(shedding: bool, lateness: Lateness, tick: Tick) {
     tracing::info!(
         event = "overload",
         shedding,
-        lateness,
+        lateness = lateness.total,
+        not_run = lateness.not_run,
         connections_part = tick.connections,
         zone_shedding = tick.peers.shedding,
         others_larger = tick.peers.larger,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,6 +30,7 @@
 mod exchange;
 mod forwarding;
 mod headers;
+pub mod idle_time;
 mod lingering_close;
 mod listener;
 mod local_body;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -8,7 +8,9 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
 use crate::stream_origins::Search;
-use mastbay_routing::{Placement, RefusalDetails, RetryStatus, ShareClass, SourceCondition};
+use mastbay_routing::{
+    Lateness, Placement, RefusalDetails, RetryStatus, ShareClass, SourceCondition,
+};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -17,6 +19,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use std::collections::BTreeMap;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 /// Labels of ended requests. The configuration bounds the number of their values.
@@ -105,6 +108,8 @@
     draining_answers: Counter,
     backoffs_requested: Counter,
     backing_off: Gauge,
+    lateness: Gauge<f64, AtomicU64>,
+    not_run: Gauge<f64, AtomicU64>,
     heap_bytes: Gauge,
     body_bytes: Gauge,
     reply_bytes: Gauge,
@@ -149,6 +154,8 @@
             draining_answers: Counter::default(),
             backoffs_requested: Counter::default(),
             backing_off: Gauge::default(),
+            lateness: Gauge::default(),
+            not_run: Gauge::default(),
             heap_bytes: Gauge::default(),
             body_bytes: Gauge::default(),
             reply_bytes: Gauge::default(),
@@ -205,6 +212,12 @@
         let name = "mastbay_router_back_ends_backing_off";
         let help = "back ends that want no requests of this router now";
         registry.register(name, help, metrics.backing_off.clone());
+        let name = "mastbay_router_lateness_ratio";
+        let help = "part of the time by which the event loop is late";
+        registry.register(name, help, metrics.lateness.clone());
+        let name = "mastbay_router_not_run_ratio";
+        let help = "part of the time by which it is late although it had nothing to do";
+        registry.register(name, help, metrics.not_run.clone());
         let name = "mastbay_router_heap_bytes";
         let help = "memory that the process has allocated";
         registry.register(name, help, metrics.heap_bytes.clone());
@@ -425,6 +438,12 @@
         self.write_timeouts.inc_by(u64::from(connections));
     }
 
+    /// Records how late the event loop is on average.
+    pub fn set_lateness(&self, lateness: Lateness) {
+        self.lateness.set(lateness.total);
+        self.not_run.set(lateness.not_run);
+    }
+
     /// Counts turns of connections that took long.
     pub fn on_long_turns(&self, turns: u32) {
         self.long_turns.inc_by(u64::from(turns));
--- a/crates/router/src/runtime.rs
+++ b/crates/router/src/runtime.rs
@@ -6,6 +6,7 @@
 //! tasks sleep until aligned ticks, so that an idle router is rarely woken.
 
 use crate::clock::Clock;
+use crate::idle_time::IdleTime;
 use crate::watched_task::ConnectionTroubles;
 use mastbay_types::Timestamp;
 use mastbay_web::TimedOut;
@@ -34,6 +35,7 @@
     control: &'static LocalExecutor<'static>,
     timers: &'static TimerQueue,
     troubles: &'static ConnectionTroubles,
+    idle: &'static IdleTime,
 }
 
 impl Runtime {
@@ -43,7 +45,14 @@
         let requests: &'static LocalExecutor<'static> = Box::leak(Box::default());
         let control: &'static LocalExecutor<'static> = Box::leak(Box::default());
         control.spawn(timers.run()).detach();
-        Self { executor: requests, requests, control, timers, troubles: Box::leak(Box::default()) }
+        Self {
+            executor: requests,
+            requests,
+            control,
+            timers,
+            troubles: Box::leak(Box::default()),
+            idle: Box::leak(Box::default()),
+        }
     }
 
     /// Returns a handle for control tasks: peers, sources and readiness. They run before tasks that
@@ -54,7 +63,8 @@
 
     /// Runs all tasks until `future` completes.
     pub async fn run<T>(self, future: impl Future<Output = T>) -> T {
-        self.requests.run(self.control.run(future)).await
+        let running = self.requests.run(self.control.run(future));
+        self.idle.observe(|| self.now(), running).await
     }
 
     /// Spawns a task on this handle's executor.
@@ -67,6 +77,11 @@
         self.troubles
     }
 
+    /// Returns the measurement of the time for which no task is ready.
+    pub(crate) fn idle_time(self) -> &'static IdleTime {
+        self.idle
+    }
+
     /// Returns the time since the machine started, suspensions included.
     pub fn now(self) -> Timestamp {
         self.timers.clock.now()
--- a/crates/router/src/ticks.rs
+++ b/crates/router/src/ticks.rs
@@ -4,7 +4,7 @@
 use crate::router::Router;
 use crate::runtime::{ALIGNED_TICK_INTERVAL, MIN_TICK_INTERVAL};
 use crate::update_signal::Origin;
-use mastbay_routing::{RouterPhase, Tick};
+use mastbay_routing::{RouterPhase, Tick, TickLag};
 use mastbay_types::Timestamp;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,14 +28,22 @@
     pub(crate) async fn run_ticks(self: Rc<Self>) {
         loop {
             let period = self.tick_period();
-            let due = self.now() + period;
-            self.runtime.sleep(period).await;
-            let now = self.now();
-            self.on_tick(now, period, now.since(due));
+            let lag = self.wait_for_tick(period).await;
+            self.on_tick(self.now(), period, lag);
             self.poll_waiting();
         }
     }
 
+    /// Waits for `period` and returns how much longer it took.
+    async fn wait_for_tick(&self, period: Duration) -> TickLag {
+        let due = self.runtime.now() + period;
+        self.runtime.idle_time().count_from(due);
+        self.runtime.sleep(period).await;
+        let lag = self.runtime.now().since(due);
+        let idle = self.runtime.idle_time().counted().min(lag);
+        TickLag { busy: lag - idle, idle }
+    }
+
     /// Returns the time until the next tick: short while requests wait or under pressure.
     fn tick_period(&self) -> Duration {
         let is_under_pressure =
@@ -47,7 +55,7 @@
         }
     }
 
-    fn on_tick(&self, now: Timestamp, period: Duration, lag: Duration) {
+    fn on_tick(&self, now: Timestamp, period: Duration, lag: TickLag) {
         self.check_stall(now);
         self.check_outage(now);
         let expired = self.catalogue.borrow_mut().expire_back_ends(now);
@@ -58,7 +66,7 @@
         if let Some(evacuated) = expired {
             self.apply_evacuations(&evacuated, Origin::Expiry);
         }
-        self.dispatcher.borrow_mut().on_lag(now, lag);
+        self.dispatcher.borrow_mut().on_lag(now, lag.total());
         self.metrics.set_backing_off(self.dispatcher.borrow().backing_off(now));
         self.metrics.set_fleet_backlog(self.dispatcher.borrow_mut().fleet_backlog(now));
         let max = self.settings.max_connections() as f64;
@@ -72,6 +80,7 @@
         if let Some(shedding) = changed {
             events::overload(shedding, self.overload.borrow().lateness(), tick);
         }
+        self.metrics.set_lateness(self.overload.borrow().lateness());
         self.log_overflow(now);
         self.observe_memory();
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -89,7 +89,7 @@
 pub use load_stats::{
     EngineLoad, EngineServiceLevel, LoadStats, LoadStatsSum, ServiceEventInterval, TenantReport,
 };
-pub use overload::{OverloadGuard, PeerCapacity, Tick};
+pub use overload::{Lateness, OverloadGuard, PeerCapacity, Tick, TickLag};
 pub use performance::{
     EnginePerformance, EnginePerformanceReport, PerformanceCounts, PerformanceEstimate,
     ServiceMeans, SpeedStep, StreamProgress,
--- a/crates/routing/src/overload.rs
+++ b/crates/routing/src/overload.rs
@@ -49,13 +49,38 @@
     /// Planned time between two ticks.
     pub period: Duration,
     /// Time by which this tick was late.
-    pub lag: Duration,
+    pub lag: TickLag,
     /// Open caller connections as a fraction of the limit.
     pub connections: f64,
     /// Ability of the other routers to take over callers.
     pub peers: PeerCapacity,
 }
 
+/// The time by which a tick of the event loop was late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TickLag {
+    /// The part in which tasks were ready: the process had other work.
+    pub busy: Duration,
+    /// The part in which no task was ready: the process was not run.
+    pub idle: Duration,
+}
+
+impl TickLag {
+    /// Returns the whole time.
+    pub fn total(self) -> Duration {
+        self.busy + self.idle
+    }
+}
+
+/// Average lateness of ticks, as fractions of time from 0 to 1.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Lateness {
+    /// Of ticks, whatever the reason.
+    pub total: f64,
+    /// Of ticks that were late because the process was not run, although it had nothing else to do.
+    pub not_run: f64,
+}
+
 /// Ability of the other routers to take over this router's callers.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct PeerCapacity {
@@ -72,7 +97,7 @@
 /// Decides from tick lateness when to shed, reject and offload connections.
 #[derive(Debug, Clone, Default)]
 pub struct OverloadGuard {
-    lateness: f64,
+    lateness: Lateness,
     recent_lateness: f64,
     shedding_until: Option<Timestamp>,
     /// When shedding ended last.
@@ -129,16 +154,19 @@
         self.recent_lateness > PRESSURE_THRESHOLD
     }
 
-    /// Returns the average lateness of ticks as a fraction of time, 0 to 1.
-    pub fn lateness(&self) -> f64 {
+    /// Returns the average lateness of ticks.
+    pub fn lateness(&self) -> Lateness {
         self.lateness
     }
 
     fn average(&mut self, tick: Tick) {
-        let elapsed = (tick.period + tick.lag).as_secs_f64();
-        let late = tick.lag.as_secs_f64() / elapsed.max(f64::MIN_POSITIVE);
+        let elapsed = (tick.period + tick.lag.total()).as_secs_f64();
+        let fraction = |lag: Duration| lag.as_secs_f64() / elapsed.max(f64::MIN_POSITIVE);
+        let (late, not_run) = (fraction(tick.lag.total()), fraction(tick.lag.idle));
         let elapsed = elapsed.min(MAX_TICK_TIME.as_secs_f64());
-        self.lateness += ewma_weight(elapsed, LONG_TIME_CONSTANT) * (late - self.lateness);
+        let weight = ewma_weight(elapsed, LONG_TIME_CONSTANT);
+        self.lateness.total += weight * (late - self.lateness.total);
+        self.lateness.not_run += weight * (not_run - self.lateness.not_run);
         self.recent_lateness +=
             ewma_weight(elapsed, SHORT_TIME_CONSTANT) * (late - self.recent_lateness);
     }
@@ -153,7 +181,7 @@
     }
 
     fn is_overloaded(&self, tick: Tick) -> bool {
-        self.lateness > OVERLOAD_THRESHOLD || tick.connections > MAX_CONNECTIONS_FRACTION
+        self.lateness.total > OVERLOAD_THRESHOLD || tick.connections > MAX_CONNECTIONS_FRACTION
     }
 
     fn shed(&mut self, now: Timestamp, shed_time: Duration) {
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use mastbay_routing::{OverloadGuard, PeerCapacity, Tick};
+use mastbay_routing::{OverloadGuard, PeerCapacity, Tick, TickLag};
 use std::time::Duration;
 use support::at;
 
@@ -11,7 +11,7 @@
 fn tick(lag_ms: u64) -> Tick {
     Tick {
         period: PERIOD,
-        lag: Duration::from_millis(lag_ms),
+        lag: TickLag { busy: Duration::from_millis(lag_ms), idle: Duration::ZERO },
         connections: 0.1,
         peers: PeerCapacity { in_zone: 14, ..PeerCapacity::default() },
     }
@@ -23,7 +23,7 @@
     let mut seen = Vec::new();
     let mut now = start;
     while now < end {
-        now += (tick.period + tick.lag).as_millis() as u64;
+        now += (tick.period + tick.lag.total()).as_millis() as u64;
         if let Some(shedding) = guard.on_tick(at(now), tick) {
             seen.push((now, shedding));
         }
