Hold the future of the event loop once

A test of a cut stream (leaving_back_ends) overflowed its stack of 2 MB in the debug build; found by running all tests of the router crate, the same test passes with the future boxed.

--- a/crates/router/src/idle_time.rs
+++ b/crates/router/src/idle_time.rs
@@ -6,7 +6,7 @@
 use mastbay_types::Timestamp;
 use std::cell::Cell;
 use std::future::{Future, poll_fn};
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Wake, Waker};
@@ -51,8 +51,11 @@
     }
 
     /// Drives a future that runs all tasks, and records when none of them is ready.
-    pub async fn observe<F: Future>(&self, now: impl Fn() -> Timestamp, future: F) -> F::Output {
-        let mut future = pin!(future);
+    pub async fn observe<F: Future + Unpin>(
+        &self,
+        now: impl Fn() -> Timestamp,
+        mut future: F,
+    ) -> F::Output {
         let mut waker: Option<Arc<RecordingWaker>> = None;
         poll_fn(move |context| {
             if self.is_idle() {
@@ -61,7 +64,7 @@
             let waker = RecordingWaker::of(&mut waker, context);
             waker.is_woken.store(false, Ordering::Relaxed);
             let polled =
-                future.as_mut().poll(&mut Context::from_waker(&Waker::from(waker.clone())));
+                Pin::new(&mut future).poll(&mut Context::from_waker(&Waker::from(waker.clone())));
             if polled.is_pending() && !waker.is_woken.load(Ordering::Relaxed) {
                 self.on_idle(now());
             }
--- a/crates/router/src/runtime.rs
+++ b/crates/router/src/runtime.rs
@@ -63,7 +63,8 @@
 
     /// Runs all tasks until `future` completes.
     pub async fn run<T>(self, future: impl Future<Output = T>) -> T {
-        let running = self.requests.run(self.control.run(future));
+        // Boxed, since each future that it is moved into would hold it twice.
+        let running = Box::pin(self.requests.run(self.control.run(future)));
         self.idle.observe(|| self.now(), running).await
     }
 
