Contradict a finding of silence once

A router that has answers of an engine contradicts each peer that finds it silent. A finding is sent in three rounds, so each such router answered it with nine rounds of messages to its peers; where many routers are busy and one has few requests, that grows with the square of their number. A router contradicts a finding once now: three rounds of messages for ten receipts (the new test; the count before was not measured).

--- a/crates/routing/src/dispatch/silence.rs
+++ b/crates/routing/src/dispatch/silence.rs
@@ -39,7 +39,7 @@
         match finding {
             SilenceFinding::Answered => self.record_answered(back_end, at, transmissions),
             SilenceFinding::Silent if self.has_responded_since(back_end, at) => {
-                self.contradict(back_end);
+                self.contradict(back_end, at);
                 false
             }
             SilenceFinding::Silent => self.record_silent(now, back_end, at, transmissions),
@@ -51,11 +51,12 @@
         self.silent.excluded(now).count()
     }
 
-    /// Reports that this router has received something from a back end that a peer finds silent.
-    fn contradict(&mut self, id: &BackEndId) {
-        let Some(engine) = self.engines.get(id) else { return };
-        let answered = engine.last_response;
-        self.silent.report(id, SilenceFinding::Answered, answered, TRANSMISSIONS);
+    /// Reports that this router has received something from a back end that a peer finds silent since
+    /// `since`.
+    fn contradict(&mut self, id: &BackEndId, since: Timestamp) {
+        if let Some(engine) = self.engines.get(id) {
+            self.silent.contradict(id, since, engine.last_response, TRANSMISSIONS);
+        }
     }
 
     /// Returns this round's message with findings for peers, if there are any.
--- a/crates/routing/src/silence.rs
+++ b/crates/routing/src/silence.rs
@@ -78,6 +78,8 @@
 #[derive(Debug, Default)]
 pub struct SilentBackEnds {
     known: BTreeMap<BackEndId, Silence>,
+    /// When the last answer was received with which this router contradicted a peer.
+    contradicted: BTreeMap<BackEndId, Timestamp>,
     queue: GossipQueue<DatedFinding>,
 }
 
@@ -148,6 +150,22 @@
         self.queue.push(finding, transmissions);
     }
 
+    /// Contradicts a peer that found a back end silent since `since`: something was received at
+    /// `answered`. A finding is reported several times, and contradicted once.
+    pub fn contradict(
+        &mut self,
+        id: &BackEndId,
+        since: Timestamp,
+        answered: Timestamp,
+        transmissions: u32,
+    ) {
+        if self.contradicted.get(id).is_some_and(|last| *last > since) {
+            return;
+        }
+        self.contradicted.insert(id.clone(), answered);
+        self.report(id, SilenceFinding::Answered, answered, transmissions);
+    }
+
     /// Returns the reports of one round, at most `max`.
     pub fn next_round(&mut self, now: Timestamp, max: usize) -> Vec<SilenceReport> {
         let report = |dated: DatedFinding| SilenceReport {
--- a/crates/routing/tests/silent_engines.rs
+++ b/crates/routing/tests/silent_engines.rs
@@ -148,6 +148,29 @@
     }
 }
 
+/// A finding is sent in several rounds. Each router that contradicts each of them would answer it with
+/// several messages to all others.
+#[test]
+fn a_finding_that_arrives_again_is_contradicted_once() {
+    let mut router = dispatcher(1, ENGINES, SLOTS);
+    let new = demand(at(100), Some(prompt(1, 1, 50)), "t");
+    let Admission::Placed(placement) = router.admit(at(100), new, 0.5) else { panic!("no place") };
+    router.on_first_event(at(500), placement.ticket);
+    let mut contradictions = 0;
+    for moment in (600..1_600).step_by(100) {
+        let report = SilenceReport {
+            back_end: placement.back_end.id.clone(),
+            finding: SilenceFinding::Silent,
+            age_ms: moment - 100,
+        };
+        router.on_silence_reported(at(u64::from(moment)), &report);
+        let messages = router.next_round(at(u64::from(moment)), RouterPhase::Serving, &[]);
+        contradictions +=
+            messages.iter().filter(|sent| matches!(sent.message, PeerMessage::Silence(_))).count();
+    }
+    assert_eq!(contradictions, 3, "rounds in which one finding is sent");
+}
+
 /// When most engines are silent, new requests go where they may be answered first, but none is sent
 /// again to another silent engine.
 #[test]
