Log and meter at any time by how many routers the budgets are divided

A retry told the divisor only where a caller's request needed one. An event tells each change now, with the counts that it is derived from, and the gauge is up to date without retries.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -5,7 +5,7 @@
 mod streams;
 mod terminations;
 
-pub use retries::{retry, sends_settled};
+pub use retries::{fleet_counted, retry, sends_settled};
 pub use shutdown::{StopDecision, StopStage, request_during_stop};
 pub use streams::{
     record_archive_read, stream_origin, stream_resumed, stream_without_event, version_archive_read,
--- a/crates/router/src/events/retries.rs
+++ b/crates/router/src/events/retries.rs
@@ -1,7 +1,7 @@
 //! Log events about the retry budgets of services.
 
 use crate::call::Call;
-use mastbay_routing::RetryStatus;
+use mastbay_routing::{FleetCount, RetryStatus};
 
 /// Logs that a retry was taken from the budget of the request's service, which holds `status` now,
 /// or that the request was not sent again because the budget is empty.
@@ -12,10 +12,22 @@
         service = %call.service,
         send = call.trace.borrow().sends + 1,
         left = is_taken.then_some(status.left),
-        divided_by = status.divided_by,
-        routers_heard = status.routers.heard,
-        routers_reported = status.routers.reported,
-        routers_rostered = status.routers.rostered,
+        divided_by = status.fleet.divided_by,
+        routers_heard = status.fleet.routers.heard,
+        routers_reported = status.fleet.routers.reported,
+        routers_rostered = status.fleet.routers.rostered,
+    );
+}
+
+/// Logs a changed number of routers that divide the budgets of the fleet.
+pub fn fleet_counted(count: FleetCount) {
+    let FleetCount { divided_by, routers } = count;
+    tracing::info!(
+        event = "fleet_counted",
+        divided_by,
+        heard = routers.heard,
+        reported = routers.reported,
+        rostered = routers.rostered,
     );
 }
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -8,9 +8,7 @@
 use crate::outcome::Outcome;
 use crate::overflow::OverflowOutcome;
 use crate::stream_origins::Search;
-use mastbay_routing::{
-    Lateness, Placement, RefusalDetails, RetryStatus, ShareClass, SourceCondition,
-};
+use mastbay_routing::{Lateness, Placement, RefusalDetails, ShareClass, SourceCondition};
 use mastbay_types::Timestamp;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -346,10 +344,14 @@
     }
 
     /// Counts a retry that was taken from the budget of a service, or refused.
-    pub fn on_retry(&self, service: &str, is_taken: bool, status: RetryStatus) {
+    pub fn on_retry(&self, service: &str, is_taken: bool) {
         let result = if is_taken { "taken" } else { "refused" };
         self.retries.get_or_create(&RetryLabels { service: service.to_owned(), result }).inc();
-        let divisor = status.divided_by.unwrap_or(0);
+    }
+
+    /// Sets the number of routers among which a burst is divided; `None` if it is unknown.
+    pub fn set_retry_share_divisor(&self, divisor: Option<usize>) {
+        let divisor = divisor.unwrap_or(0);
         self.retry_share_divisor.set(i64::try_from(divisor).unwrap_or(i64::MAX));
     }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -59,6 +59,7 @@
         }
         messages
     };
+    report_fleet_count(router);
     record_speed_changes(router);
     report_prefix_ranks(router);
     router.evaluate_rollouts();
@@ -70,6 +71,16 @@
     }
 }
 
+/// Logs a changed number of routers that divide the budgets of the fleet, and updates the gauge.
+fn report_fleet_count(router: &Router) {
+    let count = router.dispatcher.borrow().fleet_count(router.now());
+    let previous = router.fleet_count.replace(Some(count));
+    if previous.map(|count| count.divided_by) != Some(count.divided_by) {
+        events::fleet_counted(count);
+        router.metrics.set_retry_share_divisor(count.divided_by);
+    }
+}
+
 /// Logs the engines whose speed changed and updates the gauge.
 fn record_speed_changes(router: &Router) {
     let mut dispatcher = router.dispatcher.borrow_mut();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -22,9 +22,9 @@
 use crate::stream_origins::StreamOrigins;
 use crate::update_signal::UpdateSignal;
 use mastbay_routing::{
-    BackEndId, Dispatcher, DispatcherLimits, OutageDetector, OverloadGuard, PeerId, Placement,
-    Quarantine, Refusal, Revision, RolloutRecord, RouteTable, RouterPhase, SourceCondition,
-    SourceContact, StallDetector, StartingRouter, TicketId, watch_timeout,
+    BackEndId, Dispatcher, DispatcherLimits, FleetCount, OutageDetector, OverloadGuard, PeerId,
+    Placement, Quarantine, Refusal, Revision, RolloutRecord, RouteTable, RouterPhase,
+    SourceCondition, SourceContact, StallDetector, StartingRouter, TicketId, watch_timeout,
 };
 use mastbay_types::Timestamp;
 use smol::channel::Sender;
@@ -83,6 +83,8 @@
     pub(crate) source_condition: Cell<SourceCondition>,
     /// The first list of back ends came from a source that was once restored from an older copy.
     pub(crate) started_from_restored: Cell<bool>,
+    /// The fleet as this router counted it last.
+    pub(crate) fleet_count: Cell<Option<FleetCount>>,
     /// The archive of quarantined requests is being read for the first time.
     reads_quarantines: Cell<bool>,
     pub(crate) broken: BrokenConnections,
@@ -154,6 +156,7 @@
             outage: RefCell::default(),
             source_condition: Cell::default(),
             started_from_restored: Cell::default(),
+            fleet_count: Cell::default(),
             reads_quarantines: Cell::default(),
             broken: BrokenConnections::default(),
             quarantine: RefCell::new(quarantine),
@@ -437,7 +440,7 @@
     pub(crate) fn take_retry(&self, call: &Call) -> bool {
         let is_taken = self.dispatcher.borrow_mut().take_retry(self.now(), &call.service);
         let status = self.dispatcher.borrow_mut().retry_status(self.now(), &call.service);
-        self.metrics.on_retry(&call.service, is_taken, status);
+        self.metrics.on_retry(&call.service, is_taken);
         if self.may_write_line(LogLineKind::Failure) {
             events::retry(call, is_taken, status);
         }
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -86,7 +86,7 @@
     RefusalDetails, RefusalReason,
 };
 pub use performance::SpeedChange;
-pub use retries::{RetryStatus, RouterCounts};
+pub use retries::{FleetCount, RetryStatus, RouterCounts};
 
 /// Time constants of tenants' rates in a share window. A longer mean tells of the past after a jump:
 /// a tenant that returns passes as one below its share, and those served meanwhile as above theirs.
--- a/crates/routing/src/dispatch/retries.rs
+++ b/crates/routing/src/dispatch/retries.rs
@@ -24,15 +24,22 @@
     pub rostered: usize,
 }
 
+/// The number of routers that divide a budget of the fleet, as a router counts them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetCount {
+    /// Number of routers among which a burst is divided; `None` if it is unknown.
+    pub divided_by: Option<usize>,
+    /// What that number is derived from.
+    pub routers: RouterCounts,
+}
+
 /// The state of this router's share of the retry budget of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryStatus {
     /// Retries left.
     pub left: u32,
-    /// Number of routers among which the burst is divided; `None` if it is unknown.
-    pub divided_by: Option<usize>,
-    /// What that number is derived from.
-    pub routers: RouterCounts,
+    /// By how many routers the burst is divided.
+    pub fleet: FleetCount,
 }
 
 impl Dispatcher {
@@ -71,9 +78,15 @@
 
     /// Returns the state of this router's share of the service's budget.
     pub fn retry_status(&mut self, now: Timestamp, service: &str) -> RetryStatus {
+        let fleet = self.fleet_count(now);
+        let left = self.retry_budget(service).remaining(now, fleet.divided_by);
+        RetryStatus { left, fleet }
+    }
+
+    /// Returns by how many routers the budgets of the fleet are divided.
+    pub fn fleet_count(&self, now: Timestamp) -> FleetCount {
         let divided_by = self.fleet.budget_spenders(now);
-        let left = self.retry_budget(service).remaining(now, divided_by);
-        RetryStatus { left, divided_by, routers: self.fleet.counts() }
+        FleetCount { divided_by, routers: self.fleet.counts() }
     }
 
     pub(super) fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -77,8 +77,8 @@
 pub use directory::BackEndDirectory;
 pub use dispatch::{
     Admission, AdmissionResults, Dispatcher, DispatcherLimits, EARLY_ROUND_PERIOD,
-    ExcludedBackEnds, HEAVIEST_TENANTS, NewPeer, Placement, ROUND_PERIOD, Refusal, RefusalDetails,
-    RefusalReason, RetryStatus, Role, RouterCounts, SpeedChange,
+    ExcludedBackEnds, FleetCount, HEAVIEST_TENANTS, NewPeer, Placement, ROUND_PERIOD, Refusal,
+    RefusalDetails, RefusalReason, RetryStatus, Role, RouterCounts, SpeedChange,
 };
 pub use engine_key::{EngineKey, ParseEngineKeyError};
 pub use evacuation::EvacuatedZones;
--- a/crates/routing/tests/budget_shares.rs
+++ b/crates/routing/tests/budget_shares.rs
@@ -171,7 +171,7 @@
     fleet.rounds(200);
     let now = fleet.now + LIMITS.window;
     for index in 0..LARGE {
-        let divided_by = fleet.router(index).retry_status(now, MODEL).divided_by;
+        let divided_by = fleet.router(index).fleet_count(now).divided_by;
         assert_eq!(divided_by, Some(LARGE), "router {index}");
     }
 }
