Count the routers of a fleet by a registry in the store

What callers saw: routers without seeds, or with themselves as the only one, sent 266 repeats in a window of 4 s where 107 are allowed; with one seed in each half of the fleet 82 of 73 (seven real processes, all links sound).

Cause: a router counted the fleet by the routers that it hears, and met them only at the seeds of its settings. Lists of seeds differ between machines, so parts of a fleet never met and each took itself for the whole; so did all else that divides by the fleet.

Change: one object in the store names the routers. The few that follow the source read it, add whom they hear, by writes on condition, and remove whom has left; the others learn from them how many there are. Registered routers are contacted like seeds, so that parts meet. A count holds for one window of the budget (a lease); a router spends its part a lease after it was registered.

--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -1,10 +1,12 @@
 //! The log events of a router, one line of key=value pairs each; docs/OPERATIONS.md lists them.
 
+mod registry;
 mod retries;
 mod shutdown;
 mod streams;
 mod terminations;
 
+pub use registry::{registry_read, registry_written};
 pub use retries::{fleet_counted, retry, sends_settled};
 pub use shutdown::{StopDecision, StopStage, request_during_stop};
 pub use streams::{
--- a/crates/router/src/events/retries.rs
+++ b/crates/router/src/events/retries.rs
@@ -28,6 +28,7 @@
         heard = routers.heard,
         reported = routers.reported,
         rostered = routers.rostered,
+        registered = routers.registered,
     );
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -50,6 +50,7 @@
 mod quarantine;
 pub mod quarantine_archive;
 pub mod record_archive;
+pub mod registration;
 mod relay;
 pub mod request_arrivals;
 mod request_body;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -160,6 +160,11 @@
     if let PeerMessage::Silence(reports) = &message {
         return silence::apply_reports(router, reports, sender);
     }
+    if let PeerMessage::Registry(notice) = message {
+        let (now, delay) = (router.now(), router.read_delay());
+        let mut dispatcher = router.dispatcher.borrow_mut();
+        return dispatcher.on_registry_notice(now, now.saturating_sub(delay), notice);
+    }
     if let PeerMessage::Origin(message) = message {
         if let Some(reply) = stream_origins::handle(router, sender, message) {
             send(socket, &PeerMessage::Origin(reply), &[sender]).await;
--- a/crates/routing/src/digest.rs
+++ b/crates/routing/src/digest.rs
@@ -1,6 +1,7 @@
 //! Messages that routers send to each other.
 
 use crate::back_end::BackEndId;
+use crate::dispatch::RegistryNotice;
 use crate::load_stats::LoadStats;
 use crate::quarantine::TerminationReport;
 use crate::revision::Revision;
@@ -131,6 +132,8 @@
     Silence(Vec<SilenceReport>),
     /// About the origins of streams.
     Origin(OriginMessage),
+    /// The number of registered routers.
+    Registry(RegistryNotice),
 }
 
 /// A message with its recipients.
--- a/crates/routing/src/dispatch/fleet/mod.rs
+++ b/crates/routing/src/dispatch/fleet/mod.rs
@@ -1,11 +1,13 @@
 //! The other routers of the fleet and the stats that they report.
 
+mod registry;
 mod role;
 mod roster;
 mod rounds;
 mod spenders;
 mod view;
 
+pub use registry::{Registrations, RegistryNotice};
 pub use rounds::HEAVIEST_TENANTS;
 
 use super::aggregation::{Role, tiebreak};
@@ -17,6 +19,7 @@
 use crate::source_watchers::SourceContact;
 use crate::windowed_max::WindowedMax;
 use mastbay_types::Timestamp;
+use registry::RegistryView;
 use roster::RosterEntry;
 use rounds::SumParts;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -145,6 +148,7 @@
     peers: BTreeMap<SocketAddr, Peer>,
     /// Routers among which duties are divided.
     roster: BTreeMap<SocketAddr, RosterEntry>,
+    registry: RegistryView,
     /// Whether any message of another router has arrived since the start.
     has_heard_any: bool,
     /// Numbers of routers that may have been spending budgets, over the window of the budgets.
@@ -189,6 +193,7 @@
             role: Role::default(),
             peers: BTreeMap::new(),
             roster: BTreeMap::new(),
+            registry: RegistryView::new(budget_window),
             has_heard_any: false,
             recent_spenders: WindowedMax::new(budget_window),
             seeds: None,
--- a/crates/routing/src/dispatch/fleet/roster.rs
+++ b/crates/routing/src/dispatch/fleet/roster.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Silence after which a router leaves the roster.
-const ROSTER_TTL: Duration = Duration::from_secs(600);
+pub(super) const ROSTER_TTL: Duration = Duration::from_secs(600);
 /// Time after the start before a router takes on duties, so that a starting fleet discovers all its
 /// routers.
 const STARTUP_GRACE_PERIOD: Duration = Duration::from_secs(3);
@@ -31,6 +31,11 @@
         self.seeds.as_ref().is_none_or(|seeds| !seeds.is_empty())
     }
 
+    /// Returns whether there is no other router: by the registry, and without one by the seeds.
+    fn is_alone(&self) -> bool {
+        if self.registry.is_expected() { self.registry.is_alone() } else { !self.has_seeds() }
+    }
+
     /// Returns the number of routers on the roster, including this one.
     pub fn roster_size(&self) -> usize {
         1 + self.roster.len()
@@ -51,6 +56,7 @@
     /// Updates the roster from a message received directly from a router.
     pub(super) fn update_roster(&mut self, now: Timestamp, state: &RouterState, tiebreak: u64) {
         self.has_heard_any = true;
+        self.registry.on_phase(state.id.address, state.phase);
         if self.seeds.iter().flatten().any(|seed| *seed == state.id.address) {
             self.heard_seeds.insert(state.id.address);
         }
@@ -67,7 +73,7 @@
 
     fn knows_roster(&self, now: Timestamp) -> bool {
         if self.roster.is_empty() {
-            return !self.has_seeds();
+            return self.is_alone();
         }
         let is_settled = now.since(Timestamp::ZERO) >= STARTUP_GRACE_PERIOD;
         let knows_most = self.roster_size() as f64 >= self.size() as f64 * MIN_KNOWN_FRACTION;
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -186,7 +186,11 @@
                 messages
             }
         };
+        if self.contacts_seeds() {
+            self.advertise_registered();
+        }
         messages.extend(self.next_hellos(now, own));
+        messages.extend(self.next_registry_notices(now));
         self.round += 1;
         messages
     }
@@ -365,7 +369,7 @@
     }
 
     /// Returns the routers that report to this one.
-    fn members(&self) -> impl Iterator<Item = (SocketAddr, &HeldStats)> {
+    pub(super) fn members(&self) -> impl Iterator<Item = (SocketAddr, &HeldStats)> {
         self.held.iter().filter_map(|(source, held)| match source {
             StatsSource::Router(address) => Some((*address, held)),
             StatsSource::Members(..) | StatsSource::Fleet(_) => None,
@@ -373,7 +377,7 @@
     }
 
     /// Returns the routers that should be aggregators and those that act as one.
-    fn other_aggregators(&self) -> Vec<SocketAddr> {
+    pub(super) fn other_aggregators(&self) -> Vec<SocketAddr> {
         let mut all: Vec<SocketAddr> = self.expected_sums.keys().copied().collect();
         all.extend(self.held.keys().filter_map(|source| match source {
             StatsSource::Members(address, _) => Some(*address),
@@ -382,7 +386,7 @@
         all
     }
 
-    fn outgoing(&self, message: PeerMessage, mut targets: Vec<SocketAddr>) -> Outgoing {
+    pub(super) fn outgoing(&self, message: PeerMessage, mut targets: Vec<SocketAddr>) -> Outgoing {
         targets.sort_unstable();
         targets.dedup();
         targets.retain(|target| *target != self.me.address);
--- a/crates/routing/src/dispatch/fleet/view.rs
+++ b/crates/routing/src/dispatch/fleet/view.rs
@@ -42,7 +42,12 @@
 
     /// Returns the number of routers by each way in which this one knows them.
     pub fn counts(&self) -> RouterCounts {
-        RouterCounts { heard: self.routers(), reported: self.size(), rostered: self.roster_size() }
+        RouterCounts {
+            heard: self.routers(),
+            reported: self.size(),
+            rostered: self.roster_size(),
+            registered: self.registry.is_expected().then(|| self.registry.routers()),
+        }
     }
 
     pub fn tiebreak(&self) -> u64 {
--- a/crates/routing/src/dispatch/mod.rs
+++ b/crates/routing/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod progress;
 mod ranked_speeds;
 mod ranking_cost;
+mod registry;
 mod releases;
 mod reservation;
 mod retries;
@@ -80,7 +81,9 @@
 use std::rc::Rc;
 
 pub use aggregation::Role;
-pub use fleet::{EARLY_ROUND_PERIOD, HEAVIEST_TENANTS, NewPeer, ROUND_PERIOD};
+pub use fleet::{
+    EARLY_ROUND_PERIOD, HEAVIEST_TENANTS, NewPeer, ROUND_PERIOD, Registrations, RegistryNotice,
+};
 pub use messages::{
     Admission, AdmissionResults, DispatcherLimits, ExcludedBackEnds, Placement, Refusal,
     RefusalDetails, RefusalReason,
--- a/crates/routing/src/dispatch/peers.rs
+++ b/crates/routing/src/dispatch/peers.rs
@@ -32,7 +32,8 @@
                 }
                 None
             }
-            PeerMessage::Ends(_) | PeerMessage::Origin(_) => None,
+            // It is dated by when it arrived, see `on_registry_notice`.
+            PeerMessage::Ends(_) | PeerMessage::Origin(_) | PeerMessage::Registry(_) => None,
         }
     }
 
@@ -48,6 +49,7 @@
             | PeerMessage::Ends(_)
             | PeerMessage::Draining(_)
             | PeerMessage::Silence(_)
+            | PeerMessage::Registry(_)
             | PeerMessage::Origin(_) => None,
         }
     }
--- a/crates/routing/src/dispatch/retries.rs
+++ b/crates/routing/src/dispatch/retries.rs
@@ -22,6 +22,8 @@
     pub reported: usize,
     /// Those that have not said that they leave, also after a long silence.
     pub rostered: usize,
+    /// Those in the registry, 0 if it is not known; `None` if there is no registry.
+    pub registered: Option<usize>,
 }
 
 /// The number of routers that divide a budget of the fleet, as a router counts them.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -78,7 +78,8 @@
 pub use dispatch::{
     Admission, AdmissionResults, Dispatcher, DispatcherLimits, EARLY_ROUND_PERIOD,
     ExcludedBackEnds, FleetCount, HEAVIEST_TENANTS, NewPeer, Placement, ROUND_PERIOD, Refusal,
-    RefusalDetails, RefusalReason, RetryStatus, Role, RouterCounts, SpeedChange,
+    RefusalDetails, RefusalReason, Registrations, RegistryNotice, RetryStatus, Role, RouterCounts,
+    SpeedChange,
 };
 pub use engine_key::{EngineKey, ParseEngineKeyError};
 pub use evacuation::EvacuatedZones;
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -237,6 +237,7 @@
             | PeerMessage::Ends(_)
             | PeerMessage::Draining(_)
             | PeerMessage::Silence(_)
+            | PeerMessage::Registry(_)
             | PeerMessage::Origin(_) => None,
         });
         stats.is_some_and(|stats| stats.service_levels.is_some() && stats.tenants.is_some())
--- a/crates/routing/tests/support/fleet.rs
+++ b/crates/routing/tests/support/fleet.rs
@@ -266,6 +266,7 @@
                 | PeerMessage::Ends(_)
                 | PeerMessage::Draining(_)
                 | PeerMessage::Silence(_)
+                | PeerMessage::Registry(_)
                 | PeerMessage::Origin(_) => false,
             });
             aggregators.extend(sends_sums.then_some(*address));
