Date requests by when the kernel received their bytes

What callers saw: after a pause of 1.5 s a stream was broken off 1.57 s after its request was sent although its caller waits for 3 s (an accepted request that ends early, also around planned work); after a pause of 50 ms an engine was given 45 ms too much; a request whose body came within a later pause counted as 817 ms old instead of 500.

Cause: the age of a request was the time for which the event loop had been late, the earliest moment at which the bytes may have come, or nothing for pauses under 0.1 s.

Change: the listener asks the kernel to record when bytes are received, and after a delay of 25 ms and more a read looks it up before it takes the bytes, on callers' connections and on forwarded ones. The wall clock may be set, so it counts within the longest possible delay only; where nothing is recorded the estimate holds. Without a delay there is no further system call.

A suspended machine is tested as before: both clocks advance.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -5,7 +5,7 @@
 use crate::listener::{ListenerContext, ListenerLimits, OverflowHandler, close_unread, serve};
 use crate::local_body::LocalBody;
 use crate::offload;
-use crate::request_arrivals::ReadDelay;
+use crate::request_arrivals::ReadDelays;
 use crate::router::Router;
 use crate::serve::{Ingress, serve_request};
 use hyper::header::{HeaderName, HeaderValue};
@@ -78,7 +78,7 @@
         overflow,
         stop: router.stop.clone(),
         open: router.open.clone(),
-        read_delay: read_delay(router),
+        read_delays: read_delays(router),
     }
 }
 
@@ -108,7 +108,7 @@
 }
 
 /// Returns how long bytes that are read now may have waited for the router.
-pub fn read_delay(router: &Rc<Router>) -> ReadDelay {
+pub fn read_delays(router: &Rc<Router>) -> ReadDelays {
     let router = router.clone();
     Rc::new(move || router.read_delay())
 }
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -1,14 +1,15 @@
 //! The router's time source: a monotonic clock that includes suspensions of the machine.
 //!
 //! `std::time::Instant` stops during a suspension, so requests would reach back ends with too much
-//! time left, and state from before it would look fresh. Wall-clock time decides nothing.
+//! time left, and state from before it would look fresh. Wall-clock time is only compared with the
+//! times that the kernel records in it.
 
 use mastbay_types::Timestamp;
 use rustix::time::{ClockId, clock_gettime};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-/// The boot-time clock, with an offset for tests.
+/// The boot-time clock and the wall clock, with an offset for tests.
 #[derive(Debug, Default)]
 pub struct Clock {
     /// Offset in microseconds, zero except in tests. Atomic because the HTTP library's timer trait
@@ -19,12 +20,21 @@
 impl Clock {
     /// Returns the time since the machine started, suspensions included.
     pub fn now(&self) -> Timestamp {
-        let now = clock_gettime(ClockId::Boottime);
+        Timestamp::ZERO + self.read(ClockId::Boottime)
+    }
+
+    /// Returns the wall-clock time since the Unix epoch.
+    pub fn wall_clock(&self) -> Duration {
+        self.read(ClockId::Realtime)
+    }
+
+    fn read(&self, clock: ClockId) -> Duration {
+        let now = clock_gettime(clock);
         // Neither part is negative, and `tv_nsec` is below one second.
         let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
         let nanoseconds = u32::try_from(now.tv_nsec).unwrap_or_default();
         let offset = Duration::from_micros(self.offset_micros.load(Ordering::Relaxed));
-        Timestamp::ZERO + Duration::new(seconds, nanoseconds) + offset
+        Duration::new(seconds, nanoseconds) + offset
     }
 
     /// Advances the clock by `span`, as a suspension does.
--- a/crates/router/src/events/mod.rs
+++ b/crates/router/src/events/mod.rs
@@ -416,6 +416,12 @@
     tracing::info!(event = "peer_heard", peer = %peer, routers);
 }
 
+/// Logs that the system does not record when bytes are received, so that the ages of requests are
+/// estimated after delays.
+pub fn receive_times_unknown(error: &std::io::Error) {
+    tracing::info!(event = "receive_times_unknown", error = %error);
+}
+
 /// Logs a changed number of engines for a shared prefix.
 pub fn prefix_ranks_changed(change: &RankChange) {
     tracing::info!(
--- a/crates/router/src/forwarding.rs
+++ b/crates/router/src/forwarding.rs
@@ -12,6 +12,7 @@
 };
 use crate::overflow::OverflowOutcome;
 use crate::own_answers::own_answer_bytes;
+use crate::receive_time::ReadDelay;
 use crate::request_head::{host, parse_head};
 use crate::router::Router;
 use crate::serve::time_allowed;
@@ -106,7 +107,7 @@
             + RETURN_MARGIN
     }
 
-    fn read_delay(&self) -> Duration {
+    fn read_delay(&self) -> ReadDelay {
         self.router.read_delay()
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -49,6 +49,7 @@
 mod pool;
 mod quarantine;
 pub mod quarantine_archive;
+pub mod receive_time;
 pub mod record_archive;
 pub mod registration;
 mod relay;
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -23,8 +23,9 @@
 use crate::events;
 use crate::local_body::LocalBody;
 use crate::offload::{AcceptedCaller, HELLO_LENGTH};
+use crate::receive_time::record_receive_times;
 use crate::request_arrivals::{
-    AgeSource, ArrivalStream, ReadDelay, RequestArrivals, SharedArrivals,
+    AgeSource, ArrivalStream, ReadDating, ReadDelays, RequestArrivals, SharedArrivals,
 };
 use crate::runtime::Runtime;
 use crate::watched_task::{ConnectionKind, Remote, report_excess, watched};
@@ -145,6 +146,9 @@
     // Accepted sockets inherit the size.
     socket.set_send_buffer_size(SEND_BUFFER)?;
     socket.set_nonblocking(true)?;
+    if let Err(error) = record_receive_times(&socket) {
+        events::receive_times_unknown(&error);
+    }
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     let listener: std::net::TcpListener = socket.into();
@@ -160,7 +164,7 @@
     /// Counts the connections.
     pub open: OpenConnections,
     /// How late bytes are read.
-    pub read_delay: ReadDelay,
+    pub read_delays: ReadDelays,
 }
 
 /// Accepts connections until the stop is triggered, then waits until the open ones have finished.
@@ -177,7 +181,7 @@
     H: Fn(Request<MeteredBody>, Duration) -> F + 'static,
     F: Future<Output = Response<LocalBody>> + 'static,
 {
-    let ListenerContext { overflow, stop, open, read_delay } = context;
+    let ListenerContext { overflow, stop, open, read_delays } = context;
     // Each connection holds a sender, so the channel closes when the last one has finished.
     let (alive, all_finished) = smol::channel::bounded::<Infallible>(1);
     loop {
@@ -202,7 +206,7 @@
                 let (handler, alive) = (handler(from), alive.clone());
                 let open_guard = OpenGuard::new(&open);
                 let remote = Remote { kind: ConnectionKind::Caller, address: from };
-                let connected = runtime.now().saturating_sub(read_delay());
+                let connected = runtime.now().saturating_sub(read_delays().estimated);
                 let caller = AcceptedCaller { stream, connected };
                 let serving = ConnectionServer {
                     runtime,
@@ -210,7 +214,7 @@
                     limits,
                     stop: stop.clone(),
                     open: open.clone(),
-                    read_delay: read_delay.clone(),
+                    read_delays: read_delays.clone(),
                 };
                 let task = async move {
                     let result = match overflow {
@@ -290,7 +294,7 @@
     limits: ListenerLimits,
     stop: StopSignal,
     open: OpenConnections,
-    read_delay: ReadDelay,
+    read_delays: ReadDelays,
 }
 
 impl ConnectionServer {
@@ -320,10 +324,10 @@
         let _ = stream.set_nodelay(true);
         let (recorder, from) = (self.open.clone(), self.remote.address);
         let on_write_timeout = Rc::new(move || recorder.record_write_timeout(from));
+        let receive_times = Box::new(stream.clone());
         let stream = WriteTimeoutStream::new(stream, self.runtime, on_write_timeout);
-        let read_delay = self.read_delay.clone();
-        let arrivals = arrivals.clone();
-        ArrivalStream::new(stream, self.runtime, connected, read_delay, arrivals)
+        let dating = ReadDating::new(connected, self.read_delays.clone(), receive_times);
+        ArrivalStream::new(stream, self.runtime, dating, arrivals.clone())
     }
 }
 
--- a/crates/router/src/offload/copy.rs
+++ b/crates/router/src/offload/copy.rs
@@ -8,7 +8,8 @@
 use crate::dialect::OwnAnswer;
 use crate::lingering_close::close_after_answer;
 use crate::listener::StopSignal;
-use crate::request_arrivals::FirstRead;
+use crate::receive_time::ReadDelay;
+use crate::request_arrivals::ReadDating;
 use crate::runtime::Runtime;
 use derive_more::Display;
 use mastbay_types::Timestamp;
@@ -31,7 +32,7 @@
     fn answer_timeout(&self, start: &[u8]) -> Duration;
 
     /// Returns how long bytes that are read now may have waited for this router.
-    fn read_delay(&self) -> Duration;
+    fn read_delay(&self) -> ReadDelay;
 
     /// Records that the connection ended before its peer or its caller asked for it.
     fn on_interruption(&self, _interruption: &Interruption<'_>) {}
@@ -191,11 +192,14 @@
         // The connection works without TCP_NODELAY, too.
         let _ = caller.set_nodelay(true);
         let state = ExchangeState::new(runtime.now());
+        let delayed = forwarded.clone();
+        let read_delays = Rc::new(move || delayed.read_delay());
+        let dating = ReadDating::new(connected, read_delays, Box::new(caller.clone()));
         let copier = RequestCopier {
             runtime,
             caller: caller.clone(),
             peer: self.0.clone(),
-            first_read: FirstRead::new(connected),
+            dating,
             state: state.clone(),
             forwarded: forwarded.clone(),
             stop: stop.clone(),
--- a/crates/router/src/offload/requests.rs
+++ b/crates/router/src/offload/requests.rs
@@ -4,7 +4,7 @@
 use super::copy::{EndReason, ForwardedConnection, StopPhases};
 use super::exchange_state::{ExchangeState, Phase};
 use super::{BUFFER, write_some};
-use crate::request_arrivals::{FirstRead, encode_age};
+use crate::request_arrivals::{ReadDating, encode_age};
 use crate::runtime::Runtime;
 use mastbay_types::Timestamp;
 use smol::future::{FutureExt, yield_now};
@@ -52,7 +52,7 @@
     pub(super) runtime: Runtime,
     pub(super) caller: TcpStream,
     pub(super) peer: TcpStream,
-    pub(super) first_read: FirstRead,
+    pub(super) dating: ReadDating,
     pub(super) state: ExchangeState,
     pub(super) forwarded: Rc<dyn ForwardedConnection>,
     pub(super) stop: StopPhases,
@@ -168,16 +168,17 @@
     }
 
     fn poll_read(&mut self, context: &mut Context<'_>, buffer: &mut [u8]) -> Poll<Option<usize>> {
+        self.dating.before_read(self.runtime);
         let read = poll_read_available(&mut self.caller, context, buffer);
         if read.is_pending() {
-            self.first_read.on_pending();
+            self.dating.on_pending();
         }
         read
     }
 
-    /// Returns the earliest time at which the bytes that were just read may have arrived.
+    /// Returns when the bytes that were just read arrived.
     fn date_read(&mut self) -> Timestamp {
-        self.first_read.date(self.runtime.now(), self.forwarded.read_delay())
+        self.dating.date(self.runtime.now())
     }
 
     /// Copies bytes that arrived at `arrived`.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -161,7 +161,7 @@
         return silence::apply_reports(router, reports, sender);
     }
     if let PeerMessage::Registry(notice) = message {
-        let (now, delay) = (router.now(), router.read_delay());
+        let (now, delay) = (router.now(), router.read_delay().longest);
         let mut dispatcher = router.dispatcher.borrow_mut();
         return dispatcher.on_registry_notice(now, now.saturating_sub(delay), notice);
     }
--- a/crates/router/src/request_arrivals.rs
+++ b/crates/router/src/request_arrivals.rs
@@ -3,6 +3,7 @@
 //! itself.
 
 use crate::message_framing::{MessageFraming, MessageProgress};
+use crate::receive_time::{ReadDelay, ReceiveTimes};
 use crate::runtime::Runtime;
 use mastbay_types::Timestamp;
 use smol::io::AsyncRead;
@@ -31,9 +32,8 @@
     ForwardingRouter,
 }
 
-/// Returns how long bytes that are read now may have waited in a socket, since the event loop was
-/// late.
-pub type ReadDelay = Rc<dyn Fn() -> Duration>;
+/// Returns how long bytes that are read now may have waited in a socket.
+pub type ReadDelays = Rc<dyn Fn() -> ReadDelay>;
 
 /// Dates the first bytes of a connection, which may have waited since it was accepted.
 #[derive(Debug)]
@@ -49,6 +49,11 @@
         Self { connected: Some(connected) }
     }
 
+    /// Returns whether bytes that are read first may have waited since the connection came.
+    pub fn may_have_waited(&self, now: Timestamp) -> bool {
+        self.connected.is_some_and(|connected| connected < now)
+    }
+
     /// Records that a read found nothing.
     pub fn on_pending(&mut self) {
         self.connected = None;
@@ -151,25 +156,60 @@
 /// them.
 pub type SharedArrivals = Rc<RefCell<RequestArrivals>>;
 
+/// Dates what is read from a connection.
+pub struct ReadDating {
+    first_read: FirstRead,
+    delays: ReadDelays,
+    receive_times: Box<dyn ReceiveTimes>,
+    /// How long before the last read its bytes were received, if they may have waited and it is
+    /// known.
+    recorded: Option<Duration>,
+}
+
+impl ReadDating {
+    /// Creates the state of a connection that came at `connected` or later.
+    pub fn new(
+        connected: Timestamp,
+        delays: ReadDelays,
+        receive_times: Box<dyn ReceiveTimes>,
+    ) -> Self {
+        Self { first_read: FirstRead::new(connected), delays, receive_times, recorded: None }
+    }
+
+    /// Prepares for a read: once the bytes are read, the system does not tell any more when they were
+    /// received.
+    pub fn before_read(&mut self, runtime: Runtime) {
+        let may_have_waited =
+            !(self.delays)().longest.is_zero() || self.first_read.may_have_waited(runtime.now());
+        let received_at = may_have_waited.then(|| self.receive_times.received_at()).flatten();
+        self.recorded = received_at.map(|at| runtime.wall_clock().saturating_sub(at));
+    }
+
+    /// Records that a read found nothing.
+    pub fn on_pending(&mut self) {
+        self.first_read.on_pending();
+    }
+
+    /// Returns when the bytes arrived that were read now.
+    pub fn date(&mut self, now: Timestamp) -> Timestamp {
+        let delay = (self.delays)();
+        let estimated = self.first_read.date(now, delay.estimated);
+        delay.date(now, self.recorded.take(), estimated)
+    }
+}
+
 /// A stream that records when requests begin to arrive.
 pub struct ArrivalStream<S> {
     stream: S,
     runtime: Runtime,
-    delay: ReadDelay,
-    first_read: FirstRead,
+    dating: ReadDating,
     arrivals: SharedArrivals,
 }
 
 impl<S> ArrivalStream<S> {
-    /// Wraps the stream of a connection that came at `connected` or later.
-    pub fn new(
-        stream: S,
-        runtime: Runtime,
-        connected: Timestamp,
-        delay: ReadDelay,
-        arrivals: SharedArrivals,
-    ) -> Self {
-        Self { stream, runtime, delay, first_read: FirstRead::new(connected), arrivals }
+    /// Wraps the stream of a connection.
+    pub fn new(stream: S, runtime: Runtime, dating: ReadDating, arrivals: SharedArrivals) -> Self {
+        Self { stream, runtime, dating, arrivals }
     }
 }
 
@@ -180,13 +220,14 @@
         buffer: &mut [u8],
     ) -> Poll<Result<usize>> {
         loop {
+            let runtime = self.runtime;
+            self.dating.before_read(runtime);
             let read = Pin::new(&mut self.stream).poll_read(context, buffer);
             if read.is_pending() {
-                self.first_read.on_pending();
+                self.dating.on_pending();
             }
             let length = ready!(read)?;
-            let (now, delay) = (self.runtime.now(), (self.delay)());
-            let arrived = self.first_read.date(now, delay);
+            let arrived = self.dating.date(runtime.now());
             let kept = self.arrivals.borrow_mut().on_read(arrived, &mut buffer[..length]);
             // Reading nothing would mean the end of the stream.
             if kept > 0 || length == 0 {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,6 +13,7 @@
 use crate::metrics::RouterMetrics;
 use crate::overflow::{OverflowOutcome, OverflowRecorder};
 use crate::pool::Pool;
+use crate::receive_time::ReadDelay;
 use crate::retries::UnansweredSend;
 use crate::runtime::{ALIGNED_TICK_INTERVAL, Runtime};
 use crate::settings::RouterSettings;
@@ -190,9 +191,13 @@
 
     /// Returns how long bytes that are read now may have waited in a socket: a request that lay unread
     /// while the machine was suspended must not get its full timeout again.
-    pub(crate) fn read_delay(&self) -> Duration {
+    pub(crate) fn read_delay(&self) -> ReadDelay {
         let now = self.now();
-        now.since(self.stall_detector.borrow().earliest_arrival(now))
+        let stall_detector = self.stall_detector.borrow();
+        ReadDelay {
+            estimated: now.since(stall_detector.earliest_arrival(now)),
+            longest: stall_detector.longest_wait(now),
+        }
     }
 
     /// Returns how late a timer may fire, by the recent delays of the event loop.
--- a/crates/router/src/runtime.rs
+++ b/crates/router/src/runtime.rs
@@ -88,6 +88,11 @@
         self.timers.clock.now()
     }
 
+    /// Returns the wall-clock time since the Unix epoch.
+    pub(crate) fn wall_clock(self) -> Duration {
+        self.timers.clock.wall_clock()
+    }
+
     /// Advances the clock as if the machine had just been suspended for `span`. For tests.
     pub fn advance_clock(self, span: Duration) {
         self.timers.clock.advance(span);
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -9,6 +9,7 @@
 use crate::operations::{operations, readiness};
 use crate::peers;
 use crate::quarantine;
+use crate::receive_time::ReadDelay;
 use crate::retries;
 use crate::router::Router;
 use crate::shutdown::{LAST_ANSWERS_MIN_TIME, Shutdown, StopSchedule};
@@ -133,7 +134,7 @@
         overflow: close_unread(),
         stop: StopSignal::default(),
         open: OpenConnections::default(),
-        read_delay: Rc::new(|| Duration::ZERO),
+        read_delays: Rc::new(ReadDelay::default),
     };
     let answering = router.clone();
     let handler = move |_, _| {
--- a/crates/router/tests/forwarded_ends.rs
+++ b/crates/router/tests/forwarded_ends.rs
@@ -4,6 +4,7 @@
 
 use mastbay_router::Runtime;
 use mastbay_router::offload::{CopyOutcome, ForwardedConnection, PeerConnection, StopPhases};
+use mastbay_router::receive_time::ReadDelay;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 use std::cell::Cell;
@@ -34,8 +35,8 @@
         ANSWER_TIMEOUT
     }
 
-    fn read_delay(&self) -> Duration {
-        Duration::ZERO
+    fn read_delay(&self) -> ReadDelay {
+        ReadDelay::default()
     }
 }
 
--- a/crates/router/tests/forwarded_requests.rs
+++ b/crates/router/tests/forwarded_requests.rs
@@ -7,6 +7,7 @@
 use mastbay_router::offload::{
     CopyOutcome, EndReason, ForwardedConnection, Interruption, PeerConnection, Stage, StopPhases,
 };
+use mastbay_router::receive_time::ReadDelay;
 use mastbay_router::request_arrivals::{AgeSource, RequestArrivals};
 use mastbay_types::Timestamp;
 use smol::future::FutureExt;
@@ -43,8 +44,8 @@
         self.answer_timeout.get()
     }
 
-    fn read_delay(&self) -> Duration {
-        Duration::ZERO
+    fn read_delay(&self) -> ReadDelay {
+        ReadDelay::default()
     }
 
     fn on_interruption(&self, interruption: &Interruption<'_>) {
--- a/crates/router/tests/offload.rs
+++ b/crates/router/tests/offload.rs
@@ -6,6 +6,7 @@
     CopyOutcome, EndReason, ForwardedConnection, HELLO_LENGTH, OffloadError, PeerConnection,
     StopPhases, connect, hello,
 };
+use mastbay_router::receive_time::ReadDelay;
 use mastbay_router::{Origin, Runtime};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -53,8 +54,8 @@
         self.answer_timeout
     }
 
-    fn read_delay(&self) -> Duration {
-        Duration::ZERO
+    fn read_delay(&self) -> ReadDelay {
+        ReadDelay::default()
     }
 }
 
--- a/crates/router/tests/request_arrivals.rs
+++ b/crates/router/tests/request_arrivals.rs
@@ -1,5 +1,6 @@
 //! When the requests of a connection began, found in the bytes that are read from it.
 
+use mastbay_router::receive_time::ReadDelay;
 use mastbay_router::request_arrivals::{AgeSource, FirstRead, RequestArrivals, encode_age};
 use mastbay_types::Timestamp;
 use quickcheck::quickcheck;
@@ -97,3 +98,24 @@
         kept == [FIRST, SECOND, FIRST].concat() && begun == vec![at(300); 3]
     }
 }
+
+/// Guards against taking the earliest time at which bytes may have come for the time at which they did.
+#[test]
+fn bytes_are_dated_by_when_they_were_received_if_it_is_known() {
+    let delay = ReadDelay {
+        estimated: Duration::from_millis(1_500),
+        longest: Duration::from_millis(1_520),
+    };
+    let recorded = Some(Duration::from_millis(70));
+    assert_eq!(delay.date(at(5_000), recorded, at(3_500)), at(4_930));
+    assert_eq!(delay.date(at(5_000), None, at(3_500)), at(3_500));
+}
+
+/// Guards against ages of any length after the clock of the day was set.
+#[test]
+fn bytes_are_dated_within_the_time_for_which_the_router_was_late() {
+    let recorded = Some(Duration::from_secs(3_600));
+    let late = ReadDelay { estimated: Duration::ZERO, longest: Duration::from_millis(50) };
+    assert_eq!(late.date(at(5_000), recorded, at(5_000)), at(4_950));
+    assert_eq!(ReadDelay::default().date(at(5_000), recorded, at(4_800)), at(4_800));
+}
--- a/crates/router/tests/support/forwarded.rs
+++ b/crates/router/tests/support/forwarded.rs
@@ -4,6 +4,7 @@
 use mastbay_router::offload::{
     AcceptedCaller, ForwardedConnection, PeerConnection, connect, hello,
 };
+use mastbay_router::receive_time::ReadDelay;
 use mastbay_router::request_arrivals::AGE_LENGTH;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -21,8 +22,8 @@
         Duration::from_secs(60)
     }
 
-    fn read_delay(&self) -> Duration {
-        Duration::ZERO
+    fn read_delay(&self) -> ReadDelay {
+        ReadDelay::default()
     }
 }
 
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -12,6 +12,8 @@
 const RECOVERY_PERIOD: Duration = Duration::from_millis(150);
 /// Minimum time between two ticks in which messages may have waited for long.
 const MIN_DELAY: Duration = Duration::from_millis(100);
+/// Minimum time between two ticks in which messages may have waited at all. Ticks are 20 ms apart.
+const MIN_WAIT: Duration = Duration::from_millis(25);
 /// Time for which a delay says how late the event loop may be again.
 const LATENESS_MEMORY: Duration = Duration::from_secs(3);
 /// Maximum time for which requests wait for updates after a stall: a failed call and a second one.
@@ -100,6 +102,15 @@
         delay.into_iter().chain(stall.map(|stall| stall.began)).min().unwrap_or(now)
     }
 
+    /// Returns the longest time for which a message that is read now may have waited; zero if the
+    /// event loop was not late. Unlike [`Self::earliest_arrival`], it counts short delays, too.
+    pub fn longest_wait(&self, now: Timestamp) -> Duration {
+        let current = now.since(self.last_tick);
+        let last = self.last_tick.since(self.previous_tick);
+        let short = if current.max(last) >= MIN_WAIT { current + last } else { Duration::ZERO };
+        short.max(now.since(self.earliest_arrival(now)))
+    }
+
     /// Returns the earliest time at which a signal that is read now may have arrived. After any delay
     /// of the event loop, however short, at most one tick precedes the reading of signals.
     pub fn earliest_signal(&self, now: Timestamp) -> Timestamp {
--- a/crates/routing/tests/stall.rs
+++ b/crates/routing/tests/stall.rs
@@ -136,3 +136,17 @@
     }
     assert_eq!(detector.earliest_signal(millis(2_090)), millis(40));
 }
+
+/// Guards against messages that wait for less than a delay counts for, and are taken for new ones.
+#[test]
+fn the_longest_wait_counts_short_delays_of_the_event_loop() {
+    let mut detector = running_until(1_000);
+    assert_eq!(detector.longest_wait(at(1_019)), Duration::ZERO);
+    assert_eq!(detector.longest_wait(at(1_060)), Duration::from_millis(80), "before any tick");
+    detector.on_tick(at(1_060));
+    assert_eq!(detector.longest_wait(at(1_070)), Duration::from_millis(70));
+    detector.on_tick(at(1_080));
+    assert_eq!(detector.longest_wait(at(1_090)), Duration::ZERO);
+    detector.on_tick(at(4_080));
+    assert_eq!(detector.longest_wait(at(4_090)), Duration::from_millis(3_010));
+}
