--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod archive_reads;
 mod availability;
 mod back_end_notices;
+pub mod backoff;
 pub mod body_budget;
 mod broken_connections;
 mod buffered_answer;
--- a/crates/router/src/registration.rs
+++ b/crates/router/src/registration.rs
@@ -5,6 +5,7 @@
 //! remove those that have left. The others learn from them how many routers there are.
 
 use crate::availability::Availability;
+use crate::backoff::Backoff;
 use crate::events;
 use crate::router::Router;
 use mastbay_routing::Registrations;
@@ -14,8 +15,8 @@
 
 /// Interval between checks whether the registry must be changed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Backoff after the first failed or conflicting call in a row, and the maximum. It doubles with
-/// each call, since routers that have not met yet all change the registry.
+/// First and longest backoff after failed or conflicting calls. Routers that have not met yet all
+/// change the registry.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(3));
 
 /// Result of writing the registry.
@@ -53,7 +54,7 @@
 
 async fn follow<S: RegistryStore>(router: &Router, store: &S) {
     let mut availability = Availability::new("registry");
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
     let mut is_read = false;
     loop {
         router.until_following_source().await;
@@ -64,11 +65,11 @@
             Ok(()) => {
                 // The next call waits for a change of what was read.
                 is_read = true;
-                backoff = Backoff::default();
+                backoff.reset();
             }
             Err(_) => {
                 is_read = false;
-                router.runtime.sleep(backoff.next()).await;
+                router.runtime.sleep(backoff.next_delay()).await;
             }
         }
     }
@@ -93,7 +94,7 @@
 }
 
 async fn maintain<S: RegistryStore>(router: &Router, store: &S) {
-    let mut backoff = Backoff::default();
+    let mut backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
     loop {
         let pause = CHECK_INTERVAL.mul_f64(0.5 + rand::random::<f64>());
         router.runtime.sleep(pause).await;
@@ -106,26 +107,13 @@
         match store.write(&update).await {
             Ok(RegistryWrite::Applied) => {
                 events::registry_written(&update);
-                backoff = Backoff::default();
+                backoff.reset();
                 // What was written is read before it is compared again.
                 router.runtime.sleep(CHECK_INTERVAL).await;
             }
-            Ok(RegistryWrite::Conflict) | Err(_) => router.runtime.sleep(backoff.next()).await,
+            Ok(RegistryWrite::Conflict) | Err(_) => {
+                router.runtime.sleep(backoff.next_delay()).await
+            }
         }
     }
 }
-
-/// Delays with jitter between calls that fail.
-#[derive(Debug, Default)]
-struct Backoff {
-    failures: u32,
-}
-
-impl Backoff {
-    fn next(&mut self) -> Duration {
-        let (first, max) = BACKOFF;
-        let delay = first.saturating_mul(1 << self.failures.min(8)).min(max);
-        self.failures += 1;
-        delay.mul_f64(0.5 + rand::random::<f64>())
-    }
-}
