--- a/crates/routing/src/dispatch/fleet/registry.rs
+++ b/crates/routing/src/dispatch/fleet/registry.rs
@@ -81,8 +81,8 @@
     read: Registrations,
     /// Registered routers that this one does not hear, and since when.
     unheard_since: BTreeMap<SocketAddr, Timestamp>,
-    /// Routers that have said that they leave.
-    left: BTreeSet<SocketAddr>,
+    /// Routers that have said that they leave, and when.
+    left: BTreeMap<SocketAddr, Timestamp>,
     /// When notices were last sent, and for which revision.
     notified: Option<(Timestamp, Revision)>,
 }
@@ -97,7 +97,7 @@
             registered_since: None,
             read: Registrations::default(),
             unheard_since: BTreeMap::new(),
-            left: BTreeSet::new(),
+            left: BTreeMap::new(),
             notified: None,
         }
     }
@@ -159,23 +159,27 @@
     }
 
     /// Records the phase that a router has told.
-    pub fn on_phase(&mut self, router: SocketAddr, phase: RouterPhase) {
+    pub fn on_phase(&mut self, now: Timestamp, router: SocketAddr, phase: RouterPhase) {
         if phase == RouterPhase::Leaving {
-            self.left.insert(router);
+            self.left.insert(router, now);
         } else if !self.left.is_empty() {
             self.left.remove(&router);
         }
     }
 
+    /// Forgets routers that left long ago.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.left.retain(|_, at| now.since(*at) <= ROSTER_TTL);
+    }
+
     /// Returns the registered routers that are gone, by those that are `heard`.
     fn obsolete(&mut self, now: Timestamp, heard: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
         let unheard: BTreeSet<SocketAddr> = self.read.routers.difference(heard).copied().collect();
         self.unheard_since.retain(|router, _| unheard.contains(router));
-        self.left.retain(|router| unheard.contains(router));
         for router in unheard {
             self.unheard_since.entry(router).or_insert(now);
         }
-        let ttl = |router| if self.left.contains(router) { MIN_PEER_TTL } else { ROSTER_TTL };
+        let ttl = |router| if self.left.contains_key(router) { MIN_PEER_TTL } else { ROSTER_TTL };
         let unheard = self.unheard_since.iter();
         let gone = unheard.filter(|(router, since)| now.since(**since) >= ttl(router));
         gone.map(|(router, _)| *router).collect()
--- a/crates/routing/src/dispatch/fleet/roster.rs
+++ b/crates/routing/src/dispatch/fleet/roster.rs
@@ -56,7 +56,7 @@
     /// Updates the roster from a message received directly from a router.
     pub(super) fn update_roster(&mut self, now: Timestamp, state: &RouterState, tiebreak: u64) {
         self.has_heard_any = true;
-        self.registry.on_phase(state.id.address, state.phase);
+        self.registry.on_phase(now, state.id.address, state.phase);
         if self.seeds.iter().flatten().any(|seed| *seed == state.id.address) {
             self.heard_seeds.insert(state.id.address);
         }
@@ -69,6 +69,7 @@
 
     pub(super) fn expire_roster(&mut self, now: Timestamp) {
         self.roster.retain(|_, entry| now.since(entry.last_seen) <= ROSTER_TTL);
+        self.registry.expire(now);
     }
 
     fn knows_roster(&self, now: Timestamp) -> bool {
