Let one router read the registry for all, and aggregators tell their members

By reading: in a fleet with aggregators only the three that read told their members, so members of the others had no part of any burst.

The router with the lowest address among those that read goes on; it tells the others, or the other aggregators, the whole list, and they leave reading to it until it stops or its last confirmation is 0.6 leases old. Aggregators tell their members how many routers there are. A router reads first after a random delay.

--- a/crates/router/src/registration.rs
+++ b/crates/router/src/registration.rs
@@ -13,8 +13,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Interval between checks whether the registry must be changed.
+/// Interval between checks whether the registry must be read or changed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Maximum random delay before the first call. Meanwhile another router may have told what it reads.
+const MAX_START_DELAY: Duration = Duration::from_millis(600);
 /// First and longest backoff after failed or conflicting calls. Routers that have not met yet all
 /// change the registry.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(3));
@@ -56,8 +58,10 @@
     let mut availability = Availability::new("registry");
     let mut backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
     let mut is_read = false;
+    router.until_following_source().await;
+    router.runtime.sleep(MAX_START_DELAY.mul_f64(rand::random())).await;
     loop {
-        router.until_following_source().await;
+        until_reader(router).await;
         let result =
             if is_read { follow_changes(router, store).await } else { read(router, store).await };
         availability.observe(&result);
@@ -75,6 +79,15 @@
     }
 }
 
+/// Waits until this router is the one that reads the registry for all.
+async fn until_reader(router: &Router) {
+    router.until_following_source().await;
+    while !router.dispatcher.borrow().reads_registry(router.now()) {
+        router.runtime.sleep(CHECK_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
+        router.until_following_source().await;
+    }
+}
+
 async fn read<S: RegistryStore>(router: &Router, store: &S) -> Result<(), S::Error> {
     let began = router.now();
     let read = store.read().await?;
--- a/crates/routing/src/dispatch/fleet/registry.rs
+++ b/crates/routing/src/dispatch/fleet/registry.rs
@@ -1,9 +1,9 @@
 //! The registry of the fleet's routers, as far as this router knows it.
 //!
 //! Parts of a fleet that never hear each other would each take themselves for the whole, so routers
-//! are not only counted by their messages. The routers that follow the source read the registry,
-//! add the routers that they hear, and tell the others how many it holds. A router relies on what it
-//! knows for one lease. One that was added spends its shares after a lease: by then, each other
+//! are not only counted by their messages. One of the routers that follow the source reads the
+//! registry, adds the routers that it hears, and tells the others; each aggregator tells its members
+//! how many routers there are. A router relies on what it knows for one lease. One that was added spends its shares after a lease: by then, each other
 //! router either counts it or knows that its own count is not confirmed any more.
 
 use super::roster::ROSTER_TTL;
@@ -11,6 +11,7 @@
 use crate::digest::{Outgoing, PeerMessage, RouterPhase};
 use crate::dispatch::aggregation::Role;
 use crate::revision::Revision;
+use crate::source_watchers::SourceContact;
 use mastbay_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,8 +20,11 @@
 
 /// Minimum time for which a count is relied on, with budgets of shorter windows.
 const MIN_LEASE: Duration = Duration::from_secs(1);
-/// Notices per lease, so that two in a row may be lost.
-const NOTICES_PER_LEASE: u32 = 5;
+/// Notices per lease. A member of an aggregator gets them at second hand, and some may be lost.
+const NOTICES_PER_LEASE: u32 = 8;
+/// Time for which a router leaves reading to another one that reads, as a fraction of the lease. The
+/// rest is for reading itself once the other one has failed.
+const DEFERRAL_FRACTION: f64 = 0.6;
 /// Longest wait for a change of the registry, as a fraction of the lease. The rest is for the call
 /// itself, a repeated one and the notices.
 const WATCH_FRACTION: f64 = 0.3;
@@ -34,9 +38,11 @@
     pub routers: BTreeSet<SocketAddr>,
 }
 
-/// What a router that reads the registry tells another one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// What a router that knows the registry tells another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegistryNotice {
+    /// The sender's address for messages of peers.
+    pub sender: SocketAddr,
     /// Revision of the registry.
     pub revision: Revision,
     /// Time since the registry was known to be at this revision, in milliseconds.
@@ -45,6 +51,11 @@
     pub routers: u32,
     /// Whether the receiver is one of them.
     pub includes_receiver: bool,
+    /// Whether the sender reads the registry.
+    pub is_reading: bool,
+    /// All of them; empty in notices to the members of an aggregator.
+    #[serde(with = "crate::address_list")]
+    pub listed: Vec<SocketAddr>,
 }
 
 /// How far this router's count of the registered routers can be relied on.
@@ -77,8 +88,12 @@
     known: Option<KnownRegistry>,
     /// Since when this router is known to be registered.
     registered_since: Option<Timestamp>,
-    /// The registry as this router last read it itself.
+    /// The latest registry whose routers this one knows by address.
     read: Registrations,
+    /// Start of this router's last call that found the registry at the latest known revision.
+    own_confirmed: Option<Timestamp>,
+    /// The router that reads the registry for this one, and until when.
+    deferral: Option<(SocketAddr, Timestamp)>,
     /// Registered routers that this one does not hear, and since when.
     unheard_since: BTreeMap<SocketAddr, Timestamp>,
     /// Routers that have said that they leave, and when.
@@ -96,6 +111,8 @@
             known: None,
             registered_since: None,
             read: Registrations::default(),
+            own_confirmed: None,
+            deferral: None,
             unheard_since: BTreeMap::new(),
             left: BTreeMap::new(),
             notified: None,
@@ -152,12 +169,37 @@
         true
     }
 
-    /// Returns the registry as this router has read it, if that is the latest known revision.
+    /// Returns the registered routers, if they are known by address at the latest known revision.
     fn latest_read(&self) -> Option<&Registrations> {
         let known = self.known?;
         (self.read.revision == known.revision).then_some(&self.read)
     }
 
+    /// Returns whether no other router has confirmed the latest known revision later.
+    fn is_latest_reader(&self) -> bool {
+        let confirmed = self.known.map(|known| known.confirmed);
+        confirmed.is_some() && self.own_confirmed == confirmed
+    }
+
+    /// Leaves reading to the sender of a notice for a while, unless that one has stopped to read. Of
+    /// two routers that read, the one with the higher address does so.
+    fn defer(&mut self, now: Timestamp, me: SocketAddr, notice: &RegistryNotice, age: Duration) {
+        let sender = notice.sender;
+        if !notice.is_reading {
+            self.deferral = self.deferral.filter(|(reader, _)| *reader != sender);
+            return;
+        }
+        let span = self.lease.mul_f64(DEFERRAL_FRACTION);
+        // A router that is not registered yet sees to it itself.
+        if notice.includes_receiver && sender < me && age < span {
+            self.deferral = Some((sender, now + (span - age)));
+        }
+    }
+
+    fn is_deferring(&self, now: Timestamp) -> bool {
+        self.deferral.is_some_and(|(_, until)| now < until)
+    }
+
     /// Records the phase that a router has told.
     pub fn on_phase(&mut self, now: Timestamp, router: SocketAddr, phase: RouterPhase) {
         if phase == RouterPhase::Leaving {
@@ -213,14 +255,21 @@
         let includes_self = read.routers.contains(&self.me.address);
         if self.registry.observe(now, observed, includes_self) {
             self.registry.read = read;
+            self.registry.own_confirmed = Some(began);
         }
     }
 
+    /// Returns whether this router should read the registry, if it follows the source.
+    pub fn reads_registry(&self, now: Timestamp) -> bool {
+        !self.registry.is_deferring(now)
+    }
+
     /// Records that a call which began at `began` found the registry unchanged since it was read.
     pub fn on_registry_unchanged(&mut self, began: Timestamp) {
         let revision = self.registry.read.revision;
         if let Some(known) = self.registry.known.as_mut().filter(|it| it.revision == revision) {
             known.confirmed = known.confirmed.max(began);
+            self.registry.own_confirmed = Some(began);
         }
     }
 
@@ -231,19 +280,25 @@
         arrived: Timestamp,
         notice: RegistryNotice,
     ) {
-        let age = Duration::from_millis(notice.age_millis.into());
+        let age = Duration::from_millis(notice.age_millis.into()) + now.since(arrived);
         let observed = KnownRegistry {
             revision: notice.revision,
-            confirmed: arrived.saturating_sub(age),
+            confirmed: now.saturating_sub(age),
             routers: notice.routers as usize,
         };
-        self.registry.observe(now, observed, notice.includes_receiver);
+        let is_current = self.registry.observe(now, observed, notice.includes_receiver);
+        if !is_current || notice.listed.is_empty() {
+            return;
+        }
+        self.registry.defer(now, self.me.address, &notice, age);
+        let routers = notice.listed.into_iter().collect();
+        self.registry.read = Registrations { revision: notice.revision, routers };
     }
 
     /// Returns what the registry should hold instead of what this router has read, if it should be
     /// changed. The revision is the one that was read.
     pub fn registry_update(&mut self, now: Timestamp, phase: RouterPhase) -> Option<Registrations> {
-        self.registry.latest_read()?;
+        self.registry.latest_read().filter(|_| self.reads_registry(now))?;
         let peers = self.peers.iter();
         let present = peers.filter(|(_, peer)| peer.state.phase != RouterPhase::Leaving);
         let mut heard: BTreeSet<SocketAddr> = present.map(|(address, _)| *address).collect();
@@ -265,36 +320,52 @@
         }
     }
 
-    /// Returns this round's notices, if any are due: in a mesh to all peers, from an aggregator to
-    /// its members and the other aggregators.
-    pub fn next_registry_notices(&mut self, now: Timestamp) -> Vec<Outgoing> {
+    /// Returns this round's notices, if any are due. The router that reads the registry tells its
+    /// peers in a mesh, or the other aggregators; each aggregator tells its members.
+    pub fn next_registry_notices(
+        &mut self,
+        now: Timestamp,
+        contact: SourceContact,
+    ) -> Vec<Outgoing> {
+        let is_reading = self.watches_source(now, contact) && self.reads_registry(now);
         let (Some(known), Some(read)) = (self.registry.known, self.registry.latest_read()) else {
             return Vec::new();
         };
         if !self.registry.is_notice_due(now, known.revision) {
             return Vec::new();
         }
-        let targets: Vec<SocketAddr> = match self.role {
+        let equals: Vec<SocketAddr> = match self.role {
             Role::Mesh => self.peers.keys().copied().collect(),
-            Role::Aggregator => {
-                let members = self.members().map(|(member, _)| member);
-                members.chain(self.other_aggregators()).collect()
-            }
+            Role::Aggregator => self.other_aggregators(),
             Role::Member(_) => Vec::new(),
         };
-        let (included, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
-            targets.into_iter().partition(|target| read.routers.contains(target));
+        let equals = if self.registry.is_latest_reader() { equals } else { Vec::new() };
+        let members: Vec<SocketAddr> = match self.role {
+            Role::Aggregator => self.members().map(|(member, _)| member).collect(),
+            Role::Mesh | Role::Member(_) => Vec::new(),
+        };
+        let listed: Vec<SocketAddr> = read.routers.iter().copied().collect();
         let age = now.since(known.confirmed).as_millis();
-        let notice = |includes_receiver| {
+        let notice = |includes_receiver, listed| {
             PeerMessage::Registry(RegistryNotice {
+                sender: self.me.address,
                 revision: known.revision,
                 age_millis: u32::try_from(age).unwrap_or(u32::MAX),
                 routers: u32::try_from(known.routers).unwrap_or(u32::MAX),
                 includes_receiver,
+                is_reading,
+                listed,
             })
         };
-        let messages =
-            [self.outgoing(notice(true), included), self.outgoing(notice(false), others)];
+        let is_registered = |target: &SocketAddr| read.routers.contains(target);
+        let (registered_equals, other_equals) = equals.into_iter().partition(is_registered);
+        let (registered_members, other_members) = members.into_iter().partition(is_registered);
+        let messages = [
+            self.outgoing(notice(true, listed.clone()), registered_equals),
+            self.outgoing(notice(false, listed), other_equals),
+            self.outgoing(notice(true, Vec::new()), registered_members),
+            self.outgoing(notice(false, Vec::new()), other_members),
+        ];
         self.registry.notified = Some((now, known.revision));
         messages.into_iter().filter(|message| !message.targets.is_empty()).collect()
     }
--- a/crates/routing/src/dispatch/fleet/rounds.rs
+++ b/crates/routing/src/dispatch/fleet/rounds.rs
@@ -190,7 +190,7 @@
             self.advertise_registered();
         }
         messages.extend(self.next_hellos(now, own));
-        messages.extend(self.next_registry_notices(now));
+        messages.extend(self.next_registry_notices(now, own.contact));
         self.round += 1;
         messages
     }
--- a/crates/routing/src/dispatch/registry.rs
+++ b/crates/routing/src/dispatch/registry.rs
@@ -13,6 +13,12 @@
         self.fleet.expect_registry();
     }
 
+    /// Returns whether this router should read the registry, if it follows the source: one router
+    /// does so for all.
+    pub fn reads_registry(&self, now: Timestamp) -> bool {
+        self.fleet.reads_registry(now)
+    }
+
     /// Returns the longest time to wait for a change of the registry with one call.
     pub fn registry_wait(&self) -> Duration {
         self.fleet.registry_wait()
--- a/crates/routing/tests/registry_shares.rs
+++ b/crates/routing/tests/registry_shares.rs
@@ -17,6 +17,8 @@
 
 const LIMITS: BudgetLimits =
     BudgetLimits { ratio: 0.2, window: Duration::from_secs(10), burst: 54.0 };
+/// Zones of a fleet, each with aggregators of its own in a large one.
+const ZONES: usize = 4;
 /// Time within which routers that have met divide the burst among all of them: a lease, and the time
 /// to register and to tell it.
 const SETTLING_TIME: Duration = Duration::from_secs(15);
@@ -62,6 +64,8 @@
     nodes: Vec<Node>,
     registry: Registrations,
     random: ChaCha8Rng,
+    /// Reads of the registry by all routers.
+    reads: usize,
     /// The largest sum of the parts of the burst that routers had at one time.
     largest_sum: f64,
 }
@@ -74,6 +78,7 @@
             nodes: Vec::new(),
             registry: Registrations::default(),
             random,
+            reads: 0,
             largest_sum: 0.0,
         };
         (0..size).for_each(|_| fleet.add(size, lists));
@@ -85,6 +90,7 @@
         let index = self.nodes.len();
         let own = address(index);
         let limits = DispatcherLimits {
+            zone: format!("zone-{}", index % ZONES),
             budget: LIMITS,
             burst_from: Timestamp::ZERO + LIMITS.window,
             ..limits()
@@ -151,7 +157,7 @@
         let node = &mut self.nodes[receiver];
         let now = node.clock(self.now);
         if let PeerMessage::Registry(notice) = message {
-            node.router.on_registry_notice(now, now, *notice);
+            node.router.on_registry_notice(now, now, notice.clone());
             return Vec::new();
         }
         let mut responses: Vec<Outgoing> =
@@ -178,12 +184,17 @@
             return;
         }
         node.router.on_source_contact(SourceContact::Answered);
+        if !node.router.reads_registry(now) {
+            node.last_read = now;
+            return;
+        }
         // A change is told within a round, and a call that finds none lasts for its whole wait.
         let is_due = now.since(node.last_read) >= node.router.registry_wait();
         if is_due || node.read_revision != Some(self.registry.revision) {
             node.router.on_registry_read(now, node.last_read, self.registry.clone());
             node.last_read = now;
             node.read_revision = Some(self.registry.revision);
+            self.reads += 1;
         }
         if writes && let Some(update) = node.router.registry_update(now, RouterPhase::Serving) {
             assert_eq!(update.revision, self.registry.revision, "a conflict in one thread");
@@ -261,6 +272,34 @@
     }
 }
 
+/// Guards against calls to the registry by many routers for the same answer.
+#[test]
+fn one_router_reads_the_registry_for_all() {
+    for size in [7, 24, 120] {
+        let mut fleet = Fleet::new(size, SeedLists::OneInEachOf(1), 1);
+        fleet.run(SETTLING_TIME);
+        fleet.reads = 0;
+        let span = Duration::from_secs(60);
+        fleet.run(span);
+        let by_one = span.div_duration_f64(fleet.nodes[0].router.registry_wait());
+        println!("{size} routers: {} reads, {by_one} by one router", fleet.reads);
+        assert!(fleet.reads as f64 <= 1.5 * by_one, "{size} routers: {} reads", fleet.reads);
+    }
+}
+
+/// Guards against a fleet whose count is not confirmed any more after the reader has gone.
+#[test]
+fn another_router_reads_the_registry_when_the_reader_can_not() {
+    let mut fleet = Fleet::new(24, SeedLists::OneInEachOf(1), 1);
+    fleet.run(SETTLING_TIME);
+    for unreachable in 0..20 {
+        fleet.nodes[unreachable].reaches_registry = false;
+        fleet.run(Duration::from_secs(4));
+        let sum = fleet.sum_of_parts();
+        assert!((sum - 1.0).abs() < 1e-9, "{unreachable}: parts add up to {sum}");
+    }
+}
+
 /// Guards against a router that takes itself for the whole fleet while the registry can't be read.
 #[test]
 fn routers_without_a_registry_that_was_read_have_no_part() {
