--- a/crates/routing/src/dispatch/fleet/registry.rs
+++ b/crates/routing/src/dispatch/fleet/registry.rs
@@ -24,10 +24,10 @@
 const NOTICES_PER_LEASE: u32 = 8;
 /// Time for which a router leaves reading to another one that reads, as a fraction of the lease. The
 /// rest is for reading itself once the other one has failed.
-const DEFERRAL_FRACTION: f64 = 0.6;
+const DEFERRAL_FRACTION: f64 = 0.65;
 /// Longest wait for a change of the registry, as a fraction of the lease. The rest is for the call
 /// itself, a repeated one and the notices.
-const WATCH_FRACTION: f64 = 0.3;
+const WATCH_FRACTION: f64 = 0.2;
 
 /// The registered routers at one revision of the registry.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
