--- a/review/stand-in-2.rs
+++ b/review/stand-in-2.rs
@@ -704,14 +704,15 @@
     tenant: &'static str,
     key: &'static str,
     /// Further header lines.
-    lines: &'static str,
+    lines: String,
     connection: Option<BufReader<TcpStream>>,
     count: usize,
 }
 
 impl Client {
-    fn new(number: usize, router: SocketAddr, lines: &'static str) -> Self {
+    fn new(number: usize, router: SocketAddr, lines: &str) -> Self {
         let (tenant, key) = [("rangers", "key-rangers-1"), ("offices", "key-offices-1")][number % 2];
+        let lines = lines.to_owned();
         Self { number, router, tenant, key, lines, connection: None, count: 0 }
     }
 
@@ -987,12 +988,71 @@
     Ok(Verdict { is_broken: others > 0, text })
 }
 
+/// DENIED: requests that every configuration in force allows are refused, since their connections
+/// were accepted under an earlier one.
+fn denied(setup: &Setup) -> Result<Verdict> {
+    let record = &setup.record;
+    let store = Store::start(LOCAL.into())?;
+    let earlier = match setup.has_trouble {
+        true => CONFIGURATION.replace("\"maxHeaderBytes\":16384", "\"maxHeaderBytes\":4096"),
+        false => CONFIGURATION.to_owned(),
+    };
+    store.put("config", "main", &earlier);
+    for number in 0..3 {
+        let name = format!("i-permits-{number}");
+        Engine::start(&name, "permits", SocketAddr::from((LOCAL, 0)), None, record)?
+            .register(&store);
+    }
+    let places = Places::find(2)?;
+    let routers = places.start(&setup.edge, &store, &setup.temporary)?;
+    record.note("two routers are ready; traffic begins");
+    let start = record.now();
+    // A long header, such as a session that has grown: 10 KB, of 16 KB that are allowed.
+    let long = format!("Session: {}\r\n", "s".repeat(10_000));
+    let (changed, grown, end) = (start + 3.0, start + 8.0, start + 11.0);
+    let threads: Vec<_> = (0..24)
+        .map(|number| {
+            let (record, long) = (record.clone(), long.clone());
+            let mut client = Client::new(number, routers[number % 2].callers, "");
+            thread::spawn(move || {
+                while record.now() < end {
+                    if record.now() >= grown {
+                        client.lines = long.clone();
+                    }
+                    client.send(&record);
+                    thread::sleep(Duration::from_millis(500));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs_f64((changed - record.now()).max(0.0)));
+    if setup.has_trouble {
+        store.put("config", "main", &CONFIGURATION.replace("\"serial\":7", "\"serial\":8"));
+        record.note("version 8 is acknowledged: maxHeaderBytes 16384 in place of 4096");
+    }
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    end_processes();
+    let sent = record.sent.lock().unwrap();
+    let is_denied = |sent: &&Sent| {
+        matches!(sent.outcome, Ok(300..=499)) && !matches!(sent.outcome, Ok(408 | 421 | 429))
+    };
+    let denied = sent.values().filter(is_denied).count();
+    let allowed = 5 + sent.len() / 500;
+    drop(sent);
+    let text = format!(
+        "{}; {denied} proper requests were ended with a 4xx of the routers' own, {allowed} are allowed",
+        summary(record)
+    );
+    Ok(Verdict { is_broken: denied > allowed, text })
+}
+
 fn run(case: &str, setup: &Setup) -> Result<Verdict> {
     match case {
         "twice" => twice(setup),
         "promised" => promised(setup),
         "route" => route(setup),
         "tenant" => tenant(setup),
+        "denied" => denied(setup),
         _ => Err(broken("no such case")),
     }
 }
