--- a/review/stand-in-2.rs
+++ b/review/stand-in-2.rs
@@ -611,6 +611,15 @@
     }
 }
 
+/// Has a process ended if this one is ended from outside.
+fn guard(process: u32) {
+    let script = "while kill -0 $1; do kill -0 $0 || { kill -9 $1; break; }; sleep 0.5; done";
+    let (own, process) = (std::process::id().to_string(), process.to_string());
+    let mut watcher = Command::new("sh");
+    watcher.args(["-c", script, &own, &process]);
+    let _ = watcher.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+}
+
 /// A `mastbay-edge` process.
 struct Router {
     callers: SocketAddr,
@@ -664,7 +673,9 @@
             let log = std::fs::File::create(temporary.join(format!("router-{number}.log")))?;
             let mut command = Command::new(edge);
             command.arg(&path).stdin(Stdio::null()).stderr(log.try_clone()?).stdout(log);
-            PROCESSES.lock().unwrap().push(command.spawn()?);
+            let process = command.spawn()?;
+            guard(process.id());
+            PROCESSES.lock().unwrap().push(process);
             routers.push(Router {
                 callers: SocketAddr::from((*ip, port + 1)),
                 readiness: SocketAddr::from((*ip, port + 2)),
