--- a/review/stand-in-2.rs
+++ b/review/stand-in-2.rs
@@ -6,7 +6,7 @@
 //! starts the case, writes FOLDER/record.txt and exits with 1 if the rule was broken, 0 if it held and
 //! 2 if the case could not run. With TROUBLE=0 in the environment the disruption is left out.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Error, ErrorKind, Result, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -477,6 +477,273 @@
     connections: Mutex<Vec<TcpStream>>,
 }
 
+impl Engine {
+    fn start(
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        more: Option<Arc<MoreBytes>>,
+        record: &Arc<Record>,
+    ) -> Result<Arc<Self>> {
+        let listener = bind_reusable(address)?;
+        let address = listener.local_addr()?;
+        let engine = Arc::new(Self {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            address,
+            work: Duration::from_millis(15),
+            more,
+            record: record.clone(),
+            is_stopped: AtomicBool::new(false),
+            connections: Mutex::default(),
+        });
+        listener.set_nonblocking(true)?;
+        let accepting = engine.clone();
+        thread::spawn(move || {
+            while !accepting.is_stopped.load(Ordering::SeqCst) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        let _ = stream.set_nodelay(true);
+                        if let Ok(kept) = stream.try_clone() {
+                            accepting.connections.lock().unwrap().push(kept);
+                        }
+                        let engine = accepting.clone();
+                        thread::spawn(move || engine.serve(stream));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(2)),
+                }
+            }
+        });
+        Ok(engine)
+    }
+
+    /// Writes the engine's entry, as it does at each heartbeat.
+    fn register(&self, store: &Store) {
+        let spec = format!(
+            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"z1\",\"serial\":\"v1\",\"capacity\":6,\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":1}}",
+            self.service, self.address
+        );
+        store.put("servers", &self.name, &spec);
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(stream);
+        while let Ok(request) = read_message(&mut reader, false) {
+            let (status, body) = self.answer(&request);
+            let head = format!(
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            if writer.write_all((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &Message) -> (u16, String) {
+        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let query = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(known, _)| *known == name).map(|(_, value)| value.to_owned())
+        };
+        let parts: Vec<&str> = path.split('/').skip(3).collect();
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let metadata = member(&body, "metadata").unwrap_or("{}");
+        let spec = member(&body, "spec").unwrap_or("null");
+        match (request.method(), &parts[..]) {
+            ("GET", [kind]) => match query("watch") {
+                Some(since) => {
+                    let wait = query("waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+                    self.watch(kind, since.parse().unwrap_or(0), Duration::from_millis(wait))
+                }
+                None => {
+                    let objects = self.objects.lock().unwrap();
+                    let known = objects.kinds.get(*kind);
+                    let all: Vec<String> =
+                        known.iter().flat_map(|known| known.values()).map(Stored::json).collect();
+                    let entries = all.join(",");
+                    let at = objects.revision;
+                    (200, format!("{{\"entries\":[{entries}],\"more\":false,\"at\":{at}}}"))
+                }
+            },
+            ("GET", [kind, name]) => match self.find(kind, name) {
+                Some(stored) => (200, stored.json()),
+                None => (404, "{}".to_owned()),
+            },
+            ("POST", [kind]) => {
+                let name = member(metadata, "name").unwrap_or("").trim_matches('"').to_owned();
+                match self.find(kind, &name) {
+                    Some(stored) => (409, stored.json()),
+                    None => (200, self.put(kind, &name, spec)),
+                }
+            }
+            ("PUT", [kind, name, rest @ ..]) => {
+                let Some(stored) = self.find(kind, name) else { return (404, "{}".to_owned()) };
+                let condition = member(metadata, "revision").and_then(|text| text.parse().ok());
+                if condition.is_some_and(|revision: u64| revision != stored.revision) {
+                    return (409, stored.json());
+                }
+                let status = member(&body, "status").unwrap_or("null");
+                let is_status = rest == ["status"];
+                let object = self.set(kind, name, |stored| match is_status {
+                    true => stored.status = status.to_owned(),
+                    false => stored.spec = spec.to_owned(),
+                });
+                (200, object)
+            }
+            ("DELETE", [kind, name]) => {
+                self.remove(kind, name);
+                (200, "{}".to_owned())
+            }
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn find(&self, kind: &str, name: &str) -> Option<Stored> {
+        let objects = self.objects.lock().unwrap();
+        objects.kinds.get(kind)?.get(name).cloned()
+    }
+
+    fn watch(&self, kind: &str, since: u64, wait: Duration) -> (u16, String) {
+        let until = Instant::now() + wait;
+        let mut objects = self.objects.lock().unwrap();
+        loop {
+            let new = objects.changes.iter().filter(|one| one.revision > since && one.kind == kind);
+            let events: Vec<String> = new
+                .map(|one| format!("{{\"gone\":{},\"object\":{}}}", one.gone, one.object))
+                .collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                let events = events.join(",");
+                return (200, format!("{{\"events\":[{events}],\"at\":{}}}", objects.revision));
+            }
+            objects = self.changed.wait_timeout(objects, left).unwrap().0;
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// The record of a case
+
+#[derive(Debug, Clone)]
+struct Run {
+    at: f64,
+    engine: String,
+    service: String,
+    id: String,
+    tenant: Option<String>,
+}
+
+#[derive(Debug, Clone)]
+struct Sent {
+    at: f64,
+    answered_at: f64,
+    tenant: String,
+    /// The status of the answer, or why there is none.
+    outcome: std::result::Result<u16, String>,
+}
+
+/// What was sent, answered and run.
+#[derive(Debug)]
+struct Record {
+    start: Instant,
+    runs: Mutex<Vec<Run>>,
+    sent: Mutex<BTreeMap<String, Sent>>,
+    notes: Mutex<Vec<String>>,
+}
+
+impl Record {
+    fn new() -> Arc<Self> {
+        Arc::new(Self {
+            start: Instant::now(),
+            runs: Mutex::default(),
+            sent: Mutex::default(),
+            notes: Mutex::default(),
+        })
+    }
+
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    fn note(&self, text: impl Into<String>) {
+        let line = format!("{:8.3} s  {}", self.now(), text.into());
+        println!("{line}");
+        self.notes.lock().unwrap().push(line);
+    }
+
+    /// Writes the record: notes, verdict, then each request with its answer and its runs.
+    fn write(&self, folder: &Path, verdict: &str) -> Result<()> {
+        let mut text = String::new();
+        for note in self.notes.lock().unwrap().iter() {
+            let _ = writeln!(text, "{note}");
+        }
+        let _ = writeln!(text, "{verdict}\n");
+        let runs = self.runs.lock().unwrap();
+        let mut by_id: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        runs.iter().for_each(|run| by_id.entry(&run.id).or_default().push(run));
+        for (id, sent) in self.sent.lock().unwrap().iter() {
+            let _ = write!(
+                text,
+                "{id} sent {:.3} by {} answered {:.3} {:?} run",
+                sent.at, sent.tenant, sent.answered_at, sent.outcome
+            );
+            for run in by_id.get(id.as_str()).into_iter().flatten() {
+                let tenant = run.tenant.as_deref().unwrap_or("(no Tenant)");
+                let _ = write!(text, " {:.3} at {}/{} as {tenant}", run.at, run.service, run.engine);
+            }
+            text.push('\n');
+        }
+        std::fs::write(folder.join("record.txt"), text)
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Engines
+
+/// Bytes that an engine in disruption sends after a whole answer, where the next answer is due.
+#[derive(Debug)]
+struct MoreBytes {
+    is_on: AtomicBool,
+    bytes: &'static str,
+    /// After one in so many of its answers.
+    one_in: u64,
+    answers: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl MoreBytes {
+    fn new(bytes: &'static str, one_in: u64) -> Arc<Self> {
+        Arc::new(Self {
+            is_on: AtomicBool::new(false),
+            bytes,
+            one_in,
+            answers: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns whether the answer that is sent now is followed by more bytes.
+    fn follows(&self) -> bool {
+        self.is_on.load(Ordering::SeqCst)
+            && self.answers.fetch_add(1, Ordering::SeqCst) % self.one_in == self.one_in - 1
+    }
+}
+
+/// An engine of an application service: runs each request for `work` and answers it.
+struct Engine {
+    name: String,
+    service: String,
+    address: SocketAddr,
+    work: Duration,
+    more: Option<Arc<MoreBytes>>,
+    record: Arc<Record>,
+    is_stopped: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
 impl Engine {
     fn start(
         name: &str,
@@ -603,21 +870,32 @@
 /// The processes that were started and not ended yet.
 static PROCESSES: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
-/// Ends all processes that were started.
+/// The guards of these processes.
+static GUARDS: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, and then their guards.
 fn end_processes() {
     for mut process in PROCESSES.lock().unwrap().drain(..) {
         let _ = process.kill();
         let _ = process.wait();
     }
+    for mut guard in GUARDS.lock().unwrap().drain(..) {
+        if let Some(mut input) = guard.stdin.take() {
+            let _ = input.write_all(b"end\n");
+        }
+        let _ = guard.wait();
+    }
 }
 
-/// Has a process ended if this one is ended from outside.
-fn guard(process: u32) {
-    let script = "while kill -0 $1; do kill -0 $0 || { kill -9 $1; break; }; sleep 0.5; done";
-    let (own, process) = (std::process::id().to_string(), process.to_string());
-    let mut watcher = Command::new("sh");
-    watcher.args(["-c", script, &own, &process]);
-    let _ = watcher.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+/// Has a process end, and the temporary folder go, if this program is ended from outside: the guard's
+/// input then closes before a line has come.
+fn guard(process: u32, temporary: &Path) -> Result<()> {
+    let script = "trap '' HUP INT TERM; read -r end && exit; kill -9 \"$0\"; rm -rf \"$1\"";
+    let mut guard = Command::new("sh");
+    guard.args(["-c", script, &process.to_string()]).arg(temporary);
+    let guard = guard.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?;
+    GUARDS.lock().unwrap().push(guard);
+    Ok(())
 }
 
 /// A `mastbay-edge` process.
@@ -674,8 +952,9 @@
             let mut command = Command::new(edge);
             command.arg(&path).stdin(Stdio::null()).stderr(log.try_clone()?).stdout(log);
             let process = command.spawn()?;
-            guard(process.id());
+            let id = process.id();
             PROCESSES.lock().unwrap().push(process);
+            guard(id, temporary)?;
             routers.push(Router {
                 callers: SocketAddr::from((*ip, port + 1)),
                 readiness: SocketAddr::from((*ip, port + 2)),
@@ -904,101 +1183,6 @@
     Ok(Verdict { is_broken: !refused.is_empty(), text })
 }
 
-/// ROUTE: the engine of another service runs a request, at the address of an engine that is gone.
-fn route(setup: &Setup) -> Result<Verdict> {
-    let record = &setup.record;
-    let store = Store::start(LOCAL.into())?;
-    store.put("config", "main", CONFIGURATION);
-    let mut engines = Vec::new();
-    for number in 0..3 {
-        let name = format!("i-permits-{number}");
-        let engine = Engine::start(&name, "permits", SocketAddr::from((LOCAL, 0)), None, record)?;
-        engine.register(&store);
-        engines.push(engine);
-    }
-    let places = Places::find(2)?;
-    let routers = places.start(&setup.edge, &store, &setup.temporary)?;
-    record.note("two routers are ready; traffic begins");
-    let lines = "Connection: keep-alive, Expect-Instance\r\n";
-    let clients = || (0..6).map(|n| Client::new(n, routers[n % 2].callers, lines)).collect();
-    run_clients(record, clients(), record.now() + 4.0, Duration::from_millis(100));
-    thread::sleep(Duration::from_millis(300));
-    let gone = &engines[0];
-    let crashed = record.now();
-    if setup.has_trouble {
-        gone.crash();
-        record.note(format!("{} crashes at {}; its entry lapses 3.6 s later", gone.name, gone.address));
-    }
-    // `reuseDelayS` is 2.
-    thread::sleep(Duration::from_millis(2_050));
-    if setup.has_trouble {
-        let other = Engine::start("i-boats-0", "boats", gone.address, None, record)?;
-        other.register(&store);
-        record.note("i-boats-0, an engine of another service, begins at that address");
-    }
-    let mut later: Vec<Client> = (6..12).map(|n| Client::new(n, routers[n % 2].callers, lines)).collect();
-    later.iter_mut().for_each(|client| client.count = 0);
-    let noting = record.clone();
-    let lapsing = store.clone();
-    let (name, has_trouble) = (gone.name.clone(), setup.has_trouble);
-    let lapse = thread::spawn(move || {
-        thread::sleep(Duration::from_secs_f64((crashed + 3.6 - noting.now()).max(0.0)));
-        if has_trouble {
-            lapsing.remove("servers", &name);
-            noting.note(format!("the entry of {name} lapses"));
-        }
-    });
-    run_clients(record, later, crashed + 8.0, Duration::from_millis(100));
-    let _ = lapse.join();
-    thread::sleep(Duration::from_millis(500));
-    end_processes();
-    let runs = record.runs.lock().unwrap();
-    let foreign: BTreeSet<&str> =
-        runs.iter().filter(|run| run.service != "permits").map(|run| run.id.as_str()).collect();
-    let text = format!(
-        "{}; {} requests of the route to `permits` ran at an engine of `boats`: {foreign:?}",
-        summary(record),
-        foreign.len()
-    );
-    Ok(Verdict { is_broken: !foreign.is_empty(), text })
-}
-
-/// UNASKED: an engine runs a request without the tenant of its key.
-fn tenant(setup: &Setup) -> Result<Verdict> {
-    let record = &setup.record;
-    let store = Store::start(LOCAL.into())?;
-    store.put("config", "main", CONFIGURATION);
-    for number in 0..3 {
-        let name = format!("i-permits-{number}");
-        Engine::start(&name, "permits", SocketAddr::from((LOCAL, 0)), None, record)?
-            .register(&store);
-    }
-    let places = Places::find(2)?;
-    let routers = places.start(&setup.edge, &store, &setup.temporary)?;
-    record.note("two routers are ready; traffic begins");
-    let lines = match setup.has_trouble {
-        true => "Connection: keep-alive, Tenant\r\n",
-        false => "Connection: keep-alive\r\n",
-    };
-    let clients = (0..6).map(|n| Client::new(n, routers[n % 2].callers, lines)).collect();
-    run_clients(record, clients, record.now() + 5.0, Duration::from_millis(100));
-    thread::sleep(Duration::from_millis(500));
-    end_processes();
-    let runs = record.runs.lock().unwrap();
-    let sent = record.sent.lock().unwrap();
-    let is_own = |run: &&Run| {
-        sent.get(&run.id).is_some_and(|sent| run.tenant.as_deref() == Some(sent.tenant.as_str()))
-    };
-    let others = runs.iter().filter(|run| !is_own(run)).count();
-    drop(sent);
-    let text = format!(
-        "{}; {others} of {} runs were not under the tenant that holds the client's key",
-        summary(record),
-        runs.len()
-    );
-    Ok(Verdict { is_broken: others > 0, text })
-}
-
 /// DENIED: requests that every configuration in force allows are refused, since their connections
 /// were accepted under an earlier one.
 fn denied(setup: &Setup) -> Result<Verdict> {
@@ -1061,8 +1245,6 @@
     match case {
         "twice" => twice(setup),
         "promised" => promised(setup),
-        "route" => route(setup),
-        "tenant" => tenant(setup),
         "denied" => denied(setup),
         _ => Err(broken("no such case")),
     }
@@ -1074,14 +1256,16 @@
         eprintln!("usage: stand-in-2 CASE EDGE FOLDER");
         std::process::exit(2);
     };
+    let temporary = std::env::temp_dir().join(format!("mastbay-review-{}", std::process::id()));
     // Nothing takes longer than 120 s, whatever happens.
-    thread::spawn(|| {
+    let folder_to_remove = temporary.clone();
+    thread::spawn(move || {
         thread::sleep(Duration::from_secs(110));
         end_processes();
+        let _ = std::fs::remove_dir_all(&folder_to_remove);
         eprintln!("the case took too long");
         std::process::exit(2);
     });
-    let temporary = std::env::temp_dir().join(format!("mastbay-review-{}", std::process::id()));
     let folder = PathBuf::from(folder);
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let setup =
